Lay out the workspace and the shared vocabulary

The parts are to be built side by side, so the seams come first: names, time, verdicts, call context and treatment, the messages between nodes, and the events and effects of the reducer. No behaviour yet; format, lints and documentation checks pass.

--- /dev/null
+++ b/crates/anvil_core/src/effect.rs
@@ -0,0 +1,122 @@
+//! Everything that a node does to its surroundings, as data.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{ident, treatment, verdict};
+use anvil_wire::{call, frame, gossip};
+use derive_more::Display;
+
+use crate::event;
+
+/// The one reply to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerReply {
+    /// Whether the request ran.
+    pub verdict: verdict::CallVerdict,
+    /// The whole answer where there is one.
+    pub answer: Option<call::CallAnswer>,
+    /// The request's id, for the caller's own records and resends.
+    pub request: ident::RequestId,
+    /// Attempts dispatched by this node for the call.
+    pub attempts: u16,
+    /// The rule that decided.
+    pub mark: treatment::RuleMark,
+    /// When to come back, where the request was refused for want of capacity.
+    pub retry_after: Option<Duration>,
+}
+
+/// A run at the local target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRun {
+    /// Identity of the run, and the token the target sends back on its own calls.
+    pub run: event::RunId,
+    /// Where the target listens.
+    pub address: SocketAddr,
+    /// The request.
+    pub request: call::CallRequest,
+    /// The root request, told to the target.
+    pub root: ident::RequestId,
+    /// Time left; also told to the target.
+    pub timeout: Duration,
+}
+
+/// A change of state worth a log line.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum StateChange {
+    /// The local target came.
+    #[display("target serving: service={service} address={address} slots={slots}")]
+    TargetServing {
+        /// Its service.
+        service: String,
+        /// Its address.
+        address: SocketAddr,
+        /// Its slots.
+        slots: u32,
+    },
+    /// The local target's lease lapsed or it left.
+    #[display("target gone: reason={reason}")]
+    TargetGone {
+        /// Why.
+        reason: String,
+    },
+    /// Anything a state module reports in its own words.
+    #[display("{part}: {text}")]
+    Part {
+        /// The state module.
+        part: &'static str,
+        /// What changed.
+        text: String,
+    },
+    /// The node stops.
+    #[display("stopping: forced={forced} running={running}")]
+    Stopping {
+        /// Whether a second signal or the deadline forced it.
+        forced: bool,
+        /// Requests still out.
+        running: usize,
+    },
+}
+
+/// Everything that a node does to its surroundings.
+#[derive(Clone, Debug)]
+pub enum NodeEffect {
+    /// Reply to a caller.
+    ReplyCaller {
+        /// Whose connection.
+        handle: event::CallerHandle,
+        /// The reply.
+        reply: Box<CallerReply>,
+    },
+    /// Send a frame to another node, opening a connection where there is none.
+    SendFrame {
+        /// The receiver; the handshake must prove it.
+        peer: ident::NodeId,
+        /// Where it accepts connections.
+        address: SocketAddr,
+        /// The frame.
+        frame: frame::PeerFrame,
+    },
+    /// Send a datagram to another node.
+    SendDatagram {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        message: gossip::GossipMessage,
+    },
+    /// Run a request at the local target.
+    RunTarget(Box<TargetRun>),
+    /// Close the connection of a run, which tells the target to stop.
+    CancelRun(event::RunId),
+    /// Answer an operator.
+    AnswerOperator {
+        /// Whose question.
+        handle: event::OperatorHandle,
+        /// Whether it was carried out, and the text of the answer.
+        answer: Result<String, String>,
+    },
+    /// Write a log line.
+    Report(StateChange),
+    /// Leave the process with everything answered.
+    Exit,
+}
--- /dev/null
+++ b/crates/anvil_core/src/event.rs
@@ -0,0 +1,170 @@
+//! Everything that can happen to a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{ident, name};
+use anvil_wire::{call, frame, gossip};
+use bytes::Bytes;
+
+/// A caller's connection that waits for one reply; local to the edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallerHandle(pub u64);
+
+/// An operator's request that waits for one reply; local to the edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OperatorHandle(pub u64);
+
+/// One run of a request at the local target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunId(pub u64);
+
+/// One question to the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreId(pub u64);
+
+/// What the caller's headers say about the call, apart from the request itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerHints {
+    /// The request id, where the caller resends under its own.
+    pub request: Option<ident::RequestId>,
+    /// Time the caller still waits.
+    pub timeout: Option<Duration>,
+    /// The idempotency key, as sent.
+    pub key: Option<Bytes>,
+    /// The context of the parent call, where the local target calls on behalf of it.
+    pub parent: Option<ParentToken>,
+}
+
+/// Names a running call of the local target, handed to the target with the request and sent back
+/// on its own outgoing calls, so that the context follows without the target's understanding it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ParentToken(pub RunId);
+
+/// How a run at the local target ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The whole answer arrived.
+    Whole(call::CallAnswer),
+    /// The target said that it refused the request without running it.
+    Refused,
+    /// No connection came about, so no byte of the request left.
+    Unreachable,
+    /// The connection broke after the first byte had left and before the whole answer arrived.
+    Broken {
+        /// Whether the answer had begun.
+        in_answer: bool,
+    },
+    /// The deadline passed while the request was out.
+    TimedOut,
+    /// The run was cancelled by the node.
+    Cancelled,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetAnnouncement {
+    /// The service it offers.
+    pub service: name::ServiceName,
+    /// Where it accepts requests.
+    pub address: SocketAddr,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub connections: u32,
+    /// Time until the announcement lapses unless renewed.
+    pub lease: Duration,
+}
+
+/// A question of an operator to this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorRequest {
+    /// The whole state, as JSON.
+    Dump,
+    /// A summary of the fleet as this node sees it, as JSON.
+    Status,
+    /// Counters and gauges, as JSON pairs.
+    Counters,
+    /// Which rule decides a request, and why, as JSON.
+    Explain(Box<call::CallRequest>),
+    /// A change of the rules: the whole YAML text and the revision it was made from.
+    Apply {
+        /// The rules, as YAML.
+        text: String,
+        /// The operator's own id of the change.
+        change: u128,
+        /// The revision the operator saw.
+        base: ident::RuleRevision,
+    },
+    /// The rules in force, as YAML.
+    Rules,
+    /// The change ids, authors and revisions kept, as JSON.
+    History,
+}
+
+/// Everything that can happen to a node.
+#[derive(Clone, Debug)]
+pub enum NodeEvent {
+    /// A caller sent a whole request.
+    CallArrived {
+        /// Where the reply goes.
+        handle: CallerHandle,
+        /// The request.
+        request: Box<call::CallRequest>,
+        /// What the headers say beside it.
+        hints: CallerHints,
+    },
+    /// The caller closed its connection before the reply.
+    CallerGone {
+        /// Whose.
+        handle: CallerHandle,
+    },
+    /// A frame from another node.
+    FrameArrived {
+        /// The sender, as proved in the handshake.
+        peer: ident::NodeId,
+        /// The frame.
+        frame: frame::PeerFrame,
+    },
+    /// A connection to another node broke, with everything that was out on it.
+    PeerLost {
+        /// The other node.
+        peer: ident::NodeId,
+    },
+    /// No connection to another node came about; frames to it were not sent.
+    PeerUnreachable {
+        /// The other node.
+        peer: ident::NodeId,
+        /// The frames that never left.
+        unsent: Vec<frame::PeerFrame>,
+    },
+    /// An authenticated datagram from another node.
+    DatagramArrived {
+        /// Where it came from.
+        from: SocketAddr,
+        /// What it says.
+        message: gossip::GossipMessage,
+    },
+    /// A run at the local target ended.
+    RunEnded {
+        /// Which.
+        run: RunId,
+        /// How.
+        outcome: RunOutcome,
+    },
+    /// The local target announced itself or renewed.
+    TargetAnnounced(TargetAnnouncement),
+    /// The local target says that it leaves.
+    TargetLeaving,
+    /// An operator asked something.
+    OperatorAsked {
+        /// Where the answer goes.
+        handle: OperatorHandle,
+        /// What.
+        request: OperatorRequest,
+    },
+    /// The time that `next_wake` of the reducer named has come, or a little later.
+    Woke,
+    /// A stop was asked for; a second one forces it.
+    StopRequested,
+}
--- /dev/null
+++ b/crates/anvil_ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvil_node/src/main.rs
@@ -0,0 +1,3 @@
+//! The node process.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvil_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/anvil_types/src/ident.rs
@@ -0,0 +1,77 @@
+//! Identities of nodes, calls, requests and keys.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+/// One run of one node process; drawn at random at each start.
+///
+/// A replaced instance at the same address has another identity, so whatever was bound to the
+/// process that vanished can't be mistaken for its successor's.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct NodeId(pub u64);
+
+/// One call as dispatched by one node; answers are matched by it and by the attempt.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{node}-{sequence}")]
+pub struct CallId {
+    /// The node that dispatched the call.
+    pub node: NodeId,
+    /// Counts the calls of that node from one.
+    pub sequence: u64,
+}
+
+/// The root request that a whole chain of calls serves.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct RequestId(pub u128);
+
+/// A digest of the service and the idempotency key that names one non-idempotent action.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct RequestKey(pub u128);
+
+impl RequestKey {
+    /// Digests the key that a caller sent for `service`, so that equal keys of two services
+    /// stay apart and a key's length costs nothing further on.
+    pub fn of(service: &str, key: &[u8]) -> Self {
+        let mut bytes = Vec::with_capacity(service.len() + 1 + key.len());
+        bytes.extend_from_slice(service.as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(key);
+        Self(xxh3::xxh3_128(&bytes))
+    }
+}
+
+/// A digest of what a request asks for, equal for its resends; see `docs/design/quarantine.md`.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct PrintHash(pub u64);
+
+/// A revision of the operators' rules; zero stands for the built-in rules of a fresh fleet.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+pub struct RuleRevision(pub u64);
--- /dev/null
+++ b/crates/anvil_types/src/name.rs
@@ -0,0 +1,85 @@
+//! Checked names of services, availability zones and regions.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// The longest name accepted, in bytes; it keeps membership messages small.
+pub const NAME_LIMIT: usize = 63;
+
+/// Why a name was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum NameError {
+    /// The name holds no character.
+    #[display("a name must not be empty")]
+    Empty,
+    /// The name is longer than [`NAME_LIMIT`].
+    #[display("a name must not be longer than {NAME_LIMIT} bytes")]
+    Long,
+    /// The name holds a character outside `a-z`, `0-9` and `-`.
+    #[display("a name holds only a-z, 0-9 and '-', not {found:?}")]
+    Character {
+        /// The first character that was refused.
+        found: char,
+    },
+}
+
+fn check(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_LIMIT {
+        return Err(NameError::Long);
+    }
+    let allowed = |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || *c == '-';
+    match text.chars().find(|c| !allowed(c)) {
+        Some(found) => Err(NameError::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! checked_name {
+    ($(#[$note:meta])* $name:ident) => {
+        $(#[$note])*
+        #[derive(
+            Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `text` and keeps it; fails with the first fault found.
+            pub fn new(text: &str) -> Result<Self, NameError> {
+                check(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::new(&text)
+            }
+        }
+    };
+}
+
+checked_name! {
+    /// The name of a service, such as `mesa-entradas`.
+    ServiceName
+}
+checked_name! {
+    /// The name of an availability zone, such as `ar-centro-a`.
+    ZoneName
+}
+checked_name! {
+    /// The name of a region, such as `ar-centro`.
+    RegionName
+}
--- /dev/null
+++ b/crates/anvil_wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages between nodes and their codec.
+//!
+//! Calls and bulk travel as [`frame::PeerFrame`] over TCP, membership as
+//! [`gossip::GossipMessage`] over UDP. Both are `postcard`; see `docs/ARCHITECTURE.md`.
+
+pub mod call;
+pub mod codec;
+pub mod frame;
+pub mod gossip;
+pub mod key;
