--- /dev/null
+++ b/crates/anvil_once/src/dump.rs
@@ -0,0 +1,83 @@
+//! The state of the key owners for the dump.
+
+use anvil_types::ident;
+use serde::Serialize;
+
+use crate::{counters, owner, primary};
+
+/// One owned slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SlotDump {
+    /// The slot.
+    pub slot: u16,
+    /// Its epoch.
+    pub epoch: u64,
+    /// `primary` or `backup`.
+    pub role: &'static str,
+    /// The other owner, in hexadecimal.
+    pub other: Option<String>,
+    /// Records held.
+    pub records: usize,
+    /// Bytes of answers kept.
+    pub answer_bytes: usize,
+    /// Keys that wait for the backup's acknowledgement.
+    pub pending: usize,
+    /// Whether the two hold the same records.
+    pub whole: bool,
+    /// Whether unknown keys are answered as may-have-run, because records were lost.
+    pub in_doubt: bool,
+}
+
+/// The state of the key owners for the dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct KeyDump {
+    /// Slots whose owners this node knows.
+    pub known_slots: usize,
+    /// Slots that this node owns.
+    pub owned: Vec<SlotDump>,
+    /// Calls of this node that wait for a key, hold one, or have an outcome to deliver.
+    pub asks: usize,
+    /// Changes of owners under way in the store.
+    pub changes: usize,
+    /// Whether the node is handing over.
+    pub leaving: bool,
+    /// Counts since the start.
+    pub counters: counters::KeyCounters,
+}
+
+impl owner::KeyOwner {
+    /// The state for the dump.
+    pub fn dump(&self) -> KeyDump {
+        KeyDump {
+            known_slots: self.views.list().len(),
+            owned: self.slots.iter().map(dump_slot).collect(),
+            asks: self.asks.len(),
+            changes: self.changes.len(),
+            leaving: self.leaving,
+            counters: self.counters,
+        }
+    }
+}
+
+fn dump_slot(owned: &primary::OwnedSlot) -> SlotDump {
+    let (role, other, pending, whole) = match &owned.role {
+        primary::SlotRole::Primary(role) => (
+            "primary",
+            role.backup,
+            role.pending.len(),
+            role.copy.is_none(),
+        ),
+        primary::SlotRole::Backup(role) => ("backup", Some(role.primary), 0, role.whole),
+    };
+    SlotDump {
+        slot: owned.slot.0,
+        epoch: owned.epoch.0,
+        role,
+        other: other.map(|node: ident::NodeId| node.to_string()),
+        records: owned.table.len(),
+        answer_bytes: owned.table.answer_bytes(),
+        pending,
+        whole,
+        in_doubt: owned.doubt.is_some(),
+    }
+}
--- /dev/null
+++ b/crates/anvil_once/src/entry.rs
@@ -0,0 +1,335 @@
+//! The entry node's side: it asks for its own calls and tells how they ended.
+
+use std::time::Duration;
+
+use anvil_types::{ident, time, verdict};
+use anvil_wire::key;
+
+use crate::{effect, event, owner, slots};
+
+/// A call's question for a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyQuestion {
+    /// The call.
+    pub call: ident::CallId,
+    /// The key.
+    pub key: ident::RequestKey,
+    /// The digest of the request.
+    pub print: ident::PrintHash,
+}
+
+/// How far a call of this node has come with its key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum AskState {
+    /// The owner has not decided.
+    Asking,
+    /// The call is over and will never run; kept for a late grant.
+    Abandoned,
+    /// The call runs.
+    Granted,
+    /// The call is over and the owner has not confirmed that it knows how.
+    Ended(key::KeyOutcome),
+}
+
+/// A call of this node that asked for a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct KeyAsk {
+    pub(crate) question: KeyQuestion,
+    pub(crate) state: AskState,
+    /// The node asked last.
+    target: ident::NodeId,
+    /// Nodes tried without an answer.
+    tried: usize,
+    /// When to repeat.
+    next: time::NodeTime,
+    /// When to give up or to forget.
+    until: time::NodeTime,
+}
+
+impl KeyAsk {
+    pub(crate) const fn holds_node(&self) -> bool {
+        matches!(self.state, AskState::Granted | AskState::Ended(_))
+    }
+}
+
+impl owner::KeyOwner {
+    pub(crate) fn ask(&mut self, now: time::NodeTime, question: KeyQuestion, wait: Duration) {
+        if self.asks.len() >= self.policy.ask_limit {
+            let reason = verdict::RefusalReason::KeyUnavailable;
+            self.decide(question.call, effect::KeyVerdict::NotRun(reason));
+            return;
+        }
+        let Err(at) = self.ask_place(question.call) else {
+            return;
+        };
+        let ask = KeyAsk {
+            question,
+            state: AskState::Asking,
+            target: self.own,
+            tried: 0,
+            next: now,
+            until: now + wait,
+        };
+        self.asks.insert(at, ask);
+        self.wake_at(now + wait);
+        self.send_ask(now, at);
+    }
+
+    pub(crate) fn abandon(&mut self, now: time::NodeTime, call: ident::CallId) {
+        if let Some(at) = self.asking(call) {
+            self.give_up(now, at);
+        }
+    }
+
+    pub(crate) fn end(&mut self, now: time::NodeTime, call: ident::CallId, end: event::CallEnd) {
+        let Ok(at) = self.ask_place(call) else { return };
+        if self.asks[at].state != AskState::Granted {
+            return;
+        }
+        let outcome = match end {
+            event::CallEnd::Answered(answer) => key::KeyOutcome::Answered(Some(answer)),
+            event::CallEnd::NotRun => key::KeyOutcome::NotRun,
+            event::CallEnd::MayHaveRun(reason) => key::KeyOutcome::MayHaveRun(reason),
+        };
+        let ask = &mut self.asks[at];
+        ask.state = AskState::Ended(outcome);
+        ask.until = now + self.policy.longest_call;
+        self.send_outcome(now, at);
+    }
+
+    /// Takes a grant; the call runs only under its first one.
+    pub(crate) fn take_grant(
+        &mut self,
+        now: time::NodeTime,
+        from: ident::NodeId,
+        call: ident::CallId,
+        key: ident::RequestKey,
+    ) {
+        let late = |ask: &KeyAsk| now > ask.until;
+        let Ok(at) = self.ask_place(call) else {
+            self.refuse_unknown_grant(from, call, key);
+            return;
+        };
+        match &self.asks[at].state {
+            AskState::Asking if late(&self.asks[at]) => self.give_up(now, at),
+            AskState::Asking => self.dispatch(at),
+            // A grant repeated on the way, or by the next primary, would run the call again: the
+            // target would count two runs. One call has one run, whoever grants it.
+            AskState::Abandoned | AskState::Granted if !self.policy.guards.one_run_per_call => {
+                self.dispatch(at);
+            }
+            AskState::Abandoned => self.return_grant(from, call, key),
+            AskState::Granted => {}
+            AskState::Ended(_) => self.send_outcome(now, at),
+        }
+    }
+
+    pub(crate) fn take_refusal(
+        &mut self,
+        now: time::NodeTime,
+        call: ident::CallId,
+        refusal: key::KeyRefusal,
+    ) {
+        let Some(at) = self.asking(call) else { return };
+        let verdict = match refusal {
+            key::KeyRefusal::Busy => {
+                self.repeat_later(now, at);
+                return;
+            }
+            key::KeyRefusal::NotOwner(view) => {
+                self.follow_view(now, at, view);
+                return;
+            }
+            key::KeyRefusal::Answered(answer) => effect::KeyVerdict::Answered(answer),
+            key::KeyRefusal::MayHaveRun(reason) => effect::KeyVerdict::MayHaveRun(reason),
+            key::KeyRefusal::Mismatch => {
+                effect::KeyVerdict::NotRun(verdict::RefusalReason::KeyMismatch)
+            }
+            key::KeyRefusal::Unavailable => {
+                effect::KeyVerdict::NotRun(verdict::RefusalReason::KeyUnavailable)
+            }
+        };
+        self.shelve(now, at);
+        self.decide(call, verdict);
+    }
+
+    pub(crate) fn forget_outcome(&mut self, call: ident::CallId) {
+        if let Ok(at) = self.ask_place(call)
+            && matches!(self.asks[at].state, AskState::Ended(_))
+        {
+            self.asks.remove(at);
+        }
+    }
+
+    /// Sends the outcomes of a slot to its new primary.
+    pub(crate) fn resend_outcomes(&mut self, now: time::NodeTime, slot: key::SlotId) {
+        for at in 0..self.asks.len() {
+            let ask = &self.asks[at];
+            let concerned = slots::slot_of(ask.question.key) == slot;
+            if concerned && matches!(ask.state, AskState::Ended(_)) {
+                self.send_outcome(now, at);
+            }
+        }
+    }
+
+    pub(crate) fn lose_messages(&mut self, now: time::NodeTime, node: ident::NodeId) {
+        let soon = now + self.policy.ask_retry;
+        for ask in &mut self.asks {
+            if ask.target == node {
+                ask.tried += 1;
+                ask.next = ask.next.min(soon);
+            }
+        }
+        self.wake_at(soon);
+    }
+
+    pub(crate) fn tick_asks(&mut self, now: time::NodeTime) {
+        for at in 0..self.asks.len() {
+            let ask = &self.asks[at];
+            match ask.state {
+                AskState::Asking if ask.until <= now => self.give_up(now, at),
+                AskState::Asking if ask.next <= now => {
+                    self.asks[at].tried += 1;
+                    self.send_ask(now, at);
+                }
+                AskState::Ended(_) if ask.next <= now => {
+                    self.asks[at].tried += 1;
+                    self.send_outcome(now, at);
+                }
+                _ => {}
+            }
+        }
+        let forgotten = |ask: &KeyAsk| {
+            let over = matches!(ask.state, AskState::Abandoned | AskState::Ended(_));
+            over && ask.until <= now
+        };
+        self.asks.retain(|ask| !forgotten(ask));
+        let waits = |ask: &&KeyAsk| !matches!(ask.state, AskState::Abandoned | AskState::Granted);
+        let next = self
+            .asks
+            .iter()
+            .filter(waits)
+            .map(|ask| ask.next.min(ask.until))
+            .min();
+        if let Some(next) = next {
+            self.wake_at(next);
+        }
+    }
+
+    fn dispatch(&mut self, at: usize) {
+        let ask = &mut self.asks[at];
+        ask.state = AskState::Granted;
+        let call = ask.question.call;
+        self.push(effect::KeyEffect::Dispatch { call });
+    }
+
+    fn decide(&mut self, call: ident::CallId, verdict: effect::KeyVerdict) {
+        self.push(effect::KeyEffect::Decide { call, verdict });
+    }
+
+    /// Ends a call that waited too long, and frees its key where the owner has recorded it.
+    fn give_up(&mut self, now: time::NodeTime, at: usize) {
+        let KeyQuestion { call, key, .. } = self.asks[at].question;
+        let target = self.asks[at].target;
+        self.shelve(now, at);
+        self.return_grant(target, call, key);
+        let reason = verdict::RefusalReason::KeyUnavailable;
+        self.decide(call, effect::KeyVerdict::NotRun(reason));
+    }
+
+    fn shelve(&mut self, now: time::NodeTime, at: usize) {
+        self.asks[at].state = AskState::Abandoned;
+        self.asks[at].until = now + self.policy.abandon_keep;
+    }
+
+    fn return_grant(&mut self, to: ident::NodeId, call: ident::CallId, key: ident::RequestKey) {
+        let outcome = key::KeyOutcome::NotRun;
+        self.send(to, key::KeyMessage::Settle { call, key, outcome });
+    }
+
+    /// Nothing is known about the call any more, so it may have run; it won't run now.
+    fn refuse_unknown_grant(
+        &mut self,
+        from: ident::NodeId,
+        call: ident::CallId,
+        key: ident::RequestKey,
+    ) {
+        let outcome = key::KeyOutcome::MayHaveRun(verdict::DoubtReason::RecordLost);
+        self.send(from, key::KeyMessage::Settle { call, key, outcome });
+    }
+
+    fn follow_view(&mut self, now: time::NodeTime, at: usize, view: Option<key::SlotView>) {
+        let before = self.asks[at].target;
+        if let Some(view) = view {
+            self.learn(now, view, None);
+        }
+        let ask = &self.asks[at];
+        let slot = slots::slot_of(ask.question.key);
+        let primary = self.views.get(slot).map(|view| view.primary);
+        match primary {
+            Some(primary) if primary != before => {
+                self.asks[at].tried = 0;
+                self.send_ask(now, at);
+            }
+            _ => {
+                self.asks[at].tried += 1;
+                self.repeat_later(now, at);
+            }
+        }
+    }
+
+    fn repeat_later(&mut self, now: time::NodeTime, at: usize) {
+        let next = now + self.policy.ask_retry;
+        self.asks[at].next = next;
+        self.wake_at(next);
+    }
+
+    fn send_ask(&mut self, now: time::NodeTime, at: usize) {
+        let KeyQuestion { call, key, print } = self.asks[at].question;
+        let target = self.route(now, key, self.asks[at].tried);
+        let ask = &mut self.asks[at];
+        ask.target = target;
+        ask.next = now + self.policy.send_retry;
+        let next = ask.next;
+        self.wake_at(next);
+        self.send(target, key::KeyMessage::Ask { call, key, print });
+    }
+
+    fn send_outcome(&mut self, now: time::NodeTime, at: usize) {
+        let AskState::Ended(outcome) = self.asks[at].state.clone() else {
+            return;
+        };
+        let KeyQuestion { call, key, .. } = self.asks[at].question;
+        let target = self.route(now, key, self.asks[at].tried);
+        let ask = &mut self.asks[at];
+        ask.target = target;
+        ask.next = now + self.policy.send_retry;
+        let next = ask.next;
+        self.wake_at(next);
+        self.send(target, key::KeyMessage::Settle { call, key, outcome });
+    }
+
+    /// The node to ask: the primary, then the backup, then whoever would take the slot.
+    fn route(&self, now: time::NodeTime, key: ident::RequestKey, tried: usize) -> ident::NodeId {
+        let slot = slots::slot_of(key);
+        let view = self.views.get(slot);
+        let owners = view.map(|view| [Some(view.primary), view.backup]);
+        let owners = owners.into_iter().flatten().flatten();
+        let present = |node: &ident::NodeId| !self.is_missing(now, *node, Duration::ZERO);
+        let mut nodes: Vec<ident::NodeId> = owners.filter(present).collect();
+        if view.is_none() || nodes.is_empty() {
+            nodes.push(self.preferred(slot));
+        }
+        nodes[tried % nodes.len()]
+    }
+
+    fn asking(&self, call: ident::CallId) -> Option<usize> {
+        let at = self.ask_place(call).ok()?;
+        (self.asks[at].state == AskState::Asking).then_some(at)
+    }
+
+    fn ask_place(&self, call: ident::CallId) -> Result<usize, usize> {
+        self.asks
+            .binary_search_by_key(&call, |ask| ask.question.call)
+    }
+}
--- /dev/null
+++ b/crates/anvil_once/src/grant.rs
@@ -0,0 +1,379 @@
+//! The primary's side: it grants keys and keeps how the granted calls ended.
+
+use std::time::Duration;
+
+use anvil_types::{ident, time, verdict};
+use anvil_wire::key;
+
+use crate::{entry, owner, primary, slots, table};
+
+/// What becomes of a question.
+enum AskJudgement {
+    /// The key is recorded for this very call.
+    Grant,
+    /// The backup has not acknowledged the call's record.
+    Wait,
+    /// The key is new.
+    Record,
+    /// The call must not run the key now.
+    Refuse(key::KeyRefusal),
+}
+
+impl owner::KeyOwner {
+    pub(crate) fn answer_ask(
+        &mut self,
+        now: time::NodeTime,
+        from: ident::NodeId,
+        question: entry::KeyQuestion,
+    ) {
+        // A grant goes to the node that can run the call; nobody asks for another node's call.
+        if question.call.node != from {
+            return;
+        }
+        match self.judge(now, question) {
+            AskJudgement::Grant => self.grant(question.call, question.key),
+            AskJudgement::Wait => {}
+            AskJudgement::Record => self.record(now, question),
+            AskJudgement::Refuse(refusal) => self.refuse(question.call, refusal),
+        }
+    }
+
+    fn judge(&mut self, now: time::NodeTime, question: entry::KeyQuestion) -> AskJudgement {
+        let slot = slots::slot_of(question.key);
+        let Some((owned, role)) = self.owned_primary(slot) else {
+            return AskJudgement::Refuse(self.redirect(now, slot));
+        };
+        if let Some(entry) = owned.table.get(question.key) {
+            return self.judge_known(now, question, entry, &role.pending);
+        }
+        let copying = role.copy.is_some() && self.policy.guards.copy_before_grant;
+        let full = owned.table.len() >= self.policy.record_limit;
+        let doubt = owned.doubt.is_some_and(|until| now < until);
+        if let Some(refusal) = self.unconfirmed(now, role) {
+            self.begin_change(now, slot);
+            return AskJudgement::Refuse(refusal);
+        }
+        if copying {
+            return AskJudgement::Refuse(key::KeyRefusal::Busy);
+        }
+        // The records of this slot were lost with both of their holders. An unknown key may have
+        // run under them: granting it would run it twice. It is granted once the longest call and
+        // the retention have passed.
+        if doubt && self.policy.guards.lost_keys_refused {
+            let reason = verdict::DoubtReason::RecordLost;
+            return AskJudgement::Refuse(key::KeyRefusal::MayHaveRun(reason));
+        }
+        if full {
+            return AskJudgement::Refuse(key::KeyRefusal::Unavailable);
+        }
+        AskJudgement::Record
+    }
+
+    /// A primary that was cut off from the store for long may have been replaced by a third node,
+    /// which grants unknown keys once its doubt is over; this one stops well before.
+    fn unconfirmed(
+        &self,
+        now: time::NodeTime,
+        role: &primary::PrimaryRole,
+    ) -> Option<key::KeyRefusal> {
+        match role.confirmed {
+            None => Some(key::KeyRefusal::Busy),
+            Some(at) if now.since(at) > self.policy.confirm_limit => {
+                Some(key::KeyRefusal::Unavailable)
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn judge_known(
+        &self,
+        now: time::NodeTime,
+        question: entry::KeyQuestion,
+        entry: &table::KeyEntry,
+        pending: &[primary::PendingGrant],
+    ) -> AskJudgement {
+        if entry.print != question.print {
+            return AskJudgement::Refuse(key::KeyRefusal::Mismatch);
+        }
+        let refusal = match &entry.state {
+            key::RecordState::Held if entry.call == question.call => {
+                let waits = pending.iter().any(|grant| grant.call == question.call);
+                return if waits {
+                    AskJudgement::Wait
+                } else {
+                    AskJudgement::Grant
+                };
+            }
+            // The holder may be running the key at this moment, or may have run it before it
+            // vanished. Another call would be the second run, whatever became of the holder.
+            key::RecordState::Held if !self.policy.guards.held_keys_refused => {
+                return AskJudgement::Record;
+            }
+            key::RecordState::Held => key::KeyRefusal::MayHaveRun(self.doubt_of(now, entry)),
+            key::RecordState::Answered(Some(answer)) => key::KeyRefusal::Answered(answer.clone()),
+            key::RecordState::Answered(None) => key::KeyRefusal::MayHaveRun(table::ANSWER_GONE),
+            key::RecordState::Doubtful(reason) => key::KeyRefusal::MayHaveRun(*reason),
+        };
+        AskJudgement::Refuse(refusal)
+    }
+
+    fn doubt_of(&self, now: time::NodeTime, entry: &table::KeyEntry) -> verdict::DoubtReason {
+        if self.is_missing(now, entry.call.node, Duration::ZERO) {
+            return verdict::DoubtReason::NodeLost;
+        }
+        if now.since(entry.recorded) >= self.policy.longest_call {
+            return verdict::DoubtReason::Deadline;
+        }
+        verdict::DoubtReason::InProgress
+    }
+
+    /// What a node that is not the primary answers.
+    fn redirect(&mut self, now: time::NodeTime, slot: key::SlotId) -> key::KeyRefusal {
+        let view = self.views.get(slot);
+        if self.proposal(now, slot, view).is_some() {
+            self.begin_change(now, slot);
+            return key::KeyRefusal::Busy;
+        }
+        key::KeyRefusal::NotOwner(view)
+    }
+
+    /// Records a new key for its call, and grants it once the backup has recorded it too.
+    fn record(&mut self, now: time::NodeTime, question: entry::KeyQuestion) {
+        let slot = slots::slot_of(question.key);
+        let guards = self.policy.guards;
+        let retry = now + self.policy.send_retry;
+        let Some(owned) = self.owned_mut(slot) else {
+            return;
+        };
+        let entry::KeyQuestion { call, key, print } = question;
+        let order = owned.next_order();
+        let entry = table::KeyEntry {
+            key,
+            print,
+            call,
+            order,
+            recorded: now,
+            state: key::RecordState::Held,
+        };
+        let record = entry.to_record(now);
+        owned.table.put(entry);
+        let epoch = owned.epoch;
+        let Some(role) = owned.primary_mut() else {
+            return;
+        };
+        let Some(backup) = role.backup else {
+            self.grant(call, key);
+            return;
+        };
+        // A primary that granted first and then vanished would leave a backup that takes the key
+        // for new and grants it again: two case numbers for one claim. With the record at the
+        // backup before the grant, whoever survives knows the holder.
+        if guards.ack_before_grant {
+            let sent = now;
+            role.pending.push(primary::PendingGrant {
+                order,
+                key,
+                call,
+                sent,
+            });
+        }
+        let message = key::KeyMessage::Record {
+            slot,
+            epoch,
+            record,
+        };
+        self.send(backup, message);
+        self.wake_at(retry);
+        if !guards.ack_before_grant {
+            self.grant(call, key);
+        }
+    }
+
+    pub(crate) fn take_ack(
+        &mut self,
+        now: time::NodeTime,
+        at: (key::SlotId, key::SlotEpoch),
+        order: u64,
+    ) {
+        let (slot, epoch) = at;
+        let checked = self.policy.guards.epoch_check;
+        let Some(owned) = self.owned_mut(slot) else {
+            return;
+        };
+        // A backup of an earlier epoch holds a record that the present one may not have; its
+        // acknowledgement proves nothing about who would take over now.
+        if checked && owned.epoch != epoch {
+            self.counters.stale_epoch += 1;
+            return;
+        }
+        let Some(role) = owned.primary_mut() else {
+            return;
+        };
+        let Ok(place) = role
+            .pending
+            .binary_search_by_key(&order, |grant| grant.order)
+        else {
+            return;
+        };
+        let grant = role.pending.remove(place);
+        self.grant(grant.call, grant.key);
+        self.wake_at(now + self.policy.send_retry);
+    }
+
+    pub(crate) fn grant(&mut self, call: ident::CallId, key: ident::RequestKey) {
+        self.counters.granted += 1;
+        self.send(call.node, key::KeyMessage::Grant { call, key });
+    }
+
+    fn refuse(&mut self, call: ident::CallId, refusal: key::KeyRefusal) {
+        let counter = match &refusal {
+            key::KeyRefusal::Answered(_) => &mut self.counters.answered_again,
+            key::KeyRefusal::MayHaveRun(verdict::DoubtReason::InProgress) => {
+                &mut self.counters.in_progress
+            }
+            key::KeyRefusal::MayHaveRun(_) => &mut self.counters.doubtful,
+            key::KeyRefusal::Mismatch => &mut self.counters.mismatched,
+            key::KeyRefusal::Unavailable => &mut self.counters.unavailable,
+            key::KeyRefusal::Busy => &mut self.counters.busy,
+            key::KeyRefusal::NotOwner(_) => &mut self.counters.not_owner,
+        };
+        *counter += 1;
+        self.send(call.node, key::KeyMessage::Refuse { call, refusal });
+    }
+
+    /// Keeps how a granted call ended.
+    pub(crate) fn settle(
+        &mut self,
+        now: time::NodeTime,
+        from: ident::NodeId,
+        holder: (ident::CallId, ident::RequestKey),
+        outcome: &key::KeyOutcome,
+    ) {
+        let (call, key) = holder;
+        if call.node != from {
+            return;
+        }
+        let slot = slots::slot_of(key);
+        if self.owned_primary(slot).is_none() {
+            if let Some(view) = self.views.get(slot) {
+                self.send(from, key::KeyMessage::View(view));
+            }
+            return;
+        }
+        match table::state_after(outcome, self.policy.answer_limit) {
+            None => self.free(slot, call, key),
+            Some(state) => self.keep_state(now, slot, holder, state),
+        }
+        self.send(from, key::KeyMessage::Settled { call });
+    }
+
+    /// Frees a key whose call is proved not to have run and never will.
+    fn free(&mut self, slot: key::SlotId, call: ident::CallId, key: ident::RequestKey) {
+        let checked = self.policy.guards.holder_frees;
+        let Some(owned) = self.owned_mut(slot) else {
+            return;
+        };
+        let Some(entry) = owned.table.get(key) else {
+            return;
+        };
+        // A repeated message of an earlier holder would free the key under the present one, and a
+        // third call would run it again. A call frees only its own record.
+        let own = entry.call == call && entry.state == key::RecordState::Held;
+        if checked && !own {
+            return;
+        }
+        owned.table.remove(key);
+        let order = owned.next_order();
+        let epoch = owned.epoch;
+        let Some(role) = owned.primary_mut() else {
+            return;
+        };
+        role.pending.retain(|grant| grant.key != key);
+        let Some(backup) = role.backup else { return };
+        let message = key::KeyMessage::Erase {
+            slot,
+            epoch,
+            key,
+            order,
+        };
+        self.send(backup, message);
+    }
+
+    fn keep_state(
+        &mut self,
+        now: time::NodeTime,
+        slot: key::SlotId,
+        holder: (ident::CallId, ident::RequestKey),
+        state: key::RecordState,
+    ) {
+        let (call, key) = holder;
+        let answer_bytes = self.policy.answer_bytes;
+        let Some(owned) = self.owned_mut(slot) else {
+            return;
+        };
+        let Some(entry) = owned.table.get(key) else {
+            return;
+        };
+        if entry.call != call || entry.state != key::RecordState::Held {
+            return;
+        }
+        let order = owned.next_order();
+        owned.table.set_state(key, order, state);
+        owned.table.trim_answers(answer_bytes);
+        let epoch = owned.epoch;
+        let record = owned.table.get(key).map(|entry| entry.to_record(now));
+        let backup = owned.primary().and_then(|role| role.backup);
+        if let (Some(record), Some(backup)) = (record, backup) {
+            let message = key::KeyMessage::Record {
+                slot,
+                epoch,
+                record,
+            };
+            self.send(backup, message);
+        }
+    }
+
+    /// Repeats what a backup has not acknowledged.
+    pub(crate) fn repeat_records(&mut self, now: time::NodeTime, place: usize) {
+        let retry = self.policy.send_retry;
+        let owned = &mut self.slots[place];
+        let (slot, epoch) = (owned.slot, owned.epoch);
+        let primary::SlotRole::Primary(role) = &mut owned.role else {
+            return;
+        };
+        let Some(backup) = role.backup.filter(|_| role.copy.is_none()) else {
+            return;
+        };
+        let mut due = Vec::new();
+        for grant in &mut role.pending {
+            if now.since(grant.sent) >= retry {
+                grant.sent = now;
+                due.push(grant.key);
+            }
+        }
+        let waits = !role.pending.is_empty();
+        let table = &owned.table;
+        let entries = due.into_iter().filter_map(|key| table.get(key));
+        let records: Vec<_> = entries.map(|entry| entry.to_record(now)).collect();
+        for record in records {
+            let message = key::KeyMessage::Record {
+                slot,
+                epoch,
+                record,
+            };
+            self.send(backup, message);
+        }
+        if waits {
+            self.wake_at(now + retry);
+        }
+    }
+
+    fn owned_primary(
+        &self,
+        slot: key::SlotId,
+    ) -> Option<(&primary::OwnedSlot, &primary::PrimaryRole)> {
+        let owned = self.owned(slot)?;
+        let role = owned.primary()?;
+        Some((owned, role))
+    }
+}
--- /dev/null
+++ b/crates/anvil_once/src/policy.rs
@@ -0,0 +1,95 @@
+//! Times, bounds and safeguards of the key owners.
+
+use std::time::Duration;
+
+/// Times, bounds and safeguards of the key owners.
+///
+/// The default is the one in force; others exist for tests. `docs/design/at-most-once.md` shows
+/// the figures behind each value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyPolicy {
+    /// How long a key is remembered.
+    pub retention: Duration,
+    /// Longest time from a caller's question to the use of a grant; also the longest deadline.
+    pub longest_call: Duration,
+    /// How long a primary grants without having read its own record in the store.
+    pub confirm_limit: Duration,
+    /// How often a primary reads its own record in the store.
+    pub confirm_every: Duration,
+    /// Pause before a question is repeated.
+    pub ask_retry: Duration,
+    /// Pause before an unacknowledged record, copy or outcome is repeated.
+    pub send_retry: Duration,
+    /// Pause before the store is asked again about a slot.
+    pub store_retry: Duration,
+    /// How long both owners of a slot are missing before a third node takes it without records.
+    pub orphan_wait: Duration,
+    /// How long an entry node remembers a question that it gave up.
+    pub abandon_keep: Duration,
+    /// Questions and outcomes that an entry node holds at once.
+    pub ask_limit: usize,
+    /// Records that a node holds in one slot.
+    pub record_limit: usize,
+    /// Bytes of answers that a node keeps in one slot.
+    pub answer_bytes: usize,
+    /// Largest answer kept, in bytes of its body.
+    pub answer_limit: usize,
+    /// Records in one part of a copy.
+    pub copy_part: usize,
+    /// Safeguards; all on but in the experiments that show what each is for.
+    pub guards: KeyGuards,
+}
+
+/// Safeguards of the key owners, each of which prevents a second run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyGuards {
+    /// A key is granted only after the backup has recorded it.
+    pub ack_before_grant: bool,
+    /// Records and their acknowledgements count only in the receiver's own epoch.
+    pub epoch_check: bool,
+    /// A primary grants only after its backup holds a whole copy of the records.
+    pub copy_before_grant: bool,
+    /// A key that an earlier primary may have granted is granted to no other call.
+    pub held_keys_refused: bool,
+    /// Where the records were lost, unknown keys are answered as may-have-run.
+    pub lost_keys_refused: bool,
+    /// A call runs under its first grant only, and not after it was given up.
+    pub one_run_per_call: bool,
+    /// Only the call that holds a key can free it.
+    pub holder_frees: bool,
+}
+
+impl KeyGuards {
+    /// Every safeguard on.
+    pub const ALL: Self = Self {
+        ack_before_grant: true,
+        epoch_check: true,
+        copy_before_grant: true,
+        held_keys_refused: true,
+        lost_keys_refused: true,
+        one_run_per_call: true,
+        holder_frees: true,
+    };
+}
+
+impl Default for KeyPolicy {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(3_600),
+            longest_call: Duration::from_secs(600),
+            confirm_limit: Duration::from_secs(1_800),
+            confirm_every: Duration::from_secs(300),
+            ask_retry: Duration::from_millis(25),
+            send_retry: Duration::from_millis(250),
+            store_retry: Duration::from_secs(1),
+            orphan_wait: Duration::from_secs(30),
+            abandon_keep: Duration::from_secs(60),
+            ask_limit: 4_096,
+            record_limit: 160_000,
+            answer_bytes: 256 * 1024,
+            answer_limit: 16 * 1024,
+            copy_part: 512,
+            guards: KeyGuards::ALL,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_once/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! Shared by the tests of the key owners.
+
+pub(crate) mod explorer;
+pub(crate) mod world;
--- /dev/null
+++ b/crates/anvil_once/tests/support/world.rs
@@ -0,0 +1,543 @@
+//! A fleet of key owners, a network and a store, of which every step is one chosen action.
+//!
+//! Time stands still and all retry times are zero, so any order of events is possible: a paused
+//! node is one whose messages wait, a wrongly suspected one is one whose suspicion is an action.
+
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvil_once::{effect, event, owner, peers, policy, slots};
+use anvil_types::{ident, name, time, verdict};
+use anvil_wire::{call, key};
+use xxhash_rust::xxh3;
+
+/// Entry nodes.
+pub(crate) const ENTRIES: [ident::NodeId; 2] = [ident::NodeId(1), ident::NodeId(2)];
+/// The first primary.
+pub(crate) const PRIMARY: ident::NodeId = ident::NodeId(3);
+/// The first backup.
+pub(crate) const BACKUP: ident::NodeId = ident::NodeId(4);
+/// A third node that may own the slot.
+pub(crate) const THIRD: ident::NodeId = ident::NodeId(5);
+/// The nodes that may own the slot.
+pub(crate) const OWNERS: [ident::NodeId; 3] = [PRIMARY, BACKUP, THIRD];
+/// The one key.
+pub(crate) const KEY: ident::RequestKey = ident::RequestKey(0);
+
+const NOW: time::NodeTime = time::NodeTime(10_000_000);
+
+/// How many faults of each kind a run may hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct FaultBudget {
+    pub(crate) crashes: u8,
+    pub(crate) entry_crashes: u8,
+    pub(crate) suspicions: u8,
+    pub(crate) duplicates: u8,
+    pub(crate) losses: u8,
+    pub(crate) lost_replies: u8,
+    pub(crate) ticks: u8,
+    pub(crate) not_runs: u8,
+    pub(crate) abandons: u8,
+    pub(crate) resends: u8,
+}
+
+/// One step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum WorldAction {
+    Submit(ident::NodeId),
+    Deliver(usize),
+    Duplicate(usize),
+    Lose(usize),
+    Store(usize, StoreFate),
+    Reply(usize),
+    Suspect(ident::NodeId, ident::NodeId),
+    Crash(ident::NodeId),
+    Tick(ident::NodeId),
+    End(ident::CallId, CallFate),
+    Abandon(ident::CallId),
+}
+
+/// What becomes of a question to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreFate {
+    Answered,
+    AnswerLost,
+    NeverArrived,
+}
+
+/// What becomes of a call that was dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallFate {
+    Answered,
+    NotRun,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Packet {
+    pub(crate) from: ident::NodeId,
+    pub(crate) to: ident::NodeId,
+    pub(crate) message: key::KeyMessage,
+}
+
+/// A shared part of the state with its digest, so that a step costs only what it changes.
+#[derive(Clone)]
+pub(crate) struct Digested<T> {
+    digest: u128,
+    node: ident::NodeId,
+    pub(crate) part: Rc<T>,
+}
+
+impl<T> Digested<T>
+where
+    T: Hash,
+{
+    fn new(node: ident::NodeId, part: T) -> Self {
+        Self {
+            digest: digest_of(&part),
+            node,
+            part: Rc::new(part),
+        }
+    }
+}
+
+impl<T> Hash for Digested<T> {
+    fn hash<H>(&self, state: &mut H)
+    where
+        H: Hasher,
+    {
+        state.write_u128(self.digest);
+    }
+}
+
+/// The whole state.
+#[derive(Clone, Hash)]
+pub(crate) struct World {
+    nodes: Vec<Digested<owner::KeyOwner>>,
+    /// Sorted by digest, because the network keeps no order.
+    pub(crate) net: Vec<Digested<Packet>>,
+    record: Option<(key::SlotView, u64)>,
+    asks: Vec<(ident::NodeId, effect::AskId, effect::StoreAsk)>,
+    replies: Vec<(ident::NodeId, effect::AskId, event::StoreReply)>,
+    submitted: Vec<ident::CallId>,
+    running: Vec<ident::CallId>,
+    /// Completed runs of the key.
+    pub(crate) runs: u8,
+    /// What callers were told.
+    pub(crate) told: Vec<(ident::CallId, effect::KeyVerdict)>,
+    budget: FaultBudget,
+}
+
+fn owner_policy(guards: policy::KeyGuards) -> policy::KeyPolicy {
+    policy::KeyPolicy {
+        ask_retry: Duration::ZERO,
+        send_retry: Duration::ZERO,
+        store_retry: Duration::ZERO,
+        orphan_wait: Duration::ZERO,
+        guards,
+        ..policy::KeyPolicy::default()
+    }
+}
+
+fn zone() -> name::ZoneName {
+    name::ZoneName::new("ar-centro-a").unwrap()
+}
+
+fn peer(node: ident::NodeId, health: peers::PeerHealth) -> event::KeyEvent {
+    let zone = zone();
+    let since = NOW;
+    event::KeyEvent::Peer(peers::KeyPeer {
+        node,
+        zone,
+        health,
+        since,
+    })
+}
+
+fn first_view() -> key::SlotView {
+    key::SlotView {
+        slot: slots::slot_of(KEY),
+        epoch: key::SlotEpoch::FIRST,
+        primary: PRIMARY,
+        backup: Some(BACKUP),
+        proposer: PRIMARY,
+        lost: false,
+    }
+}
+
+impl World {
+    /// Two entry nodes that know the owners, and owners that know each other.
+    pub(crate) fn new(guards: policy::KeyGuards, budget: FaultBudget) -> Self {
+        let nodes = ENTRIES.iter().chain(&OWNERS).copied();
+        let build = |node| {
+            let start = time::NodeTime::START;
+            let policy = owner_policy(guards);
+            Digested::new(node, owner::KeyOwner::new(start, node, zone(), policy))
+        };
+        let mut world = Self {
+            nodes: nodes.map(build).collect(),
+            net: Vec::new(),
+            record: Some((first_view(), 1)),
+            asks: Vec::new(),
+            replies: Vec::new(),
+            submitted: Vec::new(),
+            running: Vec::new(),
+            runs: 0,
+            told: Vec::new(),
+            budget,
+        };
+        world.introduce();
+        world
+    }
+
+    fn introduce(&mut self) {
+        for at in 0..self.nodes.len() {
+            let node = self.nodes[at].node;
+            for other in OWNERS {
+                self.step(node, peer(other, peers::PeerHealth::Alive));
+            }
+            let message = key::KeyMessage::View(first_view());
+            self.step(
+                node,
+                event::KeyEvent::Message {
+                    from: PRIMARY,
+                    message,
+                },
+            );
+        }
+        // The first epoch begins with an empty copy and a read of the record.
+        while let Some(action) = self.calm_action() {
+            self.apply(&action);
+        }
+    }
+
+    /// The next action of a run without faults and without new calls.
+    pub(crate) fn calm_action(&self) -> Option<WorldAction> {
+        if !self.net.is_empty() {
+            return Some(WorldAction::Deliver(0));
+        }
+        if !self.asks.is_empty() {
+            return Some(WorldAction::Store(0, StoreFate::Answered));
+        }
+        if !self.replies.is_empty() {
+            return Some(WorldAction::Reply(0));
+        }
+        let call = self.running.first();
+        call.map(|call| WorldAction::End(*call, CallFate::Answered))
+    }
+
+    /// Whether the key may have run twice.
+    pub(crate) fn ran_twice(&self) -> bool {
+        usize::from(self.runs) + self.running.len() > 1
+    }
+
+    /// A digest of the state, equal for equal states.
+    pub(crate) fn digest(&self) -> u128 {
+        digest_of(self)
+    }
+
+    /// Everything that can happen next.
+    pub(crate) fn actions(&self) -> Vec<WorldAction> {
+        let mut actions = Vec::new();
+        self.call_actions(&mut actions);
+        self.network_actions(&mut actions);
+        self.store_actions(&mut actions);
+        self.fault_actions(&mut actions);
+        actions
+    }
+
+    fn call_actions(&self, actions: &mut Vec<WorldAction>) {
+        for node in ENTRIES {
+            let calls = self
+                .submitted
+                .iter()
+                .filter(|call| call.node == node)
+                .count();
+            let open = self.is_open(node);
+            // The entry nodes are alike, so the first to be asked may be called the first.
+            let in_turn = node == ENTRIES[0] || !self.submitted.is_empty();
+            let allowed = (calls == 0 && in_turn) || (!open && self.budget.resends > 0);
+            if self.is_alive(node) && allowed {
+                actions.push(WorldAction::Submit(node));
+            }
+        }
+        for call in &self.running {
+            actions.push(WorldAction::End(*call, CallFate::Answered));
+            if self.budget.not_runs > 0 {
+                actions.push(WorldAction::End(*call, CallFate::NotRun));
+            }
+        }
+        if self.budget.abandons > 0 {
+            let open = self.submitted.iter().filter(|call| self.waits(**call));
+            actions.extend(open.map(|call| WorldAction::Abandon(*call)));
+        }
+    }
+
+    fn network_actions(&self, actions: &mut Vec<WorldAction>) {
+        for at in 0..self.net.len() {
+            actions.push(WorldAction::Deliver(at));
+            if self.budget.duplicates > 0 {
+                actions.push(WorldAction::Duplicate(at));
+            }
+            if self.budget.losses > 0 {
+                actions.push(WorldAction::Lose(at));
+            }
+        }
+    }
+
+    fn store_actions(&self, actions: &mut Vec<WorldAction>) {
+        for at in 0..self.asks.len() {
+            actions.push(WorldAction::Store(at, StoreFate::Answered));
+            if self.budget.lost_replies > 0 {
+                actions.push(WorldAction::Store(at, StoreFate::AnswerLost));
+                actions.push(WorldAction::Store(at, StoreFate::NeverArrived));
+            }
+        }
+        actions.extend((0..self.replies.len()).map(WorldAction::Reply));
+    }
+
+    fn fault_actions(&self, actions: &mut Vec<WorldAction>) {
+        for node in OWNERS.into_iter().filter(|node| self.is_alive(*node)) {
+            if self.budget.crashes > 0 && node != THIRD {
+                actions.push(WorldAction::Crash(node));
+            }
+            if self.budget.ticks > 0 {
+                actions.push(WorldAction::Tick(node));
+            }
+            let others = OWNERS.into_iter().filter(|other| *other != node);
+            if self.budget.suspicions > 0 {
+                actions.extend(others.map(|other| WorldAction::Suspect(node, other)));
+            }
+        }
+        let running = self.running.first().filter(|_| self.budget.entry_crashes > 0);
+        actions.extend(running.map(|call| WorldAction::Crash(call.node)));
+        if self.budget.ticks > 0 {
+            let waiting = ENTRIES.into_iter().filter(|node| self.is_open(*node));
+            actions.extend(waiting.map(WorldAction::Tick));
+        }
+    }
+
+    fn is_alive(&self, node: ident::NodeId) -> bool {
+        self.nodes.iter().any(|entry| entry.node == node)
+    }
+
+    fn waits(&self, call: ident::CallId) -> bool {
+        let told = self.told.iter().any(|told| told.0 == call);
+        let runs = self.running.contains(&call);
+        self.submitted.contains(&call) && !told && !runs
+    }
+
+    fn is_open(&self, node: ident::NodeId) -> bool {
+        let mut calls = self.submitted.iter().filter(|call| call.node == node);
+        calls.any(|call| !self.told.iter().any(|told| told.0 == *call))
+    }
+
+    /// Carries out one action.
+    pub(crate) fn apply(&mut self, action: &WorldAction) {
+        match action {
+            WorldAction::Submit(node) => self.submit(*node),
+            WorldAction::Deliver(at) => {
+                let packet = self.net.remove(*at);
+                self.deliver(&packet.part);
+            }
+            WorldAction::Duplicate(at) => {
+                self.budget.duplicates -= 1;
+                let packet = self.net[*at].clone();
+                self.deliver(&packet.part);
+            }
+            WorldAction::Lose(at) => {
+                self.budget.losses -= 1;
+                self.net.remove(*at);
+            }
+            WorldAction::Store(at, fate) => self.ask_store(*at, *fate),
+            WorldAction::Reply(at) => {
+                let (node, id, reply) = self.replies.remove(*at);
+                self.step(node, event::KeyEvent::Store { id, reply });
+            }
+            WorldAction::Suspect(node, other) => {
+                self.budget.suspicions -= 1;
+                self.step(*node, peer(*other, peers::PeerHealth::Missing));
+            }
+            WorldAction::Crash(node) => {
+                if ENTRIES.contains(node) {
+                    self.budget.entry_crashes -= 1;
+                } else {
+                    self.budget.crashes -= 1;
+                }
+                self.crash(*node);
+            }
+            WorldAction::Tick(node) => {
+                self.budget.ticks -= 1;
+                self.step(*node, event::KeyEvent::Tick);
+            }
+            WorldAction::End(call, fate) => self.end(*call, *fate),
+            WorldAction::Abandon(call) => {
+                self.budget.abandons -= 1;
+                self.step(call.node, event::KeyEvent::Abandon { call: *call });
+            }
+        }
+    }
+
+    fn submit(&mut self, node: ident::NodeId) {
+        let earlier = self
+            .submitted
+            .iter()
+            .filter(|call| call.node == node)
+            .count() as u64;
+        if earlier > 0 {
+            self.budget.resends -= 1;
+        }
+        let call = ident::CallId {
+            node,
+            sequence: earlier + 1,
+        };
+        self.submitted.push(call);
+        self.submitted.sort_unstable();
+        let ask = event::KeyEvent::Ask {
+            call,
+            key: KEY,
+            print: ident::PrintHash(7),
+            wait: Duration::from_secs(5),
+        };
+        self.step(node, ask);
+    }
+
+    fn deliver(&mut self, packet: &Packet) {
+        let Packet { from, to, message } = packet.clone();
+        if self.is_alive(to) {
+            self.step(to, event::KeyEvent::Message { from, message });
+        } else {
+            self.step(from, event::KeyEvent::Unreachable { node: to });
+        }
+    }
+
+    fn ask_store(&mut self, at: usize, fate: StoreFate) {
+        let (node, id, ask) = self.asks.remove(at);
+        if fate != StoreFate::Answered {
+            self.budget.lost_replies -= 1;
+        }
+        let reply = match (fate, ask) {
+            (StoreFate::NeverArrived, _) => event::StoreReply::Unknown,
+            (_, effect::StoreAsk::Read { .. }) => event::StoreReply::Found(self.record),
+            (_, effect::StoreAsk::Swap { expected, view }) => self.swap(expected, view),
+        };
+        let lost = fate != StoreFate::Answered;
+        let reply = if lost {
+            event::StoreReply::Unknown
+        } else {
+            reply
+        };
+        if self.is_alive(node) {
+            self.replies.push((node, id, reply));
+            self.replies.sort_by_key(|reply| (reply.0, reply.1));
+        }
+    }
+
+    fn swap(&mut self, expected: Option<u64>, view: key::SlotView) -> event::StoreReply {
+        let version = self.record.map(|record| record.1);
+        if version != expected {
+            return event::StoreReply::Conflict(self.record);
+        }
+        let version = version.unwrap_or(0) + 1;
+        self.record = Some((view, version));
+        event::StoreReply::Swapped { version }
+    }
+
+    fn crash(&mut self, node: ident::NodeId) {
+        self.nodes.retain(|entry| entry.node != node);
+        self.replies.retain(|reply| reply.0 != node);
+        // What the node had dispatched may run to its end.
+        let before = self.running.len();
+        self.running.retain(|call| call.node != node);
+        self.runs += (before - self.running.len()) as u8;
+    }
+
+    fn end(&mut self, call: ident::CallId, fate: CallFate) {
+        self.running.retain(|running| *running != call);
+        let end = match fate {
+            CallFate::Answered => {
+                self.runs += 1;
+                event::CallEnd::Answered(Box::new(claim_answer()))
+            }
+            CallFate::NotRun => {
+                self.budget.not_runs -= 1;
+                event::CallEnd::NotRun
+            }
+        };
+        let verdict = match fate {
+            CallFate::Answered => effect::KeyVerdict::Answered(Box::new(claim_answer())),
+            CallFate::NotRun => effect::KeyVerdict::NotRun(verdict::RefusalReason::Unreachable),
+        };
+        self.tell(call, verdict);
+        self.step(call.node, event::KeyEvent::Ended { call, end });
+    }
+
+    fn tell(&mut self, call: ident::CallId, verdict: effect::KeyVerdict) {
+        self.told.push((call, verdict));
+        self.told.sort_by_key(|told| told.0);
+    }
+
+    fn step(&mut self, node: ident::NodeId, event: event::KeyEvent) {
+        let Some(at) = self.nodes.iter().position(|entry| entry.node == node) else {
+            return;
+        };
+        let mut owner = (*self.nodes[at].part).clone();
+        let effects = owner.step(NOW, event);
+        self.nodes[at] = Digested::new(node, owner);
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, from: ident::NodeId, effect: effect::KeyEffect) {
+        match effect {
+            effect::KeyEffect::Send { to, message } => {
+                let packet = Digested::new(from, Packet { from, to, message });
+                let at = self
+                    .net
+                    .partition_point(|other| other.digest < packet.digest);
+                self.net.insert(at, packet);
+            }
+            effect::KeyEffect::Dispatch { call } => {
+                self.running.push(call);
+                self.running.sort_unstable();
+            }
+            effect::KeyEffect::Decide { call, verdict } => self.tell(call, verdict),
+            effect::KeyEffect::AskStore { id, ask } => {
+                self.asks.push((from, id, ask));
+                self.asks.sort_by_key(|ask| (ask.0, ask.1));
+            }
+            effect::KeyEffect::Report(_) => {}
+        }
+    }
+}
+
+/// The one answer that a run gives.
+pub(crate) fn claim_answer() -> call::CallAnswer {
+    call::CallAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: bytes::Bytes::from_static(b"case 1"),
+    }
+}
+
+fn digest_of<T>(part: &T) -> u128
+where
+    T: Hash,
+{
+    let mut hasher = DigestHasher(xxh3::Xxh3::new());
+    part.hash(&mut hasher);
+    hasher.0.digest128()
+}
+
+struct DigestHasher(xxh3::Xxh3);
+
+impl Hasher for DigestHasher {
+    fn finish(&self) -> u64 {
+        self.0.digest()
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+}
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// One header line; the name is lower case.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HeaderLine {
     /// Field name, lower case.
     pub name: String,
@@ -29,7 +29,7 @@
 }
 
 /// A whole answer of a target, without hop-by-hop headers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallAnswer {
     /// HTTP status.
     pub status: u16,
