Explore every interleaving of the key owners in a small scope

A key that reaches two entry nodes while its owners crash, pause or are wrongly taken for dead must run at most once.

--- a/crates/anvil_once/src/change.rs
+++ b/crates/anvil_once/src/change.rs
@@ -231,11 +231,17 @@
         if self.views.learn(view) {
             self.adopt(now, view);
         }
-        if let Some(owned) = self.owned_mut(view.slot)
-            && owned.epoch == view.epoch
-            && let primary::SlotRole::Primary(role) = &mut owned.role
-        {
-            role.confirmed = role.confirmed.max(confirmed);
+        let Some(owned) = self.owned_mut(view.slot) else {
+            return;
+        };
+        let current = owned.epoch == view.epoch;
+        let Some(role) = owned.primary_mut().filter(|_| current) else {
+            return;
+        };
+        role.confirmed = role.confirmed.max(confirmed);
+        // A primary told of its role by another node reads the record before it grants.
+        if role.confirmed.is_none() {
+            self.begin_change(now, view.slot);
         }
     }
 
@@ -298,14 +304,6 @@
         self.install(view, table, (order, doubt), role);
         self.count_takeover(&view, whole, takes_over);
         self.start_copy(now, view.slot);
-        self.begin_unless_confirmed(now, view);
-    }
-
-    /// A primary told of its role by another node reads the record before it grants.
-    fn begin_unless_confirmed(&mut self, now: time::NodeTime, view: key::SlotView) {
-        if view.proposer != self.own {
-            self.begin_change(now, view.slot);
-        }
     }
 
     fn adopt_backup(&mut self, view: key::SlotView) {
@@ -314,7 +312,7 @@
             next_part: 0,
             // The first record of a slot has nothing to copy, but the primary sends an empty copy
             // all the same, so that there is one way only.
-            whole: !self.policy.guards.copy_before_grant,
+            whole: false,
         };
         let role = primary::SlotRole::Backup(role);
         self.install(view, table::KeyTable::default(), (0, None), role);
--- a/crates/anvil_once/src/grant.rs
+++ b/crates/anvil_once/src/grant.rs
@@ -46,7 +46,7 @@
         if let Some(entry) = owned.table.get(question.key) {
             return self.judge_known(now, question, entry, &role.pending);
         }
-        let copying = role.copy.is_some() && self.policy.guards.copy_before_grant;
+        let copying = role.copy.is_some();
         let full = owned.table.len() >= self.policy.record_limit;
         let doubt = owned.doubt.is_some_and(|until| now < until);
         if let Some(refusal) = self.unconfirmed(now, role) {
--- a/crates/anvil_once/src/handover.rs
+++ b/crates/anvil_once/src/handover.rs
@@ -18,11 +18,10 @@
 
     /// Sends all records of a slot to its new backup; nothing new is granted meanwhile.
     pub(crate) fn start_copy(&mut self, now: time::NodeTime, slot: key::SlotId) {
-        let guarded = self.policy.guards.copy_before_grant;
         let backup = self.owned(slot).and_then(|owned| owned.primary()?.backup);
         match backup {
-            Some(_) if guarded => self.send_part(now, slot, 0, None),
-            _ => self.grant_pending(slot),
+            Some(_) => self.send_part(now, slot, 0, None),
+            None => self.grant_pending(slot),
         }
     }
 
@@ -114,8 +113,11 @@
         let Some(backup) = owned.primary().and_then(|role| role.backup) else {
             return;
         };
+        // A backup without the earlier records would take their keys for new once it takes over,
+        // and grant them again. It counts as whole only with the last part.
+        let guarded = self.policy.guards.copy_records;
         let entries = owned.table.part(copy.after, self.policy.copy_part);
-        let within = |key: ident::RequestKey| copy.end.is_some_and(|end| key <= end);
+        let within = |key: ident::RequestKey| guarded && copy.end.is_some_and(|end| key <= end);
         let entries = entries.into_iter().filter(|entry| within(entry.key));
         let doubt = owned.doubt.map_or(Duration::ZERO, |until| until.since(now));
         let message = key::KeyMessage::Copy {
--- a/crates/anvil_once/src/policy.rs
+++ b/crates/anvil_once/src/policy.rs
@@ -47,8 +47,8 @@
     pub ack_before_grant: bool,
     /// Records and their acknowledgements count only in the receiver's own epoch.
     pub epoch_check: bool,
-    /// A primary grants only after its backup holds a whole copy of the records.
-    pub copy_before_grant: bool,
+    /// A new backup gets the earlier records before anything new is granted.
+    pub copy_records: bool,
     /// A key that an earlier primary may have granted is granted to no other call.
     pub held_keys_refused: bool,
     /// Where the records were lost, unknown keys are answered as may-have-run.
@@ -64,7 +64,7 @@
     pub const ALL: Self = Self {
         ack_before_grant: true,
         epoch_check: true,
-        copy_before_grant: true,
+        copy_records: true,
         held_keys_refused: true,
         lost_keys_refused: true,
         one_run_per_call: true,
--- a/crates/anvil_once/tests/support/explorer.rs
+++ b/crates/anvil_once/tests/support/explorer.rs
@@ -10,14 +10,21 @@
 pub(crate) struct Exploration {
     /// Different states seen.
     pub(crate) states: usize,
+    /// States in which the key has run or may be running.
+    pub(crate) dispatches: usize,
     /// The actions that lead to a second run, with the first state in which it shows.
     pub(crate) second_run: Option<Vec<String>>,
 }
 
 /// Goes through every state within `budget`, depth first, until a key may have run twice.
 pub(crate) fn explore(guards: policy::KeyGuards, budget: world::FaultBudget) -> Exploration {
-    let first = world::World::new(guards, budget);
+    explore_from(world::World::new(guards, budget))
+}
+
+/// Goes through every state that follows `first`.
+pub(crate) fn explore_from(first: world::World) -> Exploration {
     let mut seen = HashSet::from([first.digest()]);
+    let mut dispatches = 0;
     let mut stack = vec![Frame::new(first, String::new())];
     while let Some(frame) = stack.last_mut() {
         let Some(action) = frame.actions.pop() else {
@@ -30,18 +37,21 @@
         if !seen.insert(next.digest()) {
             continue;
         }
+        dispatches += usize::from(next.may_have_run());
         let second_run = next.ran_twice();
         stack.push(Frame::new(next, line));
         if second_run {
             let trace = stack.into_iter().skip(1).map(|frame| frame.line);
             return Exploration {
                 states: seen.len(),
+                dispatches,
                 second_run: Some(trace.collect()),
             };
         }
     }
     Exploration {
         states: seen.len(),
+        dispatches,
         second_run: None,
     }
 }
--- a/crates/anvil_once/tests/support/world.rs
+++ b/crates/anvil_once/tests/support/world.rs
@@ -28,7 +28,7 @@
 const NOW: time::NodeTime = time::NodeTime(10_000_000);
 
 /// How many faults of each kind a run may hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct FaultBudget {
     pub(crate) crashes: u8,
     pub(crate) entry_crashes: u8,
@@ -42,6 +42,22 @@
     pub(crate) resends: u8,
 }
 
+impl FaultBudget {
+    /// No fault.
+    pub(crate) const NONE: Self = Self {
+        crashes: 0,
+        entry_crashes: 0,
+        suspicions: 0,
+        duplicates: 0,
+        losses: 0,
+        lost_replies: 0,
+        ticks: 0,
+        not_runs: 0,
+        abandons: 0,
+        resends: 0,
+    };
+}
+
 /// One step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum WorldAction {
@@ -206,13 +222,28 @@
             );
         }
         // The first epoch begins with an empty copy and a read of the record.
+        self.run_calm();
+    }
+
+    /// Lets everything under way come to its end, in one order.
+    pub(crate) fn run_calm(&mut self) {
         while let Some(action) = self.calm_action() {
             self.apply(&action);
         }
     }
 
+    /// Crashes both owners, and everybody hears of it.
+    pub(crate) fn lose_owners(&mut self) {
+        for lost in [PRIMARY, BACKUP] {
+            self.apply(&WorldAction::Crash(lost));
+            for node in ENTRIES.into_iter().chain([THIRD]) {
+                self.step(node, peer(lost, peers::PeerHealth::Missing));
+            }
+        }
+    }
+
     /// The next action of a run without faults and without new calls.
-    pub(crate) fn calm_action(&self) -> Option<WorldAction> {
+    fn calm_action(&self) -> Option<WorldAction> {
         if !self.net.is_empty() {
             return Some(WorldAction::Deliver(0));
         }
@@ -231,6 +262,17 @@
         usize::from(self.runs) + self.running.len() > 1
     }
 
+    /// Whether the key may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        usize::from(self.runs) + self.running.len() > 0
+    }
+
+    /// Calls that were answered whole.
+    pub(crate) fn answered(&self) -> usize {
+        let answer = effect::KeyVerdict::Answered(Box::new(claim_answer()));
+        self.told.iter().filter(|told| told.1 == answer).count()
+    }
+
     /// A digest of the state, equal for equal states.
     pub(crate) fn digest(&self) -> u128 {
         digest_of(self)
@@ -309,7 +351,10 @@
                 actions.extend(others.map(|other| WorldAction::Suspect(node, other)));
             }
         }
-        let running = self.running.first().filter(|_| self.budget.entry_crashes > 0);
+        let running = self
+            .running
+            .first()
+            .filter(|_| self.budget.entry_crashes > 0);
         actions.extend(running.map(|call| WorldAction::Crash(call.node)));
         if self.budget.ticks > 0 {
             let waiting = ENTRIES.into_iter().filter(|node| self.is_open(*node));
