Take a request through the reducer, entry side and target side

Cause: every part needs the two sides of a call to build against. Change: calls at the entry node (attempts, retries drawn from the chain's allowance, redirects, deadlines), runs at the target's node (slots, cancellation, parent tokens), planned and forced stop, dump and status. Target choice takes turns and the queue is first in first out; both are places for the real decisions.

A test of the forced stop failed first: the end of a running request started a queued one, and the entry side told 'may have run' of requests that were still queued. The node now starts nothing once it is gone and hears its own runs' answers before it tells its callers.

--- /dev/null
+++ b/crates/anvil_core/src/calls.rs
@@ -0,0 +1,123 @@
+//! Calls that this node has accepted from callers and not yet replied to.
+
+use std::net::SocketAddr;
+
+use anvil_types::{context, ident, sorted, time, treatment};
+use anvil_wire::call;
+
+use crate::event;
+
+/// Where an open call stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallStage {
+    /// The current attempt is out at a node.
+    Out {
+        /// The node.
+        peer: ident::NodeId,
+        /// Where it accepts connections, for a cancellation.
+        address: SocketAddr,
+    },
+    /// The next attempt waits for its pause to end.
+    Pausing,
+}
+
+/// One call that waits for its end.
+#[derive(Clone, Debug)]
+pub struct OpenCall {
+    /// Where the reply goes.
+    pub handle: event::CallerHandle,
+    /// The request, kept for further attempts.
+    pub request: call::CallRequest,
+    /// The context, of which the deadline is kept apart.
+    pub context: context::CallContext,
+    /// What the rules decided.
+    pub treatment: treatment::RuleTreatment,
+    /// Which rule decided.
+    pub mark: treatment::RuleMark,
+    /// When the caller stops waiting.
+    pub deadline: time::NodeTime,
+    /// Attempts dispatched so far.
+    pub attempts: u16,
+    /// Attempts refused by nodes that were leaving or could not be reached.
+    pub redirects: u8,
+    /// Nodes that refused or failed an attempt.
+    pub tried: Vec<ident::NodeId>,
+    /// Where the call stands.
+    pub stage: CallStage,
+    /// The run of the local target that made the call, where one did.
+    pub parent: Option<event::RunId>,
+}
+
+impl OpenCall {
+    /// Whether the current attempt is out at `node`.
+    pub fn is_out_at(&self, node: ident::NodeId) -> bool {
+        matches!(self.stage, CallStage::Out { peer, .. } if peer == node)
+    }
+}
+
+/// Open calls by the sequence of their id.
+#[derive(Clone, Debug, Default)]
+pub struct CallTable {
+    open: sorted::SortedTable<u64, Box<OpenCall>>,
+    minted: u64,
+}
+
+impl CallTable {
+    /// Mints the sequence of a new call's id.
+    pub fn mint(&mut self) -> u64 {
+        self.minted += 1;
+        self.minted
+    }
+
+    /// Keeps an open call.
+    pub fn open(&mut self, sequence: u64, call: Box<OpenCall>) {
+        self.open.insert(sequence, call);
+    }
+
+    /// Takes a call out, to end it.
+    pub fn close(&mut self, sequence: u64) -> Option<Box<OpenCall>> {
+        self.open.remove(sequence)
+    }
+
+    /// An open call.
+    pub fn get(&self, sequence: u64) -> Option<&OpenCall> {
+        self.open.get(sequence).map(|call| &**call)
+    }
+
+    /// An open call, to be changed.
+    pub fn get_mut(&mut self, sequence: u64) -> Option<&mut OpenCall> {
+        self.open.get_mut(sequence).map(|call| &mut **call)
+    }
+
+    /// The call whose reply goes to `handle`.
+    pub fn of_caller(&self, handle: event::CallerHandle) -> Option<u64> {
+        let mut entries = self.open.iter();
+        let found = entries.find(|(_, call)| call.handle == handle);
+        found.map(|(sequence, _)| *sequence)
+    }
+
+    /// The calls whose current attempt is out at `peer`.
+    pub fn out_at(&self, peer: ident::NodeId) -> Vec<u64> {
+        self.open.keys_where(|call| call.is_out_at(peer))
+    }
+
+    /// The calls made by a run of the local target.
+    pub fn children(&self, run: event::RunId) -> Vec<u64> {
+        self.open.keys_where(|call| call.parent == Some(run))
+    }
+
+    /// All open calls, oldest first.
+    pub fn iter(&self) -> std::slice::Iter<'_, (u64, Box<OpenCall>)> {
+        self.open.iter()
+    }
+
+    /// Number of open calls.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether no call is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/anvil_core/src/counters.rs
@@ -0,0 +1,44 @@
+//! Counters of the reducer, exported by the metrics endpoint and the dump.
+
+use anvil_types::verdict;
+use serde::Serialize;
+
+/// Totals since the start of the process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct NodeCounters {
+    /// Requests taken from callers.
+    pub calls_arrived: u64,
+    /// Replies with a whole answer.
+    pub calls_answered: u64,
+    /// Replies proved not run.
+    pub calls_not_run: u64,
+    /// Replies of unknown outcome.
+    pub calls_may_have_run: u64,
+    /// Callers that went away before their reply.
+    pub callers_gone: u64,
+    /// Attempts dispatched beyond first ones.
+    pub retries: u64,
+    /// Answers that matched no open attempt and were dropped.
+    pub answers_stale: u64,
+    /// Runs started at the local target.
+    pub runs_started: u64,
+    /// Runs that ended with a whole answer.
+    pub runs_whole: u64,
+    /// Runs that ended any other way.
+    pub runs_failed: u64,
+    /// Calls of other nodes refused before they ran.
+    pub runs_refused: u64,
+    /// Runs cancelled because their caller or parent was gone.
+    pub runs_cancelled: u64,
+}
+
+impl NodeCounters {
+    /// Counts one reply to a caller.
+    pub fn count_reply(&mut self, verdict: verdict::CallVerdict) {
+        match verdict {
+            verdict::CallVerdict::Answered => self.calls_answered += 1,
+            verdict::CallVerdict::NotRun(_) => self.calls_not_run += 1,
+            verdict::CallVerdict::MayHaveRun(_) => self.calls_may_have_run += 1,
+        }
+    }
+}
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -28,7 +28,7 @@
 
 /// A run at the local target.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetRun {
+pub struct RunOrder {
     /// Identity of the run, and the token the target sends back on its own calls.
     pub run: event::RunId,
     /// Where the target listens.
@@ -105,7 +105,7 @@
         message: gossip::GossipMessage,
     },
     /// Run a request at the local target.
-    RunTarget(Box<TargetRun>),
+    RunTarget(Box<RunOrder>),
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -3,5 +3,17 @@
 //! Nothing in here reads a clock, opens a socket or takes a lock; a rerun of recorded events
 //! gives the same effects. See `docs/ARCHITECTURE.md`.
 
+pub mod calls;
+pub mod config;
+pub mod counters;
+pub mod directory;
 pub mod effect;
+mod entry;
 pub mod event;
+mod operator;
+pub mod reducer;
+pub mod rulebook;
+pub mod runs;
+mod serving;
+mod stopping;
+pub mod timers;
--- /dev/null
+++ b/crates/anvil_core/src/operator.rs
@@ -0,0 +1,102 @@
+//! Operators' questions to one node: dump, status, counters, rules, explanation.
+
+use anvil_wire::call;
+use serde_json::json;
+
+use crate::{calls, event, reducer, runs};
+
+impl reducer::NodeReducer {
+    pub(crate) fn operator_asked(
+        &mut self,
+        handle: event::OperatorHandle,
+        request: event::OperatorRequest,
+    ) {
+        let answer = match request {
+            event::OperatorRequest::Dump => Ok(self.dump().to_string()),
+            event::OperatorRequest::Status => Ok(self.status().to_string()),
+            event::OperatorRequest::Counters => Ok(json!(self.counters).to_string()),
+            event::OperatorRequest::Explain(request) => Ok(self.explain(&request).to_string()),
+            event::OperatorRequest::Apply { .. }
+            | event::OperatorRequest::Rules
+            | event::OperatorRequest::History => Err("not available yet".to_owned()),
+        };
+        self.effects
+            .push(crate::effect::NodeEffect::AnswerOperator { handle, answer });
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let calls: Vec<_> = self
+            .calls
+            .iter()
+            .map(|(id, call)| call_json(*id, call))
+            .collect();
+        let runs: Vec<_> = self
+            .runs
+            .iter()
+            .map(|(id, run)| run_json(*id, run))
+            .collect();
+        json!({
+            "status": self.status(),
+            "counters": self.counters,
+            "calls": calls,
+            "runs": runs,
+        })
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let peers: Vec<_> = self
+            .directory
+            .iter()
+            .map(|(node, peer)| {
+                json!({
+                    "node": node.to_string(),
+                    "address": peer.address,
+                    "service": peer.service,
+                    "leaving": peer.leaving,
+                })
+            })
+            .collect();
+        json!({
+            "node": self.config.node.to_string(),
+            "zone": self.config.zone,
+            "region": self.config.region,
+            "phase": format!("{:?}", self.phase),
+            "revision": self.book.revision(),
+            "open_calls": self.calls.len(),
+            "running": self.runs.running(),
+            "queued": self.runs.queued(),
+            "peers": peers,
+        })
+    }
+
+    fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
+        let (treatment, mark) = self.book.decide(request);
+        json!({ "rule": mark, "treatment": treatment })
+    }
+}
+
+fn call_json(sequence: u64, call: &calls::OpenCall) -> serde_json::Value {
+    json!({
+        "sequence": sequence,
+        "request": call.context.request.to_string(),
+        "service": call.request.service,
+        "class": call.context.class,
+        "attempts": call.attempts,
+        "retries_left": call.context.retries_left,
+        "deadline_micros": call.deadline,
+        "stage": format!("{:?}", call.stage),
+        "rule": call.mark,
+    })
+}
+
+fn run_json(id: u64, run: &runs::TargetRun) -> serde_json::Value {
+    json!({
+        "run": id,
+        "request": run.context.request.to_string(),
+        "from": run.peer.to_string(),
+        "class": run.context.class,
+        "depth": run.context.depth,
+        "deadline_micros": run.deadline,
+        "stage": format!("{:?}", run.stage),
+    })
+}
--- /dev/null
+++ b/crates/anvil_core/src/reducer.rs
@@ -0,0 +1,153 @@
+//! The one function that every event of a node goes through.
+
+use std::collections::VecDeque;
+
+use anvil_types::{ident, time};
+use anvil_wire::frame;
+use rand_core::{Rng, SeedableRng};
+
+use crate::{calls, config, counters, directory, effect, event, rulebook, runs, stopping, timers};
+
+/// The whole state of a node and its transition function.
+///
+/// It is deterministic: the same seed and the same events at the same times give the same
+/// effects, so a failure seen in the field replays as a test.
+#[derive(Debug)]
+pub struct NodeReducer {
+    pub(crate) config: config::NodeConfig,
+    pub(crate) now: time::NodeTime,
+    pub(crate) rng: rand_pcg::Pcg64Mcg,
+    pub(crate) book: rulebook::RuleBook,
+    pub(crate) directory: directory::PeerDirectory,
+    pub(crate) calls: calls::CallTable,
+    pub(crate) runs: runs::RunTable,
+    pub(crate) target: Option<runs::LocalTarget>,
+    pub(crate) timers: timers::TimerQueue,
+    pub(crate) counters: counters::NodeCounters,
+    pub(crate) phase: stopping::NodePhase,
+    pub(crate) effects: Vec<effect::NodeEffect>,
+    loopback: VecDeque<frame::PeerFrame>,
+}
+
+impl NodeReducer {
+    /// A node that knows nobody yet; `seed` feeds every random choice it makes.
+    pub fn new(config: config::NodeConfig, seed: u64) -> Self {
+        Self {
+            config,
+            now: time::NodeTime::START,
+            rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
+            book: rulebook::RuleBook::default(),
+            directory: directory::PeerDirectory::default(),
+            calls: calls::CallTable::default(),
+            runs: runs::RunTable::default(),
+            target: None,
+            timers: timers::TimerQueue::default(),
+            counters: counters::NodeCounters::default(),
+            phase: stopping::NodePhase::Serving,
+            effects: Vec::new(),
+            loopback: VecDeque::new(),
+        }
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    ///
+    /// A `now` behind the last one counts as the last one.
+    pub fn step(
+        &mut self,
+        now: time::NodeTime,
+        event: event::NodeEvent,
+    ) -> Vec<effect::NodeEffect> {
+        self.now = self.now.max(now);
+        self.dispatch(event);
+        self.deliver_loopback();
+        self.leave_if_done();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the reducer wants a [`event::NodeEvent::Woke`] at the latest.
+    pub fn next_wake(&self) -> Option<time::NodeTime> {
+        self.timers.next()
+    }
+
+    /// Takes in the frames that this node sent to itself.
+    pub(crate) fn deliver_loopback(&mut self) {
+        while let Some(frame) = self.loopback.pop_front() {
+            self.frame_arrived(self.config.node, frame);
+        }
+    }
+
+    fn dispatch(&mut self, event: event::NodeEvent) {
+        match event {
+            event::NodeEvent::CallArrived {
+                handle,
+                request,
+                hints,
+            } => self.call_arrived(handle, *request, &hints),
+            event::NodeEvent::CallerGone { handle } => self.caller_gone(handle),
+            event::NodeEvent::FrameArrived { peer, frame } => self.frame_arrived(peer, frame),
+            event::NodeEvent::PeerLost { peer } => self.peer_lost(peer),
+            event::NodeEvent::PeerUnreachable { peer, unsent } => {
+                self.peer_unreachable(peer, unsent);
+            }
+            event::NodeEvent::DatagramArrived { message, .. } => match message {},
+            event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
+            event::NodeEvent::TargetAnnounced(announcement) => {
+                self.target_announced(announcement);
+            }
+            event::NodeEvent::TargetLeaving => self.target_leaving(),
+            event::NodeEvent::OperatorAsked { handle, request } => {
+                self.operator_asked(handle, request);
+            }
+            event::NodeEvent::Woke => self.fire_timers(),
+            event::NodeEvent::StopRequested => self.stop_requested(),
+        }
+    }
+
+    fn frame_arrived(&mut self, peer: ident::NodeId, frame: frame::PeerFrame) {
+        match frame {
+            frame::PeerFrame::Call(call) => self.peer_called(peer, *call),
+            frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
+            frame::PeerFrame::Cancel { call, attempt } => self.attempt_cancelled(call, attempt),
+            frame::PeerFrame::Key(message) => match *message {},
+            frame::PeerFrame::Sync(message) => match *message {},
+        }
+    }
+
+    fn fire_timers(&mut self) {
+        while let Some(kind) = self.timers.pop(self.now) {
+            match kind {
+                timers::TimerKind::CallDeadline(sequence) => self.call_expired(sequence),
+                timers::TimerKind::CallRetry(sequence) => self.call_resumes(sequence),
+                timers::TimerKind::RunDeadline(run) => self.run_expired(event::RunId(run)),
+                timers::TimerKind::TargetLease => self.target_lapsed(),
+                timers::TimerKind::Leave => {}
+            }
+        }
+    }
+
+    /// Sends a frame, or takes it in at once where the receiver is this node.
+    pub(crate) fn send_frame(
+        &mut self,
+        peer: ident::NodeId,
+        address: std::net::SocketAddr,
+        frame: frame::PeerFrame,
+    ) {
+        if peer == self.config.node {
+            self.loopback.push_back(frame);
+            return;
+        }
+        self.effects.push(effect::NodeEffect::SendFrame {
+            peer,
+            address,
+            frame,
+        });
+    }
+
+    pub(crate) fn report(&mut self, change: effect::StateChange) {
+        self.effects.push(effect::NodeEffect::Report(change));
+    }
+
+    pub(crate) fn random(&mut self) -> u64 {
+        self.rng.next_u64()
+    }
+}
--- /dev/null
+++ b/crates/anvil_core/src/runs.rs
@@ -0,0 +1,130 @@
+//! Calls that this node has accepted for its local target.
+
+use std::collections::VecDeque;
+
+use anvil_types::{context, ident, sorted, time, treatment};
+use anvil_wire::call;
+
+use crate::event;
+
+/// The local target as it announced itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalTarget {
+    /// What it said.
+    pub announcement: event::TargetAnnouncement,
+    /// When that lapses.
+    pub until: time::NodeTime,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+}
+
+/// Whether a run has been handed to the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStage {
+    /// It waits for a slot.
+    Queued,
+    /// The request is out at the target.
+    Running,
+}
+
+/// One call accepted for the local target.
+#[derive(Clone, Debug)]
+pub struct TargetRun {
+    /// The node that sent the call.
+    pub peer: ident::NodeId,
+    /// Where that node accepts the answer.
+    pub reply_to: std::net::SocketAddr,
+    /// The call.
+    pub call: ident::CallId,
+    /// Its attempt.
+    pub attempt: u16,
+    /// The request, until it is handed to the target.
+    pub request: Option<call::CallRequest>,
+    /// The context, whose allowance shrinks as the target's own calls draw on it.
+    pub context: context::CallContext,
+    /// What the entry node's rules decided.
+    pub treatment: treatment::RuleTreatment,
+    /// When the caller stops waiting.
+    pub deadline: time::NodeTime,
+    /// The allowance that came with the call; what is gone of it at the end was spent below.
+    pub granted: u16,
+    /// Whether it is queued or running.
+    pub stage: RunStage,
+}
+
+/// All calls accepted for the local target.
+#[derive(Clone, Debug, Default)]
+pub struct RunTable {
+    runs: sorted::SortedTable<u64, Box<TargetRun>>,
+    queue: VecDeque<u64>,
+    running: u32,
+    minted: u64,
+}
+
+impl RunTable {
+    /// Accepts a call; it is queued until [`RunTable::start_next`] takes it.
+    pub fn accept(&mut self, run: Box<TargetRun>) -> event::RunId {
+        self.minted += 1;
+        self.runs.insert(self.minted, run);
+        self.queue.push_back(self.minted);
+        event::RunId(self.minted)
+    }
+
+    /// Marks the oldest queued run as running where fewer than `limit` are.
+    pub fn start_next(&mut self, limit: u32) -> Option<event::RunId> {
+        if self.running >= limit {
+            return None;
+        }
+        let id = self.queue.pop_front()?;
+        self.runs.get_mut(id)?.stage = RunStage::Running;
+        self.running += 1;
+        Some(event::RunId(id))
+    }
+
+    /// Takes a run out, queued or running.
+    pub fn end(&mut self, run: event::RunId) -> Option<Box<TargetRun>> {
+        let ended = self.runs.remove(run.0)?;
+        match ended.stage {
+            RunStage::Queued => self.queue.retain(|id| *id != run.0),
+            RunStage::Running => self.running -= 1,
+        }
+        Some(ended)
+    }
+
+    /// A run.
+    pub fn get(&self, run: event::RunId) -> Option<&TargetRun> {
+        self.runs.get(run.0).map(|run| &**run)
+    }
+
+    /// A run, to be changed.
+    pub fn get_mut(&mut self, run: event::RunId) -> Option<&mut TargetRun> {
+        self.runs.get_mut(run.0).map(|run| &mut **run)
+    }
+
+    /// The run of one attempt.
+    pub fn of_attempt(&self, call: ident::CallId, attempt: u16) -> Option<event::RunId> {
+        let mut entries = self.runs.iter();
+        let found = entries.find(|(_, run)| run.call == call && run.attempt == attempt);
+        found.map(|(id, _)| event::RunId(*id))
+    }
+
+    /// All runs, oldest first.
+    pub fn iter(&self) -> std::slice::Iter<'_, (u64, Box<TargetRun>)> {
+        self.runs.iter()
+    }
+
+    /// Runs out at the target.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Runs that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether no run is queued or out.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/anvil_core/src/serving.rs
@@ -0,0 +1,277 @@
+//! The target's node: from another node's call to the answer of the local target.
+
+use std::time::Duration;
+
+use anvil_types::{ident, verdict};
+use anvil_wire::{call, frame};
+
+use crate::{directory, effect, event, reducer, runs, stopping, timers};
+
+impl reducer::NodeReducer {
+    pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
+        if let Some(reason) = self.refusal_at_target(&call) {
+            self.counters.runs_refused += 1;
+            self.answer_refusal(peer, &call, reason);
+            return;
+        }
+        let deadline = self.now + Duration::from_micros(call.context.remaining_micros);
+        let run = runs::TargetRun {
+            peer,
+            reply_to: call.reply_to,
+            call: call.call,
+            attempt: call.attempt,
+            request: Some(call.request),
+            context: call.context,
+            treatment: call.treatment,
+            deadline,
+            stage: runs::RunStage::Queued,
+            granted: call.context.retries_left,
+        };
+        let id = self.runs.accept(Box::new(run));
+        self.timers
+            .set(deadline, timers::TimerKind::RunDeadline(id.0));
+        self.start_runs();
+    }
+
+    fn refusal_at_target(&self, call: &call::PeerCall) -> Option<verdict::RefusalReason> {
+        if self.refuses_runs() {
+            return Some(verdict::RefusalReason::Leaving);
+        }
+        let Some(target) = &self.target else {
+            return Some(verdict::RefusalReason::Leaving);
+        };
+        if target.leaving {
+            return Some(verdict::RefusalReason::Leaving);
+        }
+        // A replaced instance may offer another service at the address the caller's node knew.
+        if target.announcement.service != call.request.service {
+            return Some(verdict::RefusalReason::Leaving);
+        }
+        (call.context.remaining_micros == 0).then_some(verdict::RefusalReason::Deadline)
+    }
+
+    pub(crate) fn start_runs(&mut self) {
+        if self.phase == stopping::NodePhase::Gone {
+            return;
+        }
+        let Some(target) = &self.target else {
+            return;
+        };
+        let limit = target.announcement.slots;
+        let address = target.announcement.address;
+        while let Some(id) = self.runs.start_next(limit) {
+            let now = self.now;
+            let Some(run) = self.runs.get_mut(id) else {
+                continue;
+            };
+            let Some(request) = run.request.take() else {
+                continue;
+            };
+            let order = effect::RunOrder {
+                run: id,
+                address,
+                request,
+                root: run.context.request,
+                timeout: run.deadline.since(now),
+            };
+            self.counters.runs_started += 1;
+            self.effects
+                .push(effect::NodeEffect::RunTarget(Box::new(order)));
+        }
+    }
+
+    pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
+        let (verdict, answer) = verdict_of(outcome);
+        match verdict {
+            verdict::CallVerdict::Answered => self.counters.runs_whole += 1,
+            _ => self.counters.runs_failed += 1,
+        }
+        self.finish_run(run, verdict, answer);
+    }
+
+    /// Answers a run and forgets it; calls that it left open are ended with it.
+    pub(crate) fn finish_run(
+        &mut self,
+        run: event::RunId,
+        verdict: verdict::CallVerdict,
+        answer: Option<call::CallAnswer>,
+    ) {
+        for sequence in self.calls.children(run) {
+            self.abandon_call(sequence);
+        }
+        let Some(ended) = self.runs.end(run) else {
+            return;
+        };
+        let reply = call::PeerAnswer {
+            call: ended.call,
+            attempt: ended.attempt,
+            verdict,
+            answer,
+            retries_spent: ended.granted.saturating_sub(ended.context.retries_left),
+            load: self.load_report(),
+        };
+        let frame = frame::PeerFrame::Answer(Box::new(reply));
+        self.send_frame(ended.peer, ended.reply_to, frame);
+        self.start_runs();
+    }
+
+    pub(crate) fn run_expired(&mut self, run: event::RunId) {
+        let Some(found) = self.runs.get(run) else {
+            return;
+        };
+        match found.stage {
+            runs::RunStage::Queued => {
+                self.counters.runs_refused += 1;
+                let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
+                self.finish_run(run, verdict, None);
+            }
+            runs::RunStage::Running => self.effects.push(effect::NodeEffect::CancelRun(run)),
+        }
+    }
+
+    pub(crate) fn attempt_cancelled(&mut self, call: ident::CallId, attempt: u16) {
+        if let Some(run) = self.runs.of_attempt(call, attempt) {
+            self.cancel_run(run);
+        }
+    }
+
+    fn cancel_run(&mut self, run: event::RunId) {
+        let Some(found) = self.runs.get(run) else {
+            return;
+        };
+        self.counters.runs_cancelled += 1;
+        match found.stage {
+            runs::RunStage::Queued => {
+                let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Cancelled);
+                self.finish_run(run, verdict, None);
+            }
+            runs::RunStage::Running => {
+                for sequence in self.calls.children(run) {
+                    self.abandon_call(sequence);
+                }
+                self.effects.push(effect::NodeEffect::CancelRun(run));
+            }
+        }
+    }
+
+    /// Stops the work that a lost node had asked for, since no answer can reach it.
+    pub(crate) fn drop_runs_of(&mut self, peer: ident::NodeId) {
+        let lost: Vec<u64> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.peer == peer)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.cancel_run(event::RunId(id));
+        }
+    }
+
+    pub(crate) fn target_announced(&mut self, announcement: event::TargetAnnouncement) {
+        let until = self.now + announcement.lease;
+        let known = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.announcement == announcement && !target.leaving);
+        self.timers.set(until, timers::TimerKind::TargetLease);
+        if !known {
+            self.report(effect::StateChange::TargetServing {
+                service: announcement.service.to_string(),
+                address: announcement.address,
+                slots: announcement.slots,
+            });
+        }
+        self.target = Some(runs::LocalTarget {
+            announcement,
+            until,
+            leaving: false,
+        });
+        self.publish_target();
+        self.start_runs();
+    }
+
+    pub(crate) fn target_leaving(&mut self) {
+        if let Some(target) = &mut self.target {
+            target.leaving = true;
+            let reason = "it said that it leaves".to_owned();
+            self.report(effect::StateChange::TargetGone { reason });
+            self.publish_target();
+        }
+    }
+
+    pub(crate) fn target_lapsed(&mut self) {
+        let lapsed = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.until <= self.now && !target.leaving);
+        if lapsed {
+            self.target_leaving();
+        }
+    }
+
+    /// Tells the directory, and through it the fleet, what the local target offers.
+    pub(crate) fn publish_target(&mut self) {
+        let leaving = self.refuses_runs();
+        let Some(target) = &self.target else {
+            return;
+        };
+        let record = directory::PeerRecord {
+            address: self.config.peer_address,
+            service: target.announcement.service.clone(),
+            leaving: target.leaving || leaving,
+        };
+        self.directory.upsert(self.config.node, record);
+    }
+
+    pub(crate) fn load_report(&self) -> call::LoadReport {
+        let slots = self.target.as_ref().map(|target| target.announcement.slots);
+        call::LoadReport {
+            running: self.runs.running(),
+            queued: u32::try_from(self.runs.queued()).unwrap_or(u32::MAX),
+            limit: slots.unwrap_or(0),
+            cut: None,
+            leaving: self.refuses_runs(),
+        }
+    }
+
+    fn answer_refusal(
+        &mut self,
+        peer: ident::NodeId,
+        call: &call::PeerCall,
+        reason: verdict::RefusalReason,
+    ) {
+        let reply = call::PeerAnswer {
+            call: call.call,
+            attempt: call.attempt,
+            verdict: verdict::CallVerdict::NotRun(reason),
+            answer: None,
+            retries_spent: 0,
+            load: self.load_report(),
+        };
+        let frame = frame::PeerFrame::Answer(Box::new(reply));
+        self.send_frame(peer, call.reply_to, frame);
+    }
+}
+
+fn verdict_of(outcome: event::RunOutcome) -> (verdict::CallVerdict, Option<call::CallAnswer>) {
+    let verdict = match outcome {
+        event::RunOutcome::Whole(answer) => return (verdict::CallVerdict::Answered, Some(answer)),
+        event::RunOutcome::Refused => verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed),
+        event::RunOutcome::Unreachable => {
+            verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
+        }
+        event::RunOutcome::Broken { in_answer: false } => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::ConnectionLost)
+        }
+        event::RunOutcome::Broken { in_answer: true } => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::AnswerCut)
+        }
+        event::RunOutcome::TimedOut => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Deadline)
+        }
+        event::RunOutcome::Cancelled => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled)
+        }
+    };
+    (verdict, None)
+}
--- /dev/null
+++ b/crates/anvil_core/src/stopping.rs
@@ -0,0 +1,99 @@
+//! A planned stop: announce, refuse new work, finish what runs, leave.
+
+use std::time::Duration;
+
+use anvil_types::{time, verdict};
+
+use crate::{calls, effect, event, reducer, runs, timers};
+
+/// How long a leaving node still takes callers' requests and sends them to other nodes, so that
+/// callers which have not heard yet are served meanwhile.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Where a node stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NodePhase {
+    /// It takes work.
+    Serving,
+    /// It takes no work for its target; callers are served until the time given.
+    Leaving {
+        /// When callers are refused too.
+        callers_until: time::NodeTime,
+    },
+    /// It has told its process to end.
+    Gone,
+}
+
+impl reducer::NodeReducer {
+    pub(crate) fn refuses_runs(&self) -> bool {
+        self.phase != NodePhase::Serving
+    }
+
+    pub(crate) fn refuses_callers(&self) -> bool {
+        match self.phase {
+            NodePhase::Serving => false,
+            NodePhase::Leaving { callers_until } => self.now >= callers_until,
+            NodePhase::Gone => true,
+        }
+    }
+
+    pub(crate) fn stop_requested(&mut self) {
+        let running = self.calls.len() + self.runs.running() as usize;
+        let forced = self.phase != NodePhase::Serving;
+        self.report(effect::StateChange::Stopping { forced, running });
+        if forced {
+            self.stop_by_force();
+            return;
+        }
+        let callers_until = self.now + LINGER;
+        self.phase = NodePhase::Leaving { callers_until };
+        self.timers.set(callers_until, timers::TimerKind::Leave);
+        self.publish_target();
+    }
+
+    /// Leaves once the last request is answered and callers had time to hear of it.
+    pub(crate) fn leave_if_done(&mut self) {
+        let NodePhase::Leaving { callers_until } = self.phase else {
+            return;
+        };
+        if self.now >= callers_until && self.calls.is_empty() && self.runs.is_empty() {
+            self.phase = NodePhase::Gone;
+            self.effects.push(effect::NodeEffect::Exit);
+        }
+    }
+
+    fn stop_by_force(&mut self) {
+        if self.phase == NodePhase::Gone {
+            return;
+        }
+        // Ending a run starts the next queued one; a node that is gone starts none, so what was
+        // queued stays proved not run.
+        self.phase = NodePhase::Gone;
+        let left: Vec<(u64, runs::RunStage)> =
+            self.runs.iter().map(|(id, run)| (*id, run.stage)).collect();
+        for (id, stage) in left {
+            let out = stage == runs::RunStage::Running;
+            self.finish_run(event::RunId(id), stopped(out), None);
+        }
+        // The answers of this node's own runs tell its own callers more than the calls know.
+        self.deliver_loopback();
+        let open: Vec<u64> = self.calls.iter().map(|(sequence, _)| *sequence).collect();
+        for sequence in open {
+            let out = self
+                .calls
+                .get(sequence)
+                .is_some_and(|call| matches!(call.stage, calls::CallStage::Out { .. }));
+            self.cancel_attempt(sequence);
+            self.end_call(sequence, stopped(out), None);
+        }
+        self.effects.push(effect::NodeEffect::Exit);
+    }
+}
+
+fn stopped(out: bool) -> verdict::CallVerdict {
+    if out {
+        verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Stopped)
+    } else {
+        verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving)
+    }
+}
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -72,6 +72,8 @@
     pub call: ident::CallId,
     /// Counts the attempts of the call from one.
     pub attempt: u16,
+    /// Where the sender accepts the answer.
+    pub reply_to: std::net::SocketAddr,
     /// The context, with the time left at sending.
     pub context: context::CallContext,
     /// What the entry node's rules decided.
