Name the questions to the platform's store as data

The reducer must not know HTTP, and several state modules ask the store. An outcome keeps 'not done' apart from 'answer lost', because only the first may be repeated blindly.

--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, treatment, verdict};
+use anvil_types::{ident, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 
@@ -115,6 +115,14 @@
         /// Whether it was carried out, and the text of the answer.
         answer: Result<String, String>,
     },
+    /// Ask the platform's store; the outcome comes back as
+    /// [`event::NodeEvent::StoreAnswered`].
+    AskStore {
+        /// Identity of the question.
+        id: store::StoreId,
+        /// The question.
+        ask: store::StoreAsk,
+    },
     /// Write a log line.
     Report(StateChange),
     /// Leave the process with everything answered.
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, name};
+use anvil_types::{ident, name, store};
 use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
 
@@ -19,10 +19,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunId(pub u64);
 
-/// One question to the platform's store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StoreId(pub u64);
-
 /// What the caller's headers say about the call, apart from the request itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerHints {
@@ -163,6 +159,13 @@
         /// What.
         request: OperatorRequest,
     },
+    /// A question to the platform's store ended.
+    StoreAnswered {
+        /// Which.
+        id: store::StoreId,
+        /// How.
+        outcome: store::StoreOutcome,
+    },
     /// The time that `next_wake` of the reducer named has come, or a little later.
     Woke,
     /// A stop was asked for; a second one forces it.
--- a/crates/anvil_types/src/lib.rs
+++ b/crates/anvil_types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod context;
 pub mod ident;
 pub mod name;
+pub mod store;
 pub mod time;
 pub mod treatment;
 pub mod verdict;
