--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -98,6 +98,8 @@
             event::NodeEvent::OperatorAsked { handle, request } => {
                 self.operator_asked(handle, request);
             }
+            // Nobody asks the store yet.
+            event::NodeEvent::StoreAnswered { .. } => {}
             event::NodeEvent::Woke => self.fire_timers(),
             event::NodeEvent::StopRequested => self.stop_requested(),
         }
