Add stand-in targets, callers and meshes for experiments

Cause: the measures of the users (goodput of whole requests, recovery time) need targets and callers whose truth is recorded outside of the system.

--- /dev/null
+++ b/crates/anvil_standins/src/client.rs
@@ -0,0 +1,125 @@
+//! A small HTTP client with kept connections, for stand-in callers and targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect;
+use hyper_util::rt;
+
+/// Header by which a caller names the service that it asks for.
+pub const SERVICE_HEADER: &str = "anvil-service";
+
+/// Header that tells whether a request ran.
+pub const OUTCOME_HEADER: &str = "anvil-outcome";
+
+/// Header that a target sends back on its own calls.
+pub const PARENT_HEADER: &str = "anvil-parent";
+
+/// Header with the time that a caller still waits, in milliseconds.
+pub const TIMEOUT_HEADER: &str = "anvil-timeout-ms";
+
+/// Header with the caller's own name for a non-idempotent action.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Header with the root request's id.
+pub const REQUEST_HEADER: &str = "anvil-request-id";
+
+/// Header with the number of attempts that the entry node dispatched.
+pub const ATTEMPTS_HEADER: &str = "anvil-attempts";
+
+/// Why an exchange brought no answer.
+#[derive(Debug, Display, Error)]
+pub enum ExchangeError {
+    /// The time ran out.
+    #[display("timed out")]
+    Timeout,
+    /// The request could not be built.
+    #[display("bad request: {_0}")]
+    Request(http::Error),
+    /// The connection failed.
+    #[display("connection: {_0}")]
+    Connection(legacy::Error),
+    /// The answer broke off.
+    #[display("answer: {_0}")]
+    Answer(hyper::Error),
+}
+
+/// One request of a stand-in.
+#[derive(Clone, Debug)]
+pub struct ClientRequest<'request> {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: &'request str,
+    /// Path.
+    pub path: &'request str,
+    /// Headers, in order.
+    pub headers: &'request [(&'static str, String)],
+    /// Body.
+    pub body: Bytes,
+    /// Longest wait.
+    pub timeout: Duration,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct ClientAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Keeps connections open between requests.
+#[derive(Clone, Debug)]
+pub struct KeptClient {
+    inner: legacy::Client<connect::HttpConnector, Full<Bytes>>,
+}
+
+impl Default for KeptClient {
+    fn default() -> Self {
+        let mut connector = connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        let builder = legacy::Client::builder(rt::TokioExecutor::new());
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+}
+
+impl KeptClient {
+    /// Sends a request and waits for its whole answer.
+    pub async fn send(&self, request: ClientRequest<'_>) -> Result<ClientAnswer, ExchangeError> {
+        let timeout = request.timeout;
+        let exchange = self.exchange(request);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(ExchangeError::Timeout),
+        }
+    }
+
+    async fn exchange(&self, request: ClientRequest<'_>) -> Result<ClientAnswer, ExchangeError> {
+        let uri = format!("http://{}{}", request.address, request.path);
+        let mut builder = http::Request::builder().method(request.method).uri(uri);
+        for (name, value) in request.headers {
+            builder = builder.header(*name, value);
+        }
+        let built = builder.body(Full::new(request.body));
+        let built = built.map_err(ExchangeError::Request)?;
+        let answer = self.inner.request(built).await;
+        let answer = answer.map_err(ExchangeError::Connection)?;
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.map_err(ExchangeError::Answer)?;
+        Ok(ClientAnswer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Stand-ins for everything outside the system: callers, targets and the platform's store.
+//!
+//! No binary links this package; tests, the demo and the experiment tool do.
+
+pub mod client;
+pub mod ledger;
+pub mod load;
+pub mod mesh;
+pub mod report;
+pub mod scenario;
+pub mod target;
--- /dev/null
+++ b/crates/anvil_standins/src/load.rs
@@ -0,0 +1,195 @@
+//! Stand-in callers: an open loop of requests at a given rate, with resends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand_core::{Rng, SeedableRng};
+
+use crate::{client, ledger, mesh, scenario, target};
+
+/// Requests that stand-in callers keep open at once, over all entry nodes.
+///
+/// Without a bound the naive version's backlog would exhaust the machine's sockets.
+pub const OPEN_LIMIT: usize = 8_000;
+
+/// Everything a load needs.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// The mesh, for the kinds of requests.
+    pub mesh: Arc<mesh::MeshPlan>,
+    /// Rates and habits.
+    pub scenario: Arc<scenario::ScenarioPlan>,
+    /// Entry nodes; each send goes to one at random.
+    pub entries: Arc<Vec<SocketAddr>>,
+    /// Where outcomes go.
+    pub ledger: Arc<ledger::RunLedger>,
+    /// Feeds arrivals, kinds and entry nodes.
+    pub seed: u64,
+}
+
+/// Sends requests until the scenario's end and waits for the last one.
+pub async fn run_load(plan: LoadPlan, start: Instant) {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(plan.seed);
+    let client = client::KeptClient::default();
+    let end = plan.scenario.times().end;
+    let gate = Arc::new(tokio::sync::Semaphore::new(OPEN_LIMIT));
+    let mut next = Duration::ZERO;
+    let mut sequence = 0_u64;
+    let mut open = tokio::task::JoinSet::new();
+    while next < end {
+        tokio::time::sleep_until((start + next).into()).await;
+        let root = root_id(plan.seed, sequence);
+        let draws = CallerDraws {
+            kind: rng.next_u64(),
+            entry: rng.next_u64(),
+        };
+        if let Ok(permit) = Arc::clone(&gate).try_acquire_owned() {
+            let caller = CallerTask {
+                plan: plan.clone(),
+                client: client.clone(),
+                root,
+                draws,
+                start,
+            };
+            open.spawn(async move {
+                caller.run().await;
+                drop(permit);
+            });
+        }
+        while open.try_join_next().is_some() {}
+        sequence += 1;
+        next += pause(&mut rng, plan.scenario.rate_at(next));
+    }
+    while open.join_next().await.is_some() {}
+}
+
+/// Sends `poison` to a service at a rate while the pressure lasts, each time the same request to
+/// another entry node.
+pub async fn run_poison(plan: LoadPlan, service: String, rate: f64, start: Instant) {
+    let client = client::KeptClient::default();
+    let times = plan.scenario.times();
+    let mut next = times.pressure;
+    let mut turn = 0_usize;
+    while next < times.relief {
+        tokio::time::sleep_until((start + next).into()).await;
+        let request = client::ClientRequest {
+            address: plan.entries[turn % plan.entries.len()],
+            method: "GET",
+            path: "/poison/0",
+            headers: &[(client::SERVICE_HEADER, service.clone())],
+            body: Bytes::new(),
+            timeout: Duration::from_secs(2),
+        };
+        // What the poisonous caller is told is of no interest; what its targets suffer is.
+        let _ = client.send(request).await;
+        turn += 1;
+        next = start
+            .elapsed()
+            .max(next + Duration::from_secs_f64(1.0 / rate));
+    }
+}
+
+fn pause(rng: &mut rand_pcg::Pcg64Mcg, rate: f64) -> Duration {
+    let draw = (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+    Duration::from_secs_f64(-(1.0 - draw).ln() / rate)
+}
+
+fn root_id(seed: u64, sequence: u64) -> String {
+    let spread = sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!("{:016x}{spread:016x}", seed.wrapping_add(1))
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CallerDraws {
+    kind: u64,
+    entry: u64,
+}
+
+struct CallerTask {
+    plan: LoadPlan,
+    client: client::KeptClient,
+    root: String,
+    draws: CallerDraws,
+    start: Instant,
+}
+
+impl CallerTask {
+    async fn run(self) {
+        let sent = self.start.elapsed();
+        let habits = self.plan.scenario.callers;
+        let request = self.plan.mesh.pick(self.draws.kind).clone();
+        let mut sends = 0;
+        let outcome = loop {
+            let outcome = self.send(&request, sends, habits).await;
+            sends += 1;
+            if outcome == ledger::CallerOutcome::Whole || sends > habits.resends {
+                break outcome;
+            }
+            tokio::time::sleep(Duration::from_millis(habits.pause_ms)).await;
+        };
+        let kinds = &self.plan.mesh.requests;
+        let kind = kinds.iter().position(|other| other.kind == request.kind);
+        self.plan.ledger.caller(ledger::CallerRecord {
+            root: self.root.clone(),
+            kind: kind.unwrap_or(0),
+            class: request.class,
+            sent,
+            ended: self.start.elapsed(),
+            outcome,
+            sends,
+        });
+    }
+
+    async fn send(
+        &self,
+        request: &mesh::RequestPlan,
+        sends: u32,
+        habits: scenario::CallerPlan,
+    ) -> ledger::CallerOutcome {
+        let entries = &self.plan.entries;
+        // Each resend goes to another entry node, as a caller behind a list of addresses does.
+        let entry = (self.draws.entry as usize).wrapping_add(sends as usize) % entries.len();
+        let path = format!("/{}/{}", request.step, self.root);
+        let mut headers = vec![
+            (client::SERVICE_HEADER, request.service.to_string()),
+            (client::REQUEST_HEADER, self.root.clone()),
+            (client::TIMEOUT_HEADER, habits.timeout_ms.to_string()),
+        ];
+        if request.method == "POST" {
+            headers.push((client::KEY_HEADER, self.root.clone()));
+        }
+        let sent = client::ClientRequest {
+            address: entries[entry],
+            method: &request.method,
+            path: &path,
+            headers: &headers,
+            body: Bytes::new(),
+            // The node answers at its deadline; a little later the caller gives up by itself.
+            timeout: Duration::from_millis(habits.timeout_ms + 100),
+        };
+        match self.client.send(sent).await {
+            Ok(answer) => self.judge(&answer),
+            Err(_) => ledger::CallerOutcome::Silent,
+        }
+    }
+
+    fn judge(&self, answer: &client::ClientAnswer) -> ledger::CallerOutcome {
+        let outcome = answer.headers.get(client::OUTCOME_HEADER);
+        let outcome = outcome.and_then(|value| value.to_str().ok());
+        match (answer.status, outcome) {
+            (200, _) => {
+                let expected = format!("{}{}", target::WHOLE_MARK, self.root);
+                if answer.body == expected.as_bytes() {
+                    ledger::CallerOutcome::Whole
+                } else {
+                    ledger::CallerOutcome::Foreign
+                }
+            }
+            (_, Some("not-run")) => ledger::CallerOutcome::NotRun,
+            (_, Some("may-have-run")) => ledger::CallerOutcome::MayHaveRun,
+            _ => ledger::CallerOutcome::Failed,
+        }
+    }
+}
