--- /dev/null
+++ b/crates/anvil_rules/src/change.rs
@@ -0,0 +1,224 @@
+//! Changes of the rules, as they are stored and sent.
+//!
+//! A change holds what differs, never the whole document: thousands of changes a day over
+//! hundreds of services would otherwise outgrow the store's rates and value sizes.
+
+use std::sync::Arc;
+
+use anvil_types::{ident, name};
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::document;
+
+/// One change by one operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleChange {
+    /// The operator's own id of the change, by which a lost answer is resolved.
+    pub id: u128,
+    /// Who made it, as told by the operators' command.
+    pub author: String,
+    /// The revision that the operator saw.
+    pub base: ident::RuleRevision,
+    /// What to do, in order.
+    pub edits: Vec<RuleEdit>,
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RuleEdit {
+    /// Add a rule, or replace the one of its name.
+    Put {
+        /// The rule.
+        rule: Arc<document::NamedRule>,
+        /// The rule in front of which it then stands; at the end where there is none.
+        before: Option<name::RuleName>,
+    },
+    /// Move a rule as it is.
+    Move {
+        /// The rule.
+        name: name::RuleName,
+        /// The rule in front of which it then stands; at the end where there is none.
+        before: Option<name::RuleName>,
+    },
+    /// Remove a rule.
+    Remove {
+        /// The rule.
+        name: name::RuleName,
+    },
+}
+
+/// Why a change doesn't fit a document; the document is then as before.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
+pub enum ChangeConflict {
+    /// The change speaks of a rule that isn't there.
+    #[display("there is no rule {name} any more")]
+    Missing {
+        /// The rule.
+        name: name::RuleName,
+    },
+    /// A rule would have to stand in front of itself.
+    #[display("the rule {name} can't stand in front of itself")]
+    SelfReference {
+        /// The rule.
+        name: name::RuleName,
+    },
+    /// The document would hold too many rules.
+    #[display("the document would hold more than {limit} rules")]
+    TooMany {
+        /// The greatest number.
+        limit: usize,
+    },
+}
+
+impl document::RuleDocument {
+    /// Makes a change, whole or not at all.
+    ///
+    /// Neither the base nor the ranges are looked at: whoever accepts a change compares the base
+    /// and checks the text, and a node that refused an accepted change later would fall behind
+    /// its peers for good.
+    pub fn apply(&mut self, change: &RuleChange) -> Result<(), ChangeConflict> {
+        let mut rules = self.rules().to_vec();
+        for edit in &change.edits {
+            apply_edit(&mut rules, edit)?;
+        }
+        if rules.len() > document::RULE_LIMIT {
+            let limit = document::RULE_LIMIT;
+            return Err(ChangeConflict::TooMany { limit });
+        }
+        *self = Self::from_checked(rules);
+        Ok(())
+    }
+}
+
+fn apply_edit(
+    rules: &mut Vec<Arc<document::NamedRule>>,
+    edit: &RuleEdit,
+) -> Result<(), ChangeConflict> {
+    match edit {
+        RuleEdit::Put { rule, before } => {
+            if let Some(place) = place_of(rules, &rule.name) {
+                rules.remove(place);
+            }
+            insert(rules, Arc::clone(rule), before.as_ref())
+        }
+        RuleEdit::Move { name, before } => {
+            let rule = take(rules, name)?;
+            insert(rules, rule, before.as_ref())
+        }
+        RuleEdit::Remove { name } => take(rules, name).map(|_| ()),
+    }
+}
+
+fn take(
+    rules: &mut Vec<Arc<document::NamedRule>>,
+    name: &name::RuleName,
+) -> Result<Arc<document::NamedRule>, ChangeConflict> {
+    let place = place_of(rules, name).ok_or_else(|| missing(name))?;
+    Ok(rules.remove(place))
+}
+
+fn insert(
+    rules: &mut Vec<Arc<document::NamedRule>>,
+    rule: Arc<document::NamedRule>,
+    before: Option<&name::RuleName>,
+) -> Result<(), ChangeConflict> {
+    let place = match before {
+        None => rules.len(),
+        Some(name) if *name == rule.name => {
+            let name = name.clone();
+            return Err(ChangeConflict::SelfReference { name });
+        }
+        Some(name) => place_of(rules, name).ok_or_else(|| missing(name))?,
+    };
+    rules.insert(place, rule);
+    Ok(())
+}
+
+fn place_of(rules: &[Arc<document::NamedRule>], name: &name::RuleName) -> Option<usize> {
+    rules.iter().position(|rule| rule.name == *name)
+}
+
+fn missing(name: &name::RuleName) -> ChangeConflict {
+    let name = name.clone();
+    ChangeConflict::Missing { name }
+}
+
+/// The edits that turn `old` into `new`.
+///
+/// Rules that keep their order among themselves stay untouched, chosen as a longest increasing
+/// subsequence, so that one moved rule costs one edit. The rest is put in place from the end of
+/// `new` to its front, so that the rule that each stands in front of is already there.
+pub fn diff(old: &document::RuleDocument, new: &document::RuleDocument) -> Vec<RuleEdit> {
+    let old_places = places_by_name(old);
+    let new_names = places_by_name(new);
+    let mut edits: Vec<RuleEdit> = Vec::new();
+    for rule in old.rules() {
+        if place_in(&new_names, &rule.name).is_none() {
+            let name = rule.name.clone();
+            edits.push(RuleEdit::Remove { name });
+        }
+    }
+    let from: Vec<Option<usize>> = new
+        .rules()
+        .iter()
+        .map(|rule| place_in(&old_places, &rule.name))
+        .collect();
+    let kept = longest_increasing(&from);
+    let mut before: Option<name::RuleName> = None;
+    for (index, rule) in new.rules().iter().enumerate().rev() {
+        let same = from[index].is_some_and(|place| old.rules()[place] == *rule);
+        match (same, kept[index]) {
+            (true, true) => {}
+            (true, false) => edits.push(RuleEdit::Move {
+                name: rule.name.clone(),
+                before: before.clone(),
+            }),
+            (false, _) => edits.push(RuleEdit::Put {
+                rule: Arc::clone(rule),
+                before: before.clone(),
+            }),
+        }
+        before = Some(rule.name.clone());
+    }
+    edits
+}
+
+/// Names with their places, sorted by name.
+fn places_by_name(document: &document::RuleDocument) -> Vec<(&name::RuleName, usize)> {
+    let names = document.rules().iter().enumerate();
+    let mut places: Vec<_> = names.map(|(index, rule)| (&rule.name, index)).collect();
+    places.sort_unstable();
+    places
+}
+
+fn place_in(places: &[(&name::RuleName, usize)], name: &name::RuleName) -> Option<usize> {
+    let found = places.binary_search_by(|(known, _)| (*known).cmp(name));
+    found.ok().map(|index| places[index].1)
+}
+
+/// Marks the entries of one longest increasing subsequence; entries without a value stay out.
+fn longest_increasing(values: &[Option<usize>]) -> Vec<bool> {
+    // The last entry of the best subsequence of each length, and each entry's forerunner.
+    let mut tails: Vec<usize> = Vec::new();
+    let mut forerunners: Vec<Option<usize>> = vec![None; values.len()];
+    for (index, value) in values.iter().enumerate() {
+        if value.is_none() {
+            continue;
+        }
+        let length = tails.partition_point(|tail| values[*tail] < *value);
+        forerunners[index] = length.checked_sub(1).map(|before| tails[before]);
+        if length == tails.len() {
+            tails.push(index);
+        } else {
+            tails[length] = index;
+        }
+    }
+    let mut marks = vec![false; values.len()];
+    let mut next = tails.last().copied();
+    while let Some(index) = next {
+        marks[index] = true;
+        next = forerunners[index];
+    }
+    marks
+}
--- /dev/null
+++ b/crates/anvil_rules/src/condition.rs
@@ -0,0 +1,142 @@
+//! The `when` of a rule.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{path, service, view};
+
+/// All parts must hold; an empty part holds for every request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleCondition {
+    /// One of these services.
+    pub services: Vec<service::ServicePattern>,
+    /// One of these methods, case-sensitive as in RFC 9110.
+    pub methods: Vec<String>,
+    /// One of these paths.
+    pub paths: Vec<path::PathPattern>,
+    /// All of these headers, sorted by name, each named once.
+    pub headers: Vec<HeaderCondition>,
+}
+
+/// What must hold for one header.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{name} {test}")]
+pub struct HeaderCondition {
+    /// Field name, lower case.
+    pub name: String,
+    /// What must hold.
+    pub test: HeaderTest,
+}
+
+/// What must hold for the lines of one header.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HeaderTest {
+    /// There is such a line.
+    #[display("is present")]
+    Present,
+    /// There is no such line.
+    #[display("is absent")]
+    Absent,
+    /// One of the lines has exactly this value.
+    #[display("equals {_0:?}")]
+    Equals(String),
+}
+
+/// The part of a condition that didn't hold.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ConditionPart {
+    /// The service is another.
+    #[display("service")]
+    Service,
+    /// The method is another.
+    #[display("method")]
+    Method,
+    /// The path is another.
+    #[display("path")]
+    Path,
+    /// A header is missing, differs, or is there although it must not be.
+    #[display("headers")]
+    Headers,
+}
+
+impl RuleCondition {
+    /// Tells whether the condition holds for `request`.
+    pub fn matches(&self, request: &view::RequestView<'_>) -> bool {
+        self.first_miss(request).is_none()
+    }
+
+    /// The first part that doesn't hold for `request`, or none where all hold.
+    pub fn first_miss(&self, request: &view::RequestView<'_>) -> Option<ConditionPart> {
+        if !self.holds_service(request.service) {
+            return Some(ConditionPart::Service);
+        }
+        if !self.holds_method(request.method) {
+            return Some(ConditionPart::Method);
+        }
+        if !self.holds_path(request.bare_path()) {
+            return Some(ConditionPart::Path);
+        }
+        if !self.headers.iter().all(|header| header.matches(request)) {
+            return Some(ConditionPart::Headers);
+        }
+        None
+    }
+
+    fn holds_service(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        self.services.is_empty() || services.any(|pattern| pattern.matches(service))
+    }
+
+    fn holds_method(&self, method: &str) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|known| known == method)
+    }
+
+    fn holds_path(&self, path: &str) -> bool {
+        self.paths.is_empty() || self.paths.iter().any(|pattern| pattern.matches(path))
+    }
+
+    /// Tells whether every request that `other` holds for is surely matched by this one too.
+    ///
+    /// A `false` may be wrong where only several patterns together cover one; a `true` never is.
+    pub fn covers(&self, other: &Self) -> bool {
+        covers_each(&self.services, &other.services, |own, inner| {
+            own.covers(inner)
+        }) && covers_each(&self.methods, &other.methods, |own, inner| own == inner)
+            && covers_each(&self.paths, &other.paths, |own, inner| own.covers(inner))
+            && self
+                .headers
+                .iter()
+                .all(|own| own.follows_from(&other.headers))
+    }
+}
+
+fn covers_each<P, C>(outer: &[P], inner: &[P], covers: C) -> bool
+where
+    C: Fn(&P, &P) -> bool,
+{
+    if outer.is_empty() {
+        return true;
+    }
+    let covered = |part: &P| outer.iter().any(|own| covers(own, part));
+    !inner.is_empty() && inner.iter().all(covered)
+}
+
+impl HeaderCondition {
+    fn matches(&self, request: &view::RequestView<'_>) -> bool {
+        let mut lines = request.headers.iter().filter(|line| line.name == self.name);
+        match &self.test {
+            HeaderTest::Present => lines.next().is_some(),
+            HeaderTest::Absent => lines.next().is_none(),
+            HeaderTest::Equals(value) => lines.any(|line| line.value == value.as_bytes()),
+        }
+    }
+
+    fn follows_from(&self, others: &[Self]) -> bool {
+        let mut same_name = others.iter().filter(|other| other.name == self.name);
+        same_name.any(|other| match (&self.test, &other.test) {
+            (HeaderTest::Present, HeaderTest::Equals(_)) => true,
+            (own, test) => own == test,
+        })
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/document.rs
@@ -0,0 +1,50 @@
+//! The ordered list of rules.
+
+use std::sync::Arc;
+
+use anvil_types::name;
+use serde::{Deserialize, Serialize};
+
+use crate::{condition, outcome};
+
+/// Most rules of one document; matching and checking are measured up to here, see
+/// `docs/design/rules.md`.
+pub const RULE_LIMIT: usize = 10_000;
+
+/// One rule: the first whose condition holds decides.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedRule {
+    /// Unique within the document; changes and explanations refer to it.
+    pub name: name::RuleName,
+    /// The condition.
+    pub when: condition::RuleCondition,
+    /// What is decided.
+    pub then: outcome::RuleOutcome,
+}
+
+/// The operators' rules, in order, with unique names.
+///
+/// Rules are shared, so a copy of the document costs little and an older one may stay in use
+/// while a newer one is built.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleDocument {
+    rules: Vec<Arc<NamedRule>>,
+}
+
+impl RuleDocument {
+    /// Takes rules whose names the caller has checked to be unique.
+    pub(crate) const fn from_checked(rules: Vec<Arc<NamedRule>>) -> Self {
+        Self { rules }
+    }
+
+    /// The rules in order.
+    pub fn rules(&self) -> &[Arc<NamedRule>] {
+        &self.rules
+    }
+
+    /// The rule of this name and its place.
+    pub fn find(&self, name: &name::RuleName) -> Option<(usize, &Arc<NamedRule>)> {
+        let mut rules = self.rules.iter().enumerate();
+        rules.find(|(_, rule)| rule.name == *name)
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/field.rs
@@ -0,0 +1,265 @@
+//! Typed reading of one field, with a fault where its value doesn't fit.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use crate::{duration, fault, range, yaml};
+
+/// A value with its path in the text, such as `rules[2].then.deadline`.
+#[derive(Debug)]
+pub(crate) struct NodeField<'a> {
+    pub(crate) node: &'a yaml::YamlNode,
+    pub(crate) path: String,
+}
+
+/// The fields of a map, all of them known.
+#[derive(Debug)]
+pub(crate) struct FieldMap<'a> {
+    entries: &'a [yaml::YamlEntry],
+    path: String,
+    place: yaml::TextPlace,
+}
+
+impl<'a> FieldMap<'a> {
+    /// Opens a map; each field outside `known` is a fault.
+    pub(crate) fn open(
+        field: &NodeField<'a>,
+        known: &'static [&'static str],
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<Self> {
+        let entries = field.map(faults)?;
+        let map = Self {
+            entries,
+            path: field.path.clone(),
+            place: field.node.place,
+        };
+        for entry in entries {
+            if !known.contains(&entry.key.as_str()) {
+                let reason = fault::FaultReason::UnknownField { known };
+                faults.add(entry.place, &join(&map.path, &entry.key), reason);
+            }
+        }
+        Some(map)
+    }
+
+    /// The field of this name, where it is set.
+    pub(crate) fn get(&self, name: &str) -> Option<NodeField<'a>> {
+        let entry = self.entries.iter().find(|entry| entry.key == name)?;
+        Some(NodeField {
+            node: &entry.node,
+            path: join(&self.path, name),
+        })
+    }
+
+    /// The field of this name; a fault where it isn't set.
+    pub(crate) fn require(
+        &self,
+        name: &'static str,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<NodeField<'a>> {
+        let field = self.get(name);
+        if field.is_none() {
+            let reason = fault::FaultReason::MissingField { name };
+            faults.add(self.place, or_document(&self.path), reason);
+        }
+        field
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        return name.to_owned();
+    }
+    format!("{path}.{name}")
+}
+
+/// What to call a field in a fault; the whole text has no path of its own.
+fn or_document(path: &str) -> &str {
+    if path.is_empty() { "document" } else { path }
+}
+
+impl<'a> NodeField<'a> {
+    /// Adds a fault about this field.
+    pub(crate) fn fault(&self, reason: fault::FaultReason, faults: &mut fault::FaultList<'_>) {
+        faults.add(self.node.place, or_document(&self.path), reason);
+    }
+
+    fn wrong_type(&self, expected: &'static str, faults: &mut fault::FaultList<'_>) {
+        let found = self.node.value.kind();
+        self.fault(fault::FaultReason::WrongType { expected, found }, faults);
+    }
+
+    pub(crate) fn map(&self, faults: &mut fault::FaultList<'_>) -> Option<&'a [yaml::YamlEntry]> {
+        let yaml::YamlValue::Map(entries) = &self.node.value else {
+            self.wrong_type("a map", faults);
+            return None;
+        };
+        Some(entries)
+    }
+
+    /// The entries of a list with at most `limit` of them.
+    pub(crate) fn list(
+        &self,
+        limit: usize,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<Vec<Self>> {
+        let yaml::YamlValue::List(nodes) = &self.node.value else {
+            self.wrong_type("a list", faults);
+            return None;
+        };
+        if nodes.len() > limit {
+            self.fault(fault::FaultReason::TooMany { limit }, faults);
+            return None;
+        }
+        let item = |(index, node)| Self {
+            node,
+            path: format!("{}[{index}]", self.path),
+        };
+        Some(nodes.iter().enumerate().map(item).collect())
+    }
+
+    /// One value or a list of them, at least one.
+    pub(crate) fn one_or_more(&self, faults: &mut fault::FaultList<'_>) -> Vec<Self> {
+        if !matches!(self.node.value, yaml::YamlValue::List(_)) {
+            return vec![Self {
+                node: self.node,
+                path: self.path.clone(),
+            }];
+        }
+        let items = self.list(range::LIST_ENTRIES, faults);
+        if items.as_ref().is_some_and(Vec::is_empty) {
+            self.fault(fault::FaultReason::EmptyList, faults);
+        }
+        items.unwrap_or_default()
+    }
+
+    /// Text of at most [`range::TEXT_BYTES`].
+    pub(crate) fn text(&self, faults: &mut fault::FaultList<'_>) -> Option<&'a str> {
+        let yaml::YamlValue::Text(text) = &self.node.value else {
+            self.wrong_type("text (in quotes, if it looks like a number)", faults);
+            return None;
+        };
+        let limit = range::TEXT_BYTES;
+        if text.len() > limit {
+            self.fault(fault::FaultReason::TooLong { limit }, faults);
+            return None;
+        }
+        Some(text)
+    }
+
+    pub(crate) fn boolean(&self, faults: &mut fault::FaultList<'_>) -> Option<bool> {
+        let yaml::YamlValue::Bool(value) = self.node.value else {
+            self.wrong_type("true or false", faults);
+            return None;
+        };
+        Some(value)
+    }
+
+    /// A whole number within `range`.
+    pub(crate) fn integer<T>(
+        &self,
+        range: &RangeInclusive<i64>,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<T>
+    where
+        T: TryFrom<i64>,
+    {
+        let yaml::YamlValue::Integer(number) = self.node.value else {
+            self.wrong_type("a whole number", faults);
+            return None;
+        };
+        self.bounded(number, number.to_string(), range, faults)
+    }
+
+    /// A whole number of percent within `range`, such as `10%`.
+    pub(crate) fn percent<T>(
+        &self,
+        range: &RangeInclusive<i64>,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<T>
+    where
+        T: TryFrom<i64>,
+    {
+        let number = match &self.node.value {
+            yaml::YamlValue::Text(text) => text
+                .strip_suffix('%')
+                .and_then(|digits| digits.parse().ok()),
+            _ => None,
+        };
+        let Some(number) = number else {
+            self.wrong_type("a whole number of percent, such as 10%", faults);
+            return None;
+        };
+        self.bounded(number, format!("{number}%"), range, faults)
+    }
+
+    fn bounded<T>(
+        &self,
+        number: i64,
+        found: String,
+        range: &RangeInclusive<i64>,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<T>
+    where
+        T: TryFrom<i64>,
+    {
+        let value = T::try_from(number).ok().filter(|_| range.contains(&number));
+        if value.is_none() {
+            let reason = fault::FaultReason::OutOfRange {
+                found,
+                least: range.start().to_string(),
+                most: range.end().to_string(),
+            };
+            self.fault(reason, faults);
+        }
+        value
+    }
+
+    /// A duration within `range`, such as `500ms`.
+    pub(crate) fn duration(
+        &self,
+        range: &RangeInclusive<Duration>,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<Duration> {
+        let read = match &self.node.value {
+            yaml::YamlValue::Text(text) => duration::read(text),
+            _ => None,
+        };
+        let Some(value) = read else {
+            self.wrong_type("a duration such as 500ms, 10s or 5m", faults);
+            return None;
+        };
+        if !range.contains(&value) {
+            let reason = fault::FaultReason::OutOfRange {
+                found: duration::write(value),
+                least: duration::write(*range.start()),
+                most: duration::write(*range.end()),
+            };
+            self.fault(reason, faults);
+            return None;
+        }
+        Some(value)
+    }
+
+    /// One of the words of `known`, which stand for the values at the same places.
+    pub(crate) fn word<T>(
+        &self,
+        known: &'static [&'static str],
+        values: &[T],
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<T>
+    where
+        T: Copy,
+    {
+        let text = self.text(faults)?;
+        let place = known.iter().position(|word| *word == text);
+        if place.is_none() {
+            let reason = fault::FaultReason::UnknownWord {
+                found: text.to_owned(),
+                known,
+            };
+            self.fault(reason, faults);
+        }
+        values.get(place?).copied()
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/matcher.rs
@@ -0,0 +1,198 @@
+//! Which rule decides a request.
+//!
+//! The answer is that of a scan from the first rule to the last, found through an index by
+//! service and path with the method as a mask; see `docs/design/rules.md` for the figures.
+
+use std::sync::Arc;
+
+use anvil_types::{name, treatment};
+
+use crate::{document, outcome, path, service, table, view};
+
+/// Most index entries of one rule. One whose lists multiply to more is indexed by service alone,
+/// so that no document makes a node hold more than a bounded multiple of its rules.
+const ENTRIES_PER_RULE: usize = 64;
+
+/// What was decided for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RuleDecision<'a> {
+    /// How the request is to be treated.
+    pub treatment: treatment::RuleTreatment,
+    /// The place of the rule in the list, from zero; none where no rule matched.
+    pub index: Option<u32>,
+    /// The name of the rule; none where no rule matched.
+    pub name: Option<&'a name::RuleName>,
+}
+
+/// A document made ready for deciding.
+#[derive(Clone, Debug, Default)]
+pub struct RuleMatcher {
+    rules: Vec<Arc<document::NamedRule>>,
+    index: ServiceTable,
+}
+
+type ServiceTable = table::KeyTable<PathTable>;
+type PathTable = table::KeyTable<Vec<IndexEntry>>;
+
+/// A rule to try, in the order of the document within its list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct IndexEntry {
+    rule: u32,
+    methods: MethodMask,
+}
+
+/// A set of methods; all that have no bit of their own share one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct MethodMask(u16);
+
+impl MethodMask {
+    const ALL: Self = Self(u16::MAX);
+
+    fn of(method: &str) -> Self {
+        Self(match method {
+            "GET" => 1,
+            "HEAD" => 1 << 1,
+            "POST" => 1 << 2,
+            "PUT" => 1 << 3,
+            "DELETE" => 1 << 4,
+            "PATCH" => 1 << 5,
+            "OPTIONS" => 1 << 6,
+            "TRACE" => 1 << 7,
+            "CONNECT" => 1 << 8,
+            _ => 1 << 9,
+        })
+    }
+
+    fn of_all(methods: &[String]) -> Self {
+        if methods.is_empty() {
+            return Self::ALL;
+        }
+        let bits = methods.iter().map(|method| Self::of(method).0);
+        Self(bits.fold(0, |all, bit| all | bit))
+    }
+
+    const fn meets(self, other: Self) -> bool {
+        self.0 & other.0 != 0
+    }
+}
+
+impl RuleMatcher {
+    /// Builds the index of a document.
+    pub fn compile(document: &document::RuleDocument) -> Self {
+        let rules = document.rules().to_vec();
+        let mut keys = Vec::new();
+        for (index, rule) in (0_u32..).zip(&rules) {
+            collect_keys(index, rule, &mut keys);
+        }
+        // Sorted keys are appended one by one; unsorted ones would move half of a table each.
+        keys.sort_unstable();
+        let mut index = ServiceTable::default();
+        for (service, path, entry) in &keys {
+            index.entry(*service).entry(*path).push(*entry);
+        }
+        drop(keys);
+        Self { rules, index }
+    }
+
+    /// The rules in order.
+    pub fn rules(&self) -> &[Arc<document::NamedRule>] {
+        &self.rules
+    }
+
+    /// Decides a request by the first rule whose condition holds.
+    ///
+    /// Where none does, the defaults decide, with RFC 9110's meaning of the method for whether a
+    /// run may be repeated.
+    pub fn decide(&self, request: &view::RequestView<'_>) -> RuleDecision<'_> {
+        let Some(index) = self.first_match(request) else {
+            return RuleDecision {
+                treatment: outcome::RuleOutcome::default().treatment(request.method),
+                index: None,
+                name: None,
+            };
+        };
+        let rule = &self.rules[index as usize];
+        RuleDecision {
+            treatment: rule.then.treatment(request.method),
+            index: Some(index),
+            name: Some(&rule.name),
+        }
+    }
+
+    fn first_match(&self, request: &view::RequestView<'_>) -> Option<u32> {
+        let path = request.bare_path();
+        let method = MethodMask::of(request.method);
+        let mut first: Option<u32> = None;
+        self.index.for_each(request.service, |paths| {
+            paths.for_each(path, |entries| {
+                let found = self.first_in(entries, method, first, request);
+                first = found.or(first);
+            });
+        });
+        first
+    }
+
+    /// The first entry that matches and stands before `bound`.
+    fn first_in(
+        &self,
+        entries: &[IndexEntry],
+        method: MethodMask,
+        bound: Option<u32>,
+        request: &view::RequestView<'_>,
+    ) -> Option<u32> {
+        let before = |entry: &&IndexEntry| bound.is_none_or(|bound| entry.rule < bound);
+        let mut candidates = entries.iter().take_while(before);
+        let found = candidates.find(|entry| {
+            entry.methods.meets(method) && self.rules[entry.rule as usize].when.matches(request)
+        });
+        found.map(|entry| entry.rule)
+    }
+}
+
+type IndexKey<'a> = (table::TableKey<'a>, table::TableKey<'a>, IndexEntry);
+
+fn collect_keys<'a>(index: u32, rule: &'a document::NamedRule, keys: &mut Vec<IndexKey<'a>>) {
+    let when = &rule.when;
+    let entry = IndexEntry {
+        rule: index,
+        methods: MethodMask::of_all(&when.methods),
+    };
+    let services = keys_or_all(&when.services, service_key);
+    let mut paths = keys_or_all(&when.paths, path_key);
+    if services.len() * paths.len() > ENTRIES_PER_RULE {
+        paths = vec![table::TableKey::Prefix("")];
+    }
+    for service in services {
+        for path in &paths {
+            keys.push((service, *path, entry));
+        }
+    }
+}
+
+/// The keys of `patterns`, each once, or the key of everything where there are none.
+fn keys_or_all<'a, P, K>(patterns: &'a [P], key: K) -> Vec<table::TableKey<'a>>
+where
+    K: Fn(&'a P) -> table::TableKey<'a>,
+{
+    if patterns.is_empty() {
+        return vec![table::TableKey::Prefix("")];
+    }
+    let mut keys: Vec<_> = patterns.iter().map(key).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
+
+fn service_key(pattern: &service::ServicePattern) -> table::TableKey<'_> {
+    match pattern {
+        service::ServicePattern::Exact(name) => table::TableKey::Exact(name),
+        service::ServicePattern::Prefix(prefix) => table::TableKey::Prefix(prefix),
+    }
+}
+
+fn path_key(pattern: &path::PathPattern) -> table::TableKey<'_> {
+    match pattern {
+        path::PathPattern::Exact(text) => table::TableKey::Exact(text),
+        _ => table::TableKey::Prefix(pattern.literal()),
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/parse.rs
@@ -0,0 +1,141 @@
+//! From YAML text to a checked document.
+
+use std::sync::Arc;
+
+use anvil_types::name;
+
+use crate::{document, fault, field, shadow, yaml};
+use crate::{parse_then, parse_when};
+
+/// Fields of the whole text.
+const DOCUMENT_FIELDS: [&str; 1] = ["rules"];
+
+/// Fields of one rule.
+const RULE_FIELDS: [&str; 3] = ["name", "when", "then"];
+
+/// A document that may be accepted, and what is odd about it.
+#[derive(Clone, Debug)]
+pub struct CheckedRules {
+    /// The rules.
+    pub document: document::RuleDocument,
+    /// Rules that no request reaches.
+    pub warnings: Vec<fault::RuleWarning>,
+}
+
+/// One rule as read, with its line for later faults.
+#[derive(Debug)]
+pub(crate) struct LocatedRule {
+    pub(crate) rule: Arc<document::NamedRule>,
+    pub(crate) line: u64,
+}
+
+/// Reads and checks the whole text, without looking for unreachable rules.
+///
+/// `file` only names the text in faults. Fails with every fault found, in the order of the text.
+pub fn parse_rules(file: &str, text: &str) -> Result<document::RuleDocument, fault::RuleFaults> {
+    read_located(file, text).map(into_document)
+}
+
+/// Does what [`parse_rules`] does, and warns of unreachable rules.
+pub fn check_rules(file: &str, text: &str) -> Result<CheckedRules, fault::RuleFaults> {
+    let located = read_located(file, text)?;
+    let warnings = shadow::find_unreachable(file, &located);
+    Ok(CheckedRules {
+        document: into_document(located),
+        warnings,
+    })
+}
+
+fn into_document(located: Vec<LocatedRule>) -> document::RuleDocument {
+    let rules = located.into_iter().map(|located| located.rule).collect();
+    document::RuleDocument::from_checked(rules)
+}
+
+fn read_located(file: &str, text: &str) -> Result<Vec<LocatedRule>, fault::RuleFaults> {
+    let mut faults = fault::FaultList::new(file);
+    let located = match yaml::read(text) {
+        Ok(root) => read_document(&root, &mut faults),
+        Err(error) => {
+            let message = error.message;
+            faults.add(
+                error.place,
+                "document",
+                fault::FaultReason::Syntax { message },
+            );
+            Vec::new()
+        }
+    };
+    faults.finish(located)
+}
+
+fn read_document(root: &yaml::YamlNode, faults: &mut fault::FaultList<'_>) -> Vec<LocatedRule> {
+    let field = field::NodeField {
+        node: root,
+        path: String::new(),
+    };
+    let Some(map) = field::FieldMap::open(&field, &DOCUMENT_FIELDS, faults) else {
+        return Vec::new();
+    };
+    let list = map.require("rules", faults);
+    let items = list.and_then(|list| list.list(document::RULE_LIMIT, faults));
+    let mut located = Vec::new();
+    for item in items.unwrap_or_default() {
+        located.extend(read_rule(&item, faults));
+    }
+    refuse_duplicates(&located, faults);
+    located
+}
+
+fn read_rule(
+    item: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<LocatedRule> {
+    let map = field::FieldMap::open(item, &RULE_FIELDS, faults)?;
+    let name = map.require("name", faults);
+    let name = name.and_then(|field| read_name(&field, faults));
+    let when = map.get("when");
+    let when = when.map(|field| parse_when::read_condition(&field, faults));
+    let then = map.require("then", faults);
+    let then = then.map(|field| parse_then::read_outcome(&field, faults));
+    let rule = document::NamedRule {
+        name: name?,
+        when: when.unwrap_or_default(),
+        then: then?,
+    };
+    Some(LocatedRule {
+        rule: Arc::new(rule),
+        line: item.node.place.line,
+    })
+}
+
+fn read_name(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<name::RuleName> {
+    let text = field.text(faults)?;
+    match name::RuleName::new(text) {
+        Ok(name) => Some(name),
+        Err(reason) => {
+            field.fault(fault::FaultReason::Name { reason }, faults);
+            None
+        }
+    }
+}
+
+fn refuse_duplicates(located: &[LocatedRule], faults: &mut fault::FaultList<'_>) {
+    let mut sorted: Vec<&LocatedRule> = located.iter().collect();
+    sorted.sort_by(|a, b| a.rule.name.cmp(&b.rule.name).then(a.line.cmp(&b.line)));
+    for same in sorted.chunk_by(|a, b| a.rule.name == b.rule.name) {
+        for later in &same[1..] {
+            let place = yaml::TextPlace {
+                line: later.line,
+                column: 1,
+            };
+            let reason = fault::FaultReason::DuplicateName {
+                name: later.rule.name.clone(),
+                line: same[0].line,
+            };
+            faults.add(place, "name", reason);
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/parse_then.rs
@@ -0,0 +1,98 @@
+//! Reading the `then` of a rule.
+
+use std::time::Duration;
+
+use anvil_types::{context, treatment};
+
+use crate::{duration, fault, field, outcome, range};
+
+/// Fields of an outcome, in the order in which documents are written.
+const FIELDS: [&str; 10] = [
+    "action",
+    "class",
+    "idempotent",
+    "retries",
+    "retry-ratio",
+    "backoff",
+    "deadline",
+    "queue-wait",
+    "crash-limit",
+    "quarantine",
+];
+
+/// Words for [`context::PriorityClass::ALL`].
+const CLASS_WORDS: [&str; 4] = ["low", "normal", "high", "critical"];
+
+/// Words for [`ACTIONS`].
+const ACTION_WORDS: [&str; 2] = ["serve", "refuse"];
+
+/// Actions, in the order of their words.
+const ACTIONS: [treatment::RuleAction; 2] =
+    [treatment::RuleAction::Serve, treatment::RuleAction::Refuse];
+
+/// Reads an outcome; a field with faults is left out.
+pub(crate) fn read_outcome(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> outcome::RuleOutcome {
+    let Some(map) = field::FieldMap::open(field, &FIELDS, faults) else {
+        return outcome::RuleOutcome::default();
+    };
+    let outcome = outcome::RuleOutcome {
+        class: map
+            .get("class")
+            .and_then(|field| field.word(&CLASS_WORDS, &context::PriorityClass::ALL, faults)),
+        idempotent: map
+            .get("idempotent")
+            .and_then(|field| field.boolean(faults)),
+        chain_retries: map
+            .get("retries")
+            .and_then(|field| field.integer(&range::CHAIN_RETRIES, faults)),
+        retry_ratio_percent: map
+            .get("retry-ratio")
+            .and_then(|field| field.percent(&range::RETRY_RATIO_PERCENT, faults)),
+        backoff: read_duration(&map, "backoff", &range::BACKOFF, faults),
+        deadline: read_duration(&map, "deadline", &range::DEADLINE, faults),
+        queue_wait: read_duration(&map, "queue-wait", &range::QUEUE_WAIT, faults),
+        crash_limit: map
+            .get("crash-limit")
+            .and_then(|field| field.integer(&range::CRASH_LIMIT, faults)),
+        quarantine: read_duration(&map, "quarantine", &range::QUARANTINE, faults),
+        action: map
+            .get("action")
+            .and_then(|field| field.word(&ACTION_WORDS, &ACTIONS, faults)),
+    };
+    refuse_beyond_deadline(&map, "backoff", outcome.backoff, &outcome, faults);
+    refuse_beyond_deadline(&map, "queue-wait", outcome.queue_wait, &outcome, faults);
+    outcome
+}
+
+fn read_duration(
+    map: &field::FieldMap<'_>,
+    name: &str,
+    range: &std::ops::RangeInclusive<Duration>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<Duration> {
+    map.get(name)?.duration(range, faults)
+}
+
+/// A wait beyond the deadline never takes place, so whoever wrote it meant something else.
+fn refuse_beyond_deadline(
+    map: &field::FieldMap<'_>,
+    name: &str,
+    wait: Option<Duration>,
+    outcome: &outcome::RuleOutcome,
+    faults: &mut fault::FaultList<'_>,
+) {
+    let (Some(wait), Some(deadline), Some(field)) = (wait, outcome.deadline, map.get(name)) else {
+        return;
+    };
+    if wait > deadline {
+        let reason = fault::FaultReason::Exceeds {
+            found: duration::write(wait),
+            other: "deadline",
+            limit: duration::write(deadline),
+        };
+        field.fault(reason, faults);
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/parse_when.rs
@@ -0,0 +1,142 @@
+//! Reading the `when` of a rule.
+
+use crate::{condition, fault, field, method, path, service};
+
+/// Fields of a condition.
+const FIELDS: [&str; 4] = ["service", "method", "path", "headers"];
+
+/// Fields of what must hold for one header.
+const HEADER_FIELDS: [&str; 2] = ["equals", "present"];
+
+/// Reads a condition; a part with faults is left empty.
+pub(crate) fn read_condition(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> condition::RuleCondition {
+    let Some(map) = field::FieldMap::open(field, &FIELDS, faults) else {
+        return condition::RuleCondition::default();
+    };
+    condition::RuleCondition {
+        services: read_part(map.get("service"), read_service, faults),
+        methods: read_part(map.get("method"), read_method, faults),
+        paths: read_part(map.get("path"), read_path, faults),
+        headers: map
+            .get("headers")
+            .map(|headers| read_headers(&headers, faults))
+            .unwrap_or_default(),
+    }
+}
+
+fn read_part<T, R>(
+    field: Option<field::NodeField<'_>>,
+    read: R,
+    faults: &mut fault::FaultList<'_>,
+) -> Vec<T>
+where
+    R: Fn(&str) -> Result<T, fault::FaultReason>,
+{
+    let Some(field) = field else {
+        return Vec::new();
+    };
+    let mut parts = Vec::new();
+    for item in field.one_or_more(faults) {
+        let Some(text) = item.text(faults) else {
+            continue;
+        };
+        match read(text) {
+            Ok(part) => parts.push(part),
+            Err(reason) => item.fault(reason, faults),
+        }
+    }
+    parts
+}
+
+fn read_service(text: &str) -> Result<service::ServicePattern, fault::FaultReason> {
+    let found = || text.to_owned();
+    match text.split_once('*') {
+        None => {
+            let checked = anvil_types::name::ServiceName::new(text);
+            checked.map_err(|reason| fault::FaultReason::Name { reason })?;
+            Ok(service::ServicePattern::Exact(found()))
+        }
+        Some((_, rest)) if !rest.is_empty() => {
+            Err(fault::FaultReason::StarPlace { found: found() })
+        }
+        Some(("", _)) => Ok(service::ServicePattern::Prefix(String::new())),
+        Some((prefix, _)) => {
+            let checked = anvil_types::name::ServiceName::new(prefix);
+            checked.map_err(|reason| fault::FaultReason::Name { reason })?;
+            Ok(service::ServicePattern::Prefix(prefix.to_owned()))
+        }
+    }
+}
+
+fn read_method(text: &str) -> Result<String, fault::FaultReason> {
+    let found = text.to_owned();
+    if !method::is_token(text) || text.bytes().any(|byte| byte.is_ascii_lowercase()) {
+        return Err(fault::FaultReason::Method { found });
+    }
+    Ok(found)
+}
+
+fn read_path(text: &str) -> Result<path::PathPattern, fault::FaultReason> {
+    let begins = text.starts_with(['/', '*']);
+    let forbidden = |c: char| c.is_whitespace() || c.is_control() || c == '?' || c == '#';
+    if !begins || text.contains(forbidden) {
+        let found = text.to_owned();
+        return Err(fault::FaultReason::Path { found });
+    }
+    Ok(path::PathPattern::new(text))
+}
+
+fn read_headers(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Vec<condition::HeaderCondition> {
+    let Some(entries) = field.map(faults) else {
+        return Vec::new();
+    };
+    let mut headers = Vec::new();
+    for entry in entries {
+        let item = field::NodeField {
+            node: &entry.node,
+            path: format!("{}.{}", field.path, entry.key),
+        };
+        if !method::is_token(&entry.key) {
+            let found = entry.key.clone();
+            item.fault(fault::FaultReason::HeaderName { found }, faults);
+            continue;
+        }
+        let Some(test) = read_header_test(&item, faults) else {
+            continue;
+        };
+        let name = entry.key.to_ascii_lowercase();
+        match headers.binary_search_by(|header: &condition::HeaderCondition| header.name.cmp(&name))
+        {
+            Ok(_) => item.fault(fault::FaultReason::DuplicateHeader { name }, faults),
+            Err(at) => headers.insert(at, condition::HeaderCondition { name, test }),
+        }
+    }
+    headers
+}
+
+fn read_header_test(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<condition::HeaderTest> {
+    if !matches!(field.node.value, crate::yaml::YamlValue::Map(_)) {
+        let text = field.text(faults)?;
+        return Some(condition::HeaderTest::Equals(text.to_owned()));
+    }
+    let map = field::FieldMap::open(field, &HEADER_FIELDS, faults)?;
+    if let Some(equals) = map.get("equals") {
+        let text = equals.text(faults)?;
+        return Some(condition::HeaderTest::Equals(text.to_owned()));
+    }
+    let present = map.require("present", faults)?.boolean(faults)?;
+    Some(if present {
+        condition::HeaderTest::Present
+    } else {
+        condition::HeaderTest::Absent
+    })
+}
--- /dev/null
+++ b/crates/anvil_rules/src/range.rs
@@ -0,0 +1,35 @@
+//! The range of each number that a rule may set.
+//!
+//! Each bound keeps a typing error from turning into an outage; the reasons and the safe defaults
+//! stand in `docs/RULES.md`.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+/// Retries of a whole chain; more than this is load, not help.
+pub const CHAIN_RETRIES: RangeInclusive<i64> = 0..=32;
+
+/// Retries that a node may add, in percent of its first attempts.
+pub const RETRY_RATIO_PERCENT: RangeInclusive<i64> = 0..=100;
+
+/// Targets that one request may crash; at least one crash must have happened.
+pub const CRASH_LIMIT: RangeInclusive<i64> = 1..=10;
+
+/// First pause before a retry.
+pub const BACKOFF: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(10);
+
+/// Longest time of a root request.
+pub const DEADLINE: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(600);
+
+/// Longest wait in a queue; zero means that nothing waits.
+pub const QUEUE_WAIT: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(60);
+
+/// How long a quarantined request stays refused.
+pub const QUARANTINE: RangeInclusive<Duration> =
+    Duration::from_secs(1)..=Duration::from_secs(86_400);
+
+/// Longest pattern, header name or header value, in bytes.
+pub const TEXT_BYTES: usize = 256;
+
+/// Most entries of one list in a condition.
+pub const LIST_ENTRIES: usize = 64;
--- /dev/null
+++ b/crates/anvil_rules/src/render.rs
@@ -0,0 +1,134 @@
+//! From a document back to YAML text.
+//!
+//! Only changes are kept, not the text that an operator sent, so the text shown is written anew:
+//! comments are lost, and reading it again gives an equal document.
+
+use anvil_types::{context, treatment};
+use serde::{Serialize, Serializer};
+
+use crate::{condition, document, duration, outcome};
+
+#[derive(Serialize)]
+struct DocumentText<'a> {
+    rules: Vec<RuleText<'a>>,
+}
+
+#[derive(Serialize)]
+struct RuleText<'a> {
+    name: &'a str,
+    #[serde(skip_serializing_if = "WhenText::is_empty")]
+    when: WhenText<'a>,
+    then: ThenText,
+}
+
+#[derive(Serialize)]
+struct WhenText<'a> {
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    service: Vec<String>,
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    method: &'a [String],
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    path: Vec<String>,
+    #[serde(skip_serializing_if = "Vec::is_empty", serialize_with = "as_map")]
+    headers: Vec<(&'a str, HeaderText<'a>)>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "lowercase")]
+enum HeaderText<'a> {
+    Equals(&'a str),
+    Present(bool),
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ThenText {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    action: Option<treatment::RuleAction>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    class: Option<context::PriorityClass>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    idempotent: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retries: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_ratio: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backoff: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    queue_wait: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    crash_limit: Option<u8>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    quarantine: Option<String>,
+}
+
+/// Writes a document as YAML that [`crate::parse::parse_rules`] reads back to an equal one.
+pub fn to_yaml(document: &document::RuleDocument) -> String {
+    let rules = document.rules().iter().map(|rule| rule_text(rule));
+    let text = DocumentText {
+        rules: rules.collect(),
+    };
+    // Writing strings, numbers and maps with text keys into memory has no way to fail.
+    serde_saphyr::to_string(&text).unwrap_or_default()
+}
+
+fn as_map<S>(headers: &[(&str, HeaderText<'_>)], serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.collect_map(headers.iter().map(|(name, test)| (name, test)))
+}
+
+fn rule_text(rule: &document::NamedRule) -> RuleText<'_> {
+    RuleText {
+        name: rule.name.as_str(),
+        when: WhenText::of(&rule.when),
+        then: ThenText::of(&rule.then),
+    }
+}
+
+impl<'a> WhenText<'a> {
+    fn of(when: &'a condition::RuleCondition) -> Self {
+        let header = |header: &'a condition::HeaderCondition| {
+            let test = match &header.test {
+                condition::HeaderTest::Present => HeaderText::Present(true),
+                condition::HeaderTest::Absent => HeaderText::Present(false),
+                condition::HeaderTest::Equals(value) => HeaderText::Equals(value),
+            };
+            (header.name.as_str(), test)
+        };
+        Self {
+            service: when.services.iter().map(ToString::to_string).collect(),
+            method: &when.methods,
+            path: when.paths.iter().map(ToString::to_string).collect(),
+            headers: when.headers.iter().map(header).collect(),
+        }
+    }
+
+    const fn is_empty(&self) -> bool {
+        self.service.is_empty()
+            && self.method.is_empty()
+            && self.path.is_empty()
+            && self.headers.is_empty()
+    }
+}
+
+impl ThenText {
+    fn of(then: &outcome::RuleOutcome) -> Self {
+        Self {
+            action: then.action,
+            class: then.class,
+            idempotent: then.idempotent,
+            retries: then.chain_retries,
+            retry_ratio: then.retry_ratio_percent.map(|ratio| format!("{ratio}%")),
+            backoff: then.backoff.map(duration::write),
+            deadline: then.deadline.map(duration::write),
+            queue_wait: then.queue_wait.map(duration::write),
+            crash_limit: then.crash_limit,
+            quarantine: then.quarantine.map(duration::write),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/service.rs
@@ -0,0 +1,36 @@
+//! Which services a rule speaks of.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// One service, or all whose names begin alike.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum ServicePattern {
+    /// The service of this name.
+    #[display("{_0}")]
+    Exact(String),
+    /// Services whose names begin with this text; the empty text stands for all.
+    #[display("{_0}*")]
+    Prefix(String),
+}
+
+impl ServicePattern {
+    /// Tells whether the pattern matches `service`.
+    pub fn matches(&self, service: &str) -> bool {
+        match self {
+            Self::Exact(name) => name == service,
+            Self::Prefix(prefix) => service.starts_with(prefix.as_str()),
+        }
+    }
+
+    /// Tells whether every service that `other` matches is matched by this pattern too.
+    pub fn covers(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Exact(own), Self::Exact(name)) => own == name,
+            (Self::Exact(_), Self::Prefix(_)) => false,
+            (Self::Prefix(own), Self::Exact(text) | Self::Prefix(text)) => {
+                text.starts_with(own.as_str())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/view.rs
@@ -0,0 +1,38 @@
+//! The parts of a request that conditions may read, borrowed.
+
+use anvil_wire::call;
+
+/// A request as the matcher sees it; nothing is copied.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestView<'a> {
+    /// The service asked for.
+    pub service: &'a str,
+    /// HTTP method, as sent.
+    pub method: &'a str,
+    /// Path as sent, with or without its query, which conditions don't see.
+    pub path: &'a str,
+    /// Header lines in order, names in lower case.
+    pub headers: &'a [call::HeaderLine],
+}
+
+impl<'a> RequestView<'a> {
+    /// Borrows the parts of `request`.
+    pub fn of(request: &'a call::CallRequest) -> Self {
+        Self {
+            service: request.service.as_str(),
+            method: &request.method,
+            path: &request.path,
+            headers: &request.headers,
+        }
+    }
+
+    /// The path up to its query.
+    ///
+    /// It is compared as sent, without decoding: two spellings of one path are two paths to a
+    /// rule, and the target decides whether they mean the same.
+    pub fn bare_path(&self) -> &'a str {
+        self.path
+            .split_once(['?', '#'])
+            .map_or(self.path, |(path, _)| path)
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/src/yaml.rs
@@ -0,0 +1,231 @@
+//! YAML as a tree that knows its lines.
+//!
+//! Reading straight into types would stop at the first fault; operators want all of them at once,
+//! so the text becomes a tree first and is checked field by field, see `docs/design/rules.md`.
+
+use std::fmt;
+
+use serde::de;
+use serde::{Deserialize, Deserializer};
+use serde_saphyr::{MergeKeyPolicy, Spanned, options};
+
+/// Largest text read, in bytes; the limits below are enough for [`crate::document::RULE_LIMIT`]
+/// rules, and no text within them takes more than a second to check.
+pub const TEXT_LIMIT: usize = 4 * 1024 * 1024;
+
+/// Most scalars, lists and maps of one text.
+const NODE_LIMIT: usize = 1_000_000;
+
+/// Most parser events of one text; a list or a map takes two.
+const EVENT_LIMIT: usize = 2 * NODE_LIMIT;
+
+/// A place in the text; both count from one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TextPlace {
+    /// The line.
+    pub line: u64,
+    /// The column, in characters.
+    pub column: u64,
+}
+
+/// A value and where it stands.
+#[derive(Clone, Debug)]
+pub struct YamlNode {
+    /// Where the value begins.
+    pub place: TextPlace,
+    /// The value.
+    pub value: YamlValue,
+}
+
+/// A value as the YAML core schema types it.
+#[derive(Clone, Debug)]
+pub enum YamlValue {
+    /// Nothing, or `null`.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number that fits.
+    Integer(i64),
+    /// Any other number.
+    Float(f64),
+    /// Text.
+    Text(String),
+    /// A list.
+    List(Vec<YamlNode>),
+    /// A map, in order, with unique keys.
+    Map(Vec<YamlEntry>),
+}
+
+/// One key of a map with its value.
+#[derive(Clone, Debug)]
+pub struct YamlEntry {
+    /// The key.
+    pub key: String,
+    /// Where the key stands.
+    pub place: TextPlace,
+    /// The value.
+    pub node: YamlNode,
+}
+
+/// Text that is no YAML, or more than is read.
+#[derive(Clone, Debug)]
+pub struct YamlError {
+    /// Where reading stopped; the start of the text where the parser can't say.
+    pub place: TextPlace,
+    /// What the parser said.
+    pub message: String,
+}
+
+impl YamlValue {
+    /// What the value is, in words for a fault.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Null => "nothing",
+            Self::Bool(_) => "true or false",
+            Self::Integer(_) | Self::Float(_) => "a number",
+            Self::Text(_) => "text",
+            Self::List(_) => "a list",
+            Self::Map(_) => "a map",
+        }
+    }
+}
+
+/// Reads one YAML document.
+///
+/// Fails with the parser's first error; duplicate keys, merge keys, several documents and texts
+/// above [`TEXT_LIMIT`] are errors.
+pub fn read(text: &str) -> Result<YamlNode, YamlError> {
+    if text.len() > TEXT_LIMIT {
+        return Err(YamlError {
+            place: TextPlace { line: 1, column: 1 },
+            message: format!("the text is longer than {TEXT_LIMIT} bytes"),
+        });
+    }
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! { max_nodes: NODE_LIMIT, max_events: EVENT_LIMIT },
+        merge_keys: MergeKeyPolicy::Error,
+        duplicate_keys: options::DuplicateKeyPolicy::Error,
+        with_snippet: false,
+    };
+    let read = serde_saphyr::from_str_with_options::<Spanned<YamlValue>>(text, options);
+    read.map(YamlNode::from).map_err(|error| {
+        let location = error.location().filter(|location| location.line() > 0);
+        YamlError {
+            place: location.map_or(TextPlace { line: 1, column: 1 }, TextPlace::from),
+            message: message_of(&error),
+        }
+    })
+}
+
+/// The parser's message without the place, which is told apart.
+fn message_of(error: &serde_saphyr::Error) -> String {
+    let message = error.render_with_formatter(&serde_saphyr::UserMessageFormatter);
+    match message.rfind(" at line ") {
+        Some(end) => message[..end].to_owned(),
+        None => message,
+    }
+}
+
+impl From<serde_saphyr::Location> for TextPlace {
+    fn from(location: serde_saphyr::Location) -> Self {
+        Self {
+            line: location.line(),
+            column: location.column(),
+        }
+    }
+}
+
+impl From<Spanned<YamlValue>> for YamlNode {
+    fn from(spanned: Spanned<YamlValue>) -> Self {
+        Self {
+            place: spanned.referenced.into(),
+            value: spanned.value,
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for YamlValue {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_any(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl<'de> de::Visitor<'de> for ValueVisitor {
+    type Value = YamlValue;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a YAML value")
+    }
+
+    fn visit_unit<E>(self) -> Result<YamlValue, E> {
+        Ok(YamlValue::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<YamlValue, E> {
+        Ok(YamlValue::Null)
+    }
+
+    fn visit_some<D>(self, deserializer: D) -> Result<YamlValue, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_any(self)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<YamlValue, E> {
+        Ok(YamlValue::Bool(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<YamlValue, E> {
+        Ok(YamlValue::Integer(value))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<YamlValue, E> {
+        let value = i64::try_from(value);
+        Ok(value.map_or(YamlValue::Float(f64::INFINITY), YamlValue::Integer))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<YamlValue, E> {
+        Ok(YamlValue::Float(value))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<YamlValue, E> {
+        Ok(YamlValue::Text(value.to_owned()))
+    }
+
+    fn visit_string<E>(self, value: String) -> Result<YamlValue, E> {
+        Ok(YamlValue::Text(value))
+    }
+
+    fn visit_seq<A>(self, mut access: A) -> Result<YamlValue, A::Error>
+    where
+        A: de::SeqAccess<'de>,
+    {
+        let mut nodes = Vec::new();
+        while let Some(node) = access.next_element::<Spanned<YamlValue>>()? {
+            nodes.push(YamlNode::from(node));
+        }
+        Ok(YamlValue::List(nodes))
+    }
+
+    fn visit_map<A>(self, mut access: A) -> Result<YamlValue, A::Error>
+    where
+        A: de::MapAccess<'de>,
+    {
+        let mut entries = Vec::new();
+        while let Some(key) = access.next_key::<Spanned<String>>()? {
+            let node = access.next_value::<Spanned<YamlValue>>()?;
+            entries.push(YamlEntry {
+                place: key.referenced.into(),
+                key: key.value,
+                node: YamlNode::from(node),
+            });
+        }
+        Ok(YamlValue::Map(entries))
+    }
+}
--- /dev/null
+++ b/crates/anvil_rules/tests/change.rs
@@ -0,0 +1,115 @@
+//! Changes: what differs between two documents, and making it so.
+
+use std::sync::Arc;
+
+use anvil_rules::{change, document, parse};
+use anvil_testkit::test_cases;
+use anvil_types::{ident, name};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Builds a document of rules `r<name>` whose retries tell them apart.
+fn document(rules: &[(u8, u8)]) -> document::RuleDocument {
+    use std::fmt::Write;
+    let mut text = String::from("rules:\n");
+    for (name, retries) in rules {
+        writeln!(text, "- {{name: r{name}, then: {{retries: {retries}}}}}").expect("memory");
+    }
+    if rules.is_empty() {
+        text = "rules: []".to_owned();
+    }
+    parse::parse_rules("test", &text).expect("the text is right")
+}
+
+fn change(edits: Vec<change::RuleEdit>) -> change::RuleChange {
+    change::RuleChange {
+        id: 7,
+        author: "ana".to_owned(),
+        base: ident::RuleRevision(3),
+        edits,
+    }
+}
+
+fn rule_name(text: &str) -> name::RuleName {
+    name::RuleName::new(text).expect("a name")
+}
+
+fn documents() -> impl Strategy<Value = document::RuleDocument> {
+    let names = prop::collection::vec(0..12_u8, 0..12);
+    (names, prop::collection::vec(0..3_u8, 12)).prop_map(|(names, retries)| {
+        let mut rules: Vec<(u8, u8)> = Vec::new();
+        for (name, retries) in names.into_iter().zip(retries) {
+            if rules.iter().all(|(known, _)| *known != name) {
+                rules.push((name, retries));
+            }
+        }
+        document(&rules)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        cases: 512,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn applying_the_difference_gives_the_new_document(old in documents(), new in documents()) {
+        let edits = change::diff(&old, &new);
+        let mut document = old;
+        document.apply(&change(edits)).expect("the difference fits");
+        prop_assert_eq!(document, new);
+    }
+}
+
+fn check_edits(old: &[(u8, u8)], new: &[(u8, u8)], expected: usize) {
+    let edits = change::diff(&document(old), &document(new));
+    assert_eq!(edits.len(), expected, "{edits:?}");
+}
+
+test_cases! { check_edits:
+    equal_documents_differ_by_nothing => (&[(1, 0), (2, 0)], &[(1, 0), (2, 0)], 0),
+    one_moved_rule_costs_one_edit => (
+        &[(1, 0), (2, 0), (3, 0), (4, 0)],
+        &[(4, 0), (1, 0), (2, 0), (3, 0)],
+        1
+    ),
+    one_changed_rule_costs_one_edit => (&[(1, 0), (2, 0)], &[(1, 0), (2, 1)], 1),
+    one_removed_rule_costs_one_edit => (&[(1, 0), (2, 0)], &[(2, 0)], 1),
+}
+
+fn check_conflict(edit: change::RuleEdit, expected: &str) {
+    // The operator's change comes after another's that removed the rule it speaks of. Its first
+    // edit would fit, its last doesn't: the operator is told, and nothing of it is in force.
+    let mut document = document(&[(1, 0)]);
+    let before = document.clone();
+    let fits = change::RuleEdit::Remove {
+        name: rule_name("r1"),
+    };
+    let error = document.apply(&change(vec![fits, edit]));
+    assert_eq!(error.expect_err("a conflict").to_string(), expected);
+    assert_eq!(document, before);
+}
+
+test_cases! { check_conflict:
+    removing_a_rule_that_is_gone => (
+        change::RuleEdit::Remove { name: rule_name("r9") },
+        "there is no rule r9 any more"
+    ),
+    moving_before_a_rule_that_is_gone => (
+        change::RuleEdit::Put {
+            rule: Arc::clone(&document(&[(2, 0)]).rules()[0]),
+            before: Some(rule_name("r9")),
+        },
+        "there is no rule r9 any more"
+    ),
+    placing_a_rule_before_itself => (
+        change::RuleEdit::Put {
+            rule: Arc::clone(&document(&[(2, 0)]).rules()[0]),
+            before: Some(rule_name("r2")),
+        },
+        "the rule r2 can't stand in front of itself"
+    ),
+}
--- /dev/null
+++ b/crates/anvil_rules/tests/parse.rs
@@ -0,0 +1,202 @@
+//! Reading rule files: what is accepted, and how each fault is told.
+
+use std::time::Duration;
+
+use anvil_rules::{document, parse, render};
+use anvil_testkit::test_cases;
+use anvil_types::{context, treatment};
+
+fn parsed(text: &str) -> document::RuleDocument {
+    parse::parse_rules("rules.yaml", text).expect("the text is right")
+}
+
+#[test]
+fn reads_every_field() {
+    let document = parsed(
+        "rules:
+  - name: submit-claim
+    when:
+      service: [mesa-entradas, 'portal-*']
+      method: POST
+      path: [/claims, '/claims/*/evidence', '/bundles/**']
+      headers:
+        X-Kind: claim
+        idempotency-key: {present: true}
+        x-test: {present: false}
+    then:
+      action: serve
+      class: critical
+      idempotent: false
+      retries: 2
+      retry-ratio: 20%
+      backoff: 50ms
+      deadline: 8s
+      queue-wait: 1s
+      crash-limit: 3
+      quarantine: 15m
+",
+    );
+    let rule = &document.rules()[0];
+    assert_eq!(rule.when.services[1].to_string(), "portal-*");
+    assert_eq!(rule.when.methods, ["POST"]);
+    assert_eq!(rule.when.paths.len(), 3);
+    let names: Vec<&str> = rule.when.headers.iter().map(|h| h.name.as_str()).collect();
+    assert_eq!(names, ["idempotency-key", "x-kind", "x-test"]);
+    let expected = treatment::RuleTreatment {
+        class: context::PriorityClass::Critical,
+        idempotent: false,
+        chain_retries: 2,
+        retry_ratio_percent: 20,
+        backoff: Duration::from_millis(50),
+        deadline: Duration::from_secs(8),
+        queue_wait: Duration::from_secs(1),
+        crash_limit: 3,
+        quarantine: Duration::from_secs(900),
+        action: treatment::RuleAction::Serve,
+    };
+    assert_eq!(rule.then.treatment("POST"), expected);
+    assert_eq!(parsed(&render::to_yaml(&document)), document);
+}
+
+#[test]
+fn takes_defaults_for_fields_left_out() {
+    let document = parsed("rules: [{name: all, then: {}}]");
+    let then = &document.rules()[0].then;
+    assert_eq!(then.treatment("POST"), treatment::RuleTreatment::default());
+    assert!(then.treatment("GET").idempotent);
+}
+
+#[test]
+fn tells_every_fault_of_a_text_at_once() {
+    let text = "rules:
+  - name: Bad Name
+    when: {service: a*b}
+    then: {deadline: 1h, retries: 99}
+  - name: second
+    then: {klass: high}
+";
+    let faults = parse::parse_rules("r.yaml", text).expect_err("the text is wrong");
+    let told: Vec<(u64, &str)> = faults
+        .0
+        .iter()
+        .map(|fault| (fault.line, fault.field.as_str()))
+        .collect();
+    let expected = [
+        (2, "rules[0].name"),
+        (3, "rules[0].when.service"),
+        (4, "rules[0].then.deadline"),
+        (4, "rules[0].then.retries"),
+        (6, "rules[1].then.klass"),
+    ];
+    assert_eq!(told, expected);
+}
+
+fn check_fault(text: &str, expected: &str) {
+    let faults = parse::parse_rules("r.yaml", text).expect_err("the text is wrong");
+    assert_eq!(faults.to_string(), expected);
+}
+
+test_cases! { check_fault:
+    no_yaml => (
+        "rules: [",
+        "r.yaml:1:8: document: unclosed bracket '['"
+    ),
+    no_rules => (
+        "{}",
+        "r.yaml:1:1: document: the field rules is missing"
+    ),
+    not_a_map => (
+        "- 1",
+        "r.yaml:1:1: document: expected a map, found a list"
+    ),
+    unknown_top_field => (
+        "rules: []\nlimits: 3",
+        "r.yaml:2:1: limits: unknown field; the fields here are rules"
+    ),
+    duplicate_names => (
+        "rules:\n- {name: a, then: {}}\n- {name: a, then: {}}",
+        "r.yaml:3:1: name: the name a is taken by the rule at line 2"
+    ),
+    missing_then => (
+        "rules:\n- {name: a}",
+        "r.yaml:2:3: rules[0]: the field then is missing"
+    ),
+    duration_without_unit => (
+        "rules: [{name: a, then: {deadline: 10}}]",
+        "r.yaml:1:36: rules[0].then.deadline: expected a duration such as 500ms, 10s or 5m, \
+         found a number"
+    ),
+    duration_out_of_range => (
+        "rules: [{name: a, then: {deadline: 1ms}}]",
+        "r.yaml:1:36: rules[0].then.deadline: 1ms is outside 10ms to 10m"
+    ),
+    percent_out_of_range => (
+        "rules: [{name: a, then: {retry-ratio: 101%}}]",
+        "r.yaml:1:39: rules[0].then.retry-ratio: 101% is outside 0 to 100"
+    ),
+    unknown_class => (
+        "rules: [{name: a, then: {class: urgent}}]",
+        "r.yaml:1:33: rules[0].then.class: \"urgent\" is none of low, normal, high, critical"
+    ),
+    lower_case_method => (
+        "rules: [{name: a, when: {method: post}, then: {}}]",
+        "r.yaml:1:34: rules[0].when.method: \"post\" is no method; methods are case-sensitive, \
+         such as POST"
+    ),
+    path_with_query => (
+        "rules: [{name: a, when: {path: /a?b=1}, then: {}}]",
+        "r.yaml:1:32: rules[0].when.path: \"/a?b=1\" is no path; it begins with '/' or '*' and \
+         holds no '?', '#' or space"
+    ),
+    empty_list => (
+        "rules: [{name: a, when: {service: []}, then: {}}]",
+        "r.yaml:1:35: rules[0].when.service: the list is empty; leave the field out to match \
+         everything"
+    ),
+    header_named_twice => (
+        "rules: [{name: a, when: {headers: {X-A: b, x-a: c}}, then: {}}]",
+        "r.yaml:1:49: rules[0].when.headers.x-a: the header x-a is named twice"
+    ),
+    header_value_as_number => (
+        "rules: [{name: a, when: {headers: {x-a: 1}}, then: {}}]",
+        "r.yaml:1:41: rules[0].when.headers.x-a: expected text (in quotes, if it looks like a \
+         number), found a number"
+    ),
+    wait_beyond_deadline => (
+        "rules: [{name: a, then: {deadline: 1s, queue-wait: 2s}}]",
+        "r.yaml:1:52: rules[0].then.queue-wait: 2s is more than the deadline of 1s"
+    ),
+    duplicate_key => (
+        "rules: []\nrules: []",
+        "r.yaml:2:1: document: duplicate mapping key `rules` is not allowed here"
+    ),
+}
+
+fn check_warning(text: &str, expected: &[&str]) {
+    let checked = parse::check_rules("r.yaml", text).expect("the text is right");
+    let told: Vec<String> = checked.warnings.iter().map(ToString::to_string).collect();
+    assert_eq!(told, expected);
+}
+
+test_cases! { check_warning:
+    warns_of_a_rule_behind_a_wider_one => (
+        "rules:
+  - {name: wide, when: {service: 'por*'}, then: {}}
+  - {name: narrow, when: {service: portal, method: GET}, then: {}}",
+        &["r.yaml:3: rule narrow is unreachable: rule wide at line 2 matches everything that it \
+           matches"]
+    ),
+    warns_of_rules_behind_one_for_everything => (
+        "rules:
+  - {name: all, then: {}}
+  - {name: paths, when: {path: '/a/*'}, then: {}}",
+        &["r.yaml:3: rule paths is unreachable: rule all at line 2 matches everything that it \
+           matches"]
+    ),
+    keeps_quiet_about_a_narrower_rule_in_front => (
+        "rules:
+  - {name: narrow, when: {service: portal, headers: {x-a: b}}, then: {}}
+  - {name: wide, when: {service: portal}, then: {}}",
+        &[]
+    ),
+}
--- a/crates/anvil_types/src/name.rs
+++ b/crates/anvil_types/src/name.rs
@@ -1,4 +1,4 @@
-//! Checked names of services, availability zones and regions.
+//! Checked names of services, availability zones, regions and rules.
 
 use std::sync::Arc;
 
@@ -71,6 +71,10 @@
     };
 }
 
+checked_name! {
+    /// The name of one of the operators' rules, such as `submit-claim`.
+    RuleName
+}
 checked_name! {
     /// The name of a service, such as `mesa-entradas`.
     ServiceName
