Let the operators' rules decide each call

Cause: the reducer treated every request by the built-in default. Change: a rule book holds document, index and revision, adopts only higher revisions, and decides calls and explanations.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -7,7 +7,7 @@
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
-use crate::{calls, directory, effect, event, reducer, stopping, timers};
+use crate::{calls, directory, effect, event, reducer, rulebook, stopping, timers};
 
 /// Refusals by leaving or unreachable nodes that one call follows without spending a retry.
 ///
@@ -26,7 +26,9 @@
         hints: &event::CallerHints,
     ) {
         self.counters.calls_arrived += 1;
-        let (treatment, mark) = self.book.decide(&request);
+        let rulebook::BookDecision {
+            treatment, mark, ..
+        } = self.book.decide(&request);
         let parent = hints.parent.map(|token| token.0);
         let context = match parent {
             Some(run) => self.child_context(run, &request, &treatment, hints),
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -1,5 +1,6 @@
 //! Operators' questions to one node: dump, status, counters, rules, explanation.
 
+use anvil_rules::render;
 use anvil_wire::call;
 use serde_json::json;
 
@@ -16,9 +17,10 @@
             event::OperatorRequest::Status => Ok(self.status().to_string()),
             event::OperatorRequest::Counters => Ok(json!(self.counters).to_string()),
             event::OperatorRequest::Explain(request) => Ok(self.explain(&request).to_string()),
-            event::OperatorRequest::Apply { .. }
-            | event::OperatorRequest::Rules
-            | event::OperatorRequest::History => Err("not available yet".to_owned()),
+            event::OperatorRequest::Rules => Ok(render::to_yaml(self.book.document())),
+            event::OperatorRequest::Apply { .. } | event::OperatorRequest::History => {
+                Err("not available yet".to_owned())
+            }
         };
         self.effects
             .push(crate::effect::NodeEffect::AnswerOperator { handle, answer });
@@ -70,8 +72,12 @@
     }
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
-        let (treatment, mark) = self.book.decide(request);
-        json!({ "rule": mark, "treatment": treatment })
+        let decision = self.book.decide(request);
+        json!({
+            "name": decision.name,
+            "rule": decision.mark,
+            "treatment": decision.treatment,
+        })
     }
 }
 
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -1,12 +1,26 @@
 //! The rules in force at this node.
 
-use anvil_types::{ident, treatment};
+use anvil_rules::{document, matcher, view};
+use anvil_types::{ident, name, treatment};
 use anvil_wire::call;
 
 /// The rules in force and their revision.
 #[derive(Clone, Debug, Default)]
 pub struct RuleBook {
     revision: ident::RuleRevision,
+    document: document::RuleDocument,
+    matcher: matcher::RuleMatcher,
+}
+
+/// What the rules decide for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BookDecision<'a> {
+    /// The treatment.
+    pub treatment: treatment::RuleTreatment,
+    /// The rule that decided, and the revision.
+    pub mark: treatment::RuleMark,
+    /// The rule's name; none where the built-in default decided.
+    pub name: Option<&'a name::RuleName>,
 }
 
 impl RuleBook {
@@ -15,20 +29,39 @@
         self.revision
     }
 
+    /// The rules in force.
+    pub fn document(&self) -> &document::RuleDocument {
+        &self.document
+    }
+
+    /// Puts a document in force where its revision is higher; tells whether it did.
+    ///
+    /// Rules arrive by several ways and in any order. Going back to an older revision would undo
+    /// an accepted change for as long as the newer one is not heard of again, so it never happens.
+    pub fn adopt(
+        &mut self,
+        revision: ident::RuleRevision,
+        document: document::RuleDocument,
+    ) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.revision = revision;
+        self.matcher = matcher::RuleMatcher::compile(&document);
+        self.document = document;
+        true
+    }
+
     /// The treatment of `request` and the rule that decided.
-    pub fn decide(
-        &self,
-        request: &call::CallRequest,
-    ) -> (treatment::RuleTreatment, treatment::RuleMark) {
-        let idempotent = matches!(request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
-        let treatment = treatment::RuleTreatment {
-            idempotent,
-            ..treatment::RuleTreatment::default()
-        };
-        let mark = treatment::RuleMark {
-            revision: self.revision,
-            index: None,
-        };
-        (treatment, mark)
+    pub fn decide(&self, request: &call::CallRequest) -> BookDecision<'_> {
+        let decision = self.matcher.decide(&view::RequestView::of(request));
+        BookDecision {
+            treatment: decision.treatment,
+            mark: treatment::RuleMark {
+                revision: self.revision,
+                index: decision.index,
+            },
+            name: decision.name,
+        }
     }
 }
