Add the state modules for decisions under overload

Each hop so far takes targets in turn, queues without bound and retries by itself, so nothing bounds load on its way down a chain. These modules hold the decisions instead: limit, queue and cut line at the target's node, routing, the chain's allowance, the retry ratio, deadlines and quarantine.

--- /dev/null
+++ b/crates/anvil_overload/src/estimate.rs
@@ -0,0 +1,51 @@
+//! Smoothed time that a request holds a slot.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Weight of one new sample in the mean, as its divisor; eight samples halve an old error
+/// roughly, as TCP does for its round-trip time (RFC 6298).
+const MEAN_DIVISOR: u64 = 8;
+
+/// Weight of one new sample in the deviation, as its divisor (RFC 6298).
+const DEVIATION_DIVISOR: u64 = 4;
+
+/// Mean and deviation of the time that a request holds a slot, in microseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ServiceEstimate {
+    mean: u64,
+    deviation: u64,
+    seen: bool,
+}
+
+impl ServiceEstimate {
+    /// Takes in the time that one request held its slot.
+    pub fn observe(&mut self, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX / 16);
+        if !self.seen {
+            self.seen = true;
+            self.mean = micros;
+            self.deviation = micros / 2;
+            return;
+        }
+        let error = micros.abs_diff(self.mean);
+        self.deviation = weighted(self.deviation, error, DEVIATION_DIVISOR);
+        self.mean = weighted(self.mean, micros, MEAN_DIVISOR);
+    }
+
+    /// The usual time; zero before the first sample.
+    pub fn usual(&self) -> Duration {
+        Duration::from_micros(self.mean)
+    }
+
+    /// A time that few requests undercut; zero before the first sample.
+    pub fn least(&self) -> Duration {
+        let low = self.mean.saturating_sub(2 * self.deviation);
+        Duration::from_micros(low.max(self.mean / 2))
+    }
+}
+
+fn weighted(old: u64, new: u64, divisor: u64) -> u64 {
+    (old * (divisor - 1) + new) / divisor
+}
--- /dev/null
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -0,0 +1,357 @@
+//! Requests that crash the targets that run them; see `docs/design/quarantine.md`.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use anvil_types::{ident, name, time};
+use anvil_wire::suspicion;
+use serde::Serialize;
+
+use crate::policy;
+
+/// Crashes beyond the rule's limit after which a request is refused though others always ran
+/// beside it.
+pub const CROWD_MARGIN: u8 = 2;
+
+/// How long a suspect stays one without a further crash.
+pub const SUSPECT_SPAN: Duration = Duration::from_secs(60);
+
+/// Suspects remembered; at 40 slots a target that is the crowd of some fifty crashes.
+pub const SUSPECTS_KEPT: usize = 2_048;
+
+/// Crashes remembered, so that a notice heard twice counts once.
+pub const MARKS_KEPT: usize = 256;
+
+/// What is known of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrintStanding {
+    /// Nothing.
+    Clean,
+    /// It ran when a target crashed; it may run, with no other suspect beside it.
+    Suspect,
+    /// It is refused.
+    Quarantined {
+        /// Crashes that it was part of.
+        seen: u8,
+        /// Crashes that its rule allows.
+        allowed: u8,
+        /// How long it stays refused.
+        left: Duration,
+    },
+}
+
+/// What a rule says about crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct CrashRule {
+    /// Crashes allowed.
+    pub limit: u8,
+    /// Time of refusal after the last one.
+    pub quarantine: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct RunningPrint {
+    run: u64,
+    print: ident::PrintHash,
+    rule: CrashRule,
+    /// Whether the run is part of a crash that was counted already.
+    counted: bool,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct SuspectPrint {
+    print: ident::PrintHash,
+    strikes: u8,
+    alone: bool,
+    rule: CrashRule,
+    struck: time::NodeTime,
+}
+
+impl SuspectPrint {
+    /// One crash is bad luck. A request is condemned by the rule's number of crashes if no other
+    /// suspect ran beside it in one of them, which two requests can't both be; otherwise only
+    /// after [`CROWD_MARGIN`] more.
+    fn condemned(&self) -> bool {
+        let limit = self.rule.limit.max(1);
+        let crowd = limit.saturating_add(CROWD_MARGIN);
+        self.strikes >= crowd || (self.alone && self.strikes >= limit)
+    }
+
+    fn span(&self) -> Duration {
+        if self.condemned() {
+            self.rule.quarantine
+        } else {
+            SUSPECT_SPAN
+        }
+    }
+
+    fn left(&self, now: time::NodeTime) -> Duration {
+        self.span().saturating_sub(now.since(self.struck))
+    }
+}
+
+/// Which requests were running when targets crashed.
+#[derive(Clone, Debug, Serialize)]
+pub struct PoisonList {
+    node: ident::NodeId,
+    crashes: u64,
+    /// Sorted by run.
+    running: Vec<RunningPrint>,
+    /// Sorted by print.
+    suspects: Vec<SuspectPrint>,
+    marks: VecDeque<suspicion::CrashMark>,
+    #[serde(skip)]
+    policy: policy::OverloadPolicy,
+}
+
+impl PoisonList {
+    /// An empty list of `node`.
+    pub fn new(node: ident::NodeId, policy: policy::OverloadPolicy) -> Self {
+        Self {
+            node,
+            crashes: 0,
+            running: Vec::new(),
+            suspects: Vec::new(),
+            marks: VecDeque::new(),
+            policy,
+        }
+    }
+
+    /// What is known of `print`.
+    pub fn standing(&self, now: time::NodeTime, print: ident::PrintHash) -> PrintStanding {
+        let Some(suspect) = self.find(print) else {
+            return PrintStanding::Clean;
+        };
+        let left = suspect.left(now);
+        if !self.policy.quarantine || left.is_zero() {
+            PrintStanding::Clean
+        } else if suspect.condemned() {
+            PrintStanding::Quarantined {
+                seen: suspect.strikes,
+                allowed: suspect.rule.limit,
+                left,
+            }
+        } else {
+            PrintStanding::Suspect
+        }
+    }
+
+    /// Notes a run that starts at the local target.
+    pub fn started(&mut self, run: u64, print: ident::PrintHash, rule: CrashRule) {
+        let entry = RunningPrint {
+            run,
+            print,
+            rule,
+            counted: false,
+        };
+        let place = self.running.partition_point(|known| known.run < run);
+        self.running.insert(place, entry);
+    }
+
+    /// Notes a run that ended without a crash; a whole answer takes one strike back.
+    pub fn ended(&mut self, run: u64, whole: bool) {
+        let Some(entry) = self.take(run) else {
+            return;
+        };
+        if !whole {
+            return;
+        }
+        let Ok(place) = self.place(entry.print) else {
+            return;
+        };
+        let suspect = &mut self.suspects[place];
+        if suspect.condemned() {
+            return;
+        }
+        suspect.strikes -= 1;
+        if suspect.strikes == 0 {
+            self.suspects.remove(place);
+        }
+    }
+
+    /// Notes a run whose connection broke. The first of a crash makes suspects of all that run;
+    /// the others of the same crash add nothing, and those that live on clear themselves.
+    pub fn broke(
+        &mut self,
+        now: time::NodeTime,
+        run: u64,
+        service: &name::ServiceName,
+    ) -> Option<suspicion::SuspicionNotice> {
+        let place = self.running.binary_search_by_key(&run, |known| known.run);
+        let entry = self.running[place.ok()?];
+        let notice = (!entry.counted).then(|| self.crash(now, service));
+        self.take(run);
+        notice
+    }
+
+    /// Notes that a whole node was lost with these requests out on it.
+    ///
+    /// The node may live on behind a broken network, so only a request that was a suspect before,
+    /// and the only one, counts as having been alone: the lost node kept suspects apart.
+    pub fn peer_lost(
+        &mut self,
+        now: time::NodeTime,
+        peer: ident::NodeId,
+        service: &name::ServiceName,
+        prints: &[(ident::PrintHash, CrashRule)],
+    ) -> suspicion::SuspicionNotice {
+        let crash = suspicion::CrashMark {
+            node: peer,
+            sequence: 0,
+        };
+        let suspected = |print: ident::PrintHash| self.standing(now, print) != PrintStanding::Clean;
+        let suspects = prints.iter().filter(|(print, _)| suspected(*print)).count();
+        let strikes = prints
+            .iter()
+            .map(|(print, rule)| strike(*print, *rule, suspects == 1 && suspected(*print)))
+            .collect();
+        let notice = suspicion::SuspicionNotice {
+            crash,
+            service: service.clone(),
+            strikes,
+        };
+        self.apply(now, &notice);
+        notice
+    }
+
+    /// Takes in what another node saw; false where it was known.
+    pub fn learn(&mut self, now: time::NodeTime, notice: &suspicion::SuspicionNotice) -> bool {
+        // Callers' nodes each know only their own share of a lost node's requests.
+        let whole = notice.crash.sequence > 0;
+        if whole && self.marks.contains(&notice.crash) {
+            return false;
+        }
+        self.apply(now, notice);
+        true
+    }
+
+    /// Suspects and condemned at present.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether nobody is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    fn crash(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+    ) -> suspicion::SuspicionNotice {
+        self.crashes += 1;
+        let crash = suspicion::CrashMark {
+            node: self.node,
+            sequence: self.crashes,
+        };
+        let strikes = self.strikes(now);
+        for running in &mut self.running {
+            running.counted = true;
+        }
+        let notice = suspicion::SuspicionNotice {
+            crash,
+            service: service.clone(),
+            strikes,
+        };
+        self.apply(now, &notice);
+        notice
+    }
+
+    /// Failure: innocents run beside the request that crashes the target. Symptom: they are
+    /// refused for good. If exactly one suspect was running, the crash is its doing and nobody
+    /// else's; otherwise all share the suspicion and are kept apart from now on.
+    fn strikes(&self, now: time::NodeTime) -> Vec<suspicion::PrintStrike> {
+        let suspected =
+            |known: &&RunningPrint| self.standing(now, known.print) != PrintStanding::Clean;
+        let mut suspects = self.running.iter().filter(suspected);
+        let first = suspects.next();
+        let alone = first.filter(|_| suspects.next().is_none());
+        let alone = alone.or_else(|| self.running.first().filter(|_| self.running.len() == 1));
+        match alone {
+            Some(known) => vec![strike(known.print, known.rule, true)],
+            None => self
+                .running
+                .iter()
+                .map(|known| strike(known.print, known.rule, false))
+                .collect(),
+        }
+    }
+
+    fn apply(&mut self, now: time::NodeTime, notice: &suspicion::SuspicionNotice) {
+        if self.marks.len() == MARKS_KEPT {
+            self.marks.pop_front();
+        }
+        self.marks.push_back(notice.crash);
+        for strike in &notice.strikes {
+            self.strike(now, strike);
+        }
+    }
+
+    fn strike(&mut self, now: time::NodeTime, strike: &suspicion::PrintStrike) {
+        let rule = CrashRule {
+            limit: strike.crash_limit,
+            quarantine: Duration::from_secs(u64::from(strike.quarantine_seconds)),
+        };
+        match self.place(strike.print) {
+            Ok(place) => {
+                let suspect = &mut self.suspects[place];
+                let stale = suspect.left(now).is_zero();
+                suspect.strikes = if stale {
+                    1
+                } else {
+                    suspect.strikes.saturating_add(1)
+                };
+                suspect.alone = strike.alone || (suspect.alone && !stale);
+                suspect.struck = now;
+                suspect.rule = rule;
+            }
+            Err(_) => self.add(SuspectPrint {
+                print: strike.print,
+                strikes: 1,
+                alone: strike.alone,
+                rule,
+                struck: now,
+            }),
+        }
+    }
+
+    fn add(&mut self, suspect: SuspectPrint) {
+        if self.suspects.len() == SUSPECTS_KEPT {
+            let oldest = |place: &usize| {
+                let known = &self.suspects[*place];
+                (known.condemned(), known.struck)
+            };
+            if let Some(place) = (0..SUSPECTS_KEPT).min_by_key(oldest) {
+                self.suspects.remove(place);
+            }
+        }
+        let place = self
+            .suspects
+            .partition_point(|known| known.print < suspect.print);
+        self.suspects.insert(place, suspect);
+    }
+
+    fn take(&mut self, run: u64) -> Option<RunningPrint> {
+        let place = self.running.binary_search_by_key(&run, |known| known.run);
+        Some(self.running.remove(place.ok()?))
+    }
+
+    fn place(&self, print: ident::PrintHash) -> Result<usize, usize> {
+        self.suspects
+            .binary_search_by_key(&print, |known| known.print)
+    }
+
+    fn find(&self, print: ident::PrintHash) -> Option<&SuspectPrint> {
+        self.place(print).ok().map(|place| &self.suspects[place])
+    }
+}
+
+fn strike(print: ident::PrintHash, rule: CrashRule, alone: bool) -> suspicion::PrintStrike {
+    suspicion::PrintStrike {
+        print,
+        alone,
+        crash_limit: rule.limit,
+        quarantine_seconds: u32::try_from(rule.quarantine.as_secs()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/anvil_overload/src/refusal.rs
@@ -0,0 +1,105 @@
+//! Which rule, limit and revision refused a request, for `explain` and the dump.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use anvil_types::{ident, name, time, treatment, verdict};
+use anvil_wire::call;
+use serde::Serialize;
+
+use crate::rank;
+
+/// Refusals kept; a dump stays a few kilobytes.
+pub const NOTES_KEPT: usize = 64;
+
+/// Shortest time after which a refused caller is told to come back.
+pub const RETRY_AFTER_LEAST: Duration = Duration::from_secs(1);
+
+/// The limit that refused a request, with its value at that moment.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalLimit {
+    /// The cut line of the service asked for, or of one below it.
+    Cut(Option<call::CutLine>),
+    /// Places in the queue.
+    QueuePlaces(u32),
+    /// The wait that was expected or had passed, and the one that the rule allows.
+    QueueWait {
+        /// The wait.
+        wait: Duration,
+        /// The bound.
+        allowed: Duration,
+    },
+    /// Time left.
+    Deadline,
+    /// The target leaves.
+    Leaving,
+    /// Retries left for the whole chain.
+    ChainRetries(u16),
+    /// Share of retries of this node, in percent.
+    RetryRatio(u8),
+    /// Crashes of targets that the request was part of, and the rule's bound.
+    Crashes {
+        /// Crashes seen.
+        seen: u8,
+        /// The bound.
+        allowed: u8,
+    },
+    /// No limit of this module; the reason says it all.
+    Other,
+}
+
+/// One refusal.
+#[derive(Clone, Debug, Serialize)]
+pub struct RefusalNote {
+    /// When, on this node's clock.
+    pub at: time::NodeTime,
+    /// The root request.
+    pub request: ident::RequestId,
+    /// The service asked for.
+    pub service: name::ServiceName,
+    /// Why.
+    pub reason: verdict::RefusalReason,
+    /// The limit and its value.
+    pub limit: RefusalLimit,
+    /// The rule and the revision that set the limit.
+    pub mark: treatment::RuleMark,
+}
+
+/// The last refusals of this node, the oldest first.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RefusalLog {
+    notes: VecDeque<RefusalNote>,
+    total: u64,
+}
+
+impl RefusalLog {
+    /// Keeps `note` and drops the oldest above [`NOTES_KEPT`].
+    pub fn push(&mut self, note: RefusalNote) {
+        self.total += 1;
+        if self.notes.len() == NOTES_KEPT {
+            self.notes.pop_front();
+        }
+        self.notes.push_back(note);
+    }
+
+    /// The refusals kept, the oldest first.
+    pub fn notes(&self) -> &VecDeque<RefusalNote> {
+        &self.notes
+    }
+
+    /// The latest refusal of `request` that is still kept.
+    pub fn of(&self, request: ident::RequestId) -> Option<&RefusalNote> {
+        self.notes.iter().rev().find(|note| note.request == request)
+    }
+}
+
+/// When a refused caller does well to come back: the further below the line, the later.
+///
+/// The lane spreads the callers of one moment over a second, so that they don't return together.
+pub fn retry_after(line: Option<&call::CutLine>, rank: &rank::CallRank) -> Duration {
+    let below = rank::line_level(line).saturating_sub(rank.level());
+    let classes = u64::from(below / rank::LANES);
+    let spread = Duration::from_millis(u64::from(rank.lane.0.0) * 1_000 / 256);
+    RETRY_AFTER_LEAST + Duration::from_secs(classes) + spread
+}
--- /dev/null
+++ b/crates/anvil_overload/src/routing.rs
@@ -0,0 +1,348 @@
+//! Which target gets the next request; see `docs/design/routing.md`.
+
+use std::net::SocketAddr;
+
+use anvil_types::{ident, name, time};
+use anvil_wire::call;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::Serialize;
+
+use crate::{cut, policy, rank};
+
+mod health;
+mod target;
+
+pub use health::{EJECT_FIRST, EJECT_LIMIT, EJECT_SHARE, FAILURES_IN_A_ROW, OUTLIER_RATE};
+pub use target::{LOAD_FRESH, LOAD_GONE, SLOW_START, SLOW_START_SHARE};
+
+/// Added to the use of a target in another availability zone, as a share of its limit: the own
+/// zone has to be busier by as much before requests leave it.
+pub const ZONE_PENALTY: f64 = 0.25;
+
+/// What membership knows of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// The node beside it.
+    pub node: ident::NodeId,
+    /// Where that node accepts connections.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: name::ZoneName,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// How an attempt ended, as far as routing is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The node answered and the answer is no failure of the target.
+    Fine,
+    /// The target failed: a server error, or a broken run.
+    Failed,
+    /// The node or its target could not be reached, or was lost.
+    Lost,
+}
+
+/// What is asked of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The service.
+    pub service: &'a name::ServiceName,
+    /// The request's rank.
+    pub rank: rank::CallRank,
+    /// Nodes that earlier attempts went to.
+    pub exclude: &'a [ident::NodeId],
+}
+
+/// What the table chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteChoice {
+    /// Send it there.
+    Target {
+        /// The node beside the target.
+        node: ident::NodeId,
+        /// Where it accepts connections.
+        address: SocketAddr,
+        /// Whether it stands in the own availability zone.
+        near: bool,
+    },
+    /// No target would admit it; this is the lowest of their lines.
+    Shed(call::CutLine),
+    /// Every target is excluded, leaving or gone.
+    NoTarget,
+    /// Nobody ever announced the service.
+    UnknownService,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct ServiceRoutes {
+    service: name::ServiceName,
+    turn: usize,
+    /// Sorted by node.
+    targets: Vec<target::TargetRoute>,
+}
+
+/// All known targets by service, with what their answers told.
+#[derive(Clone, Debug, Serialize)]
+pub struct RouteTable {
+    zone: name::ZoneName,
+    /// Sorted by service.
+    services: Vec<ServiceRoutes>,
+    #[serde(skip)]
+    source: Pcg32,
+    #[serde(skip)]
+    policy: policy::OverloadPolicy,
+}
+
+impl RouteTable {
+    /// An empty table of a node in `zone`.
+    pub fn new(zone: name::ZoneName, seed: u64, policy: policy::OverloadPolicy) -> Self {
+        Self {
+            zone,
+            services: Vec::new(),
+            source: Pcg32::seed_from_u64(seed),
+            policy,
+        }
+    }
+
+    /// Learns or renews a target.
+    pub fn upsert(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        record: &TargetRecord,
+    ) {
+        let near = record.zone == self.zone;
+        let routes = self.routes_or_insert(service);
+        match routes.place(record.node) {
+            Ok(place) => routes.targets[place].renew(now, record, near),
+            Err(place) => {
+                let target = target::TargetRoute::new(now, record, near);
+                routes.targets.insert(place, target);
+            }
+        }
+    }
+
+    /// Forgets a target; the service stays known.
+    pub fn remove(&mut self, service: &name::ServiceName, node: ident::NodeId) {
+        let Some(routes) = self.routes_mut(service) else {
+            return;
+        };
+        if let Ok(place) = routes.place(node) {
+            routes.targets.remove(place);
+        }
+    }
+
+    /// Chooses a target; call [`Self::sent`] when the request leaves.
+    pub fn choose(&mut self, now: time::NodeTime, query: RouteQuery<'_>) -> RouteChoice {
+        let policy = self.policy;
+        let Ok(place) = self.find(query.service) else {
+            return RouteChoice::UnknownService;
+        };
+        let routes = &mut self.services[place];
+        if !policy.better_of_two {
+            return routes.next_in_turn(now, &query, policy);
+        }
+        let mut picked = routes.pick(now, &query, policy, false, &mut self.source);
+        if picked.is_none() {
+            // Failure: every target that is left stands ejected. Symptom: a service that could
+            // serve something serves nothing. The floor therefore yields to the last resort.
+            picked = routes.pick(now, &query, policy, true, &mut self.source);
+        }
+        match picked {
+            Some(place) => routes.targets[place].choice(),
+            None => routes.nobody(now, &query),
+        }
+    }
+
+    /// Counts a request that left for `node`.
+    pub fn sent(&mut self, service: &name::ServiceName, node: ident::NodeId) {
+        if let Some(target) = self.target_mut(service, node) {
+            target.sent();
+        }
+    }
+
+    /// Counts the end of an attempt, with the load that its answer told.
+    pub fn ended(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+        end: AttemptEnd,
+        load: Option<&call::LoadReport>,
+    ) {
+        let policy = self.policy;
+        let Some(routes) = self.routes_mut(service) else {
+            return;
+        };
+        let Ok(place) = routes.place(node) else {
+            return;
+        };
+        routes.targets[place].ended(now, end, load);
+        if policy.ejection {
+            health::review(now, &mut routes.targets, place);
+        }
+    }
+
+    /// The lowest line among the targets of `service`: what none of them admits.
+    pub fn line(&self, now: time::NodeTime, service: &name::ServiceName) -> Option<call::CutLine> {
+        let place = self.find(service).ok()?;
+        rank::line_at(self.services[place].least_level(now, &[]))
+    }
+
+    /// Nodes beside the targets of `service`, with their addresses.
+    pub fn nodes<'a>(
+        &'a self,
+        service: &name::ServiceName,
+    ) -> impl Iterator<Item = (ident::NodeId, SocketAddr)> + use<'a> {
+        let place = self.find(service).ok();
+        let targets = place.map_or(&[][..], |place| &self.services[place].targets[..]);
+        targets.iter().map(|target| (target.node, target.address))
+    }
+
+    /// The service that the target beside `node` offers.
+    pub fn service_of(&self, node: ident::NodeId) -> Option<&name::ServiceName> {
+        let holds = |routes: &&ServiceRoutes| routes.place(node).is_ok();
+        self.services
+            .iter()
+            .find(holds)
+            .map(|routes| &routes.service)
+    }
+
+    fn find(&self, service: &name::ServiceName) -> Result<usize, usize> {
+        self.services
+            .binary_search_by(|routes| routes.service.cmp(service))
+    }
+
+    fn routes_mut(&mut self, service: &name::ServiceName) -> Option<&mut ServiceRoutes> {
+        let place = self.find(service).ok()?;
+        self.services.get_mut(place)
+    }
+
+    fn routes_or_insert(&mut self, service: &name::ServiceName) -> &mut ServiceRoutes {
+        let place = match self.find(service) {
+            Ok(place) => place,
+            Err(place) => {
+                let routes = ServiceRoutes {
+                    service: service.clone(),
+                    turn: 0,
+                    targets: Vec::new(),
+                };
+                self.services.insert(place, routes);
+                place
+            }
+        };
+        &mut self.services[place]
+    }
+
+    fn target_mut(
+        &mut self,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+    ) -> Option<&mut target::TargetRoute> {
+        let routes = self.routes_mut(service)?;
+        let place = routes.place(node).ok()?;
+        routes.targets.get_mut(place)
+    }
+}
+
+/// Keeps two of a stream at random, and of these the less used.
+#[derive(Clone, Copy, Debug, Default)]
+struct PairDraw {
+    kept: [Option<usize>; 2],
+    seen: u32,
+}
+
+impl PairDraw {
+    fn offer(&mut self, place: usize, source: &mut Pcg32) {
+        self.seen += 1;
+        if self.seen <= 2 {
+            self.kept[self.seen as usize - 1] = Some(place);
+            return;
+        }
+        let draw = source.next_u32() % self.seen;
+        if let Some(kept) = self.kept.get_mut(draw as usize) {
+            *kept = Some(place);
+        }
+    }
+}
+
+impl ServiceRoutes {
+    fn place(&self, node: ident::NodeId) -> Result<usize, usize> {
+        self.targets
+            .binary_search_by_key(&node, |target| target.node)
+    }
+
+    fn pick(
+        &self,
+        now: time::NodeTime,
+        query: &RouteQuery<'_>,
+        policy: policy::OverloadPolicy,
+        ejected_too: bool,
+        source: &mut Pcg32,
+    ) -> Option<usize> {
+        let mut near = PairDraw::default();
+        let mut far = PairDraw::default();
+        for (place, target) in self.targets.iter().enumerate() {
+            let fit = target.serves(query.exclude)
+                && (ejected_too || !target.ejected(now))
+                && (!policy.early_refusal || target.admits(now, &query.rank));
+            if !fit {
+                continue;
+            }
+            if target.near || !policy.zone_preference {
+                near.offer(place, source);
+            } else {
+                far.offer(place, source);
+            }
+        }
+        let drawn = [near.kept, far.kept].concat();
+        let usage = |place: &usize| self.targets[*place].usage(now, policy);
+        drawn
+            .into_iter()
+            .flatten()
+            .min_by(|a, b| usage(a).total_cmp(&usage(b)))
+    }
+
+    fn next_in_turn(
+        &mut self,
+        now: time::NodeTime,
+        query: &RouteQuery<'_>,
+        policy: policy::OverloadPolicy,
+    ) -> RouteChoice {
+        let count = self.targets.len();
+        for step in 1..=count {
+            let place = (self.turn + step) % count;
+            let target = &self.targets[place];
+            let fit = target.serves(query.exclude)
+                && !target.ejected(now)
+                && (!policy.early_refusal || target.admits(now, &query.rank));
+            if fit {
+                self.turn = place;
+                return target.choice();
+            }
+        }
+        self.nobody(now, query)
+    }
+
+    fn nobody(&self, now: time::NodeTime, query: &RouteQuery<'_>) -> RouteChoice {
+        let some = |target: &target::TargetRoute| target.serves(query.exclude);
+        let level = self.least_level(now, query.exclude);
+        match rank::line_at(level) {
+            Some(line) if self.targets.iter().any(some) => RouteChoice::Shed(line),
+            _ => RouteChoice::NoTarget,
+        }
+    }
+
+    fn least_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
+        let serving = self.targets.iter().filter(|target| target.serves(exclude));
+        let levels = serving.map(|target| target.cut.level(now));
+        levels.min().unwrap_or(0)
+    }
+}
+
+// The line fades in `cut`, so that routing and refusal read the same value.
+const _: () = assert!(cut::CUT_FRESH.as_millis() < cut::CUT_GONE.as_millis());
--- /dev/null
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -0,0 +1,175 @@
+//! What a caller's node knows of one target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{ident, time};
+use anvil_wire::call;
+use serde::Serialize;
+
+use crate::{cut, policy, rank, routing};
+
+/// How long a reported load counts in full.
+pub const LOAD_FRESH: Duration = Duration::from_millis(100);
+
+/// When a reported load counts no more.
+pub const LOAD_GONE: Duration = Duration::from_secs(1);
+
+/// How long a target that just came gets less than its share.
+pub const SLOW_START: Duration = Duration::from_secs(3);
+
+/// Share of its limit with which such a target begins.
+pub const SLOW_START_SHARE: f64 = 0.1;
+
+/// How long a leaving that an answer told outlasts older news from membership.
+const LEAVING_HOLD: Duration = Duration::from_secs(10);
+
+/// One target and what its answers told.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct TargetRoute {
+    pub(super) node: ident::NodeId,
+    pub(super) address: SocketAddr,
+    pub(super) near: bool,
+    slots: u32,
+    leaving: bool,
+    left_at: Option<time::NodeTime>,
+    since: time::NodeTime,
+    in_flight: u32,
+    #[serde(skip)]
+    load: call::LoadReport,
+    heard: Option<time::NodeTime>,
+    pub(super) cut: cut::FadingCut,
+    pub(super) failures_in_a_row: u32,
+    pub(super) failure_rate: f64,
+    pub(super) ejections: u32,
+    pub(super) ejected_until: time::NodeTime,
+}
+
+impl TargetRoute {
+    pub(super) fn new(now: time::NodeTime, record: &routing::TargetRecord, near: bool) -> Self {
+        Self {
+            node: record.node,
+            address: record.address,
+            near,
+            slots: record.slots,
+            leaving: record.leaving,
+            left_at: None,
+            since: now,
+            in_flight: 0,
+            load: call::LoadReport::default(),
+            heard: None,
+            cut: cut::FadingCut::default(),
+            failures_in_a_row: 0,
+            failure_rate: 0.0,
+            ejections: 0,
+            ejected_until: time::NodeTime::START,
+        }
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        now: time::NodeTime,
+        record: &routing::TargetRecord,
+        near: bool,
+    ) {
+        self.address = record.address;
+        self.near = near;
+        self.slots = record.slots;
+        // Membership may not have heard yet of a leaving that an answer told.
+        let told = self.left_at.is_some_and(|at| now.since(at) < LEAVING_HOLD);
+        self.leaving = record.leaving || told;
+    }
+
+    pub(super) fn serves(&self, exclude: &[ident::NodeId]) -> bool {
+        !self.leaving && !exclude.contains(&self.node)
+    }
+
+    pub(super) fn ejected(&self, now: time::NodeTime) -> bool {
+        now < self.ejected_until
+    }
+
+    pub(super) fn admits(&self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
+        rank.level() >= self.cut.level(now)
+    }
+
+    pub(super) fn choice(&self) -> routing::RouteChoice {
+        routing::RouteChoice::Target {
+            node: self.node,
+            address: self.address,
+            near: self.near,
+        }
+    }
+
+    pub(super) fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: time::NodeTime,
+        end: routing::AttemptEnd,
+        load: Option<&call::LoadReport>,
+    ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.count(end);
+        let Some(load) = load else {
+            return;
+        };
+        self.load = *load;
+        self.heard = Some(now);
+        self.cut.learn(now, load.cut.as_ref());
+        if load.leaving {
+            self.leaving = true;
+            self.left_at = Some(now);
+        }
+    }
+
+    /// Requests ahead of a new one as a share of what runs at once, with the zone's penalty.
+    ///
+    /// The reported load counts all callers and is stale; the requests in flight are exact and
+    /// only this node's. The larger of the two is the better bound.
+    pub(super) fn usage(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> f64 {
+        let reported = f64::from(self.load.running + self.load.queued) * self.freshness(now);
+        let ahead = reported.max(f64::from(self.in_flight));
+        let penalty = if self.near || !policy.zone_preference {
+            0.0
+        } else {
+            routing::ZONE_PENALTY
+        };
+        (ahead + 1.0) / self.width(now, policy) + penalty
+    }
+
+    fn width(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> f64 {
+        let known = if self.heard.is_some() && self.load.limit > 0 {
+            self.load.limit
+        } else {
+            self.slots
+        };
+        let width = f64::from(known.max(1));
+        if !policy.slow_start {
+            return width;
+        }
+        let age = now.since(self.since).as_secs_f64() / SLOW_START.as_secs_f64();
+        width * age.clamp(SLOW_START_SHARE, 1.0)
+    }
+
+    fn freshness(&self, now: time::NodeTime) -> f64 {
+        let Some(heard) = self.heard else {
+            return 0.0;
+        };
+        let age = now.since(heard).as_secs_f64();
+        let (fresh, gone) = (LOAD_FRESH.as_secs_f64(), LOAD_GONE.as_secs_f64());
+        ((gone - age) / (gone - fresh)).clamp(0.0, 1.0)
+    }
+
+    fn count(&mut self, end: routing::AttemptEnd) {
+        let failed = end != routing::AttemptEnd::Fine;
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failure_rate += (sample - self.failure_rate) / routing::health::RATE_DIVISOR;
+        self.failures_in_a_row = match end {
+            routing::AttemptEnd::Lost => self.failures_in_a_row + 1,
+            routing::AttemptEnd::Fine => 0,
+            routing::AttemptEnd::Failed => self.failures_in_a_row,
+        };
+    }
+}
