--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, treatment, verdict};
+use anvil_types::{ident, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 
@@ -28,7 +28,7 @@
 
 /// A run at the local target.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetRun {
+pub struct RunOrder {
     /// Identity of the run, and the token the target sends back on its own calls.
     pub run: event::RunId,
     /// Where the target listens.
@@ -105,7 +105,7 @@
         message: gossip::GossipMessage,
     },
     /// Run a request at the local target.
-    RunTarget(Box<TargetRun>),
+    RunTarget(Box<RunOrder>),
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
@@ -115,6 +115,14 @@
         /// Whether it was carried out, and the text of the answer.
         answer: Result<String, String>,
     },
+    /// Ask the platform's store; the outcome comes back as
+    /// [`event::NodeEvent::StoreAnswered`].
+    AskStore {
+        /// Identity of the question.
+        id: store::StoreId,
+        /// The question.
+        ask: store::StoreAsk,
+    },
     /// Write a log line.
     Report(StateChange),
     /// Leave the process with everything answered.
