--- a/crates/anvil_standins/src/client.rs
+++ b/crates/anvil_standins/src/client.rs
@@ -48,6 +48,13 @@
     Answer(hyper::Error),
 }
 
+impl ExchangeError {
+    /// Whether no connection came about, so that another address may be tried at once.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connection(error) if error.is_connect())
+    }
+}
+
 /// One request of a stand-in.
 #[derive(Clone, Debug)]
 pub struct ClientRequest<'request> {
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -3,9 +3,11 @@
 //! No binary links this package; tests, the demo and the experiment tool do.
 
 pub mod client;
+pub mod experiment;
 pub mod ledger;
 pub mod load;
 pub mod mesh;
+pub mod process;
 pub mod report;
 pub mod scenario;
 pub mod target;
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -14,6 +14,9 @@
 /// Without a bound the naive version's backlog would exhaust the machine's sockets.
 pub const OPEN_LIMIT: usize = 8_000;
 
+/// Addresses that a caller tries where connections are refused, all within one send.
+const ADDRESS_TRIES: usize = 8;
+
 /// Everything a load needs.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
@@ -148,9 +151,6 @@
         sends: u32,
         habits: scenario::CallerPlan,
     ) -> ledger::CallerOutcome {
-        let entries = &self.plan.entries;
-        // Each resend goes to another entry node, as a caller behind a list of addresses does.
-        let entry = (self.draws.entry as usize).wrapping_add(sends as usize) % entries.len();
         let path = format!("/{}/{}", request.step, self.root);
         let mut headers = vec![
             (client::SERVICE_HEADER, request.service.to_string()),
@@ -160,8 +160,8 @@
         if request.method == "POST" {
             headers.push((client::KEY_HEADER, self.root.clone()));
         }
-        let sent = client::ClientRequest {
-            address: entries[entry],
+        let mut sent = client::ClientRequest {
+            address: self.entry(sends as usize),
             method: &request.method,
             path: &path,
             headers: &headers,
@@ -169,10 +169,22 @@
             // The node answers at its deadline; a little later the caller gives up by itself.
             timeout: Duration::from_millis(habits.timeout_ms + 100),
         };
-        match self.client.send(sent).await {
-            Ok(answer) => self.judge(&answer),
-            Err(_) => ledger::CallerOutcome::Silent,
+        for refused in 1..=ADDRESS_TRIES {
+            match self.client.send(sent.clone()).await {
+                Ok(answer) => return self.judge(&answer),
+                Err(error) if error.is_refused() => {
+                    sent.address = self.entry(sends as usize + refused);
+                }
+                Err(_) => return ledger::CallerOutcome::Silent,
+            }
         }
+        ledger::CallerOutcome::Silent
+    }
+
+    /// Each further try goes to another entry node, as a caller behind a list of addresses does.
+    fn entry(&self, tries: usize) -> SocketAddr {
+        let entries = &self.plan.entries;
+        entries[(self.draws.entry as usize).wrapping_add(tries) % entries.len()]
     }
 
     fn judge(&self, answer: &client::ClientAnswer) -> ledger::CallerOutcome {
--- /dev/null
+++ b/crates/anvil_standins/src/process.rs
@@ -0,0 +1,185 @@
+//! A real node process, started and ended by tests and experiments.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use std::{fs, io, thread};
+
+use eyre::{WrapErr, bail};
+use nix::sys::signal;
+use nix::unistd;
+use serde::Deserialize;
+
+/// Longest wait for a process to say that it serves.
+const READY_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause between two looks at a process.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+
+/// Where a node listens, as it says in its ready file.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct NodeAddresses {
+    /// Callers.
+    pub caller: SocketAddr,
+    /// Operators and the local target.
+    pub admin: SocketAddr,
+    /// Other nodes, over TCP.
+    pub peer: SocketAddr,
+    /// Other nodes, over UDP.
+    pub gossip: SocketAddr,
+}
+
+/// A node process; it is killed when dropped.
+#[derive(Debug)]
+pub struct NodeProcess {
+    child: Child,
+    addresses: NodeAddresses,
+}
+
+/// What a node process is started from.
+#[derive(Clone, Debug)]
+pub struct ProcessPlan<'plan> {
+    /// The node's program.
+    pub binary: &'plan Path,
+    /// Where its files go.
+    pub folder: &'plan Path,
+    /// Names its files.
+    pub name: &'plan str,
+    /// Its settings, as YAML.
+    pub settings: &'plan str,
+}
+
+impl NodeProcess {
+    /// Starts a node and waits until it serves.
+    ///
+    /// Fails where the process ends or doesn't serve in time; its log stands in `folder`.
+    pub fn start(plan: &ProcessPlan<'_>) -> eyre::Result<Self> {
+        let file = |suffix: &str| plan.folder.join(format!("{}.{suffix}", plan.name));
+        let settings = file("yaml");
+        let ready = file("ready");
+        fs::write(&settings, plan.settings).wrap_err("the settings can't be written")?;
+        match fs::remove_file(&ready) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+            _ => {}
+        }
+        let log = fs::File::create(file("log"))?;
+        let mut child = Command::new(plan.binary)
+            .arg("--settings")
+            .arg(&settings)
+            .arg("--ready-file")
+            .arg(&ready)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("{} can't be started", plan.binary.display()))?;
+        let addresses = match wait_ready(&mut child, &ready) {
+            Ok(addresses) => addresses,
+            Err(error) => {
+                end(&mut child);
+                return Err(error.wrap_err(format!("node {}", plan.name)));
+            }
+        };
+        Ok(Self { child, addresses })
+    }
+
+    /// Where it listens.
+    pub fn addresses(&self) -> &NodeAddresses {
+        &self.addresses
+    }
+
+    /// Kills it without notice and waits for its end.
+    pub fn kill(&mut self) {
+        end(&mut self.child);
+    }
+
+    /// Asks it to stop gracefully.
+    pub fn terminate(&self) -> eyre::Result<()> {
+        self.signal(signal::Signal::SIGTERM)
+    }
+
+    /// Freezes it where it stands.
+    pub fn pause(&self) -> eyre::Result<()> {
+        self.signal(signal::Signal::SIGSTOP)
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) -> eyre::Result<()> {
+        self.signal(signal::Signal::SIGCONT)
+    }
+
+    /// Waits until the process has ended by itself; tells whether its exit code was zero.
+    pub fn wait_end(&mut self, limit: Duration) -> eyre::Result<bool> {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            thread::sleep(LOOK_PAUSE);
+        }
+        bail!("the process did not end in {limit:?}")
+    }
+
+    /// Resident memory, in bytes.
+    pub fn resident_bytes(&self) -> eyre::Result<u64> {
+        let status = fs::read_to_string(self.proc_file("status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let Some(kilobytes) = line.and_then(|line| line.split_whitespace().next()) else {
+            bail!("the process has no memory figure");
+        };
+        Ok(kilobytes.parse::<u64>()? * 1024)
+    }
+
+    /// Processor time used so far, in ticks of 10 ms.
+    pub fn cpu_ticks(&self) -> eyre::Result<u64> {
+        let stat = fs::read_to_string(self.proc_file("stat"))?;
+        // The name in parentheses may hold spaces; user and system time are the 12th and 13th
+        // fields behind it.
+        let Some((_, rest)) = stat.rsplit_once(')') else {
+            bail!("the process has no time figure");
+        };
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let user: u64 = fields.get(11).unwrap_or(&"").parse()?;
+        let system: u64 = fields.get(12).unwrap_or(&"").parse()?;
+        Ok(user + system)
+    }
+
+    fn proc_file(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.child.id()))
+    }
+
+    fn signal(&self, signal: signal::Signal) -> eyre::Result<()> {
+        let id = i32::try_from(self.child.id())?;
+        signal::kill(unistd::Pid::from_raw(id), signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        end(&mut self.child);
+    }
+}
+
+fn end(child: &mut Child) {
+    // Both fail only where the process is gone already.
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+fn wait_ready(child: &mut Child, ready: &Path) -> eyre::Result<NodeAddresses> {
+    let until = Instant::now() + READY_WAIT;
+    while Instant::now() < until {
+        if let Some(status) = child.try_wait()? {
+            bail!("ended at once: {status}");
+        }
+        if let Ok(text) = fs::read_to_string(ready)
+            && let Ok(addresses) = serde_json::from_str(&text)
+        {
+            return Ok(addresses);
+        }
+        thread::sleep(LOOK_PAUSE);
+    }
+    bail!("does not serve after {READY_WAIT:?}")
+}
--- a/crates/anvil_standins/src/target.rs
+++ b/crates/anvil_standins/src/target.rs
@@ -73,6 +73,7 @@
     started: Mutex<Instant>,
     slowness_permille: AtomicU64,
     broken: AtomicBool,
+    poisoned: AtomicBool,
     crashes: AtomicU64,
     shutdown: watch::Sender<bool>,
     node: OnceLock<SocketAddr>,
@@ -98,6 +99,7 @@
             started: Mutex::new(Instant::now()),
             slowness_permille: AtomicU64::new(1_000),
             broken: AtomicBool::new(false),
+            poisoned: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
             shutdown: watch::Sender::new(false),
             node: OnceLock::new(),
@@ -125,6 +127,22 @@
         self.plan.service.slots
     }
 
+    /// The connections it announces.
+    pub fn connections(&self) -> u32 {
+        self.plan.service.connections
+    }
+
+    /// Ends the cold start of a target that has only just started.
+    pub fn warm_up(&self) {
+        let mut started = self.started.lock().unwrap_or_else(PoisonError::into_inner);
+        *started = started.checked_sub(self.plan.cold.span).unwrap_or(*started);
+    }
+
+    /// Whether its last crash was the work of a request.
+    pub fn poisoned(&self) -> bool {
+        self.poisoned.load(Ordering::SeqCst)
+    }
+
     /// Names the node beside it, which its own calls go to.
     pub fn set_node(&self, caller_address: SocketAddr) {
         // A target has one node for life; a second call changes nothing.
@@ -147,6 +165,7 @@
     /// Comes back cold after a crash.
     pub fn restart(&self) {
         *self.started.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        self.poisoned.store(false, Ordering::SeqCst);
         self.shutdown.send_replace(false);
         self.broken.store(false, Ordering::SeqCst);
     }
@@ -188,6 +207,7 @@
             return Ok(answer(400, "the body broke off".to_owned()));
         }
         if order.step == POISON_STEP {
+            self.poisoned.store(true, Ordering::SeqCst);
             self.crash();
         }
         let Ok(_slot) = self.gate.acquire().await else {
