--- /dev/null
+++ b/crates/anvil_node/src/admin/announcement.rs
@@ -0,0 +1,89 @@
+//! What a target says of itself, checked before the reducer hears it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_core::event;
+use anvil_types::name;
+use derive_more::{Display, Error, From};
+use serde::Deserialize;
+
+/// Most slots and connections that a target may announce.
+pub const COUNT_LIMIT: u32 = 100_000;
+
+/// Shortest lease, in milliseconds; a shorter one would lapse between two renewals on a busy
+/// machine.
+pub const LEASE_SHORTEST_MS: u64 = 100;
+
+/// Longest lease, in milliseconds; a target that vanished stays known no longer.
+pub const LEASE_LONGEST_MS: u64 = 600_000;
+
+/// Why an announcement was refused.
+#[derive(Debug, Display, Error, From)]
+pub enum AnnouncementError {
+    /// The body is no announcement.
+    #[display("the announcement is malformed: {_0}")]
+    Malformed(serde_json::Error),
+    /// The address can't be connected to.
+    #[display("address: {_0} can't be connected to")]
+    Address(#[error(not(source))] SocketAddr),
+    /// A count is out of range.
+    #[display("{field}: {found} is out of range: {low} to {high} is expected")]
+    #[from(skip)]
+    Range {
+        /// Which field.
+        field: &'static str,
+        /// What was sent.
+        found: u64,
+        /// The least.
+        low: u64,
+        /// The most.
+        high: u64,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnnouncementBody {
+    service: name::ServiceName,
+    address: SocketAddr,
+    slots: u32,
+    connections: u32,
+    lease_ms: u64,
+}
+
+/// Reads an announcement from the JSON in `bytes`.
+pub fn read(bytes: &[u8]) -> Result<event::TargetAnnouncement, AnnouncementError> {
+    let body: AnnouncementBody = serde_json::from_slice(bytes)?;
+    if body.address.ip().is_unspecified() || body.address.port() == 0 {
+        return Err(AnnouncementError::Address(body.address));
+    }
+    let most = u64::from(COUNT_LIMIT);
+    check("slots", u64::from(body.slots), 1, most)?;
+    check("connections", u64::from(body.connections), 1, most)?;
+    check(
+        "lease_ms",
+        body.lease_ms,
+        LEASE_SHORTEST_MS,
+        LEASE_LONGEST_MS,
+    )?;
+    Ok(event::TargetAnnouncement {
+        service: body.service,
+        address: body.address,
+        slots: body.slots,
+        connections: body.connections,
+        lease: Duration::from_millis(body.lease_ms),
+    })
+}
+
+fn check(field: &'static str, found: u64, low: u64, high: u64) -> Result<(), AnnouncementError> {
+    if (low..=high).contains(&found) {
+        return Ok(());
+    }
+    Err(AnnouncementError::Range {
+        field,
+        found,
+        low,
+        high,
+    })
+}
--- /dev/null
+++ b/crates/anvil_node/src/admin/question.rs
@@ -0,0 +1,110 @@
+//! Operators' HTTP requests as questions to the reducer.
+
+use anvil_core::event;
+use anvil_types::{ident, name};
+use anvil_wire::call;
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use serde::Deserialize;
+
+/// Names the change, so that an apply whose answer was lost can be asked about again.
+pub const CHANGE: &str = "anvil-change";
+
+/// The revision that the operator's change was made from.
+pub const BASE: &str = "anvil-base";
+
+/// Why an operator's request was refused before the reducer heard it.
+#[derive(Debug, Display, Error, From)]
+pub enum QuestionError {
+    /// The body is no request to explain.
+    #[display("the request to explain is malformed: {_0}")]
+    Explain(serde_json::Error),
+    /// The rules are no text.
+    #[display("the rules are not UTF-8")]
+    #[from(skip)]
+    NotText,
+    /// A header is missing or malformed.
+    #[display("the header {header} is missing or malformed: {expected} is expected")]
+    #[from(skip)]
+    Header {
+        /// Which.
+        header: &'static str,
+        /// What it should hold.
+        expected: &'static str,
+    },
+    /// A header line to explain is malformed.
+    #[display("the header {name:?} to explain is malformed")]
+    #[from(skip)]
+    Line {
+        /// Its name.
+        name: String,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ExplainBody {
+    service: name::ServiceName,
+    #[serde(default = "get")]
+    method: String,
+    #[serde(default = "root")]
+    path: String,
+    #[serde(default)]
+    headers: std::collections::BTreeMap<String, String>,
+}
+
+fn get() -> String {
+    "GET".to_owned()
+}
+
+fn root() -> String {
+    "/".to_owned()
+}
+
+/// Reads what to explain from the JSON in `bytes`.
+pub fn explain(bytes: &[u8]) -> Result<event::OperatorRequest, QuestionError> {
+    let body: ExplainBody = serde_json::from_slice(bytes)?;
+    let mut headers = Vec::with_capacity(body.headers.len());
+    for (name, value) in body.headers {
+        let parsed: Result<http::HeaderName, _> = name.parse();
+        let Ok(parsed) = parsed else {
+            return Err(QuestionError::Line { name });
+        };
+        headers.push(call::HeaderLine {
+            name: parsed.as_str().to_owned(),
+            value: Bytes::from(value),
+        });
+    }
+    let request = call::CallRequest {
+        service: body.service,
+        method: body.method,
+        path: body.path,
+        headers,
+        body: Bytes::new(),
+    };
+    Ok(event::OperatorRequest::Explain(Box::new(request)))
+}
+
+/// Reads a change of the rules.
+pub fn apply(
+    bytes: Vec<u8>,
+    change: Option<&str>,
+    base: Option<&str>,
+) -> Result<event::OperatorRequest, QuestionError> {
+    let text = String::from_utf8(bytes).map_err(|_| QuestionError::NotText)?;
+    let change = change.and_then(|text| u128::from_str_radix(text, 16).ok());
+    let change = change.ok_or(QuestionError::Header {
+        header: CHANGE,
+        expected: "up to 32 hex digits",
+    })?;
+    let base = base.and_then(|text| text.parse().ok());
+    let base = base.ok_or(QuestionError::Header {
+        header: BASE,
+        expected: "the number of a revision",
+    })?;
+    Ok(event::OperatorRequest::Apply {
+        text,
+        change,
+        base: ident::RuleRevision(base),
+    })
+}
--- /dev/null
+++ b/crates/anvil_node/src/admin/server.rs
@@ -0,0 +1,189 @@
+//! The admin endpoint.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_core::event;
+use eyre::WrapErr;
+use rouille::{Request, Response};
+use serde_json::json;
+
+use super::{announcement, metrics, question};
+use crate::{counters, engine};
+
+/// Threads that answer operators and the target.
+const THREADS: usize = 8;
+
+/// Longest wait for the reducer's answer; an accepted change waits for the platform's store.
+const ANSWER_WAIT: Duration = Duration::from_secs(10);
+
+/// Largest body, in bytes: the rules are a value of the platform's store.
+const BODY_LIMIT: u64 = 1024 * 1024;
+
+/// What each question works with.
+#[derive(Clone, Debug)]
+pub struct AdminEdge {
+    /// Where questions go.
+    pub engine: engine::EngineSender,
+    /// Exported by the metrics endpoint.
+    pub counters: counters::EdgeCounters,
+    /// What operators must send as bearer token.
+    pub token: Option<String>,
+}
+
+/// Binds `address` and serves on threads of its own; returns the address bound.
+pub fn start(address: SocketAddr, edge: AdminEdge) -> eyre::Result<SocketAddr> {
+    let handler = move |request: &Request| edge.respond(request);
+    let server = rouille::Server::new(address, handler)
+        .map_err(|error| eyre::eyre!("listen.admin: {address} can't be bound: {error}"))?
+        .pool_size(THREADS);
+    let bound = server.server_addr();
+    let builder = std::thread::Builder::new().name("admin".to_owned());
+    let thread = builder.spawn(move || server.run());
+    thread.wrap_err("the admin thread could not be started")?;
+    Ok(bound)
+}
+
+impl AdminEdge {
+    fn respond(&self, request: &Request) -> Response {
+        if !self.authorised(request) {
+            self.counters.count(counters::EdgeCause::OperatorRefused);
+            return problem(401, "a bearer token is needed");
+        }
+        let path = request.url();
+        match (request.method(), path.as_str()) {
+            ("GET", "/dump") => self.json(event::OperatorRequest::Dump),
+            ("GET", "/status") => self.json(event::OperatorRequest::Status),
+            ("GET", "/metrics") => self.metrics(),
+            ("GET", "/rules") => self.rules(),
+            ("GET", "/rules/history") => self.json(event::OperatorRequest::History),
+            ("POST", "/rules") => self.apply(request),
+            ("POST", "/explain") => self.explain(request),
+            ("PUT", "/target") => self.announce(request),
+            ("DELETE", "/target") => self.tell(event::NodeEvent::TargetLeaving),
+            _ => problem(404, "there is nothing here; see docs/OPERATIONS.md"),
+        }
+    }
+
+    /// Compares without stopping at the first difference, so that the time tells nothing.
+    fn authorised(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else {
+            return true;
+        };
+        let sent = request.header("authorization").unwrap_or_default();
+        let wanted = format!("Bearer {token}");
+        let differing = sent.bytes().zip(wanted.bytes());
+        let differing = differing.fold(0, |found, (a, b)| found | (a ^ b));
+        sent.len() == wanted.len() && differing == 0
+    }
+
+    fn ask(&self, request: event::OperatorRequest) -> Option<engine::OperatorAnswer> {
+        let (reply, answer) = flume::bounded(1);
+        let input = engine::EngineInput::Operator { request, reply };
+        self.engine.send_timeout(input, ANSWER_WAIT).ok()?;
+        answer.recv_timeout(ANSWER_WAIT).ok()
+    }
+
+    fn json(&self, request: event::OperatorRequest) -> Response {
+        match self.ask(request) {
+            Some(Ok(text)) => Response::from_data("application/json", text),
+            Some(Err(reason)) => problem(422, &reason),
+            None => unanswered(),
+        }
+    }
+
+    fn rules(&self) -> Response {
+        match self.ask(event::OperatorRequest::Rules) {
+            Some(Ok(text)) => Response::from_data("application/yaml", text),
+            Some(Err(reason)) => problem(503, &reason),
+            None => unanswered(),
+        }
+    }
+
+    fn metrics(&self) -> Response {
+        match self.ask(event::OperatorRequest::Counters) {
+            Some(answer) => {
+                let reducer = answer.unwrap_or_default();
+                let text = metrics::encode(&self.counters, &reducer);
+                Response::from_data(metrics::MEDIA_TYPE, text)
+            }
+            None => unanswered(),
+        }
+    }
+
+    fn explain(&self, request: &Request) -> Response {
+        let asked = body(request).and_then(|bytes| {
+            let asked = question::explain(&bytes);
+            asked.map_err(|error| problem(422, &error.to_string()))
+        });
+        self.ask_read(asked)
+    }
+
+    fn apply(&self, request: &Request) -> Response {
+        let asked = body(request).and_then(|bytes| {
+            let change = request.header(question::CHANGE);
+            let base = request.header(question::BASE);
+            let asked = question::apply(bytes, change, base);
+            asked.map_err(|error| problem(422, &error.to_string()))
+        });
+        self.ask_read(asked)
+    }
+
+    fn ask_read(&self, asked: Result<event::OperatorRequest, Response>) -> Response {
+        match asked {
+            Ok(asked) => self.json(asked),
+            Err(response) => {
+                self.counters.count(counters::EdgeCause::OperatorRefused);
+                response
+            }
+        }
+    }
+
+    fn announce(&self, request: &Request) -> Response {
+        let read = body(request).and_then(|bytes| {
+            let read = announcement::read(&bytes);
+            read.map_err(|error| problem(422, &error.to_string()))
+        });
+        match read {
+            Ok(announcement) => self.tell(event::NodeEvent::TargetAnnounced(announcement)),
+            Err(response) => {
+                let cause = counters::EdgeCause::AnnouncementRefused;
+                self.counters.count(cause);
+                response
+            }
+        }
+    }
+
+    fn tell(&self, event: event::NodeEvent) -> Response {
+        let input = engine::EngineInput::Event(event);
+        match self.engine.send_timeout(input, ANSWER_WAIT) {
+            Ok(()) => Response::empty_204(),
+            Err(_) => unanswered(),
+        }
+    }
+}
+
+fn body(request: &Request) -> Result<Vec<u8>, Response> {
+    let mut bytes = Vec::new();
+    let Some(data) = request.data() else {
+        return Ok(bytes);
+    };
+    let read = data.take(BODY_LIMIT + 1).read_to_end(&mut bytes);
+    if read.is_err() {
+        return Err(problem(400, "the body broke off"));
+    }
+    if bytes.len() as u64 > BODY_LIMIT {
+        return Err(problem(413, "the body is above 1 MiB"));
+    }
+    Ok(bytes)
+}
+
+fn unanswered() -> Response {
+    problem(503, "the node did not answer in time")
+}
+
+fn problem(status: u16, detail: &str) -> Response {
+    let body = json!({ "status": status, "detail": detail });
+    Response::from_data("application/problem+json", body.to_string()).with_status_code(status)
+}
--- /dev/null
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -0,0 +1,134 @@
+//! Statuses and problem bodies (RFC 9457) for requests that got no answer of a target.
+
+use std::time::Duration;
+
+use anvil_types::verdict;
+use http::StatusCode;
+use serde::Serialize;
+
+/// Media type of a problem body.
+pub const MEDIA_TYPE: &str = "application/problem+json";
+
+/// The body of an error, after RFC 9457.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ProblemBody {
+    /// Names the kind of problem; relative, so that no site has to exist.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// The same in words.
+    pub title: &'static str,
+    /// The HTTP status.
+    pub status: u16,
+    /// What happened to this request, where there is more to say.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+    /// Whether the request ran: `not-run` or `may-have-run`.
+    pub outcome: &'static str,
+    /// The reason, as in the rules, the metrics and the dump.
+    pub reason: String,
+    /// When to come back, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl ProblemBody {
+    /// Builds the body of a verdict, which must not be an answer.
+    pub fn new(kind: &ProblemKind, retry_after: Option<Duration>) -> Self {
+        let retry_after = retry_after.map(|pause| pause.as_millis());
+        Self {
+            kind: format!("urn:anvil:problem:{}", kind.reason),
+            title: kind.title,
+            status: kind.status.as_u16(),
+            detail: None,
+            outcome: kind.outcome,
+            reason: kind.reason.clone(),
+            retry_after_ms: retry_after.and_then(|millis| u64::try_from(millis).ok()),
+        }
+    }
+}
+
+/// How one verdict shows to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProblemKind {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The kind in words.
+    pub title: &'static str,
+    /// The outcome header.
+    pub outcome: &'static str,
+    /// The reason.
+    pub reason: String,
+}
+
+/// How a refusal shows: the request did not run.
+pub fn refusal(reason: verdict::RefusalReason) -> ProblemKind {
+    let (status, title) = refusal_status(reason);
+    ProblemKind {
+        status,
+        title,
+        outcome: "not-run",
+        reason: reason.to_string(),
+    }
+}
+
+/// How a doubt shows: nobody can tell whether the request ran.
+pub fn doubt(reason: verdict::DoubtReason) -> ProblemKind {
+    let (status, title) = doubt_status(reason);
+    ProblemKind {
+        status,
+        title,
+        outcome: "may-have-run",
+        reason: reason.to_string(),
+    }
+}
+
+fn refusal_status(reason: verdict::RefusalReason) -> (StatusCode, &'static str) {
+    use verdict::RefusalReason as Reason;
+    match reason {
+        Reason::NoTarget => (busy(), "no target of the service is serving"),
+        Reason::UnknownService => (StatusCode::NOT_FOUND, "nobody ever announced the service"),
+        Reason::Shed => (busy(), "the service is under pressure"),
+        Reason::QueueFull => (busy(), "the queue of the target is full"),
+        Reason::Deadline => (late(), "the deadline passed before the request was sent"),
+        Reason::Leaving => (busy(), "the node or its target is leaving"),
+        Reason::AttemptsSpent => (busy(), "the retries of the whole chain are spent"),
+        Reason::Quarantined => (busy(), "the request is suspected of crashing targets"),
+        Reason::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        Reason::KeyUnavailable => (busy(), "no node can vouch for the idempotency key"),
+        Reason::KeyMismatch => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key was used for another request",
+        ),
+        Reason::Cancelled => (busy(), "the parent request ended"),
+        Reason::Unreachable => (busy(), "no connection to a target came about"),
+        Reason::RulesUnknown => (busy(), "the node has not learned the rules yet"),
+        Reason::Rule => (StatusCode::FORBIDDEN, "a rule refuses the request"),
+        Reason::Malformed => (StatusCode::BAD_REQUEST, "the request is malformed"),
+    }
+}
+
+fn doubt_status(reason: verdict::DoubtReason) -> (StatusCode, &'static str) {
+    use verdict::DoubtReason as Reason;
+    match reason {
+        Reason::ConnectionLost => (broken(), "the connection to the target broke"),
+        Reason::Deadline => (late(), "the deadline passed while the request was out"),
+        Reason::AnswerCut => (broken(), "the target broke off in its answer"),
+        Reason::NodeLost => (broken(), "the node that ran the request is gone"),
+        Reason::RecordLost => (broken(), "the record of the idempotency key is lost"),
+        Reason::Cancelled => (broken(), "the parent request ended"),
+        Reason::Stopped => (broken(), "the node was stopped by force"),
+        Reason::InProgress => (StatusCode::CONFLICT, "the same key is running now"),
+    }
+}
+
+const fn busy() -> StatusCode {
+    StatusCode::SERVICE_UNAVAILABLE
+}
+
+const fn late() -> StatusCode {
+    StatusCode::GATEWAY_TIMEOUT
+}
+
+const fn broken() -> StatusCode {
+    StatusCode::BAD_GATEWAY
+}
--- /dev/null
+++ b/crates/anvil_node/src/caller/server.rs
@@ -0,0 +1,248 @@
+//! Accepts callers and carries each request to the reducer and its reply back.
+
+use std::convert::Infallible;
+use std::future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvil_core::event;
+use anvil_types::verdict;
+use http::{HeaderValue, Request, header as names};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+
+use super::{intake, problem, reply};
+use crate::target::parent;
+use crate::{counters, engine};
+
+/// The answer to a head that did not arrive in time; the HTTP library closes without one.
+const SLOW_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\
+      anvil-outcome: not-run\r\n\r\n";
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// When to come back after a process that has left; its successor is seconds away.
+const LEAVING_PAUSE: Duration = Duration::from_secs(1);
+
+/// Limits of the caller edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Connections open at once.
+    pub connections: usize,
+    /// Bytes of a request head.
+    pub header_bytes: usize,
+    /// Header lines of a request.
+    pub header_count: usize,
+    /// Longest wait for a whole request head, on a fresh or kept connection.
+    pub header_wait: Duration,
+    /// Longest wait for a whole body.
+    pub body_wait: Duration,
+}
+
+/// What every connection of callers works with.
+#[derive(Debug)]
+pub struct CallerEdge {
+    /// Where calls go.
+    pub engine: engine::EngineSender,
+    /// Recognises parent tokens.
+    pub mint: parent::ParentMint,
+    /// Counts each cause.
+    pub counters: counters::EdgeCounters,
+    /// Limits.
+    pub limits: CallerLimits,
+    /// Calls so far, which makes handles unique.
+    pub handles: AtomicU64,
+}
+
+/// Tells connections to finish, and lets the node wait until they have.
+#[derive(Clone, Debug)]
+pub struct DrainSignal {
+    /// Turns true when the process leaves.
+    pub closing: watch::Receiver<bool>,
+    /// Held by each task that still has something to flush.
+    pub alive: mpsc::Sender<()>,
+}
+
+/// Accepts callers until the drain signal.
+pub async fn serve(listener: TcpListener, edge: Arc<CallerEdge>, mut drain: DrainSignal) {
+    let places = Arc::new(Semaphore::new(edge.limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = drain.closing.wait_for(|closing| *closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Callers beyond the limit are closed at once: each held connection costs memory, and a
+        // caller that is told at once can go to another node.
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            edge.counters.count(counters::EdgeCause::CallerOverLimit);
+            continue;
+        };
+        edge.counters.count(counters::EdgeCause::CallerAccepted);
+        let edge = edge.clone();
+        let drain = drain.clone();
+        tokio::spawn(async move {
+            let _place = place;
+            connection(stream, edge, drain).await;
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, edge: Arc<CallerEdge>, mut drain: DrainSignal) {
+    let _open = counters::GaugeGuard::hold(edge.counters.caller_connections());
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let serving = edge.clone();
+    let respond = service::service_fn(move |request| {
+        let edge = serving.clone();
+        let answering = async move { Ok::<_, Infallible>(respond(&edge, request).await) };
+        Box::pin(answering)
+    });
+    let mut serving = builder(&edge.limits).serve_connection(TokioIo::new(stream), respond);
+    let mut told = false;
+    let result = loop {
+        let step = future::poll_fn(|context| serving.poll_without_shutdown(context));
+        tokio::select! {
+            result = step => break result,
+            _ = drain.closing.wait_for(|closing| *closing), if !told => {
+                told = true;
+                Pin::new(&mut serving).graceful_shutdown();
+            }
+        }
+    };
+    let http1::Parts { io, read_buf, .. } = serving.into_parts();
+    let mut stream = io.into_inner();
+    if let Err(error) = result {
+        count_failure(&edge.counters, &error, &read_buf);
+        if error.is_timeout() && !read_buf.is_empty() {
+            let _ = stream.write_all(SLOW_HEAD).await;
+        }
+    }
+    let _ = stream.shutdown().await;
+}
+
+fn builder(limits: &CallerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_wait)
+        .max_headers(limits.header_count)
+        .max_buf_size(limits.header_bytes)
+        .keep_alive(true)
+        .half_close(false);
+    builder
+}
+
+fn count_failure(counters: &counters::EdgeCounters, error: &hyper::Error, unread: &[u8]) {
+    if error.is_timeout() {
+        // A kept connection that rests is closed the same way, and is no fault.
+        if !unread.is_empty() {
+            counters.count(counters::EdgeCause::CallerHeadSlow);
+        }
+    } else if error.is_parse_too_large() {
+        counters.count(counters::EdgeCause::CallerHeadOversized);
+    } else if error.is_parse() {
+        counters.count(counters::EdgeCause::CallerHeadMalformed);
+    }
+}
+
+async fn respond(edge: &Arc<CallerEdge>, request: Request<Incoming>) -> reply::WholeResponse {
+    match admit(edge, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            edge.counters.count(refusal.cause());
+            refuse(&refusal)
+        }
+    }
+}
+
+async fn admit(
+    edge: &Arc<CallerEdge>,
+    request: Request<Incoming>,
+) -> Result<reply::WholeResponse, intake::IntakeRefusal> {
+    let (head, body) = request.into_parts();
+    let intake::CallHead { mut request, hints } = intake::read_head(&head, &edge.mint)?;
+    request.body = intake::read_body(body, edge.limits.body_wait).await?;
+    let handle = event::CallerHandle(edge.handles.fetch_add(1, Ordering::Relaxed) + 1);
+    let (sender, reply) = oneshot::channel();
+    let arrival = event::NodeEvent::CallArrived {
+        handle,
+        request: Box::new(request),
+        hints,
+    };
+    let input = engine::EngineInput::Call {
+        arrival,
+        handle,
+        reply: sender,
+    };
+    let mut presence = CallerPresence {
+        edge: edge.clone(),
+        handle,
+        waiting: true,
+    };
+    let sent = edge.engine.send_async(input).await;
+    if sent.is_err() {
+        presence.waiting = false;
+        let kind = problem::refusal(verdict::RefusalReason::Leaving);
+        return Ok(reply::refused(&kind, Some(LEAVING_PAUSE), None));
+    }
+    let replied = reply.await;
+    presence.waiting = false;
+    match replied {
+        Ok(reply) => Ok(reply::response(*reply)),
+        Err(_) => {
+            // The process leaves by force while the request may be out.
+            let kind = problem::doubt(verdict::DoubtReason::Stopped);
+            Ok(reply::refused(&kind, None, None))
+        }
+    }
+}
+
+fn refuse(refusal: &intake::IntakeRefusal) -> reply::WholeResponse {
+    let kind = refusal.problem();
+    let mut response = reply::refused(&kind, None, Some(refusal.to_string()));
+    if refusal.leaves_body() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(names::CONNECTION, close);
+    }
+    response
+}
+
+/// Tells the reducer when a caller leaves: the HTTP library drops the waiting future as soon as it
+/// reads the end of the connection.
+struct CallerPresence {
+    edge: Arc<CallerEdge>,
+    handle: event::CallerHandle,
+    waiting: bool,
+}
+
+impl Drop for CallerPresence {
+    fn drop(&mut self) {
+        if !self.waiting {
+            return;
+        }
+        self.edge.counters.count(counters::EdgeCause::CallerGone);
+        let gone = event::NodeEvent::CallerGone {
+            handle: self.handle,
+        };
+        let input = engine::EngineInput::Event(gone);
+        let Err(flume::TrySendError::Full(input)) = self.edge.engine.try_send(input) else {
+            return;
+        };
+        // A full queue must not lose the notice, or the target would work for nobody.
+        let engine = self.edge.engine.clone();
+        tokio::spawn(async move { engine.send_async(input).await });
+    }
+}
--- /dev/null
+++ b/crates/anvil_node/src/counters.rs
@@ -0,0 +1,232 @@
+//! Counters of the edges, one for each cause.
+//!
+//! The reducer keeps its own totals; both are exported by the metrics endpoint.
+
+use derive_more::Display;
+use prometheus::core::Collector;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+
+/// Everything that the edges count; each is a value of the label `cause`.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum EdgeCause {
+    /// A caller's connection was accepted.
+    #[display("caller_accepted")]
+    CallerAccepted,
+    /// A caller's connection was closed at once, since the limit was reached.
+    #[display("caller_over_limit")]
+    CallerOverLimit,
+    /// A request head was malformed; answered with 400.
+    #[display("caller_head_malformed")]
+    CallerHeadMalformed,
+    /// A request head was above a limit; answered with 431 or 414.
+    #[display("caller_head_oversized")]
+    CallerHeadOversized,
+    /// A request head did not arrive in time; answered with 408.
+    #[display("caller_head_slow")]
+    CallerHeadSlow,
+    /// A request body was above the limit; answered with 413.
+    #[display("caller_body_oversized")]
+    CallerBodyOversized,
+    /// A request body did not arrive in time; answered with 408.
+    #[display("caller_body_slow")]
+    CallerBodySlow,
+    /// A request body broke off or had bad chunking; answered with 400.
+    #[display("caller_body_malformed")]
+    CallerBodyMalformed,
+    /// The service could not be told from the request; answered with 400.
+    #[display("caller_service_malformed")]
+    CallerServiceMalformed,
+    /// One of the `anvil-` headers was malformed; answered with 400.
+    #[display("caller_hint_malformed")]
+    CallerHintMalformed,
+    /// A parent token was not minted by this node; answered with 400.
+    #[display("caller_parent_forged")]
+    CallerParentForged,
+    /// A method that has no meaning here, such as CONNECT; answered with 501.
+    #[display("caller_method_refused")]
+    CallerMethodRefused,
+    /// A caller closed its connection before the reply.
+    #[display("caller_gone")]
+    CallerGone,
+    /// A connection to the target was opened.
+    #[display("target_connected")]
+    TargetConnected,
+    /// A kept connection to the target was used again.
+    #[display("target_reused")]
+    TargetReused,
+    /// No connection to the target came about.
+    #[display("target_unreachable")]
+    TargetUnreachable,
+    /// The target refused a request without running it.
+    #[display("target_refused")]
+    TargetRefused,
+    /// The connection broke while a request was out.
+    #[display("target_broken")]
+    TargetBroken,
+    /// The target broke off in the middle of its answer.
+    #[display("target_answer_cut")]
+    TargetAnswerCut,
+    /// The target's answer had neither a length nor chunks, so its end can't be proved.
+    #[display("target_answer_unframed")]
+    TargetAnswerUnframed,
+    /// The target's answer was above the limit.
+    #[display("target_answer_oversized")]
+    TargetAnswerOversized,
+    /// The deadline passed while a request was out.
+    #[display("target_timed_out")]
+    TargetTimedOut,
+    /// A run was cancelled, which closed its connection.
+    #[display("target_cancelled")]
+    TargetCancelled,
+    /// A connection to another node came about.
+    #[display("peer_connected")]
+    PeerConnected,
+    /// A connection of another node was accepted.
+    #[display("peer_accepted")]
+    PeerAccepted,
+    /// No connection to another node came about.
+    #[display("peer_unreachable")]
+    PeerUnreachable,
+    /// A handshake failed: wrong version, wrong node or wrong key.
+    #[display("peer_handshake_refused")]
+    PeerHandshakeRefused,
+    /// A connection of another node was closed at once, since the limit was reached.
+    #[display("peer_over_limit")]
+    PeerOverLimit,
+    /// A frame was malformed; its connection was closed.
+    #[display("peer_frame_malformed")]
+    PeerFrameMalformed,
+    /// A frame was above the limit; its connection was closed.
+    #[display("peer_frame_oversized")]
+    PeerFrameOversized,
+    /// A connection ended in the middle of a frame.
+    #[display("peer_frame_truncated")]
+    PeerFrameTruncated,
+    /// A connection to another node broke.
+    #[display("peer_lost")]
+    PeerLost,
+    /// A frame found the queue to its peer full and was handed back unsent.
+    #[display("peer_queue_full")]
+    PeerQueueFull,
+    /// A datagram was malformed or not authentic, and dropped.
+    #[display("datagram_refused")]
+    DatagramRefused,
+    /// A datagram could not be sent or was not read in time, and was dropped.
+    #[display("datagram_dropped")]
+    DatagramDropped,
+    /// An announcement of a target was refused; answered with 422.
+    #[display("announcement_refused")]
+    AnnouncementRefused,
+    /// An operator's request was malformed or not authorised.
+    #[display("operator_refused")]
+    OperatorRefused,
+}
+
+/// The registry of the edges' counters and gauges.
+#[derive(Clone, Debug)]
+pub struct EdgeCounters {
+    registry: Registry,
+    events: IntCounterVec,
+    caller_connections: IntGauge,
+    target_connections: IntGauge,
+    peer_connections: IntGauge,
+}
+
+impl EdgeCounters {
+    /// Registers everything; fails only where a name is registered twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let opts = Opts::new(
+            "anvil_edge_events_total",
+            "Events at the edges of the node by cause, in events since the start.",
+        );
+        let events = IntCounterVec::new(opts, &["cause"])?;
+        register(&registry, &events)?;
+        let caller_connections = gauge(
+            &registry,
+            "anvil_caller_connections",
+            "Connections of callers open at present, in connections.",
+        )?;
+        let target_connections = gauge(
+            &registry,
+            "anvil_target_connections",
+            "Connections to the local target open at present, in connections.",
+        )?;
+        let peer_connections = gauge(
+            &registry,
+            "anvil_peer_connections",
+            "Connections to other nodes open at present, in connections.",
+        )?;
+        Ok(Self {
+            registry,
+            events,
+            caller_connections,
+            target_connections,
+            peer_connections,
+        })
+    }
+
+    /// Counts one event.
+    pub fn count(&self, cause: EdgeCause) {
+        self.events.with_label_values(&[&cause.to_string()]).inc();
+    }
+
+    /// Events of `cause` since the start.
+    pub fn total(&self, cause: EdgeCause) -> u64 {
+        self.events.with_label_values(&[&cause.to_string()]).get()
+    }
+
+    /// Open connections of callers.
+    pub fn caller_connections(&self) -> &IntGauge {
+        &self.caller_connections
+    }
+
+    /// Open connections to the target.
+    pub fn target_connections(&self) -> &IntGauge {
+        &self.target_connections
+    }
+
+    /// Open connections to other nodes.
+    pub fn peer_connections(&self) -> &IntGauge {
+        &self.peer_connections
+    }
+
+    /// The registry, for the metrics endpoint.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+}
+
+/// Counts one open connection for as long as it lives.
+#[derive(Debug)]
+pub struct GaugeGuard {
+    gauge: IntGauge,
+}
+
+impl GaugeGuard {
+    /// Adds one to `gauge` until the guard is dropped.
+    pub fn hold(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        let gauge = gauge.clone();
+        Self { gauge }
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
+
+fn register<C>(registry: &Registry, collector: &C) -> Result<(), prometheus::Error>
+where
+    C: Collector + Clone + 'static,
+{
+    registry.register(Box::new(collector.clone()))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    register(registry, &gauge)?;
+    Ok(gauge)
+}
--- /dev/null
+++ b/crates/anvil_node/src/engine.rs
@@ -0,0 +1,221 @@
+//! The thread that owns the reducer: events in, one step at a time, effects out.
+//!
+//! The thread never waits for a socket; whatever can block is handed to the runtime. See
+//! `docs/design/edges.md`.
+
+use anvil_core::{effect, event, reducer};
+use anvil_types::{ident, sorted};
+use anvil_wire::frame;
+use tokio::sync::oneshot;
+
+use crate::{clock, datagram, peer, platform, target};
+
+/// Events that may wait for the reducer; a caller's request waits at its edge beyond that.
+pub const QUEUE_LIMIT: usize = 16_384;
+
+/// An operator's answer: the text, and whether the request was carried out.
+pub type OperatorAnswer = Result<String, String>;
+
+/// What the edges hand to the reducer's thread.
+#[derive(Debug)]
+pub enum EngineInput {
+    /// An event with nothing beside it.
+    Event(event::NodeEvent),
+    /// A call, with the way back to its connection.
+    Call {
+        /// The event to step with.
+        arrival: event::NodeEvent,
+        /// Whose connection.
+        handle: event::CallerHandle,
+        /// Takes the one reply.
+        reply: oneshot::Sender<Box<effect::CallerReply>>,
+    },
+    /// An operator's question, with the way back.
+    Operator {
+        /// What.
+        request: event::OperatorRequest,
+        /// Takes the answer.
+        reply: flume::Sender<OperatorAnswer>,
+    },
+    /// Another node opened a connection and proved its identity.
+    LinkOpened(peer::link::PeerLink),
+    /// A connection to another node ended.
+    LinkClosed {
+        /// The other node.
+        peer: ident::NodeId,
+        /// Which connection.
+        link: peer::link::LinkId,
+        /// Frames of which no byte was handed to the socket.
+        unsent: Vec<frame::PeerFrame>,
+        /// Whether frames had crossed it, whose fate is unknown now.
+        used: bool,
+    },
+}
+
+/// The sending side of the engine's queue.
+pub type EngineSender = flume::Sender<EngineInput>;
+
+/// Everything that carries out effects; owned by the reducer's thread.
+#[derive(Debug)]
+pub struct NodeEngine {
+    /// Reads time for each step.
+    pub clock: clock::NodeClock,
+    /// Connections to other nodes.
+    pub peers: peer::table::PeerTable,
+    /// Datagrams to other nodes.
+    pub datagrams: datagram::DatagramSender,
+    /// Runs at the local target.
+    pub runs: target::runs::RunTable,
+    /// Questions to the platform's store.
+    pub store: platform::StoreQueue,
+    /// Callers that wait.
+    pub callers:
+        sorted::SortedTable<event::CallerHandle, oneshot::Sender<Box<effect::CallerReply>>>,
+    /// Operators that wait.
+    pub operators: sorted::SortedTable<event::OperatorHandle, flume::Sender<OperatorAnswer>>,
+    /// Operators asked so far.
+    pub asked: u64,
+}
+
+impl NodeEngine {
+    /// Steps the reducer until it says that the process may leave, or every sender is gone.
+    pub fn run(mut self, mut reducer: reducer::NodeReducer, inputs: &flume::Receiver<EngineInput>) {
+        loop {
+            if self.wake(&mut reducer).is_break() {
+                return;
+            }
+            let Some(input) = self.receive(&reducer, inputs) else {
+                continue;
+            };
+            let Ok(input) = input else {
+                return;
+            };
+            for event in self.admit(input) {
+                if self.step(&mut reducer, event).is_break() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn wake(&mut self, reducer: &mut reducer::NodeReducer) -> std::ops::ControlFlow<()> {
+        let due = reducer.next_wake().is_some_and(|at| at <= self.clock.now());
+        if due {
+            return self.step(reducer, event::NodeEvent::Woke);
+        }
+        std::ops::ControlFlow::Continue(())
+    }
+
+    /// The next input, nothing where the reducer's time came first, an error where all edges are
+    /// gone.
+    fn receive(
+        &self,
+        reducer: &reducer::NodeReducer,
+        inputs: &flume::Receiver<EngineInput>,
+    ) -> Option<Result<EngineInput, flume::RecvError>> {
+        let Some(at) = reducer.next_wake() else {
+            return Some(inputs.recv());
+        };
+        match inputs.recv_deadline(self.clock.instant(at)) {
+            Ok(input) => Some(Ok(input)),
+            Err(flume::RecvTimeoutError::Timeout) => None,
+            Err(flume::RecvTimeoutError::Disconnected) => Some(Err(flume::RecvError::Disconnected)),
+        }
+    }
+
+    /// Notes the way back of an input and turns it into events.
+    fn admit(&mut self, input: EngineInput) -> Vec<event::NodeEvent> {
+        match input {
+            EngineInput::Event(event) => {
+                self.note(&event);
+                vec![event]
+            }
+            EngineInput::Call {
+                arrival,
+                handle,
+                reply,
+            } => {
+                self.callers.insert(handle, reply);
+                vec![arrival]
+            }
+            EngineInput::Operator { request, reply } => {
+                self.asked += 1;
+                let handle = event::OperatorHandle(self.asked);
+                self.operators.insert(handle, reply);
+                vec![event::NodeEvent::OperatorAsked { handle, request }]
+            }
+            EngineInput::LinkOpened(link) => {
+                self.peers.adopt(link);
+                Vec::new()
+            }
+            EngineInput::LinkClosed {
+                peer,
+                link,
+                unsent,
+                used,
+            } => {
+                self.peers.forget(peer, link);
+                peer::table::closing_events(peer, unsent, used)
+            }
+        }
+    }
+
+    fn note(&mut self, event: &event::NodeEvent) {
+        match event {
+            event::NodeEvent::RunEnded { run, .. } => self.runs.forget(*run),
+            event::NodeEvent::CallerGone { handle } => {
+                self.callers.remove(*handle);
+            }
+            _ => {}
+        }
+    }
+
+    fn step(
+        &mut self,
+        reducer: &mut reducer::NodeReducer,
+        event: event::NodeEvent,
+    ) -> std::ops::ControlFlow<()> {
+        let now = self.clock.now();
+        for effect in reducer.step(now, event) {
+            if self.carry_out(effect).is_break() {
+                return std::ops::ControlFlow::Break(());
+            }
+        }
+        std::ops::ControlFlow::Continue(())
+    }
+
+    fn carry_out(&mut self, effect: effect::NodeEffect) -> std::ops::ControlFlow<()> {
+        match effect {
+            effect::NodeEffect::ReplyCaller { handle, reply } => self.reply(handle, reply),
+            effect::NodeEffect::SendFrame {
+                peer,
+                address,
+                frame,
+            } => self.peers.send(peer, address, frame),
+            effect::NodeEffect::SendDatagram { to, message } => self.datagrams.send(to, &message),
+            effect::NodeEffect::RunTarget(run) => self.runs.start(*run),
+            effect::NodeEffect::CancelRun(run) => self.runs.cancel(run),
+            effect::NodeEffect::AnswerOperator { handle, answer } => self.answer(handle, answer),
+            effect::NodeEffect::AskStore { id, ask } => self.store.ask(id, ask),
+            effect::NodeEffect::Report(change) => log::info!("{change}"),
+            effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
+        }
+        std::ops::ControlFlow::Continue(())
+    }
+
+    fn reply(&mut self, handle: event::CallerHandle, reply: Box<effect::CallerReply>) {
+        let Some(waiting) = self.callers.remove(handle) else {
+            return;
+        };
+        // A caller that left meanwhile has told so by its own event.
+        let _ = waiting.send(reply);
+    }
+
+    fn answer(&mut self, handle: event::OperatorHandle, answer: OperatorAnswer) {
+        let Some(waiting) = self.operators.remove(handle) else {
+            return;
+        };
+        // An operator that left loses only the text of the answer.
+        let _ = waiting.try_send(answer);
+    }
+}
--- a/crates/anvil_node/src/lib.rs
+++ b/crates/anvil_node/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The node process: everything around the reducer that touches a socket, a clock or a file.
+//!
+//! One thread owns the reducer ([`engine`]); a small runtime carries the connections of callers
+//! ([`caller`]), of the local target ([`target`]) and of other nodes ([`peer`], [`datagram`]).
+//! Operators and the target's announcements come in by [`admin`]. See `docs/design/edges.md`.
+
+pub mod admin;
+pub mod caller;
+pub mod clock;
+pub mod command;
+pub mod counters;
+pub mod datagram;
+pub mod engine;
+pub mod logs;
+pub mod node;
+pub mod peer;
+pub mod platform;
+pub mod settings;
+pub mod stop;
+pub mod target;
--- a/crates/anvil_node/src/main.rs
+++ b/crates/anvil_node/src/main.rs
@@ -1,3 +1,84 @@
-//! The node process.
+//! The node process; see `anvil_node` for its parts.
 
-fn main() {}
+use std::path::Path;
+use std::process::ExitCode;
+
+use anvil_node::{command, logs, node, settings, stop};
+use eyre::WrapErr;
+
+/// The command line or the settings are refused.
+const REFUSED: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = pico_args::Arguments::from_env();
+    let command = match command::parse(arguments) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("anvil-node: {error}; see --help");
+            return ExitCode::from(REFUSED);
+        }
+    };
+    match command {
+        command::NodeCommand::Help => {
+            print!("{}", command::HELP);
+            ExitCode::SUCCESS
+        }
+        command::NodeCommand::Version => {
+            println!("anvil-node {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        command::NodeCommand::Check { settings } => with_settings(&settings, |_| {
+            println!("{}: the settings are good", settings.display());
+            ExitCode::SUCCESS
+        }),
+        command::NodeCommand::Run {
+            settings,
+            ready,
+            level,
+        } => with_settings(&settings, |settings| {
+            match run(&settings, ready.as_deref(), level) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("anvil-node: {error:#}");
+                    ExitCode::FAILURE
+                }
+            }
+        }),
+    }
+}
+
+fn with_settings<F>(file: &Path, go: F) -> ExitCode
+where
+    F: FnOnce(settings::NodeSettings) -> ExitCode,
+{
+    match settings::load(file) {
+        Ok(settings) => go(settings),
+        Err(error) => {
+            eprintln!("anvil-node: {error}");
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+fn run(
+    settings: &settings::NodeSettings,
+    ready: Option<&Path>,
+    level: log::LevelFilter,
+) -> eyre::Result<()> {
+    logs::start(level)?;
+    let running = node::start(settings)?;
+    stop::watch(running.engine().clone())?;
+    let bound = serde_json::to_string(running.bound()).wrap_err("addresses as JSON")?;
+    if let Some(file) = ready {
+        write_whole(file, &bound)?;
+    }
+    log::info!("node serving: {bound}");
+    running.wait()
+}
+
+/// Writes beside the file and renames, so that a reader never sees half of it.
+fn write_whole(file: &Path, text: &str) -> eyre::Result<()> {
+    let beside = file.with_extension("part");
+    std::fs::write(&beside, text).wrap_err("the ready file can't be written")?;
+    std::fs::rename(&beside, file).wrap_err("the ready file can't be renamed")
+}
--- /dev/null
+++ b/crates/anvil_node/src/node.rs
@@ -0,0 +1,322 @@
+//! Starts all parts of a node and ends them in order.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::thread;
+use std::time::Duration;
+
+use anvil_core::{config, event, reducer};
+use anvil_types::{ident, sorted};
+use anvil_wire::frame;
+use eyre::WrapErr;
+use serde::Serialize;
+use tokio::runtime;
+use tokio::sync::{mpsc, watch};
+
+use crate::target::{exchange, parent, pool, runs};
+use crate::{admin, caller, clock, counters, datagram, engine, peer, platform, settings};
+
+/// How often kept connections to the target are looked through.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// The addresses a node has bound, for whoever started it with port 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct BoundAddresses {
+    /// This run of the process, in hex, since JSON readers round large numbers.
+    #[serde(serialize_with = "as_text")]
+    pub node: ident::NodeId,
+    /// Callers, over HTTP.
+    pub caller: SocketAddr,
+    /// Operators and the local target, over HTTP.
+    pub admin: SocketAddr,
+    /// Other nodes, over TCP.
+    pub peer: SocketAddr,
+    /// Other nodes, over UDP.
+    pub gossip: SocketAddr,
+}
+
+/// A node that serves.
+#[derive(Debug)]
+pub struct RunningNode {
+    bound: BoundAddresses,
+    engine: engine::EngineSender,
+    reducer: thread::JoinHandle<()>,
+    runtime: runtime::Runtime,
+    closing: watch::Sender<bool>,
+    flushed: mpsc::Receiver<()>,
+    flush_wait: Duration,
+    counters: counters::EdgeCounters,
+}
+
+impl RunningNode {
+    /// The addresses bound.
+    pub fn bound(&self) -> &BoundAddresses {
+        &self.bound
+    }
+
+    /// Takes events, such as the request to stop.
+    pub fn engine(&self) -> &engine::EngineSender {
+        &self.engine
+    }
+
+    /// The counters of the edges.
+    pub fn counters(&self) -> &counters::EdgeCounters {
+        &self.counters
+    }
+
+    /// Asks for a graceful stop; a second call forces it.
+    pub fn stop(&self) {
+        let requested = engine::EngineInput::Event(event::NodeEvent::StopRequested);
+        // The engine is gone only when the node has stopped.
+        let _ = self.engine.send(requested);
+    }
+
+    /// Waits until the reducer says that everything is answered, then writes replies out.
+    ///
+    /// Fails where the reducer's thread panicked.
+    pub fn wait(self) -> eyre::Result<()> {
+        let Self {
+            engine,
+            reducer,
+            runtime,
+            closing,
+            mut flushed,
+            flush_wait,
+            ..
+        } = self;
+        drop(engine);
+        let ended = reducer.join();
+        // Connections finish the reply at hand and close; without the wait a reply that the
+        // reducer has given would be lost in a socket buffer of this process.
+        let _ = closing.send(true);
+        let waiting = async { tokio::time::timeout(flush_wait, flushed.recv()).await };
+        let _ = runtime.block_on(waiting);
+        runtime.shutdown_background();
+        ended.map_err(|_| eyre::eyre!("the reducer's thread panicked"))
+    }
+}
+
+/// Binds every address and starts every part.
+pub fn start(settings: &settings::NodeSettings) -> eyre::Result<RunningNode> {
+    let sockets = NodeSockets::bind(&settings.listen)?;
+    let node = ident::NodeId(random_u64());
+    let counters = counters::EdgeCounters::new().wrap_err("counters")?;
+    let (engine, inputs) = flume::bounded(engine::QUEUE_LIMIT);
+    let edge = admin::server::AdminEdge {
+        engine: engine.clone(),
+        counters: counters.clone(),
+        token: settings.admin_token.clone(),
+    };
+    let admin = admin::server::start(settings.listen.admin, edge)?;
+    let bound = sockets.bound(node, admin)?;
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(usize::try_from(settings.limits.worker_threads)?)
+        .thread_name("edge")
+        .enable_all()
+        .build()
+        .wrap_err("the runtime could not be started")?;
+    let (closing, closed) = watch::channel(false);
+    let (alive, flushed) = mpsc::channel(1);
+    let drain = caller::server::DrainSignal {
+        closing: closed,
+        alive,
+    };
+    let parts = NodeParts {
+        settings,
+        bound,
+        engine: engine.clone(),
+        counters: counters.clone(),
+        runtime: runtime.handle().clone(),
+        mint: parent::ParentMint::new(random_key()),
+        drain,
+    };
+    let reducer = parts.start(sockets, inputs)?;
+    Ok(RunningNode {
+        bound,
+        engine,
+        reducer,
+        runtime,
+        closing,
+        flushed,
+        flush_wait: settings.limits.flush_wait(),
+        counters,
+    })
+}
+
+/// Everything bound before anything starts, so that a taken port stops the node at once.
+struct NodeSockets {
+    caller: TcpListener,
+    peer: TcpListener,
+    gossip: UdpSocket,
+}
+
+impl NodeSockets {
+    fn bind(listen: &settings::ListenSettings) -> eyre::Result<Self> {
+        let sockets = Self {
+            caller: bind_tcp("listen.caller", listen.caller)?,
+            peer: bind_tcp("listen.peer", listen.peer)?,
+            gossip: UdpSocket::bind(listen.gossip)
+                .wrap_err_with(|| format!("listen.gossip: {} can't be bound", listen.gossip))?,
+        };
+        sockets.caller.set_nonblocking(true)?;
+        sockets.peer.set_nonblocking(true)?;
+        sockets.gossip.set_nonblocking(true)?;
+        Ok(sockets)
+    }
+
+    fn bound(&self, node: ident::NodeId, admin: SocketAddr) -> eyre::Result<BoundAddresses> {
+        Ok(BoundAddresses {
+            node,
+            caller: self.caller.local_addr()?,
+            admin,
+            peer: self.peer.local_addr()?,
+            gossip: self.gossip.local_addr()?,
+        })
+    }
+}
+
+fn bind_tcp(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("{field}: {address} can't be bound"))
+}
+
+/// What the parts are started from.
+struct NodeParts<'a> {
+    settings: &'a settings::NodeSettings,
+    bound: BoundAddresses,
+    engine: engine::EngineSender,
+    counters: counters::EdgeCounters,
+    runtime: runtime::Handle,
+    mint: parent::ParentMint,
+    drain: caller::server::DrainSignal,
+}
+
+impl NodeParts<'_> {
+    fn start(
+        self,
+        sockets: NodeSockets,
+        inputs: flume::Receiver<engine::EngineInput>,
+    ) -> eyre::Result<thread::JoinHandle<()>> {
+        let _entered = self.runtime.enter();
+        let sending = sockets.gossip.try_clone()?;
+        self.start_callers(sockets.caller)?;
+        let links = self.start_peers(sockets.peer)?;
+        self.start_datagrams(sockets.gossip)?;
+        let exchange = self.start_target();
+        // Nobody reads questions yet where no platform is named.
+        let (questions, _) = flume::bounded(platform::QUEUE_LIMIT);
+        let engine = engine::NodeEngine {
+            clock: clock::NodeClock::start(),
+            peers: peer::table::PeerTable::new(self.runtime.clone(), links),
+            datagrams: datagram::DatagramSender::new(sending, self.counters.clone()),
+            runs: runs::RunTable::new(self.runtime.clone(), exchange, self.engine.clone()),
+            store: platform::StoreQueue::new(questions),
+            callers: sorted::SortedTable::default(),
+            operators: sorted::SortedTable::default(),
+            asked: 0,
+        };
+        let reducer = reducer::NodeReducer::new(self.config(), random_u64());
+        let builder = thread::Builder::new().name("reducer".to_owned());
+        let thread = builder.spawn(move || engine.run(reducer, &inputs));
+        thread.wrap_err("the reducer's thread could not be started")
+    }
+
+    fn start_callers(&self, listener: TcpListener) -> eyre::Result<()> {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let limits = &self.settings.limits;
+        let edge = caller::server::CallerEdge {
+            engine: self.engine.clone(),
+            mint: self.mint.clone(),
+            counters: self.counters.clone(),
+            limits: caller::server::CallerLimits {
+                connections: usize::try_from(limits.caller_connections)?,
+                header_bytes: usize::try_from(limits.header_bytes)?,
+                header_count: usize::try_from(limits.header_count)?,
+                header_wait: limits.header_wait(),
+                body_wait: limits.body_wait(),
+            },
+            handles: AtomicU64::new(0),
+        };
+        let serving = caller::server::serve(listener, Arc::new(edge), self.drain.clone());
+        self.runtime.spawn(serving);
+        Ok(())
+    }
+
+    fn start_peers(&self, listener: TcpListener) -> eyre::Result<peer::link::LinkContext> {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let context = peer::link::LinkContext {
+            hello: frame::PeerHello {
+                version: frame::PROTOCOL_VERSION,
+                node: self.bound.node,
+                address: self.advertised(self.bound.peer),
+            },
+            engine: self.engine.clone(),
+            counters: self.counters.clone(),
+            links: Arc::default(),
+            drain: self.drain.clone(),
+        };
+        let limit = usize::try_from(self.settings.limits.peer_connections)?;
+        let serving = peer::accept::serve(listener, context.clone(), limit);
+        self.runtime.spawn(serving);
+        Ok(context)
+    }
+
+    fn start_datagrams(&self, socket: UdpSocket) -> eyre::Result<()> {
+        let socket = Arc::new(tokio::net::UdpSocket::from_std(socket)?);
+        let receiving = datagram::receive(socket, self.engine.clone(), self.counters.clone());
+        self.runtime.spawn(receiving);
+        Ok(())
+    }
+
+    fn start_target(&self) -> exchange::TargetExchange {
+        let pool = pool::ConnectionPool::new(self.counters.clone());
+        let swept = pool.clone();
+        self.runtime.spawn(async move {
+            loop {
+                tokio::time::sleep(SWEEP_PERIOD).await;
+                swept.sweep();
+            }
+        });
+        exchange::TargetExchange {
+            pool,
+            mint: self.mint.clone(),
+            counters: self.counters.clone(),
+        }
+    }
+
+    fn config(&self) -> config::NodeConfig {
+        config::NodeConfig {
+            node: self.bound.node,
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            peer_address: self.advertised(self.bound.peer),
+            gossip_address: self.advertised(self.bound.gossip),
+            seeds: self.settings.seeds.clone(),
+        }
+    }
+
+    /// The address by which others reach what is bound at `bound`.
+    fn advertised(&self, bound: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.settings.advertise, bound.port())
+    }
+}
+
+fn as_text<S>(node: &ident::NodeId, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: serde::Serializer,
+{
+    serializer.collect_str(node)
+}
+
+/// A random number from the system, by the one package at hand that draws them.
+fn random_u64() -> u64 {
+    uuid::Uuid::new_v4().as_u64_pair().1 ^ uuid::Uuid::new_v4().as_u64_pair().0.rotate_left(32)
+}
+
+fn random_key() -> [u8; 32] {
+    let mut key = [0; 32];
+    for part in key.chunks_mut(8) {
+        part.copy_from_slice(&random_u64().to_be_bytes());
+    }
+    key
+}
--- /dev/null
+++ b/crates/anvil_node/src/peer.rs
@@ -0,0 +1,6 @@
+//! The edge towards other nodes: one TCP connection per pair carries multiplexed frames.
+
+pub mod accept;
+pub mod link;
+pub mod stream;
+pub mod table;
--- /dev/null
+++ b/crates/anvil_node/src/peer/accept.rs
@@ -0,0 +1,65 @@
+//! Accepts connections of other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+
+use super::link;
+use crate::{counters, engine};
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts other nodes until the drain signal.
+pub async fn serve(listener: TcpListener, context: link::LinkContext, limit: usize) {
+    let places = Arc::new(Semaphore::new(limit));
+    let mut drain = context.drain.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = drain.closing.wait_for(|closing| *closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            context.counters.count(counters::EdgeCause::PeerOverLimit);
+            continue;
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            let _place = place;
+            connection(stream, context).await;
+        });
+    }
+}
+
+async fn connection(mut stream: TcpStream, context: link::LinkContext) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let shaking = link::shake_hands(&mut stream, &context.hello);
+    let shaken = tokio::time::timeout(link::OPEN_LIMIT, shaking).await;
+    let Ok(Ok(theirs)) = shaken else {
+        context
+            .counters
+            .count(counters::EdgeCause::PeerHandshakeRefused);
+        return;
+    };
+    context.counters.count(counters::EdgeCause::PeerAccepted);
+    let (frames, queue) = mpsc::channel(link::QUEUE_LIMIT);
+    let opened = link::PeerLink {
+        peer: theirs.node,
+        link: context.next_link(),
+        frames,
+    };
+    let number = opened.link;
+    let input = engine::EngineInput::LinkOpened(opened);
+    if context.engine.send_async(input).await.is_err() {
+        return;
+    }
+    link::serve(context, theirs.node, number, stream, queue).await;
+}
--- /dev/null
+++ b/crates/anvil_node/src/settings.rs
@@ -0,0 +1,216 @@
+//! The node's settings: one YAML file, checked whole before anything starts.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anvil_types::name;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Deserializer, de};
+
+/// Why settings were refused; the text names the file, the line, the field and the reason.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("{}: {source}", file.display())]
+    Unreadable {
+        /// Which file.
+        file: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The text is no settings.
+    #[display("{}: {reason}", file.display())]
+    Refused {
+        /// Which file.
+        file: PathBuf,
+        /// Line, field and reason, as the parser says it.
+        #[error(not(source))]
+        reason: String,
+    },
+}
+
+/// Everything that an instance tells its node.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// The availability zone that the instance stands in.
+    pub zone: name::ZoneName,
+    /// The region that the instance stands in.
+    pub region: name::RegionName,
+    /// The address by which other nodes reach this instance.
+    pub advertise: IpAddr,
+    /// Where the node listens.
+    pub listen: ListenSettings,
+    /// Datagram addresses of other nodes, tried at the start beside the platform's contacts.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Addresses of the platform's store; none means that the node does without it.
+    #[serde(default)]
+    pub platform: Vec<SocketAddr>,
+    /// The keys that nodes prove themselves with; the first one is used, all are accepted.
+    #[serde(default)]
+    pub peer_keys: Vec<PeerKey>,
+    /// What operators must send as bearer token; none means that the admin address is trusted.
+    #[serde(default)]
+    pub admin_token: Option<String>,
+    /// Limits of the edges.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Where the node listens; port 0 takes a free port, which the node names at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Callers, over HTTP.
+    pub caller: SocketAddr,
+    /// Operators and the local target, over HTTP.
+    pub admin: SocketAddr,
+    /// Other nodes, over TCP.
+    pub peer: SocketAddr,
+    /// Other nodes, over UDP.
+    pub gossip: SocketAddr,
+}
+
+/// Limits of the edges.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Connections of callers open at once.
+    #[serde(deserialize_with = "bounded::<_, 1, 100_000>")]
+    pub caller_connections: u64,
+    /// Connections of other nodes open at once.
+    #[serde(deserialize_with = "bounded::<_, 1, 100_000>")]
+    pub peer_connections: u64,
+    /// Bytes of a request head; the HTTP library takes no less than 8,192.
+    #[serde(deserialize_with = "bounded::<_, 8_192, 131_072>")]
+    pub header_bytes: u64,
+    /// Header lines of a request.
+    #[serde(deserialize_with = "bounded::<_, 1, 1_000>")]
+    pub header_count: u64,
+    /// Longest wait for a whole request head, in milliseconds.
+    #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
+    pub header_wait_ms: u64,
+    /// Longest wait for a whole body, in milliseconds.
+    #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
+    pub body_wait_ms: u64,
+    /// Longest wait for replies to be written out when the process leaves, in milliseconds.
+    #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
+    pub flush_wait_ms: u64,
+    /// Threads that carry connections.
+    #[serde(deserialize_with = "bounded::<_, 1, 64>")]
+    pub worker_threads: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            // The largest service of today has 350 connections a target; this leaves room for
+            // as many again from callers outside.
+            caller_connections: 1_024,
+            peer_connections: 4_096,
+            header_bytes: 65_536,
+            header_count: 100,
+            header_wait_ms: 10_000,
+            body_wait_ms: 30_000,
+            flush_wait_ms: 5_000,
+            worker_threads: 2,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Longest wait for a whole request head.
+    pub fn header_wait(&self) -> Duration {
+        Duration::from_millis(self.header_wait_ms)
+    }
+
+    /// Longest wait for a whole body.
+    pub fn body_wait(&self) -> Duration {
+        Duration::from_millis(self.body_wait_ms)
+    }
+
+    /// Longest wait for replies to be written out.
+    pub fn flush_wait(&self) -> Duration {
+        Duration::from_millis(self.flush_wait_ms)
+    }
+}
+
+/// Bytes of a peer key.
+const KEY_BYTES: usize = 32;
+
+/// A secret shared by the fleet; its text never shows in logs or dumps.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
+pub struct PeerKey([u8; KEY_BYTES]);
+
+impl PeerKey {
+    /// The bytes of the key.
+    pub fn bytes(&self) -> [u8; KEY_BYTES] {
+        self.0
+    }
+}
+
+impl std::fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PeerKey(..)")
+    }
+}
+
+/// Why a peer key was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("a peer key is 64 hex digits, such as `openssl rand -hex 32` prints")]
+pub struct PeerKeyError;
+
+impl TryFrom<String> for PeerKey {
+    type Error = PeerKeyError;
+
+    fn try_from(text: String) -> Result<Self, PeerKeyError> {
+        if !text.is_ascii() || text.len() != 2 * KEY_BYTES {
+            return Err(PeerKeyError);
+        }
+        let mut key = [0; KEY_BYTES];
+        for (place, byte) in key.iter_mut().enumerate() {
+            let digits = &text[2 * place..2 * place + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| PeerKeyError)?;
+        }
+        Ok(Self(key))
+    }
+}
+
+/// Reads and checks the settings in `file`.
+pub fn load(file: &Path) -> Result<NodeSettings, SettingsError> {
+    let text = std::fs::read_to_string(file).map_err(|source| SettingsError::Unreadable {
+        file: file.to_owned(),
+        source,
+    })?;
+    parse(&text, file)
+}
+
+/// Checks settings given as text; `file` is named in errors.
+pub fn parse(text: &str, file: &Path) -> Result<NodeSettings, SettingsError> {
+    let refused = |reason: String| SettingsError::Refused {
+        file: file.to_owned(),
+        reason,
+    };
+    let settings: NodeSettings =
+        serde_saphyr::from_str(text).map_err(|error| refused(error.to_string()))?;
+    if settings.advertise.is_unspecified() {
+        let reason = "advertise: an address that other nodes can reach is needed";
+        return Err(refused(reason.to_owned()));
+    }
+    Ok(settings)
+}
+
+fn bounded<'de, D, const LOW: u64, const HIGH: u64>(deserializer: D) -> Result<u64, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let value = u64::deserialize(deserializer)?;
+    if (LOW..=HIGH).contains(&value) {
+        return Ok(value);
+    }
+    let reason = format!("{value} is out of range: {LOW} to {HIGH} is expected");
+    Err(de::Error::custom(reason))
+}
--- /dev/null
+++ b/crates/anvil_node/src/target.rs
@@ -0,0 +1,6 @@
+//! The edge towards the local target: requests over kept HTTP connections.
+
+pub mod exchange;
+pub mod parent;
+pub mod pool;
+pub mod runs;
--- /dev/null
+++ b/crates/anvil_node/src/target/runs.rs
@@ -0,0 +1,65 @@
+//! Runs in flight at the local target, and the way to cancel each.
+
+use anvil_core::{effect, event};
+use anvil_types::sorted;
+use tokio::runtime;
+use tokio::sync::oneshot;
+
+use super::exchange;
+use crate::engine;
+
+/// Starts runs on the runtime and cancels them; owned by the reducer's thread.
+#[derive(Debug)]
+pub struct RunTable {
+    runtime: runtime::Handle,
+    exchange: exchange::TargetExchange,
+    engine: engine::EngineSender,
+    cancels: sorted::SortedTable<event::RunId, oneshot::Sender<()>>,
+}
+
+impl RunTable {
+    /// Builds an empty table that reports to `engine`.
+    pub fn new(
+        runtime: runtime::Handle,
+        exchange: exchange::TargetExchange,
+        engine: engine::EngineSender,
+    ) -> Self {
+        let cancels = sorted::SortedTable::default();
+        Self {
+            runtime,
+            exchange,
+            engine,
+            cancels,
+        }
+    }
+
+    /// Starts a run; its end comes back as an event.
+    pub fn start(&mut self, run: effect::RunOrder) {
+        let id = run.run;
+        let (cancel, cancelled) = oneshot::channel();
+        self.cancels.insert(id, cancel);
+        let exchange = self.exchange.clone();
+        let engine = self.engine.clone();
+        self.runtime.spawn(async move {
+            let outcome = tokio::select! {
+                outcome = exchange.run(run) => outcome,
+                _ = cancelled => event::RunOutcome::Cancelled,
+            };
+            let ended = event::NodeEvent::RunEnded { run: id, outcome };
+            // The engine is gone only when the process leaves.
+            let _ = engine.send_async(engine::EngineInput::Event(ended)).await;
+        });
+    }
+
+    /// Closes the connection of a run, which tells the target to stop.
+    pub fn cancel(&mut self, run: event::RunId) {
+        if let Some(cancel) = self.cancels.remove(run) {
+            let _ = cancel.send(());
+        }
+    }
+
+    /// Forgets a run that ended.
+    pub fn forget(&mut self, run: event::RunId) {
+        self.cancels.remove(run);
+    }
+}
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for what surrounds a node, for tests, measurements and the demo; no binary links it.
+
+pub mod target;
