Seal messages between nodes with shared keys

Whoever reached a node's port could so far join and change rules. Keys stand in order, the first sends and all are accepted, so they can be rotated without a stop.

--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod frame;
 pub mod gossip;
 pub mod key;
+pub mod seal;
--- /dev/null
+++ b/crates/anvil_wire/src/seal/datagram.rs
@@ -0,0 +1,166 @@
+//! Sealed datagrams.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use anvil_types::ident;
+
+use super::{SealError, TAG_BYTES, replay, ring};
+
+/// The first byte of each datagram.
+const FORMAT: u8 = 1;
+
+/// Format, key id, sender and sequence, in front of the payload.
+const HEADER_BYTES: usize = 1 + 2 + 8 + 8;
+
+/// Bytes that sealing adds to a payload.
+pub const OVERHEAD_BYTES: usize = HEADER_BYTES + TAG_BYTES;
+
+/// Largest sealed datagram, in bytes; it fits an Ethernet frame with IPv6 and UDP headers.
+pub const DATAGRAM_LIMIT: usize = 1_400;
+
+/// Largest payload, in bytes.
+pub const PAYLOAD_LIMIT: usize = DATAGRAM_LIMIT - OVERHEAD_BYTES;
+
+/// Seals the datagrams that one node sends.
+#[derive(Debug)]
+pub struct DatagramSealer {
+    ring: Arc<ring::KeyRing>,
+    node: ident::NodeId,
+    sequence: u64,
+}
+
+/// Opens the datagrams that one node receives.
+#[derive(Debug)]
+pub struct DatagramOpener {
+    ring: Arc<ring::KeyRing>,
+    address: SocketAddr,
+    guard: replay::ReplayGuard,
+}
+
+/// A datagram whose sender holds a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenedDatagram<'a> {
+    /// Who sent it, as the key holder says.
+    pub sender: ident::NodeId,
+    /// What it says.
+    pub payload: &'a [u8],
+}
+
+impl DatagramSealer {
+    /// Starts the sequence of a node whose identity is new with this process.
+    pub const fn new(ring: Arc<ring::KeyRing>, node: ident::NodeId) -> Self {
+        Self {
+            ring,
+            node,
+            sequence: 0,
+        }
+    }
+
+    /// Seals `payload` for the node at `to`.
+    ///
+    /// Fails where the payload is above [`PAYLOAD_LIMIT`].
+    pub fn seal(&mut self, to: SocketAddr, payload: &[u8]) -> Result<Vec<u8>, SealError> {
+        if payload.len() > PAYLOAD_LIMIT {
+            return Err(SealError::Oversized {
+                length: payload.len(),
+                limit: PAYLOAD_LIMIT,
+            });
+        }
+        self.sequence += 1;
+        let key = self.ring.sending();
+        let mut bytes = Vec::with_capacity(OVERHEAD_BYTES + payload.len());
+        bytes.push(FORMAT);
+        bytes.extend_from_slice(&key.id().0.to_be_bytes());
+        bytes.extend_from_slice(&self.node.0.to_be_bytes());
+        bytes.extend_from_slice(&self.sequence.to_be_bytes());
+        bytes.extend_from_slice(payload);
+        let tag = key.datagram().tag(&[&address_bytes(to), &bytes]);
+        bytes.extend_from_slice(&tag);
+        Ok(bytes)
+    }
+}
+
+impl DatagramOpener {
+    /// Opens datagrams for the node whose peers send to `address`.
+    ///
+    /// The tag covers the receiver's address, so a datagram recorded on its way to one node is
+    /// worth nothing at another, which never saw its sequence.
+    pub fn new(ring: Arc<ring::KeyRing>, address: SocketAddr) -> Self {
+        Self {
+            ring,
+            address,
+            guard: replay::ReplayGuard::default(),
+        }
+    }
+
+    /// Checks a datagram; nothing is allocated before its tag is known to fit.
+    pub fn open<'a>(&mut self, bytes: &'a [u8]) -> Result<OpenedDatagram<'a>, SealError> {
+        if bytes.len() > DATAGRAM_LIMIT {
+            return Err(SealError::Oversized {
+                length: bytes.len(),
+                limit: DATAGRAM_LIMIT,
+            });
+        }
+        let split = bytes.len().checked_sub(TAG_BYTES);
+        let (sealed, tag) = split.map_or((bytes, &[][..]), |at| bytes.split_at(at));
+        let header = DatagramHeader::read(sealed)?;
+        let key = self.ring.find(header.key)?;
+        let address = address_bytes(self.address);
+        key.datagram().verify(&[&address, sealed], tag)?;
+        if !self.guard.accept(header.sender, header.sequence) {
+            return Err(SealError::Replayed);
+        }
+        Ok(OpenedDatagram {
+            sender: header.sender,
+            payload: &sealed[HEADER_BYTES..],
+        })
+    }
+
+    /// Forgets a sender that is gone for good.
+    pub fn forget(&mut self, sender: ident::NodeId) {
+        self.guard.forget(sender);
+    }
+}
+
+struct DatagramHeader {
+    key: ring::KeyId,
+    sender: ident::NodeId,
+    sequence: u64,
+}
+
+impl DatagramHeader {
+    fn read(bytes: &[u8]) -> Result<Self, SealError> {
+        let Some((format, rest)) = bytes.split_first() else {
+            return Err(SealError::short("the datagram"));
+        };
+        if *format != FORMAT {
+            let found = u16::from(*format);
+            return Err(SealError::Version { found });
+        }
+        let header = || {
+            let (key, rest) = rest.split_first_chunk::<2>()?;
+            let (sender, rest) = rest.split_first_chunk::<8>()?;
+            let sequence = rest.first_chunk::<8>()?;
+            Some(Self {
+                key: ring::KeyId(u16::from_be_bytes(*key)),
+                sender: ident::NodeId(u64::from_be_bytes(*sender)),
+                sequence: u64::from_be_bytes(*sequence),
+            })
+        };
+        header().ok_or_else(|| SealError::short("the datagram"))
+    }
+}
+
+/// An address in one form: an IPv4 address counts as the IPv6 address that maps it, because a
+/// socket of either family may report the peer.
+fn address_bytes(address: SocketAddr) -> [u8; 18] {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    let mut bytes = [0; 18];
+    bytes[..16].copy_from_slice(&ip.octets());
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    bytes
+}
