--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod gossip;
 pub mod key;
 pub mod seal;
+pub mod suspicion;
