--- a/crates/anvil_wire/src/seal/replay.rs
+++ b/crates/anvil_wire/src/seal/replay.rs
@@ -1,6 +1,6 @@
 //! Which datagrams of which sender were seen.
 
-use anvil_types::ident;
+use anvil_types::{ident, sorted};
 
 /// Datagrams of one sender that may arrive out of order and still be accepted.
 pub const WINDOW: u64 = 64;
@@ -11,7 +11,6 @@
 /// What was seen of one sender.
 #[derive(Clone, Copy, Debug)]
 struct SenderWindow {
-    sender: ident::NodeId,
     /// The highest sequence seen.
     highest: u64,
     /// Bit `n` tells whether `highest - n` was seen.
@@ -26,55 +25,43 @@
 /// its datagrams.
 #[derive(Clone, Debug, Default)]
 pub struct ReplayGuard {
-    /// Sorted by sender.
-    windows: Vec<SenderWindow>,
+    windows: sorted::SortedTable<ident::NodeId, SenderWindow>,
 }
 
 impl ReplayGuard {
     /// Tells whether a datagram is new, and remembers it.
     pub fn accept(&mut self, sender: ident::NodeId, sequence: u64) -> bool {
-        match self
-            .windows
-            .binary_search_by_key(&sender, |window| window.sender)
-        {
-            Ok(place) => self.windows[place].accept(sequence),
-            Err(place) => {
-                self.remember(place, sender, sequence);
-                true
-            }
+        if let Some(window) = self.windows.get_mut(sender) {
+            return window.accept(sequence);
         }
+        if self.windows.len() >= SENDER_LIMIT {
+            self.evict();
+        }
+        let highest = sequence;
+        let window = SenderWindow { highest, seen: 1 };
+        self.windows.insert(sender, window);
+        true
     }
 
     /// Forgets a sender that is gone for good; its datagrams would count as new again.
     pub fn forget(&mut self, sender: ident::NodeId) {
-        if let Ok(place) = self
-            .windows
-            .binary_search_by_key(&sender, |window| window.sender)
-        {
-            self.windows.remove(place);
-        }
+        self.windows.remove(sender);
     }
 
     /// The number of senders remembered.
-    pub const fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.windows.len()
     }
 
     /// Whether no sender is remembered.
-    pub const fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.windows.is_empty()
     }
 
-    fn remember(&mut self, place: usize, sender: ident::NodeId, sequence: u64) {
-        let window = SenderWindow {
-            sender,
-            highest: sequence,
-            seen: 1,
-        };
-        self.windows.insert(place, window);
-        if self.windows.len() > SENDER_LIMIT {
-            let evicted = if place == 0 { 1 } else { 0 };
-            self.windows.remove(evicted);
+    fn evict(&mut self) {
+        let lowest = self.windows.iter().next().map(|(sender, _)| *sender);
+        if let Some(sender) = lowest {
+            self.windows.remove(sender);
         }
     }
 }
--- /dev/null
+++ b/crates/anvil_wire/tests/seal_datagram.rs
@@ -0,0 +1,165 @@
+//! Sealed datagrams: who may send them, and that each counts once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvil_testkit::test_cases;
+use anvil_types::ident;
+use anvil_wire::seal::{self, datagram, replay, ring};
+
+const SENDER: ident::NodeId = ident::NodeId(11);
+const PAYLOAD: &[u8] = b"alive";
+
+fn key(id: u16, secret: u8) -> ring::SealKey {
+    ring::SealKey::new(ring::KeyId(id), &[secret; 32]).expect("a long secret")
+}
+
+fn keys(ids: &[u16]) -> Arc<ring::KeyRing> {
+    let keys = ids.iter().map(|id| key(*id, *id as u8)).collect();
+    Arc::new(ring::KeyRing::new(keys).expect("a ring"))
+}
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+fn receiver() -> SocketAddr {
+    address("10.0.0.2:7000")
+}
+
+fn sealed(ids: &[u16]) -> Vec<u8> {
+    let mut sealer = datagram::DatagramSealer::new(keys(ids), SENDER);
+    sealer.seal(receiver(), PAYLOAD).expect("a datagram")
+}
+
+fn opener(ids: &[u16]) -> datagram::DatagramOpener {
+    datagram::DatagramOpener::new(keys(ids), receiver())
+}
+
+#[test]
+fn opens_what_a_key_holder_sealed() {
+    let bytes = sealed(&[1]);
+    assert_eq!(bytes.len(), PAYLOAD.len() + datagram::OVERHEAD_BYTES);
+    let mut opener = opener(&[1]);
+    let opened = opener.open(&bytes).expect("a right datagram");
+    assert_eq!((opened.sender, opened.payload), (SENDER, PAYLOAD));
+}
+
+#[test]
+fn refuses_every_changed_byte() {
+    let bytes = sealed(&[1]);
+    for place in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[place] ^= 1;
+        assert!(opener(&[1]).open(&changed).is_err(), "byte {place}");
+    }
+}
+
+#[test]
+fn a_datagram_for_another_node_is_refused() {
+    // An attacker records a datagram on its way to one node and sends it to another, whose window
+    // never saw its sequence. The tag covers the receiver's address, so it doesn't fit there.
+    let elsewhere = address("10.0.0.3:7000");
+    let mut opener = datagram::DatagramOpener::new(keys(&[1]), elsewhere);
+    assert_eq!(opener.open(&sealed(&[1])), Err(seal::SealError::Forged));
+}
+
+#[test]
+fn a_mapped_address_is_the_same_receiver() {
+    let mapped = address("[::ffff:10.0.0.2]:7000");
+    let mut opener = datagram::DatagramOpener::new(keys(&[1]), mapped);
+    assert!(opener.open(&sealed(&[1])).is_ok());
+}
+
+#[test]
+fn a_repeated_datagram_is_refused() {
+    // An attacker records that a node is alive and sends the same bytes again after the node
+    // left. The sequence was seen, so the old news isn't heard twice.
+    let bytes = sealed(&[1]);
+    let mut opener = opener(&[1]);
+    opener.open(&bytes).expect("the first time");
+    assert_eq!(opener.open(&bytes), Err(seal::SealError::Replayed));
+}
+
+#[test]
+fn a_stranger_without_the_secret_is_refused() {
+    // The stranger knows the key's id, which is no secret, and guesses a secret of its own.
+    let guessed = Arc::new(ring::KeyRing::new(vec![key(1, 99)]).expect("a ring"));
+    let mut sealer = datagram::DatagramSealer::new(guessed, SENDER);
+    let bytes = sealer.seal(receiver(), PAYLOAD).expect("a datagram");
+    assert_eq!(opener(&[1]).open(&bytes), Err(seal::SealError::Forged));
+}
+
+fn check_rotation(sending: &[u16], receiving: &[u16], accepted: bool) {
+    // Keys change while nodes run, so in every round some nodes have the new settings and some
+    // the old ones; each must accept what the other sends.
+    assert_eq!(opener(receiving).open(&sealed(sending)).is_ok(), accepted);
+    assert_eq!(opener(sending).open(&sealed(receiving)).is_ok(), accepted);
+}
+
+test_cases! { check_rotation:
+    the_new_key_is_added_behind => (&[1, 2], &[1], true),
+    the_new_key_moves_to_the_front => (&[2, 1], &[1, 2], true),
+    the_old_key_is_removed => (&[2], &[2, 1], true),
+    a_node_that_missed_all_rounds => (&[2], &[1], false),
+}
+
+#[test]
+fn refuses_payloads_and_datagrams_above_the_limit() {
+    let mut sealer = datagram::DatagramSealer::new(keys(&[1]), SENDER);
+    let fits = vec![0; datagram::PAYLOAD_LIMIT];
+    let bytes = sealer.seal(receiver(), &fits).expect("fits");
+    assert_eq!(bytes.len(), datagram::DATAGRAM_LIMIT);
+    let above = vec![0; datagram::PAYLOAD_LIMIT + 1];
+    assert!(sealer.seal(receiver(), &above).is_err());
+    assert!(
+        opener(&[1])
+            .open(&[0; datagram::DATAGRAM_LIMIT + 1])
+            .is_err()
+    );
+}
+
+#[test]
+fn accepts_each_sequence_once_in_any_order_within_the_window() {
+    let mut guard = replay::ReplayGuard::default();
+    let top = 100;
+    assert!(guard.accept(SENDER, top));
+    let inside = top - replay::WINDOW + 1;
+    for sequence in (inside..top).rev() {
+        assert!(guard.accept(SENDER, sequence), "{sequence}");
+        assert!(!guard.accept(SENDER, sequence), "{sequence}");
+    }
+    assert!(!guard.accept(SENDER, inside - 1), "too old to tell");
+    assert!(guard.accept(SENDER, top + 1_000));
+    assert!(!guard.accept(SENDER, top));
+}
+
+#[test]
+fn remembers_a_bounded_number_of_senders() {
+    let mut guard = replay::ReplayGuard::default();
+    for sender in 0..=replay::SENDER_LIMIT as u64 {
+        assert!(guard.accept(ident::NodeId(sender), 1));
+    }
+    assert_eq!(guard.len(), replay::SENDER_LIMIT);
+}
+
+fn check_ring(keys: Vec<ring::SealKey>, expected: &str) {
+    let error = ring::KeyRing::new(keys).expect_err("a wrong ring");
+    assert_eq!(error.to_string(), expected);
+}
+
+test_cases! { check_ring:
+    no_key => (Vec::new(), "at least one key is needed"),
+    one_id_twice => (vec![key(1, 1), key(1, 2)], "two keys have the id 1"),
+    too_many_keys => ((0..9).map(|id| key(id, 1)).collect(), "at most 8 keys are accepted"),
+}
+
+#[test]
+fn a_short_secret_is_refused_and_a_secret_is_never_shown() {
+    let error = ring::SealKey::new(ring::KeyId(3), &[7; 31]).expect_err("too short");
+    assert_eq!(
+        error.to_string(),
+        "the secret of key 3 is shorter than 32 bytes"
+    );
+    assert_eq!(format!("{:?}", key(3, 7)), "SealKey(KeyId(3))");
+}
