Keep the scripted target and the mesh target apart

Cause: two stand-in targets of one name met: one that does what a test's path says, one with slots, work and calls of its own. Change: the second is mesh_target::MeshTarget.

--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eyre::{WrapErr, bail, ensure};
 
-use crate::{client, ledger, load, mesh, process, report, scenario, target};
+use crate::{client, ledger, load, mesh, mesh_target, process, report, scenario};
 
 /// The address that everything binds.
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -25,7 +25,7 @@
 const CRASH_PAUSE: Duration = Duration::from_secs(1);
 
 /// A cold start of a stand-in target.
-const COLD: target::ColdStart = target::ColdStart {
+const COLD: mesh_target::ColdStart = mesh_target::ColdStart {
     span: Duration::from_secs(3),
     factor: 8.0,
 };
@@ -56,7 +56,7 @@
     zone: name::ZoneName,
     name: String,
     node: process::NodeProcess,
-    target: Arc<target::StandinTarget>,
+    target: Arc<mesh_target::MeshTarget>,
 }
 
 /// A mesh that runs.
@@ -109,13 +109,13 @@
         zone: name::ZoneName,
         place: usize,
     ) -> eyre::Result<()> {
-        let target_plan = target::TargetPlan {
+        let target_plan = mesh_target::TargetPlan {
             service: service.clone(),
             seed: self.plan.seed.wrapping_mul(1_000) + place as u64,
             cold: COLD,
         };
         let ledger = Arc::clone(&self.ledger);
-        let target = target::StandinTarget::start(target_plan, LOOPBACK, ledger).await?;
+        let target = mesh_target::MeshTarget::start(target_plan, LOOPBACK, ledger).await?;
         // A target that serves long before the scenario starts is warm.
         target.warm_up();
         let name = format!("{}-{place}", service.name);
@@ -256,7 +256,7 @@
         }
     }
 
-    fn keepers(&self) -> Vec<(Arc<target::StandinTarget>, SocketAddr)> {
+    fn keepers(&self) -> Vec<(Arc<mesh_target::MeshTarget>, SocketAddr)> {
         let members = self.members.iter();
         let keeper = |member: &MeshMember| {
             let admin = member.node.addresses().admin;
@@ -354,7 +354,7 @@
         Ok(())
     }
 
-    fn targets_of(&self, service: &name::ServiceName) -> Vec<Arc<target::StandinTarget>> {
+    fn targets_of(&self, service: &name::ServiceName) -> Vec<Arc<mesh_target::MeshTarget>> {
         let members = self.members.iter();
         let found = members.filter(|member| member.target.service() == service);
         found.map(|member| Arc::clone(&member.target)).collect()
@@ -362,7 +362,7 @@
 }
 
 /// Renews the targets' announcements and restarts those that a poisonous request crashed.
-async fn keep_targets(targets: Vec<(Arc<target::StandinTarget>, SocketAddr)>) {
+async fn keep_targets(targets: Vec<(Arc<mesh_target::MeshTarget>, SocketAddr)>) {
     let client = client::KeptClient::default();
     let mut seen: Vec<u64> = targets.iter().map(|(target, _)| target.crashes()).collect();
     loop {
@@ -387,7 +387,7 @@
 async fn announce(
     client: &client::KeptClient,
     admin: SocketAddr,
-    target: &target::StandinTarget,
+    target: &mesh_target::MeshTarget,
 ) -> eyre::Result<()> {
     let announcement = serde_json::json!({
         "service": target.service(),
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 pub mod load;
 pub mod mesh;
+pub mod mesh_target;
 pub mod process;
 pub mod report;
 pub mod scenario;
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use rand_core::{Rng, SeedableRng};
 
-use crate::{client, ledger, mesh, scenario, target};
+use crate::{client, ledger, mesh, mesh_target, scenario};
 
 /// Requests that stand-in callers keep open at once, over all entry nodes.
 ///
@@ -192,7 +192,7 @@
         let outcome = outcome.and_then(|value| value.to_str().ok());
         match (answer.status, outcome) {
             (200, _) => {
-                let expected = format!("{}{}", target::WHOLE_MARK, self.root);
+                let expected = format!("{}{}", mesh_target::WHOLE_MARK, self.root);
                 if answer.body == expected.as_bytes() {
                     ledger::CallerOutcome::Whole
                 } else {
