--- /dev/null
+++ b/crates/anvil_membership/src/config.rs
@@ -0,0 +1,81 @@
+//! The constants of membership, in one place, with the figures behind them in
+//! `docs/design/membership.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings of one node's membership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetConfig {
+    /// TCP addresses of nodes to join through without the store; may be empty.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two probes.
+    pub period: Duration,
+    /// Time after which an unanswered ping is sent once more.
+    pub resend: Duration,
+    /// Time after which helpers are asked to ping.
+    pub indirect: Duration,
+    /// Helpers asked.
+    pub helpers: usize,
+    /// Shortest time that a suspect has to refute, with enough independent accusers.
+    pub suspicion_floor: Duration,
+    /// Time that a suspect has to refute a single accuser.
+    pub suspicion_ceiling: Duration,
+    /// Time between two pings of an accuser to the accused.
+    pub ask_interval: Duration,
+    /// Datagrams that carry an update, for each doubling of the fleet.
+    pub relay_factor: u8,
+    /// Bytes of updates on a probe's datagram.
+    pub piggyback_bytes: usize,
+    /// Bytes of updates on a rumour.
+    pub rumour_bytes: usize,
+    /// Members that get a rumour.
+    pub fanout: usize,
+    /// Time in which one more rumour is earned.
+    pub rumour_interval: Duration,
+    /// Rumours that may follow one another at once.
+    pub rumour_burst: u32,
+    /// Time between two exchanges of digests.
+    pub sync_interval: Duration,
+    /// Time between two pings of members believed gone, to find a healed partition.
+    pub reconnect_interval: Duration,
+    /// How long a member that is gone is remembered.
+    pub tombstone_span: Duration,
+    /// Lateness of a wake that counts as a pause of this process.
+    pub pause_margin: Duration,
+    /// Whether the local health counter and the pause check are in force; off only in tests that
+    /// show what they prevent.
+    pub lifeguard: bool,
+    /// Most members kept alive in the table.
+    pub member_limit: usize,
+    /// Most members kept as gone in the table.
+    pub tombstone_limit: usize,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            period: Duration::from_secs(1),
+            resend: Duration::from_millis(250),
+            indirect: Duration::from_millis(500),
+            helpers: 3,
+            suspicion_floor: Duration::from_secs(4),
+            suspicion_ceiling: Duration::from_secs(6),
+            ask_interval: Duration::from_millis(400),
+            relay_factor: 2,
+            piggyback_bytes: 500,
+            rumour_bytes: 1_000,
+            fanout: 4,
+            rumour_interval: Duration::from_secs(1),
+            rumour_burst: 4,
+            sync_interval: Duration::from_secs(30),
+            reconnect_interval: Duration::from_secs(10),
+            tombstone_span: Duration::from_secs(3_600),
+            pause_margin: Duration::from_millis(500),
+            lifeguard: true,
+            member_limit: 65_536,
+            tombstone_limit: 16_384,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/counters.rs
@@ -0,0 +1,56 @@
+//! Counts of what membership did, by cause.
+
+/// Counts since the start of the node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounters {
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Datagrams received.
+    pub datagrams_received: u64,
+    /// Datagrams among those sent that carried a rumour.
+    pub rumours_sent: u64,
+    /// Bulk messages sent.
+    pub syncs_sent: u64,
+    /// Bulk messages received.
+    pub syncs_received: u64,
+    /// Probes that failed.
+    pub probes_failed: u64,
+    /// Members accused, by whomever.
+    pub suspicions: u64,
+    /// Accusations of this node that it refuted.
+    pub refutations: u64,
+    /// Members that came.
+    pub members_up: u64,
+    /// Members that did not refute in time.
+    pub members_crashed: u64,
+    /// Members that left by their word.
+    pub members_left: u64,
+    /// Members whose address another node answered at.
+    pub members_replaced: u64,
+    /// Claims refused because a table was full.
+    pub claims_refused: u64,
+    /// Pauses of this process.
+    pub pauses: u64,
+}
+
+impl FleetCounters {
+    /// Names and values, for the metrics and the dump.
+    pub fn pairs(&self) -> [(&'static str, u64); 14] {
+        [
+            ("fleet_datagrams_sent", self.datagrams_sent),
+            ("fleet_datagrams_received", self.datagrams_received),
+            ("fleet_rumours_sent", self.rumours_sent),
+            ("fleet_syncs_sent", self.syncs_sent),
+            ("fleet_syncs_received", self.syncs_received),
+            ("fleet_probes_failed", self.probes_failed),
+            ("fleet_suspicions", self.suspicions),
+            ("fleet_refutations", self.refutations),
+            ("fleet_members_up", self.members_up),
+            ("fleet_members_crashed", self.members_crashed),
+            ("fleet_members_left", self.members_left),
+            ("fleet_members_replaced", self.members_replaced),
+            ("fleet_claims_refused", self.claims_refused),
+            ("fleet_pauses", self.pauses),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/fleet.rs
@@ -0,0 +1,363 @@
+//! The membership of one node: what it hears, what it does next.
+//!
+//! SWIM's probes and suspicions, with Lifeguard's local health, spread by bounded piggyback and
+//! rumours, and mended by an exchange of digests. See `docs/design/membership.md`.
+
+use std::net::SocketAddr;
+
+use anvil_types::{ident, name, time};
+use anvil_wire::gossip;
+
+use crate::effect::{FleetEffect, FleetReport};
+use crate::member::MemberState;
+use crate::{config, counters, health, member, probe, pushing, random, relay, suspicion, table};
+
+mod claims;
+mod probing;
+mod syncing;
+
+/// Exchanges of digests of a fresh node that follow one another ten times as fast.
+const EARLY_SYNCS: u8 = 4;
+
+/// What the local target and node want others to know.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LocalTarget {
+    /// The service of the local target, where one announced itself.
+    pub service: Option<name::ServiceName>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether the node or the target is leaving.
+    pub leaving: bool,
+}
+
+/// Who the local node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalNode {
+    /// Its identity, drawn at this start.
+    pub node: ident::NodeId,
+    /// Where it accepts peer connections.
+    pub tcp: SocketAddr,
+    /// Where it accepts datagrams.
+    pub udp: SocketAddr,
+    /// The availability zone it stands in.
+    pub zone: name::ZoneName,
+    /// The region it stands in.
+    pub region: name::RegionName,
+}
+
+impl LocalNode {
+    fn facts(&self) -> gossip::MemberFacts {
+        gossip::MemberFacts {
+            tcp: self.tcp,
+            udp: self.udp,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            service: None,
+            slots: 0,
+            leaving: false,
+            contact: None,
+        }
+    }
+}
+
+/// When the recurring matters are due.
+#[derive(Clone, Copy, Debug)]
+struct FleetTimers {
+    join: time::NodeTime,
+    sync: time::NodeTime,
+    reconnect: time::NodeTime,
+    trim: time::NodeTime,
+}
+
+/// The membership of one node.
+#[derive(Clone, Debug)]
+pub struct FleetState {
+    config: config::FleetConfig,
+    local: ident::NodeId,
+    incarnation: u32,
+    left: bool,
+    joined: bool,
+    repeating: bool,
+    early_syncs: u8,
+    revision: ident::RuleRevision,
+    table: table::MemberTable,
+    relays: relay::RelayQueue,
+    pushing: pushing::PushState,
+    suspicions: suspicion::SuspicionList,
+    probes: probe::ProbeState,
+    health: health::LocalHealth,
+    choice: random::ChoiceSource,
+    timers: FleetTimers,
+    awake: time::NodeTime,
+    counters: counters::FleetCounters,
+}
+
+impl FleetState {
+    /// Starts at `now` knowing only the local node; the first wake is due at once.
+    pub fn new(
+        config: config::FleetConfig,
+        local: &LocalNode,
+        seed: u64,
+        now: time::NodeTime,
+    ) -> Self {
+        let mut choice = random::ChoiceSource::new(seed);
+        // Nodes that start together would otherwise probe and sync in step for ever.
+        let timers = FleetTimers {
+            join: now,
+            sync: now + choice.span(config.sync_interval),
+            reconnect: now + choice.span(config.reconnect_interval),
+            trim: now + config.reconnect_interval,
+        };
+        let first_turn = now + choice.span(config.period);
+        let mut state = Self {
+            pushing: pushing::PushState::new(&config, now),
+            config,
+            local: local.node,
+            incarnation: 0,
+            left: false,
+            joined: false,
+            repeating: true,
+            early_syncs: EARLY_SYNCS,
+            revision: ident::RuleRevision::default(),
+            table: table::MemberTable::default(),
+            relays: relay::RelayQueue::default(),
+            suspicions: suspicion::SuspicionList::default(),
+            probes: probe::ProbeState::new(first_turn),
+            health: health::LocalHealth::default(),
+            choice,
+            timers,
+            awake: now,
+            counters: counters::FleetCounters::default(),
+        };
+        state.announce(local.facts(), now);
+        state
+    }
+
+    /// The local node's identity.
+    pub fn local(&self) -> ident::NodeId {
+        self.local
+    }
+
+    /// Everything known about members, alive and gone, the local node included.
+    pub fn table(&self) -> &table::MemberTable {
+        &self.table
+    }
+
+    /// Members that stand accused at present.
+    pub fn suspicions(&self) -> &[suspicion::Suspicion] {
+        self.suspicions.all()
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> &counters::FleetCounters {
+        &self.counters
+    }
+
+    /// How little this node trusts its own view; zero where all is well.
+    pub fn health_score(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// Claims that still wait to ride on datagrams.
+    pub fn backlog(&self) -> usize {
+        self.relays.len()
+    }
+
+    /// Whether another member has been met.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
+    /// Tells the fleet about the local target; nothing is sent where nothing changed.
+    pub fn set_local(&mut self, now: time::NodeTime, target: &LocalTarget) -> Vec<FleetEffect> {
+        let Some(record) = self.table.get(self.local) else {
+            return Vec::new();
+        };
+        let mut facts = record.facts.clone();
+        facts.service.clone_from(&target.service);
+        facts.slots = target.slots;
+        facts.leaving = target.leaving;
+        if facts == record.facts {
+            return Vec::new();
+        }
+        self.incarnation += 1;
+        self.announce(facts, now);
+        let mut out = Vec::new();
+        self.push_now(now, &mut out);
+        out
+    }
+
+    /// Says that this node is gone for good; it answers nothing any more.
+    pub fn leave(&mut self, now: time::NodeTime) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        let rank = (self.incarnation, MemberState::Left);
+        self.table.set_state(self.local, rank, now);
+        self.relay(self.local);
+        // Said twice to different members, since nobody will repeat it for this node.
+        self.push_rumour(&mut out);
+        self.push_rumour(&mut out);
+        self.left = true;
+        out
+    }
+
+    /// Takes a datagram.
+    pub fn on_datagram(
+        &mut self,
+        now: time::NodeTime,
+        from: SocketAddr,
+        message: &gossip::GossipMessage,
+    ) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        // An own datagram reflected by a wrong address must not count as a peer's word.
+        if self.left || message.head.from == self.local {
+            return out;
+        }
+        self.note_pause(now, &mut out);
+        self.counters.datagrams_received += 1;
+        for update in &message.updates {
+            self.apply(now, update, &mut out);
+        }
+        self.on_head(now, message.head, &mut out);
+        self.on_kind(now, from, message, &mut out);
+        self.push_now(now, &mut out);
+        out
+    }
+
+    /// Does what is due.
+    pub fn on_wake(&mut self, now: time::NodeTime) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        if self.left {
+            return out;
+        }
+        self.note_pause(now, &mut out);
+        self.join_when_due(now, &mut out);
+        self.probe_when_due(now, &mut out);
+        self.judge_suspects(now, &mut out);
+        self.ask_suspects(now, &mut out);
+        self.reconnect_when_due(now, &mut out);
+        self.sync_when_due(now, &mut out);
+        self.trim_when_due(now);
+        self.push_now(now, &mut out);
+        out
+    }
+
+    /// When the next wake is due; none once the node has left.
+    pub fn next_wake(&self) -> Option<time::NodeTime> {
+        if self.left {
+            return None;
+        }
+        let timers = self.timers;
+        let mut due = self.probes.next_wake(&self.config, self.health);
+        due = due.min(timers.sync).min(timers.reconnect).min(timers.trim);
+        if !self.joined && !self.config.seeds.is_empty() {
+            due = due.min(timers.join);
+        }
+        let live = self.table.live();
+        let suspect = self.suspicions.next_deadline(&self.config, live);
+        let push = self.pushing.next_wake();
+        Some(suspect.into_iter().chain(push).fold(due, Ord::min))
+    }
+
+    /// Keeps probes and suspicions of a paused process from accusing others.
+    ///
+    /// After a pause every answer and refutation of that time lies unread in the socket; judged by
+    /// the clock alone, the node would declare healthy members gone.
+    fn note_pause(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let Some(due) = self.next_wake().filter(|_| self.config.lifeguard) else {
+            return;
+        };
+        let late = now.since(due.max(self.awake));
+        self.awake = now;
+        if late < self.config.pause_margin {
+            return;
+        }
+        self.health.worsen();
+        self.probes.discard();
+        self.suspicions.restart(now);
+        self.counters.pauses += 1;
+        let millis = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+        out.push(FleetEffect::Report(FleetReport::Paused { millis }));
+    }
+
+    /// Puts the local node's facts into the table under its present incarnation.
+    fn announce(&mut self, facts: gossip::MemberFacts, now: time::NodeTime) {
+        let record = member::MemberRecord {
+            node: self.local,
+            incarnation: self.incarnation,
+            told: self.incarnation,
+            state: MemberState::Alive,
+            relays: 0,
+            relay_serial: 0,
+            since: now,
+            revision: self.revision,
+            facts,
+        };
+        self.table.put(record);
+        self.relay(self.local);
+    }
+
+    /// Lets the present claim about `node` ride on datagrams and on the next rumour.
+    fn relay(&mut self, node: ident::NodeId) {
+        if !self.repeating && node != self.local {
+            return;
+        }
+        let doublings = self.table.live().max(1).ilog2() + 1;
+        let relays = u32::from(self.config.relay_factor) * doublings;
+        let relays = u8::try_from(relays).unwrap_or(u8::MAX);
+        self.relays.push(&mut self.table, node, relays);
+        self.pushing.request();
+    }
+
+    /// Sends a rumour where something changed and the budget allows one.
+    fn push_now(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if self.pushing.take(&self.config, now) {
+            self.push_rumour(out);
+        }
+    }
+
+    fn push_rumour(&mut self, out: &mut Vec<FleetEffect>) {
+        let updates = self.take_updates(self.config.rumour_bytes);
+        let mut told = vec![self.local];
+        for _ in 0..self.config.fanout {
+            let Some(peer) = self.table.draw_live(&mut self.choice, &told) else {
+                break;
+            };
+            told.push(peer.node);
+            let to = peer.facts.udp;
+            let kind = gossip::GossipKind::Rumour;
+            self.send(to, kind, updates.clone(), out);
+            self.counters.rumours_sent += 1;
+        }
+    }
+
+    fn take_updates(&mut self, bytes: usize) -> Vec<gossip::MemberUpdate> {
+        let nodes = self.relays.take(&mut self.table, bytes);
+        let claims = nodes.into_iter().filter_map(|node| self.claim(node));
+        claims.collect()
+    }
+
+    fn send(
+        &mut self,
+        to: SocketAddr,
+        kind: gossip::GossipKind,
+        updates: Vec<gossip::MemberUpdate>,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.counters.datagrams_sent += 1;
+        let head = self.head();
+        let message = gossip::GossipMessage {
+            head,
+            kind,
+            updates,
+        };
+        out.push(FleetEffect::SendDatagram { to, message });
+    }
+
+    fn head(&self) -> gossip::GossipHead {
+        gossip::GossipHead {
+            from: self.local,
+            incarnation: self.incarnation,
+            revision: self.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/claims.rs
@@ -0,0 +1,284 @@
+//! Claims about members: taking them in and repeating them.
+
+use anvil_types::{ident, time};
+use anvil_wire::gossip;
+
+use crate::effect::{FleetEffect, FleetReport, GoneReason};
+use crate::fleet::FleetState;
+use crate::member::{self, MemberState};
+use crate::suspicion::Accusation;
+
+impl FleetState {
+    /// Takes one claim in; older ones and repetitions change nothing.
+    pub(super) fn apply(
+        &mut self,
+        now: time::NodeTime,
+        update: &gossip::MemberUpdate,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if update.node == self.local {
+            self.hear_of_self(now, update, out);
+            return;
+        }
+        match &update.standing {
+            gossip::MemberStanding::Alive(facts) => self.hear_alive(now, update, facts, out),
+            gossip::MemberStanding::Suspect { by } => self.hear_suspect(now, update, *by, out),
+            gossip::MemberStanding::Gone => self.hear_end(now, update, GoneReason::Crashed, out),
+            gossip::MemberStanding::Left => self.hear_end(now, update, GoneReason::Left, out),
+        }
+    }
+
+    /// The present claim about `node`, where it is known.
+    pub(super) fn claim(&self, node: ident::NodeId) -> Option<gossip::MemberUpdate> {
+        let record = self.table.get(node)?;
+        let standing = match record.state {
+            MemberState::Alive => gossip::MemberStanding::Alive(Box::new(record.facts.clone())),
+            MemberState::Suspect => gossip::MemberStanding::Suspect {
+                by: self.latest_accuser(node),
+            },
+            MemberState::Gone => gossip::MemberStanding::Gone,
+            MemberState::Left => gossip::MemberStanding::Left,
+        };
+        Some(gossip::MemberUpdate {
+            node,
+            incarnation: record.incarnation,
+            standing,
+        })
+    }
+
+    /// What a member that may know nothing of `node` needs to hear: the facts, where it is live.
+    ///
+    /// A bare suspicion would tell such a member nothing, since it has no address to go with it.
+    pub(super) fn whole_claim(&self, node: ident::NodeId) -> Option<gossip::MemberUpdate> {
+        let record = self.table.get(node)?;
+        if !record.state.is_live() {
+            return self.claim(node);
+        }
+        Some(gossip::MemberUpdate {
+            node,
+            incarnation: record.told,
+            standing: gossip::MemberStanding::Alive(Box::new(record.facts.clone())),
+        })
+    }
+
+    /// Accuses `node` in this node's own name.
+    pub(super) fn accuse(
+        &mut self,
+        now: time::NodeTime,
+        node: ident::NodeId,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let Some(record) = self.table.get(node).filter(|r| r.state.is_live()) else {
+            return;
+        };
+        let update = gossip::MemberUpdate {
+            node,
+            incarnation: record.incarnation,
+            standing: gossip::MemberStanding::Suspect { by: self.local },
+        };
+        self.apply(now, &update, out);
+        self.suspicions.take_part(node, now);
+    }
+
+    /// Asks the accused again, so that a refutation reaches its accuser on the shortest way.
+    pub(super) fn ask_suspects(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        for node in self.suspicions.take_asks(self.config.ask_interval, now) {
+            let number = self.probes.number();
+            self.ping(node, number, out);
+        }
+    }
+
+    /// Declares the suspects gone whose time is over.
+    pub(super) fn judge_suspects(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let live = self.table.live();
+        for node in self.suspicions.due(&self.config, live, now) {
+            self.end(now, node, GoneReason::Crashed, out);
+        }
+    }
+
+    /// Ends a live member.
+    pub(super) fn end(
+        &mut self,
+        now: time::NodeTime,
+        node: ident::NodeId,
+        reason: GoneReason,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.suspicions.clear(node);
+        let Some(record) = self.table.get(node).filter(|r| r.state.is_live()) else {
+            return;
+        };
+        let state = match reason {
+            GoneReason::Left => MemberState::Left,
+            GoneReason::Crashed | GoneReason::Replaced => MemberState::Gone,
+        };
+        self.table.set_state(node, (record.incarnation, state), now);
+        match reason {
+            GoneReason::Left => self.counters.members_left += 1,
+            GoneReason::Crashed => self.counters.members_crashed += 1,
+            GoneReason::Replaced => self.counters.members_replaced += 1,
+        }
+        self.relay(node);
+        out.push(FleetEffect::MemberGone { node, reason });
+        out.push(FleetEffect::Report(FleetReport::Gone { node, reason }));
+    }
+
+    fn latest_accuser(&self, node: ident::NodeId) -> ident::NodeId {
+        let entry = self.suspicions.get(node);
+        let latest = entry.and_then(|s| s.accusers.last());
+        latest.copied().unwrap_or(self.local)
+    }
+
+    /// Refutes whatever is said of this node that it did not say itself.
+    fn hear_of_self(
+        &mut self,
+        now: time::NodeTime,
+        update: &gossip::MemberUpdate,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let alive = member::claimed_state(&update.standing) == MemberState::Alive;
+        if update.incarnation < self.incarnation
+            || (alive && update.incarnation == self.incarnation)
+        {
+            return;
+        }
+        let Some(record) = self.table.get(self.local) else {
+            return;
+        };
+        let facts = record.facts.clone();
+        self.incarnation = update.incarnation.saturating_add(1);
+        self.announce(facts, now);
+        if !alive {
+            self.health.worsen();
+        }
+        self.counters.refutations += 1;
+        let incarnation = self.incarnation;
+        out.push(FleetEffect::Report(FleetReport::Refuted { incarnation }));
+    }
+
+    fn hear_alive(
+        &mut self,
+        now: time::NodeTime,
+        update: &gossip::MemberUpdate,
+        facts: &gossip::MemberFacts,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let known = self.table.get(update.node);
+        let rank = (update.incarnation, MemberState::Alive);
+        if known.is_some_and(|r| rank <= r.rank()) {
+            self.take_late_facts(update, facts, out);
+            return;
+        }
+        let was_live = known.is_some_and(|r| r.state.is_live());
+        if !was_live && self.table.live() >= self.config.member_limit {
+            self.counters.claims_refused += 1;
+            return;
+        }
+        let record = member::MemberRecord {
+            node: update.node,
+            incarnation: update.incarnation,
+            told: update.incarnation,
+            state: MemberState::Alive,
+            relays: 0,
+            relay_serial: 0,
+            since: now,
+            revision: known.map_or_else(ident::RuleRevision::default, |r| r.revision),
+            facts: facts.clone(),
+        };
+        if !self.table.put(record) {
+            self.counters.claims_refused += 1;
+            return;
+        }
+        self.suspicions.clear(update.node);
+        self.relay(update.node);
+        self.tell_alive(update.node, was_live, out);
+    }
+
+    fn tell_alive(&mut self, node: ident::NodeId, was_live: bool, out: &mut Vec<FleetEffect>) {
+        let Some(view) = self.table.get(node).map(member::MemberRecord::view) else {
+            return;
+        };
+        if was_live {
+            out.push(FleetEffect::MemberChanged(view));
+            return;
+        }
+        self.counters.members_up += 1;
+        self.probes.admit(node, &mut self.choice);
+        out.push(FleetEffect::MemberUp(view));
+    }
+
+    /// Keeps facts that arrive behind a suspicion of their own incarnation.
+    fn take_late_facts(
+        &mut self,
+        update: &gossip::MemberUpdate,
+        facts: &gossip::MemberFacts,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let Some(record) = self.table.get(update.node) else {
+            return;
+        };
+        if !record.state.is_live() || update.incarnation <= record.told {
+            return;
+        }
+        let mut record = record.clone();
+        record.told = update.incarnation;
+        record.facts = facts.clone();
+        let view = record.view();
+        if self.table.put(record) {
+            out.push(FleetEffect::MemberChanged(view));
+        }
+    }
+
+    fn hear_suspect(
+        &mut self,
+        now: time::NodeTime,
+        update: &gossip::MemberUpdate,
+        by: ident::NodeId,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let node = update.node;
+        let rank = (update.incarnation, MemberState::Suspect);
+        let Some(record) = self.table.get(node).filter(|r| rank >= r.rank()) else {
+            return;
+        };
+        if rank > record.rank() && record.state == MemberState::Suspect {
+            // The accusers of the former incarnation say nothing about this one.
+            self.suspicions.clear(node);
+        }
+        let was_live = record.state.is_live();
+        self.table.set_state(node, rank, now);
+        match self.suspicions.accuse(node, by, now) {
+            Accusation::Known => {}
+            Accusation::Confirmed => self.relay(node),
+            Accusation::First => {
+                self.counters.suspicions += 1;
+                self.relay(node);
+                self.tell_alive(node, was_live, out);
+                out.push(FleetEffect::Report(FleetReport::Suspected { node, by }));
+            }
+        }
+    }
+
+    fn hear_end(
+        &mut self,
+        now: time::NodeTime,
+        update: &gossip::MemberUpdate,
+        reason: GoneReason,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let node = update.node;
+        let rank = (update.incarnation, member::claimed_state(&update.standing));
+        let Some(record) = self.table.get(node).filter(|r| rank > r.rank()) else {
+            return;
+        };
+        let was_live = record.state.is_live();
+        if was_live {
+            // Raise the incarnation first, so that the end is told under the one claimed.
+            let live = (update.incarnation, record.state);
+            self.table.set_state(node, live, now);
+            self.end(now, node, reason, out);
+        } else {
+            self.table.set_state(node, rank, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -0,0 +1,258 @@
+//! Probes: sending them, answering them and judging their outcome.
+
+use std::net::SocketAddr;
+
+use anvil_types::{ident, time};
+use anvil_wire::gossip::{self, GossipKind};
+
+use crate::effect::{FleetEffect, GoneReason};
+use crate::fleet::FleetState;
+use crate::member::MemberState;
+use crate::probe::{ProbeAction, ProbeAnswer};
+
+/// Members that a newcomer is told of.
+const WELCOME_MEMBERS: usize = 8;
+
+impl FleetState {
+    /// Does what the probes have due.
+    pub(super) fn probe_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        for action in self.probes.on_wake(now, &self.config, self.health) {
+            match action {
+                ProbeAction::Ping { target, number } => self.ping(target, number, out),
+                ProbeAction::AskHelpers { target, number } => {
+                    self.ask_helpers(target, number, out);
+                }
+                ProbeAction::Failed { target, alone } => {
+                    self.probe_failed(now, target, alone, out);
+                }
+                ProbeAction::Nack { asker, probe } => {
+                    self.answer_member(asker, GossipKind::Nack { probe }, out);
+                }
+                ProbeAction::Turn => self.probe_next(now, out),
+            }
+        }
+    }
+
+    /// Pings a member believed gone now and then, so that two sides of a healed partition meet.
+    ///
+    /// Each side believes the other gone and would never speak to it again.
+    pub(super) fn reconnect_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if now < self.timers.reconnect {
+            return;
+        }
+        let jitter = self.choice.span(self.config.reconnect_interval / 4);
+        self.timers.reconnect = now + self.config.reconnect_interval + jitter;
+        if self.table.tombstones() == 0 {
+            return;
+        }
+        let gone = |m: &crate::member::MemberRecord| m.state == MemberState::Gone;
+        let Some(record) = self.table.draw(&mut self.choice, gone) else {
+            return;
+        };
+        let target = record.node;
+        let number = self.probes.number();
+        self.ping(target, number, out);
+    }
+
+    /// Notes what a message's head says about its sender.
+    pub(super) fn on_head(
+        &mut self,
+        now: time::NodeTime,
+        head: gossip::GossipHead,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if let Some(record) = self.table.get_mut(head.from) {
+            record.revision = record.revision.max(head.revision);
+        }
+        if !self.joined {
+            self.joined = true;
+            self.timers.sync = now;
+            let members = self.table.live();
+            let report = crate::effect::FleetReport::Joined { members };
+            out.push(FleetEffect::Report(report));
+        }
+    }
+
+    /// Answers a datagram.
+    pub(super) fn on_kind(
+        &mut self,
+        now: time::NodeTime,
+        from: SocketAddr,
+        message: &gossip::GossipMessage,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let sender = message.head.from;
+        match &message.kind {
+            GossipKind::Join => self.welcome(from, out),
+            GossipKind::Ping { probe, .. } => self.answer_ping(from, sender, *probe, out),
+            GossipKind::Ack { probe, of } => self.on_ack(now, *probe, *of, out),
+            GossipKind::Nack { probe } => self.probes.on_nack(*probe),
+            GossipKind::PingRequest { probe, target } => {
+                self.help(now, sender, *probe, *target, out);
+            }
+            GossipKind::Introduce => {
+                let updates = self.claim(self.local).into_iter().collect();
+                self.send(from, GossipKind::Rumour, updates, out);
+            }
+            GossipKind::Welcome
+            | GossipKind::Rumour
+            | GossipKind::PullChanges { .. }
+            | GossipKind::Changes(_)
+            | GossipKind::Census(_) => {}
+        }
+        self.greet_stranger(from, message, out);
+    }
+
+    /// Asks a sender that is not in the table for its facts.
+    fn greet_stranger(
+        &mut self,
+        from: SocketAddr,
+        message: &gossip::GossipMessage,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let known = self.table.get(message.head.from).is_some();
+        if !known && message.kind != GossipKind::Introduce {
+            self.send(from, GossipKind::Introduce, Vec::new(), out);
+        }
+    }
+
+    fn welcome(&mut self, from: SocketAddr, out: &mut Vec<FleetEffect>) {
+        let mut told = vec![self.local];
+        while told.len() <= WELCOME_MEMBERS {
+            let Some(peer) = self.table.draw_live(&mut self.choice, &told) else {
+                break;
+            };
+            told.push(peer.node);
+        }
+        let updates = told.into_iter().filter_map(|node| self.whole_claim(node));
+        let updates = updates.collect();
+        self.send(from, GossipKind::Welcome, updates, out);
+    }
+
+    fn answer_ping(
+        &mut self,
+        from: SocketAddr,
+        sender: ident::NodeId,
+        probe: u32,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let of = self.local;
+        let updates = self.updates_for(sender);
+        self.send(from, GossipKind::Ack { probe, of }, updates, out);
+    }
+
+    fn on_ack(
+        &mut self,
+        now: time::NodeTime,
+        probe: u32,
+        of: ident::NodeId,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        match self.probes.on_ack(probe, of) {
+            ProbeAnswer::Alive => self.health.improve(),
+            ProbeAnswer::Replaced { target } => self.end(now, target, GoneReason::Replaced, out),
+            ProbeAnswer::Relay { asker, probe } => {
+                self.answer_member(asker, GossipKind::Ack { probe, of }, out);
+            }
+            ProbeAnswer::Stray => {}
+        }
+    }
+
+    /// Pings `target` for `asker`, where both are known.
+    fn help(
+        &mut self,
+        now: time::NodeTime,
+        asker: ident::NodeId,
+        asker_probe: u32,
+        target: ident::NodeId,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        // A nack must reach the asker before its period ends.
+        let patience = (self.config.period - self.config.indirect) * 3 / 5;
+        let nack_at = now + patience;
+        if self.table.get(target).is_none() || self.table.get(asker).is_none() {
+            return;
+        }
+        if let Some(number) = self.probes.relay(asker, asker_probe, nack_at) {
+            self.ping(target, number, out);
+        }
+    }
+
+    fn probe_next(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let local = self.local;
+        let table = &self.table;
+        let target = loop {
+            let refill = || {
+                let others = table.all().iter();
+                let others = others.filter(|m| m.node != local && m.state.is_live());
+                others.map(|m| m.node).collect()
+            };
+            let Some(node) = self.probes.next_target(&mut self.choice, refill) else {
+                return;
+            };
+            if table.get(node).is_some_and(|m| m.state.is_live()) {
+                break node;
+            }
+        };
+        let number = self.probes.open(target, now);
+        self.ping(target, number, out);
+    }
+
+    pub(super) fn ping(&mut self, target: ident::NodeId, number: u32, out: &mut Vec<FleetEffect>) {
+        let kind = GossipKind::Ping {
+            probe: number,
+            to: target,
+        };
+        self.answer_member(target, kind, out);
+    }
+
+    /// Sends `kind` to a known member, with the claims it should hear.
+    fn answer_member(&mut self, node: ident::NodeId, kind: GossipKind, out: &mut Vec<FleetEffect>) {
+        let Some(to) = self.table.get(node).map(|m| m.facts.udp) else {
+            return;
+        };
+        let updates = self.updates_for(node);
+        self.send(to, kind, updates, out);
+    }
+
+    /// The claims for one receiver; one that is doubted hears so first, to refute at once.
+    fn updates_for(&mut self, receiver: ident::NodeId) -> Vec<gossip::MemberUpdate> {
+        let mut updates = self.take_updates(self.config.piggyback_bytes);
+        let doubted = |r: &&crate::member::MemberRecord| r.state != MemberState::Alive;
+        if self.table.get(receiver).filter(doubted).is_some() {
+            updates.extend(self.claim(receiver));
+        }
+        updates
+    }
+
+    fn ask_helpers(&mut self, target: ident::NodeId, number: u32, out: &mut Vec<FleetEffect>) {
+        let mut asked = vec![self.local, target];
+        for _ in 0..self.config.helpers {
+            let Some(helper) = self.table.draw_live(&mut self.choice, &asked) else {
+                break;
+            };
+            let node = helper.node;
+            asked.push(node);
+            let kind = GossipKind::PingRequest {
+                probe: number,
+                target,
+            };
+            self.answer_member(node, kind, out);
+        }
+        self.probes.set_helpers(asked.len() - 2);
+    }
+
+    fn probe_failed(
+        &mut self,
+        now: time::NodeTime,
+        target: ident::NodeId,
+        alone: bool,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.counters.probes_failed += 1;
+        if self.config.lifeguard && alone {
+            self.health.worsen();
+        }
+        self.accuse(now, target, out);
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -0,0 +1,262 @@
+//! Joining, and the exchange of digests that mends what datagrams lost.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{ident, time};
+use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+
+use crate::digest;
+use crate::effect::FleetEffect;
+use crate::fleet::FleetState;
+use crate::member::MemberState;
+
+/// Time between two attempts to join.
+const JOIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Most claims in one bulk message, about 80 kB of them.
+const CLAIMS_LIMIT: usize = 1_000;
+
+/// Claims of one bulk message that are still repeated by datagrams.
+///
+/// A few may be news to everybody; many are old news that only the receiver missed, and repeating
+/// them would flood a healthy fleet each time somebody joins.
+const REPEAT_LIMIT: usize = 32;
+
+/// Below this size a node takes the whole fleet instead of comparing digests.
+const NEWCOMER_MEMBERS: usize = 10;
+
+impl FleetState {
+    /// Takes a bulk message of a peer.
+    pub fn on_sync(
+        &mut self,
+        now: time::NodeTime,
+        peer: ident::NodeId,
+        message: &SyncMessage,
+    ) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        if self.left || message.head().from != peer {
+            return out;
+        }
+        self.note_pause(now, &mut out);
+        self.counters.syncs_received += 1;
+        self.on_head(now, message.head(), &mut out);
+        match message {
+            SyncMessage::Digest { sums, .. } => self.on_digest(peer, sums, &mut out),
+            SyncMessage::Headers {
+                buckets,
+                differing,
+                headers,
+                ..
+            } => self.on_headers(peer, *buckets, differing, headers, &mut out),
+            SyncMessage::Members {
+                updates, wanted, ..
+            } => self.on_members(now, peer, updates, wanted, &mut out),
+            SyncMessage::Changes { .. } => {}
+        }
+        self.push_now(now, &mut out);
+        out
+    }
+
+    /// Asks a seed to be let in, until any member has answered.
+    pub(super) fn join_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if self.joined || now < self.timers.join {
+            return;
+        }
+        self.timers.join = now + JOIN_INTERVAL;
+        let seeds = &self.config.seeds;
+        let drawn = seeds.get(self.choice.below(seeds.len())).copied();
+        if let Some(seed) = drawn {
+            self.join_through(seed, out);
+        }
+    }
+
+    /// Asks the node at `address`, whichever it is, to be let in.
+    pub(super) fn join_through(&mut self, address: SocketAddr, out: &mut Vec<FleetEffect>) {
+        let updates = self.claim(self.local).into_iter().collect();
+        self.send(address, GossipKind::Join, updates, out);
+    }
+
+    /// Compares digests with a random member.
+    pub(super) fn sync_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if now < self.timers.sync {
+            return;
+        }
+        let newcomer = self.table.live() <= NEWCOMER_MEMBERS;
+        // A node that starts among many that start has only the part that its first peer knew.
+        let hasty = newcomer || self.early_syncs > 0;
+        let interval = if hasty {
+            self.config.sync_interval / 10
+        } else {
+            self.config.sync_interval
+        };
+        self.timers.sync = now + interval + self.choice.span(interval / 4);
+        let Some(peer) = self.table.draw_live(&mut self.choice, &[self.local]) else {
+            return;
+        };
+        let peer = peer.node;
+        self.early_syncs = self.early_syncs.saturating_sub(1);
+        let sums = if newcomer {
+            Vec::new()
+        } else {
+            digest::sums(&self.table, digest::bucket_count(self.table.live()))
+        };
+        let head = self.head();
+        self.send_sync(peer, SyncMessage::Digest { head, sums }, out);
+    }
+
+    /// Forgets the members that were gone long ago.
+    pub(super) fn trim_when_due(&mut self, now: time::NodeTime) {
+        if now < self.timers.trim {
+            return;
+        }
+        self.timers.trim = now + self.config.reconnect_interval;
+        let span = self.config.tombstone_span.as_micros();
+        let span = u64::try_from(span).unwrap_or(u64::MAX);
+        let before = time::NodeTime(now.0.saturating_sub(span));
+        self.table.trim(before, self.config.tombstone_limit);
+    }
+
+    fn on_digest(&mut self, peer: ident::NodeId, sums: &[u32], out: &mut Vec<FleetEffect>) {
+        if sums.is_empty() {
+            self.send_everything(peer, out);
+            return;
+        }
+        if !digest::is_bucket_count(sums.len()) {
+            return;
+        }
+        let own = digest::sums(&self.table, sums.len());
+        let pairs = own.iter().zip(sums).enumerate();
+        let differing = pairs.filter(|(_, (own, theirs))| own != theirs);
+        let differing: Vec<u32> = differing.map(|(place, _)| place as u32).collect();
+        if differing.is_empty() {
+            return;
+        }
+        let headers = digest::headers(&self.table, sums.len(), &differing);
+        let message = SyncMessage::Headers {
+            head: self.head(),
+            buckets: sums.len() as u32,
+            differing,
+            headers,
+        };
+        self.send_sync(peer, message, out);
+    }
+
+    fn send_everything(&mut self, peer: ident::NodeId, out: &mut Vec<FleetEffect>) {
+        let live = self.table.all().iter().filter(|m| m.state.is_live());
+        let live: Vec<_> = live.map(|m| m.node).collect();
+        self.send_claims(peer, &live, Vec::new(), out);
+    }
+
+    fn on_headers(
+        &mut self,
+        peer: ident::NodeId,
+        buckets: u32,
+        differing: &[u32],
+        headers: &[gossip::MemberHeader],
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if !digest::is_bucket_count(buckets as usize) {
+            return;
+        }
+        let mut theirs = headers.to_vec();
+        theirs.sort_unstable_by_key(|header| header.node);
+        let own = digest::headers(&self.table, buckets as usize, differing);
+        let mut telling: Vec<_> = own
+            .iter()
+            .filter(|own| {
+                let place = theirs.binary_search_by_key(&own.node, |header| header.node);
+                place.is_err()
+            })
+            .map(|own| own.node)
+            .collect();
+        let mut wanted = Vec::new();
+        for header in &theirs {
+            let theirs = (header.incarnation, MemberState::Alive);
+            match self.table.get(header.node) {
+                None => wanted.push(header.node),
+                Some(record) if record.rank() < theirs => wanted.push(header.node),
+                Some(record) if record.rank() > theirs => telling.push(header.node),
+                Some(_) => {}
+            }
+        }
+        if telling.is_empty() && wanted.is_empty() {
+            return;
+        }
+        self.send_claims(peer, &telling, wanted, out);
+    }
+
+    fn on_members(
+        &mut self,
+        now: time::NodeTime,
+        peer: ident::NodeId,
+        updates: &[gossip::MemberUpdate],
+        wanted: &[ident::NodeId],
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.repeating = updates.len() <= REPEAT_LIMIT;
+        for update in updates {
+            self.apply(now, update, out);
+        }
+        self.repeating = true;
+        if !wanted.is_empty() {
+            self.send_claims(peer, wanted, Vec::new(), out);
+        }
+    }
+
+    /// Sends the claims about `nodes`, in as many messages as they need, and asks for `wanted`.
+    fn send_claims(
+        &mut self,
+        peer: ident::NodeId,
+        nodes: &[ident::NodeId],
+        wanted: Vec<ident::NodeId>,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let nodes = &nodes[..nodes.len().min(self.config.member_limit)];
+        let mut wanted = Some(wanted).filter(|wanted| !wanted.is_empty());
+        for part in nodes.chunks(CLAIMS_LIMIT) {
+            let updates = part
+                .iter()
+                .filter_map(|node| self.whole_claim(*node))
+                .collect();
+            let wanted = wanted.take().unwrap_or_default();
+            self.send_members(peer, updates, wanted, out);
+        }
+        if let Some(wanted) = wanted {
+            self.send_members(peer, Vec::new(), wanted, out);
+        }
+    }
+
+    fn send_members(
+        &mut self,
+        peer: ident::NodeId,
+        updates: Vec<gossip::MemberUpdate>,
+        wanted: Vec<ident::NodeId>,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let head = self.head();
+        let message = SyncMessage::Members {
+            head,
+            updates,
+            wanted,
+        };
+        self.send_sync(peer, message, out);
+    }
+
+    pub(super) fn send_sync(
+        &mut self,
+        peer: ident::NodeId,
+        message: SyncMessage,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let Some(address) = self.table.get(peer).map(|m| m.facts.tcp) else {
+            return;
+        };
+        self.counters.syncs_sent += 1;
+        out.push(FleetEffect::SendSync {
+            peer,
+            address,
+            message,
+        });
+    }
+}
--- a/crates/anvil_membership/src/lib.rs
+++ b/crates/anvil_membership/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Which nodes are alive, where they stand, and which rule revision is in force.
+//!
+//! One [`fleet::FleetState`] answers all of it for one node; nothing in here reads a clock or
+//! opens a socket. See `docs/design/membership.md` and `docs/design/rule-distribution.md`.
+
+pub mod config;
+pub mod counters;
+pub mod digest;
+pub mod effect;
+pub mod fleet;
+pub mod health;
+pub mod member;
+pub mod names;
+pub mod probe;
+pub mod pushing;
+pub mod random;
+pub mod relay;
+pub mod suspicion;
+pub mod table;
--- /dev/null
+++ b/crates/anvil_membership/src/relay.rs
@@ -0,0 +1,130 @@
+//! Which claims still ride on datagrams.
+
+use std::collections::VecDeque;
+
+use anvil_types::ident;
+
+use crate::{member, table};
+
+/// Encoded size of a claim without facts, in bytes, rounded up.
+const SHORT_CLAIM_BYTES: usize = 24;
+
+/// Encoded size of the facts without their names, in bytes, rounded up.
+const FACTS_BYTES: usize = 40;
+
+/// Stale places, beyond one for each member, that the queue may hold before it is swept.
+const STALE_LIMIT: usize = 64;
+
+/// A place in the queue; stale where the member was queued again since.
+#[derive(Clone, Copy, Debug)]
+struct RelayPlace {
+    node: ident::NodeId,
+    serial: u32,
+}
+
+/// Members whose present claim has datagrams left to ride on, the least told first.
+///
+/// The queue holds identities only and the claim is read from the table when it is sent, so only
+/// the newest claim about a member travels. Claims told less go first: behind a backlog, such as
+/// that of a mass join, a leaving announcement would otherwise wait for many seconds.
+#[derive(Clone, Debug, Default)]
+pub struct RelayQueue {
+    /// Places by the number of datagrams that carried the claim.
+    levels: Vec<VecDeque<RelayPlace>>,
+    places: usize,
+    serials: u32,
+}
+
+impl RelayQueue {
+    /// Lets the present claim about `node` ride on `relays` more datagrams.
+    pub fn push(&mut self, table: &mut table::MemberTable, node: ident::NodeId, relays: u8) {
+        let Some(record) = table.get_mut(node) else {
+            return;
+        };
+        self.serials = self.serials.wrapping_add(1);
+        let serial = self.serials;
+        record.relays = relays;
+        record.relay_serial = serial;
+        self.put(0, RelayPlace { node, serial });
+        // Without the sweep, claims that replace one another fast would let the queue outgrow the
+        // table.
+        if self.places > 2 * table.all().len() + STALE_LIMIT {
+            self.sweep(table);
+        }
+    }
+
+    /// Takes the identities whose claims go on one datagram of at most `bytes` of updates.
+    pub fn take(&mut self, table: &mut table::MemberTable, bytes: usize) -> Vec<ident::NodeId> {
+        let mut taken = Vec::new();
+        let mut left = bytes;
+        let mut told = Vec::new();
+        for level in 0..self.levels.len() {
+            while let Some(place) = self.levels[level].pop_front() {
+                self.places -= 1;
+                if !is_current(table, place) {
+                    continue;
+                }
+                let Some(record) = table.get_mut(place.node) else {
+                    continue;
+                };
+                let size = claim_bytes(record);
+                if size > left {
+                    self.levels[level].push_front(place);
+                    self.places += 1;
+                    break;
+                }
+                left -= size;
+                taken.push(place.node);
+                record.relays -= 1;
+                if record.relays > 0 {
+                    told.push((level + 1, place));
+                }
+            }
+        }
+        for (level, place) in told {
+            self.put(level, place);
+        }
+        taken
+    }
+
+    fn put(&mut self, level: usize, place: RelayPlace) {
+        if level >= self.levels.len() {
+            self.levels.resize_with(level + 1, VecDeque::new);
+        }
+        self.levels[level].push_back(place);
+        self.places += 1;
+    }
+
+    fn sweep(&mut self, table: &table::MemberTable) {
+        for level in &mut self.levels {
+            level.retain(|place| is_current(table, *place));
+        }
+        self.places = self.levels.iter().map(VecDeque::len).sum();
+    }
+
+    /// Members that wait.
+    pub fn len(&self) -> usize {
+        self.places
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places == 0
+    }
+}
+
+fn is_current(table: &table::MemberTable, place: RelayPlace) -> bool {
+    let record = table.get(place.node);
+    record.is_some_and(|r| r.relay_serial == place.serial && r.relays > 0)
+}
+
+/// Upper bound of the encoded claim about `record`, in bytes.
+pub fn claim_bytes(record: &member::MemberRecord) -> usize {
+    if record.state != member::MemberState::Alive {
+        return SHORT_CLAIM_BYTES;
+    }
+    let facts = &record.facts;
+    let service = facts.service.as_ref().map_or(0, |s| s.as_str().len());
+    let names = facts.zone.as_str().len() + facts.region.as_str().len() + service;
+    SHORT_CLAIM_BYTES + FACTS_BYTES + names
+}
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -1,11 +1,239 @@
-//! Membership and rule distribution messages.
+//! Membership and rule distribution messages; see `docs/design/membership.md`.
 
+use std::net::SocketAddr;
+
+use anvil_types::{ident, name};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+/// What a node tells about itself; the others keep it as told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberFacts {
+    /// Where the node accepts peer connections.
+    pub tcp: SocketAddr,
+    /// Where the node accepts datagrams.
+    pub udp: SocketAddr,
+    /// The availability zone it stands in.
+    pub zone: name::ZoneName,
+    /// The region it stands in.
+    pub region: name::RegionName,
+    /// The service of the local target, where one announced itself.
+    pub service: Option<name::ServiceName>,
+    /// Requests that the local target runs at once.
+    pub slots: u32,
+    /// Whether the node or its target is leaving.
+    pub leaving: bool,
+    /// The contact slot of its zone that it holds in the store, where it holds one.
+    pub contact: Option<u8>,
+}
+
+/// How a member stands, in the order in which claims of one incarnation override each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberStanding {
+    /// Alive, with the facts of this incarnation.
+    Alive(Box<MemberFacts>),
+    /// Did not answer `by`'s probe; it has some seconds to refute.
+    Suspect {
+        /// The node whose probe failed.
+        by: ident::NodeId,
+    },
+    /// Did not refute a suspicion.
+    Gone,
+    /// Said that it left.
+    Left,
+}
+
+/// One claim about one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberUpdate {
+    /// The member.
+    pub node: ident::NodeId,
+    /// The member's own counter of its claims; only the member raises it.
+    pub incarnation: u32,
+    /// The claim.
+    pub standing: MemberStanding,
+}
+
+/// One member in short, to find what two nodes know differently.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberHeader {
+    /// The member.
+    pub node: ident::NodeId,
+    /// Its incarnation as known.
+    pub incarnation: u32,
+}
+
+/// One accepted change of the rules as the store's log holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoggedChange {
+    /// The revision that the change made.
+    pub revision: ident::RuleRevision,
+    /// The operator's own id of the change.
+    pub change: u128,
+    /// The encoded change; see `docs/design/rule-distribution.md`.
+    pub body: Bytes,
+}
+
+/// The start of each datagram and bulk message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipHead {
+    /// The sender.
+    pub from: ident::NodeId,
+    /// The sender's incarnation.
+    pub incarnation: u32,
+    /// The rule revision that the sender has in force.
+    pub revision: ident::RuleRevision,
+}
+
+/// What a datagram is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipKind {
+    /// A newcomer, which knows only the address, asks for a few members.
+    Join,
+    /// Answers a join with the sender and members drawn at random, so that newcomers spread over
+    /// the fleet.
+    Welcome,
+    /// Asks `to` for an [`GossipKind::Ack`].
+    Ping {
+        /// Counts the sender's probes.
+        probe: u32,
+        /// The node that the sender expects at the address.
+        to: ident::NodeId,
+    },
+    /// Answers a ping, directly or through a helper.
+    Ack {
+        /// The probe answered.
+        probe: u32,
+        /// The node that answered.
+        of: ident::NodeId,
+    },
+    /// A helper got no answer in time, so the asker's own connection is not at fault.
+    Nack {
+        /// The probe that failed.
+        probe: u32,
+    },
+    /// Asks a helper to ping `target`.
+    PingRequest {
+        /// The asker's probe.
+        probe: u32,
+        /// Whom to ping; the helper knows the address.
+        target: ident::NodeId,
+    },
+    /// Carries updates only, sent at once when something changed.
+    Rumour,
+    /// The receiver is unknown to the sender and should tell its facts.
+    Introduce,
+    /// Asks for the accepted changes behind `after`.
+    PullChanges {
+        /// The revision that the asker holds.
+        after: ident::RuleRevision,
+    },
+    /// Accepted changes that fit a datagram, in order.
+    Changes(Vec<LoggedChange>),
+    /// A question or reply about who has a revision in force.
+    Census(CensusMessage),
+}
+
 /// One datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GossipMessage {}
+pub struct GossipMessage {
+    /// Who sends it.
+    pub head: GossipHead,
+    /// What it is for.
+    pub kind: GossipKind,
+    /// Claims about members, a few at a time.
+    pub updates: Vec<MemberUpdate>,
+}
+
+/// Counts who has a revision in force, down and up a tree over the sorted node identities.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CensusMessage {
+    /// Asks the receiver to count the members from `first` to `last`, both included.
+    Ask {
+        /// The asker's number of the question.
+        census: u32,
+        /// The revision asked about.
+        revision: ident::RuleRevision,
+        /// Lowest identity of the part.
+        first: ident::NodeId,
+        /// Highest identity of the part.
+        last: ident::NodeId,
+        /// Time that the asker waits, in milliseconds.
+        wait_millis: u32,
+    },
+    /// What the part answered.
+    Reply {
+        /// The asker's number of the question.
+        census: u32,
+        /// The sum over the part.
+        count: CensusCount,
+    },
+}
+
+/// A sum over a part of the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CensusCount {
+    /// Members that have the revision, or a later one, in force.
+    pub holding: u32,
+    /// Members that answered with an earlier revision.
+    pub behind: u32,
+    /// Members that did not answer in time.
+    pub silent: u32,
+    /// Some of the members behind or silent, a few.
+    pub lagging: Vec<ident::NodeId>,
+}
 
 /// One bulk message between nodes, over TCP.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SyncMessage {}
+pub enum SyncMessage {
+    /// Sums over the members that the sender knows alive, by bucket of identities; none where a
+    /// newcomer wants them all.
+    Digest {
+        /// The sender.
+        head: GossipHead,
+        /// One sum for each bucket; their number is a power of two, or zero.
+        sums: Vec<u32>,
+    },
+    /// The members alive in the buckets whose sums differed.
+    Headers {
+        /// The sender.
+        head: GossipHead,
+        /// Number of buckets in all.
+        buckets: u32,
+        /// The buckets that differed.
+        differing: Vec<u32>,
+        /// The members that the sender knows alive in them.
+        headers: Vec<MemberHeader>,
+    },
+    /// Claims that the receiver lacks, and identities whose claims the sender lacks.
+    Members {
+        /// The sender.
+        head: GossipHead,
+        /// The claims.
+        updates: Vec<MemberUpdate>,
+        /// The identities.
+        wanted: Vec<ident::NodeId>,
+    },
+    /// Accepted changes too large for a datagram, in order, or a snapshot where the log that the
+    /// receiver needs has been trimmed.
+    Changes {
+        /// The sender.
+        head: GossipHead,
+        /// The whole rules at a revision, where the changes alone don't suffice.
+        snapshot: Option<LoggedChange>,
+        /// The changes behind the snapshot or behind the receiver's revision.
+        changes: Vec<LoggedChange>,
+    },
+}
+
+impl SyncMessage {
+    /// Who sends it.
+    pub fn head(&self) -> GossipHead {
+        match self {
+            Self::Digest { head, .. }
+            | Self::Headers { head, .. }
+            | Self::Members { head, .. }
+            | Self::Changes { head, .. } => *head,
+        }
+    }
+}
