Bound what a frame can make its receiver hold

A frame within its limit could make the receiver reserve many times its size, because a header line takes two bytes on the wire and about fifty in memory. Lists of header lines now end at 1,024 entries, and memory grows only with entries that are there.

--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -4,6 +4,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::bounded;
+
+/// Most header lines of one request or answer that a node takes from another.
+pub const HEADER_LINES: usize = 1_024;
+
 /// One header line; the name is lower case.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeaderLine {
@@ -22,7 +27,8 @@
     pub method: String,
     /// Path and query, as sent.
     pub path: String,
-    /// End-to-end headers, in order.
+    /// End-to-end headers, in order; at most [`HEADER_LINES`].
+    #[serde(deserialize_with = "bounded::list::<_, _, HEADER_LINES>")]
     pub headers: Vec<HeaderLine>,
     /// The whole body.
     pub body: Bytes,
@@ -33,7 +39,8 @@
 pub struct CallAnswer {
     /// HTTP status.
     pub status: u16,
-    /// End-to-end headers, in order.
+    /// End-to-end headers, in order; at most [`HEADER_LINES`].
+    #[serde(deserialize_with = "bounded::list::<_, _, HEADER_LINES>")]
     pub headers: Vec<HeaderLine>,
     /// The whole body.
     pub body: Bytes,
--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Calls and bulk travel as [`frame::PeerFrame`] over TCP, membership as
 //! [`gossip::GossipMessage`] over UDP. Both are `postcard`; see `docs/ARCHITECTURE.md`.
 
+pub mod bounded;
 pub mod call;
 pub mod codec;
 pub mod frame;
