--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -1,3 +1,14 @@
-//! Stand-ins for what surrounds a node, for tests, measurements and the demo; no binary links it.
+//! Stand-ins for everything outside the system: callers, targets and the platform's store.
+//!
+//! No binary links this package; tests, the demo and the experiment tool do.
 
+pub mod client;
+pub mod experiment;
+pub mod http_target;
+pub mod ledger;
+pub mod load;
+pub mod mesh;
+pub mod process;
+pub mod report;
+pub mod scenario;
 pub mod target;
