--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -89,7 +89,8 @@
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
             }
-            event::NodeEvent::DatagramArrived { message, .. } => match message {},
+            // Membership is not joined to the reducer yet.
+            event::NodeEvent::DatagramArrived { .. } => {}
             event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
             event::NodeEvent::TargetAnnounced(announcement) => {
                 self.target_announced(announcement);
@@ -111,7 +112,7 @@
             frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
             frame::PeerFrame::Cancel { call, attempt } => self.attempt_cancelled(call, attempt),
             frame::PeerFrame::Key(message) => match *message {},
-            frame::PeerFrame::Sync(message) => match *message {},
+            frame::PeerFrame::Sync(_) => {}
         }
     }
 
