--- /dev/null
+++ b/crates/anvil_core/src/admitting.rs
@@ -0,0 +1,255 @@
+//! The reducer's side of the queue in front of the local target.
+
+use anvil_overload::{admission, limit, quarantine, rank, refusal};
+use anvil_types::{ident, verdict};
+use anvil_wire::{call, frame};
+
+use crate::{effect, event, overload, reducer, runs, stopping, timers};
+
+impl reducer::NodeReducer {
+    /// Why this node refuses a call at once, before it is queued.
+    pub(crate) fn refusal_at_target(
+        &self,
+        call: &call::PeerCall,
+    ) -> Option<overload::RefusalCause> {
+        let by = self.config.node;
+        let cause = |reason, limit| Some(overload::RefusalCause { reason, limit, by });
+        // A replaced instance may offer another service at the address the caller's node knew.
+        let offered = self.target.as_ref().filter(|target| {
+            !target.leaving && target.announcement.service == call.request.service
+        });
+        if self.refuses_runs() || offered.is_none() {
+            return cause(
+                verdict::RefusalReason::Leaving,
+                refusal::RefusalLimit::Leaving,
+            );
+        }
+        if call.context.remaining_micros == 0 {
+            return cause(
+                verdict::RefusalReason::Deadline,
+                refusal::RefusalLimit::Deadline,
+            );
+        }
+        if let Some(limit) = self.quarantine_of(call.context.print) {
+            return cause(verdict::RefusalReason::Quarantined, limit);
+        }
+        // Failure: a request starts here whose next service will refuse it. Symptom: the run is
+        // wasted. The line of a service that most runs need is refused on its behalf.
+        let deep = self.deep_line();
+        if !rank::admits(deep.as_ref(), &rank::CallRank::of(&call.context)) {
+            return cause(
+                verdict::RefusalReason::Shed,
+                refusal::RefusalLimit::Cut(deep),
+            );
+        }
+        None
+    }
+
+    pub(crate) fn quarantine_of(&self, print: ident::PrintHash) -> Option<refusal::RefusalLimit> {
+        match self.overload.poison.standing(self.now, print) {
+            quarantine::PrintStanding::Quarantined { seen, allowed, .. } => {
+                Some(refusal::RefusalLimit::Crashes { seen, allowed })
+            }
+            quarantine::PrintStanding::Clean | quarantine::PrintStanding::Suspect => None,
+        }
+    }
+
+    /// Hands an accepted run to the queue.
+    pub(crate) fn offer_run(&mut self, id: event::RunId) {
+        let now = self.now;
+        let Some(run) = self.runs.get(id) else {
+            return;
+        };
+        let standing = self.overload.poison.standing(now, run.context.print);
+        let waiting = admission::WaitingCall {
+            id: id.0,
+            rank: rank::CallRank::of(&run.context),
+            deadline: run.deadline,
+            queue_wait: run.treatment.queue_wait,
+            suspect: standing == quarantine::PrintStanding::Suspect,
+        };
+        let Some(admission) = &mut self.overload.admission else {
+            return;
+        };
+        let decisions = admission.offer(now, waiting);
+        self.apply_decisions(decisions);
+    }
+
+    pub(crate) fn apply_decisions(&mut self, decisions: Vec<admission::AdmissionDecision>) {
+        for decision in decisions {
+            match decision {
+                admission::AdmissionDecision::Start(id) => self.start_run(event::RunId(id)),
+                admission::AdmissionDecision::Refuse { id, reason, limit } => {
+                    let by = self.config.node;
+                    let cause = overload::RefusalCause { reason, limit, by };
+                    self.refuse_run(event::RunId(id), cause);
+                }
+            }
+        }
+        self.ask_admission_wake();
+    }
+
+    pub(crate) fn admission_woke(&mut self) {
+        self.overload.wake = None;
+        let now = self.now;
+        if let Some(admission) = &mut self.overload.admission {
+            let decisions = admission.wake(now);
+            self.apply_decisions(decisions);
+        }
+    }
+
+    /// Frees the slot or the place of a run that ended, and starts what comes next.
+    pub(crate) fn release_run(
+        &mut self,
+        id: event::RunId,
+        run: &runs::TargetRun,
+        verdict: verdict::CallVerdict,
+    ) -> Vec<admission::AdmissionDecision> {
+        let now = self.now;
+        let Some(admission) = &mut self.overload.admission else {
+            return Vec::new();
+        };
+        let Some(started) = run.started else {
+            admission.cancel(now, id.0);
+            return Vec::new();
+        };
+        self.overload.dependencies.run_ended(run.waits.called());
+        let sample = limit::RunSample {
+            latency: now.since(started),
+            downstream: run.waits.total(now),
+            end: run_end(run, verdict),
+        };
+        admission.finish(now, id.0, sample)
+    }
+
+    /// Follows an announcement: a new queue for a new target, a new ramp for one that crashed.
+    pub(crate) fn announce_admission(&mut self, slots: u32, renewed: bool) {
+        let now = self.now;
+        let crashed = std::mem::take(&mut self.overload.crashed);
+        let policy = self.overload.policy;
+        let decisions = match &mut self.overload.admission {
+            Some(admission) if renewed => {
+                if crashed {
+                    admission.restart(now);
+                }
+                admission.announce(now, slots)
+            }
+            former => {
+                let left = former.as_mut().map(admission::AdmissionQueue::leave);
+                *former = Some(admission::AdmissionQueue::new(now, slots, policy));
+                left.unwrap_or_default()
+            }
+        };
+        self.apply_decisions(decisions);
+    }
+
+    /// Refuses what waits for a target that leaves, so that it runs elsewhere in time.
+    pub(crate) fn leave_admission(&mut self) {
+        if let Some(admission) = &mut self.overload.admission {
+            let decisions = admission.leave();
+            self.apply_decisions(decisions);
+        }
+    }
+
+    /// Notes at the quarantine how a run ended, and tells the peers of a crash.
+    pub(crate) fn judge_run(&mut self, id: event::RunId, outcome: &event::RunOutcome) {
+        let now = self.now;
+        let Some(service) = self.runs.get(id).map(|run| run.service.clone()) else {
+            return;
+        };
+        let whole = matches!(outcome, event::RunOutcome::Whole(_));
+        if !matches!(outcome, event::RunOutcome::Broken { .. }) {
+            self.overload.poison.ended(id.0, whole);
+            return;
+        }
+        self.overload.crashed = true;
+        let Some(notice) = self.overload.poison.broke(now, id.0, &service) else {
+            return;
+        };
+        self.counters.targets_crashed += 1;
+        self.spread_suspicion(&notice);
+    }
+
+    pub(crate) fn spread_suspicion(&mut self, notice: &anvil_wire::suspicion::SuspicionNotice) {
+        if !self.overload.policy.quarantine {
+            return;
+        }
+        let node = self.config.node;
+        for (peer, address) in self.directory.nodes_of(&notice.service) {
+            if peer == node || peer == notice.crash.node {
+                continue;
+            }
+            let frame = frame::PeerFrame::Suspicion(Box::new(notice.clone()));
+            self.send_frame(peer, address, frame);
+        }
+    }
+
+    fn start_run(&mut self, id: event::RunId) {
+        if self.phase == stopping::NodePhase::Gone {
+            return;
+        }
+        let now = self.now;
+        let address = self
+            .target
+            .as_ref()
+            .map(|target| target.announcement.address);
+        let (Some(address), Some(run)) = (address, self.runs.start(id, now)) else {
+            return;
+        };
+        let Some(request) = run.request.take() else {
+            return;
+        };
+        let order = effect::RunOrder {
+            run: id,
+            address,
+            request,
+            root: run.context.request,
+            timeout: run.deadline.since(now),
+        };
+        let (print, rule) = (run.context.print, overload::crash_rule(&run.treatment));
+        self.overload.poison.started(id.0, print, rule);
+        self.counters.runs_started += 1;
+        self.effects
+            .push(effect::NodeEffect::RunTarget(Box::new(order)));
+    }
+
+    fn refuse_run(&mut self, id: event::RunId, cause: overload::RefusalCause) {
+        let Some(run) = self.runs.get(id) else {
+            return;
+        };
+        let (service, context, mark) = (run.service.clone(), run.context, run.mark);
+        self.note_refusal(&service, &context, mark, cause);
+        self.counters.runs_refused += 1;
+        self.finish_run(id, verdict::CallVerdict::NotRun(cause.reason), None);
+    }
+
+    fn ask_admission_wake(&mut self) {
+        let next = self
+            .overload
+            .admission
+            .as_ref()
+            .and_then(admission::AdmissionQueue::next_wake);
+        let Some(next) = next else {
+            return;
+        };
+        if self.overload.wake.is_none_or(|wake| next < wake) {
+            self.overload.wake = Some(next);
+            self.timers.set(next, timers::TimerKind::Admission);
+        }
+    }
+}
+
+fn run_end(run: &runs::TargetRun, verdict: verdict::CallVerdict) -> limit::RunEnd {
+    match verdict {
+        verdict::CallVerdict::Answered => limit::RunEnd::Whole,
+        verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed) => limit::RunEnd::Refused,
+        verdict::CallVerdict::MayHaveRun(_) if run.expired => limit::RunEnd::TimedOut,
+        verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Deadline) => limit::RunEnd::TimedOut,
+        verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled) => {
+            limit::RunEnd::Cancelled
+        }
+        verdict::CallVerdict::NotRun(_) | verdict::CallVerdict::MayHaveRun(_) => {
+            limit::RunEnd::Failed
+        }
+    }
+}
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use anvil_overload::{allowance, rank, refusal};
 use anvil_types::{context, ident, sorted, time, treatment};
 use anvil_wire::call;
 
@@ -30,6 +31,12 @@
     pub request: call::CallRequest,
     /// The context, of which the deadline is kept apart.
     pub context: context::CallContext,
+    /// Retries that the call may still spend or lend to its attempts.
+    pub allowance: allowance::ChainAllowance,
+    /// Whether the call holds the allowance of its root request at this node.
+    pub holds_root: bool,
+    /// The limit that refused the last attempt, and the node that it belongs to.
+    pub refused: Option<(refusal::RefusalLimit, ident::NodeId)>,
     /// What the rules decided.
     pub treatment: treatment::RuleTreatment,
     /// Which rule decided.
@@ -49,6 +56,11 @@
 }
 
 impl OpenCall {
+    /// Where the request stands among others.
+    pub fn rank(&self) -> rank::CallRank {
+        rank::CallRank::of(&self.context)
+    }
+
     /// Whether the current attempt is out at `node`.
     pub fn is_out_at(&self, node: ident::NodeId) -> bool {
         matches!(self.stage, CallStage::Out { peer, .. } if peer == node)
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -28,6 +28,10 @@
     pub runs_failed: u64,
     /// Calls of other nodes refused before they ran.
     pub runs_refused: u64,
+    /// Crashes of the local target seen by broken runs.
+    pub targets_crashed: u64,
+    /// Retries that the node's ratio did not allow.
+    pub retries_over_ratio: u64,
     /// Runs cancelled because their caller or parent was gone.
     pub runs_cancelled: u64,
 }
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use anvil_types::{ident, name, sorted};
+use anvil_overload::{policy, routing};
+use anvil_types::{ident, name, sorted, time};
+use anvil_wire::call;
 
 /// One node whose target offers a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,35 +13,57 @@
     pub address: SocketAddr,
     /// The service of its target.
     pub service: name::ServiceName,
+    /// The availability zone it stands in.
+    pub zone: name::ZoneName,
+    /// Requests that its target can run at once.
+    pub slots: u32,
     /// Whether the node or its target is leaving.
     pub leaving: bool,
 }
 
-/// Why no target was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChoiceError {
-    /// Nobody ever announced the service.
-    Unknown,
-    /// Every target of the service is gone, leaving or excluded.
-    Nobody,
-}
-
-/// All known targets, chosen from in turn.
-#[derive(Clone, Debug, Default)]
+/// All known targets, and the choice among them.
+#[derive(Debug)]
 pub struct PeerDirectory {
     peers: sorted::SortedTable<ident::NodeId, PeerRecord>,
-    turn: usize,
+    routes: routing::RouteTable,
 }
 
 impl PeerDirectory {
+    /// The directory of a node in `zone` that knows nobody yet.
+    pub fn new(zone: name::ZoneName, seed: u64, policy: policy::OverloadPolicy) -> Self {
+        Self {
+            peers: sorted::SortedTable::default(),
+            routes: routing::RouteTable::new(zone, seed, policy),
+        }
+    }
+
     /// Learns or renews a node.
-    pub fn upsert(&mut self, node: ident::NodeId, record: PeerRecord) {
+    pub fn upsert(&mut self, now: time::NodeTime, node: ident::NodeId, record: PeerRecord) {
+        let target = routing::TargetRecord {
+            node,
+            address: record.address,
+            zone: record.zone.clone(),
+            slots: record.slots,
+            leaving: record.leaving,
+        };
+        let former = self.peers.get(node).map(|known| &known.service);
+        if let Some(former) = former.filter(|former| **former != record.service) {
+            self.routes.remove(former, node);
+        }
+        self.routes.upsert(now, &record.service, &target);
         self.peers.insert(node, record);
     }
 
     /// Forgets a node.
     pub fn remove(&mut self, node: ident::NodeId) {
-        self.peers.remove(node);
+        if let Some(known) = self.peers.remove(node) {
+            self.routes.remove(&known.service, node);
+        }
+    }
+
+    /// A known node.
+    pub fn get(&self, node: ident::NodeId) -> Option<&PeerRecord> {
+        self.peers.get(node)
     }
 
     /// All known nodes.
@@ -47,32 +71,50 @@
         self.peers.iter()
     }
 
-    /// Chooses a node for `service` outside of `tried`, or again from all where none is left.
+    /// Chooses a node outside of those excluded, or again from all where none is left.
     pub fn choose(
         &mut self,
-        service: &name::ServiceName,
-        tried: &[ident::NodeId],
-    ) -> Result<(ident::NodeId, SocketAddr), ChoiceError> {
-        let all: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, record)| record.service == *service)
-            .collect();
-        if all.is_empty() {
-            return Err(ChoiceError::Unknown);
-        }
-        let mut fit: Vec<_> = all
-            .iter()
-            .filter(|(node, record)| !record.leaving && !tried.contains(node))
-            .collect();
-        if fit.is_empty() {
-            fit = all.iter().filter(|(_, record)| !record.leaving).collect();
-        }
-        if fit.is_empty() {
-            return Err(ChoiceError::Nobody);
+        now: time::NodeTime,
+        query: routing::RouteQuery<'_>,
+    ) -> routing::RouteChoice {
+        let choice = self.routes.choose(now, query);
+        if choice != routing::RouteChoice::NoTarget || query.exclude.is_empty() {
+            return choice;
         }
-        self.turn = self.turn.wrapping_add(1);
-        let (node, record) = fit[self.turn % fit.len()];
-        Ok((*node, record.address))
+        let exclude = &[];
+        self.routes
+            .choose(now, routing::RouteQuery { exclude, ..query })
+    }
+
+    /// Counts a request that left for `node`.
+    pub fn sent(&mut self, service: &name::ServiceName, node: ident::NodeId) {
+        self.routes.sent(service, node);
+    }
+
+    /// Counts the end of an attempt, with the load that its answer told.
+    pub fn ended(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+        end: routing::AttemptEnd,
+        load: Option<&call::LoadReport>,
+    ) {
+        self.routes.ended(now, service, node, end, load);
+    }
+
+    /// The cut line below which no target of `service` takes a request.
+    pub fn line(&self, now: time::NodeTime, service: &name::ServiceName) -> Option<call::CutLine> {
+        self.routes.line(now, service)
+    }
+
+    /// Nodes beside the targets of `service`, with their addresses.
+    pub fn nodes_of(&self, service: &name::ServiceName) -> Vec<(ident::NodeId, SocketAddr)> {
+        self.routes.nodes(service).collect()
+    }
+
+    /// What is known of each target, for the dump.
+    pub fn routes(&self) -> &routing::RouteTable {
+        &self.routes
     }
 }
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -3,20 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_overload::{refusal, routing};
 use anvil_types::{context, ident, treatment, verdict};
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
-use crate::{calls, directory, effect, event, reducer, stopping, timers};
-
-/// Refusals by leaving or unreachable nodes that one call follows without spending a retry.
-///
-/// Such an attempt put no load on any target; four cover a rack that leaves at once, and the
-/// bound keeps a call from wandering through a service that is shutting down.
-const REDIRECT_LIMIT: u8 = 4;
-
-/// When a caller is told to come back after a refusal for want of capacity.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+use crate::{calls, effect, event, reducer, timers};
 
 impl reducer::NodeReducer {
     pub(crate) fn call_arrived(
@@ -28,8 +20,9 @@
         self.counters.calls_arrived += 1;
         let (treatment, mark) = self.book.decide(&request);
         let parent = hints.parent.map(|token| token.0);
+        let sequence = self.calls.mint();
         let context = match parent {
-            Some(run) => self.child_context(run, &request, &treatment, hints),
+            Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
             None => Some(self.root_context(&request, &treatment, hints)),
         };
         let Some(context) = context else {
@@ -38,18 +31,14 @@
             self.reply(handle, reply);
             return;
         };
-        if let Some(reason) = self.refusal_at_entry(&treatment) {
-            let mut reply = refusal(reason, mark);
-            reply.request = context.request;
-            self.reply(handle, reply);
-            return;
-        }
-        let sequence = self.calls.mint();
         let deadline = self.now + Duration::from_micros(context.remaining_micros);
         let call = calls::OpenCall {
             handle,
             request,
             context,
+            allowance: self.call_allowance(context.retries_left),
+            holds_root: false,
+            refused: None,
             treatment,
             mark,
             deadline,
@@ -62,18 +51,11 @@
         self.calls.open(sequence, Box::new(call));
         self.timers
             .set(deadline, timers::TimerKind::CallDeadline(sequence));
-        self.dispatch_attempt(sequence);
-    }
-
-    fn refusal_at_entry(
-        &self,
-        treatment: &treatment::RuleTreatment,
-    ) -> Option<verdict::RefusalReason> {
-        if treatment.action == treatment::RuleAction::Refuse {
-            return Some(verdict::RefusalReason::Rule);
+        if let Some(reason) = self.refusal_at_entry(sequence) {
+            self.end_call(sequence, not_run(reason), None);
+            return;
         }
-        self.refuses_callers()
-            .then_some(verdict::RefusalReason::Leaving)
+        self.dispatch_attempt(sequence);
     }
 
     fn root_context(
@@ -104,6 +86,7 @@
     fn child_context(
         &mut self,
         run: event::RunId,
+        sequence: u64,
         request: &call::CallRequest,
         treatment: &treatment::RuleTreatment,
         hints: &event::CallerHints,
@@ -113,11 +96,9 @@
         // The grant leaves the parent's allowance until the child's answer brings back what it
         // did not spend; so parallel children can't spend the same retry twice.
         let granted = parent
-            .context
-            .retries_left
-            .div_ceil(2)
-            .min(treatment.chain_retries);
-        parent.context.retries_left -= granted;
+            .allowance
+            .lend_child(sequence, treatment.chain_retries);
+        parent.waits.begin(now, &request.service);
         let left = parent.deadline.since(now);
         let wait = hints.timeout.unwrap_or(treatment.deadline);
         let wait = wait.min(treatment.deadline).min(left);
@@ -143,33 +124,60 @@
             self.end_call(sequence, not_run(verdict::RefusalReason::Deadline), None);
             return;
         }
-        let choice = self.directory.choose(&open.request.service, &open.tried);
-        match choice {
-            Ok((peer, address)) => self.send_attempt(sequence, peer, address),
-            Err(directory::ChoiceError::Unknown) => {
-                self.end_call(
-                    sequence,
-                    not_run(verdict::RefusalReason::UnknownService),
-                    None,
-                );
+        let query = routing::RouteQuery {
+            service: &open.request.service,
+            rank: open.rank(),
+            exclude: &open.tried,
+        };
+        match self.directory.choose(self.now, query) {
+            routing::RouteChoice::Target {
+                node,
+                address,
+                near,
+            } => {
+                self.send_attempt(sequence, node, address, near);
+            }
+            routing::RouteChoice::Shed(line) => {
+                let limit = refusal::RefusalLimit::Cut(Some(line));
+                self.refuse_call(sequence, verdict::RefusalReason::Shed, limit);
             }
-            Err(directory::ChoiceError::Nobody) => {
-                self.end_call(sequence, not_run(verdict::RefusalReason::NoTarget), None);
+            routing::RouteChoice::NoTarget => {
+                let limit = refusal::RefusalLimit::Other;
+                self.refuse_call(sequence, verdict::RefusalReason::NoTarget, limit);
+            }
+            routing::RouteChoice::UnknownService => {
+                let limit = refusal::RefusalLimit::Other;
+                self.refuse_call(sequence, verdict::RefusalReason::UnknownService, limit);
             }
         }
     }
 
-    fn send_attempt(&mut self, sequence: u64, peer: ident::NodeId, address: SocketAddr) {
+    fn send_attempt(
+        &mut self,
+        sequence: u64,
+        peer: ident::NodeId,
+        address: SocketAddr,
+        near: bool,
+    ) {
         let node = self.config.node;
         let reply_to = self.config.peer_address;
-        let now = self.now;
+        let Some(remaining) = self.hop_time(sequence, near) else {
+            let limit = refusal::RefusalLimit::Deadline;
+            self.refuse_call(sequence, verdict::RefusalReason::Deadline, limit);
+            return;
+        };
+        let chained = self.overload.policy.chain_allowance;
         let Some(open) = self.calls.get_mut(sequence) else {
             return;
         };
         open.attempts += 1;
         open.stage = calls::CallStage::Out { peer, address };
         let mut context = open.context;
-        context.remaining_micros = micros(open.deadline.since(now));
+        context.remaining_micros = micros(remaining);
+        context.retries_left = match chained {
+            true => open.allowance.lend_attempt(u64::from(open.attempts)),
+            false => 0,
+        };
         let call = call::PeerCall {
             call: ident::CallId { node, sequence },
             attempt: open.attempts,
@@ -181,7 +189,12 @@
         };
         if open.attempts > 1 {
             self.counters.retries += 1;
+        } else {
+            let percent = open.treatment.retry_ratio_percent;
+            self.overload.budget.first_attempt(percent);
         }
+        let service = open.request.service.clone();
+        self.directory.sent(&service, peer);
         self.send_frame(peer, address, frame::PeerFrame::Call(Box::new(call)));
     }
 
@@ -198,65 +211,10 @@
             self.counters.answers_stale += 1;
             return;
         }
-        if let Some(open) = self.calls.get_mut(sequence) {
-            let left = open.context.retries_left;
-            open.context.retries_left = left.saturating_sub(answer.retries_spent);
-        }
+        self.settle_attempt(sequence, &answer);
         self.attempt_ended(sequence, answer.verdict, answer.answer);
     }
 
-    /// Decides what follows the end of an attempt: a reply, a redirect or a retry.
-    fn attempt_ended(
-        &mut self,
-        sequence: u64,
-        verdict: verdict::CallVerdict,
-        answer: Option<call::CallAnswer>,
-    ) {
-        let Some(open) = self.calls.get_mut(sequence) else {
-            return;
-        };
-        if let calls::CallStage::Out { peer, .. } = open.stage {
-            open.tried.push(peer);
-        }
-        open.stage = calls::CallStage::Pausing;
-        if self.phase == stopping::NodePhase::Gone {
-            self.end_call(sequence, verdict, answer);
-            return;
-        }
-        if is_redirect(verdict) && open.redirects < REDIRECT_LIMIT {
-            open.redirects += 1;
-            self.dispatch_attempt(sequence);
-            return;
-        }
-        if !may_retry(verdict, open.treatment.idempotent) || open.context.retries_left == 0 {
-            self.end_call(sequence, verdict, answer);
-            return;
-        }
-        open.context.retries_left -= 1;
-        let step = u32::from(open.attempts.min(6)).saturating_sub(1);
-        let pause = open.treatment.backoff * 2_u32.pow(step);
-        // Half of the pause is random, so that calls refused together do not return together.
-        let jitter = self.random() % (micros(pause) / 2 + 1);
-        let when = self.now + pause / 2 + Duration::from_micros(jitter);
-        let late = self
-            .calls
-            .get(sequence)
-            .is_some_and(|open| when >= open.deadline);
-        if late {
-            self.end_call(sequence, verdict, answer);
-            return;
-        }
-        self.timers
-            .set(when, timers::TimerKind::CallRetry(sequence));
-    }
-
-    pub(crate) fn call_resumes(&mut self, sequence: u64) {
-        let open = self.calls.get(sequence);
-        if open.is_some_and(|open| open.stage == calls::CallStage::Pausing) {
-            self.dispatch_attempt(sequence);
-        }
-    }
-
     pub(crate) fn call_expired(&mut self, sequence: u64) {
         let Some(open) = self.calls.get(sequence) else {
             return;
@@ -297,11 +255,19 @@
             sequence,
         };
         let attempt = open.attempts;
+        let expired = open.deadline <= self.now;
+        self.attempt_given_up(sequence, peer, expired);
+        if !self.overload.policy.cancellation {
+            return;
+        }
         self.send_frame(peer, address, frame::PeerFrame::Cancel { call, attempt });
     }
 
     pub(crate) fn peer_lost(&mut self, peer: ident::NodeId) {
-        for sequence in self.calls.out_at(peer) {
+        let lost = self.calls.out_at(peer);
+        self.suspect_lost(peer, &lost);
+        for sequence in lost {
+            self.lose_attempt(sequence, peer);
             let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::NodeLost);
             self.attempt_ended(sequence, verdict, None);
         }
@@ -319,6 +285,7 @@
                 .get(sequence)
                 .is_some_and(|open| open.attempts == call.attempt && open.is_out_at(peer));
             if current {
+                self.attempt_unsent(sequence, peer);
                 self.attempt_ended(sequence, not_run(verdict::RefusalReason::Unreachable), None);
             }
         }
@@ -334,28 +301,20 @@
         let Some(open) = self.calls.close(sequence) else {
             return;
         };
-        self.return_allowance(&open);
+        self.return_allowance(sequence, &open);
+        self.note_call_refusal(&open, verdict);
         let reply = effect::CallerReply {
             verdict,
             answer,
             request: open.context.request,
             attempts: open.attempts,
             mark: open.mark,
-            retry_after: retry_after(verdict),
+            retry_after: self.retry_after(&open, verdict),
         };
         self.reply(open.handle, reply);
     }
 
-    fn return_allowance(&mut self, open: &calls::OpenCall) {
-        let Some(run) = open.parent else {
-            return;
-        };
-        if let Some(parent) = self.runs.get_mut(run) {
-            parent.context.retries_left += open.context.retries_left;
-        }
-    }
-
-    fn reply(&mut self, handle: event::CallerHandle, reply: effect::CallerReply) {
+    pub(crate) fn reply(&mut self, handle: event::CallerHandle, reply: effect::CallerReply) {
         self.counters.count_reply(reply.verdict);
         self.effects.push(effect::NodeEffect::ReplyCaller {
             handle,
@@ -364,7 +323,7 @@
     }
 }
 
-fn not_run(reason: verdict::RefusalReason) -> verdict::CallVerdict {
+pub(crate) fn not_run(reason: verdict::RefusalReason) -> verdict::CallVerdict {
     verdict::CallVerdict::NotRun(reason)
 }
 
@@ -376,69 +335,11 @@
         request: ident::RequestId(0),
         attempts: 0,
         mark,
-        retry_after: retry_after(verdict),
-    }
-}
-
-fn retry_after(verdict: verdict::CallVerdict) -> Option<Duration> {
-    let verdict::CallVerdict::NotRun(reason) = verdict else {
-        return None;
-    };
-    match reason {
-        verdict::RefusalReason::Shed
-        | verdict::RefusalReason::QueueFull
-        | verdict::RefusalReason::NoTarget
-        | verdict::RefusalReason::Leaving
-        | verdict::RefusalReason::Unreachable
-        | verdict::RefusalReason::KeyUnavailable
-        | verdict::RefusalReason::RulesUnknown
-        | verdict::RefusalReason::AttemptsSpent => Some(RETRY_AFTER),
-        verdict::RefusalReason::UnknownService
-        | verdict::RefusalReason::Deadline
-        | verdict::RefusalReason::Quarantined
-        | verdict::RefusalReason::BodyTooLarge
-        | verdict::RefusalReason::KeyMismatch
-        | verdict::RefusalReason::Cancelled
-        | verdict::RefusalReason::Rule
-        | verdict::RefusalReason::Malformed => None,
-    }
-}
-
-fn is_redirect(verdict: verdict::CallVerdict) -> bool {
-    matches!(
-        verdict,
-        verdict::CallVerdict::NotRun(
-            verdict::RefusalReason::Leaving | verdict::RefusalReason::Unreachable
-        )
-    )
-}
-
-/// A non-idempotent request is repeated only where it is proved that it did not run.
-fn may_retry(verdict: verdict::CallVerdict, idempotent: bool) -> bool {
-    match verdict {
-        verdict::CallVerdict::Answered => false,
-        verdict::CallVerdict::NotRun(reason) => matches!(
-            reason,
-            verdict::RefusalReason::QueueFull
-                | verdict::RefusalReason::Shed
-                | verdict::RefusalReason::Leaving
-                | verdict::RefusalReason::NoTarget
-                | verdict::RefusalReason::Unreachable
-        ),
-        verdict::CallVerdict::MayHaveRun(reason) => match reason {
-            verdict::DoubtReason::ConnectionLost
-            | verdict::DoubtReason::AnswerCut
-            | verdict::DoubtReason::NodeLost
-            | verdict::DoubtReason::Stopped => idempotent,
-            verdict::DoubtReason::Deadline
-            | verdict::DoubtReason::RecordLost
-            | verdict::DoubtReason::Cancelled
-            | verdict::DoubtReason::InProgress => false,
-        },
+        retry_after: None,
     }
 }
 
-fn micros(span: Duration) -> u64 {
+pub(crate) fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -447,7 +348,7 @@
     Some(ident::RequestKey::of(request.service.as_str(), key))
 }
 
-fn print_of(request: &call::CallRequest) -> ident::PrintHash {
+pub(crate) fn print_of(request: &call::CallRequest) -> ident::PrintHash {
     let mut hasher = xxh3::Xxh3::new();
     for part in [request.service.as_str(), &request.method, &request.path] {
         hasher.update(part.as_bytes());
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing in here reads a clock, opens a socket or takes a lock; a rerun of recorded events
 //! gives the same effects. See `docs/ARCHITECTURE.md`.
 
+mod admitting;
 pub mod calls;
 pub mod config;
 pub mod counters;
@@ -11,9 +12,12 @@
 mod entry;
 pub mod event;
 mod operator;
+mod overload;
 pub mod reducer;
+mod retrying;
 pub mod rulebook;
 pub mod runs;
 mod serving;
 mod stopping;
 pub mod timers;
+pub mod waits;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -3,7 +3,7 @@
 use anvil_wire::call;
 use serde_json::json;
 
-use crate::{calls, event, reducer, runs};
+use crate::{calls, entry, event, reducer, runs};
 
 impl reducer::NodeReducer {
     pub(crate) fn operator_asked(
@@ -40,6 +40,8 @@
             "counters": self.counters,
             "calls": calls,
             "runs": runs,
+            "overload": self.overload,
+            "routes": self.directory.routes(),
         })
     }
 
@@ -71,7 +73,21 @@
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let (treatment, mark) = self.book.decide(request);
-        json!({ "rule": mark, "treatment": treatment })
+        let print = entry::print_of(request);
+        let refusals: Vec<_> = self
+            .overload
+            .refusals
+            .notes()
+            .iter()
+            .filter(|note| note.service == request.service)
+            .collect();
+        json!({
+            "rule": mark,
+            "treatment": treatment,
+            "cut_line": self.directory.line(self.now, &request.service),
+            "quarantine": self.quarantine_of(print),
+            "recent_refusals": refusals,
+        })
     }
 }
 
@@ -82,7 +98,7 @@
         "service": call.request.service,
         "class": call.context.class,
         "attempts": call.attempts,
-        "retries_left": call.context.retries_left,
+        "retries_left": call.allowance.left(),
         "deadline_micros": call.deadline,
         "stage": format!("{:?}", call.stage),
         "rule": call.mark,
--- /dev/null
+++ b/crates/anvil_core/src/overload.rs
@@ -0,0 +1,108 @@
+//! The state modules of `anvil_overload` that one node holds.
+
+use anvil_overload::{admission, dependency, policy, quarantine, rank, ratio, refusal, resend};
+use anvil_types::{context, ident, name, time, treatment, verdict};
+use anvil_wire::call;
+use serde::Serialize;
+
+use crate::reducer;
+
+/// What a node knows for its decisions under overload, apart from routes.
+#[derive(Debug, Serialize)]
+pub(crate) struct OverloadState {
+    pub(crate) policy: policy::OverloadPolicy,
+    /// The queue of the local target, once it announced itself.
+    pub(crate) admission: Option<admission::AdmissionQueue>,
+    /// When the reducer last asked to be woken for the queue.
+    #[serde(skip)]
+    pub(crate) wake: Option<time::NodeTime>,
+    /// Whether a run broke since the last announcement.
+    pub(crate) crashed: bool,
+    pub(crate) dependencies: dependency::DependencyTable,
+    #[serde(skip)]
+    pub(crate) resends: resend::ResendLedger,
+    pub(crate) budget: ratio::RetryBudget,
+    pub(crate) poison: quarantine::PoisonList,
+    pub(crate) refusals: refusal::RefusalLog,
+}
+
+impl OverloadState {
+    pub(crate) fn new(node: ident::NodeId, policy: policy::OverloadPolicy) -> Self {
+        Self {
+            policy,
+            admission: None,
+            wake: None,
+            crashed: false,
+            dependencies: dependency::DependencyTable::default(),
+            resends: resend::ResendLedger::default(),
+            budget: ratio::RetryBudget::new(time::NodeTime::START),
+            poison: quarantine::PoisonList::new(node, policy),
+            refusals: refusal::RefusalLog::default(),
+        }
+    }
+}
+
+/// What refused a request and whose limit it was.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusalCause {
+    pub(crate) reason: verdict::RefusalReason,
+    pub(crate) limit: refusal::RefusalLimit,
+    pub(crate) by: ident::NodeId,
+}
+
+impl reducer::NodeReducer {
+    /// The cut line of the services that the local target needs for most of its runs.
+    pub(crate) fn deep_line(&self) -> Option<call::CutLine> {
+        if !self.overload.policy.deep_refusal {
+            return None;
+        }
+        let needed = self.overload.dependencies.needed();
+        let lines = needed.filter_map(|service| self.directory.line(self.now, service));
+        lines.max_by_key(|line| rank::line_level(Some(line)))
+    }
+
+    pub(crate) fn load_report(&mut self) -> call::LoadReport {
+        let now = self.now;
+        let leaving = self.refuses_runs();
+        let deep = self.deep_line();
+        let Some(admission) = &mut self.overload.admission else {
+            return call::LoadReport {
+                leaving: true,
+                ..call::LoadReport::default()
+            };
+        };
+        let mut load = admission.load(now);
+        load.leaving |= leaving;
+        if rank::line_level(deep.as_ref()) > rank::line_level(load.cut.as_ref()) {
+            load.cut = deep;
+        }
+        load
+    }
+
+    /// Keeps why a request was refused, for the operators.
+    pub(crate) fn note_refusal(
+        &mut self,
+        service: &name::ServiceName,
+        context: &context::CallContext,
+        mark: treatment::RuleMark,
+        cause: RefusalCause,
+    ) {
+        self.overload.refusals.push(refusal::RefusalNote {
+            at: self.now,
+            request: context.request,
+            service: service.clone(),
+            reason: cause.reason,
+            limit: cause.limit,
+            by: cause.by,
+            mark,
+        });
+    }
+}
+
+/// What the quarantine needs to know of a rule.
+pub(crate) fn crash_rule(treatment: &treatment::RuleTreatment) -> quarantine::CrashRule {
+    quarantine::CrashRule {
+        limit: treatment.crash_limit,
+        quarantine: treatment.quarantine,
+    }
+}
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -2,11 +2,14 @@
 
 use std::collections::VecDeque;
 
+use anvil_overload::policy;
 use anvil_types::{ident, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
 
-use crate::{calls, config, counters, directory, effect, event, rulebook, runs, stopping, timers};
+use crate::{
+    calls, config, counters, directory, effect, event, overload, rulebook, runs, stopping, timers,
+};
 
 /// The whole state of a node and its transition function.
 ///
@@ -22,6 +25,7 @@
     pub(crate) calls: calls::CallTable,
     pub(crate) runs: runs::RunTable,
     pub(crate) target: Option<runs::LocalTarget>,
+    pub(crate) overload: overload::OverloadState,
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
@@ -32,12 +36,22 @@
 impl NodeReducer {
     /// A node that knows nobody yet; `seed` feeds every random choice it makes.
     pub fn new(config: config::NodeConfig, seed: u64) -> Self {
+        Self::with_policy(config, seed, policy::OverloadPolicy::FULL)
+    }
+
+    /// The same with some safeguards turned off, for experiments.
+    pub fn with_policy(
+        config: config::NodeConfig,
+        seed: u64,
+        policy: policy::OverloadPolicy,
+    ) -> Self {
         Self {
+            directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
+            overload: overload::OverloadState::new(config.node, policy),
             config,
             now: time::NodeTime::START,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             book: rulebook::RuleBook::default(),
-            directory: directory::PeerDirectory::default(),
             calls: calls::CallTable::default(),
             runs: runs::RunTable::default(),
             target: None,
@@ -110,6 +124,9 @@
             frame::PeerFrame::Call(call) => self.peer_called(peer, *call),
             frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
             frame::PeerFrame::Cancel { call, attempt } => self.attempt_cancelled(call, attempt),
+            frame::PeerFrame::Suspicion(notice) => {
+                self.overload.poison.learn(self.now, &notice);
+            }
             frame::PeerFrame::Key(message) => match *message {},
             frame::PeerFrame::Sync(message) => match *message {},
         }
@@ -121,6 +138,7 @@
                 timers::TimerKind::CallDeadline(sequence) => self.call_expired(sequence),
                 timers::TimerKind::CallRetry(sequence) => self.call_resumes(sequence),
                 timers::TimerKind::RunDeadline(run) => self.run_expired(event::RunId(run)),
+                timers::TimerKind::Admission => self.admission_woke(),
                 timers::TimerKind::TargetLease => self.target_lapsed(),
                 timers::TimerKind::Leave => {}
             }
--- /dev/null
+++ b/crates/anvil_core/src/retrying.rs
@@ -0,0 +1,394 @@
+//! What follows the end of an attempt: a reply, a redirect or a retry; see
+//! `docs/design/retries.md`.
+
+use std::time::Duration;
+
+use anvil_overload::{allowance, backoff, deadline, policy, quarantine, refusal, resend, routing};
+use anvil_types::{ident, treatment, verdict};
+use anvil_wire::call;
+
+use crate::{calls, entry, overload, reducer, stopping, timers};
+
+/// Refusals by leaving or unreachable nodes that one call follows without spending a retry.
+///
+/// Such an attempt put no load on any target; four cover a rack that leaves at once, and the
+/// bound keeps a call from wandering through a service that is shutting down.
+const REDIRECT_LIMIT: u8 = 4;
+
+/// Lowest HTTP status that counts against a target when others of its service do better.
+const SERVER_ERROR: u16 = 500;
+
+impl reducer::NodeReducer {
+    /// Why a request is refused before any target is chosen.
+    pub(crate) fn refusal_at_entry(&mut self, sequence: u64) -> Option<verdict::RefusalReason> {
+        let open = self.calls.get(sequence)?;
+        if open.treatment.action == treatment::RuleAction::Refuse {
+            return Some(verdict::RefusalReason::Rule);
+        }
+        if self.refuses_callers() {
+            return Some(verdict::RefusalReason::Leaving);
+        }
+        if let Some(limit) = self.quarantine_of(open.context.print) {
+            self.blame(sequence, limit);
+            return Some(verdict::RefusalReason::Quarantined);
+        }
+        self.begin_root(sequence)
+    }
+
+    /// Draws the allowance of a root request that may have been here before.
+    fn begin_root(&mut self, sequence: u64) -> Option<verdict::RefusalReason> {
+        if !self.overload.policy.chain_allowance {
+            return None;
+        }
+        let open = self.calls.get_mut(sequence)?;
+        if open.parent.is_some() {
+            return None;
+        }
+        let bound = open.treatment.chain_retries;
+        match self
+            .overload
+            .resends
+            .begin(self.now, open.context.request, bound)
+        {
+            resend::ResendGrant::Granted(retries) => {
+                open.allowance = allowance::ChainAllowance::new(retries);
+                open.holds_root = true;
+                None
+            }
+            resend::ResendGrant::Spent => {
+                open.allowance = allowance::ChainAllowance::new(0);
+                self.blame(sequence, refusal::RefusalLimit::ChainRetries(bound));
+                Some(verdict::RefusalReason::AttemptsSpent)
+            }
+        }
+    }
+
+    pub(crate) fn call_allowance(&self, retries: u16) -> allowance::ChainAllowance {
+        let bound = if self.overload.policy.chain_allowance {
+            retries
+        } else {
+            policy::NAIVE_HOP_RETRIES
+        };
+        allowance::ChainAllowance::new(bound)
+    }
+
+    /// Time that the next hop may take.
+    pub(crate) fn hop_time(&self, sequence: u64, near: bool) -> Option<Duration> {
+        let open = self.calls.get(sequence)?;
+        if self.overload.policy.cancellation {
+            deadline::hop_remaining(self.now, open.deadline, near)
+        } else {
+            Some(open.deadline.since(self.now))
+        }
+    }
+
+    /// Ends a call that this node refuses.
+    pub(crate) fn refuse_call(
+        &mut self,
+        sequence: u64,
+        reason: verdict::RefusalReason,
+        limit: refusal::RefusalLimit,
+    ) {
+        self.blame(sequence, limit);
+        self.end_call(sequence, entry::not_run(reason), None);
+    }
+
+    fn blame(&mut self, sequence: u64, limit: refusal::RefusalLimit) {
+        let node = self.config.node;
+        if let Some(open) = self.calls.get_mut(sequence) {
+            open.refused = Some((limit, node));
+        }
+    }
+
+    /// Takes back what an answered attempt did not spend, and learns from its load.
+    pub(crate) fn settle_attempt(&mut self, sequence: u64, answer: &call::PeerAnswer) {
+        let now = self.now;
+        let Some(open) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        let calls::CallStage::Out { peer, .. } = open.stage else {
+            return;
+        };
+        open.allowance
+            .settle(u64::from(answer.attempt), answer.retries_spent);
+        if let verdict::CallVerdict::NotRun(_) = answer.verdict {
+            open.refused = Some((refusal::RefusalLimit::Cut(answer.load.cut), peer));
+        }
+        let end = attempt_end(answer);
+        let service = open.request.service.clone();
+        self.directory
+            .ended(now, &service, peer, end, Some(&answer.load));
+    }
+
+    /// Writes off what was lent to an attempt whose node is lost.
+    pub(crate) fn lose_attempt(&mut self, sequence: u64, peer: ident::NodeId) {
+        self.close_attempt(sequence, peer, routing::AttemptEnd::Lost, u16::MAX);
+    }
+
+    /// Takes back what was lent to an attempt that never left.
+    pub(crate) fn attempt_unsent(&mut self, sequence: u64, peer: ident::NodeId) {
+        self.close_attempt(sequence, peer, routing::AttemptEnd::Lost, 0);
+    }
+
+    /// Writes off an attempt that nobody waits for any more.
+    pub(crate) fn attempt_given_up(&mut self, sequence: u64, peer: ident::NodeId, expired: bool) {
+        let end = if expired {
+            routing::AttemptEnd::Failed
+        } else {
+            routing::AttemptEnd::Fine
+        };
+        self.close_attempt(sequence, peer, end, u16::MAX);
+    }
+
+    fn close_attempt(
+        &mut self,
+        sequence: u64,
+        peer: ident::NodeId,
+        end: routing::AttemptEnd,
+        spent: u16,
+    ) {
+        let now = self.now;
+        let Some(open) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        open.allowance.settle(u64::from(open.attempts), spent);
+        let service = open.request.service.clone();
+        self.directory.ended(now, &service, peer, end, None);
+    }
+
+    /// Suspects the requests that were out at a node when it was lost.
+    pub(crate) fn suspect_lost(&mut self, peer: ident::NodeId, lost: &[u64]) {
+        let Some(service) = self.directory.get(peer).map(|known| known.service.clone()) else {
+            return;
+        };
+        let open = lost.iter().filter_map(|sequence| self.calls.get(*sequence));
+        let prints: Vec<(ident::PrintHash, quarantine::CrashRule)> = open
+            .map(|open| (open.context.print, overload::crash_rule(&open.treatment)))
+            .collect();
+        if prints.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let notice = self.overload.poison.peer_lost(now, peer, &service, &prints);
+        self.spread_suspicion(&notice);
+    }
+
+    /// Decides what follows the end of an attempt.
+    pub(crate) fn attempt_ended(
+        &mut self,
+        sequence: u64,
+        verdict: verdict::CallVerdict,
+        answer: Option<call::CallAnswer>,
+    ) {
+        let Some(open) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        if let calls::CallStage::Out { peer, .. } = open.stage {
+            open.tried.push(peer);
+        }
+        open.stage = calls::CallStage::Pausing;
+        if self.phase == stopping::NodePhase::Gone {
+            self.end_call(sequence, verdict, answer);
+            return;
+        }
+        if is_redirect(verdict) && open.redirects < REDIRECT_LIMIT {
+            open.redirects += 1;
+            self.dispatch_attempt(sequence);
+            return;
+        }
+        match self.retry_pause(sequence, verdict) {
+            Some(pause) => {
+                let when = self.now + pause;
+                self.timers
+                    .set(when, timers::TimerKind::CallRetry(sequence));
+            }
+            None => self.end_call(sequence, verdict, answer),
+        }
+    }
+
+    /// The pause before a retry, which is paid for with it; none where there is to be no retry,
+    /// so that the caller has its final answer at once.
+    fn retry_pause(&mut self, sequence: u64, verdict: verdict::CallVerdict) -> Option<Duration> {
+        let now = self.now;
+        let policy = self.overload.policy;
+        let open = self.calls.get(sequence)?;
+        if !may_retry(verdict, open.treatment.idempotent) || open.allowance.left() == 0 {
+            return None;
+        }
+        let pause = self.pause_of(sequence)?;
+        let open = self.calls.get(sequence)?;
+        if now + pause >= open.deadline || !self.would_be_taken(sequence) {
+            return None;
+        }
+        if policy.retry_ratio && !self.overload.budget.spend(now) {
+            self.counters.retries_over_ratio += 1;
+            let percent = self.calls.get(sequence)?.treatment.retry_ratio_percent;
+            self.blame(sequence, refusal::RefusalLimit::RetryRatio(percent));
+            return None;
+        }
+        let open = self.calls.get_mut(sequence)?;
+        open.allowance.spend().then_some(pause)
+    }
+
+    fn pause_of(&mut self, sequence: u64) -> Option<Duration> {
+        if !self.overload.policy.backoff {
+            return Some(Duration::ZERO);
+        }
+        let open = self.calls.get(sequence)?;
+        let (first, retry) = (open.treatment.backoff, open.attempts);
+        Some(backoff::pause(first, retry, &mut self.rng))
+    }
+
+    /// Whether some target is known that may take the request, so that no caller waits through a
+    /// pause for a refusal that is known beforehand.
+    fn would_be_taken(&mut self, sequence: u64) -> bool {
+        let Some(open) = self.calls.get(sequence) else {
+            return false;
+        };
+        let query = routing::RouteQuery {
+            service: &open.request.service,
+            rank: open.rank(),
+            exclude: &open.tried,
+        };
+        let choice = self.directory.choose(self.now, query);
+        matches!(choice, routing::RouteChoice::Target { .. })
+    }
+
+    pub(crate) fn call_resumes(&mut self, sequence: u64) {
+        let open = self.calls.get(sequence);
+        if open.is_some_and(|open| open.stage == calls::CallStage::Pausing) {
+            self.dispatch_attempt(sequence);
+        }
+    }
+
+    /// Gives back what the call left: to the run that made it, or to later copies of the root.
+    pub(crate) fn return_allowance(&mut self, sequence: u64, open: &calls::OpenCall) {
+        let now = self.now;
+        if !self.overload.policy.chain_allowance {
+            if let Some(parent) = open.parent.and_then(|run| self.runs.get_mut(run)) {
+                parent.waits.end(now);
+            }
+            return;
+        }
+        let Some(run) = open.parent else {
+            let left = open.allowance.left();
+            let dispatched = open.attempts > 0;
+            if open.holds_root {
+                self.overload
+                    .resends
+                    .end(now, open.context.request, left, dispatched);
+            }
+            return;
+        };
+        if let Some(parent) = self.runs.get_mut(run) {
+            parent.allowance.settle(sequence, open.allowance.spent());
+            parent.waits.end(now);
+        }
+    }
+
+    pub(crate) fn note_call_refusal(
+        &mut self,
+        open: &calls::OpenCall,
+        verdict: verdict::CallVerdict,
+    ) {
+        let verdict::CallVerdict::NotRun(reason) = verdict else {
+            return;
+        };
+        let own = (refusal::RefusalLimit::Other, self.config.node);
+        let (limit, by) = open.refused.unwrap_or(own);
+        let cause = overload::RefusalCause { reason, limit, by };
+        self.note_refusal(&open.request.service, &open.context, open.mark, cause);
+    }
+
+    /// When the caller does well to come back.
+    pub(crate) fn retry_after(
+        &self,
+        open: &calls::OpenCall,
+        verdict: verdict::CallVerdict,
+    ) -> Option<Duration> {
+        let verdict::CallVerdict::NotRun(reason) = verdict else {
+            return None;
+        };
+        match reason {
+            verdict::RefusalReason::Shed
+            | verdict::RefusalReason::QueueFull
+            | verdict::RefusalReason::Deadline
+            | verdict::RefusalReason::NoTarget
+            | verdict::RefusalReason::Leaving
+            | verdict::RefusalReason::Unreachable
+            | verdict::RefusalReason::KeyUnavailable
+            | verdict::RefusalReason::RulesUnknown
+            | verdict::RefusalReason::AttemptsSpent => {
+                let line = self.directory.line(self.now, &open.request.service);
+                Some(refusal::retry_after(line.as_ref(), &open.rank()))
+            }
+            verdict::RefusalReason::Quarantined => self.quarantine_left(open),
+            verdict::RefusalReason::UnknownService
+            | verdict::RefusalReason::BodyTooLarge
+            | verdict::RefusalReason::KeyMismatch
+            | verdict::RefusalReason::Cancelled
+            | verdict::RefusalReason::Rule
+            | verdict::RefusalReason::Malformed => None,
+        }
+    }
+
+    fn quarantine_left(&self, open: &calls::OpenCall) -> Option<Duration> {
+        match self.overload.poison.standing(self.now, open.context.print) {
+            quarantine::PrintStanding::Quarantined { left, .. } => Some(left),
+            // The target's node refused it and this one has not heard of the crashes.
+            quarantine::PrintStanding::Clean | quarantine::PrintStanding::Suspect => {
+                Some(open.treatment.quarantine)
+            }
+        }
+    }
+}
+
+fn attempt_end(answer: &call::PeerAnswer) -> routing::AttemptEnd {
+    let status = answer.answer.as_ref().map_or(0, |answer| answer.status);
+    match answer.verdict {
+        verdict::CallVerdict::Answered if status >= SERVER_ERROR => routing::AttemptEnd::Failed,
+        verdict::CallVerdict::Answered => routing::AttemptEnd::Fine,
+        verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable) => {
+            routing::AttemptEnd::Lost
+        }
+        verdict::CallVerdict::NotRun(_) => routing::AttemptEnd::Fine,
+        verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled) => {
+            routing::AttemptEnd::Fine
+        }
+        verdict::CallVerdict::MayHaveRun(_) => routing::AttemptEnd::Failed,
+    }
+}
+
+fn is_redirect(verdict: verdict::CallVerdict) -> bool {
+    matches!(
+        verdict,
+        verdict::CallVerdict::NotRun(
+            verdict::RefusalReason::Leaving | verdict::RefusalReason::Unreachable
+        )
+    )
+}
+
+/// A non-idempotent request is repeated only where it is proved that it did not run.
+fn may_retry(verdict: verdict::CallVerdict, idempotent: bool) -> bool {
+    match verdict {
+        verdict::CallVerdict::Answered => false,
+        verdict::CallVerdict::NotRun(reason) => matches!(
+            reason,
+            verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::Shed
+                | verdict::RefusalReason::Leaving
+                | verdict::RefusalReason::NoTarget
+                | verdict::RefusalReason::Unreachable
+        ),
+        verdict::CallVerdict::MayHaveRun(reason) => match reason {
+            verdict::DoubtReason::ConnectionLost
+            | verdict::DoubtReason::AnswerCut
+            | verdict::DoubtReason::NodeLost
+            | verdict::DoubtReason::Stopped => idempotent,
+            verdict::DoubtReason::Deadline
+            | verdict::DoubtReason::RecordLost
+            | verdict::DoubtReason::Cancelled
+            | verdict::DoubtReason::InProgress => false,
+        },
+    }
+}
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -1,11 +1,10 @@
 //! Calls that this node has accepted for its local target.
 
-use std::collections::VecDeque;
-
-use anvil_types::{context, ident, sorted, time, treatment};
+use anvil_overload::allowance;
+use anvil_types::{context, ident, name, sorted, time, treatment};
 use anvil_wire::call;
 
-use crate::event;
+use crate::{event, waits};
 
 /// The local target as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,16 +37,26 @@
     pub call: ident::CallId,
     /// Its attempt.
     pub attempt: u16,
+    /// The service asked for.
+    pub service: name::ServiceName,
     /// The request, until it is handed to the target.
     pub request: Option<call::CallRequest>,
-    /// The context, whose allowance shrinks as the target's own calls draw on it.
+    /// The context, as it came.
     pub context: context::CallContext,
     /// What the entry node's rules decided.
     pub treatment: treatment::RuleTreatment,
     /// When the caller stops waiting.
     pub deadline: time::NodeTime,
-    /// The allowance that came with the call; what is gone of it at the end was spent below.
-    pub granted: u16,
+    /// Which of the entry node's rules decided.
+    pub mark: treatment::RuleMark,
+    /// The allowance that came with the call, on which the target's own calls draw.
+    pub allowance: allowance::ChainAllowance,
+    /// When it was handed to the target.
+    pub started: Option<time::NodeTime>,
+    /// Whether its deadline passed while it was out.
+    pub expired: bool,
+    /// The target's own calls on its behalf.
+    pub waits: waits::CallWaits,
     /// Whether it is queued or running.
     pub stage: RunStage,
 }
@@ -56,37 +65,32 @@
 #[derive(Clone, Debug, Default)]
 pub struct RunTable {
     runs: sorted::SortedTable<u64, Box<TargetRun>>,
-    queue: VecDeque<u64>,
     running: u32,
     minted: u64,
 }
 
 impl RunTable {
-    /// Accepts a call; it is queued until [`RunTable::start_next`] takes it.
+    /// Accepts a call; it is queued until [`RunTable::start`].
     pub fn accept(&mut self, run: Box<TargetRun>) -> event::RunId {
         self.minted += 1;
         self.runs.insert(self.minted, run);
-        self.queue.push_back(self.minted);
         event::RunId(self.minted)
     }
 
-    /// Marks the oldest queued run as running where fewer than `limit` are.
-    pub fn start_next(&mut self, limit: u32) -> Option<event::RunId> {
-        if self.running >= limit {
-            return None;
-        }
-        let id = self.queue.pop_front()?;
-        self.runs.get_mut(id)?.stage = RunStage::Running;
+    /// Marks a queued run as handed to the target.
+    pub fn start(&mut self, run: event::RunId, now: time::NodeTime) -> Option<&mut TargetRun> {
+        let started = self.runs.get_mut(run.0)?;
+        started.stage = RunStage::Running;
+        started.started = Some(now);
         self.running += 1;
-        Some(event::RunId(id))
+        Some(started)
     }
 
     /// Takes a run out, queued or running.
     pub fn end(&mut self, run: event::RunId) -> Option<Box<TargetRun>> {
         let ended = self.runs.remove(run.0)?;
-        match ended.stage {
-            RunStage::Queued => self.queue.retain(|id| *id != run.0),
-            RunStage::Running => self.running -= 1,
+        if ended.stage == RunStage::Running {
+            self.running -= 1;
         }
         Some(ended)
     }
@@ -120,7 +124,7 @@
 
     /// Runs that wait for a slot.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.runs.len() - self.running as usize
     }
 
     /// Whether no run is queued or out.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -2,16 +2,23 @@
 
 use std::time::Duration;
 
+use anvil_overload::allowance;
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
-use crate::{directory, effect, event, reducer, runs, stopping, timers};
+use crate::{directory, effect, event, reducer, runs, timers, waits};
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
-        if let Some(reason) = self.refusal_at_target(&call) {
+        if self.runs.of_attempt(call.call, call.attempt).is_some() {
+            // A repeated frame; the attempt it repeats is answered when it ends.
+            return;
+        }
+        if let Some(cause) = self.refusal_at_target(&call) {
             self.counters.runs_refused += 1;
-            self.answer_refusal(peer, &call, reason);
+            let service = call.request.service.clone();
+            self.note_refusal(&service, &call.context, call.mark, cause);
+            self.answer_refusal(peer, &call, cause.reason);
             return;
         }
         let deadline = self.now + Duration::from_micros(call.context.remaining_micros);
@@ -20,67 +27,26 @@
             reply_to: call.reply_to,
             call: call.call,
             attempt: call.attempt,
+            service: call.request.service.clone(),
             request: Some(call.request),
             context: call.context,
             treatment: call.treatment,
+            mark: call.mark,
             deadline,
             stage: runs::RunStage::Queued,
-            granted: call.context.retries_left,
+            allowance: allowance::ChainAllowance::new(call.context.retries_left),
+            started: None,
+            expired: false,
+            waits: waits::CallWaits::default(),
         };
         let id = self.runs.accept(Box::new(run));
         self.timers
             .set(deadline, timers::TimerKind::RunDeadline(id.0));
-        self.start_runs();
-    }
-
-    fn refusal_at_target(&self, call: &call::PeerCall) -> Option<verdict::RefusalReason> {
-        if self.refuses_runs() {
-            return Some(verdict::RefusalReason::Leaving);
-        }
-        let Some(target) = &self.target else {
-            return Some(verdict::RefusalReason::Leaving);
-        };
-        if target.leaving {
-            return Some(verdict::RefusalReason::Leaving);
-        }
-        // A replaced instance may offer another service at the address the caller's node knew.
-        if target.announcement.service != call.request.service {
-            return Some(verdict::RefusalReason::Leaving);
-        }
-        (call.context.remaining_micros == 0).then_some(verdict::RefusalReason::Deadline)
-    }
-
-    pub(crate) fn start_runs(&mut self) {
-        if self.phase == stopping::NodePhase::Gone {
-            return;
-        }
-        let Some(target) = &self.target else {
-            return;
-        };
-        let limit = target.announcement.slots;
-        let address = target.announcement.address;
-        while let Some(id) = self.runs.start_next(limit) {
-            let now = self.now;
-            let Some(run) = self.runs.get_mut(id) else {
-                continue;
-            };
-            let Some(request) = run.request.take() else {
-                continue;
-            };
-            let order = effect::RunOrder {
-                run: id,
-                address,
-                request,
-                root: run.context.request,
-                timeout: run.deadline.since(now),
-            };
-            self.counters.runs_started += 1;
-            self.effects
-                .push(effect::NodeEffect::RunTarget(Box::new(order)));
-        }
+        self.offer_run(id);
     }
 
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
+        self.judge_run(run, &outcome);
         let (verdict, answer) = verdict_of(outcome);
         match verdict {
             verdict::CallVerdict::Answered => self.counters.runs_whole += 1,
@@ -102,21 +68,23 @@
         let Some(ended) = self.runs.end(run) else {
             return;
         };
+        let decisions = self.release_run(run, &ended, verdict);
+        let load = self.load_report();
         let reply = call::PeerAnswer {
             call: ended.call,
             attempt: ended.attempt,
             verdict,
             answer,
-            retries_spent: ended.granted.saturating_sub(ended.context.retries_left),
-            load: self.load_report(),
+            retries_spent: ended.allowance.spent(),
+            load,
         };
         let frame = frame::PeerFrame::Answer(Box::new(reply));
         self.send_frame(ended.peer, ended.reply_to, frame);
-        self.start_runs();
+        self.apply_decisions(decisions);
     }
 
     pub(crate) fn run_expired(&mut self, run: event::RunId) {
-        let Some(found) = self.runs.get(run) else {
+        let Some(found) = self.runs.get_mut(run) else {
             return;
         };
         match found.stage {
@@ -125,7 +93,10 @@
                 let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
                 self.finish_run(run, verdict, None);
             }
-            runs::RunStage::Running => self.effects.push(effect::NodeEffect::CancelRun(run)),
+            runs::RunStage::Running => {
+                found.expired = true;
+                self.effects.push(effect::NodeEffect::CancelRun(run));
+            }
         }
     }
 
@@ -181,13 +152,20 @@
                 slots: announcement.slots,
             });
         }
+        let renewed = self.target.as_ref().is_some_and(|target| {
+            let former = &target.announcement;
+            !target.leaving
+                && former.service == announcement.service
+                && former.address == announcement.address
+        });
+        let slots = announcement.slots;
         self.target = Some(runs::LocalTarget {
             announcement,
             until,
             leaving: false,
         });
+        self.announce_admission(slots, renewed);
         self.publish_target();
-        self.start_runs();
     }
 
     pub(crate) fn target_leaving(&mut self) {
@@ -196,6 +174,7 @@
             let reason = "it said that it leaves".to_owned();
             self.report(effect::StateChange::TargetGone { reason });
             self.publish_target();
+            self.leave_admission();
         }
     }
 
@@ -218,20 +197,11 @@
         let record = directory::PeerRecord {
             address: self.config.peer_address,
             service: target.announcement.service.clone(),
+            zone: self.config.zone.clone(),
+            slots: target.announcement.slots,
             leaving: target.leaving || leaving,
         };
-        self.directory.upsert(self.config.node, record);
-    }
-
-    pub(crate) fn load_report(&self) -> call::LoadReport {
-        let slots = self.target.as_ref().map(|target| target.announcement.slots);
-        call::LoadReport {
-            running: self.runs.running(),
-            queued: u32::try_from(self.runs.queued()).unwrap_or(u32::MAX),
-            limit: slots.unwrap_or(0),
-            cut: None,
-            leaving: self.refuses_runs(),
-        }
+        self.directory.upsert(self.now, self.config.node, record);
     }
 
     fn answer_refusal(
@@ -240,13 +210,14 @@
         call: &call::PeerCall,
         reason: verdict::RefusalReason,
     ) {
+        let load = self.load_report();
         let reply = call::PeerAnswer {
             call: call.call,
             attempt: call.attempt,
             verdict: verdict::CallVerdict::NotRun(reason),
             answer: None,
             retries_spent: 0,
-            load: self.load_report(),
+            load,
         };
         let frame = frame::PeerFrame::Answer(Box::new(reply));
         self.send_frame(peer, call.reply_to, frame);
--- a/crates/anvil_core/src/timers.rs
+++ b/crates/anvil_core/src/timers.rs
@@ -14,6 +14,8 @@
     CallRetry(u64),
     /// The deadline of a run at the local target.
     RunDeadline(u64),
+    /// A request has waited long enough in the queue of the local target.
+    Admission,
     /// The local target's announcement lapses.
     TargetLease,
     /// The node may leave.
--- /dev/null
+++ b/crates/anvil_core/src/waits.rs
@@ -0,0 +1,52 @@
+//! How long a run waited for calls of its own; see `docs/design/admission.md`.
+
+use std::time::Duration;
+
+use anvil_types::{name, time};
+
+/// The calls that the local target made on behalf of one run.
+///
+/// Calls made at the same time overlap, so the time in which at least one was open counts once.
+#[derive(Clone, Debug, Default)]
+pub struct CallWaits {
+    open: u32,
+    since: time::NodeTime,
+    total: Duration,
+    called: Vec<name::ServiceName>,
+}
+
+impl CallWaits {
+    /// Notes that a call to `service` begins.
+    pub fn begin(&mut self, now: time::NodeTime, service: &name::ServiceName) {
+        if self.open == 0 {
+            self.since = now;
+        }
+        self.open += 1;
+        if !self.called.contains(service) {
+            self.called.push(service.clone());
+        }
+    }
+
+    /// Notes that one of the open calls ended.
+    pub fn end(&mut self, now: time::NodeTime) {
+        self.open = self.open.saturating_sub(1);
+        if self.open == 0 {
+            self.total += now.since(self.since);
+        }
+    }
+
+    /// Time waited up to `now`.
+    pub fn total(&self, now: time::NodeTime) -> Duration {
+        let current = if self.open > 0 {
+            now.since(self.since)
+        } else {
+            Duration::ZERO
+        };
+        self.total + current
+    }
+
+    /// The services called, each once.
+    pub fn called(&self) -> &[name::ServiceName] {
+        &self.called
+    }
+}
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -95,8 +95,14 @@
         self.settle(now, Vec::new())
     }
 
+    /// Begins the ramp again, for a target that crashed and announces itself anew.
+    pub fn restart(&mut self, now: time::NodeTime) {
+        self.limit = limit::ConcurrencyLimit::new(now, self.slots, self.policy);
+        self.estimate = estimate::ServiceEstimate::default();
+    }
+
     /// Refuses whatever waits and whatever comes; runs in progress go on.
-    pub fn leave(&mut self, _now: time::NodeTime) -> Vec<AdmissionDecision> {
+    pub fn leave(&mut self) -> Vec<AdmissionDecision> {
         self.leaving = true;
         let refuse = |queued: QueuedCall| {
             refuse(
--- a/crates/anvil_overload/src/allowance.rs
+++ b/crates/anvil_overload/src/allowance.rs
@@ -55,9 +55,9 @@
     }
 
     /// Lends to one call of a run the larger half, so that calls made at the same time get a
-    /// share as well.
-    pub fn lend_child(&mut self, id: u64) -> u16 {
-        self.lend(id, self.pool.div_ceil(2))
+    /// share as well; never more than `most`, which the call's own rule allows.
+    pub fn lend_child(&mut self, id: u64, most: u16) -> u16 {
+        self.lend(id, self.pool.div_ceil(2).min(most))
     }
 
     /// Takes back what the call `id` did not spend. Repeated and late answers, and what a call
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -16,7 +16,7 @@
 pub const RETRY_AFTER_LEAST: Duration = Duration::from_secs(1);
 
 /// The limit that refused a request, with its value at that moment.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalLimit {
     /// The cut line of the service asked for, or of one below it.
@@ -46,6 +46,7 @@
         allowed: u8,
     },
     /// No limit of this module; the reason says it all.
+    #[default]
     Other,
 }
 
@@ -62,6 +63,8 @@
     pub reason: verdict::RefusalReason,
     /// The limit and its value.
     pub limit: RefusalLimit,
+    /// The node whose limit it is.
+    pub by: ident::NodeId,
     /// The rule and the revision that set the limit.
     pub mark: treatment::RuleMark,
 }
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -3,7 +3,7 @@
 use anvil_types::ident;
 use serde::{Deserialize, Serialize};
 
-use crate::{call, gossip, key};
+use crate::{call, gossip, key, suspicion};
 
 /// The version of the protocol; nodes of different versions refuse each other's handshake.
 pub const PROTOCOL_VERSION: u16 = 1;
@@ -35,6 +35,8 @@
     },
     /// Between the owners of idempotency keys.
     Key(Box<key::KeyMessage>),
+    /// A target crashed, and these requests were running.
+    Suspicion(Box<suspicion::SuspicionNotice>),
     /// Membership and rules in bulk.
     Sync(Box<gossip::SyncMessage>),
 }
