--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -8,7 +8,7 @@
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
-use crate::{calls, effect, event, reducer, timers};
+use crate::{calls, effect, event, reducer, rulebook, timers};
 
 impl reducer::NodeReducer {
     pub(crate) fn call_arrived(
@@ -18,7 +18,9 @@
         hints: &event::CallerHints,
     ) {
         self.counters.calls_arrived += 1;
-        let (treatment, mark) = self.book.decide(&request);
+        let rulebook::BookDecision {
+            treatment, mark, ..
+        } = self.book.decide(&request);
         let parent = hints.parent.map(|token| token.0);
         let sequence = self.calls.mint();
         let context = match parent {
