Let a fixed list of nodes and rules reach the reducer

Tests and experiments that know their mesh beforehand had no way to tell a reducer of peers or rules without membership. Messages of membership are taken in and dropped until it is joined.

--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use anvil_overload::policy;
+use anvil_rules::document;
 use anvil_types::{ident, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
@@ -78,6 +79,25 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Puts rules in force where their revision is higher; tells whether it did.
+    pub fn adopt_rules(
+        &mut self,
+        revision: ident::RuleRevision,
+        document: document::RuleDocument,
+    ) -> bool {
+        self.book.adopt(revision, document)
+    }
+
+    /// Learns a node from elsewhere than membership, such as a fixed list.
+    pub fn learn_peer(
+        &mut self,
+        now: time::NodeTime,
+        node: ident::NodeId,
+        record: directory::PeerRecord,
+    ) {
+        self.directory.upsert(now, node, record);
+    }
+
     /// When the reducer wants a [`event::NodeEvent::Woke`] at the latest.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
         self.timers.next()
@@ -103,7 +123,8 @@
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
             }
-            event::NodeEvent::DatagramArrived { message, .. } => match message {},
+            // Membership is not joined to the reducer yet.
+            event::NodeEvent::DatagramArrived { .. } => {}
             event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
             event::NodeEvent::TargetAnnounced(announcement) => {
                 self.target_announced(announcement);
@@ -128,7 +149,7 @@
                 self.overload.poison.learn(self.now, &notice);
             }
             frame::PeerFrame::Key(message) => match *message {},
-            frame::PeerFrame::Sync(message) => match *message {},
+            frame::PeerFrame::Sync(_) => {}
         }
     }
 
