--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -4,7 +4,7 @@
 use anvil_wire::call;
 use serde_json::json;
 
-use crate::{calls, event, reducer, runs};
+use crate::{calls, entry, event, reducer, runs};
 
 impl reducer::NodeReducer {
     pub(crate) fn operator_asked(
@@ -42,6 +42,8 @@
             "counters": self.counters,
             "calls": calls,
             "runs": runs,
+            "overload": self.overload,
+            "routes": self.directory.routes(),
         })
     }
 
@@ -73,10 +75,21 @@
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let decision = self.book.decide(request);
+        let print = entry::print_of(request);
+        let refusals: Vec<_> = self
+            .overload
+            .refusals
+            .notes()
+            .iter()
+            .filter(|note| note.service == request.service)
+            .collect();
         json!({
             "name": decision.name,
             "rule": decision.mark,
             "treatment": decision.treatment,
+            "cut_line": self.directory.line(self.now, &request.service),
+            "quarantine": self.quarantine_of(print),
+            "recent_refusals": refusals,
         })
     }
 }
@@ -88,7 +101,7 @@
         "service": call.request.service,
         "class": call.context.class,
         "attempts": call.attempts,
-        "retries_left": call.context.retries_left,
+        "retries_left": call.allowance.left(),
         "deadline_micros": call.deadline,
         "stage": format!("{:?}", call.stage),
         "rule": call.mark,
