Feed the reducer from membership

Nodes knew only themselves. Datagrams and bulk messages now go through FleetState inside the reducer, members that come, change or vanish change the directory, and the local target's announcements go out to the fleet. Calls out at a member that crashed without closing its connections end as 'may have run' instead of waiting for their deadlines. Lists in gossip messages are bounded while they are decoded, so a peer can't make a node reserve memory.

--- /dev/null
+++ b/crates/anvil_core/src/fleet.rs
@@ -0,0 +1,183 @@
+//! Membership inside the reducer: what the fleet tells feeds the directory, what the target and
+//! the operators say goes out to the fleet.
+
+use std::net::SocketAddr;
+
+use anvil_membership::effect::{FleetEffect, GoneReason};
+use anvil_membership::{config, fleet, member};
+use anvil_types::{ident, time};
+use anvil_wire::{frame, gossip};
+use serde_json::json;
+
+use crate::config::NodeConfig;
+use crate::{directory, effect, reducer};
+
+/// Members named one by one in the dump; beyond it only their number is told.
+const DUMP_MEMBERS: usize = 1_000;
+
+/// Names this part in log lines.
+const PART: &str = "fleet";
+
+/// The membership of a node with these settings; `seed` feeds its random choices.
+pub(crate) fn membership(node: &NodeConfig, seed: u64) -> fleet::FleetState {
+    let config = config::FleetConfig {
+        seeds: node.seeds.clone(),
+        ..config::FleetConfig::default()
+    };
+    let local = fleet::LocalNode {
+        node: node.node,
+        tcp: node.peer_address,
+        udp: node.gossip_address,
+        zone: node.zone.clone(),
+        region: node.region.clone(),
+    };
+    fleet::FleetState::new(config, &local, seed, time::NodeTime::START)
+}
+
+impl reducer::NodeReducer {
+    pub(crate) fn datagram_arrived(&mut self, from: SocketAddr, message: &gossip::GossipMessage) {
+        let effects = self.fleet.on_datagram(self.now, from, message);
+        self.take_fleet(effects);
+    }
+
+    pub(crate) fn sync_arrived(&mut self, peer: ident::NodeId, message: &gossip::SyncMessage) {
+        let effects = self.fleet.on_sync(self.now, peer, message);
+        self.take_fleet(effects);
+    }
+
+    pub(crate) fn wake_fleet(&mut self) {
+        if self.fleet.next_wake().is_some_and(|due| due <= self.now) {
+            let effects = self.fleet.on_wake(self.now);
+            self.take_fleet(effects);
+        }
+    }
+
+    /// Tells the fleet what the local target offers, and whether it or the node is leaving.
+    pub(crate) fn announce_local(&mut self) {
+        let leaving = self.refuses_runs();
+        let local = match &self.target {
+            Some(target) => fleet::LocalTarget {
+                service: Some(target.announcement.service.clone()),
+                slots: target.announcement.slots,
+                leaving: leaving || target.leaving,
+            },
+            None => fleet::LocalTarget {
+                leaving,
+                ..fleet::LocalTarget::default()
+            },
+        };
+        let effects = self.fleet.set_local(self.now, &local);
+        self.take_fleet(effects);
+    }
+
+    /// Tells the fleet that this node is gone.
+    pub(crate) fn leave_fleet(&mut self) {
+        let effects = self.fleet.leave(self.now);
+        self.take_fleet(effects);
+    }
+
+    fn take_fleet(&mut self, effects: Vec<FleetEffect>) {
+        for effect in effects {
+            self.take_fleet_effect(effect);
+        }
+    }
+
+    fn take_fleet_effect(&mut self, effect: FleetEffect) {
+        match effect {
+            FleetEffect::SendDatagram { to, message } => {
+                let datagram = effect::NodeEffect::SendDatagram { to, message };
+                self.effects.push(datagram);
+            }
+            FleetEffect::SendSync {
+                peer,
+                address,
+                message,
+            } => {
+                let frame = frame::PeerFrame::Sync(Box::new(message));
+                self.send_frame(peer, address, frame);
+            }
+            FleetEffect::AskStore { id, ask } => {
+                self.effects.push(effect::NodeEffect::AskStore { id, ask });
+            }
+            FleetEffect::MemberUp(view) | FleetEffect::MemberChanged(view) => {
+                self.member_known(view);
+            }
+            FleetEffect::MemberGone { node, reason } => self.member_gone(node, reason),
+            FleetEffect::Report(report) => self.report(effect::StateChange::Part {
+                part: PART,
+                text: report.to_string(),
+            }),
+        }
+    }
+
+    fn member_known(&mut self, view: member::MemberView) {
+        match view.facts.service {
+            Some(service) => {
+                let record = directory::PeerRecord {
+                    address: view.facts.tcp,
+                    service,
+                    leaving: view.facts.leaving,
+                };
+                self.directory.upsert(view.node, record);
+            }
+            None => self.directory.remove(view.node),
+        }
+    }
+
+    /// Forgets a member; what was out at one that crashed is ended.
+    ///
+    /// An instance that loses its power closes no connection, so the calls out at it would wait
+    /// for their deadlines. They end as "may have run", which stays true even if the member was
+    /// believed gone by mistake.
+    fn member_gone(&mut self, node: ident::NodeId, reason: GoneReason) {
+        self.directory.remove(node);
+        match reason {
+            GoneReason::Crashed | GoneReason::Replaced => self.peer_lost(node),
+            GoneReason::Left => {}
+        }
+    }
+
+    /// The fleet as this node sees it, in short.
+    pub(crate) fn fleet_status(&self) -> serde_json::Value {
+        let suspects = self.fleet.suspicions().iter().map(|s| {
+            let accusers: Vec<_> = s.accusers.iter().map(ident::NodeId::to_string).collect();
+            json!({
+                "node": s.node.to_string(),
+                "accusers": accusers,
+                "since_micros": s.since,
+                "gone_at_micros": self.fleet.judged_at(s),
+            })
+        });
+        let suspects: Vec<_> = suspects.collect();
+        json!({
+            "joined": self.fleet.joined(),
+            "members": self.fleet.table().live(),
+            "remembered_gone": self.fleet.table().tombstones(),
+            "suspects": suspects,
+            "health_score": self.fleet.health_score(),
+            "claims_waiting": self.fleet.backlog(),
+            "next_wake_micros": self.fleet.next_wake(),
+        })
+    }
+
+    /// The members that this node knows, one by one.
+    pub(crate) fn fleet_members(&self) -> Vec<serde_json::Value> {
+        let members = self.fleet.table().all().iter().take(DUMP_MEMBERS);
+        let members = members.map(|m| {
+            json!({
+                "node": m.node.to_string(),
+                "state": format!("{:?}", m.state),
+                "incarnation": m.incarnation,
+                "since_micros": m.since,
+                "address": m.facts.tcp,
+                "zone": m.facts.zone,
+                "region": m.facts.region,
+                "service": m.facts.service,
+                "slots": m.facts.slots,
+                "leaving": m.facts.leaving,
+                "revision_heard": m.revision,
+            })
+        });
+        members.collect()
+    }
+}
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod effect;
 mod entry;
 pub mod event;
+mod fleet;
 mod operator;
 pub mod reducer;
 pub mod rulebook;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -37,9 +37,18 @@
             .iter()
             .map(|(id, run)| run_json(*id, run))
             .collect();
+        let fleet_counters: serde_json::Map<_, _> = self
+            .fleet
+            .counters()
+            .pairs()
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value.into()))
+            .collect();
         json!({
             "status": self.status(),
             "counters": self.counters,
+            "fleet_counters": fleet_counters,
+            "members": self.fleet_members(),
             "calls": calls,
             "runs": runs,
         })
@@ -67,6 +76,7 @@
             "open_calls": self.calls.len(),
             "running": self.runs.running(),
             "queued": self.runs.queued(),
+            "fleet": self.fleet_status(),
             "peers": peers,
         })
     }
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use anvil_membership::fleet;
 use anvil_types::{ident, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
@@ -25,6 +26,7 @@
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
+    pub(crate) fleet: fleet::FleetState,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
 }
@@ -32,7 +34,9 @@
 impl NodeReducer {
     /// A node that knows nobody yet; `seed` feeds every random choice it makes.
     pub fn new(config: config::NodeConfig, seed: u64) -> Self {
+        let fleet = crate::fleet::membership(&config, seed);
         Self {
+            fleet,
             config,
             now: time::NodeTime::START,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
@@ -66,7 +70,8 @@
 
     /// When the reducer wants a [`event::NodeEvent::Woke`] at the latest.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
-        self.timers.next()
+        let due = self.timers.next().into_iter().chain(self.fleet.next_wake());
+        due.min()
     }
 
     /// Takes in the frames that this node sent to itself.
@@ -89,8 +94,9 @@
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
             }
-            // Membership is not joined to the reducer yet.
-            event::NodeEvent::DatagramArrived { .. } => {}
+            event::NodeEvent::DatagramArrived { from, message } => {
+                self.datagram_arrived(from, &message);
+            }
             event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
             event::NodeEvent::TargetAnnounced(announcement) => {
                 self.target_announced(announcement);
@@ -101,7 +107,10 @@
             }
             // Nobody asks the store yet.
             event::NodeEvent::StoreAnswered { .. } => {}
-            event::NodeEvent::Woke => self.fire_timers(),
+            event::NodeEvent::Woke => {
+                self.fire_timers();
+                self.wake_fleet();
+            }
             event::NodeEvent::StopRequested => self.stop_requested(),
         }
     }
@@ -112,7 +121,7 @@
             frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
             frame::PeerFrame::Cancel { call, attempt } => self.attempt_cancelled(call, attempt),
             frame::PeerFrame::Key(message) => match *message {},
-            frame::PeerFrame::Sync(_) => {}
+            frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
         }
     }
 
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -211,6 +211,7 @@
 
     /// Tells the directory, and through it the fleet, what the local target offers.
     pub(crate) fn publish_target(&mut self) {
+        self.announce_local();
         let leaving = self.refuses_runs();
         let Some(target) = &self.target else {
             return;
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -58,6 +58,7 @@
         };
         if self.now >= callers_until && self.calls.is_empty() && self.runs.is_empty() {
             self.phase = NodePhase::Gone;
+            self.leave_fleet();
             self.effects.push(effect::NodeEffect::Exit);
         }
     }
@@ -86,6 +87,7 @@
             self.cancel_attempt(sequence);
             self.end_call(sequence, stopped(out), None);
         }
+        self.leave_fleet();
         self.effects.push(effect::NodeEffect::Exit);
     }
 }
--- a/crates/anvil_membership/src/digest.rs
+++ b/crates/anvil_membership/src/digest.rs
@@ -7,21 +7,18 @@
 /// Members in a bucket, about; one changed member costs the headers of its bucket.
 const BUCKET_MEMBERS: usize = 32;
 
-/// Most buckets of a digest, 10 kB of sums.
-const BUCKET_LIMIT: usize = 2_048;
-
 /// Spreads identities and incarnations over all bits; a large odd number with mixed bits.
 const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// The number of buckets for a fleet of `live` members.
 pub fn bucket_count(live: usize) -> usize {
     let wanted = live.div_ceil(BUCKET_MEMBERS).max(1);
-    wanted.next_power_of_two().min(BUCKET_LIMIT)
+    wanted.next_power_of_two().min(gossip::BUCKETS_LIMIT)
 }
 
 /// Whether a peer's number of buckets is one that this node works with.
 pub fn is_bucket_count(count: usize) -> bool {
-    count.is_power_of_two() && count <= BUCKET_LIMIT
+    count.is_power_of_two() && count <= gossip::BUCKETS_LIMIT
 }
 
 /// One sum for each bucket over the members believed alive.
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -148,6 +148,11 @@
         self.suspicions.all()
     }
 
+    /// When `suspicion` ends its member unless refuted.
+    pub fn judged_at(&self, suspicion: &suspicion::Suspicion) -> time::NodeTime {
+        suspicion.deadline(&self.config, self.table.live())
+    }
+
     /// Counts since the start.
     pub fn counters(&self) -> &counters::FleetCounters {
         &self.counters
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -97,7 +97,7 @@
             GossipKind::Welcome
             | GossipKind::Rumour
             | GossipKind::PullChanges { .. }
-            | GossipKind::Changes(_)
+            | GossipKind::Changes { .. }
             | GossipKind::Census(_) => {}
         }
         self.greet_stranger(from, message, out);
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -14,9 +14,6 @@
 /// Time between two attempts to join.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Most claims in one bulk message, about 80 kB of them.
-const CLAIMS_LIMIT: usize = 1_000;
-
 /// Claims of one bulk message that are still repeated by datagrams.
 ///
 /// A few may be news to everybody; many are old news that only the receiver missed, and repeating
@@ -212,9 +209,9 @@
         wanted: Vec<ident::NodeId>,
         out: &mut Vec<FleetEffect>,
     ) {
-        let nodes = &nodes[..nodes.len().min(self.config.member_limit)];
+        let nodes = &nodes[..nodes.len().min(gossip::MEMBERS_LIMIT)];
         let mut wanted = Some(wanted).filter(|wanted| !wanted.is_empty());
-        for part in nodes.chunks(CLAIMS_LIMIT) {
+        for part in nodes.chunks(gossip::BULK_LIMIT) {
             let updates = part
                 .iter()
                 .filter_map(|node| self.whole_claim(*node))
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -6,6 +6,26 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::bounded;
+
+/// Most claims on a datagram.
+pub const UPDATES_LIMIT: usize = 128;
+
+/// Most claims in a bulk message, about 80 kB of them.
+pub const BULK_LIMIT: usize = 1_000;
+
+/// Most sums in a digest.
+pub const BUCKETS_LIMIT: usize = 2_048;
+
+/// Most members that a bulk message names in short; four times the largest fleet foreseen.
+pub const MEMBERS_LIMIT: usize = 65_536;
+
+/// Most changes in a message.
+pub const CHANGES_LIMIT: usize = 1_024;
+
+/// Most lagging members named in a census.
+pub const LAGGING_LIMIT: usize = 8;
+
 /// What a node tells about itself; the others keep it as told.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberFacts {
@@ -129,7 +149,11 @@
         after: ident::RuleRevision,
     },
     /// Accepted changes that fit a datagram, in order.
-    Changes(Vec<LoggedChange>),
+    Changes {
+        /// The changes.
+        #[serde(deserialize_with = "bounded::list::<_, _, CHANGES_LIMIT>")]
+        changes: Vec<LoggedChange>,
+    },
     /// A question or reply about who has a revision in force.
     Census(CensusMessage),
 }
@@ -142,6 +166,7 @@
     /// What it is for.
     pub kind: GossipKind,
     /// Claims about members, a few at a time.
+    #[serde(deserialize_with = "bounded::list::<_, _, UPDATES_LIMIT>")]
     pub updates: Vec<MemberUpdate>,
 }
 
@@ -180,6 +205,7 @@
     /// Members that did not answer in time.
     pub silent: u32,
     /// Some of the members behind or silent, a few.
+    #[serde(deserialize_with = "bounded::list::<_, _, LAGGING_LIMIT>")]
     pub lagging: Vec<ident::NodeId>,
 }
 
@@ -192,6 +218,7 @@
         /// The sender.
         head: GossipHead,
         /// One sum for each bucket; their number is a power of two, or zero.
+        #[serde(deserialize_with = "bounded::list::<_, _, BUCKETS_LIMIT>")]
         sums: Vec<u32>,
     },
     /// The members alive in the buckets whose sums differed.
@@ -201,8 +228,10 @@
         /// Number of buckets in all.
         buckets: u32,
         /// The buckets that differed.
+        #[serde(deserialize_with = "bounded::list::<_, _, BUCKETS_LIMIT>")]
         differing: Vec<u32>,
         /// The members that the sender knows alive in them.
+        #[serde(deserialize_with = "bounded::list::<_, _, MEMBERS_LIMIT>")]
         headers: Vec<MemberHeader>,
     },
     /// Claims that the receiver lacks, and identities whose claims the sender lacks.
@@ -210,8 +239,10 @@
         /// The sender.
         head: GossipHead,
         /// The claims.
+        #[serde(deserialize_with = "bounded::list::<_, _, BULK_LIMIT>")]
         updates: Vec<MemberUpdate>,
         /// The identities.
+        #[serde(deserialize_with = "bounded::list::<_, _, MEMBERS_LIMIT>")]
         wanted: Vec<ident::NodeId>,
     },
     /// Accepted changes too large for a datagram, in order, or a snapshot where the log that the
@@ -222,6 +253,7 @@
         /// The whole rules at a revision, where the changes alone don't suffice.
         snapshot: Option<LoggedChange>,
         /// The changes behind the snapshot or behind the receiver's revision.
+        #[serde(deserialize_with = "bounded::list::<_, _, CHANGES_LIMIT>")]
         changes: Vec<LoggedChange>,
     },
 }
