--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use anvil_membership::fleet;
 use anvil_overload::policy;
 use anvil_rules::document;
 use anvil_types::{ident, time};
@@ -30,6 +31,7 @@
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
+    pub(crate) fleet: fleet::FleetState,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
 }
@@ -47,6 +49,7 @@
         policy: policy::OverloadPolicy,
     ) -> Self {
         Self {
+            fleet: crate::fleet::membership(&config, seed),
             directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
             overload: overload::OverloadState::new(config.node, policy),
             config,
@@ -100,7 +103,8 @@
 
     /// When the reducer wants a [`event::NodeEvent::Woke`] at the latest.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
-        self.timers.next()
+        let due = self.timers.next().into_iter().chain(self.fleet.next_wake());
+        due.min()
     }
 
     /// Takes in the frames that this node sent to itself.
@@ -123,8 +127,9 @@
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
             }
-            // Membership is not joined to the reducer yet.
-            event::NodeEvent::DatagramArrived { .. } => {}
+            event::NodeEvent::DatagramArrived { from, message } => {
+                self.datagram_arrived(from, &message);
+            }
             event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
             event::NodeEvent::TargetAnnounced(announcement) => {
                 self.target_announced(announcement);
@@ -135,7 +140,10 @@
             }
             // Nobody asks the store yet.
             event::NodeEvent::StoreAnswered { .. } => {}
-            event::NodeEvent::Woke => self.fire_timers(),
+            event::NodeEvent::Woke => {
+                self.fire_timers();
+                self.wake_fleet();
+            }
             event::NodeEvent::StopRequested => self.stop_requested(),
         }
     }
@@ -149,7 +157,7 @@
                 self.overload.poison.learn(self.now, &notice);
             }
             frame::PeerFrame::Key(message) => match *message {},
-            frame::PeerFrame::Sync(_) => {}
+            frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
         }
     }
 
