--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -4,10 +4,10 @@
 
 pub mod client;
 pub mod experiment;
-pub mod http_target;
 pub mod ledger;
 pub mod load;
 pub mod mesh;
+pub mod mesh_target;
 pub mod process;
 pub mod report;
 pub mod scenario;
