--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -185,7 +185,7 @@
 
     fn try_from(text: String) -> Result<Self, HexError> {
         let digits = text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if !digits || text.len() % 2 != 0 {
+        if !digits || !text.len().is_multiple_of(2) {
             return Err(HexError);
         }
         let pairs = (0..text.len()).step_by(2);
--- a/crates/anvil_node/tests/common/mod.rs
+++ b/crates/anvil_node/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use anvil_node::{counters, node, settings};
-use anvil_standins::target;
+use anvil_standins::http_target;
 
 /// The service that the stand-in target offers.
 pub const SERVICE: &str = "audiencias";
@@ -33,14 +33,14 @@
 /// One node with a target beside it.
 pub struct Pair {
     pub node: node::RunningNode,
-    pub target: target::StandInTarget,
+    pub target: http_target::StandInTarget,
 }
 
 impl Pair {
     /// Starts both and announces the target.
     pub fn start(limits: &str) -> Self {
         let node = node::start(&settings(limits)).unwrap();
-        let target = target::StandInTarget::start().unwrap();
+        let target = http_target::StandInTarget::start().unwrap();
         announce(node.bound().admin, target.address(), SERVICE);
         Self { node, target }
     }
--- a/crates/anvil_node/tests/settings_check.rs
+++ b/crates/anvil_node/tests/settings_check.rs
@@ -56,7 +56,7 @@
     bad_seed => ("10.0.0.6:7400", "10.0.0.6", &["line 9", "seeds"]),
     limit_too_low => ("connections: 10", "connections: 0", &["line 13", "caller_connections", "1 to 100000"]),
     limit_no_number => ("connections: 10", "connections: many", &["line 13", "caller_connections"]),
-    no_keys => ("  - {id: 1, secret: abababababababababababababababababababababababababababababababab}", "  []", &["line 10", "peer_keys", "at least one"]),
+    no_keys => ("  - {id: 1, secret: abababababababababababababababababababababababababababababababab}", "  []", &["line 11", "peer_keys", "at least one"]),
     short_key => ("abababababababababababababababababababababababababababababababab", "abcd", &["peer_keys", "shorter than 32"]),
     key_no_hex => ("secret: ab", "secret: xy", &["line 11", "secret", "hex digits"]),
     key_twice => ("limits:", "  - {id: 1, secret: cdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcd}\nlimits:", &["peer_keys", "two keys"]),
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod experiment;
+pub mod http_target;
 pub mod ledger;
 pub mod load;
 pub mod mesh;
@@ -11,4 +12,3 @@
 pub mod process;
 pub mod report;
 pub mod scenario;
-pub mod target;
