--- a/crates/anvil_node/tests/common/mod.rs
+++ b/crates/anvil_node/tests/common/mod.rs
@@ -20,14 +20,19 @@
 /// A key for tests.
 pub const SECRET: &str = "5ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e70000";
 
-/// Settings with free ports; `limits` is YAML indented by two blanks.
-pub fn settings(limits: &str) -> settings::NodeSettings {
-    let text = format!(
+/// Settings with free ports, as YAML; `limits` is YAML indented by two blanks.
+pub fn yaml(limits: &str) -> String {
+    format!(
         "zone: ar-centro-a\nregion: ar-centro\nadvertise: 127.0.0.1\nlisten:\n  \
          caller: 127.0.0.1:0\n  admin: 127.0.0.1:0\n  peer: 127.0.0.1:0\n  \
-         gossip: 127.0.0.1:0\npeer_keys:\n  - {{id: 1, secret: {SECRET}}}\nlimits:\n  flush_wait_ms: 2000\n{limits}"
-    );
-    settings::parse(&text, Path::new("test.yaml")).unwrap()
+         gossip: 127.0.0.1:0\npeer_keys:\n  - {{id: 1, secret: {SECRET}}}\n\
+         limits:\n  flush_wait_ms: 2000\n{limits}"
+    )
+}
+
+/// The same, checked.
+pub fn settings(limits: &str) -> settings::NodeSettings {
+    settings::parse(&yaml(limits), Path::new("test.yaml")).unwrap()
 }
 
 /// One node with a target beside it.
--- /dev/null
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -0,0 +1,271 @@
+//! Other nodes, and strangers, send anything they like to a node's peer port.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::time::Duration;
+
+use anvil_node::counters::EdgeCause;
+use anvil_testkit::test_cases;
+use anvil_types::{context, ident, name, treatment, verdict};
+use anvil_wire::seal::{handshake, ring, stream};
+use anvil_wire::{call, codec, frame};
+use bytes::Bytes;
+
+/// A node as played by the test.
+struct Impostor {
+    socket: TcpStream,
+    sealed: stream::SealedStream,
+}
+
+fn key_ring(secret: u8) -> ring::KeyRing {
+    let mut bytes = [0; 32];
+    for (place, byte) in bytes.iter_mut().enumerate() {
+        let digits = &common::SECRET[2 * place..2 * place + 2];
+        *byte = u8::from_str_radix(digits, 16).unwrap() ^ secret;
+    }
+    ring::KeyRing::new(vec![ring::SealKey::new(ring::KeyId(1), &bytes).unwrap()]).unwrap()
+}
+
+fn hello(version: u16) -> frame::PeerHello {
+    frame::PeerHello {
+        version,
+        node: ident::NodeId(0xfeed),
+        address: "127.0.0.1:9".parse().unwrap(),
+    }
+}
+
+fn read_message(socket: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut prefix = [0; codec::LENGTH_BYTES];
+    socket.read_exact(&mut prefix)?;
+    let mut message = vec![0; u32::from_be_bytes(prefix) as usize];
+    socket.read_exact(&mut message)?;
+    Ok(message)
+}
+
+impl Impostor {
+    fn connect(address: SocketAddr) -> Self {
+        let mut socket = common::raw(address, b"");
+        let nonce = handshake::HandshakeNonce([7; handshake::NONCE_BYTES]);
+        let own = hello(frame::PROTOCOL_VERSION);
+        let begun = handshake::InitiatorHandshake::begin(&key_ring(0), own, nonce);
+        let (shaking, first) = begun.unwrap();
+        socket.write_all(&first).unwrap();
+        let challenge = read_message(&mut socket).unwrap();
+        let (sealed, proof) = shaking.finish(&challenge, None).unwrap();
+        socket.write_all(&proof).unwrap();
+        Self { socket, sealed }
+    }
+
+    fn send(&mut self, frame: &frame::PeerFrame) {
+        let mut bytes = codec::encode_frame(frame).unwrap();
+        self.sealed.sealer.seal(&mut bytes);
+        self.socket.write_all(&bytes).unwrap();
+    }
+
+    /// Sends bytes under a true seal, so that they reach the decoder.
+    fn send_sealed(&mut self, body: &[u8]) {
+        let length = u32::try_from(body.len()).unwrap();
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend_from_slice(body);
+        self.sealed.sealer.seal(&mut bytes);
+        self.socket.write_all(&bytes).unwrap();
+    }
+
+    fn receive(&mut self) -> frame::PeerFrame {
+        let mut prefix = [0; codec::LENGTH_BYTES];
+        self.socket.read_exact(&mut prefix).unwrap();
+        let length = codec::check_length(prefix).unwrap();
+        let mut bytes = vec![0; stream::FrameOpener::sealed_length(length)];
+        self.socket.read_exact(&mut bytes).unwrap();
+        codec::decode_frame(self.sealed.opener.open(&bytes).unwrap()).unwrap()
+    }
+
+    fn receive_answer(&mut self) -> call::PeerAnswer {
+        loop {
+            if let frame::PeerFrame::Answer(answer) = self.receive() {
+                return *answer;
+            }
+        }
+    }
+
+    fn assert_closed(mut self) {
+        let mut rest = Vec::new();
+        // A reset is as good as a close.
+        let _ = self.socket.read_to_end(&mut rest);
+    }
+}
+
+fn call_of(sequence: u64, path: &str) -> frame::PeerFrame {
+    let call = call::PeerCall {
+        call: ident::CallId {
+            node: ident::NodeId(0xfeed),
+            sequence,
+        },
+        attempt: 1,
+        reply_to: "127.0.0.1:9".parse().unwrap(),
+        context: context::CallContext {
+            request: ident::RequestId(u128::from(sequence)),
+            class: context::PriorityClass::Normal,
+            lane: context::LaneHash(0),
+            remaining_micros: 60_000_000,
+            retries_left: 0,
+            depth: 0,
+            idempotent: true,
+            key: None,
+            print: ident::PrintHash(sequence),
+        },
+        treatment: treatment::RuleTreatment::default(),
+        mark: treatment::RuleMark::default(),
+        request: call::CallRequest {
+            service: name::ServiceName::new(common::SERVICE).unwrap(),
+            method: "GET".to_owned(),
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        },
+    };
+    frame::PeerFrame::Call(Box::new(call))
+}
+
+#[test]
+fn calls_of_a_peer_run_and_are_answered_in_any_order() {
+    let pair = common::Pair::start("");
+    let mut peer = Impostor::connect(pair.node.bound().peer);
+    peer.send(&call_of(1, "/slow/200"));
+    peer.send(&call_of(2, "/fast"));
+    let answers = [peer.receive_answer(), peer.receive_answer()];
+    let order: Vec<_> = answers.iter().map(|answer| answer.call.sequence).collect();
+    assert_eq!(order, [2, 1], "the fast one does not wait for the slow one");
+    for answer in answers {
+        assert_eq!(answer.verdict, verdict::CallVerdict::Answered);
+    }
+}
+
+fn sealed_garbage(body: &[u8], cause: EdgeCause) {
+    let pair = common::Pair::start("");
+    let mut peer = Impostor::connect(pair.node.bound().peer);
+    peer.send_sealed(body);
+    peer.assert_closed();
+    pair.await_count(cause, 1);
+    pair.assert_lives();
+}
+
+test_cases! {
+    sealed_garbage:
+    no_frame => (&[255; 40], EdgeCause::PeerFrameMalformed),
+    empty_frame => (&[], EdgeCause::PeerFrameMalformed),
+    cut_call => (&[0, 1, 2], EdgeCause::PeerFrameMalformed),
+    bytes_behind_a_frame => (&[2, 1, 1, 1, 99], EdgeCause::PeerFrameMalformed),
+}
+
+fn bytes_behind_the_handshake(bytes: &[u8], cause: EdgeCause) {
+    let pair = common::Pair::start("");
+    let mut peer = Impostor::connect(pair.node.bound().peer);
+    peer.socket.write_all(bytes).unwrap();
+    peer.socket.shutdown(std::net::Shutdown::Write).unwrap();
+    peer.assert_closed();
+    pair.await_count(cause, 1);
+    pair.assert_lives();
+}
+
+test_cases! {
+    bytes_behind_the_handshake:
+    oversized => (&[255; 4], EdgeCause::PeerFrameOversized),
+    cut_length => (&[0; 2], EdgeCause::PeerFrameTruncated),
+    cut_body => (&[0, 0, 1, 0, 1, 2, 3], EdgeCause::PeerFrameTruncated),
+    unsealed => (&[0; 24], EdgeCause::PeerFrameForged),
+}
+
+fn strange_hello(first: &[u8]) {
+    let pair = common::Pair::start("");
+    let answer = common::read_to_close(common::raw(pair.node.bound().peer, first));
+    assert_eq!(answer, "", "a stranger learns nothing");
+    pair.await_count(EdgeCause::PeerHandshakeRefused, 1);
+    pair.assert_lives();
+}
+
+fn first_message(secret: u8, version: u16) -> Vec<u8> {
+    let nonce = handshake::HandshakeNonce([7; handshake::NONCE_BYTES]);
+    let own = hello(version);
+    let begun = handshake::InitiatorHandshake::begin(&key_ring(secret), own, nonce);
+    begun.unwrap().1
+}
+
+test_cases! {
+    strange_hello:
+    http => (b"GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n"),
+    oversized_hello => (&[0, 1, 0, 0]),
+    silent => (&[]),
+    other_version => (&first_message(0, frame::PROTOCOL_VERSION + 1)),
+}
+
+// Somebody without the key opens a connection and sends a call. The proof fails, the connection
+// is closed before the call is read, and the target sees nothing of it.
+#[test]
+fn without_the_key_no_call_runs() {
+    let pair = common::Pair::start("");
+    let first = first_message(1, frame::PROTOCOL_VERSION);
+    let mut socket = common::raw(pair.node.bound().peer, &first);
+    read_message(&mut socket).unwrap();
+    socket.write_all(&[0, 0, 0, 16]).unwrap();
+    socket.write_all(&[0; 16]).unwrap();
+    let call = codec::encode_frame(&call_of(1, "/stolen")).unwrap();
+    // The node may have closed already.
+    let _ = socket.write_all(&call);
+    assert_eq!(common::read_to_close(socket), "");
+    pair.await_count(EdgeCause::PeerHandshakeRefused, 1);
+    assert!(pair.target.seen().is_empty());
+}
+
+// The node that asked dies while its call runs here. Nobody can take the answer any more, so the
+// run's connection is closed and the target can stop.
+#[test]
+fn a_lost_peer_ends_its_runs() {
+    let pair = common::Pair::start("");
+    let mut peer = Impostor::connect(pair.node.bound().peer);
+    peer.send(&call_of(1, "/slow/60000"));
+    common::await_true("the target has it", || pair.target.seen().len() == 1);
+    drop(peer);
+    common::await_true("the target is told", || pair.target.abandoned() == 1);
+    pair.await_count(EdgeCause::PeerLost, 1);
+    pair.assert_lives();
+}
+
+#[test]
+fn a_cancel_ends_the_run() {
+    let pair = common::Pair::start("");
+    let mut peer = Impostor::connect(pair.node.bound().peer);
+    peer.send(&call_of(1, "/slow/60000"));
+    common::await_true("the target has it", || pair.target.seen().len() == 1);
+    let call = ident::CallId {
+        node: ident::NodeId(0xfeed),
+        sequence: 1,
+    };
+    peer.send(&frame::PeerFrame::Cancel { call, attempt: 1 });
+    common::await_true("the target is told", || pair.target.abandoned() == 1);
+}
+
+fn strange_datagram(bytes: &[u8]) {
+    let pair = common::Pair::start("");
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let gossip = pair.node.bound().gossip;
+    socket.send_to(bytes, gossip).unwrap();
+    pair.await_count(EdgeCause::DatagramRefused, 1);
+    socket
+        .set_read_timeout(Some(Duration::from_millis(20)))
+        .unwrap();
+    assert!(socket.recv_from(&mut [0; 2_000]).is_err(), "no echo");
+    pair.assert_lives();
+}
+
+test_cases! {
+    strange_datagram:
+    empty_datagram => (&[]),
+    short_datagram => (&[1, 0, 1]),
+    unsealed_datagram => (&[1; 200]),
+    large_datagram => (&[1; 1_401]),
+}
