--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -218,7 +218,8 @@
             operators: sorted::SortedTable::default(),
             asked: 0,
         };
-        let reducer = reducer::NodeReducer::new(self.config(), random_u64());
+        let policy = self.settings.policy;
+        let reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
         let builder = thread::Builder::new().name("reducer".to_owned());
         let thread = builder.spawn(move || engine.run(reducer, &inputs));
         thread.wrap_err("the reducer's thread could not be started")
--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_overload::policy;
 use anvil_types::name;
 use anvil_wire::seal::ring;
 use derive_more::{Display, Error};
@@ -58,6 +59,9 @@
     /// Limits of the edges.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Safeguards turned off, for experiments only; operators leave all of them on.
+    #[serde(default)]
+    pub policy: policy::OverloadPolicy,
 }
 
 /// Where the node listens; port 0 takes a free port, which the node names at its start.
