Measure the matcher and look for unreachable rules by service

Checking 10,000 rules took 0.92 s (median, check_text in benches/matching.rs), most of it spent on comparing each rule with each earlier one.

--- /dev/null
+++ b/crates/anvil_rules/benches/matching.rs
@@ -0,0 +1,125 @@
+//! The matcher against a scan of every rule; figures in `docs/design/rules.md`.
+//!
+//! One document in ten rules a service, as an operator would write them: exact paths, prefixes and
+//! globs, some with a header; the last rule stands for everything. Each iteration decides
+//! [`REQUESTS`] requests spread over all services, so that rules in front and at the end count
+//! alike.
+
+use std::fmt::Write;
+
+use anvil_rules::{document, matcher, parse, view};
+
+const SIZES: [usize; 4] = [10, 100, 1_000, 10_000];
+
+const REQUESTS: usize = 100;
+
+const RULES_PER_SERVICE: usize = 10;
+
+fn main() {
+    divan::main();
+}
+
+fn text(rules: usize) -> String {
+    let mut text = String::from("rules:\n");
+    for index in 0..rules - 1 {
+        let service = index / RULES_PER_SERVICE;
+        let when = match index % RULES_PER_SERVICE {
+            0 => "method: POST, path: /claims".to_owned(),
+            1 => "method: [PUT, PATCH], path: '/claims/*'".to_owned(),
+            2 => "path: '/claims/*/evidence/**'".to_owned(),
+            3 => "path: '/claims/**', headers: {x-audit: {present: true}}".to_owned(),
+            part => format!("method: [GET, HEAD], path: '/part-{part}/**'"),
+        };
+        let then = "class: high, retries: 2, deadline: 5s";
+        writeln!(
+            text,
+            "- {{name: r{index}, when: {{service: s{service}, {when}}}, then: {{{then}}}}}"
+        )
+        .expect("memory");
+    }
+    text.push_str("- {name: rest, then: {class: low}}\n");
+    text
+}
+
+fn parsed(rules: usize) -> document::RuleDocument {
+    parse::parse_rules("bench", &text(rules)).expect("the text is right")
+}
+
+struct Request {
+    service: String,
+    method: &'static str,
+    path: &'static str,
+}
+
+fn requests(rules: usize) -> Vec<Request> {
+    let services = rules.div_ceil(RULES_PER_SERVICE);
+    let kinds = [
+        ("POST", "/claims"),
+        ("PUT", "/claims/17"),
+        ("GET", "/claims/17/evidence/3/page/2?size=large"),
+        ("GET", "/part-9/hearing-dates"),
+        ("GET", "/elsewhere"),
+    ];
+    // A step that shares no factor with the sizes visits all services evenly.
+    let service = |index: usize| index * 37 % services;
+    let request = |index: usize| {
+        let (method, path) = kinds[index % kinds.len()];
+        let service = format!("s{}", service(index));
+        Request {
+            service,
+            method,
+            path,
+        }
+    };
+    (0..REQUESTS).map(request).collect()
+}
+
+fn view(request: &Request) -> view::RequestView<'_> {
+    view::RequestView {
+        service: &request.service,
+        method: request.method,
+        path: view::without_query(request.path),
+        headers: &[],
+    }
+}
+
+fn scan(document: &document::RuleDocument, request: &view::RequestView<'_>) -> Option<usize> {
+    let mut rules = document.rules().iter();
+    rules.position(|rule| rule.when.matches(request))
+}
+
+#[divan::bench(args = SIZES)]
+fn decide_by_index(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let matcher = matcher::RuleMatcher::compile(&parsed(rules));
+    let requests = requests(rules);
+    let counter = divan::counter::ItemsCount::new(REQUESTS);
+    bencher.counter(counter).bench(|| {
+        for request in &requests {
+            divan::black_box(matcher.decide(&view(divan::black_box(request))));
+        }
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn decide_by_scan(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let document = parsed(rules);
+    let requests = requests(rules);
+    let counter = divan::counter::ItemsCount::new(REQUESTS);
+    bencher.counter(counter).bench(|| {
+        for request in &requests {
+            divan::black_box(scan(&document, &view(divan::black_box(request))));
+        }
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn compile(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let document = parsed(rules);
+    bencher.bench(|| matcher::RuleMatcher::compile(divan::black_box(&document)));
+}
+
+#[divan::bench(args = SIZES, sample_count = 10)]
+fn check_text(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let text = text(rules);
+    bencher.bench(|| parse::check_rules("bench", divan::black_box(&text)));
+}
--- a/crates/anvil_rules/src/condition.rs
+++ b/crates/anvil_rules/src/condition.rs
@@ -74,7 +74,7 @@
         if !self.holds_method(request.method) {
             return Some(ConditionPart::Method);
         }
-        if !self.holds_path(request.bare_path()) {
+        if !self.holds_path(request.path) {
             return Some(ConditionPart::Path);
         }
         if !self.headers.iter().all(|header| header.matches(request)) {
--- a/crates/anvil_rules/src/matcher.rs
+++ b/crates/anvil_rules/src/matcher.rs
@@ -120,11 +120,10 @@
     }
 
     fn first_match(&self, request: &view::RequestView<'_>) -> Option<u32> {
-        let path = request.bare_path();
         let method = MethodMask::of(request.method);
         let mut first: Option<u32> = None;
         self.index.for_each(request.service, |paths| {
-            paths.for_each(path, |entries| {
+            paths.for_each(request.path, |entries| {
                 let found = self.first_in(entries, method, first, request);
                 first = found.or(first);
             });
@@ -157,10 +156,10 @@
         rule: index,
         methods: MethodMask::of_all(&when.methods),
     };
-    let services = keys_or_all(&when.services, service_key);
-    let mut paths = keys_or_all(&when.paths, path_key);
+    let services = keys_or_all(&when.services, service::ServicePattern::key);
+    let mut paths = keys_or_all(&when.paths, path::PathPattern::key);
     if services.len() * paths.len() > ENTRIES_PER_RULE {
-        paths = vec![table::TableKey::Prefix("")];
+        paths = vec![table::EVERYTHING];
     }
     for service in services {
         for path in &paths {
@@ -175,24 +174,10 @@
     K: Fn(&'a P) -> table::TableKey<'a>,
 {
     if patterns.is_empty() {
-        return vec![table::TableKey::Prefix("")];
+        return vec![table::EVERYTHING];
     }
     let mut keys: Vec<_> = patterns.iter().map(key).collect();
     keys.sort_unstable();
     keys.dedup();
     keys
 }
-
-fn service_key(pattern: &service::ServicePattern) -> table::TableKey<'_> {
-    match pattern {
-        service::ServicePattern::Exact(name) => table::TableKey::Exact(name),
-        service::ServicePattern::Prefix(prefix) => table::TableKey::Prefix(prefix),
-    }
-}
-
-fn path_key(pattern: &path::PathPattern) -> table::TableKey<'_> {
-    match pattern {
-        path::PathPattern::Exact(text) => table::TableKey::Exact(text),
-        _ => table::TableKey::Prefix(pattern.literal()),
-    }
-}
--- a/crates/anvil_rules/src/path.rs
+++ b/crates/anvil_rules/src/path.rs
@@ -3,6 +3,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::table;
+
 /// What matches any run of characters within one segment.
 const STAR: u8 = b'*';
 
@@ -42,7 +44,15 @@
         }
     }
 
-    /// The text that every matching path begins with, by which the matcher indexes the pattern.
+    /// The key under which the pattern stands in an index.
+    pub(crate) fn key(&self) -> table::TableKey<'_> {
+        match self {
+            Self::Exact(text) => table::TableKey::Exact(text),
+            Self::Prefix(_) | Self::Glob(_) => table::TableKey::Prefix(self.literal()),
+        }
+    }
+
+    /// The text that every matching path begins with.
     pub fn literal(&self) -> &str {
         match self {
             Self::Exact(text) | Self::Prefix(text) => text,
--- a/crates/anvil_rules/src/service.rs
+++ b/crates/anvil_rules/src/service.rs
@@ -3,6 +3,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::table;
+
 /// One service, or all whose names begin alike.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum ServicePattern {
@@ -23,6 +25,14 @@
         }
     }
 
+    /// The key under which the pattern stands in an index.
+    pub(crate) fn key(&self) -> table::TableKey<'_> {
+        match self {
+            Self::Exact(name) => table::TableKey::Exact(name),
+            Self::Prefix(prefix) => table::TableKey::Prefix(prefix),
+        }
+    }
+
     /// Tells whether every service that `other` matches is matched by this pattern too.
     pub fn covers(&self, other: &Self) -> bool {
         match (self, other) {
--- a/crates/anvil_rules/src/shadow.rs
+++ b/crates/anvil_rules/src/shadow.rs
@@ -1,6 +1,6 @@
 //! Rules that no request ever reaches.
 
-use crate::{fault, parse};
+use crate::{condition, fault, parse, service, table};
 
 /// Warns of each rule whose condition an earlier rule covers alone.
 ///
@@ -11,18 +11,60 @@
     located: &[parse::LocatedRule],
 ) -> Vec<fault::RuleWarning> {
     let mut warnings = Vec::new();
+    let mut earlier = EarlierRules::default();
     for (index, later) in located.iter().enumerate() {
-        let covers = |earlier: &&parse::LocatedRule| earlier.rule.when.covers(&later.rule.when);
-        let Some(earlier) = located[..index].iter().find(covers) else {
-            continue;
-        };
-        warnings.push(fault::RuleWarning {
-            file: file.to_owned(),
-            line: later.line,
-            name: later.rule.name.clone(),
-            shadowed_by: earlier.rule.name.clone(),
-            shadow_line: earlier.line,
-        });
+        if let Some(shadow) = earlier.find_covering(located, &later.rule.when) {
+            let shadow = &located[shadow];
+            warnings.push(fault::RuleWarning {
+                file: file.to_owned(),
+                line: later.line,
+                name: later.rule.name.clone(),
+                shadowed_by: shadow.rule.name.clone(),
+                shadow_line: shadow.line,
+            });
+        }
+        earlier.add(index, &later.rule.when);
     }
     warnings
 }
+
+/// Places of the rules seen so far by their services, because comparing each rule with each
+/// earlier one took most of a second at [`crate::document::RULE_LIMIT`] rules.
+#[derive(Default)]
+struct EarlierRules {
+    by_service: table::KeyTable<Vec<usize>>,
+}
+
+impl EarlierRules {
+    fn add(&mut self, index: usize, when: &condition::RuleCondition) {
+        if when.services.is_empty() {
+            self.by_service.entry(table::EVERYTHING).push(index);
+        }
+        for service in &when.services {
+            self.by_service.entry(service.key()).push(index);
+        }
+    }
+
+    /// The first rule seen that covers `when`.
+    ///
+    /// Whatever covers all services of `when` covers the first of them, so only those that do
+    /// are compared.
+    fn find_covering(
+        &self,
+        located: &[parse::LocatedRule],
+        when: &condition::RuleCondition,
+    ) -> Option<usize> {
+        let mut first: Option<usize> = None;
+        let covers = |index: &&usize| located[**index].rule.when.covers(when);
+        let visit = |places: &Vec<usize>| {
+            let found = places.iter().find(covers).copied();
+            first = found.into_iter().chain(first).min();
+        };
+        match when.services.first().map(service::ServicePattern::key) {
+            Some(table::TableKey::Exact(name)) => self.by_service.for_each(name, visit),
+            Some(table::TableKey::Prefix(text)) => self.by_service.for_each_prefix(text, visit),
+            None => self.by_service.for_each_prefix("", visit),
+        }
+        first
+    }
+}
--- a/crates/anvil_rules/src/table.rs
+++ b/crates/anvil_rules/src/table.rs
@@ -9,6 +9,9 @@
     Prefix(&'a str),
 }
 
+/// The key that stands for all texts.
+pub(crate) const EVERYTHING: TableKey<'static> = TableKey::Prefix("");
+
 /// Finds the values of all keys that stand for a text, with one binary search for the text and
 /// one for each length that a prefix has.
 #[derive(Clone, Debug)]
@@ -58,6 +61,14 @@
         if let Some(value) = find(&self.exact, text.as_bytes()) {
             visit(value);
         }
+        self.for_each_prefix(text, visit);
+    }
+
+    /// Calls `visit` with the value of each key that stands for all texts that begin with `text`.
+    pub(crate) fn for_each_prefix<F>(&self, text: &str, mut visit: F)
+    where
+        F: FnMut(&V),
+    {
         for length in &self.lengths {
             let Some(prefix) = text.as_bytes().get(..*length) else {
                 return;
--- a/crates/anvil_rules/src/view.rs
+++ b/crates/anvil_rules/src/view.rs
@@ -9,7 +9,7 @@
     pub service: &'a str,
     /// HTTP method, as sent.
     pub method: &'a str,
-    /// Path as sent, with or without its query, which conditions don't see.
+    /// Path without its query, which conditions don't see.
     pub path: &'a str,
     /// Header lines in order, names in lower case.
     pub headers: &'a [call::HeaderLine],
@@ -21,18 +21,17 @@
         Self {
             service: request.service.as_str(),
             method: &request.method,
-            path: &request.path,
+            path: without_query(&request.path),
             headers: &request.headers,
         }
     }
+}
 
-    /// The path up to its query.
-    ///
-    /// It is compared as sent, without decoding: two spellings of one path are two paths to a
-    /// rule, and the target decides whether they mean the same.
-    pub fn bare_path(&self) -> &'a str {
-        self.path
-            .split_once(['?', '#'])
-            .map_or(self.path, |(path, _)| path)
-    }
+/// The path up to its query.
+///
+/// It is compared as sent, without decoding: two spellings of one path are two paths to a rule,
+/// and the target decides whether they mean the same.
+pub fn without_query(path: &str) -> &str {
+    let end = path.bytes().position(|byte| byte == b'?' || byte == b'#');
+    end.map_or(path, |end| &path[..end])
 }
--- a/crates/anvil_rules/tests/change.rs
+++ b/crates/anvil_rules/tests/change.rs
@@ -113,3 +113,17 @@
         "the rule r2 can't stand in front of itself"
     ),
 }
+
+#[test]
+fn a_change_of_one_rule_stays_small_in_a_large_document() {
+    let rules: Vec<(u8, u8)> = (0..=250).map(|name| (name, 0)).collect();
+    let mut changed = rules.clone();
+    changed[100].1 = 5;
+    let edits = change::diff(&document(&rules), &document(&changed));
+    let bytes = postcard::to_allocvec(&change(edits)).expect("memory");
+    assert!(bytes.len() < 64, "{} bytes", bytes.len());
+    let read: change::RuleChange = postcard::from_bytes(&bytes).expect("what was written");
+    let mut document_again = document(&rules);
+    document_again.apply(&read).expect("fits");
+    assert_eq!(document_again, document(&changed));
+}
--- a/crates/anvil_rules/tests/matcher.rs
+++ b/crates/anvil_rules/tests/matcher.rs
@@ -16,7 +16,7 @@
 }
 
 fn naive_matches(when: &condition::RuleCondition, request: &view::RequestView<'_>) -> bool {
-    let path = request.path.split('?').next().expect("a first part");
+    let path = request.path;
     let services: Vec<String> = when.services.iter().map(|s| s.to_string()).collect();
     let paths: Vec<String> = when.paths.iter().map(|p| p.to_string()).collect();
     let any_service = services
@@ -133,6 +133,8 @@
         let matcher = matcher::RuleMatcher::compile(&checked.document);
         for (service, method, path, headers) in &requests {
             let headers: Vec<_> = headers.iter().map(|text| header_line(text)).collect();
+            let path = view::without_query(path);
+            prop_assert!(!path.contains('?'));
             let request = view::RequestView { service, method, path, headers: &headers };
             let decided = matcher.decide(&request).index;
             prop_assert_eq!(decided, naive_decide(&checked.document, &request));
@@ -158,7 +160,7 @@
     let request = view::RequestView {
         service: "mesa-entradas",
         method,
-        path: "/claims/7?full=1",
+        path: view::without_query("/claims/7?full=1"),
         headers: &[],
     };
     let decision = matcher.decide(&request);
