--- /dev/null
+++ b/crates/anvil_rules/tests/examples.rs
@@ -0,0 +1,135 @@
+//! The rules in `examples/` and in `docs/RULES.md` are read and checked.
+
+use std::fmt::Display;
+use std::fs;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anvil_rules::{duration, matcher, parse, range, view};
+use anvil_testkit::test_cases;
+use anvil_types::context::PriorityClass;
+use anvil_types::treatment;
+use rstest::{fixture, rstest};
+
+fn read(file: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join(file)).expect("the file is there")
+}
+
+fn matcher(mesh: &str) -> matcher::RuleMatcher {
+    let file = format!("examples/{mesh}/rules.yaml");
+    let checked = parse::check_rules(&file, &read(&file)).expect("the rules are right");
+    assert_eq!(checked.warnings, []);
+    matcher::RuleMatcher::compile(&checked.document)
+}
+
+fn check(mesh: &str, request: (&str, &str, &str), class: PriorityClass, idempotent: bool) {
+    let (method, service, path) = request;
+    let headers = &[];
+    let request = view::RequestView {
+        service,
+        method,
+        path,
+        headers,
+    };
+    let matcher = matcher(mesh);
+    let treatment = matcher.decide(&request).treatment;
+    assert_eq!((treatment.class, treatment.idempotent), (class, idempotent));
+}
+
+test_cases! { check:
+    a_claim => (
+        "reclamo-simple", ("POST", "portal-ciudadano", "/claims"), PriorityClass::Critical, false
+    ),
+    a_claim_down_the_chain => (
+        "reclamo-simple", ("POST", "expediente", "/claims/17"), PriorityClass::Critical, false
+    ),
+    a_hearing_date => (
+        "reclamo-simple", ("GET", "audiencias", "/hearings/3"), PriorityClass::High, true
+    ),
+    a_case => (
+        "reclamo-simple", ("GET", "portal-ciudadano", "/cases/9"), PriorityClass::Normal, true
+    ),
+    an_evidence_bundle => (
+        "reclamo-simple", ("GET", "expediente", "/evidence/9"), PriorityClass::Low, true
+    ),
+    an_unnamed_write => (
+        "reclamo-simple", ("PUT", "audiencias", "/hearings/3"), PriorityClass::High, false
+    ),
+    a_bid => ("marche-armor", ("POST", "bidding", "/bids"), PriorityClass::Critical, false),
+    an_award_notice => (
+        "marche-armor", ("POST", "awards", "/award-notices"), PriorityClass::Critical, false
+    ),
+    closing_hours => ("marche-armor", ("GET", "bidding", "/closing"), PriorityClass::High, true),
+    a_specification => (
+        "marche-armor", ("GET", "catalogue", "/specifications/4"), PriorityClass::High, true
+    ),
+    a_tender => ("marche-armor", ("GET", "catalogue", "/tenders"), PriorityClass::Normal, true),
+    a_profile => ("marche-armor", ("GET", "directory", "/suppliers/2"), PriorityClass::Low, true),
+}
+
+#[fixture]
+fn page() -> String {
+    read("docs/RULES.md")
+}
+
+#[rstest]
+fn every_text_of_the_page_is_accepted(page: String) {
+    let blocks: Vec<&str> = page.split("```yaml\n").skip(1).collect();
+    assert!(!blocks.is_empty());
+    for block in blocks {
+        let (text, _) = block.split_once("```").expect("an end");
+        let checked = parse::check_rules("docs/RULES.md", text).expect("the text is right");
+        assert_eq!(checked.warnings, []);
+    }
+}
+
+/// A number's row in the page's table of fields.
+fn row<T>(field: &str, range: &RangeInclusive<T>, default: T, unit: &str) -> String
+where
+    T: Display,
+{
+    let (least, most) = (range.start(), range.end());
+    format!("| `{field}` | {least}{unit} to {most}{unit} | {default}{unit} |")
+}
+
+/// A duration's row in the page's table of fields.
+fn wait_row(field: &str, range: &RangeInclusive<Duration>, default: Duration) -> String {
+    let (least, most) = (
+        duration::write(*range.start()),
+        duration::write(*range.end()),
+    );
+    format!(
+        "| `{field}` | {least} to {most} | {} |",
+        duration::write(default)
+    )
+}
+
+#[rstest]
+fn the_page_tells_the_ranges_and_defaults_in_force(page: String) {
+    let default = treatment::RuleTreatment::default();
+    let ratio = i64::from(default.retry_ratio_percent);
+    let rows = [
+        row(
+            "retries",
+            &range::CHAIN_RETRIES,
+            i64::from(default.chain_retries),
+            "",
+        ),
+        row("retry-ratio", &range::RETRY_RATIO_PERCENT, ratio, "%"),
+        row(
+            "crash-limit",
+            &range::CRASH_LIMIT,
+            i64::from(default.crash_limit),
+            "",
+        ),
+        wait_row("backoff", &range::BACKOFF, default.backoff),
+        wait_row("deadline", &range::DEADLINE, default.deadline),
+        wait_row("queue-wait", &range::QUEUE_WAIT, default.queue_wait),
+        wait_row("quarantine", &range::QUARANTINE, default.quarantine),
+    ];
+    for row in rows {
+        assert!(page.contains(&row), "{row}");
+    }
+}
