Tell operators what became of their change

A refused question was one text with one status, so the operators' command could not tell a wrong file from a conflict or from a store outage. Refusals are typed now: faults answer 422, a conflict 409 with the other changes, and 503 says whether the change may have been made. Every answer names the revision in force in the header anvil-revision, and the author of a change comes with it.

--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -7,7 +7,7 @@
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 
-use crate::event;
+use crate::{answer, event};
 
 /// The one reply to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -112,8 +112,8 @@
     AnswerOperator {
         /// Whose question.
         handle: event::OperatorHandle,
-        /// Whether it was carried out, and the text of the answer.
-        answer: Result<String, String>,
+        /// The answer, or why there is none.
+        answer: Result<answer::OperatorAnswer, answer::OperatorRefusal>,
     },
     /// Ask the platform's store; the outcome comes back as
     /// [`event::NodeEvent::StoreAnswered`].
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -89,6 +89,8 @@
         text: String,
         /// The operator's own id of the change.
         change: u128,
+        /// Who made it, as the operators' command tells.
+        author: String,
         /// The revision the operator saw.
         base: ident::RuleRevision,
     },
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -4,6 +4,8 @@
 //! gives the same effects. See `docs/ARCHITECTURE.md`.
 
 mod admitting;
+pub mod answer;
+mod applying;
 pub mod calls;
 pub mod config;
 pub mod counters;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -4,7 +4,7 @@
 use anvil_wire::call;
 use serde_json::json;
 
-use crate::{calls, entry, event, reducer, runs};
+use crate::{answer, applying, calls, effect, entry, event, reducer, runs};
 
 impl reducer::NodeReducer {
     pub(crate) fn operator_asked(
@@ -18,12 +18,35 @@
             event::OperatorRequest::Counters => Ok(json!(self.counters).to_string()),
             event::OperatorRequest::Explain(request) => Ok(self.explain(&request).to_string()),
             event::OperatorRequest::Rules => Ok(render::to_yaml(self.book.document())),
-            event::OperatorRequest::Apply { .. } | event::OperatorRequest::History => {
-                Err("not available yet".to_owned())
+            event::OperatorRequest::History => Ok(self.history().to_string()),
+            event::OperatorRequest::Apply {
+                text,
+                change,
+                author,
+                base,
+            } => {
+                let asked = applying::AskedChange {
+                    text,
+                    change,
+                    author,
+                    base,
+                };
+                return self.apply_asked(handle, &asked);
             }
         };
-        self.effects
-            .push(crate::effect::NodeEffect::AnswerOperator { handle, answer });
+        self.answer_operator(handle, answer);
+    }
+
+    /// Answers with the revision in force beside the text.
+    pub(crate) fn answer_operator(
+        &mut self,
+        handle: event::OperatorHandle,
+        answer: Result<String, answer::OperatorRefusal>,
+    ) {
+        let revision = self.book.revision();
+        let answer = answer.map(|text| answer::OperatorAnswer { text, revision });
+        let effect = effect::NodeEffect::AnswerOperator { handle, answer };
+        self.effects.push(effect);
     }
 
     fn dump(&self) -> serde_json::Value {
@@ -84,7 +107,6 @@
     }
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
-        let decision = self.book.decide(request);
         let print = entry::print_of(request);
         let refusals: Vec<_> = self
             .overload
@@ -94,9 +116,9 @@
             .filter(|note| note.service == request.service)
             .collect();
         json!({
-            "name": decision.name,
-            "rule": decision.mark,
-            "treatment": decision.treatment,
+            "service": request.service,
+            "revision": self.book.revision(),
+            "rule": self.book.explain(request),
             "cut_line": self.directory.line(self.now, &request.service),
             "quarantine": self.quarantine_of(print),
             "recent_refusals": refusals,
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -1,6 +1,6 @@
 //! The rules in force at this node.
 
-use anvil_rules::{document, matcher, view};
+use anvil_rules::{document, explain, matcher, view};
 use anvil_types::{ident, name, treatment};
 use anvil_wire::call;
 
@@ -52,6 +52,11 @@
         true
     }
 
+    /// Why `request` is treated as it is.
+    pub fn explain(&self, request: &call::CallRequest) -> explain::RuleExplanation {
+        explain::explain(&self.matcher, &view::RequestView::of(request))
+    }
+
     /// The treatment of `request` and the rule that decided.
     pub fn decide(&self, request: &call::CallRequest) -> BookDecision<'_> {
         let decision = self.matcher.decide(&view::RequestView::of(request));
--- a/crates/anvil_node/src/admin/question.rs
+++ b/crates/anvil_node/src/admin/question.rs
@@ -13,6 +13,15 @@
 /// The revision that the operator's change was made from.
 pub const BASE: &str = "anvil-base";
 
+/// Who makes a change; optional, shown in the history.
+pub const AUTHOR: &str = "anvil-author";
+
+/// Longest author kept, in bytes.
+pub const AUTHOR_BYTES: usize = 64;
+
+/// The revision in force at the time of the answer.
+pub const REVISION: &str = "anvil-revision";
+
 /// Why an operator's request was refused before the reducer heard it.
 #[derive(Debug, Display, Error, From)]
 pub enum QuestionError {
@@ -49,8 +58,9 @@
     method: String,
     #[serde(default = "root")]
     path: String,
+    /// Lines in order; a name may come twice.
     #[serde(default)]
-    headers: std::collections::BTreeMap<String, String>,
+    headers: Vec<(String, String)>,
 }
 
 fn get() -> String {
@@ -89,6 +99,7 @@
 pub fn apply(
     bytes: Vec<u8>,
     change: Option<&str>,
+    author: Option<&str>,
     base: Option<&str>,
 ) -> Result<event::OperatorRequest, QuestionError> {
     let text = String::from_utf8(bytes).map_err(|_| QuestionError::NotText)?;
@@ -97,6 +108,13 @@
         header: CHANGE,
         expected: "up to 32 hex digits",
     })?;
+    let author = author.unwrap_or_default();
+    if author.len() > AUTHOR_BYTES || author.contains(char::is_control) {
+        return Err(QuestionError::Header {
+            header: AUTHOR,
+            expected: "at most 64 bytes",
+        });
+    }
     let base = base.and_then(|text| text.parse().ok());
     let base = base.ok_or(QuestionError::Header {
         header: BASE,
@@ -105,6 +123,7 @@
     Ok(event::OperatorRequest::Apply {
         text,
         change,
+        author: author.to_owned(),
         base: ident::RuleRevision(base),
     })
 }
--- a/crates/anvil_node/src/admin/server.rs
+++ b/crates/anvil_node/src/admin/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_core::event;
+use anvil_core::{answer, event};
 use eyre::WrapErr;
 use rouille::{Request, Response};
 use serde_json::json;
@@ -86,17 +86,18 @@
     }
 
     fn json(&self, request: event::OperatorRequest) -> Response {
-        match self.ask(request) {
-            Some(Ok(text)) => Response::from_data("application/json", text),
-            Some(Err(reason)) => problem(422, &reason),
-            None => unanswered(),
-        }
+        self.text("application/json", request)
     }
 
     fn rules(&self) -> Response {
-        match self.ask(event::OperatorRequest::Rules) {
-            Some(Ok(text)) => Response::from_data("application/yaml", text),
-            Some(Err(reason)) => problem(503, &reason),
+        self.text("application/yaml", event::OperatorRequest::Rules)
+    }
+
+    fn text(&self, media_type: &'static str, request: event::OperatorRequest) -> Response {
+        match self.ask(request) {
+            Some(Ok(answer)) => Response::from_data(media_type, answer.text)
+                .with_unique_header(question::REVISION, answer.revision.to_string()),
+            Some(Err(refused)) => refusal(&refused),
             None => unanswered(),
         }
     }
@@ -104,7 +105,7 @@
     fn metrics(&self) -> Response {
         match self.ask(event::OperatorRequest::Counters) {
             Some(answer) => {
-                let reducer = answer.unwrap_or_default();
+                let reducer = answer.map(|answer| answer.text).unwrap_or_default();
                 let text = metrics::encode(&self.counters, &reducer);
                 Response::from_data(metrics::MEDIA_TYPE, text)
             }
@@ -123,8 +124,9 @@
     fn apply(&self, request: &Request) -> Response {
         let asked = body(request).and_then(|bytes| {
             let change = request.header(question::CHANGE);
+            let author = request.header(question::AUTHOR);
             let base = request.header(question::BASE);
-            let asked = question::apply(bytes, change, base);
+            let asked = question::apply(bytes, change, author, base);
             asked.map_err(|error| problem(422, &error.to_string()))
         });
         self.ask_read(asked)
@@ -179,8 +181,38 @@
     Ok(bytes)
 }
 
+/// The status tells the operator what became of the change: 422 and 409 changed nothing, and a
+/// 503 says in `outcome` whether the change may have been made.
+fn refusal(refused: &answer::OperatorRefusal) -> Response {
+    let detail = refused.to_string();
+    let (status, extra) = match refused {
+        answer::OperatorRefusal::Faults { faults } => (422, json!({ "faults": faults })),
+        answer::OperatorRefusal::Conflict {
+            base,
+            revision,
+            others,
+        } => (
+            409,
+            json!({ "base": base, "revision": revision, "others": others }),
+        ),
+        answer::OperatorRefusal::NotApplied { .. } => (503, json!({ "outcome": "not-applied" })),
+        answer::OperatorRefusal::Unknown { .. } => (503, json!({ "outcome": "unknown" })),
+    };
+    let mut body = json!({ "status": status, "detail": detail });
+    if let (Some(fields), serde_json::Value::Object(extra)) = (body.as_object_mut(), extra) {
+        fields.extend(extra);
+    }
+    Response::from_data("application/problem+json", body.to_string()).with_status_code(status)
+}
+
+/// Nothing came back in time, so a change that was asked for may still be made.
 fn unanswered() -> Response {
-    problem(503, "the node did not answer in time")
+    let body = json!({
+        "status": 503,
+        "detail": "the node did not answer in time",
+        "outcome": "unknown",
+    });
+    Response::from_data("application/problem+json", body.to_string()).with_status_code(503)
 }
 
 fn problem(status: u16, detail: &str) -> Response {
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -3,7 +3,7 @@
 //! The thread never waits for a socket; whatever can block is handed to the runtime. See
 //! `docs/design/edges.md`.
 
-use anvil_core::{effect, event, reducer};
+use anvil_core::{answer, effect, event, reducer};
 use anvil_types::{ident, sorted};
 use anvil_wire::frame;
 use tokio::sync::oneshot;
@@ -13,8 +13,8 @@
 /// Events that may wait for the reducer; a caller's request waits at its edge beyond that.
 pub const QUEUE_LIMIT: usize = 16_384;
 
-/// An operator's answer: the text, and whether the request was carried out.
-pub type OperatorAnswer = Result<String, String>;
+/// An operator's answer, or why there is none.
+pub type OperatorAnswer = Result<answer::OperatorAnswer, answer::OperatorRefusal>;
 
 /// What the edges hand to the reducer's thread.
 #[derive(Debug)]
--- a/crates/anvil_rules/src/change.rs
+++ b/crates/anvil_rules/src/change.rs
@@ -25,9 +25,10 @@
 }
 
 /// One step of a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RuleEdit {
     /// Add a rule, or replace the one of its name.
+    #[display("put {} {}", rule.name, place(before.as_ref()))]
     Put {
         /// The rule.
         rule: Arc<document::NamedRule>,
@@ -35,6 +36,7 @@
         before: Option<name::RuleName>,
     },
     /// Move a rule as it is.
+    #[display("move {name} {}", place(before.as_ref()))]
     Move {
         /// The rule.
         name: name::RuleName,
@@ -42,12 +44,17 @@
         before: Option<name::RuleName>,
     },
     /// Remove a rule.
+    #[display("remove {name}")]
     Remove {
         /// The rule.
         name: name::RuleName,
     },
 }
 
+fn place(before: Option<&name::RuleName>) -> String {
+    before.map_or_else(|| "at the end".to_owned(), |name| format!("before {name}"))
+}
+
 /// Why a change doesn't fit a document; the document is then as before.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
 pub enum ChangeConflict {
--- /dev/null
+++ b/crates/anvil_rules/src/explain.rs
@@ -0,0 +1,155 @@
+//! Why a request is treated as it is.
+
+use anvil_types::{name, treatment};
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::{condition, duration, matcher, outcome, view};
+
+/// Most rules listed as passed over; the rest is only counted.
+const PASSED_RULES: usize = 20;
+
+/// Which rule decides a request, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RuleExplanation {
+    /// The deciding rule; none where no rule holds and the defaults decide.
+    pub rule: Option<name::RuleName>,
+    /// Its place in the list, from zero.
+    pub index: Option<u32>,
+    /// Why it decides, in one sentence.
+    pub reason: String,
+    /// Earlier rules that speak of the service and still don't hold, in order.
+    pub passed_over: Vec<PassedRule>,
+    /// Earlier rules beyond those listed: most of them speak of other services.
+    pub others_passed_over: usize,
+    /// What is decided, field by field, in the words of the rule file.
+    pub decision: Vec<DecidedField>,
+}
+
+/// An earlier rule that doesn't hold.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
+#[display("{name}: the {differs} differs")]
+pub struct PassedRule {
+    /// Its name.
+    pub name: name::RuleName,
+    /// The first part of its condition that doesn't hold.
+    pub differs: condition::ConditionPart,
+}
+
+/// One decided field.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
+#[display("{field}: {value} ({from})")]
+pub struct DecidedField {
+    /// The field's name in a rule file.
+    pub field: &'static str,
+    /// Its value as a rule file would write it.
+    pub value: String,
+    /// Where the value comes from.
+    pub from: FieldSource,
+}
+
+/// Where the value of a field comes from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum FieldSource {
+    /// The rule says so.
+    #[display("rule")]
+    Rule,
+    /// The rule doesn't say, so the default stands.
+    #[display("default")]
+    Default,
+    /// The rule doesn't say, so RFC 9110's meaning of the method stands.
+    #[display("method")]
+    Method,
+}
+
+/// Explains what [`matcher::RuleMatcher::decide`] decides.
+pub fn explain(matcher: &matcher::RuleMatcher, request: &view::RequestView<'_>) -> RuleExplanation {
+    let decision = matcher.decide(request);
+    let rules = matcher.rules();
+    let end = decision.index.map_or(rules.len(), |index| index as usize);
+    let misses = rules[..end].iter().filter_map(|rule| {
+        let differs = rule.when.first_miss(request)?;
+        let name = rule.name.clone();
+        (differs != condition::ConditionPart::Service).then_some(PassedRule { name, differs })
+    });
+    let passed_over: Vec<PassedRule> = misses.take(PASSED_RULES).collect();
+    let defaults = outcome::RuleOutcome::default();
+    let rule = decision.index.map(|index| &rules[index as usize]);
+    let then = rule.map_or(&defaults, |rule| &rule.then);
+    RuleExplanation {
+        rule: decision.name.cloned(),
+        index: decision.index,
+        reason: reason(decision.name),
+        others_passed_over: end - passed_over.len(),
+        passed_over,
+        decision: decided_fields(then, request.method),
+    }
+}
+
+fn reason(name: Option<&name::RuleName>) -> String {
+    match name {
+        Some(name) => format!("{name} is the first rule whose whole condition holds"),
+        None => "no rule's condition holds, so the defaults decide".to_owned(),
+    }
+}
+
+fn decided_fields(then: &outcome::RuleOutcome, method: &str) -> Vec<DecidedField> {
+    let decided = then.treatment(method);
+    let idempotent = match then.idempotent {
+        Some(_) => FieldSource::Rule,
+        None => FieldSource::Method,
+    };
+    let idempotent = DecidedField {
+        field: "idempotent",
+        value: decided.idempotent.to_string(),
+        from: idempotent,
+    };
+    let action = match decided.action {
+        treatment::RuleAction::Serve => "serve",
+        treatment::RuleAction::Refuse => "refuse",
+    };
+    let ratio = format!("{}%", decided.retry_ratio_percent);
+    let retries = decided.chain_retries.to_string();
+    let crashes = decided.crash_limit.to_string();
+    vec![
+        field("action", action.to_owned(), then.action.as_ref()),
+        field("class", decided.class.to_string(), then.class.as_ref()),
+        idempotent,
+        field("retries", retries, then.chain_retries.as_ref()),
+        field("retry-ratio", ratio, then.retry_ratio_percent.as_ref()),
+        field(
+            "backoff",
+            duration::write(decided.backoff),
+            then.backoff.as_ref(),
+        ),
+        field(
+            "deadline",
+            duration::write(decided.deadline),
+            then.deadline.as_ref(),
+        ),
+        field(
+            "queue-wait",
+            duration::write(decided.queue_wait),
+            then.queue_wait.as_ref(),
+        ),
+        field("crash-limit", crashes, then.crash_limit.as_ref()),
+        field(
+            "quarantine",
+            duration::write(decided.quarantine),
+            then.quarantine.as_ref(),
+        ),
+    ]
+}
+
+fn field<T>(name: &'static str, value: String, stated: Option<&T>) -> DecidedField {
+    let from = match stated {
+        Some(_) => FieldSource::Rule,
+        None => FieldSource::Default,
+    };
+    DecidedField {
+        field: name,
+        value,
+        from,
+    }
+}
--- a/crates/anvil_rules/src/lib.rs
+++ b/crates/anvil_rules/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod condition;
 pub mod document;
 pub mod duration;
+pub mod explain;
 pub mod fault;
 mod field;
 pub mod matcher;
