Test the admin endpoint against nonsense, tokens and leaving targets

Announcements and operators' questions had no test over a socket. Each nonsense is refused with 422, a reason that names the field and a counter; the metrics all carry HELP, TYPE and a unit.

--- /dev/null
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -0,0 +1,169 @@
+//! Operators and the target talk to the admin endpoint; nonsense is refused, counted and explained.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::path::Path;
+
+use anvil_node::counters::EdgeCause;
+use anvil_node::{node, settings};
+use anvil_testkit::test_cases;
+use serde_json::Value;
+
+fn get(pair: &common::Pair, path: &str) -> attohttpc::Response {
+    let url = format!("http://{}{path}", pair.node.bound().admin);
+    attohttpc::get(url).send().unwrap()
+}
+
+fn get_json(pair: &common::Pair, path: &str) -> Value {
+    let response = get(pair, path);
+    assert_eq!(response.status(), 200);
+    serde_json::from_str(&response.text().unwrap()).unwrap()
+}
+
+#[test]
+fn status_and_dump_are_json() {
+    let pair = common::Pair::start("");
+    let status = get_json(&pair, "/status");
+    assert_eq!(status["zone"], "ar-centro-a");
+    assert_eq!(status["node"], pair.node.bound().node.to_string());
+    let dump = get_json(&pair, "/dump");
+    assert!(dump["counters"].is_object(), "{dump}");
+}
+
+#[test]
+fn metrics_have_help_types_and_units() {
+    let pair = common::Pair::start("");
+    pair.assert_lives();
+    let response = get(&pair, "/metrics");
+    let text = response.text().unwrap();
+    assert!(
+        text.contains("anvil_edge_events_total{cause=\"target_connected\"} 1\n"),
+        "{text}"
+    );
+    assert!(text.contains("anvil_calls_answered 1\n"), "{text}");
+    let samples = text.lines().filter(|line| !line.starts_with('#'));
+    for sample in samples {
+        let name = sample.split(['{', ' ']).next().unwrap();
+        for kind in ["HELP", "TYPE"] {
+            let line = format!("# {kind} {name} ");
+            assert!(text.contains(&line), "{sample} has no {kind}");
+        }
+    }
+    let helps = text.lines().filter(|line| line.starts_with("# HELP"));
+    for help in helps {
+        assert!(help.contains(", in "), "no unit: {help}");
+    }
+}
+
+#[test]
+fn rules_come_as_yaml() {
+    let pair = common::Pair::start("");
+    let response = get(&pair, "/rules");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["content-type"], "application/yaml");
+}
+
+#[test]
+fn explain_names_the_rule() {
+    let pair = common::Pair::start("");
+    let url = format!("http://{}/explain", pair.node.bound().admin);
+    let body =
+        r#"{"service":"audiencias","method":"POST","path":"/claims","headers":{"X-Role":"clerk"}}"#;
+    let response = attohttpc::post(url).text(body).send().unwrap();
+    assert_eq!(response.status(), 200);
+    let told: Value = serde_json::from_str(&response.text().unwrap()).unwrap();
+    assert!(told["treatment"].is_object(), "{told}");
+}
+
+fn refused(method: &str, path: &str, body: &str, status: u16, said: &str, cause: EdgeCause) {
+    let pair = common::Pair::start("");
+    let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap();
+    let url = format!("http://{}{path}", pair.node.bound().admin);
+    let request = attohttpc::RequestBuilder::new(method, url);
+    let response = request.text(body).send().unwrap();
+    assert_eq!(response.status().as_u16(), status);
+    let text = response.text().unwrap();
+    assert!(text.contains(said), "{said:?} is missing in: {text}");
+    pair.await_count(cause, 1);
+    pair.assert_lives();
+}
+
+fn nonsense(body: &str, said: &str) {
+    refused(
+        "PUT",
+        "/target",
+        body,
+        422,
+        said,
+        EdgeCause::AnnouncementRefused,
+    );
+}
+
+test_cases! {
+    nonsense:
+    no_json => ("slots: 4", "malformed"),
+    empty_body => ("", "malformed"),
+    unknown_field => (r#"{"service":"a","address":"127.0.0.1:1","slots":1,"connections":1,"lease_ms":1000,"weight":2}"#, "weight"),
+    missing_field => (r#"{"service":"a","address":"127.0.0.1:1","connections":1,"lease_ms":1000}"#, "slots"),
+    bad_service => (r#"{"service":"A B","address":"127.0.0.1:1","slots":1,"connections":1,"lease_ms":1000}"#, "a-z"),
+    host_name => (r#"{"service":"a","address":"localhost:1","slots":1,"connections":1,"lease_ms":1000}"#, "malformed"),
+    no_port => (r#"{"service":"a","address":"127.0.0.1:0","slots":1,"connections":1,"lease_ms":1000}"#, "connected"),
+    no_address => (r#"{"service":"a","address":"0.0.0.0:1","slots":1,"connections":1,"lease_ms":1000}"#, "connected"),
+    no_slots => (r#"{"service":"a","address":"127.0.0.1:1","slots":0,"connections":1,"lease_ms":1000}"#, "slots: 0"),
+    negative_slots => (r#"{"service":"a","address":"127.0.0.1:1","slots":-1,"connections":1,"lease_ms":1000}"#, "-1"),
+    absurd_slots => (r#"{"service":"a","address":"127.0.0.1:1","slots":4000000000,"connections":1,"lease_ms":1000}"#, "slots: 4000000000"),
+    no_connections => (r#"{"service":"a","address":"127.0.0.1:1","slots":1,"connections":0,"lease_ms":1000}"#, "connections: 0"),
+    short_lease => (r#"{"service":"a","address":"127.0.0.1:1","slots":1,"connections":1,"lease_ms":1}"#, "lease_ms: 1 "),
+    endless_lease => (r#"{"service":"a","address":"127.0.0.1:1","slots":1,"connections":1,"lease_ms":600001}"#, "lease_ms: 600001"),
+}
+
+test_cases! {
+    refused:
+    explain_no_json => ("POST", "/explain", "GET /", 422, "malformed", EdgeCause::OperatorRefused),
+    explain_unknown_field => ("POST", "/explain", r#"{"service":"a","verb":"GET"}"#, 422, "verb", EdgeCause::OperatorRefused),
+    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":{"a b":"c"}}"#, 422, "a b", EdgeCause::OperatorRefused),
+    rules_without_change => ("POST", "/rules", "rules: []", 422, "anvil-change", EdgeCause::OperatorRefused),
+}
+
+#[test]
+fn unknown_addresses_are_not_found() {
+    let pair = common::Pair::start("");
+    for path in ["/", "/nothing", "/dump/x"] {
+        assert_eq!(get(&pair, path).status(), 404, "{path}");
+    }
+}
+
+// The target says that it leaves; from then on its node refuses requests as not run.
+#[test]
+fn a_leaving_target_gets_no_more_requests() {
+    let pair = common::Pair::start("");
+    pair.assert_lives();
+    let url = format!("http://{}/target", pair.node.bound().admin);
+    assert_eq!(attohttpc::delete(url).send().unwrap().status(), 204);
+    let response = pair.request("POST", "/claims").text("one").send().unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["anvil-outcome"], "not-run");
+    assert_eq!(pair.target.seen().len(), 1);
+}
+
+fn with_token(sent: Option<&str>, status: u16) {
+    let yaml = format!("{}admin_token: open-sesame\n", common::yaml(""));
+    let settings = settings::parse(&yaml, Path::new("test.yaml")).unwrap();
+    let node = node::start(&settings).unwrap();
+    let mut request = attohttpc::get(format!("http://{}/status", node.bound().admin));
+    if let Some(sent) = sent {
+        request = request.header("authorization", sent);
+    }
+    assert_eq!(request.send().unwrap().status().as_u16(), status);
+}
+
+test_cases! {
+    with_token:
+    right_token => (Some("Bearer open-sesame"), 200),
+    no_token => (None, 401),
+    wrong_token => (Some("Bearer open-sesamo"), 401),
+    start_of_token => (Some("Bearer open"), 401),
+    longer_token => (Some("Bearer open-sesame2"), 401),
+}
