--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod effect;
 mod entry;
 pub mod event;
+mod fleet;
 mod operator;
 mod overload;
 pub mod reducer;
