Ask for explanations in one form at both ends

Cause: the operators' command sends header lines as pairs, since a name may come twice, and the tests of the admin endpoint still sent a map; an explanation now lists each field with its origin. Change: the two tests send and read that form, and still refuse a bad header name.

--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -69,12 +69,11 @@
 fn explain_names_the_rule() {
     let pair = common::Pair::start("");
     let url = format!("http://{}/explain", pair.node.bound().admin);
-    let body =
-        r#"{"service":"audiencias","method":"POST","path":"/claims","headers":{"X-Role":"clerk"}}"#;
+    let body = r#"{"service":"audiencias","method":"POST","path":"/claims","headers":[["X-Role","clerk"]]}"#;
     let response = attohttpc::post(url).text(body).send().unwrap();
     assert_eq!(response.status(), 200);
     let told: Value = serde_json::from_str(&response.text().unwrap()).unwrap();
-    assert!(told["treatment"].is_object(), "{told}");
+    assert!(told["rule"]["decision"].is_array(), "{told}");
 }
 
 fn refused(method: &str, path: &str, body: &str, status: u16, said: &str, cause: EdgeCause) {
@@ -123,7 +122,7 @@
     refused:
     explain_no_json => ("POST", "/explain", "GET /", 422, "malformed", EdgeCause::OperatorRefused),
     explain_unknown_field => ("POST", "/explain", r#"{"service":"a","verb":"GET"}"#, 422, "verb", EdgeCause::OperatorRefused),
-    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":{"a b":"c"}}"#, 422, "a b", EdgeCause::OperatorRefused),
+    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":[["a b","c"]]}"#, 422, "a b", EdgeCause::OperatorRefused),
     rules_without_change => ("POST", "/rules", "rules: []", 422, "anvil-change", EdgeCause::OperatorRefused),
 }
 
