Give operators their command

anvilctl checks rule files, puts them in force, shows rules, history, status and dump, and explains requests by a file or a node. What became of a change is always told: an answer that was lost is resolved by looking for the change's own id, and where nobody knows, the exit code says so and the message names the way to repeat it safely. A copy that rules show wrote carries its revision, so that a change made from it meets a conflict where somebody else was faster.

The library is a function from a command line to a report; tests run it against a node that answers by script, with one case for each outcome and exit code.

--- /dev/null
+++ b/crates/anvil_ctl/src/arguments.rs
@@ -0,0 +1,311 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anvil_rules::duration;
+use anvil_types::ident;
+use eyre::{WrapErr, bail, eyre};
+use pico_args::Arguments;
+
+use crate::{help, outcome};
+
+/// Longest wait for a node's answer where `--timeout` is left out. A node itself waits up to ten
+/// seconds for its reducer and the store, and its answer is worth more than a guess.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Longest wait for all nodes where `--wait-limit` is left out.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// What the process's surroundings say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CtlEnvironment {
+    /// `ANVIL_NODE`.
+    pub node: Option<String>,
+    /// `ANVIL_TOKEN_FILE`.
+    pub token_file: Option<PathBuf>,
+    /// `USER`.
+    pub user: Option<String>,
+}
+
+impl CtlEnvironment {
+    /// Reads the process's environment.
+    pub fn from_process() -> Self {
+        Self {
+            node: std::env::var("ANVIL_NODE").ok(),
+            token_file: std::env::var_os("ANVIL_TOKEN_FILE").map(PathBuf::from),
+            user: std::env::var("USER").ok(),
+        }
+    }
+}
+
+/// A command line, read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CtlCommand {
+    /// Show help.
+    Help(help::HelpTopic),
+    /// Check files.
+    Check {
+        /// Which.
+        files: Vec<PathBuf>,
+    },
+    /// Put a file in force.
+    Apply(Box<ApplyArguments>),
+    /// Show something of a node.
+    Show {
+        /// What.
+        what: ShowTopic,
+        /// Which node, and how.
+        node: NodeArguments,
+    },
+    /// Explain a request.
+    Explain(Box<ExplainArguments>),
+}
+
+/// What of a node is shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShowTopic {
+    /// The rules in force.
+    Rules,
+    /// The changes held.
+    History,
+    /// The fleet in short.
+    Status,
+    /// Everything.
+    Dump,
+}
+
+/// Which node is asked, and how.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeArguments {
+    /// The admin endpoint.
+    pub url: String,
+    /// The file that holds the token.
+    pub token_file: Option<PathBuf>,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+    /// Whether JSON is printed as it came.
+    pub json: bool,
+}
+
+/// How a file is put in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApplyArguments {
+    /// The file.
+    pub file: PathBuf,
+    /// Longest wait for all nodes, where waited for.
+    pub wait: Option<Duration>,
+    /// The revision that the file was made from.
+    pub base: Option<ident::RuleRevision>,
+    /// The change's id; a new one where none is given.
+    pub change: Option<u128>,
+    /// Who makes it.
+    pub author: String,
+    /// Which node.
+    pub node: NodeArguments,
+}
+
+/// What is explained.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExplainArguments {
+    /// The request's method.
+    pub method: String,
+    /// The request's URL.
+    pub url: String,
+    /// The request's headers.
+    pub headers: Vec<(String, String)>,
+    /// Who decides.
+    pub by: ExplainSource,
+    /// Whether JSON is printed.
+    pub json: bool,
+}
+
+/// Whose rules decide an explained request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExplainSource {
+    /// A file.
+    File(PathBuf),
+    /// A node.
+    Node(NodeArguments),
+}
+
+/// Reads the command line, without the program's name.
+pub fn read(
+    line: Vec<OsString>,
+    environment: &CtlEnvironment,
+) -> Result<CtlCommand, outcome::CtlFailure> {
+    let reader = ArgumentReader {
+        arguments: Arguments::from_vec(line),
+        environment,
+    };
+    reader.command().map_err(outcome::CtlFailure::usage)
+}
+
+struct ArgumentReader<'a> {
+    arguments: Arguments,
+    environment: &'a CtlEnvironment,
+}
+
+impl ArgumentReader<'_> {
+    fn command(mut self) -> eyre::Result<CtlCommand> {
+        let helped = self.arguments.contains(["-h", "--help"]);
+        let name = self.arguments.subcommand()?;
+        let topic = match name.as_deref() {
+            None if helped => help::HelpTopic::Overview,
+            None => bail!("a command is needed; see anvilctl --help"),
+            Some("help") => return Ok(CtlCommand::Help(help::HelpTopic::Overview)),
+            Some("check") => help::HelpTopic::Check,
+            Some("apply") => help::HelpTopic::Apply,
+            Some("rules") => help::HelpTopic::Rules,
+            Some("status") => help::HelpTopic::Status,
+            Some("dump") => help::HelpTopic::Dump,
+            Some("explain") => help::HelpTopic::Explain,
+            Some(other) => bail!("there is no command {other:?}; see anvilctl --help"),
+        };
+        if helped {
+            return Ok(CtlCommand::Help(topic));
+        }
+        match topic {
+            help::HelpTopic::Overview => Ok(CtlCommand::Help(topic)),
+            help::HelpTopic::Check => self.check(),
+            help::HelpTopic::Apply => self.apply(),
+            help::HelpTopic::Rules => self.rules(),
+            help::HelpTopic::Status => self.show(ShowTopic::Status),
+            help::HelpTopic::Dump => self.show(ShowTopic::Dump),
+            help::HelpTopic::Explain => self.explain(),
+        }
+    }
+
+    fn check(self) -> eyre::Result<CtlCommand> {
+        let files: Vec<PathBuf> = self.arguments.finish().iter().map(PathBuf::from).collect();
+        let option = |file: &&PathBuf| file.to_string_lossy().starts_with('-');
+        if let Some(option) = files.iter().find(option) {
+            bail!("there is no option {}", option.display());
+        }
+        if files.is_empty() {
+            bail!("a rule file is needed; see anvilctl check --help");
+        }
+        Ok(CtlCommand::Check { files })
+    }
+
+    fn apply(mut self) -> eyre::Result<CtlCommand> {
+        let waits = self.arguments.contains("--wait");
+        let limit = self.span("--wait-limit")?.unwrap_or(WAIT_LIMIT);
+        let base: Option<u64> = self.arguments.opt_value_from_str("--base")?;
+        let change = self.arguments.opt_value_from_fn("--change", read_change)?;
+        let author: Option<String> = self.arguments.opt_value_from_str("--author")?;
+        let author = author.or_else(|| self.environment.user.clone());
+        let node = self.node()?;
+        let file = self.free_path()?;
+        let arguments = ApplyArguments {
+            file,
+            wait: waits.then_some(limit),
+            base: base.map(ident::RuleRevision),
+            change,
+            author: author.unwrap_or_default(),
+            node,
+        };
+        self.finish(CtlCommand::Apply(Box::new(arguments)))
+    }
+
+    fn rules(mut self) -> eyre::Result<CtlCommand> {
+        let what = match self.arguments.subcommand()?.as_deref() {
+            Some("show") => ShowTopic::Rules,
+            Some("history") => ShowTopic::History,
+            _ => bail!("rules takes show or history; see anvilctl rules --help"),
+        };
+        self.show(what)
+    }
+
+    fn show(mut self, what: ShowTopic) -> eyre::Result<CtlCommand> {
+        let node = self.node()?;
+        self.finish(CtlCommand::Show { what, node })
+    }
+
+    fn explain(mut self) -> eyre::Result<CtlCommand> {
+        let headers = self
+            .arguments
+            .values_from_fn(["-H", "--header"], read_header)?;
+        let file: Option<String> = self.arguments.opt_value_from_str("--rules")?;
+        let (by, json) = match file {
+            Some(file) => {
+                let json = self.arguments.contains("--json");
+                (ExplainSource::File(PathBuf::from(file)), json)
+            }
+            None => {
+                let node = self
+                    .node()
+                    .wrap_err("without --rules FILE, a node is asked")?;
+                let json = node.json;
+                (ExplainSource::Node(node), json)
+            }
+        };
+        let missing = || eyre!("a method and a URL are needed; see anvilctl explain --help");
+        let method: Option<String> = self.arguments.opt_free_from_str()?;
+        let url: Option<String> = self.arguments.opt_free_from_str()?;
+        let arguments = ExplainArguments {
+            method: method.ok_or_else(missing)?,
+            url: url.ok_or_else(missing)?,
+            headers,
+            by,
+            json,
+        };
+        self.finish(CtlCommand::Explain(Box::new(arguments)))
+    }
+
+    fn node(&mut self) -> eyre::Result<NodeArguments> {
+        let url: Option<String> = self.arguments.opt_value_from_str("--node")?;
+        let url = url.or_else(|| self.environment.node.clone());
+        let url = url.ok_or_else(|| eyre!("name a node with --node URL or $ANVIL_NODE"))?;
+        if !url.starts_with("http://") {
+            bail!("--node {url}: a node's admin endpoint begins with http://");
+        }
+        let token_file: Option<String> = self.arguments.opt_value_from_str("--token-file")?;
+        let token_file = token_file.map(PathBuf::from);
+        Ok(NodeArguments {
+            url: url.trim_end_matches('/').to_owned(),
+            token_file: token_file.or_else(|| self.environment.token_file.clone()),
+            timeout: self.span("--timeout")?.unwrap_or(TIMEOUT),
+            json: self.arguments.contains("--json"),
+        })
+    }
+
+    fn span(&mut self, name: &'static str) -> eyre::Result<Option<Duration>> {
+        Ok(self.arguments.opt_value_from_fn(name, read_span)?)
+    }
+
+    fn free_path(&mut self) -> eyre::Result<PathBuf> {
+        let text: Option<String> = self.arguments.opt_free_from_str()?;
+        let text = text.ok_or_else(|| eyre!("a rule file is needed; see anvilctl apply --help"))?;
+        if text.starts_with('-') {
+            bail!("there is no option {text}");
+        }
+        Ok(PathBuf::from(text))
+    }
+
+    fn finish(self, command: CtlCommand) -> eyre::Result<CtlCommand> {
+        let rest = self.arguments.finish();
+        match rest.first() {
+            None => Ok(command),
+            Some(first) => bail!("{first:?} is one argument too many"),
+        }
+    }
+}
+
+fn read_span(text: &str) -> Result<Duration, String> {
+    let span = duration::read(text).filter(|span| !span.is_zero());
+    span.ok_or_else(|| "a duration such as 500ms or 30s is expected".to_owned())
+}
+
+fn read_change(text: &str) -> Result<u128, String> {
+    u128::from_str_radix(text, 16).map_err(|_| "up to 32 hex digits are expected".to_owned())
+}
+
+fn read_header(text: &str) -> Result<(String, String), String> {
+    let (name, value) = text
+        .split_once(':')
+        .ok_or_else(|| "a header such as 'x-kind: claim' is expected".to_owned())?;
+    let name = name.trim().to_ascii_lowercase();
+    Ok((name, value.trim().to_owned()))
+}
--- /dev/null
+++ b/crates/anvil_ctl/src/explain.rs
@@ -0,0 +1,84 @@
+//! `anvilctl explain`.
+
+use anvil_rules::{explain, matcher, view};
+use anvil_types::name;
+use anvil_wire::call;
+use eyre::{WrapErr, eyre};
+use http::Uri;
+use serde_json::{Value, json};
+
+use crate::{arguments, node, outcome, render, rule_file};
+
+/// The header by which a caller names the service.
+const SERVICE: &str = "anvil-service";
+
+/// Tells which rule decides a request, by a file or by a node.
+pub fn explain(
+    arguments: &arguments::ExplainArguments,
+) -> Result<outcome::CtlReport, outcome::CtlFailure> {
+    let request = read_request(arguments).map_err(outcome::CtlFailure::usage)?;
+    let json = match &arguments.by {
+        arguments::ExplainSource::File(path) => {
+            let file = rule_file::RuleFile::read(path)?;
+            let matcher = matcher::RuleMatcher::compile(&file.rules.document);
+            let explanation = explain::explain(&matcher, &view::RequestView::of(&request));
+            json!({ "service": request.service, "rule": explanation })
+        }
+        arguments::ExplainSource::Node(node) => ask(node, &request)?,
+    };
+    if arguments.json {
+        return Ok(outcome::CtlReport::done(format!("{json}\n")));
+    }
+    Ok(outcome::CtlReport::done(render::tree(&json)))
+}
+
+fn ask(
+    arguments: &arguments::NodeArguments,
+    request: &call::CallRequest,
+) -> Result<Value, outcome::CtlFailure> {
+    let client = node::NodeClient::new(arguments)?;
+    let headers: Vec<_> = request
+        .headers
+        .iter()
+        .map(|line| (&line.name, String::from_utf8_lossy(&line.value)))
+        .collect();
+    let body = json!({
+        "method": request.method,
+        "service": request.service,
+        "path": request.path,
+        "headers": headers,
+    });
+    Ok(client.post_json("/explain", &body)?.accepted()?.json())
+}
+
+fn read_request(arguments: &arguments::ExplainArguments) -> eyre::Result<call::CallRequest> {
+    let url: Uri = arguments
+        .url
+        .parse()
+        .wrap_err_with(|| format!("{:?} is no URL", arguments.url))?;
+    let path = url.path_and_query().map_or("/", |path| path.as_str());
+    let headers = arguments
+        .headers
+        .iter()
+        .map(|(name, value)| call::HeaderLine {
+            name: name.clone(),
+            value: value.clone().into(),
+        });
+    Ok(call::CallRequest {
+        service: read_service(&url, &arguments.headers)?,
+        method: arguments.method.clone(),
+        path: path.to_owned(),
+        headers: headers.filter(|line| line.name != SERVICE).collect(),
+        body: bytes::Bytes::new(),
+    })
+}
+
+fn read_service(url: &Uri, headers: &[(String, String)]) -> eyre::Result<name::ServiceName> {
+    let named = headers.iter().find(|(name, _)| name == SERVICE);
+    let label = url.host().and_then(|host| host.split('.').next());
+    let text = named.map(|(_, value)| value.as_str()).or(label);
+    let text = text.ok_or_else(|| {
+        eyre!("name the service by the URL's host, such as http://mesa-entradas/claims")
+    })?;
+    name::ServiceName::new(text).wrap_err_with(|| format!("{text:?} is no service"))
+}
--- a/crates/anvil_ctl/src/lib.rs
+++ b/crates/anvil_ctl/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! The operators' command: checks rule files, sends them to a node, and shows what a node knows.
+//!
+//! Everything but the process itself is a function of its arguments, so that tests call it
+//! without starting one. See `docs/OPERATIONS.md`.
+
+pub mod apply;
+pub mod arguments;
+pub mod check;
+pub mod command;
+pub mod explain;
+pub mod help;
+pub mod node;
+pub mod outcome;
+pub mod render;
+pub mod rule_file;
+pub mod show;
+pub mod wait;
--- /dev/null
+++ b/crates/anvil_ctl/tests/asking.rs
@@ -0,0 +1,202 @@
+//! Commands that ask a node, against one that answers by script.
+
+mod common;
+
+use std::net::TcpListener;
+
+use anvil_testkit::test_cases;
+use common::{ScriptedAnswer, ScriptedNode, answer};
+
+const CHANGE: &str = "00000000000000000000000000000abc";
+const RULES: &str = "rules: []\n";
+
+fn apply(
+    script: Vec<ScriptedAnswer>,
+    options: &str,
+) -> (anvil_ctl::outcome::CtlReport, Vec<String>) {
+    let node = ScriptedNode::start(script);
+    let file = common::written("apply.yaml", RULES);
+    let url = &node.url;
+    let line = format!("apply {file} --node {url} --change abc --timeout 600ms{options}");
+    (common::run(&line), node.seen())
+}
+
+fn rules() -> ScriptedAnswer {
+    answer("GET", "/rules", 200, RULES)
+}
+
+fn check_apply(status: u16, body: &str, code: u8, expected: &str) {
+    // The node's words decide what the operator is told: whether the change was made, was not
+    // made, or whether nobody knows.
+    let history = answer("GET", "/rules/history", 200, r#"{"changes": []}"#);
+    let (report, _) = apply(
+        vec![rules(), history, answer("POST", "/rules", status, body)],
+        "",
+    );
+    let told = format!("{}{}", report.out, report.err);
+    assert_eq!(report.status.code(), code, "{told}");
+    assert!(told.contains(expected), "{told}");
+}
+
+test_cases! { check_apply:
+    accepted => (200, r#"{"revision": 8}"#, 0, "accepted as revision 8\n"),
+    conflict => (
+        409,
+        r#"{"base": 7, "revision": 9,
+            "others": [{"revision": 9, "author": "luis", "edits": ["remove bid"]}]}"#,
+        1,
+        "the rules are at revision 9 and your file was made from 7; nothing was changed\n  \
+         revision 9 by luis:\n    remove bid\nfetch the rules with `anvilctl rules show`"
+    ),
+    faults => (
+        422,
+        r#"{"faults": [{"line": 3, "column": 5, "field": "rules[0].then", "reason": "wrong"}]}"#,
+        1,
+        "apply.yaml:3:5: rules[0].then: wrong\n"
+    ),
+    not_applied => (
+        503,
+        r#"{"detail": "not applied: the store is down", "outcome": "not-applied"}"#,
+        1,
+        "not applied: the store is down; nothing was changed, apply the file again later"
+    ),
+    unknown => (
+        503,
+        r#"{"detail": "the node did not answer in time", "outcome": "unknown"}"#,
+        4,
+        "repeat it safely with `anvilctl apply"
+    ),
+    a_fault_of_the_node => (500, "oops", 4, "oops, and the change is not in the node's history"),
+    no_token => (401, "", 1, "the node wants a token: name its file with --token-file"),
+}
+
+#[test]
+fn an_answer_lost_after_the_change_was_made_is_resolved_by_reading() {
+    // The node wrote the change and then answered too late. The command looks for the change's
+    // own id in the history and finds it, so the operator is told the truth and nothing is sent
+    // twice.
+    let unknown = answer("POST", "/rules", 503, r#"{"outcome": "unknown"}"#);
+    let changes = format!(r#"{{"changes": [{{"revision": 8, "change": "{CHANGE}"}}]}}"#);
+    let history = answer("GET", "/rules/history", 200, &changes);
+    let (report, seen) = apply(vec![rules(), unknown, history], "");
+    assert_eq!(report.out, "accepted as revision 8\n");
+    assert_eq!(report.status.code(), 0);
+    let posts = seen.iter().filter(|line| line.starts_with("POST"));
+    assert_eq!(posts.count(), 1);
+}
+
+#[test]
+fn sends_the_change_with_its_base_and_author() {
+    let accepted = answer("POST", "/rules", 200, r#"{"revision": 8}"#);
+    let (_, seen) = apply(vec![rules(), accepted], "");
+    let expected = format!("POST /rules anvil-author=ana anvil-base=7 anvil-change={CHANGE}");
+    assert_eq!(seen, ["GET /rules".to_owned(), expected]);
+}
+
+#[test]
+fn a_shown_copy_carries_its_revision_into_the_base() {
+    // An operator shows the rules at revision 7, edits the copy and applies it after somebody
+    // else's change. The copy says what it was made from, so the node can see the conflict.
+    let accepted = answer("POST", "/rules", 200, r#"{"revision": 8}"#);
+    let node = ScriptedNode::start(vec![rules(), accepted]);
+    let shown = common::run(&format!("rules show --node {}", node.url));
+    assert_eq!(shown.out, "# revision: 7\nrules: []\n");
+    let copy = common::written("copy.yaml", &shown.out.replace('7', "3"));
+    common::run(&format!("apply {copy} --node {}", node.url));
+    let last = node.seen().pop().expect("a request");
+    assert!(last.contains(" anvil-base=3 "), "{last}");
+}
+
+#[test]
+fn wrong_rules_are_never_sent() {
+    let node = ScriptedNode::start(vec![rules()]);
+    let file = common::written("never.yaml", "rules: 1\n");
+    let report = common::run(&format!("apply {file} --node {}", node.url));
+    assert_eq!(report.status.code(), 1);
+    assert_eq!(node.seen(), [""; 0]);
+}
+
+fn check_wait(status: &str, code: u8, expected: &str) {
+    let accepted = answer("POST", "/rules", 200, r#"{"revision": 8}"#);
+    let script = vec![rules(), accepted, answer("GET", "/status", 200, status)];
+    let (report, _) = apply(script, " --wait --wait-limit 100ms");
+    assert_eq!(report.status.code(), code);
+    assert_eq!(format!("{}{}", report.out, report.err), expected);
+}
+
+test_cases! { check_wait:
+    all_nodes_have_it => (
+        r#"{"rules": {"revision": 8, "members": 3, "in_force": 3, "lagging": []}}"#,
+        0,
+        "accepted as revision 8\nin force on all 3 nodes\n"
+    ),
+    one_node_lags => (
+        r#"{"rules": {"revision": 8, "members": 3, "in_force": 2,
+                      "lagging": [{"node": "0f", "revision": 6}]}}"#,
+        5,
+        "accepted as revision 8\nanvilctl: in force on 2 of 3 nodes; lagging:\n  0f at revision 6\n\
+         look again with `anvilctl status`; the change stays accepted\n"
+    ),
+    the_asked_node_itself_lags => (
+        r#"{"rules": {"revision": 7, "members": 3, "in_force": 3, "lagging": []}}"#,
+        5,
+        "accepted as revision 8\nanvilctl: the node did not tell how far the revision has come\n"
+    ),
+}
+
+#[test]
+fn an_unreachable_node_is_told() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    let report = common::run(&format!("status --node http://{address}"));
+    assert_eq!(report.status.code(), 3);
+    let expected = "anvilctl: the node can't be reached: no connection to http://127.0.0.1";
+    assert!(report.err.starts_with(expected), "{}", report.err);
+}
+
+#[test]
+fn sends_the_token_of_the_file() {
+    let node = ScriptedNode::start(vec![answer("GET", "/status", 200, "{}")]);
+    let file = common::written("token", "s3cret\n");
+    let line = format!("status --node {} --token-file {file} --json", node.url);
+    assert_eq!(common::run(&line).out, "{}\n");
+    assert_eq!(node.seen(), ["GET /status authorization=Bearer s3cret"]);
+}
+
+#[test]
+fn shows_status_history_and_dump_as_text() {
+    let status = r#"{"node": "1f", "peers": [{"node": "2f", "leaving": false}]}"#;
+    let history =
+        r#"{"changes": [{"revision": 1, "author": "ana", "edits": ["put bid at the end"]}]}"#;
+    let node = ScriptedNode::start(vec![
+        answer("GET", "/status", 200, status),
+        answer("GET", "/rules/history", 200, history),
+        answer("GET", "/dump", 200, r#"{"calls": []}"#),
+    ]);
+    let shown = |what: &str| common::run(&format!("{what} --node {}", node.url)).out;
+    assert_eq!(
+        shown("status"),
+        "node: 1f\npeers: 1\n  leaving  node\n  false    2f\n"
+    );
+    let expected =
+        "changes: 1\n  author  edits               revision\n  ana     put bid at the end  1\n";
+    assert_eq!(shown("rules history"), expected);
+    assert_eq!(shown("dump"), "calls: -\n");
+}
+
+#[test]
+fn explains_by_a_node() {
+    let explained = answer(
+        "POST",
+        "/explain",
+        200,
+        r#"{"revision": 7, "rule": {"rule": "bid"}}"#,
+    );
+    let node = ScriptedNode::start(vec![explained]);
+    let report = common::run(&format!(
+        "explain POST http://bidding/bids --node {}",
+        node.url
+    ));
+    assert_eq!(report.out, "revision: 7\nrule:\n  rule: bid\n");
+}
