Follow the agreed form of explain and apply in the admin tests

Headers to explain came as a map, which loses a name that comes twice; they are pairs now, as the operators' command sends them, and the two tests of the old form are replaced by ones that also check the revision and the reason. Each outcome of an apply is checked at the endpoint.

--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -69,12 +69,44 @@
 fn explain_names_the_rule() {
     let pair = common::Pair::start("");
     let url = format!("http://{}/explain", pair.node.bound().admin);
-    let body =
-        r#"{"service":"audiencias","method":"POST","path":"/claims","headers":{"X-Role":"clerk"}}"#;
+    let body = r#"{"service":"audiencias","method":"POST","path":"/claims",
+                   "headers":[["X-Role","clerk"],["X-Role","judge"]]}"#;
     let response = attohttpc::post(url).text(body).send().unwrap();
     assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["anvil-revision"], "0");
     let told: Value = serde_json::from_str(&response.text().unwrap()).unwrap();
-    assert!(told["treatment"].is_object(), "{told}");
+    assert_eq!(told["revision"], 0, "{told}");
+    let reason = "no rule's condition holds, so the defaults decide";
+    assert_eq!(told["rule"]["reason"], reason, "{told}");
+    assert_eq!(told["rule"]["decision"][2]["from"], "method", "{told}");
+}
+
+fn check_apply(text: &str, base: &str, status: u16, field: &str, expected: &Value) {
+    // What the operators' command tells rests on the status and these fields alone: whether
+    // nothing was changed, and why, or whether nobody knows.
+    let pair = common::Pair::start("");
+    let url = format!("http://{}/rules", pair.node.bound().admin);
+    let request = attohttpc::post(url).header("anvil-change", "1f");
+    let response = request
+        .header("anvil-base", base)
+        .text(text)
+        .send()
+        .unwrap();
+    assert_eq!(response.status().as_u16(), status);
+    let told: Value = serde_json::from_str(&response.text().unwrap()).unwrap();
+    assert_eq!(told.pointer(field), Some(expected), "{told}");
+}
+
+test_cases! { check_apply:
+    wrong_rules_tell_every_fault => (
+        "rules:\n- {name: A, then: {retries: 99}}", "0", 422, "/faults/1/field",
+        &"rules[0].then.retries".into()
+    ),
+    another_base_is_a_conflict => ("rules: []", "5", 409, "/revision", &0.into()),
+    rules_in_force_already_change_nothing => ("rules: []", "0", 200, "/edits", &0.into()),
+    without_a_store_nothing_is_applied => (
+        "rules: [{name: a, then: {}}]", "0", 503, "/outcome", &"not-applied".into()
+    ),
 }
 
 fn refused(method: &str, path: &str, body: &str, status: u16, said: &str, cause: EdgeCause) {
@@ -123,7 +155,7 @@
     refused:
     explain_no_json => ("POST", "/explain", "GET /", 422, "malformed", EdgeCause::OperatorRefused),
     explain_unknown_field => ("POST", "/explain", r#"{"service":"a","verb":"GET"}"#, 422, "verb", EdgeCause::OperatorRefused),
-    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":{"a b":"c"}}"#, 422, "a b", EdgeCause::OperatorRefused),
+    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":[["a b","c"]]}"#, 422, "a b", EdgeCause::OperatorRefused),
     rules_without_change => ("POST", "/rules", "rules: []", 422, "anvil-change", EdgeCause::OperatorRefused),
 }
 
