Let experiments start nodes in any way and record what replies tell

Cause: the demo runs nodes inside one process, experiments run processes; both want the same mesh, load and faults. Change: the experiment takes a function that starts a node; callers record attempts, rule and reason of each reply.

--- a/crates/anvil_node/examples/experiment.rs
+++ b/crates/anvil_node/examples/experiment.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::{env, fs};
 
-use anvil_standins::{experiment, mesh, report, scenario};
+use anvil_standins::{experiment, mesh, process, report, scenario};
 use anvil_types::context;
 use eyre::{WrapErr, ensure};
 
@@ -143,8 +143,7 @@
     let run_folder = plan.folder.join(format!("{name}-{variant}-{seed}"));
     fs::create_dir_all(&run_folder)?;
     experiment::run(experiment::ExperimentPlan {
-        binary: node_binary()?,
-        folder: run_folder,
+        starter: starter(node_binary()?, run_folder),
         mesh: Arc::new(mesh),
         scenario: Arc::new(scenario),
         rules: None,
@@ -155,6 +154,19 @@
     .await
 }
 
+fn starter(binary: PathBuf, folder: PathBuf) -> Arc<process::NodeStarter> {
+    Arc::new(move |name, settings| {
+        let plan = process::ProcessPlan {
+            binary: &binary,
+            folder: &folder,
+            name,
+            settings,
+        };
+        let node = process::NodeProcess::start(&plan)?;
+        Ok(Box::new(node) as Box<dyn process::NodeHandle>)
+    })
+}
+
 /// The node's program stands beside the folder of this example.
 fn node_binary() -> eyre::Result<PathBuf> {
     let here = env::current_exe()?;
--- a/crates/anvil_standins/src/client.rs
+++ b/crates/anvil_standins/src/client.rs
@@ -31,6 +31,9 @@
 /// Header with the number of attempts that the entry node dispatched.
 pub const ATTEMPTS_HEADER: &str = "anvil-attempts";
 
+/// Header with the place of the rule that decided.
+pub const RULE_HEADER: &str = "anvil-rule";
+
 /// Why an exchange brought no answer.
 #[derive(Debug, Display, Error)]
 pub enum ExchangeError {
@@ -83,6 +86,14 @@
     pub body: Bytes,
 }
 
+impl ClientAnswer {
+    /// The value of a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let value = self.headers.get(name)?;
+        value.to_str().ok()
+    }
+}
+
 /// Keeps connections open between requests.
 #[derive(Clone, Debug)]
 pub struct KeptClient {
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -1,7 +1,6 @@
 //! Runs one scenario on one version of the system: real node processes, stand-in targets.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,12 +33,10 @@
 };
 
 /// One run: which mesh, which scenario, which version.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ExperimentPlan {
-    /// The node's program.
-    pub binary: PathBuf,
-    /// Where settings and logs go.
-    pub folder: PathBuf,
+    /// Starts each node.
+    pub starter: Arc<process::NodeStarter>,
     /// The mesh.
     pub mesh: Arc<mesh::MeshPlan>,
     /// The scenario.
@@ -58,7 +55,7 @@
 struct MeshMember {
     zone: name::ZoneName,
     name: String,
-    node: process::NodeProcess,
+    node: Box<dyn process::NodeHandle>,
     target: Arc<mesh_target::MeshTarget>,
 }
 
@@ -73,6 +70,12 @@
 /// Runs the scenario and sums up what it showed.
 pub async fn run(plan: ExperimentPlan) -> eyre::Result<report::RunReport> {
     let scenario = Arc::clone(&plan.scenario);
+    let ledger = run_recorded(plan).await?;
+    Ok(report::RunReport::of(&ledger, &scenario))
+}
+
+/// Runs the scenario and returns everything recorded.
+pub async fn run_recorded(plan: ExperimentPlan) -> eyre::Result<Arc<ledger::RunLedger>> {
     let mut mesh = RunningMesh::start(plan).await?;
     mesh.gather(mesh.members.len()).await?;
     mesh.apply_rules().await?;
@@ -83,7 +86,7 @@
     mesh.play_faults(start).await?;
     callers.await.wrap_err("the callers panicked")?;
     keeper.abort();
-    Ok(report::RunReport::of(&mesh.ledger, &scenario))
+    Ok(Arc::clone(&mesh.ledger))
 }
 
 impl RunningMesh {
@@ -140,7 +143,7 @@
         name: &str,
         zone: &name::ZoneName,
         caller_port: u16,
-    ) -> eyre::Result<process::NodeProcess> {
+    ) -> eyre::Result<Box<dyn process::NodeHandle>> {
         let seeds: Vec<String> = self
             .members
             .iter()
@@ -162,12 +165,7 @@
             store = self.plan.store,
             extra = self.plan.extra_settings,
         );
-        process::NodeProcess::start(&process::ProcessPlan {
-            binary: &self.plan.binary,
-            folder: &self.plan.folder,
-            name,
-            settings: &settings,
-        })
+        (self.plan.starter)(name, &settings)
     }
 
     /// Waits until every node knows `wanted` targets.
--- a/crates/anvil_standins/src/ledger.rs
+++ b/crates/anvil_standins/src/ledger.rs
@@ -52,6 +52,12 @@
     pub outcome: CallerOutcome,
     /// Times the caller sent it.
     pub sends: u32,
+    /// Attempts that the entry node dispatched for the last send.
+    pub attempts: u32,
+    /// The place of the rule that decided, as told in the reply.
+    pub rule: Option<String>,
+    /// Why there was no answer, as told in the reply.
+    pub reason: Option<String>,
 }
 
 /// Everything recorded in one experiment.
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -124,11 +124,11 @@
         let habits = self.plan.scenario.callers;
         let request = self.plan.mesh.pick(self.draws.kind).clone();
         let mut sends = 0;
-        let outcome = loop {
-            let outcome = self.send(&request, sends, habits).await;
+        let ending = loop {
+            let ending = self.send(&request, sends, habits).await;
             sends += 1;
-            if outcome == ledger::CallerOutcome::Whole || sends > habits.resends {
-                break outcome;
+            if ending.outcome == ledger::CallerOutcome::Whole || sends > habits.resends {
+                break ending;
             }
             tokio::time::sleep(Duration::from_millis(habits.pause_ms)).await;
         };
@@ -140,8 +140,11 @@
             class: request.class,
             sent,
             ended: self.start.elapsed(),
-            outcome,
+            outcome: ending.outcome,
             sends,
+            attempts: ending.attempts,
+            rule: ending.rule,
+            reason: ending.reason,
         });
     }
 
@@ -150,7 +153,7 @@
         request: &mesh::RequestPlan,
         sends: u32,
         habits: scenario::CallerPlan,
-    ) -> ledger::CallerOutcome {
+    ) -> SendEnding {
         let path = format!("/{}/{}", request.step, self.root);
         let mut headers = vec![
             (client::SERVICE_HEADER, request.service.to_string()),
@@ -175,10 +178,10 @@
                 Err(error) if error.is_refused() => {
                     sent.address = self.entry(sends as usize + refused);
                 }
-                Err(_) => return ledger::CallerOutcome::Silent,
+                Err(_) => return SendEnding::silent(),
             }
         }
-        ledger::CallerOutcome::Silent
+        SendEnding::silent()
     }
 
     /// Each further try goes to another entry node, as a caller behind a list of addresses does.
@@ -187,10 +190,18 @@
         entries[(self.draws.entry as usize).wrapping_add(tries) % entries.len()]
     }
 
-    fn judge(&self, answer: &client::ClientAnswer) -> ledger::CallerOutcome {
-        let outcome = answer.headers.get(client::OUTCOME_HEADER);
-        let outcome = outcome.and_then(|value| value.to_str().ok());
-        match (answer.status, outcome) {
+    fn judge(&self, answer: &client::ClientAnswer) -> SendEnding {
+        let attempts = answer.header(client::ATTEMPTS_HEADER);
+        SendEnding {
+            outcome: self.outcome_of(answer),
+            attempts: attempts.and_then(|text| text.parse().ok()).unwrap_or(0),
+            rule: answer.header(client::RULE_HEADER).map(str::to_owned),
+            reason: reason_of(answer),
+        }
+    }
+
+    fn outcome_of(&self, answer: &client::ClientAnswer) -> ledger::CallerOutcome {
+        match (answer.status, answer.header(client::OUTCOME_HEADER)) {
             (200, _) => {
                 let expected = format!("{}{}", mesh_target::WHOLE_MARK, self.root);
                 if answer.body == expected.as_bytes() {
@@ -205,3 +216,31 @@
         }
     }
 }
+
+/// How one send ended.
+struct SendEnding {
+    outcome: ledger::CallerOutcome,
+    attempts: u32,
+    rule: Option<String>,
+    reason: Option<String>,
+}
+
+impl SendEnding {
+    fn silent() -> Self {
+        Self {
+            outcome: ledger::CallerOutcome::Silent,
+            attempts: 0,
+            rule: None,
+            reason: None,
+        }
+    }
+}
+
+/// The reason in a problem body.
+fn reason_of(answer: &client::ClientAnswer) -> Option<String> {
+    if answer.status == 200 {
+        return None;
+    }
+    let problem: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    problem["reason"].as_str().map(str::to_owned)
+}
--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -30,6 +30,28 @@
     pub gossip: SocketAddr,
 }
 
+/// A node under experiment, in a process of its own or in this one.
+pub trait NodeHandle: Send {
+    /// Where it listens.
+    fn addresses(&self) -> NodeAddresses;
+
+    /// Ends it without notice and waits for its end.
+    fn kill(&mut self);
+}
+
+/// Starts a node from its name and its settings as YAML.
+pub type NodeStarter = dyn Fn(&str, &str) -> eyre::Result<Box<dyn NodeHandle>> + Send + Sync;
+
+impl NodeHandle for NodeProcess {
+    fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    fn kill(&mut self) {
+        end(&mut self.child);
+    }
+}
+
 /// A node process; it is killed when dropped.
 #[derive(Debug)]
 pub struct NodeProcess {
