Tell the reducer of a lost node once, after all its connections ended

Two nodes that dial each other at once hold two connections, while the reducer knows nodes only. Ruled out: the retry and membership paths, which report the refused connection as not sent. The end of one connection now ends the others, frames that meet the ending are handed back unsent, and the loss is reported last.

--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -4,8 +4,7 @@
 //! `docs/design/edges.md`.
 
 use anvil_core::{effect, event, reducer};
-use anvil_types::{ident, sorted};
-use anvil_wire::frame;
+use anvil_types::sorted;
 use tokio::sync::oneshot;
 
 use crate::{clock, datagram, peer, platform, target};
@@ -40,16 +39,7 @@
     /// Another node opened a connection and proved its identity.
     LinkOpened(peer::link::PeerLink),
     /// A connection to another node ended.
-    LinkClosed {
-        /// The other node.
-        peer: ident::NodeId,
-        /// Which connection.
-        link: peer::link::LinkId,
-        /// Frames of which no byte was handed to the socket.
-        unsent: Vec<frame::PeerFrame>,
-        /// Whether frames had crossed it, whose fate is unknown now.
-        used: bool,
-    },
+    LinkClosed(peer::link::ClosedLink),
 }
 
 /// The sending side of the engine's queue.
@@ -148,15 +138,7 @@
                 self.peers.adopt(link);
                 Vec::new()
             }
-            EngineInput::LinkClosed {
-                peer,
-                link,
-                unsent,
-                used,
-            } => {
-                self.peers.forget(peer, link);
-                peer::table::closing_events(peer, unsent, used)
-            }
+            EngineInput::LinkClosed(closed) => self.peers.closed(closed),
         }
     }
 
--- a/crates/anvil_node/src/peer/accept.rs
+++ b/crates/anvil_node/src/peer/accept.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::Semaphore;
 
 use super::{handshake, link};
 use crate::{counters, engine};
@@ -50,17 +50,11 @@
         return;
     };
     context.counters.count(counters::EdgeCause::PeerAccepted);
-    let (frames, queue) = mpsc::channel(link::QUEUE_LIMIT);
-    let opened = link::PeerLink {
-        peer: sealed.peer.node,
-        link: context.next_link(),
-        frames,
-    };
-    let number = opened.link;
+    let (opened, parts) = link::pair(sealed.peer.node, context.next_link());
     let input = engine::EngineInput::LinkOpened(opened);
     if context.engine.send_async(input).await.is_err() {
         return;
     }
     let opened = link::OpenedStream { stream, sealed };
-    link::serve(context, number, opened, queue).await;
+    link::serve(context, opened, parts).await;
 }
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::{handshake, stream};
 use crate::{caller, counters, engine};
@@ -30,8 +30,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
 
-/// The sending side of one connection.
-#[derive(Clone, Debug)]
+/// The reducer's side of one connection; dropping it lets the connection flush and end.
+#[derive(Debug)]
 pub struct PeerLink {
     /// The other node.
     pub peer: ident::NodeId,
@@ -39,6 +39,57 @@
     pub link: LinkId,
     /// Frames to send.
     pub frames: mpsc::Sender<frame::PeerFrame>,
+    close: Option<oneshot::Sender<()>>,
+}
+
+impl PeerLink {
+    /// Ends the connection without flushing; what waits is handed back.
+    pub fn close(&mut self) {
+        if let Some(close) = self.close.take() {
+            // A connection that ended by itself needs no telling.
+            let _ = close.send(());
+        }
+    }
+}
+
+/// The connection's side of a [`PeerLink`].
+#[derive(Debug)]
+pub struct LinkParts {
+    /// Which connection.
+    pub link: LinkId,
+    frames: mpsc::Receiver<frame::PeerFrame>,
+    close: oneshot::Receiver<()>,
+}
+
+/// Both sides of a new connection to `peer`.
+pub fn pair(peer: ident::NodeId, link: LinkId) -> (PeerLink, LinkParts) {
+    let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
+    let (close, closed) = oneshot::channel();
+    let opened = PeerLink {
+        peer,
+        link,
+        frames: sender,
+        close: Some(close),
+    };
+    let parts = LinkParts {
+        link,
+        frames: receiver,
+        close: closed,
+    };
+    (opened, parts)
+}
+
+/// The end of one connection.
+#[derive(Debug)]
+pub struct ClosedLink {
+    /// The other node.
+    pub peer: ident::NodeId,
+    /// Which connection.
+    pub link: LinkId,
+    /// Frames of which no byte was handed to the socket.
+    pub unsent: Vec<frame::PeerFrame>,
+    /// Whether frames had crossed it, whose fate is unknown now.
+    pub used: bool,
 }
 
 /// What every connection works with.
@@ -70,14 +121,13 @@
     context: LinkContext,
     peer: ident::NodeId,
     address: SocketAddr,
-    link: LinkId,
-    frames: mpsc::Receiver<frame::PeerFrame>,
+    parts: LinkParts,
 ) {
     let opening = tokio::time::timeout(OPEN_LIMIT, connect(&context, peer, address));
     match opening.await {
         Ok(Ok(opened)) => {
             context.counters.count(counters::EdgeCause::PeerConnected);
-            serve(context, link, opened, frames).await;
+            serve(context, opened, parts).await;
         }
         failed => {
             let cause = match failed {
@@ -88,38 +138,32 @@
             };
             context.counters.count(cause);
             let end = LinkEnd {
-                unsent: drain(frames).await,
+                link: parts.link,
+                unsent: drain(parts.frames).await,
                 used: false,
             };
-            report(&context, peer, link, end).await;
+            report(&context, peer, end).await;
         }
     }
 }
 
 /// Serves an open connection, whose handshake is done, until it ends.
-pub async fn serve(
-    context: LinkContext,
-    link: LinkId,
-    opened: OpenedStream,
-    frames: mpsc::Receiver<frame::PeerFrame>,
-) {
+pub async fn serve(context: LinkContext, opened: OpenedStream, parts: LinkParts) {
     let OpenedStream { stream, sealed } = opened;
     let peer = sealed.peer.node;
     let open = counters::GaugeGuard::hold(context.counters.peer_connections());
     let (reader, writer) = stream.into_split();
     let reader = stream::FrameReader::new(reader, sealed.opener);
     let reading = tokio::spawn(read(context.clone(), peer, reader));
-    let abort = reading.abort_handle();
     let writer = FrameWriter {
         writer,
         sealer: sealed.sealer,
         batch: Vec::new(),
     };
-    let end = write(&context, writer, frames, reading).await;
-    abort.abort();
+    let end = write(&context, writer, parts, reading).await;
     drop(open);
     context.counters.count(counters::EdgeCause::PeerLost);
-    report(&context, peer, link, end).await;
+    report(&context, peer, end).await;
 }
 
 /// A connection whose ends have proved themselves.
@@ -140,6 +184,7 @@
 
 /// What became of the frames when a connection ended.
 struct LinkEnd {
+    link: LinkId,
     /// No byte of these was handed to the socket.
     unsent: Vec<frame::PeerFrame>,
     /// Whether a byte of any other was.
@@ -160,21 +205,29 @@
     Ok(OpenedStream { stream, sealed })
 }
 
-/// Writes frames until the connection breaks, its reader ends, or nobody has frames any more.
+/// Writes frames until the connection breaks, its reader ends, it is told to close, or nobody has
+/// frames any more.
 async fn write(
     context: &LinkContext,
     mut writer: FrameWriter,
-    mut frames: mpsc::Receiver<frame::PeerFrame>,
+    parts: LinkParts,
     mut reading: tokio::task::JoinHandle<bool>,
 ) -> LinkEnd {
+    let LinkParts {
+        link,
+        mut frames,
+        mut close,
+    } = parts;
     let mut used = false;
+    let mut received = None;
     loop {
         let first = tokio::select! {
             first = frames.recv() => first,
-            received = &mut reading => {
-                used |= received.unwrap_or(true);
+            ended = &mut reading => {
+                received = Some(ended.unwrap_or(true));
                 break;
             }
+            Ok(()) = &mut close => break,
         };
         let Some(first) = first else {
             break;
@@ -182,14 +235,28 @@
         writer.gather(context, first, &mut frames);
         // From the first byte on, nobody can tell what the other side saw.
         used = true;
-        if writer.writer.write_all(&writer.batch).await.is_err() {
+        // A node that stopped reading would hold the write, and so the end, up.
+        let written = tokio::select! {
+            written = writer.writer.write_all(&writer.batch) => written.is_ok(),
+            Ok(()) = &mut close => false,
+        };
+        if !written {
             break;
         }
     }
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
+    if received.is_none() {
+        reading.abort();
+        // What it read until then has reached the engine before the end is reported.
+        received = Some(reading.await.unwrap_or(true));
+    }
     let unsent = drain(frames).await;
-    LinkEnd { unsent, used }
+    LinkEnd {
+        link,
+        unsent,
+        used: used || received.unwrap_or(true),
+    }
 }
 
 impl FrameWriter {
@@ -266,14 +333,14 @@
     unsent
 }
 
-async fn report(context: &LinkContext, peer: ident::NodeId, link: LinkId, end: LinkEnd) {
-    let LinkEnd { unsent, used } = end;
-    let closed = engine::EngineInput::LinkClosed {
+async fn report(context: &LinkContext, peer: ident::NodeId, end: LinkEnd) {
+    let LinkEnd { link, unsent, used } = end;
+    let closed = engine::EngineInput::LinkClosed(ClosedLink {
         peer,
         link,
         unsent,
         used,
-    };
+    });
     // The engine is gone only when the process leaves.
     let _ = context.engine.send_async(closed).await;
 }
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -11,70 +11,105 @@
 use super::link;
 use crate::{counters, engine};
 
-/// The connection in use for each node; owned by the reducer's thread.
+/// All connections to one node, and what is known of their frames.
+///
+/// Mostly there is one; two arise where both nodes dial at the same moment. The reducer knows
+/// nodes and no connections, so the end of one connection ends the others too, and only then it is
+/// told of the loss. Otherwise a call sent after the first end would count as lost at the
+/// second one, and its caller would be told "may have run" of a request that never left.
+#[derive(Debug, Default)]
+struct PeerSession {
+    /// The first one is sent on, all are read.
+    links: Vec<link::PeerLink>,
+    /// Whether the remaining connections are being ended.
+    closing: bool,
+    /// Frames of which no byte was handed to a socket.
+    unsent: Vec<frame::PeerFrame>,
+}
+
+/// The connections in use for each node; owned by the reducer's thread.
 #[derive(Debug)]
 pub struct PeerTable {
     runtime: runtime::Handle,
     context: link::LinkContext,
-    links: sorted::SortedTable<ident::NodeId, link::PeerLink>,
+    sessions: sorted::SortedTable<ident::NodeId, PeerSession>,
 }
 
 impl PeerTable {
     /// Builds an empty table.
     pub fn new(runtime: runtime::Handle, context: link::LinkContext) -> Self {
-        let links = sorted::SortedTable::default();
+        let sessions = sorted::SortedTable::default();
         Self {
             runtime,
             context,
-            links,
+            sessions,
         }
     }
 
     /// Sends a frame on the connection to `peer`, opening one where there is none.
     pub fn send(&mut self, peer: ident::NodeId, address: SocketAddr, frame: frame::PeerFrame) {
-        let frame = match self.try_kept(peer, frame) {
-            Ok(()) => return,
-            Err(frame) => frame,
-        };
+        if let Some(session) = self.sessions.get_mut(peer) {
+            let refused = session.send(frame);
+            if let Err(frame) = refused {
+                self.hand_back(peer, frame);
+            }
+            return;
+        }
         let opened = self.open(peer, address);
         // The queue is new and empty, so the frame fits.
         let _ = opened.frames.try_send(frame);
-        self.links.insert(peer, opened);
+        self.adopt(opened);
     }
 
-    /// Uses a connection that the other node opened, unless there is one already; frames are read
-    /// from both.
+    /// Takes a connection into use.
     pub fn adopt(&mut self, opened: link::PeerLink) {
-        if self.links.get(opened.peer).is_none() {
-            self.links.insert(opened.peer, opened);
+        let peer = opened.peer;
+        if let Some(session) = self.sessions.get_mut(peer) {
+            session.add(opened);
+            return;
         }
+        let mut session = PeerSession::default();
+        session.add(opened);
+        self.sessions.insert(peer, session);
     }
 
-    /// Forgets a connection that ended, unless another has taken its place.
-    pub fn forget(&mut self, peer: ident::NodeId, link: link::LinkId) {
-        let current = self.links.get(peer);
-        if current.is_some_and(|kept| kept.link == link) {
-            self.links.remove(peer);
+    /// Takes note of the end of a connection; the events are for the reducer, in order.
+    pub fn closed(&mut self, closed: link::ClosedLink) -> Vec<event::NodeEvent> {
+        let peer = closed.peer;
+        let Some(session) = self.sessions.get_mut(peer) else {
+            return closing_events(peer, closed.unsent, closed.used);
+        };
+        session.links.retain(|kept| kept.link != closed.link);
+        session.unsent.extend(closed.unsent);
+        if !closed.used && !session.links.is_empty() && !session.closing {
+            let unsent = std::mem::take(&mut session.unsent);
+            return self.reroute(peer, unsent);
+        }
+        if !session.links.is_empty() {
+            session.close();
+            return Vec::new();
         }
+        let lost = closed.used || session.closing;
+        let unsent = std::mem::take(&mut session.unsent);
+        self.sessions.remove(peer);
+        closing_events(peer, unsent, lost)
     }
 
-    /// Hands the frame back where no connection takes it.
-    fn try_kept(
+    /// Sends what a connection that never came about held on the one that did.
+    fn reroute(
         &mut self,
         peer: ident::NodeId,
-        frame: frame::PeerFrame,
-    ) -> Result<(), frame::PeerFrame> {
-        let Some(kept) = self.links.get(peer) else {
-            return Err(frame);
-        };
-        match kept.frames.try_send(frame) {
-            Ok(()) => Ok(()),
-            Err(mpsc::error::TrySendError::Closed(frame)) => Err(frame),
-            Err(mpsc::error::TrySendError::Full(frame)) => {
-                self.hand_back(peer, frame);
-                Ok(())
-            }
+        frames: Vec<frame::PeerFrame>,
+    ) -> Vec<event::NodeEvent> {
+        let mut unsent = Vec::new();
+        if let Some(session) = self.sessions.get_mut(peer) {
+            let refused = frames.into_iter().map(|frame| session.send(frame));
+            unsent.extend(refused.filter_map(Result::err));
         }
+        if unsent.is_empty() {
+            return Vec::new();
+        }
+        closing_events(peer, unsent, false)
     }
 
     /// A full queue means that the other node doesn't keep up; the frame has not left, so the
@@ -92,28 +127,61 @@
     }
 
     fn open(&self, peer: ident::NodeId, address: SocketAddr) -> link::PeerLink {
-        let (frames, queue) = mpsc::channel(link::QUEUE_LIMIT);
-        let link = self.context.next_link();
+        let (opened, parts) = link::pair(peer, self.context.next_link());
         let context = self.context.clone();
         self.runtime
-            .spawn(link::open(context, peer, address, link, queue));
-        link::PeerLink { peer, link, frames }
+            .spawn(link::open(context, peer, address, parts));
+        opened
+    }
+}
+
+impl PeerSession {
+    fn add(&mut self, mut opened: link::PeerLink) {
+        if self.closing {
+            opened.close();
+        }
+        self.links.push(opened);
+    }
+
+    /// Hands the frame back where the queue is full.
+    fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
+        let current = self.links.first().filter(|_| !self.closing);
+        let Some(current) = current else {
+            self.unsent.push(frame);
+            return Ok(());
+        };
+        match current.frames.try_send(frame) {
+            Ok(()) => Ok(()),
+            Err(mpsc::error::TrySendError::Full(frame)) => Err(frame),
+            Err(mpsc::error::TrySendError::Closed(frame)) => {
+                // The connection has ended and its report is on the way; the frame goes with it.
+                self.unsent.push(frame);
+                Ok(())
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        self.closing = true;
+        for link in &mut self.links {
+            link.close();
+        }
     }
 }
 
-/// What the reducer is told when a connection ends.
+/// What the reducer is told when the connections to a node have ended.
 ///
 /// Frames that never left are handed back first: after the loss they would count as possibly run.
-pub fn closing_events(
+fn closing_events(
     peer: ident::NodeId,
     unsent: Vec<frame::PeerFrame>,
-    used: bool,
+    lost: bool,
 ) -> Vec<event::NodeEvent> {
     let mut events = Vec::new();
-    if !used || !unsent.is_empty() {
+    if !lost || !unsent.is_empty() {
         events.push(event::NodeEvent::PeerUnreachable { peer, unsent });
     }
-    if used {
+    if lost {
         events.push(event::NodeEvent::PeerLost { peer });
     }
     events
--- /dev/null
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -0,0 +1,174 @@
+//! A node as played by a test: it holds the key and says what the test wants.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+
+use anvil_types::{ident, name, verdict};
+use anvil_wire::seal::{datagram, handshake, ring, stream};
+use anvil_wire::{call, codec, frame, gossip};
+use bytes::Bytes;
+
+/// Its identity.
+pub const NODE: ident::NodeId = ident::NodeId(0xfeed);
+
+/// One connection of the played node.
+pub struct Impostor {
+    pub socket: TcpStream,
+    sealed: stream::SealedStream,
+}
+
+/// The key of the tests, or another one where `twist` is not zero.
+pub fn key_ring(twist: u8) -> ring::KeyRing {
+    let mut bytes = [0; 32];
+    for (place, byte) in bytes.iter_mut().enumerate() {
+        let digits = &super::SECRET[2 * place..2 * place + 2];
+        *byte = u8::from_str_radix(digits, 16).unwrap() ^ twist;
+    }
+    ring::KeyRing::new(vec![ring::SealKey::new(ring::KeyId(1), &bytes).unwrap()]).unwrap()
+}
+
+pub fn hello(version: u16, address: SocketAddr) -> frame::PeerHello {
+    frame::PeerHello {
+        version,
+        node: NODE,
+        address,
+    }
+}
+
+/// One message of the handshake, without its length.
+pub fn read_message(socket: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut prefix = [0; codec::LENGTH_BYTES];
+    socket.read_exact(&mut prefix)?;
+    let mut message = vec![0; u32::from_be_bytes(prefix) as usize];
+    socket.read_exact(&mut message)?;
+    Ok(message)
+}
+
+/// Tells the node at `gossip` that the played node offers the tests' service at `address`.
+pub fn introduce(gossip: SocketAddr, address: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let facts = gossip::MemberFacts {
+        tcp: address,
+        udp: socket.local_addr().unwrap(),
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        region: name::RegionName::new("ar-centro").unwrap(),
+        service: Some(name::ServiceName::new(super::SERVICE).unwrap()),
+        slots: 40,
+        leaving: false,
+        contact: None,
+    };
+    let message = gossip::GossipMessage {
+        head: gossip::GossipHead {
+            from: NODE,
+            incarnation: 1,
+            revision: ident::RuleRevision(0),
+        },
+        kind: gossip::GossipKind::Rumour,
+        updates: vec![gossip::MemberUpdate {
+            node: NODE,
+            incarnation: 1,
+            standing: gossip::MemberStanding::Alive(Box::new(facts)),
+        }],
+    };
+    let payload = postcard::to_stdvec(&message).unwrap();
+    let mut sealer = datagram::DatagramSealer::new(Arc::new(key_ring(0)), NODE);
+    let sealed = sealer.seal(gossip, &payload).unwrap();
+    socket.send_to(&sealed, gossip).unwrap();
+}
+
+impl Impostor {
+    /// Opens a connection to the node at `address`.
+    pub fn connect(address: SocketAddr) -> Self {
+        let mut socket = super::raw(address, b"");
+        let nonce = handshake::HandshakeNonce([7; handshake::NONCE_BYTES]);
+        let own = hello(frame::PROTOCOL_VERSION, "127.0.0.1:9".parse().unwrap());
+        let begun = handshake::InitiatorHandshake::begin(&key_ring(0), own, nonce);
+        let (shaking, first) = begun.unwrap();
+        socket.write_all(&first).unwrap();
+        let challenge = read_message(&mut socket).unwrap();
+        let (sealed, proof) = shaking.finish(&challenge, None).unwrap();
+        socket.write_all(&proof).unwrap();
+        Self { socket, sealed }
+    }
+
+    /// Takes the connection that a node opens.
+    pub fn accept(listener: &TcpListener) -> Self {
+        let (mut socket, _) = listener.accept().unwrap();
+        socket.set_read_timeout(Some(super::PATIENCE)).unwrap();
+        let nonce = handshake::HandshakeNonce([9; handshake::NONCE_BYTES]);
+        let own = hello(frame::PROTOCOL_VERSION, listener.local_addr().unwrap());
+        let first = read_message(&mut socket).unwrap();
+        let begun = handshake::ResponderHandshake::begin(&key_ring(0), &own, nonce, &first);
+        let (shaking, challenge) = begun.unwrap();
+        socket.write_all(&challenge).unwrap();
+        let proof = read_message(&mut socket).unwrap();
+        let sealed = shaking.finish(&proof).unwrap();
+        Self { socket, sealed }
+    }
+
+    pub fn send(&mut self, frame: &frame::PeerFrame) {
+        let mut bytes = codec::encode_frame(frame).unwrap();
+        self.sealed.sealer.seal(&mut bytes);
+        self.socket.write_all(&bytes).unwrap();
+    }
+
+    /// Sends bytes under a true seal, so that they reach the decoder.
+    pub fn send_sealed(&mut self, body: &[u8]) {
+        let length = u32::try_from(body.len()).unwrap();
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend_from_slice(body);
+        self.sealed.sealer.seal(&mut bytes);
+        self.socket.write_all(&bytes).unwrap();
+    }
+
+    pub fn receive(&mut self) -> frame::PeerFrame {
+        let mut prefix = [0; codec::LENGTH_BYTES];
+        self.socket.read_exact(&mut prefix).unwrap();
+        let length = codec::check_length(prefix).unwrap();
+        let mut bytes = vec![0; stream::FrameOpener::sealed_length(length)];
+        self.socket.read_exact(&mut bytes).unwrap();
+        codec::decode_frame(self.sealed.opener.open(&bytes).unwrap()).unwrap()
+    }
+
+    /// The next answer; frames of membership are skipped.
+    pub fn receive_answer(&mut self) -> call::PeerAnswer {
+        loop {
+            if let frame::PeerFrame::Answer(answer) = self.receive() {
+                return *answer;
+            }
+        }
+    }
+
+    /// The next call; frames of membership are skipped.
+    pub fn receive_call(&mut self) -> call::PeerCall {
+        loop {
+            if let frame::PeerFrame::Call(call) = self.receive() {
+                return *call;
+            }
+        }
+    }
+
+    /// Answers an attempt with `body`.
+    pub fn answer(&mut self, call: ident::CallId, attempt: u16, body: &str) {
+        let answer = call::PeerAnswer {
+            call,
+            attempt,
+            verdict: verdict::CallVerdict::Answered,
+            answer: Some(call::CallAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Bytes::from(body.to_owned()),
+            }),
+            retries_spent: 0,
+            load: call::LoadReport::default(),
+        };
+        self.send(&frame::PeerFrame::Answer(Box::new(answer)));
+    }
+
+    pub fn assert_closed(mut self) {
+        let mut rest = Vec::new();
+        // A reset is as good as a close.
+        let _ = self.socket.read_to_end(&mut rest);
+    }
+}
--- a/crates/anvil_node/tests/common/mod.rs
+++ b/crates/anvil_node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Nodes in this process, on free ports of the loopback address.
 
-#![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
+#![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
+
+pub mod impostor;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/anvil_node/tests/peer_faults.rs
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -4,105 +4,22 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::io::Write;
+use std::net::UdpSocket;
 use std::time::Duration;
 
 use anvil_node::counters::EdgeCause;
 use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, treatment, verdict};
-use anvil_wire::seal::{handshake, ring, stream};
+use anvil_wire::seal::handshake;
 use anvil_wire::{call, codec, frame};
 use bytes::Bytes;
-
-/// A node as played by the test.
-struct Impostor {
-    socket: TcpStream,
-    sealed: stream::SealedStream,
-}
-
-fn key_ring(secret: u8) -> ring::KeyRing {
-    let mut bytes = [0; 32];
-    for (place, byte) in bytes.iter_mut().enumerate() {
-        let digits = &common::SECRET[2 * place..2 * place + 2];
-        *byte = u8::from_str_radix(digits, 16).unwrap() ^ secret;
-    }
-    ring::KeyRing::new(vec![ring::SealKey::new(ring::KeyId(1), &bytes).unwrap()]).unwrap()
-}
-
-fn hello(version: u16) -> frame::PeerHello {
-    frame::PeerHello {
-        version,
-        node: ident::NodeId(0xfeed),
-        address: "127.0.0.1:9".parse().unwrap(),
-    }
-}
-
-fn read_message(socket: &mut TcpStream) -> std::io::Result<Vec<u8>> {
-    let mut prefix = [0; codec::LENGTH_BYTES];
-    socket.read_exact(&mut prefix)?;
-    let mut message = vec![0; u32::from_be_bytes(prefix) as usize];
-    socket.read_exact(&mut message)?;
-    Ok(message)
-}
-
-impl Impostor {
-    fn connect(address: SocketAddr) -> Self {
-        let mut socket = common::raw(address, b"");
-        let nonce = handshake::HandshakeNonce([7; handshake::NONCE_BYTES]);
-        let own = hello(frame::PROTOCOL_VERSION);
-        let begun = handshake::InitiatorHandshake::begin(&key_ring(0), own, nonce);
-        let (shaking, first) = begun.unwrap();
-        socket.write_all(&first).unwrap();
-        let challenge = read_message(&mut socket).unwrap();
-        let (sealed, proof) = shaking.finish(&challenge, None).unwrap();
-        socket.write_all(&proof).unwrap();
-        Self { socket, sealed }
-    }
-
-    fn send(&mut self, frame: &frame::PeerFrame) {
-        let mut bytes = codec::encode_frame(frame).unwrap();
-        self.sealed.sealer.seal(&mut bytes);
-        self.socket.write_all(&bytes).unwrap();
-    }
-
-    /// Sends bytes under a true seal, so that they reach the decoder.
-    fn send_sealed(&mut self, body: &[u8]) {
-        let length = u32::try_from(body.len()).unwrap();
-        let mut bytes = length.to_be_bytes().to_vec();
-        bytes.extend_from_slice(body);
-        self.sealed.sealer.seal(&mut bytes);
-        self.socket.write_all(&bytes).unwrap();
-    }
-
-    fn receive(&mut self) -> frame::PeerFrame {
-        let mut prefix = [0; codec::LENGTH_BYTES];
-        self.socket.read_exact(&mut prefix).unwrap();
-        let length = codec::check_length(prefix).unwrap();
-        let mut bytes = vec![0; stream::FrameOpener::sealed_length(length)];
-        self.socket.read_exact(&mut bytes).unwrap();
-        codec::decode_frame(self.sealed.opener.open(&bytes).unwrap()).unwrap()
-    }
-
-    fn receive_answer(&mut self) -> call::PeerAnswer {
-        loop {
-            if let frame::PeerFrame::Answer(answer) = self.receive() {
-                return *answer;
-            }
-        }
-    }
-
-    fn assert_closed(mut self) {
-        let mut rest = Vec::new();
-        // A reset is as good as a close.
-        let _ = self.socket.read_to_end(&mut rest);
-    }
-}
+use common::impostor;
 
 fn call_of(sequence: u64, path: &str) -> frame::PeerFrame {
     let call = call::PeerCall {
         call: ident::CallId {
-            node: ident::NodeId(0xfeed),
+            node: impostor::NODE,
             sequence,
         },
         attempt: 1,
@@ -134,7 +51,7 @@
 #[test]
 fn calls_of_a_peer_run_and_are_answered_in_any_order() {
     let pair = common::Pair::start("");
-    let mut peer = Impostor::connect(pair.node.bound().peer);
+    let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.send(&call_of(1, "/slow/200"));
     peer.send(&call_of(2, "/fast"));
     let answers = [peer.receive_answer(), peer.receive_answer()];
@@ -147,7 +64,7 @@
 
 fn sealed_garbage(body: &[u8], cause: EdgeCause) {
     let pair = common::Pair::start("");
-    let mut peer = Impostor::connect(pair.node.bound().peer);
+    let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.send_sealed(body);
     peer.assert_closed();
     pair.await_count(cause, 1);
@@ -164,7 +81,7 @@
 
 fn bytes_behind_the_handshake(bytes: &[u8], cause: EdgeCause) {
     let pair = common::Pair::start("");
-    let mut peer = Impostor::connect(pair.node.bound().peer);
+    let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.socket.write_all(bytes).unwrap();
     peer.socket.shutdown(std::net::Shutdown::Write).unwrap();
     peer.assert_closed();
@@ -190,8 +107,8 @@
 
 fn first_message(secret: u8, version: u16) -> Vec<u8> {
     let nonce = handshake::HandshakeNonce([7; handshake::NONCE_BYTES]);
-    let own = hello(version);
-    let begun = handshake::InitiatorHandshake::begin(&key_ring(secret), own, nonce);
+    let own = impostor::hello(version, "127.0.0.1:9".parse().unwrap());
+    let begun = handshake::InitiatorHandshake::begin(&impostor::key_ring(secret), own, nonce);
     begun.unwrap().1
 }
 
@@ -210,7 +127,7 @@
     let pair = common::Pair::start("");
     let first = first_message(1, frame::PROTOCOL_VERSION);
     let mut socket = common::raw(pair.node.bound().peer, &first);
-    read_message(&mut socket).unwrap();
+    impostor::read_message(&mut socket).unwrap();
     socket.write_all(&[0, 0, 0, 16]).unwrap();
     socket.write_all(&[0; 16]).unwrap();
     let call = codec::encode_frame(&call_of(1, "/stolen")).unwrap();
@@ -226,7 +143,7 @@
 #[test]
 fn a_lost_peer_ends_its_runs() {
     let pair = common::Pair::start("");
-    let mut peer = Impostor::connect(pair.node.bound().peer);
+    let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.send(&call_of(1, "/slow/60000"));
     common::await_true("the target has it", || pair.target.seen().len() == 1);
     drop(peer);
@@ -238,11 +155,11 @@
 #[test]
 fn a_cancel_ends_the_run() {
     let pair = common::Pair::start("");
-    let mut peer = Impostor::connect(pair.node.bound().peer);
+    let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.send(&call_of(1, "/slow/60000"));
     common::await_true("the target has it", || pair.target.seen().len() == 1);
     let call = ident::CallId {
-        node: ident::NodeId(0xfeed),
+        node: impostor::NODE,
         sequence: 1,
     };
     peer.send(&frame::PeerFrame::Cancel { call, attempt: 1 });
