--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod overload;
 pub mod reducer;
 mod retrying;
+mod rollout;
 pub mod rulebook;
 pub mod runs;
 mod serving;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -97,7 +97,7 @@
             "zone": self.config.zone,
             "region": self.config.region,
             "phase": format!("{:?}", self.phase),
-            "revision": self.book.revision(),
+            "rules": self.rules_status(),
             "open_calls": self.calls.len(),
             "running": self.runs.running(),
             "queued": self.runs.queued(),
