Write changes and documents as bytes

The store's log and messages between nodes hold changes as bytes with a format in front, so that an older node meeting a newer format says so instead of reading something else into it. Documents from elsewhere are checked for duplicate names and their number of rules. Arbitrary bytes are refused or read whole in a property test.

--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -1,6 +1,6 @@
 //! The rules in force at this node.
 
-use anvil_rules::{document, explain, matcher, view};
+use anvil_rules::{change, document, explain, matcher, view};
 use anvil_types::{ident, name, treatment};
 use anvil_wire::call;
 
@@ -52,6 +52,23 @@
         true
     }
 
+    /// Puts the next accepted change in force; tells whether it was the next one.
+    ///
+    /// Fails where the change doesn't fit, which an accepted one always does; nothing is changed
+    /// then, and the revision stays behind, so that the node asks a peer for the whole rules.
+    pub fn adopt_change(
+        &mut self,
+        revision: ident::RuleRevision,
+        change: &change::RuleChange,
+    ) -> Result<bool, change::ChangeConflict> {
+        if revision.0 != self.revision.0 + 1 {
+            return Ok(false);
+        }
+        let mut document = self.document.clone();
+        document.apply(change)?;
+        Ok(self.adopt(revision, document))
+    }
+
     /// Why `request` is treated as it is.
     pub fn explain(&self, request: &call::CallRequest) -> explain::RuleExplanation {
         explain::explain(&self.matcher, &view::RequestView::of(request))
--- a/crates/anvil_rules/src/change.rs
+++ b/crates/anvil_rules/src/change.rs
@@ -64,6 +64,12 @@
         /// The rule.
         name: name::RuleName,
     },
+    /// Two rules have one name.
+    #[display("there are two rules {name}")]
+    Duplicate {
+        /// The name.
+        name: name::RuleName,
+    },
     /// A rule would have to stand in front of itself.
     #[display("the rule {name} can't stand in front of itself")]
     SelfReference {
@@ -89,13 +95,32 @@
         for edit in &change.edits {
             apply_edit(&mut rules, edit)?;
         }
-        if rules.len() > document::RULE_LIMIT {
-            let limit = document::RULE_LIMIT;
-            return Err(ChangeConflict::TooMany { limit });
-        }
+        check_count(&rules)?;
         *self = Self::from_checked(rules);
         Ok(())
     }
+
+    /// Checks what [`crate::parse::parse_rules`] promises, for a document from elsewhere.
+    pub(crate) fn check(&self) -> Result<(), ChangeConflict> {
+        check_count(self.rules())?;
+        let places = places_by_name(self);
+        let twice = places.windows(2).find(|pair| pair[0].0 == pair[1].0);
+        match twice {
+            None => Ok(()),
+            Some(pair) => {
+                let name = pair[0].0.clone();
+                Err(ChangeConflict::Duplicate { name })
+            }
+        }
+    }
+}
+
+fn check_count(rules: &[Arc<document::NamedRule>]) -> Result<(), ChangeConflict> {
+    let limit = document::RULE_LIMIT;
+    if rules.len() > limit {
+        return Err(ChangeConflict::TooMany { limit });
+    }
+    Ok(())
 }
 
 fn apply_edit(
--- a/crates/anvil_rules/src/lib.rs
+++ b/crates/anvil_rules/src/lib.rs
@@ -5,6 +5,7 @@
 //! typed values come out.
 
 pub mod change;
+pub mod codec;
 pub mod condition;
 pub mod document;
 pub mod duration;
--- a/crates/anvil_rules/tests/change.rs
+++ b/crates/anvil_rules/tests/change.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvil_rules::{change, document, parse};
+use anvil_rules::{change, codec, document, parse};
 use anvil_testkit::test_cases;
 use anvil_types::{ident, name};
 use proptest::prelude::*;
@@ -120,10 +120,31 @@
     let mut changed = rules.clone();
     changed[100].1 = 5;
     let edits = change::diff(&document(&rules), &document(&changed));
-    let bytes = postcard::to_allocvec(&change(edits)).expect("memory");
+    let bytes = codec::encode_change(&change(edits)).expect("memory");
     assert!(bytes.len() < 64, "{} bytes", bytes.len());
-    let read: change::RuleChange = postcard::from_bytes(&bytes).expect("what was written");
+    let read = codec::decode_change(&bytes).expect("what was written");
     let mut document_again = document(&rules);
     document_again.apply(&read).expect("fits");
     assert_eq!(document_again, document(&changed));
 }
+
+#[test]
+fn bytes_of_another_format_are_refused_by_name() {
+    // A newer node wrote the log and an older one reads it during a rolling update.
+    let mut bytes = codec::encode_document(&document(&[(1, 0)])).expect("memory");
+    bytes[0] = 2;
+    let error = codec::decode_document(&bytes).expect_err("another format");
+    assert_eq!(
+        error.to_string(),
+        "format 2 is not the format 1 of this version"
+    );
+}
+
+#[test]
+fn a_document_with_two_rules_of_one_name_is_refused() {
+    let mut bytes = codec::encode_document(&document(&[(1, 0)])).expect("memory");
+    let rule = bytes.split_off(2);
+    let twice = [&[codec::FORMAT, 2], rule.as_slice(), rule.as_slice()].concat();
+    let error = codec::decode_document(&twice).expect_err("one name twice");
+    assert_eq!(error.to_string(), "there are two rules r1");
+}
--- a/crates/anvil_rules/tests/render.rs
+++ b/crates/anvil_rules/tests/render.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_rules::{change, condition, document, outcome, parse, path, render, service};
+use anvil_rules::{change, codec, condition, document, outcome, parse, path, render, service};
 use anvil_types::{context, ident, name, treatment};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -108,7 +108,26 @@
 
     #[test]
     fn a_document_comes_back_from_its_bytes(document in documents()) {
-        let bytes = postcard::to_allocvec(&document).expect("memory");
-        prop_assert_eq!(postcard::from_bytes(&bytes), Ok(document));
+        let bytes = codec::encode_document(&document).expect("memory");
+        prop_assert_eq!(codec::decode_document(&bytes), Ok(document));
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_refused_or_read_whole(
+        format in prop::bool::weighted(0.9),
+        mut bytes in prop::collection::vec(any::<u8>(), 0..200),
+    ) {
+        if let Some(first) = bytes.first_mut().filter(|_| format) {
+            *first = codec::FORMAT;
+        }
+        // Numbers may be written longer than they need, so only what is read is compared.
+        if let Ok(document) = codec::decode_document(&bytes) {
+            let again = codec::encode_document(&document).expect("memory");
+            prop_assert_eq!(codec::decode_document(&again), Ok(document));
+        }
+        if let Ok(change) = codec::decode_change(&bytes) {
+            let again = codec::encode_change(&change).expect("memory");
+            prop_assert_eq!(codec::decode_change(&again), Ok(change));
+        }
     }
 }
