Test the operators' rules inside the reducer

A rule sets the time of a run, a rule that refuses runs nothing and is named in the reply, and an older document that arrives late is ignored.

--- /dev/null
+++ b/crates/anvil_core/tests/rules.rs
@@ -0,0 +1,156 @@
+//! The operators' rules inside the reducer: what they decide, and that they never go back.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use anvil_core::{config, effect, event, reducer};
+use anvil_rules::{document, parse};
+use anvil_testkit::test_cases;
+use anvil_types::{ident, name, time, treatment, verdict};
+use anvil_wire::call;
+use bytes::Bytes;
+use serde_json::Value;
+
+const RULES: &str = "rules:
+  - name: bids
+    when: {service: bidding, method: POST, path: /bids}
+    then: {class: critical, deadline: 2s}
+  - name: nothing-else
+    when: {service: bidding}
+    then: {action: refuse}
+";
+
+fn document(text: &str) -> document::RuleDocument {
+    parse::parse_rules("test", text).unwrap()
+}
+
+fn node() -> reducer::NodeReducer {
+    let address = "127.0.0.1:7000".parse().unwrap();
+    let config = config::NodeConfig {
+        node: ident::NodeId(1),
+        zone: name::ZoneName::new("brest-hall").unwrap(),
+        region: name::RegionName::new("bzh-west").unwrap(),
+        peer_address: address,
+        gossip_address: address,
+        seeds: Vec::new(),
+    };
+    let mut node = reducer::NodeReducer::new(config, 1);
+    let announcement = event::TargetAnnouncement {
+        service: name::ServiceName::new("bidding").unwrap(),
+        address: "127.0.0.1:8000".parse().unwrap(),
+        slots: 4,
+        connections: 350,
+        lease: Duration::from_secs(60),
+    };
+    node.step(
+        time::NodeTime::START,
+        event::NodeEvent::TargetAnnounced(announcement),
+    );
+    assert!(node.adopt_rules(ident::RuleRevision(3), document(RULES)));
+    node
+}
+
+fn request(method: &str, path: &str) -> call::CallRequest {
+    call::CallRequest {
+        service: name::ServiceName::new("bidding").unwrap(),
+        method: method.to_owned(),
+        path: path.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    }
+}
+
+fn arrive(node: &mut reducer::NodeReducer, method: &str, path: &str) -> Vec<effect::NodeEffect> {
+    let arrived = event::NodeEvent::CallArrived {
+        handle: event::CallerHandle(1),
+        request: Box::new(request(method, path)),
+        hints: event::CallerHints::default(),
+    };
+    node.step(time::NodeTime::from_millis(1), arrived)
+}
+
+fn ask(node: &mut reducer::NodeReducer, request: event::OperatorRequest) -> (Value, u64) {
+    let handle = event::OperatorHandle(1);
+    let asked = event::NodeEvent::OperatorAsked { handle, request };
+    let effects = node.step(time::NodeTime::from_millis(2), asked);
+    let mut answers = effects.into_iter().filter_map(|effect| match effect {
+        effect::NodeEffect::AnswerOperator { answer, .. } => answer.ok(),
+        _ => None,
+    });
+    let answer = answers.next().unwrap();
+    (
+        serde_json::from_str(&answer.text).unwrap(),
+        answer.revision.0,
+    )
+}
+
+#[test]
+fn the_rule_sets_the_time_that_a_run_may_take() {
+    let effects = arrive(&mut node(), "POST", "/bids");
+    let timeout = effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::RunTarget(run) => Some(run.timeout),
+        _ => None,
+    });
+    // Each hop keeps a little of the time for the way back.
+    let expected = Duration::from_millis(1_900)..=Duration::from_secs(2);
+    assert!(
+        timeout.is_some_and(|timeout| expected.contains(&timeout)),
+        "{timeout:?}"
+    );
+}
+
+#[test]
+fn a_rule_that_refuses_runs_nothing_and_is_named() {
+    let effects = arrive(&mut node(), "GET", "/bids");
+    let ran = |effect: &effect::NodeEffect| matches!(effect, effect::NodeEffect::RunTarget(_));
+    assert!(!effects.iter().any(ran));
+    let reply = effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::ReplyCaller { reply, .. } => Some((reply.verdict, reply.mark)),
+        _ => None,
+    });
+    let mark = treatment::RuleMark {
+        revision: ident::RuleRevision(3),
+        index: Some(1),
+    };
+    let refused = verdict::CallVerdict::NotRun(verdict::RefusalReason::Rule);
+    assert_eq!(reply, Some((refused, mark)));
+}
+
+fn check_adoption(revision: u64, adopted: bool) {
+    // Rules arrive by gossip, by pull and from the store, late and in any order. An older document
+    // that arrives after a newer one must not undo an accepted change.
+    let mut node = node();
+    let older = document("rules: []");
+    assert_eq!(
+        node.adopt_rules(ident::RuleRevision(revision), older),
+        adopted
+    );
+    let (status, revision) = ask(&mut node, event::OperatorRequest::Status);
+    let rules = if adopted { 0 } else { 2 };
+    assert_eq!(status["rules"]["rules"], rules);
+    assert_eq!(status["rules"]["revision"], revision);
+}
+
+test_cases! { check_adoption:
+    an_older_document_is_ignored => (2, false),
+    the_same_revision_is_ignored => (3, false),
+    a_newer_document_is_adopted => (4, true),
+}
+
+#[test]
+fn explains_the_rule_the_revision_and_the_reason() {
+    let asked = event::OperatorRequest::Explain(Box::new(request("POST", "/bids?lot=4")));
+    let (told, revision) = ask(&mut node(), asked);
+    assert_eq!((revision, &told["revision"]), (3, &Value::from(3)));
+    assert_eq!(told["rule"]["rule"], "bids");
+    let reason = "bids is the first rule whose whole condition holds";
+    assert_eq!(told["rule"]["reason"], reason);
+}
+
+#[test]
+fn a_node_alone_has_its_rules_in_force_everywhere() {
+    let (status, _) = ask(&mut node(), event::OperatorRequest::Status);
+    assert_eq!(status["rules"]["in_force"], 1);
+    assert_eq!(status["rules"]["lagging"], Value::Array(Vec::new()));
+}
