--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, treatment, verdict};
+use anvil_types::{ident, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 
-use crate::event;
+use crate::{answer, event};
 
 /// The one reply to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +28,7 @@
 
 /// A run at the local target.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetRun {
+pub struct RunOrder {
     /// Identity of the run, and the token the target sends back on its own calls.
     pub run: event::RunId,
     /// Where the target listens.
@@ -105,15 +105,23 @@
         message: gossip::GossipMessage,
     },
     /// Run a request at the local target.
-    RunTarget(Box<TargetRun>),
+    RunTarget(Box<RunOrder>),
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
     AnswerOperator {
         /// Whose question.
         handle: event::OperatorHandle,
-        /// Whether it was carried out, and the text of the answer.
-        answer: Result<String, String>,
+        /// The answer, or why there is none.
+        answer: Result<answer::OperatorAnswer, answer::OperatorRefusal>,
+    },
+    /// Ask the platform's store; the outcome comes back as
+    /// [`event::NodeEvent::StoreAnswered`].
+    AskStore {
+        /// Identity of the question.
+        id: store::StoreId,
+        /// The question.
+        ask: store::StoreAsk,
     },
     /// Write a log line.
     Report(StateChange),
--- /dev/null
+++ b/crates/anvil_core/src/entry.rs
@@ -0,0 +1,361 @@
+//! The entry node's side of a call: from its caller's request to the one reply.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_overload::{refusal, routing};
+use anvil_types::{context, ident, treatment, verdict};
+use anvil_wire::{call, frame};
+use xxhash_rust::xxh3;
+
+use crate::{calls, effect, event, reducer, rulebook, timers};
+
+impl reducer::NodeReducer {
+    pub(crate) fn call_arrived(
+        &mut self,
+        handle: event::CallerHandle,
+        request: call::CallRequest,
+        hints: &event::CallerHints,
+    ) {
+        self.counters.calls_arrived += 1;
+        let rulebook::BookDecision {
+            treatment, mark, ..
+        } = self.book.decide(&request);
+        let parent = hints.parent.map(|token| token.0);
+        let sequence = self.calls.mint();
+        let context = match parent {
+            Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
+            None => Some(self.root_context(&request, &treatment, hints)),
+        };
+        let Some(context) = context else {
+            // The parent run has ended, so nobody waits for this call.
+            let reply = refusal(verdict::RefusalReason::Cancelled, mark);
+            self.reply(handle, reply);
+            return;
+        };
+        let deadline = self.now + Duration::from_micros(context.remaining_micros);
+        let call = calls::OpenCall {
+            handle,
+            request,
+            context,
+            allowance: self.call_allowance(context.retries_left),
+            holds_root: false,
+            refused: None,
+            treatment,
+            mark,
+            deadline,
+            attempts: 0,
+            redirects: 0,
+            tried: Vec::new(),
+            stage: calls::CallStage::Pausing,
+            parent,
+        };
+        self.calls.open(sequence, Box::new(call));
+        self.timers
+            .set(deadline, timers::TimerKind::CallDeadline(sequence));
+        if let Some(reason) = self.refusal_at_entry(sequence) {
+            self.end_call(sequence, not_run(reason), None);
+            return;
+        }
+        self.dispatch_attempt(sequence);
+    }
+
+    fn root_context(
+        &mut self,
+        request: &call::CallRequest,
+        treatment: &treatment::RuleTreatment,
+        hints: &event::CallerHints,
+    ) -> context::CallContext {
+        let minted = u128::from(self.random()) << 64 | u128::from(self.random());
+        let id = hints.request.unwrap_or(ident::RequestId(minted));
+        let lane = xxh3::xxh3_64(&id.0.to_le_bytes()).to_le_bytes()[0];
+        let wait = hints.timeout.unwrap_or(treatment.deadline);
+        context::CallContext {
+            request: id,
+            class: treatment.class,
+            lane: context::LaneHash(lane),
+            remaining_micros: micros(wait.min(treatment.deadline)),
+            retries_left: treatment.chain_retries,
+            depth: 0,
+            idempotent: treatment.idempotent,
+            key: key_of(request, hints),
+            print: print_of(request),
+        }
+    }
+
+    /// The context of a call that the local target makes on behalf of `run`; none where that run
+    /// has ended.
+    fn child_context(
+        &mut self,
+        run: event::RunId,
+        sequence: u64,
+        request: &call::CallRequest,
+        treatment: &treatment::RuleTreatment,
+        hints: &event::CallerHints,
+    ) -> Option<context::CallContext> {
+        let now = self.now;
+        let parent = self.runs.get_mut(run)?;
+        // The grant leaves the parent's allowance until the child's answer brings back what it
+        // did not spend; so parallel children can't spend the same retry twice.
+        let granted = parent
+            .allowance
+            .lend_child(sequence, treatment.chain_retries);
+        parent.waits.begin(now, &request.service);
+        let left = parent.deadline.since(now);
+        let wait = hints.timeout.unwrap_or(treatment.deadline);
+        let wait = wait.min(treatment.deadline).min(left);
+        Some(context::CallContext {
+            request: parent.context.request,
+            class: parent.context.class,
+            lane: parent.context.lane,
+            remaining_micros: micros(wait),
+            retries_left: granted,
+            depth: parent.context.depth.saturating_add(1),
+            idempotent: treatment.idempotent,
+            key: key_of(request, hints),
+            print: print_of(request),
+        })
+    }
+
+    /// Sends the next attempt of an open call, or ends the call where that can't be done.
+    pub(crate) fn dispatch_attempt(&mut self, sequence: u64) {
+        let Some(open) = self.calls.get(sequence) else {
+            return;
+        };
+        if open.deadline <= self.now {
+            self.end_call(sequence, not_run(verdict::RefusalReason::Deadline), None);
+            return;
+        }
+        let query = routing::RouteQuery {
+            service: &open.request.service,
+            rank: open.rank(),
+            exclude: &open.tried,
+        };
+        match self.directory.choose(self.now, query) {
+            routing::RouteChoice::Target {
+                node,
+                address,
+                near,
+            } => {
+                self.send_attempt(sequence, node, address, near);
+            }
+            routing::RouteChoice::Shed(line) => {
+                let limit = refusal::RefusalLimit::Cut(Some(line));
+                self.refuse_call(sequence, verdict::RefusalReason::Shed, limit);
+            }
+            routing::RouteChoice::NoTarget => {
+                let limit = refusal::RefusalLimit::Other;
+                self.refuse_call(sequence, verdict::RefusalReason::NoTarget, limit);
+            }
+            routing::RouteChoice::UnknownService => {
+                let limit = refusal::RefusalLimit::Other;
+                self.refuse_call(sequence, verdict::RefusalReason::UnknownService, limit);
+            }
+        }
+    }
+
+    fn send_attempt(
+        &mut self,
+        sequence: u64,
+        peer: ident::NodeId,
+        address: SocketAddr,
+        near: bool,
+    ) {
+        let node = self.config.node;
+        let reply_to = self.config.peer_address;
+        let Some(remaining) = self.hop_time(sequence, near) else {
+            let limit = refusal::RefusalLimit::Deadline;
+            self.refuse_call(sequence, verdict::RefusalReason::Deadline, limit);
+            return;
+        };
+        let chained = self.overload.policy.chain_allowance;
+        let Some(open) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        open.attempts += 1;
+        open.stage = calls::CallStage::Out { peer, address };
+        let mut context = open.context;
+        context.remaining_micros = micros(remaining);
+        context.retries_left = match chained {
+            true => open.allowance.lend_attempt(u64::from(open.attempts)),
+            false => 0,
+        };
+        let call = call::PeerCall {
+            call: ident::CallId { node, sequence },
+            attempt: open.attempts,
+            reply_to,
+            context,
+            treatment: open.treatment.clone(),
+            mark: open.mark,
+            request: open.request.clone(),
+        };
+        if open.attempts > 1 {
+            self.counters.retries += 1;
+        } else {
+            let percent = open.treatment.retry_ratio_percent;
+            self.overload.budget.first_attempt(percent);
+        }
+        let service = open.request.service.clone();
+        self.directory.sent(&service, peer);
+        self.send_frame(peer, address, frame::PeerFrame::Call(Box::new(call)));
+    }
+
+    pub(crate) fn peer_answered(&mut self, peer: ident::NodeId, answer: call::PeerAnswer) {
+        let sequence = answer.call.sequence;
+        let open = self.calls.get(sequence).filter(|open| {
+            // An answer late by an attempt, repeated, or sent to another incarnation of this
+            // node would reach the wrong caller; call, attempt and sender must all agree.
+            answer.call.node == self.config.node
+                && open.attempts == answer.attempt
+                && open.is_out_at(peer)
+        });
+        if open.is_none() {
+            self.counters.answers_stale += 1;
+            return;
+        }
+        self.settle_attempt(sequence, &answer);
+        self.attempt_ended(sequence, answer.verdict, answer.answer);
+    }
+
+    pub(crate) fn call_expired(&mut self, sequence: u64) {
+        let Some(open) = self.calls.get(sequence) else {
+            return;
+        };
+        let verdict = match open.stage {
+            calls::CallStage::Out { .. } => {
+                verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Deadline)
+            }
+            calls::CallStage::Pausing => not_run(verdict::RefusalReason::Deadline),
+        };
+        self.cancel_attempt(sequence);
+        self.end_call(sequence, verdict, None);
+    }
+
+    pub(crate) fn caller_gone(&mut self, handle: event::CallerHandle) {
+        self.counters.callers_gone += 1;
+        if let Some(sequence) = self.calls.of_caller(handle) {
+            self.abandon_call(sequence);
+        }
+    }
+
+    /// Ends a call that nobody waits for, and the work below it.
+    pub(crate) fn abandon_call(&mut self, sequence: u64) {
+        self.cancel_attempt(sequence);
+        let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled);
+        self.end_call(sequence, verdict, None);
+    }
+
+    pub(crate) fn cancel_attempt(&mut self, sequence: u64) {
+        let Some(open) = self.calls.get(sequence) else {
+            return;
+        };
+        let calls::CallStage::Out { peer, address } = open.stage else {
+            return;
+        };
+        let call = ident::CallId {
+            node: self.config.node,
+            sequence,
+        };
+        let attempt = open.attempts;
+        let expired = open.deadline <= self.now;
+        self.attempt_given_up(sequence, peer, expired);
+        if !self.overload.policy.cancellation {
+            return;
+        }
+        self.send_frame(peer, address, frame::PeerFrame::Cancel { call, attempt });
+    }
+
+    pub(crate) fn peer_lost(&mut self, peer: ident::NodeId) {
+        let lost = self.calls.out_at(peer);
+        self.suspect_lost(peer, &lost);
+        for sequence in lost {
+            self.lose_attempt(sequence, peer);
+            let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::NodeLost);
+            self.attempt_ended(sequence, verdict, None);
+        }
+        self.drop_runs_of(peer);
+    }
+
+    pub(crate) fn peer_unreachable(&mut self, peer: ident::NodeId, unsent: Vec<frame::PeerFrame>) {
+        for frame in unsent {
+            let frame::PeerFrame::Call(call) = frame else {
+                continue;
+            };
+            let sequence = call.call.sequence;
+            let current = self
+                .calls
+                .get(sequence)
+                .is_some_and(|open| open.attempts == call.attempt && open.is_out_at(peer));
+            if current {
+                self.attempt_unsent(sequence, peer);
+                self.attempt_ended(sequence, not_run(verdict::RefusalReason::Unreachable), None);
+            }
+        }
+    }
+
+    /// Replies and forgets the call; its unspent allowance goes back to the parent run.
+    pub(crate) fn end_call(
+        &mut self,
+        sequence: u64,
+        verdict: verdict::CallVerdict,
+        answer: Option<call::CallAnswer>,
+    ) {
+        let Some(open) = self.calls.close(sequence) else {
+            return;
+        };
+        self.return_allowance(sequence, &open);
+        self.note_call_refusal(&open, verdict);
+        let reply = effect::CallerReply {
+            verdict,
+            answer,
+            request: open.context.request,
+            attempts: open.attempts,
+            mark: open.mark,
+            retry_after: self.retry_after(&open, verdict),
+        };
+        self.reply(open.handle, reply);
+    }
+
+    pub(crate) fn reply(&mut self, handle: event::CallerHandle, reply: effect::CallerReply) {
+        self.counters.count_reply(reply.verdict);
+        self.effects.push(effect::NodeEffect::ReplyCaller {
+            handle,
+            reply: Box::new(reply),
+        });
+    }
+}
+
+pub(crate) fn not_run(reason: verdict::RefusalReason) -> verdict::CallVerdict {
+    verdict::CallVerdict::NotRun(reason)
+}
+
+fn refusal(reason: verdict::RefusalReason, mark: treatment::RuleMark) -> effect::CallerReply {
+    let verdict = not_run(reason);
+    effect::CallerReply {
+        verdict,
+        answer: None,
+        request: ident::RequestId(0),
+        attempts: 0,
+        mark,
+        retry_after: None,
+    }
+}
+
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn key_of(request: &call::CallRequest, hints: &event::CallerHints) -> Option<ident::RequestKey> {
+    let key = hints.key.as_ref()?;
+    Some(ident::RequestKey::of(request.service.as_str(), key))
+}
+
+pub(crate) fn print_of(request: &call::CallRequest) -> ident::PrintHash {
+    let mut hasher = xxh3::Xxh3::new();
+    for part in [request.service.as_str(), &request.method, &request.path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(&request.body);
+    ident::PrintHash(hasher.digest())
+}
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, name};
+use anvil_types::{ident, name, store};
 use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
 
@@ -19,10 +19,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunId(pub u64);
 
-/// One question to the platform's store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StoreId(pub u64);
-
 /// What the caller's headers say about the call, apart from the request itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerHints {
@@ -93,6 +89,8 @@
         text: String,
         /// The operator's own id of the change.
         change: u128,
+        /// Who made it, as the operators' command tells.
+        author: String,
         /// The revision the operator saw.
         base: ident::RuleRevision,
     },
@@ -163,6 +161,13 @@
         /// What.
         request: OperatorRequest,
     },
+    /// A question to the platform's store ended.
+    StoreAnswered {
+        /// Which.
+        id: store::StoreId,
+        /// How.
+        outcome: store::StoreOutcome,
+    },
     /// The time that `next_wake` of the reducer named has come, or a little later.
     Woke,
     /// A stop was asked for; a second one forces it.
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -3,5 +3,25 @@
 //! Nothing in here reads a clock, opens a socket or takes a lock; a rerun of recorded events
 //! gives the same effects. See `docs/ARCHITECTURE.md`.
 
+mod admitting;
+pub mod answer;
+mod applying;
+pub mod calls;
+pub mod config;
+pub mod counters;
+pub mod directory;
 pub mod effect;
+mod entry;
 pub mod event;
+mod fleet;
+mod operator;
+mod overload;
+pub mod reducer;
+mod retrying;
+mod rollout;
+pub mod rulebook;
+pub mod runs;
+mod serving;
+mod stopping;
+pub mod timers;
+pub mod waits;
--- /dev/null
+++ b/crates/anvil_core/src/operator.rs
@@ -0,0 +1,153 @@
+//! Operators' questions to one node: dump, status, counters, rules, explanation.
+
+use anvil_rules::render;
+use anvil_wire::call;
+use serde_json::json;
+
+use crate::{answer, applying, calls, effect, entry, event, reducer, runs};
+
+impl reducer::NodeReducer {
+    pub(crate) fn operator_asked(
+        &mut self,
+        handle: event::OperatorHandle,
+        request: event::OperatorRequest,
+    ) {
+        let answer = match request {
+            event::OperatorRequest::Dump => Ok(self.dump().to_string()),
+            event::OperatorRequest::Status => Ok(self.status().to_string()),
+            event::OperatorRequest::Counters => Ok(json!(self.counters).to_string()),
+            event::OperatorRequest::Explain(request) => Ok(self.explain(&request).to_string()),
+            event::OperatorRequest::Rules => Ok(render::to_yaml(self.book.document())),
+            event::OperatorRequest::History => Ok(self.history().to_string()),
+            event::OperatorRequest::Apply {
+                text,
+                change,
+                author,
+                base,
+            } => {
+                let asked = applying::AskedChange {
+                    text,
+                    change,
+                    author,
+                    base,
+                };
+                return self.apply_asked(handle, &asked);
+            }
+        };
+        self.answer_operator(handle, answer);
+    }
+
+    /// Answers with the revision in force beside the text.
+    pub(crate) fn answer_operator(
+        &mut self,
+        handle: event::OperatorHandle,
+        answer: Result<String, answer::OperatorRefusal>,
+    ) {
+        let revision = self.book.revision();
+        let answer = answer.map(|text| answer::OperatorAnswer { text, revision });
+        let effect = effect::NodeEffect::AnswerOperator { handle, answer };
+        self.effects.push(effect);
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let calls: Vec<_> = self
+            .calls
+            .iter()
+            .map(|(id, call)| call_json(*id, call))
+            .collect();
+        let runs: Vec<_> = self
+            .runs
+            .iter()
+            .map(|(id, run)| run_json(*id, run))
+            .collect();
+        let fleet_counters: serde_json::Map<_, _> = self
+            .fleet
+            .counters()
+            .pairs()
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value.into()))
+            .collect();
+        json!({
+            "status": self.status(),
+            "counters": self.counters,
+            "fleet_counters": fleet_counters,
+            "members": self.fleet_members(),
+            "calls": calls,
+            "runs": runs,
+            "overload": self.overload,
+            "routes": self.directory.routes(),
+        })
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let peers: Vec<_> = self
+            .directory
+            .iter()
+            .map(|(node, peer)| {
+                json!({
+                    "node": node.to_string(),
+                    "address": peer.address,
+                    "service": peer.service,
+                    "leaving": peer.leaving,
+                })
+            })
+            .collect();
+        json!({
+            "node": self.config.node.to_string(),
+            "zone": self.config.zone,
+            "region": self.config.region,
+            "phase": format!("{:?}", self.phase),
+            "rules": self.rules_status(),
+            "open_calls": self.calls.len(),
+            "running": self.runs.running(),
+            "queued": self.runs.queued(),
+            "fleet": self.fleet_status(),
+            "peers": peers,
+        })
+    }
+
+    fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
+        let print = entry::print_of(request);
+        let refusals: Vec<_> = self
+            .overload
+            .refusals
+            .notes()
+            .iter()
+            .filter(|note| note.service == request.service)
+            .collect();
+        json!({
+            "service": request.service,
+            "revision": self.book.revision(),
+            "rule": self.book.explain(request),
+            "cut_line": self.directory.line(self.now, &request.service),
+            "quarantine": self.quarantine_of(print),
+            "recent_refusals": refusals,
+        })
+    }
+}
+
+fn call_json(sequence: u64, call: &calls::OpenCall) -> serde_json::Value {
+    json!({
+        "sequence": sequence,
+        "request": call.context.request.to_string(),
+        "service": call.request.service,
+        "class": call.context.class,
+        "attempts": call.attempts,
+        "retries_left": call.allowance.left(),
+        "deadline_micros": call.deadline,
+        "stage": format!("{:?}", call.stage),
+        "rule": call.mark,
+    })
+}
+
+fn run_json(id: u64, run: &runs::TargetRun) -> serde_json::Value {
+    json!({
+        "run": id,
+        "request": run.context.request.to_string(),
+        "from": run.peer.to_string(),
+        "class": run.context.class,
+        "depth": run.context.depth,
+        "deadline_micros": run.deadline,
+        "stage": format!("{:?}", run.stage),
+    })
+}
--- /dev/null
+++ b/crates/anvil_core/src/runs.rs
@@ -0,0 +1,134 @@
+//! Calls that this node has accepted for its local target.
+
+use anvil_overload::allowance;
+use anvil_types::{context, ident, name, sorted, time, treatment};
+use anvil_wire::call;
+
+use crate::{event, waits};
+
+/// The local target as it announced itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalTarget {
+    /// What it said.
+    pub announcement: event::TargetAnnouncement,
+    /// When that lapses.
+    pub until: time::NodeTime,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+}
+
+/// Whether a run has been handed to the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStage {
+    /// It waits for a slot.
+    Queued,
+    /// The request is out at the target.
+    Running,
+}
+
+/// One call accepted for the local target.
+#[derive(Clone, Debug)]
+pub struct TargetRun {
+    /// The node that sent the call.
+    pub peer: ident::NodeId,
+    /// Where that node accepts the answer.
+    pub reply_to: std::net::SocketAddr,
+    /// The call.
+    pub call: ident::CallId,
+    /// Its attempt.
+    pub attempt: u16,
+    /// The service asked for.
+    pub service: name::ServiceName,
+    /// The request, until it is handed to the target.
+    pub request: Option<call::CallRequest>,
+    /// The context, as it came.
+    pub context: context::CallContext,
+    /// What the entry node's rules decided.
+    pub treatment: treatment::RuleTreatment,
+    /// When the caller stops waiting.
+    pub deadline: time::NodeTime,
+    /// Which of the entry node's rules decided.
+    pub mark: treatment::RuleMark,
+    /// The allowance that came with the call, on which the target's own calls draw.
+    pub allowance: allowance::ChainAllowance,
+    /// When it was handed to the target.
+    pub started: Option<time::NodeTime>,
+    /// Whether its deadline passed while it was out.
+    pub expired: bool,
+    /// The target's own calls on its behalf.
+    pub waits: waits::CallWaits,
+    /// Whether it is queued or running.
+    pub stage: RunStage,
+}
+
+/// All calls accepted for the local target.
+#[derive(Clone, Debug, Default)]
+pub struct RunTable {
+    runs: sorted::SortedTable<u64, Box<TargetRun>>,
+    running: u32,
+    minted: u64,
+}
+
+impl RunTable {
+    /// Accepts a call; it is queued until [`RunTable::start`].
+    pub fn accept(&mut self, run: Box<TargetRun>) -> event::RunId {
+        self.minted += 1;
+        self.runs.insert(self.minted, run);
+        event::RunId(self.minted)
+    }
+
+    /// Marks a queued run as handed to the target.
+    pub fn start(&mut self, run: event::RunId, now: time::NodeTime) -> Option<&mut TargetRun> {
+        let started = self.runs.get_mut(run.0)?;
+        started.stage = RunStage::Running;
+        started.started = Some(now);
+        self.running += 1;
+        Some(started)
+    }
+
+    /// Takes a run out, queued or running.
+    pub fn end(&mut self, run: event::RunId) -> Option<Box<TargetRun>> {
+        let ended = self.runs.remove(run.0)?;
+        if ended.stage == RunStage::Running {
+            self.running -= 1;
+        }
+        Some(ended)
+    }
+
+    /// A run.
+    pub fn get(&self, run: event::RunId) -> Option<&TargetRun> {
+        self.runs.get(run.0).map(|run| &**run)
+    }
+
+    /// A run, to be changed.
+    pub fn get_mut(&mut self, run: event::RunId) -> Option<&mut TargetRun> {
+        self.runs.get_mut(run.0).map(|run| &mut **run)
+    }
+
+    /// The run of one attempt.
+    pub fn of_attempt(&self, call: ident::CallId, attempt: u16) -> Option<event::RunId> {
+        let mut entries = self.runs.iter();
+        let found = entries.find(|(_, run)| run.call == call && run.attempt == attempt);
+        found.map(|(id, _)| event::RunId(*id))
+    }
+
+    /// All runs, oldest first.
+    pub fn iter(&self) -> std::slice::Iter<'_, (u64, Box<TargetRun>)> {
+        self.runs.iter()
+    }
+
+    /// Runs out at the target.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Runs that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.runs.len() - self.running as usize
+    }
+
+    /// Whether no run is queued or out.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/anvil_core/src/serving.rs
@@ -0,0 +1,254 @@
+//! The target's node: from another node's call to the answer of the local target.
+
+use std::time::Duration;
+
+use anvil_overload::allowance;
+use anvil_types::{ident, verdict};
+use anvil_wire::{call, frame};
+
+use crate::{directory, effect, event, reducer, runs, timers, waits};
+
+impl reducer::NodeReducer {
+    pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
+        if self.runs.of_attempt(call.call, call.attempt).is_some() {
+            // A repeated frame; the attempt it repeats is answered when it ends.
+            return;
+        }
+        if let Some(cause) = self.refusal_at_target(&call) {
+            self.counters.runs_refused += 1;
+            let service = call.request.service.clone();
+            self.note_refusal(&service, &call.context, call.mark, cause);
+            self.answer_refusal(peer, &call, cause.reason);
+            return;
+        }
+        let deadline = self.now + Duration::from_micros(call.context.remaining_micros);
+        let run = runs::TargetRun {
+            peer,
+            reply_to: call.reply_to,
+            call: call.call,
+            attempt: call.attempt,
+            service: call.request.service.clone(),
+            request: Some(call.request),
+            context: call.context,
+            treatment: call.treatment,
+            mark: call.mark,
+            deadline,
+            stage: runs::RunStage::Queued,
+            allowance: allowance::ChainAllowance::new(call.context.retries_left),
+            started: None,
+            expired: false,
+            waits: waits::CallWaits::default(),
+        };
+        let id = self.runs.accept(Box::new(run));
+        self.timers
+            .set(deadline, timers::TimerKind::RunDeadline(id.0));
+        self.offer_run(id);
+    }
+
+    pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
+        self.judge_run(run, &outcome);
+        let expired = self.runs.get(run).is_some_and(|run| run.expired);
+        let (verdict, answer) = match outcome {
+            // The run was cancelled for its deadline; "cancelled" would blame the caller.
+            event::RunOutcome::Cancelled if expired => verdict_of(event::RunOutcome::TimedOut),
+            outcome => verdict_of(outcome),
+        };
+        match verdict {
+            verdict::CallVerdict::Answered => self.counters.runs_whole += 1,
+            _ => self.counters.runs_failed += 1,
+        }
+        self.finish_run(run, verdict, answer);
+    }
+
+    /// Answers a run and forgets it; calls that it left open are ended with it.
+    pub(crate) fn finish_run(
+        &mut self,
+        run: event::RunId,
+        verdict: verdict::CallVerdict,
+        answer: Option<call::CallAnswer>,
+    ) {
+        for sequence in self.calls.children(run) {
+            self.abandon_call(sequence);
+        }
+        let Some(ended) = self.runs.end(run) else {
+            return;
+        };
+        let decisions = self.release_run(run, &ended, verdict);
+        let load = self.load_report();
+        let reply = call::PeerAnswer {
+            call: ended.call,
+            attempt: ended.attempt,
+            verdict,
+            answer,
+            retries_spent: ended.allowance.spent(),
+            load,
+        };
+        let frame = frame::PeerFrame::Answer(Box::new(reply));
+        self.send_frame(ended.peer, ended.reply_to, frame);
+        self.apply_decisions(decisions);
+    }
+
+    pub(crate) fn run_expired(&mut self, run: event::RunId) {
+        let Some(found) = self.runs.get_mut(run) else {
+            return;
+        };
+        match found.stage {
+            runs::RunStage::Queued => {
+                self.counters.runs_refused += 1;
+                let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
+                self.finish_run(run, verdict, None);
+            }
+            runs::RunStage::Running => {
+                found.expired = true;
+                self.effects.push(effect::NodeEffect::CancelRun(run));
+            }
+        }
+    }
+
+    pub(crate) fn attempt_cancelled(&mut self, call: ident::CallId, attempt: u16) {
+        if let Some(run) = self.runs.of_attempt(call, attempt) {
+            self.cancel_run(run);
+        }
+    }
+
+    fn cancel_run(&mut self, run: event::RunId) {
+        let Some(found) = self.runs.get(run) else {
+            return;
+        };
+        self.counters.runs_cancelled += 1;
+        match found.stage {
+            runs::RunStage::Queued => {
+                let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Cancelled);
+                self.finish_run(run, verdict, None);
+            }
+            runs::RunStage::Running => {
+                for sequence in self.calls.children(run) {
+                    self.abandon_call(sequence);
+                }
+                self.effects.push(effect::NodeEffect::CancelRun(run));
+            }
+        }
+    }
+
+    /// Stops the work that a lost node had asked for, since no answer can reach it.
+    pub(crate) fn drop_runs_of(&mut self, peer: ident::NodeId) {
+        let lost: Vec<u64> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.peer == peer)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.cancel_run(event::RunId(id));
+        }
+    }
+
+    pub(crate) fn target_announced(&mut self, announcement: event::TargetAnnouncement) {
+        let until = self.now + announcement.lease;
+        let known = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.announcement == announcement && !target.leaving);
+        self.timers.set(until, timers::TimerKind::TargetLease);
+        if !known {
+            self.report(effect::StateChange::TargetServing {
+                service: announcement.service.to_string(),
+                address: announcement.address,
+                slots: announcement.slots,
+            });
+        }
+        let renewed = self.target.as_ref().is_some_and(|target| {
+            let former = &target.announcement;
+            !target.leaving
+                && former.service == announcement.service
+                && former.address == announcement.address
+        });
+        let slots = announcement.slots;
+        self.target = Some(runs::LocalTarget {
+            announcement,
+            until,
+            leaving: false,
+        });
+        self.announce_admission(slots, renewed);
+        self.publish_target();
+    }
+
+    pub(crate) fn target_leaving(&mut self) {
+        if let Some(target) = &mut self.target {
+            target.leaving = true;
+            let reason = "it said that it leaves".to_owned();
+            self.report(effect::StateChange::TargetGone { reason });
+            self.publish_target();
+            self.leave_admission();
+        }
+    }
+
+    pub(crate) fn target_lapsed(&mut self) {
+        let lapsed = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.until <= self.now && !target.leaving);
+        if lapsed {
+            self.target_leaving();
+        }
+    }
+
+    /// Tells the directory, and through it the fleet, what the local target offers.
+    pub(crate) fn publish_target(&mut self) {
+        self.announce_local();
+        let leaving = self.refuses_runs();
+        let Some(target) = &self.target else {
+            return;
+        };
+        let record = directory::PeerRecord {
+            address: self.config.peer_address,
+            service: target.announcement.service.clone(),
+            zone: self.config.zone.clone(),
+            slots: target.announcement.slots,
+            leaving: target.leaving || leaving,
+        };
+        self.directory.upsert(self.now, self.config.node, record);
+    }
+
+    fn answer_refusal(
+        &mut self,
+        peer: ident::NodeId,
+        call: &call::PeerCall,
+        reason: verdict::RefusalReason,
+    ) {
+        let load = self.load_report();
+        let reply = call::PeerAnswer {
+            call: call.call,
+            attempt: call.attempt,
+            verdict: verdict::CallVerdict::NotRun(reason),
+            answer: None,
+            retries_spent: 0,
+            load,
+        };
+        let frame = frame::PeerFrame::Answer(Box::new(reply));
+        self.send_frame(peer, call.reply_to, frame);
+    }
+}
+
+fn verdict_of(outcome: event::RunOutcome) -> (verdict::CallVerdict, Option<call::CallAnswer>) {
+    let verdict = match outcome {
+        event::RunOutcome::Whole(answer) => return (verdict::CallVerdict::Answered, Some(answer)),
+        event::RunOutcome::Refused => verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed),
+        event::RunOutcome::Unreachable => {
+            verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
+        }
+        event::RunOutcome::Broken { in_answer: false } => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::ConnectionLost)
+        }
+        event::RunOutcome::Broken { in_answer: true } => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::AnswerCut)
+        }
+        event::RunOutcome::TimedOut => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Deadline)
+        }
+        event::RunOutcome::Cancelled => {
+            verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled)
+        }
+    };
+    (verdict, None)
+}
--- /dev/null
+++ b/crates/anvil_node/src/peer/link.rs
@@ -0,0 +1,346 @@
+//! One connection to another node, from its handshake to an exact account of its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvil_core::event;
+use anvil_types::ident;
+use anvil_wire::seal::{ring, stream as sealing};
+use anvil_wire::{codec, frame};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{handshake, stream};
+use crate::{caller, counters, engine};
+
+/// Frames that may wait for one connection.
+pub const QUEUE_LIMIT: usize = 4_096;
+
+/// Longest wait for a connection and its handshake; nodes are a few milliseconds apart.
+pub const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Bytes gathered before they are written; many small frames share one system call.
+const BATCH_BYTES: usize = 64 * 1024;
+
+/// One connection; local to the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// The reducer's side of one connection; dropping it lets the connection flush and end.
+#[derive(Debug)]
+pub struct PeerLink {
+    /// The other node.
+    pub peer: ident::NodeId,
+    /// Which connection.
+    pub link: LinkId,
+    /// Frames to send.
+    pub frames: mpsc::Sender<frame::PeerFrame>,
+    close: Option<oneshot::Sender<()>>,
+}
+
+impl PeerLink {
+    /// Ends the connection without flushing; what waits is handed back.
+    pub fn close(&mut self) {
+        if let Some(close) = self.close.take() {
+            // A connection that ended by itself needs no telling.
+            let _ = close.send(());
+        }
+    }
+}
+
+/// The connection's side of a [`PeerLink`].
+#[derive(Debug)]
+pub struct LinkParts {
+    /// Which connection.
+    pub link: LinkId,
+    frames: mpsc::Receiver<frame::PeerFrame>,
+    close: oneshot::Receiver<()>,
+}
+
+/// Both sides of a new connection to `peer`.
+pub fn pair(peer: ident::NodeId, link: LinkId) -> (PeerLink, LinkParts) {
+    let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
+    let (close, closed) = oneshot::channel();
+    let opened = PeerLink {
+        peer,
+        link,
+        frames: sender,
+        close: Some(close),
+    };
+    let parts = LinkParts {
+        link,
+        frames: receiver,
+        close: closed,
+    };
+    (opened, parts)
+}
+
+/// The end of one connection.
+#[derive(Debug)]
+pub struct ClosedLink {
+    /// The other node.
+    pub peer: ident::NodeId,
+    /// Which connection.
+    pub link: LinkId,
+    /// Frames of which no byte was handed to the socket.
+    pub unsent: Vec<frame::PeerFrame>,
+    /// Whether frames had crossed it, whose fate is unknown now.
+    pub used: bool,
+}
+
+/// What every connection works with.
+#[derive(Clone, Debug)]
+pub struct LinkContext {
+    /// What this node says of itself.
+    pub hello: frame::PeerHello,
+    /// The keys by which nodes prove themselves.
+    pub ring: Arc<ring::KeyRing>,
+    /// Where frames go.
+    pub engine: engine::EngineSender,
+    /// Counts each cause.
+    pub counters: counters::EdgeCounters,
+    /// Makes links unique.
+    pub links: Arc<AtomicU64>,
+    /// Lets connections flush at the end.
+    pub drain: caller::server::DrainSignal,
+}
+
+impl LinkContext {
+    /// A number for a new connection.
+    pub fn next_link(&self) -> LinkId {
+        LinkId(self.links.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
+/// Opens a connection to `peer` and serves it until it ends.
+pub async fn open(
+    context: LinkContext,
+    peer: ident::NodeId,
+    address: SocketAddr,
+    parts: LinkParts,
+) {
+    let opening = tokio::time::timeout(OPEN_LIMIT, connect(&context, peer, address));
+    match opening.await {
+        Ok(Ok(opened)) => {
+            context.counters.count(counters::EdgeCause::PeerConnected);
+            serve(context, opened, parts).await;
+        }
+        failed => {
+            let cause = match failed {
+                Ok(Err(handshake::HandshakeError::Refused(_))) => {
+                    counters::EdgeCause::PeerHandshakeRefused
+                }
+                _ => counters::EdgeCause::PeerUnreachable,
+            };
+            context.counters.count(cause);
+            let end = LinkEnd {
+                link: parts.link,
+                unsent: drain(parts.frames).await,
+                used: false,
+            };
+            report(&context, peer, end).await;
+        }
+    }
+}
+
+/// Serves an open connection, whose handshake is done, until it ends.
+pub async fn serve(context: LinkContext, opened: OpenedStream, parts: LinkParts) {
+    let OpenedStream { stream, sealed } = opened;
+    let peer = sealed.peer.node;
+    let open = counters::GaugeGuard::hold(context.counters.peer_connections());
+    let (reader, writer) = stream.into_split();
+    let reader = stream::FrameReader::new(reader, sealed.opener);
+    let reading = tokio::spawn(read(context.clone(), peer, reader));
+    let writer = FrameWriter {
+        writer,
+        sealer: sealed.sealer,
+        batch: Vec::new(),
+    };
+    let end = write(&context, writer, parts, reading).await;
+    drop(open);
+    context.counters.count(counters::EdgeCause::PeerLost);
+    report(&context, peer, end).await;
+}
+
+/// A connection whose ends have proved themselves.
+#[derive(Debug)]
+pub struct OpenedStream {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Who is at the other end, and what seals each frame.
+    pub sealed: sealing::SealedStream,
+}
+
+/// The writing side of a connection.
+struct FrameWriter {
+    writer: OwnedWriteHalf,
+    sealer: sealing::FrameSealer,
+    batch: Vec<u8>,
+}
+
+/// What became of the frames when a connection ended.
+struct LinkEnd {
+    link: LinkId,
+    /// No byte of these was handed to the socket.
+    unsent: Vec<frame::PeerFrame>,
+    /// Whether a byte of any other was.
+    used: bool,
+}
+
+async fn connect(
+    context: &LinkContext,
+    peer: ident::NodeId,
+    address: SocketAddr,
+) -> Result<OpenedStream, handshake::HandshakeError> {
+    let mut stream = TcpStream::connect(address).await?;
+    // Nagle's algorithm would hold small frames back for a delayed acknowledgement.
+    stream.set_nodelay(true)?;
+    // A replaced instance at the same address must not get what was meant for its predecessor, so
+    // the handshake takes no other node than the one expected.
+    let sealed = handshake::initiate(&mut stream, context, peer).await?;
+    Ok(OpenedStream { stream, sealed })
+}
+
+/// Writes frames until the connection breaks, its reader ends, it is told to close, or nobody has
+/// frames any more.
+async fn write(
+    context: &LinkContext,
+    mut writer: FrameWriter,
+    parts: LinkParts,
+    mut reading: tokio::task::JoinHandle<bool>,
+) -> LinkEnd {
+    let LinkParts {
+        link,
+        mut frames,
+        mut close,
+    } = parts;
+    let mut used = false;
+    let mut received = None;
+    loop {
+        let first = tokio::select! {
+            first = frames.recv() => first,
+            ended = &mut reading => {
+                received = Some(ended.unwrap_or(true));
+                break;
+            }
+            Ok(()) = &mut close => break,
+        };
+        let Some(first) = first else {
+            break;
+        };
+        writer.gather(context, first, &mut frames);
+        // From the first byte on, nobody can tell what the other side saw.
+        used = true;
+        // A node that stopped reading would hold the write, and so the end, up.
+        let written = tokio::select! {
+            written = writer.writer.write_all(&writer.batch) => written.is_ok(),
+            Ok(()) = &mut close => false,
+        };
+        if !written {
+            break;
+        }
+    }
+    // A connection that broke can't be shut down once more.
+    let _ = writer.writer.shutdown().await;
+    if received.is_none() {
+        reading.abort();
+        // What it read until then has reached the engine before the end is reported.
+        received = Some(reading.await.unwrap_or(true));
+    }
+    let unsent = drain(frames).await;
+    LinkEnd {
+        link,
+        unsent,
+        used: used || received.unwrap_or(true),
+    }
+}
+
+impl FrameWriter {
+    /// Encodes `first` and whatever waits behind it, up to one batch.
+    fn gather(
+        &mut self,
+        context: &LinkContext,
+        first: frame::PeerFrame,
+        frames: &mut mpsc::Receiver<frame::PeerFrame>,
+    ) {
+        self.batch.clear();
+        let mut next = Some(first);
+        while let Some(frame) = next {
+            self.append(context, &frame);
+            next = if self.batch.len() < BATCH_BYTES {
+                frames.try_recv().ok()
+            } else {
+                None
+            };
+        }
+    }
+
+    fn append(&mut self, context: &LinkContext, frame: &frame::PeerFrame) {
+        let Ok(mut bytes) = codec::encode_frame(frame) else {
+            // The caller edge bounds bodies and heads below a frame's limit.
+            context
+                .counters
+                .count(counters::EdgeCause::PeerFrameOversized);
+            return;
+        };
+        self.sealer.seal(&mut bytes);
+        if self.batch.is_empty() {
+            self.batch = bytes;
+        } else {
+            self.batch.extend_from_slice(&bytes);
+        }
+    }
+}
+
+/// Hands frames to the engine; says at the end whether any came.
+async fn read(
+    context: LinkContext,
+    peer: ident::NodeId,
+    mut reader: stream::FrameReader<OwnedReadHalf>,
+) -> bool {
+    let mut used = false;
+    loop {
+        let frame = match reader.next().await {
+            Ok(frame) => frame,
+            Err(error) => {
+                if let Some(cause) = error.cause() {
+                    context.counters.count(cause);
+                }
+                return used;
+            }
+        };
+        used = true;
+        let arrived = event::NodeEvent::FrameArrived { peer, frame };
+        // A full engine slows this reader, and so the sender, down.
+        let input = engine::EngineInput::Event(arrived);
+        if context.engine.send_async(input).await.is_err() {
+            return used;
+        }
+    }
+}
+
+/// Closes the queue, then takes what waits in it, so that no frame slips in between unseen.
+async fn drain(mut frames: mpsc::Receiver<frame::PeerFrame>) -> Vec<frame::PeerFrame> {
+    frames.close();
+    let mut unsent = Vec::new();
+    while let Some(frame) = frames.recv().await {
+        unsent.push(frame);
+    }
+    unsent
+}
+
+async fn report(context: &LinkContext, peer: ident::NodeId, end: LinkEnd) {
+    let LinkEnd { link, unsent, used } = end;
+    let closed = engine::EngineInput::LinkClosed(ClosedLink {
+        peer,
+        link,
+        unsent,
+        used,
+    });
+    // The engine is gone only when the process leaves.
+    let _ = context.engine.send_async(closed).await;
+}
--- /dev/null
+++ b/crates/anvil_node/src/peer/table.rs
@@ -0,0 +1,188 @@
+//! Connections by the node they lead to.
+
+use std::net::SocketAddr;
+
+use anvil_core::event;
+use anvil_types::{ident, sorted};
+use anvil_wire::frame;
+use tokio::runtime;
+use tokio::sync::mpsc;
+
+use super::link;
+use crate::{counters, engine};
+
+/// All connections to one node, and what is known of their frames.
+///
+/// Mostly there is one; two arise where both nodes dial at the same moment. The reducer knows
+/// nodes and no connections, so the end of one connection ends the others too, and only then it is
+/// told of the loss. Otherwise a call sent after the first end would count as lost at the
+/// second one, and its caller would be told "may have run" of a request that never left.
+#[derive(Debug, Default)]
+struct PeerSession {
+    /// The first one is sent on, all are read.
+    links: Vec<link::PeerLink>,
+    /// Whether the remaining connections are being ended.
+    closing: bool,
+    /// Frames of which no byte was handed to a socket.
+    unsent: Vec<frame::PeerFrame>,
+}
+
+/// The connections in use for each node; owned by the reducer's thread.
+#[derive(Debug)]
+pub struct PeerTable {
+    runtime: runtime::Handle,
+    context: link::LinkContext,
+    sessions: sorted::SortedTable<ident::NodeId, PeerSession>,
+}
+
+impl PeerTable {
+    /// Builds an empty table.
+    pub fn new(runtime: runtime::Handle, context: link::LinkContext) -> Self {
+        let sessions = sorted::SortedTable::default();
+        Self {
+            runtime,
+            context,
+            sessions,
+        }
+    }
+
+    /// Sends a frame on the connection to `peer`, opening one where there is none.
+    pub fn send(&mut self, peer: ident::NodeId, address: SocketAddr, frame: frame::PeerFrame) {
+        if let Some(session) = self.sessions.get_mut(peer) {
+            let refused = session.send(frame);
+            if let Err(frame) = refused {
+                self.hand_back(peer, frame);
+            }
+            return;
+        }
+        let opened = self.open(peer, address);
+        // The queue is new and empty, so the frame fits.
+        let _ = opened.frames.try_send(frame);
+        self.adopt(opened);
+    }
+
+    /// Takes a connection into use.
+    pub fn adopt(&mut self, opened: link::PeerLink) {
+        let peer = opened.peer;
+        if let Some(session) = self.sessions.get_mut(peer) {
+            session.add(opened);
+            return;
+        }
+        let mut session = PeerSession::default();
+        session.add(opened);
+        self.sessions.insert(peer, session);
+    }
+
+    /// Takes note of the end of a connection; the events are for the reducer, in order.
+    pub fn closed(&mut self, closed: link::ClosedLink) -> Vec<event::NodeEvent> {
+        let peer = closed.peer;
+        let Some(session) = self.sessions.get_mut(peer) else {
+            return closing_events(peer, closed.unsent, closed.used);
+        };
+        session.links.retain(|kept| kept.link != closed.link);
+        session.unsent.extend(closed.unsent);
+        if !closed.used && !session.links.is_empty() && !session.closing {
+            let unsent = std::mem::take(&mut session.unsent);
+            return self.reroute(peer, unsent);
+        }
+        if !session.links.is_empty() {
+            session.close();
+            return Vec::new();
+        }
+        let lost = closed.used || session.closing;
+        let unsent = std::mem::take(&mut session.unsent);
+        self.sessions.remove(peer);
+        closing_events(peer, unsent, lost)
+    }
+
+    /// Sends what a connection that never came about held on the one that did.
+    fn reroute(
+        &mut self,
+        peer: ident::NodeId,
+        frames: Vec<frame::PeerFrame>,
+    ) -> Vec<event::NodeEvent> {
+        let mut unsent = Vec::new();
+        if let Some(session) = self.sessions.get_mut(peer) {
+            let refused = frames.into_iter().map(|frame| session.send(frame));
+            unsent.extend(refused.filter_map(Result::err));
+        }
+        if unsent.is_empty() {
+            return Vec::new();
+        }
+        closing_events(peer, unsent, false)
+    }
+
+    /// A full queue means that the other node doesn't keep up; the frame has not left, so the
+    /// reducer may send its call elsewhere.
+    fn hand_back(&self, peer: ident::NodeId, frame: frame::PeerFrame) {
+        let counters = &self.context.counters;
+        counters.count(counters::EdgeCause::PeerQueueFull);
+        let unsent = vec![frame];
+        let refused = event::NodeEvent::PeerUnreachable { peer, unsent };
+        let engine = self.context.engine.clone();
+        let input = engine::EngineInput::Event(refused);
+        // The reducer's own thread must not wait for its own queue.
+        self.runtime
+            .spawn(async move { engine.send_async(input).await });
+    }
+
+    fn open(&self, peer: ident::NodeId, address: SocketAddr) -> link::PeerLink {
+        let (opened, parts) = link::pair(peer, self.context.next_link());
+        let context = self.context.clone();
+        self.runtime
+            .spawn(link::open(context, peer, address, parts));
+        opened
+    }
+}
+
+impl PeerSession {
+    fn add(&mut self, mut opened: link::PeerLink) {
+        if self.closing {
+            opened.close();
+        }
+        self.links.push(opened);
+    }
+
+    /// Hands the frame back where the queue is full.
+    fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
+        let current = self.links.first().filter(|_| !self.closing);
+        let Some(current) = current else {
+            self.unsent.push(frame);
+            return Ok(());
+        };
+        match current.frames.try_send(frame) {
+            Ok(()) => Ok(()),
+            Err(mpsc::error::TrySendError::Full(frame)) => Err(frame),
+            Err(mpsc::error::TrySendError::Closed(frame)) => {
+                // The connection has ended and its report is on the way; the frame goes with it.
+                self.unsent.push(frame);
+                Ok(())
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        self.closing = true;
+        for link in &mut self.links {
+            link.close();
+        }
+    }
+}
+
+/// What the reducer is told when the connections to a node have ended.
+///
+/// Frames that never left are handed back first: after the loss they would count as possibly run.
+fn closing_events(
+    peer: ident::NodeId,
+    unsent: Vec<frame::PeerFrame>,
+    lost: bool,
+) -> Vec<event::NodeEvent> {
+    let mut events = Vec::new();
+    if !lost || !unsent.is_empty() {
+        events.push(event::NodeEvent::PeerUnreachable { peer, unsent });
+    }
+    if lost {
+        events.push(event::NodeEvent::PeerLost { peer });
+    }
+    events
+}
--- /dev/null
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -0,0 +1,137 @@
+//! Bad requests get a clear error each, are counted, and leave the node alive.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::io::Write;
+
+use anvil_node::counters::EdgeCause;
+use anvil_testkit::test_cases;
+
+/// Short waits, so that slow callers are found out within the test.
+const LIMITS: &str = "  header_wait_ms: 100\n  body_wait_ms: 100\n  header_bytes: 8192\n  \
+                      header_count: 20\n  caller_connections: 8\n";
+
+fn refused(request: &str, status: &str, cause: EdgeCause) {
+    let pair = common::Pair::start(LIMITS);
+    let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "{answer:?}"
+    );
+    pair.await_count(cause, 1);
+    pair.assert_lives();
+    assert_eq!(pair.target.seen().len(), 1, "only the check of life ran");
+}
+
+const CLOSE: &str = "connection: close\r\n\r\n";
+
+test_cases! {
+    refused:
+    no_http => ("hello\r\n\r\n", "400", EdgeCause::CallerHeadMalformed),
+    bad_header => ("GET / HTTP/1.1\r\nhost audiencias\r\n\r\n", "400", EdgeCause::CallerHeadMalformed),
+    long_head => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nx: {}\r\n\r\n", "x".repeat(9_000)),
+        "431", EdgeCause::CallerHeadOversized,
+    ),
+    many_headers => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\n{}\r\n", "x: 1\r\n".repeat(30)),
+        "431", EdgeCause::CallerHeadOversized,
+    ),
+    no_service => (&format!("GET / HTTP/1.1\r\nhost: 127.0.0.1\r\n{CLOSE}"), "400", EdgeCause::CallerServiceMalformed),
+    bad_service => (&format!("GET / HTTP/1.1\r\nhost: a\r\nanvil-service: A_B\r\n{CLOSE}"), "400", EdgeCause::CallerServiceMalformed),
+    bad_timeout => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-timeout-ms: soon\r\n{CLOSE}"),
+        "400", EdgeCause::CallerHintMalformed,
+    ),
+    zero_timeout => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-timeout-ms: 0\r\n{CLOSE}"),
+        "400", EdgeCause::CallerHintMalformed,
+    ),
+    bad_request_id => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-request-id: 12\r\n{CLOSE}"),
+        "400", EdgeCause::CallerHintMalformed,
+    ),
+    empty_key => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nidempotency-key:\r\n{CLOSE}"),
+        "400", EdgeCause::CallerHintMalformed,
+    ),
+    forged_parent => (
+        &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-parent: {}\r\n{CLOSE}", "0".repeat(48)),
+        "400", EdgeCause::CallerParentForged,
+    ),
+    connect => (&format!("CONNECT audiencias:80 HTTP/1.1\r\nhost: audiencias\r\n{CLOSE}"), "501", EdgeCause::CallerMethodRefused),
+    stated_length_above_limit => (
+        "POST / HTTP/1.1\r\nhost: audiencias\r\ncontent-length: 8388609\r\n\r\n",
+        "413", EdgeCause::CallerBodyOversized,
+    ),
+    bad_chunk => (
+        "POST / HTTP/1.1\r\nhost: audiencias\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nx\r\n",
+        "400", EdgeCause::CallerBodyMalformed,
+    ),
+    slow_head => ("GET / HTTP/1.1\r\nhost: audi", "408", EdgeCause::CallerHeadSlow),
+    slow_body => (
+        "POST / HTTP/1.1\r\nhost: audiencias\r\ncontent-length: 9\r\n\r\nhalf",
+        "408", EdgeCause::CallerBodySlow,
+    ),
+}
+
+#[test]
+fn unstated_length_above_limit_is_refused() {
+    let pair = common::Pair::start("");
+    let head = "POST / HTTP/1.1\r\nhost: audiencias\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut stream = common::raw(pair.caller(), head.as_bytes());
+    let chunk = format!("100000\r\n{}\r\n", "x".repeat(0x10_0000));
+    for _ in 0..9 {
+        // The node may close before the last chunk is written.
+        let _ = stream.write_all(chunk.as_bytes());
+    }
+    pair.await_count(EdgeCause::CallerBodyOversized, 1);
+    pair.assert_lives();
+}
+
+#[test]
+fn unknown_service_is_named_in_a_problem_body() {
+    let pair = common::Pair::start("");
+    let url = format!("http://{}/", pair.caller());
+    let request = attohttpc::get(url).header("anvil-service", "nowhere");
+    let response = request.send().unwrap();
+    assert_eq!(response.status(), 404);
+    assert_eq!(response.headers()["anvil-outcome"], "not-run");
+    assert_eq!(
+        response.headers()["content-type"],
+        "application/problem+json"
+    );
+    let body: serde_json::Value = serde_json::from_str(&response.text().unwrap()).unwrap();
+    assert_eq!(body["reason"], "unknown-service");
+    assert_eq!(body["outcome"], "not-run");
+    assert_eq!(body["status"], 404);
+}
+
+#[test]
+fn callers_above_the_limit_are_closed_and_the_others_served() {
+    let pair = common::Pair::start("  caller_connections: 2\n");
+    let held: Vec<_> = (0..2).map(|_| common::raw(pair.caller(), b"GET")).collect();
+    pair.await_count(EdgeCause::CallerAccepted, 2);
+    let surplus = common::read_to_close(common::raw(pair.caller(), b""));
+    assert_eq!(surplus, "");
+    pair.await_count(EdgeCause::CallerOverLimit, 1);
+    drop(held);
+    let gauge = pair.node.counters().caller_connections();
+    common::await_true("the held connections end", || gauge.get() == 0);
+    pair.assert_lives();
+}
+
+// A caller stalls in the middle of its head on a connection that served a request before. The
+// node answers 408 and closes, and gives the connection's place to others; a connection that
+// merely rests between requests is closed without a word, since nothing was asked on it.
+#[test]
+fn a_resting_connection_is_closed_quietly() {
+    let pair = common::Pair::start(LIMITS);
+    let request = "GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n";
+    let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(!answer.contains("408"), "{answer}");
+    assert_eq!(pair.node.counters().total(EdgeCause::CallerHeadSlow), 0);
+}
--- /dev/null
+++ b/crates/anvil_wire/src/seal/replay.rs
@@ -0,0 +1,91 @@
+//! Which datagrams of which sender were seen.
+
+use anvil_types::{ident, sorted};
+
+/// Datagrams of one sender that may arrive out of order and still be accepted.
+pub const WINDOW: u64 = 64;
+
+/// Senders remembered, about twice the members of the largest fleet; 24 bytes each.
+pub const SENDER_LIMIT: usize = 32_768;
+
+/// What was seen of one sender.
+#[derive(Clone, Copy, Debug)]
+struct SenderWindow {
+    /// The highest sequence seen.
+    highest: u64,
+    /// Bit `n` tells whether `highest - n` was seen.
+    seen: u64,
+}
+
+/// Accepts each datagram once.
+///
+/// Without it, whoever records datagrams could send an old one again, and a node that left would
+/// seem to live. Only senders with a key get an entry, so the limit is reached by real nodes alone;
+/// then the sender with the lowest identity gives way, which costs no more than one replay of
+/// its datagrams.
+#[derive(Clone, Debug, Default)]
+pub struct ReplayGuard {
+    windows: sorted::SortedTable<ident::NodeId, SenderWindow>,
+}
+
+impl ReplayGuard {
+    /// Tells whether a datagram is new, and remembers it.
+    pub fn accept(&mut self, sender: ident::NodeId, sequence: u64) -> bool {
+        if let Some(window) = self.windows.get_mut(sender) {
+            return window.accept(sequence);
+        }
+        if self.windows.len() >= SENDER_LIMIT {
+            self.evict();
+        }
+        let highest = sequence;
+        let window = SenderWindow { highest, seen: 1 };
+        self.windows.insert(sender, window);
+        true
+    }
+
+    /// Forgets a sender that is gone for good; its datagrams would count as new again.
+    pub fn forget(&mut self, sender: ident::NodeId) {
+        self.windows.remove(sender);
+    }
+
+    /// The number of senders remembered.
+    pub fn len(&self) -> usize {
+        self.windows.len()
+    }
+
+    /// Whether no sender is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.windows.is_empty()
+    }
+
+    fn evict(&mut self) {
+        let lowest = self.windows.iter().next().map(|(sender, _)| *sender);
+        if let Some(sender) = lowest {
+            self.windows.remove(sender);
+        }
+    }
+}
+
+impl SenderWindow {
+    fn accept(&mut self, sequence: u64) -> bool {
+        if sequence > self.highest {
+            let ahead = sequence - self.highest;
+            self.seen = if ahead < WINDOW {
+                self.seen << ahead
+            } else {
+                0
+            };
+            self.seen |= 1;
+            self.highest = sequence;
+            return true;
+        }
+        let behind = self.highest - sequence;
+        if behind >= WINDOW {
+            return false;
+        }
+        let bit = 1 << behind;
+        let new = self.seen & bit == 0;
+        self.seen |= bit;
+        new
+    }
+}
