Tell 'not run' only where it holds for every attempt

Cause, found by reading: a lookup whose first attempt broke off and whose retry was refused, or whose deadline passed in the pause before it, was answered 'not run'; and a frame repeated after its run had ended started a second run. Conclusion: both were breaches of what must always hold.

--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use anvil_overload::{allowance, rank, refusal};
-use anvil_types::{context, ident, sorted, time, treatment};
+use anvil_types::{context, ident, sorted, time, treatment, verdict};
 use anvil_wire::call;
 
 use crate::event;
@@ -49,6 +49,8 @@
     pub redirects: u8,
     /// Nodes that refused or failed an attempt.
     pub tried: Vec<ident::NodeId>,
+    /// Why an attempt may have run, where one ended so.
+    pub doubt: Option<verdict::DoubtReason>,
     /// Where the call stands.
     pub stage: CallStage,
     /// The run of the local target that made the call, where one did.
@@ -56,6 +58,20 @@
 }
 
 impl OpenCall {
+    /// What the call's end says of all its attempts.
+    ///
+    /// Failure: one attempt may have run, and a later one is refused as not run. Symptom: the
+    /// caller is told "not run" and files its claim anew, a second time. The doubt of any attempt
+    /// outlasts the refusal of a later one, so "not run" is told only where it holds for all.
+    pub fn overall(&self, last: verdict::CallVerdict) -> verdict::CallVerdict {
+        match (last, self.doubt) {
+            (verdict::CallVerdict::NotRun(_), Some(doubt)) => {
+                verdict::CallVerdict::MayHaveRun(doubt)
+            }
+            (last, _) => last,
+        }
+    }
+
     /// Where the request stands among others.
     pub fn rank(&self) -> rank::CallRank {
         rank::CallRank::of(&self.context)
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -20,6 +20,8 @@
     pub retries: u64,
     /// Answers that matched no open attempt and were dropped.
     pub answers_stale: u64,
+    /// Calls of other nodes that came a second time and were dropped.
+    pub calls_repeated: u64,
     /// Runs started at the local target.
     pub runs_started: u64,
     /// Runs that ended with a whole answer.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -47,6 +47,7 @@
             attempts: 0,
             redirects: 0,
             tried: Vec::new(),
+            doubt: None,
             stage: calls::CallStage::Pausing,
             parent,
         };
@@ -303,6 +304,7 @@
         let Some(open) = self.calls.close(sequence) else {
             return;
         };
+        let verdict = open.overall(verdict);
         self.return_allowance(sequence, &open);
         self.note_call_refusal(&open, verdict);
         let reply = effect::CallerReply {
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -17,6 +17,7 @@
 mod operator;
 mod overload;
 pub mod reducer;
+pub mod repeats;
 mod retrying;
 mod rollout;
 pub mod rulebook;
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -10,7 +10,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    calls, config, counters, directory, effect, event, overload, rulebook, runs, stopping, timers,
+    calls, config, counters, directory, effect, event, overload, repeats, rulebook, runs, stopping,
+    timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -26,6 +27,7 @@
     pub(crate) directory: directory::PeerDirectory,
     pub(crate) calls: calls::CallTable,
     pub(crate) runs: runs::RunTable,
+    pub(crate) repeats: repeats::RepeatGuard,
     pub(crate) target: Option<runs::LocalTarget>,
     pub(crate) overload: overload::OverloadState,
     pub(crate) timers: timers::TimerQueue,
@@ -58,6 +60,7 @@
             book: rulebook::RuleBook::default(),
             calls: calls::CallTable::default(),
             runs: runs::RunTable::default(),
+            repeats: repeats::RepeatGuard::default(),
             target: None,
             timers: timers::TimerQueue::default(),
             counters: counters::NodeCounters::default(),
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -186,6 +186,9 @@
         if let calls::CallStage::Out { peer, .. } = open.stage {
             open.tried.push(peer);
         }
+        if let verdict::CallVerdict::MayHaveRun(doubt) = verdict {
+            open.doubt = Some(doubt);
+        }
         open.stage = calls::CallStage::Pausing;
         if self.phase == stopping::NodePhase::Gone {
             self.end_call(sequence, verdict, answer);
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -10,8 +10,8 @@
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
-        if self.runs.of_attempt(call.call, call.attempt).is_some() {
-            // A repeated frame; the attempt it repeats is answered when it ends.
+        if self.is_repeat(&call) {
+            self.counters.calls_repeated += 1;
             return;
         }
         if let Some(cause) = self.refusal_at_target(&call) {
@@ -45,6 +45,13 @@
         self.offer_run(id);
     }
 
+    /// Whether the frame repeats an attempt, which is answered, once, by the first frame's run.
+    fn is_repeat(&mut self, call: &call::PeerCall) -> bool {
+        let running = self.runs.of_attempt(call.call, call.attempt).is_some();
+        running
+            || (!call.context.idempotent && !self.repeats.admit(self.now, call.call, call.attempt))
+    }
+
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
         self.judge_run(run, &outcome);
         let expired = self.runs.get(run).is_some_and(|run| run.expired);
--- /dev/null
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -0,0 +1,186 @@
+//! One node, its target and one peer, driven event by event.
+
+#![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_core::{config, directory, effect, event, reducer};
+use anvil_types::{context, ident, name, time, treatment, verdict};
+use anvil_wire::{call, frame};
+use bytes::Bytes;
+
+pub const NODE: ident::NodeId = ident::NodeId(1);
+pub const PEER: ident::NodeId = ident::NodeId(2);
+pub const SERVICE: &str = "expediente";
+
+pub fn at(millis: u64) -> time::NodeTime {
+    time::NodeTime::from_millis(millis)
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn service() -> name::ServiceName {
+    name::ServiceName::new(SERVICE).unwrap()
+}
+
+/// A node without a target of its own.
+pub fn entry_node() -> reducer::NodeReducer {
+    let config = config::NodeConfig {
+        node: NODE,
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        region: name::RegionName::new("ar-centro").unwrap(),
+        peer_address: address(7000),
+        gossip_address: address(7000),
+        seeds: Vec::new(),
+    };
+    reducer::NodeReducer::new(config, 1)
+}
+
+/// A node with a target of `slots` slots.
+pub fn target_node(slots: u32) -> reducer::NodeReducer {
+    let mut node = entry_node();
+    let announcement = event::TargetAnnouncement {
+        service: service(),
+        address: address(8000),
+        slots,
+        connections: 350,
+        lease: Duration::from_secs(600),
+    };
+    node.step(at(0), event::NodeEvent::TargetAnnounced(announcement));
+    node
+}
+
+/// Tells `node` of a peer that offers the service.
+pub fn learn(node: &mut reducer::NodeReducer, peer: ident::NodeId) {
+    let record = directory::PeerRecord {
+        address: address(7100 + u16::try_from(peer.0).unwrap()),
+        service: service(),
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        slots: 8,
+        leaving: false,
+    };
+    node.learn_peer(at(0), peer, record);
+}
+
+pub fn request(method: &str) -> call::CallRequest {
+    call::CallRequest {
+        service: service(),
+        method: method.to_owned(),
+        path: "/claims/7".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    }
+}
+
+pub fn arrival(handle: u64, method: &str) -> event::NodeEvent {
+    event::NodeEvent::CallArrived {
+        handle: event::CallerHandle(handle),
+        request: Box::new(request(method)),
+        hints: event::CallerHints::default(),
+    }
+}
+
+/// A call of the peer, as its frame arrives.
+pub fn peer_call(sequence: u64, idempotent: bool) -> event::NodeEvent {
+    let treatment = treatment::RuleTreatment {
+        idempotent,
+        ..treatment::RuleTreatment::default()
+    };
+    let context = context::CallContext {
+        request: ident::RequestId(u128::from(sequence)),
+        class: treatment.class,
+        lane: context::LaneHash(0),
+        remaining_micros: 5_000_000,
+        retries_left: 0,
+        depth: 0,
+        idempotent,
+        key: None,
+        print: ident::PrintHash(sequence),
+    };
+    let call = call::PeerCall {
+        call: ident::CallId {
+            node: PEER,
+            sequence,
+        },
+        attempt: 1,
+        reply_to: address(7102),
+        context,
+        treatment,
+        mark: treatment::RuleMark::default(),
+        request: request(if idempotent { "GET" } else { "POST" }),
+    };
+    event::NodeEvent::FrameArrived {
+        peer: PEER,
+        frame: frame::PeerFrame::Call(Box::new(call)),
+    }
+}
+
+/// The calls among the frames that leave.
+pub fn sent_calls(effects: &[effect::NodeEffect]) -> Vec<(ident::NodeId, call::PeerCall)> {
+    let calls = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::SendFrame {
+            peer,
+            frame: frame::PeerFrame::Call(call),
+            ..
+        } => Some((*peer, (**call).clone())),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// An answer of `peer` to a call, as its frame arrives.
+pub fn answer(
+    peer: ident::NodeId,
+    call: &call::PeerCall,
+    verdict: verdict::CallVerdict,
+) -> event::NodeEvent {
+    let whole = call::CallAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"whole"),
+    };
+    let answered = verdict == verdict::CallVerdict::Answered;
+    let answer = call::PeerAnswer {
+        call: call.call,
+        attempt: call.attempt,
+        verdict,
+        answer: answered.then_some(whole),
+        retries_spent: 0,
+        load: call::LoadReport::default(),
+    };
+    event::NodeEvent::FrameArrived {
+        peer,
+        frame: frame::PeerFrame::Answer(Box::new(answer)),
+    }
+}
+
+pub fn started(effects: &[effect::NodeEffect]) -> Vec<event::RunId> {
+    let runs = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::RunTarget(order) => Some(order.run),
+        _ => None,
+    });
+    runs.collect()
+}
+
+pub fn replies(effects: &[effect::NodeEffect]) -> Vec<(u64, verdict::CallVerdict)> {
+    let replies = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::ReplyCaller { handle, reply } => Some((handle.0, reply.verdict)),
+        _ => None,
+    });
+    replies.collect()
+}
+
+/// Wakes `node` whenever it asks, up to `until`, and collects what it does.
+pub fn run_until(
+    node: &mut reducer::NodeReducer,
+    until: time::NodeTime,
+) -> Vec<effect::NodeEffect> {
+    let mut effects = Vec::new();
+    while let Some(wake) = node.next_wake().filter(|wake| *wake <= until) {
+        effects.extend(node.step(wake, event::NodeEvent::Woke));
+    }
+    effects
+}
