--- a/crates/anvil_core/tests/verdicts.rs
+++ b/crates/anvil_core/tests/verdicts.rs
@@ -37,23 +37,21 @@
     assert_eq!(told, doubt);
 }
 
-// The same lookup waits for its retry when its deadline passes. The attempt before the pause
-// broke off, so the caller is told "may have run".
+// The same lookup waits for its retry when its entry node is stopped by force. The attempt before
+// the pause broke off, so the caller is told "may have run", though nothing is out at the moment.
 #[test]
-fn doubt_of_an_earlier_attempt_outlasts_the_deadline() {
+fn doubt_of_an_earlier_attempt_outlasts_a_forced_stop() {
     let mut node = support::entry_node();
     support::learn(&mut node, support::PEER);
+    support::learn(&mut node, ident::NodeId(3));
     let effects = node.step(support::at(1), support::arrival(1, "GET"));
     let (peer, call) = support::sent_calls(&effects).remove(0);
     let lost = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::ConnectionLost);
-    let effects = node.step(support::at(9_999), support::answer(peer, &call, lost));
-    let mut replies = support::replies(&effects);
-    replies.extend(support::replies(&support::run_until(
-        &mut node,
-        support::at(20_000),
-    )));
-    assert_eq!(replies.len(), 1);
-    assert!(matches!(replies[0].1, verdict::CallVerdict::MayHaveRun(_)));
+    let effects = node.step(support::at(2), support::answer(peer, &call, lost));
+    assert!(support::replies(&effects).is_empty());
+    node.step(support::at(3), event::NodeEvent::StopRequested);
+    let effects = node.step(support::at(4), event::NodeEvent::StopRequested);
+    assert_eq!(support::replies(&effects), [(1, lost)]);
 }
 
 // The clerk files a claim once. The frame that carries it reaches the target's node twice: once
