--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -35,7 +35,7 @@
         }
         // Failure: a request starts here whose next service will refuse it. Symptom: the run is
         // wasted. The line of a service that most runs need is refused on its behalf.
-        let deep = self.deep_line();
+        let deep = self.deep_line(call.context.class);
         if !rank::admits(deep.as_ref(), &rank::CallRank::of(&call.context)) {
             return cause(
                 verdict::RefusalReason::Shed,
@@ -113,7 +113,9 @@
             admission.cancel(now, id.0);
             return Vec::new();
         };
-        self.overload.dependencies.run_ended(run.waits.called());
+        self.overload
+            .dependencies
+            .run_ended(run.context.class, run.waits.called());
         let sample = limit::RunSample {
             latency: now.since(started),
             downstream: run.waits.total(now),
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use anvil_overload::{policy, routing};
-use anvil_types::{ident, name, sorted, time};
+use anvil_types::{context, ident, name, sorted, time};
 use anvil_wire::call;
 
 /// One node whose target offers a service.
@@ -91,21 +91,25 @@
         self.routes.sent(service, node);
     }
 
-    /// Counts the end of an attempt, with the load that its answer told.
+    /// Takes in the end of an attempt.
     pub fn ended(
         &mut self,
         now: time::NodeTime,
         service: &name::ServiceName,
         node: ident::NodeId,
-        end: routing::AttemptEnd,
-        load: Option<&call::LoadReport>,
+        attempt: routing::AttemptReport<'_>,
     ) {
-        self.routes.ended(now, service, node, end, load);
+        self.routes.ended(now, service, node, attempt);
     }
 
-    /// The cut line below which no target of `service` takes a request.
-    pub fn line(&self, now: time::NodeTime, service: &name::ServiceName) -> Option<call::CutLine> {
-        self.routes.line(now, service)
+    /// The cut line below which no target of `service` takes a request of `class`.
+    pub fn line(
+        &self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        class: context::PriorityClass,
+    ) -> Option<call::CutLine> {
+        self.routes.line(now, service, class)
     }
 
     /// Nodes beside the targets of `service`, with their addresses.
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -76,6 +76,8 @@
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let decision = self.book.decide(request);
         let print = entry::print_of(request);
+        let class = decision.treatment.class;
+        let line = self.directory.line(self.now, &request.service, class);
         let refusals: Vec<_> = self
             .overload
             .refusals
@@ -87,7 +89,7 @@
             "name": decision.name,
             "rule": decision.mark,
             "treatment": decision.treatment,
-            "cut_line": self.directory.line(self.now, &request.service),
+            "cut_line": line,
             "quarantine": self.quarantine_of(print),
             "recent_refusals": refusals,
         })
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -51,20 +51,20 @@
 }
 
 impl reducer::NodeReducer {
-    /// The cut line of the services that the local target needs for most of its runs.
-    pub(crate) fn deep_line(&self) -> Option<call::CutLine> {
+    /// The cut line of the services that the local target needs for most runs of `class`.
+    pub(crate) fn deep_line(&self, class: context::PriorityClass) -> Option<call::CutLine> {
         if !self.overload.policy.deep_refusal {
             return None;
         }
-        let needed = self.overload.dependencies.needed();
-        let lines = needed.filter_map(|service| self.directory.line(self.now, service));
+        let needed = self.overload.dependencies.needed(class);
+        let lines = needed.filter_map(|service| self.directory.line(self.now, service, class));
         lines.max_by_key(|line| rank::line_level(Some(line)))
     }
 
-    pub(crate) fn load_report(&mut self) -> call::LoadReport {
+    pub(crate) fn load_report(&mut self, class: context::PriorityClass) -> call::LoadReport {
         let now = self.now;
         let leaving = self.refuses_runs();
-        let deep = self.deep_line();
+        let deep = self.deep_line(class);
         let Some(admission) = &mut self.overload.admission else {
             return call::LoadReport {
                 leaving: true,
@@ -87,9 +87,22 @@
         mark: treatment::RuleMark,
         cause: RefusalCause,
     ) {
+        if std::env::var("DBG").is_ok() {
+            eprintln!(
+                "DBG {} {:?} {} {:?} {:?} by{}",
+                self.now.0,
+                context.class,
+                service,
+                cause.reason,
+                cause.limit,
+                u8::from(cause.by == self.config.node)
+            );
+        }
         self.overload.refusals.push(refusal::RefusalNote {
             at: self.now,
             request: context.request,
+            class: context.class,
+            lane: context.lane,
             service: service.clone(),
             reason: cause.reason,
             limit: cause.limit,
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -114,10 +114,13 @@
         if let verdict::CallVerdict::NotRun(_) = answer.verdict {
             open.refused = Some((refusal::RefusalLimit::Cut(answer.load.cut), peer));
         }
-        let end = attempt_end(answer);
+        let report = routing::AttemptReport {
+            class: open.context.class,
+            end: attempt_end(answer),
+            load: Some(&answer.load),
+        };
         let service = open.request.service.clone();
-        self.directory
-            .ended(now, &service, peer, end, Some(&answer.load));
+        self.directory.ended(now, &service, peer, report);
     }
 
     /// Writes off what was lent to an attempt whose node is lost.
@@ -153,7 +156,12 @@
         };
         open.allowance.settle(u64::from(open.attempts), spent);
         let service = open.request.service.clone();
-        self.directory.ended(now, &service, peer, end, None);
+        let report = routing::AttemptReport {
+            class: open.context.class,
+            end,
+            load: None,
+        };
+        self.directory.ended(now, &service, peer, report);
     }
 
     /// Suspects the requests that were out at a node when it was lost.
@@ -319,7 +327,8 @@
             | verdict::RefusalReason::KeyUnavailable
             | verdict::RefusalReason::RulesUnknown
             | verdict::RefusalReason::AttemptsSpent => {
-                let line = self.directory.line(self.now, &open.request.service);
+                let service = &open.request.service;
+                let line = self.directory.line(self.now, service, open.context.class);
                 Some(refusal::retry_after(line.as_ref(), &open.rank()))
             }
             verdict::RefusalReason::Quarantined => self.quarantine_left(open),
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -69,7 +69,7 @@
             return;
         };
         let decisions = self.release_run(run, &ended, verdict);
-        let load = self.load_report();
+        let load = self.load_report(ended.context.class);
         let reply = call::PeerAnswer {
             call: ended.call,
             attempt: ended.attempt,
@@ -210,7 +210,7 @@
         call: &call::PeerCall,
         reason: verdict::RefusalReason,
     ) {
-        let load = self.load_report();
+        let load = self.load_report(call.context.class);
         let reply = call::PeerAnswer {
             call: call.call,
             attempt: call.attempt,
--- /dev/null
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -0,0 +1,583 @@
+//! A few reducers joined by a queue of events with fixed delays, so that decisions made apart can
+//! be tested together in injected time. It knows no sockets, losses or clocks.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvil_core::{config, directory, effect, event, reducer};
+use anvil_overload::policy;
+use anvil_rules::parse;
+use anvil_types::{context, ident, name, time, verdict};
+use anvil_wire::{call, frame};
+use bytes::Bytes;
+use rand_core::{Rng, SeedableRng};
+
+/// One way between two nodes, as in the users' meshes.
+const HOP: Duration = Duration::from_micros(1_500);
+/// How long a crashed target takes to come back.
+const RESTART: Duration = Duration::from_secs(1);
+
+/// One service and, for each kind of request, what its targets call in turn.
+pub(crate) struct Service {
+    pub(crate) name: &'static str,
+    pub(crate) targets: usize,
+    pub(crate) slots: u32,
+    pub(crate) work: Duration,
+    pub(crate) calls: &'static [(&'static str, &'static [&'static str])],
+}
+
+/// The claims mesh in its users' sizes; its deepest service holds some 290 requests a second.
+pub(crate) fn claims_mesh() -> Vec<Service> {
+    let service = |name, slots, millis, calls| Service {
+        name,
+        targets: 4,
+        slots,
+        work: Duration::from_millis(millis),
+        calls,
+    };
+    vec![
+        service(
+            "portal-ciudadano",
+            40,
+            10,
+            &[
+                ("claim", &["mesa-entradas"]),
+                ("hearing", &["audiencias"]),
+                ("status", &["mesa-entradas"]),
+                ("evidence", &["expediente"]),
+                ("poison", &["expediente"]),
+            ],
+        ),
+        service(
+            "mesa-entradas",
+            40,
+            10,
+            &[
+                ("claim", &["audiencias", "expediente"]),
+                ("status", &["expediente"]),
+            ],
+        ),
+        service(
+            "audiencias",
+            40,
+            10,
+            &[("claim", &["expediente"]), ("hearing", &["expediente"])],
+        ),
+        service("expediente", 8, 100, &[]),
+    ]
+}
+
+pub(crate) const SATURATION: f64 = 290.0;
+
+/// Kinds of request with their share in percent and their class.
+pub(crate) const KINDS: [(&str, u64, context::PriorityClass); 4] = [
+    ("claim", 10, context::PriorityClass::Critical),
+    ("hearing", 25, context::PriorityClass::High),
+    ("status", 50, context::PriorityClass::Normal),
+    ("evidence", 15, context::PriorityClass::Low),
+];
+
+const RULES: &str = "rules:
+  - {name: claim, when: {path: '/claim/**'}, then: {class: critical, idempotent: false, retries: 3}}
+  - {name: hearing, when: {path: '/hearing/**'}, then: {class: high, idempotent: true, retries: 3}}
+  - {name: evidence, when: {path: '/evidence/**'}, then: {class: low, idempotent: true, retries: 3}}
+  - {name: other, when: {}, then: {class: normal, idempotent: true, retries: 3}}
+";
+
+/// What happens from outside, in seconds since the start.
+#[derive(Clone)]
+pub(crate) struct Plan {
+    pub(crate) policy: policy::OverloadPolicy,
+    pub(crate) seed: u64,
+    pub(crate) until: f64,
+    /// Requests a second from each point on.
+    pub(crate) rates: Vec<(f64, f64)>,
+    /// The service and its factor on working time, from each point on.
+    pub(crate) slow: Vec<(f64, &'static str, f64)>,
+    /// Copies that a caller sends after a failure, each a tenth of a second later.
+    pub(crate) resends: u32,
+    /// How long callers wait.
+    pub(crate) patience: Duration,
+}
+
+impl Plan {
+    pub(crate) fn new(policy: policy::OverloadPolicy) -> Self {
+        Self {
+            policy,
+            seed: 1,
+            until: 12.0,
+            rates: vec![(0.0, SATURATION / 2.0)],
+            slow: Vec::new(),
+            resends: 0,
+            patience: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What became of one root request.
+#[derive(Clone, Debug)]
+pub(crate) struct Root {
+    pub(crate) kind: &'static str,
+    pub(crate) class: context::PriorityClass,
+    pub(crate) arrived: f64,
+    pub(crate) whole: Option<f64>,
+    pub(crate) verdict: Option<verdict::CallVerdict>,
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) copies: u32,
+    pub(crate) runs: u32,
+}
+
+enum Waiting {
+    Root(usize),
+    Child(usize, event::RunId),
+}
+
+enum Happening {
+    Arrival,
+    Copy(usize),
+    Step(usize, event::NodeEvent),
+    Wake(usize),
+    Worked(usize, event::RunId),
+    Restart(usize),
+}
+
+struct ActiveRun {
+    service: usize,
+    kind: &'static str,
+    root: usize,
+    next: usize,
+}
+
+struct Node {
+    reducer: reducer::NodeReducer,
+    service: usize,
+    active: BTreeMap<event::RunId, ActiveRun>,
+    down: bool,
+    wake: Option<time::NodeTime>,
+}
+
+pub(crate) struct Mesh {
+    plan: Plan,
+    services: Vec<Service>,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(time::NodeTime, u64), Happening>,
+    now: time::NodeTime,
+    counted: u64,
+    waiting: BTreeMap<u64, Waiting>,
+    rng: rand_pcg::Pcg64Mcg,
+    pub(crate) roots: Vec<Root>,
+    pub(crate) crashes: u32,
+}
+
+fn seconds(at: f64) -> time::NodeTime {
+    time::NodeTime::START + Duration::from_secs_f64(at)
+}
+
+fn address(node: usize) -> std::net::SocketAddr {
+    let port = 7_000 + u16::try_from(node).unwrap();
+    std::net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn zone(node: usize) -> name::ZoneName {
+    let zones = ["ar-centro-a", "ar-centro-b", "ar-centro-c", "ar-centro-d"];
+    name::ZoneName::new(zones[node % 4]).unwrap()
+}
+
+impl Mesh {
+    pub(crate) fn new(plan: Plan, services: Vec<Service>) -> Self {
+        let mut mesh = Self {
+            rng: rand_pcg::Pcg64Mcg::seed_from_u64(plan.seed),
+            plan,
+            services,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            now: time::NodeTime::START,
+            counted: 0,
+            waiting: BTreeMap::new(),
+            roots: Vec::new(),
+            crashes: 0,
+        };
+        for service in 0..mesh.services.len() {
+            for _ in 0..mesh.services[service].targets {
+                mesh.add_node(service);
+            }
+        }
+        mesh.introduce();
+        for node in 0..mesh.nodes.len() {
+            mesh.announce(node);
+        }
+        mesh.schedule(time::NodeTime::START, Happening::Arrival);
+        mesh
+    }
+
+    /// Runs the plan to its end.
+    pub(crate) fn run(mut self) -> Self {
+        let end = seconds(self.plan.until);
+        while let Some(((at, _), happening)) = self.queue.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(happening);
+        }
+        self
+    }
+
+    /// Has a caller send a request that crashes whichever target of the deep service runs it.
+    pub(crate) fn poison(&mut self, at: f64) {
+        let root = self.add_root("poison", context::PriorityClass::Normal, at);
+        self.schedule(seconds(at), Happening::Copy(root));
+    }
+
+    /// Share of the roots of `class` that arrived in the span and became whole.
+    pub(crate) fn share(&self, class: context::PriorityClass, from: f64, to: f64) -> f64 {
+        let wanted =
+            |root: &&Root| root.class == class && root.arrived >= from && root.arrived < to;
+        let all = self.roots.iter().filter(wanted);
+        let (mut whole, mut count) = (0.0, 0.0);
+        for root in all {
+            count += 1.0;
+            whole += f64::from(u8::from(root.whole.is_some()));
+        }
+        whole / count
+    }
+
+    /// Whole answers a second within the span.
+    pub(crate) fn goodput(&self, from: f64, to: f64) -> f64 {
+        let whole = self.roots.iter().filter_map(|root| root.whole);
+        let count = whole.filter(|at| *at >= from && *at < to).count();
+        f64::from(u32::try_from(count).unwrap()) / (to - from)
+    }
+
+    /// Seconds from `from` until half a second passes in which at least 95% of the roots that
+    /// arrive become whole.
+    pub(crate) fn recovery(&self, from: f64) -> Option<f64> {
+        let mut start = from;
+        while start + 0.5 <= self.plan.until - 2.0 {
+            let arrived = |root: &&Root| root.arrived >= start && root.arrived < start + 0.5;
+            let all = self.roots.iter().filter(arrived).count();
+            let whole = |root: &&Root| arrived(root) && root.whole.is_some();
+            let good = self.roots.iter().filter(whole).count();
+            if good * 100 >= all * 95 {
+                return Some(start - from);
+            }
+            start += 0.1;
+        }
+        None
+    }
+
+    /// Runs that served no root which became whole, as a share of all.
+    pub(crate) fn waste(&self) -> f64 {
+        let all: u32 = self.roots.iter().map(|root| root.runs).sum();
+        let lost = self.roots.iter().filter(|root| root.whole.is_none());
+        let lost: u32 = lost.map(|root| root.runs).sum();
+        f64::from(lost) / f64::from(all.max(1))
+    }
+
+    /// The dump of each node.
+    pub(crate) fn dumps(&mut self) -> Vec<String> {
+        let ask = event::NodeEvent::OperatorAsked {
+            handle: event::OperatorHandle(0),
+            request: event::OperatorRequest::Dump,
+        };
+        let now = self.now;
+        let answer = |node: &mut Node| {
+            let effects = node.reducer.step(now, ask.clone());
+            effects.into_iter().find_map(|effect| match effect {
+                effect::NodeEffect::AnswerOperator { answer, .. } => answer.ok(),
+                _ => None,
+            })
+        };
+        self.nodes.iter_mut().filter_map(answer).collect()
+    }
+
+    fn add_node(&mut self, service: usize) {
+        let index = self.nodes.len();
+        let config = config::NodeConfig {
+            node: ident::NodeId(index as u64 + 1),
+            zone: zone(index),
+            region: name::RegionName::new("ar-centro").unwrap(),
+            peer_address: address(index),
+            gossip_address: address(index),
+            seeds: Vec::new(),
+        };
+        let seed = self.plan.seed * 1_000 + index as u64;
+        let mut reducer = reducer::NodeReducer::with_policy(config, seed, self.plan.policy);
+        let document = parse::parse_rules("rules.yaml", RULES).unwrap();
+        reducer.adopt_rules(ident::RuleRevision(1), document);
+        self.nodes.push(Node {
+            reducer,
+            service,
+            active: BTreeMap::new(),
+            down: false,
+            wake: None,
+        });
+    }
+
+    fn introduce(&mut self) {
+        for other in 0..self.nodes.len() {
+            let service = &self.services[self.nodes[other].service];
+            let record = directory::PeerRecord {
+                address: address(other),
+                service: name::ServiceName::new(service.name).unwrap(),
+                zone: zone(other),
+                slots: service.slots,
+                leaving: false,
+            };
+            let id = ident::NodeId(other as u64 + 1);
+            for node in &mut self.nodes {
+                node.reducer.learn_peer(self.now, id, record.clone());
+            }
+        }
+    }
+
+    fn announce(&mut self, node: usize) {
+        let service = &self.services[self.nodes[node].service];
+        let announcement = event::TargetAnnouncement {
+            service: name::ServiceName::new(service.name).unwrap(),
+            address: address(node + 1_000),
+            slots: service.slots,
+            connections: 350,
+            lease: Duration::from_secs(1_000),
+        };
+        self.step(node, event::NodeEvent::TargetAnnounced(announcement));
+    }
+
+    fn schedule(&mut self, at: time::NodeTime, happening: Happening) {
+        self.counted += 1;
+        self.queue.insert((at, self.counted), happening);
+    }
+
+    fn handle(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrival => self.arrive(),
+            Happening::Copy(root) => self.send_root(root),
+            Happening::Step(node, event) => self.step(node, event),
+            Happening::Wake(node) => {
+                self.nodes[node].wake = None;
+                self.step(node, event::NodeEvent::Woke);
+            }
+            Happening::Worked(node, run) => self.advance(node, run),
+            Happening::Restart(node) => {
+                self.nodes[node].down = false;
+                self.announce(node);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let at = self.now.since(time::NodeTime::START).as_secs_f64();
+        let passed = self.plan.rates.iter().rev().find(|(from, _)| *from <= at);
+        let rate = passed.unwrap().1;
+        let draw = self.rng.next_u64() % 100;
+        let mut sum = 0;
+        let kind = KINDS.iter().find(|(_, share, _)| {
+            sum += share;
+            draw < sum
+        });
+        let (kind, _, class) = *kind.unwrap();
+        let root = self.add_root(kind, class, at);
+        self.send_root(root);
+        // Uniform between nothing and twice the mean.
+        let spread = f64::from(self.rng.next_u32()) / f64::from(u32::MAX) * 2.0;
+        let next = self.now + Duration::from_secs_f64(spread / rate);
+        self.schedule(next, Happening::Arrival);
+    }
+
+    fn add_root(&mut self, kind: &'static str, class: context::PriorityClass, at: f64) -> usize {
+        self.roots.push(Root {
+            kind,
+            class,
+            arrived: at,
+            whole: None,
+            verdict: None,
+            retry_after: None,
+            copies: 0,
+            runs: 0,
+        });
+        self.roots.len() - 1
+    }
+
+    fn send_root(&mut self, root: usize) {
+        self.roots[root].copies += 1;
+        let kind = self.roots[root].kind;
+        let nodes = self.nodes.len() as u64;
+        let node = usize::try_from(self.rng.next_u64() % nodes).unwrap();
+        let hints = event::CallerHints {
+            request: Some(ident::RequestId(root as u128 + 1)),
+            timeout: Some(self.plan.patience),
+            ..event::CallerHints::default()
+        };
+        let service = self.services[0].name;
+        self.call(node, service, kind, root, hints, Waiting::Root(root));
+    }
+
+    fn call(
+        &mut self,
+        node: usize,
+        service: &str,
+        kind: &str,
+        root: usize,
+        hints: event::CallerHints,
+        waiting: Waiting,
+    ) {
+        self.counted += 1;
+        let handle = self.counted;
+        self.waiting.insert(handle, waiting);
+        let request = call::CallRequest {
+            service: name::ServiceName::new(service).unwrap(),
+            method: "GET".to_owned(),
+            path: format!("/{kind}/{root}"),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        };
+        let event = event::NodeEvent::CallArrived {
+            handle: event::CallerHandle(handle),
+            request: Box::new(request),
+            hints,
+        };
+        self.step(node, event);
+    }
+
+    fn step(&mut self, node: usize, event: event::NodeEvent) {
+        let effects = self.nodes[node].reducer.step(self.now, event);
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+        let next = self.nodes[node].reducer.next_wake();
+        let Some(next) = next else {
+            return;
+        };
+        let next = next.max(self.now + Duration::from_micros(1));
+        if self.nodes[node].wake.is_none_or(|wake| next < wake) {
+            self.nodes[node].wake = Some(next);
+            self.schedule(next, Happening::Wake(node));
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effect: effect::NodeEffect) {
+        match effect {
+            effect::NodeEffect::SendFrame { peer, frame, .. } => self.deliver(node, peer, frame),
+            effect::NodeEffect::RunTarget(order) => self.start(node, *order),
+            effect::NodeEffect::CancelRun(run) => {
+                if self.nodes[node].active.remove(&run).is_some() {
+                    self.end_run(node, run, event::RunOutcome::Cancelled);
+                }
+            }
+            effect::NodeEffect::ReplyCaller { handle, reply } => self.replied(handle.0, &reply),
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: ident::NodeId, frame: frame::PeerFrame) {
+        let peer = ident::NodeId(from as u64 + 1);
+        let event = event::NodeEvent::FrameArrived { peer, frame };
+        let to = usize::try_from(to.0 - 1).unwrap();
+        self.schedule(self.now + HOP, Happening::Step(to, event));
+    }
+
+    fn start(&mut self, node: usize, order: effect::RunOrder) {
+        if self.nodes[node].down {
+            self.end_run(node, order.run, event::RunOutcome::Unreachable);
+            return;
+        }
+        let root = usize::try_from(order.root.0 - 1).unwrap();
+        self.roots[root].runs += 1;
+        let service = self.nodes[node].service;
+        let run = ActiveRun {
+            service,
+            kind: self.roots[root].kind,
+            root,
+            next: 0,
+        };
+        self.nodes[node].active.insert(order.run, run);
+        let at = self.now.since(time::NodeTime::START).as_secs_f64();
+        let name = self.services[service].name;
+        let mut slow = self.plan.slow.iter().rev();
+        let factor = slow.find(|(from, slowed, _)| *from <= at && *slowed == name);
+        let work = self.services[service].work;
+        let work = work.mul_f64(factor.map_or(1.0, |(_, _, factor)| *factor));
+        self.schedule(self.now + work, Happening::Worked(node, order.run));
+    }
+
+    fn advance(&mut self, node: usize, id: event::RunId) {
+        let Some(run) = self.nodes[node].active.get_mut(&id) else {
+            return;
+        };
+        let service = &self.services[run.service];
+        if run.kind == "poison" && service.calls.is_empty() {
+            self.crash(node);
+            return;
+        }
+        let calls = service.calls.iter().find(|(kind, _)| *kind == run.kind);
+        let next = calls.and_then(|(_, calls)| calls.get(run.next).copied());
+        let Some(next) = next else {
+            self.nodes[node].active.remove(&id);
+            self.end_run(node, id, answer(200));
+            return;
+        };
+        run.next += 1;
+        let (kind, root) = (run.kind, run.root);
+        let hints = event::CallerHints {
+            parent: Some(event::ParentToken(id)),
+            ..event::CallerHints::default()
+        };
+        self.call(node, next, kind, root, hints, Waiting::Child(node, id));
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.crashes += 1;
+        self.nodes[node].down = true;
+        self.schedule(self.now + RESTART, Happening::Restart(node));
+        for (run, _) in std::mem::take(&mut self.nodes[node].active) {
+            self.end_run(node, run, event::RunOutcome::Broken { in_answer: false });
+        }
+    }
+
+    fn end_run(&mut self, node: usize, run: event::RunId, outcome: event::RunOutcome) {
+        let event = event::NodeEvent::RunEnded { run, outcome };
+        self.schedule(self.now, Happening::Step(node, event));
+    }
+
+    fn replied(&mut self, handle: u64, reply: &effect::CallerReply) {
+        let whole = reply
+            .answer
+            .as_ref()
+            .is_some_and(|answer| answer.status == 200);
+        match self.waiting.remove(&handle) {
+            Some(Waiting::Root(root)) => self.root_ended(root, reply, whole),
+            Some(Waiting::Child(node, run)) if whole => {
+                self.schedule(self.now, Happening::Worked(node, run));
+            }
+            Some(Waiting::Child(node, run)) => {
+                if self.nodes[node].active.remove(&run).is_some() {
+                    self.end_run(node, run, answer(503));
+                }
+            }
+            None => panic!("a second reply to one caller"),
+        }
+    }
+
+    fn root_ended(&mut self, root: usize, reply: &effect::CallerReply, whole: bool) {
+        let entry = &mut self.roots[root];
+        entry.verdict = Some(reply.verdict);
+        entry.retry_after = reply.retry_after;
+        if whole {
+            let at = self.now.since(time::NodeTime::START).as_secs_f64();
+            entry.whole = entry.whole.or(Some(at));
+        } else if entry.copies <= self.plan.resends {
+            let at = self.now + Duration::from_millis(100);
+            self.schedule(at, Happening::Copy(root));
+        }
+    }
+}
+
+fn answer(status: u16) -> event::RunOutcome {
+    event::RunOutcome::Whole(call::CallAnswer {
+        status,
+        headers: Vec::new(),
+        body: Bytes::new(),
+    })
+}
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -116,10 +116,10 @@
 
     /// Takes in a request; it starts, waits or is refused, and may displace a lower one.
     pub fn offer(&mut self, now: time::NodeTime, call: WaitingCall) -> Vec<AdmissionDecision> {
-        self.roll(now);
+        self.follow(now);
         self.cut.arrived(&call.rank);
         if let Some((reason, limit)) = self.refusal_of(now, &call) {
-            self.note_overflow(reason);
+            self.note_overflow(&call.rank, reason);
             return vec![refuse(call.id, reason, limit)];
         }
         self.insert(now, call);
@@ -142,17 +142,15 @@
         if sample.end == limit::RunEnd::Whole || sample.end == limit::RunEnd::TimedOut {
             self.estimate.observe(sample.latency);
         }
-        self.cut.ended();
         self.limit.observe(now, sample);
         self.settle(now, Vec::new())
     }
 
     /// Forgets a request that waits, since nobody waits for it any more; true where it waited.
     pub fn cancel(&mut self, now: time::NodeTime, id: u64) -> bool {
-        self.roll(now);
         let before = self.queue.len();
         self.queue.retain(|queued| queued.call.id != id);
-        self.note_queue();
+        self.follow(now);
         before != self.queue.len()
     }
 
@@ -173,10 +171,10 @@
 
     /// What is told to callers' nodes.
     pub fn load(&mut self, now: time::NodeTime) -> call::LoadReport {
-        self.roll(now);
+        self.follow(now);
         call::LoadReport {
             running: count(self.running.len()),
-            queued: count(self.queue.len()),
+            queued: count(self.standing()),
             limit: self.limit.current(),
             cut: self.cut.line(),
             leaving: self.leaving,
@@ -205,7 +203,7 @@
             return Some((Reason::Shed, Limit::Cut(self.cut.line())));
         }
         let wait = self.expected_wait(&call.rank);
-        if wait > call.queue_wait {
+        if self.policy.bounded_queue && wait > call.queue_wait {
             let allowed = call.queue_wait;
             return Some((Reason::QueueFull, Limit::QueueWait { wait, allowed }));
         }
@@ -235,17 +233,21 @@
         } else {
             0
         };
-        let expiry = call.deadline.min(now + call.queue_wait);
+        let expiry = if self.policy.bounded_queue {
+            call.deadline.min(now + call.queue_wait)
+        } else {
+            call.deadline
+        };
         self.queue.insert(place, QueuedCall { call, expiry });
     }
 
     /// The lowest leaves when the queue is over its bound.
     fn displace(&mut self, decisions: &mut Vec<AdmissionDecision>) {
         let places = (self.slots as usize * PLACES_PER_SLOT).max(PLACES_LEAST);
-        while self.queue.len() > places {
+        while self.policy.bounded_queue && self.queue.len() > places {
             // Without ranks the first place is the latest arrival's, too.
             let lost = self.queue.remove(0);
-            self.cut.overflowed();
+            self.cut.overflowed(&lost.call.rank);
             decisions.push(refuse(
                 lost.call.id,
                 verdict::RefusalReason::QueueFull,
@@ -266,7 +268,7 @@
             };
             let next = self.queue.remove(place).call;
             if self.too_late(now, &next) {
-                self.cut.overflowed();
+                self.cut.overflowed(&next.rank);
                 decisions.push(refuse(
                     next.id,
                     verdict::RefusalReason::Deadline,
@@ -277,16 +279,15 @@
             self.start(next);
             decisions.push(AdmissionDecision::Start(next.id));
         }
-        self.note_queue();
-        self.roll(now);
+        self.follow(now);
         decisions
     }
 
     fn drop_expired(&mut self, now: time::NodeTime, decisions: &mut Vec<AdmissionDecision>) {
         let expired = |queued: &QueuedCall| queued.expiry <= now;
         for queued in self.queue.extract_if(.., |queued| expired(queued)) {
-            self.cut.overflowed();
             let call = queued.call;
+            self.cut.overflowed(&call.rank);
             decisions.push(if call.deadline <= now {
                 refuse(
                     call.id,
@@ -343,25 +344,27 @@
         self.running.len() < self.limit.current() as usize
     }
 
-    fn note_overflow(&mut self, reason: verdict::RefusalReason) {
+    fn note_overflow(&mut self, rank: &rank::CallRank, reason: verdict::RefusalReason) {
         if reason == verdict::RefusalReason::QueueFull || reason == verdict::RefusalReason::Deadline
         {
-            self.cut.overflowed();
+            self.cut.overflowed(rank);
         }
     }
 
-    fn note_queue(&mut self) {
-        let free = self.free_slot();
-        self.cut.queue_changed(self.queue.len(), free);
+    /// Requests in the queue that the line admits; the others only wait for slots left free.
+    fn standing(&self) -> usize {
+        let admitted = |queued: &&QueuedCall| self.cut.admits(&queued.call.rank);
+        self.queue.iter().filter(admitted).count()
     }
 
-    fn roll(&mut self, now: time::NodeTime) {
+    fn follow(&mut self, now: time::NodeTime) {
         let view = shedding::QueueView {
             usual: self.estimate.usual(),
             limit: self.limit.current(),
+            running: count(self.running.len()),
+            standing: self.standing(),
         };
-        let free = self.free_slot();
-        self.cut.roll(now, view, self.queue.len(), free);
+        self.cut.follow(now, view);
     }
 }
 
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod cut;
 pub mod deadline;
+pub mod demand;
 pub mod dependency;
 pub mod estimate;
 pub mod limit;
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -20,6 +20,8 @@
     pub attribution: bool,
     /// The queue is ordered by class, depth and lane; without it, first come first served.
     pub ranked_queue: bool,
+    /// The queue has bounded places and waits; without it, whatever comes waits.
+    pub bounded_queue: bool,
     /// Requests that can't end before their deadline are refused as not run.
     pub deadline_drop: bool,
     /// The target's node refuses below its cut line.
@@ -56,6 +58,7 @@
         cold_ramp: true,
         attribution: true,
         ranked_queue: true,
+        bounded_queue: true,
         deadline_drop: true,
         cut_line: true,
         early_refusal: true,
@@ -77,6 +80,7 @@
         cold_ramp: false,
         attribution: false,
         ranked_queue: false,
+        bounded_queue: false,
         deadline_drop: false,
         cut_line: false,
         early_refusal: false,
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use anvil_types::{ident, name, time, treatment, verdict};
+use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
 use serde::Serialize;
 
@@ -57,6 +57,10 @@
     pub at: time::NodeTime,
     /// The root request.
     pub request: ident::RequestId,
+    /// Its class.
+    pub class: context::PriorityClass,
+    /// Its lane.
+    pub lane: context::LaneHash,
     /// The service asked for.
     pub service: name::ServiceName,
     /// Why.
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use anvil_types::{ident, name, time};
+use anvil_types::{context, ident, name, time};
 use anvil_wire::call;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -46,6 +46,17 @@
     Lost,
 }
 
+/// What the end of an attempt told.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptReport<'a> {
+    /// The class of the request.
+    pub class: context::PriorityClass,
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The load of the target, where an answer came.
+    pub load: Option<&'a call::LoadReport>,
+}
+
 /// What is asked of the table.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteQuery<'a> {
@@ -165,14 +176,13 @@
         }
     }
 
-    /// Counts the end of an attempt, with the load that its answer told.
+    /// Takes in the end of an attempt.
     pub fn ended(
         &mut self,
         now: time::NodeTime,
         service: &name::ServiceName,
         node: ident::NodeId,
-        end: AttemptEnd,
-        load: Option<&call::LoadReport>,
+        attempt: AttemptReport<'_>,
     ) {
         let policy = self.policy;
         let Some(routes) = self.routes_mut(service) else {
@@ -181,16 +191,22 @@
         let Ok(place) = routes.place(node) else {
             return;
         };
-        routes.targets[place].ended(now, end, load);
+        routes.targets[place].ended(now, attempt);
         if policy.ejection {
             health::review(now, &mut routes.targets, place);
         }
     }
 
-    /// The lowest line among the targets of `service`: what none of them admits.
-    pub fn line(&self, now: time::NodeTime, service: &name::ServiceName) -> Option<call::CutLine> {
+    /// The lowest line among the targets of `service` for requests of `class`: what none of them
+    /// admits.
+    pub fn line(
+        &self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        class: context::PriorityClass,
+    ) -> Option<call::CutLine> {
         let place = self.find(service).ok()?;
-        rank::line_at(self.services[place].least_level(now, &[]))
+        rank::line_at(self.services[place].usual_level(now, class, &[]))
     }
 
     /// Nodes beside the targets of `service`, with their addresses.
@@ -284,6 +300,11 @@
         ejected_too: bool,
         source: &mut Pcg32,
     ) -> Option<usize> {
+        if policy.early_refusal
+            && query.rank.level() < self.usual_level(now, query.rank.class, query.exclude)
+        {
+            return None;
+        }
         let mut near = PairDraw::default();
         let mut far = PairDraw::default();
         for (place, target) in self.targets.iter().enumerate() {
@@ -299,12 +320,14 @@
                 far.offer(place, source);
             }
         }
-        let drawn = [near.kept, far.kept].concat();
+        // With two near ones drawn, one far one is enough to notice that the zone is short.
+        let others = match near.seen {
+            0 => &far.kept[..],
+            _ => &far.kept[..1],
+        };
+        let drawn = near.kept.iter().chain(others).copied();
         let usage = |place: &usize| self.targets[*place].usage(now, policy);
-        drawn
-            .into_iter()
-            .flatten()
-            .min_by(|a, b| usage(a).total_cmp(&usage(b)))
+        drawn.flatten().min_by(|a, b| usage(a).total_cmp(&usage(b)))
     }
 
     fn next_in_turn(
@@ -330,17 +353,30 @@
 
     fn nobody(&self, now: time::NodeTime, query: &RouteQuery<'_>) -> RouteChoice {
         let some = |target: &target::TargetRoute| target.serves(query.exclude);
-        let level = self.least_level(now, query.exclude);
+        let level = self.usual_level(now, query.rank.class, query.exclude);
         match rank::line_at(level) {
             Some(line) if self.targets.iter().any(some) => RouteChoice::Shed(line),
             _ => RouteChoice::NoTarget,
         }
     }
 
-    fn least_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
+    /// The level that half of the targets admit.
+    ///
+    /// With the lowest of all, whatever one target lets in would come from everywhere at once;
+    /// with the highest, a sick target would refuse what the others could take.
+    fn usual_level(
+        &self,
+        now: time::NodeTime,
+        class: context::PriorityClass,
+        exclude: &[ident::NodeId],
+    ) -> u16 {
         let serving = self.targets.iter().filter(|target| target.serves(exclude));
-        let levels = serving.map(|target| target.cut.level(now));
-        levels.min().unwrap_or(0)
+        let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now, class)).collect();
+        if levels.is_empty() {
+            return 0;
+        }
+        let middle = (levels.len() - 1) / 2;
+        *levels.select_nth_unstable(middle).1
     }
 }
 
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -89,7 +89,7 @@
     }
 
     pub(super) fn admits(&self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
-        rank.level() >= self.cut.level(now)
+        rank.level() >= self.cut.level(now, rank.class)
     }
 
     pub(super) fn choice(&self) -> routing::RouteChoice {
@@ -104,20 +104,15 @@
         self.in_flight += 1;
     }
 
-    pub(super) fn ended(
-        &mut self,
-        now: time::NodeTime,
-        end: routing::AttemptEnd,
-        load: Option<&call::LoadReport>,
-    ) {
+    pub(super) fn ended(&mut self, now: time::NodeTime, attempt: routing::AttemptReport<'_>) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.count(end);
-        let Some(load) = load else {
+        self.count(attempt.end);
+        let Some(load) = attempt.load else {
             return;
         };
         self.load = *load;
         self.heard = Some(now);
-        self.cut.learn(now, load.cut.as_ref());
+        self.cut.learn(now, attempt.class, load.cut.as_ref());
         if load.leaving {
             self.leaving = true;
             self.left_at = Some(now);
--- a/crates/anvil_overload/src/shedding.rs
+++ b/crates/anvil_overload/src/shedding.rs
@@ -6,11 +6,15 @@
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::{policy, rank};
+use crate::{demand, policy, rank};
 
-/// Time over which pressure is judged.
+/// Shortest time over which pressure is judged.
 pub const CUT_WINDOW: Duration = Duration::from_millis(100);
 
+/// Longest time over which pressure is judged; in between it is two usual runs, since what a
+/// change of the line does is seen only after the runs that were under way.
+pub const CUT_WINDOW_LIMIT: Duration = Duration::from_millis(400);
+
 /// Bounds of the standing wait that counts as pressure; within them it is half the usual time of
 /// a run.
 pub const STANDING_LOW: Duration = Duration::from_millis(5);
@@ -18,9 +22,16 @@
 pub const STANDING_HIGH: Duration = Duration::from_millis(50);
 
 /// Least and largest share of the admitted requests that one window cuts.
-pub const CUT_SHARE: (f64, f64) = (0.05, 0.5);
+pub const CUT_SHARE: (f64, f64) = (0.05, 0.9);
+
+/// Use of the slots from which they count as full.
+pub const FULL_USE: f64 = 0.95;
 
-/// First step, in levels, by which an idle window lowers the line; each further one doubles it.
+/// Use of the slots below which the pressure counts as gone.
+pub const IDLE_USE: f64 = 0.7;
+
+/// Step, in levels, by which a window that left slots free lowers the line; each further window
+/// whose use is below [`IDLE_USE`] doubles it.
 pub const RELEASE_STEP: u16 = 8;
 
 /// Longest step of release, in levels.
@@ -29,33 +40,41 @@
 /// Windows without any event after which the line is gone.
 const WINDOWS_TO_FORGET: u128 = 16;
 
-/// What the queue says when a window closes.
-#[derive(Clone, Copy, Debug)]
+/// What the queue says of itself at a change.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct QueueView {
     /// Usual time of a run.
     pub usual: Duration,
     /// Requests that may run at once.
     pub limit: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests in the queue that the line admits.
+    pub standing: usize,
 }
 
 /// The cut line of one target and the windows that move it.
 ///
 /// The standing queue is the signal, as in CoDel: the least length of the queue within a window,
-/// as time. A burst that drains within the window is no pressure. The line is raised at once to
-/// the level that leaves as many requests as ended within the window.
+/// as time. A burst that drains within the window is no pressure, and what waits below the line
+/// is none either, since it only fills slots that would stand free. The line is raised at once to
+/// the level that leaves as many requests as the slots can run.
 #[derive(Clone, Debug, Serialize)]
 pub struct CutControl {
     level: u16,
     step: u16,
     strained: bool,
     opened: time::NodeTime,
+    counted: time::NodeTime,
+    busy_micros: u64,
     admitted: u32,
-    ended: u32,
     overflowed: u32,
-    least_queued: usize,
-    idle: bool,
+    least_standing: usize,
+    former_standing: usize,
+    #[serde(skip)]
+    view: QueueView,
     #[serde(skip)]
-    arrivals: Vec<u32>,
+    demand: demand::LevelDemand,
     #[serde(skip)]
     policy: policy::OverloadPolicy,
 }
@@ -68,12 +87,14 @@
             step: RELEASE_STEP,
             strained: false,
             opened: now,
+            counted: now,
+            busy_micros: 0,
             admitted: 0,
-            ended: 0,
             overflowed: 0,
-            least_queued: 0,
-            idle: true,
-            arrivals: vec![0; usize::from(rank::LEVELS)],
+            least_standing: 0,
+            former_standing: 0,
+            view: QueueView::default(),
+            demand: demand::LevelDemand::default(),
             policy,
         }
     }
@@ -96,65 +117,94 @@
     /// Counts a request that arrived, admitted or not.
     pub fn arrived(&mut self, rank: &rank::CallRank) {
         let level = rank.level();
-        self.arrivals[usize::from(level)] += 1;
+        self.demand.arrived(level);
         if level >= self.level {
             self.admitted += 1;
         }
     }
 
-    /// Counts a run that ended.
-    pub fn ended(&mut self) {
-        self.ended += 1;
+    /// Counts a request that the queue gave up: full, waited too long, or too late. Below the line
+    /// that is no pressure.
+    pub fn overflowed(&mut self, rank: &rank::CallRank) {
+        if self.admits(rank) {
+            self.overflowed += 1;
+        }
     }
 
-    /// Counts a request that the queue gave up: full, waited too long, or too late.
-    pub fn overflowed(&mut self) {
-        self.overflowed += 1;
+    /// Follows a change of the queue, and closes the window where it is over.
+    pub fn follow(&mut self, now: time::NodeTime, view: QueueView) {
+        self.count_use(now);
+        let span = now.since(self.opened);
+        if span >= CUT_WINDOW && self.policy.cut_line {
+            self.judge(now, span);
+        }
+        self.view = view;
+        self.least_standing = self.least_standing.min(view.standing);
     }
 
-    /// Notes the length of the queue and the free slots after a change.
-    pub fn queue_changed(&mut self, queued: usize, free: bool) {
-        self.least_queued = self.least_queued.min(queued);
-        self.idle |= free;
+    fn count_use(&mut self, now: time::NodeTime) {
+        let span = u64::try_from(now.since(self.counted).as_micros()).unwrap_or(u64::MAX);
+        let running = self.view.running.min(self.view.limit);
+        self.busy_micros += span * u64::from(running);
+        self.counted = now;
     }
 
-    /// Closes the window where it is over; `queued` opens the next one.
-    pub fn roll(&mut self, now: time::NodeTime, view: QueueView, queued: usize, free: bool) {
-        let windows = now.since(self.opened).as_nanos() / CUT_WINDOW.as_nanos();
-        if windows == 0 {
+    fn judge(&mut self, now: time::NodeTime, span: Duration) {
+        let whole = (self.view.usual * 2).clamp(CUT_WINDOW, CUT_WINDOW_LIMIT);
+        let used = self.used(span);
+        let standing = standing_wait(self.least_standing, self.view);
+        let bound = (self.view.usual / 2).clamp(STANDING_LOW, STANDING_HIGH);
+        let strained = self.overflowed > 0 || standing > bound;
+        if used < IDLE_USE && !strained {
+            let windows = span.as_nanos() / CUT_WINDOW.as_nanos();
+            self.release_fast(windows.min(WINDOWS_TO_FORGET));
+        } else if span < whole {
             return;
+        } else if strained {
+            self.raise(span);
+        } else if used < FULL_USE {
+            let room = (1.0 - used) * self.capacity(span) / span.as_secs_f64();
+            self.level = self.demand.lowered(self.level, RELEASE_STEP * 4, room);
         }
-        if self.policy.cut_line {
-            self.judge(view);
-            self.pass_quiet(windows.min(WINDOWS_TO_FORGET) - 1);
-        }
+        self.strained = strained;
+        self.open(now, span);
+    }
+
+    fn open(&mut self, now: time::NodeTime, span: Duration) {
+        self.demand.close(self.level, span);
         self.opened = now;
+        self.busy_micros = 0;
         self.admitted = 0;
-        self.ended = 0;
         self.overflowed = 0;
-        self.least_queued = queued;
-        self.idle = free;
-        for count in &mut self.arrivals {
-            *count /= 2;
-        }
+        self.former_standing = self.least_standing;
+        self.least_standing = self.view.standing;
     }
 
-    fn judge(&mut self, view: QueueView) {
-        let standing = standing_wait(self.least_queued, view);
-        let bound = (view.usual / 2).clamp(STANDING_LOW, STANDING_HIGH);
-        self.strained = self.overflowed > 0 || standing > bound;
-        if self.strained {
-            self.raise();
-        } else if self.idle {
-            self.release(self.step);
-            self.step = (self.step * 2).min(RELEASE_LIMIT);
-        } else {
-            self.release(1);
+    /// Share of the slots that was in use.
+    fn used(&self, span: Duration) -> f64 {
+        let slots = span.as_secs_f64() * f64::from(self.view.limit.max(1));
+        Duration::from_micros(self.busy_micros).as_secs_f64() / slots
+    }
+
+    /// Requests that the slots can run within `span`.
+    fn capacity(&self, span: Duration) -> f64 {
+        let usual = self.view.usual.as_secs_f64().max(1e-6);
+        span.as_secs_f64() / usual * f64::from(self.view.limit)
+    }
+
+    fn raise(&mut self, span: Duration) {
+        self.step = RELEASE_STEP;
+        let admitted = f64::from(self.admitted.max(1));
+        let excess = 1.0 - self.capacity(span) / admitted;
+        let drains = self.overflowed == 0 && self.least_standing < self.former_standing;
+        if excess <= 0.0 && drains {
+            return;
         }
+        let share = excess.clamp(CUT_SHARE.0, CUT_SHARE.1);
+        self.level = self.demand.raised(self.level, share);
     }
 
-    /// Windows in which no event came at all were idle.
-    fn pass_quiet(&mut self, windows: u128) {
+    fn release_fast(&mut self, windows: u128) {
         for _ in 0..windows {
             if self.level == 0 {
                 return;
@@ -164,22 +214,6 @@
         }
     }
 
-    fn raise(&mut self) {
-        self.step = RELEASE_STEP;
-        let admitted = f64::from(self.admitted.max(1));
-        let excess = 1.0 - f64::from(self.ended) / admitted;
-        let share = excess.clamp(CUT_SHARE.0, CUT_SHARE.1);
-        let from = usize::from(self.level);
-        let total: u32 = self.arrivals[from..].iter().sum();
-        let mut rest = f64::from(total) * share;
-        let mut level = self.level;
-        while rest > 0.0 && level < rank::LEVELS - 1 {
-            rest -= f64::from(self.arrivals[usize::from(level)]);
-            level += 1;
-        }
-        self.level = level;
-    }
-
     fn release(&mut self, step: u16) {
         self.level = self.level.saturating_sub(step);
         if self.level == 0 {
