--- a/crates/anvil_core/examples/overload_table.rs
+++ b/crates/anvil_core/examples/overload_table.rs
@@ -17,15 +17,18 @@
     factor: f64,
     slow: f64,
     resends: u32,
+    side: f64,
 }
 
-const SCENARIOS: [Scenario; 6] = [
+const SCENARIOS: [Scenario; 8] = [
     scenario("saturation", 1.0, 1.0, 0),
     scenario("demand-2x", 2.0, 1.0, 0),
     scenario("demand-4x", 4.0, 1.0, 0),
     scenario("demand-4x-resends", 4.0, 1.0, 5),
     scenario("deep-slow", 0.5, 5.0, 0),
     scenario("deep-slow-resends", 0.5, 5.0, 5),
+    beside("deep-slow-beside", 1.0, 5.0),
+    beside("demand-4x-beside", 4.0, 1.0),
 ];
 
 const fn scenario(name: &'static str, factor: f64, slow: f64, resends: u32) -> Scenario {
@@ -34,6 +37,18 @@
         factor,
         slow,
         resends,
+        side: 0.0,
+    }
+}
+
+/// With as many requests again that need only the first service.
+const fn beside(name: &'static str, factor: f64, slow: f64) -> Scenario {
+    Scenario {
+        name,
+        factor,
+        slow,
+        resends: 0,
+        side: mesh::SATURATION,
     }
 }
 
@@ -68,9 +83,9 @@
     let seeds: u64 = arguments.next().map_or(3, |text| text.parse().unwrap());
     println!("median of {seeds} seeds; whole answers within the pressure");
     println!(
-        "| scenario | policy | goodput/s | critical | high | normal | low | recovery s | waste | most runs of a root |"
+        "| scenario | policy | goodput/s | critical | high | normal | low | recovery s | side | waste | most runs of a root |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for scenario in SCENARIOS.iter().filter(|s| s.name.contains(&only)) {
         for (name, switch) in POLICIES.iter().filter(|(name, _)| name.contains(&which)) {
             let rows: Vec<Vec<f64>> = (1..=seeds)
@@ -91,6 +106,7 @@
     plan.seed = seed;
     plan.until = 20.0;
     plan.resends = scenario.resends;
+    plan.side_rate = scenario.side;
     let calm = mesh::SATURATION / 2.0;
     let (from, to) = PRESSURE;
     plan.rates = vec![
@@ -104,6 +120,7 @@
     let classes = context::PriorityClass::ALL.iter().rev();
     row.extend(classes.map(|class| mesh.share(*class, from, to)));
     row.push(mesh.recovery(to).unwrap_or(f64::INFINITY));
+    row.push(mesh.side_share(from, to));
     row.push(mesh.waste());
     row.push(mesh.most_attempts());
     row
--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -1,6 +1,6 @@
 //! The reducer's side of the queue in front of the local target.
 
-use anvil_overload::{admission, limit, quarantine, rank, refusal};
+use anvil_overload::{admission, kind, limit, quarantine, rank, refusal};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
@@ -35,7 +35,7 @@
         }
         // Failure: a request starts here whose next service will refuse it. Symptom: the run is
         // wasted. The line of a service that most runs need is refused on its behalf.
-        let deep = self.deep_line(call.context.class);
+        let deep = self.deep_line(kind::CallKind::of(&call.request));
         if !rank::admits(deep.as_ref(), &rank::CallRank::of(&call.context)) {
             return cause(
                 verdict::RefusalReason::Shed,
@@ -115,7 +115,7 @@
         };
         self.overload
             .dependencies
-            .run_ended(run.context.class, run.waits.called());
+            .run_ended(run.kind, run.waits.called());
         let sample = limit::RunSample {
             latency: now.since(started),
             downstream: run.waits.total(now),
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use anvil_overload::{allowance, rank, refusal};
+use anvil_overload::{allowance, kind, rank, refusal};
 use anvil_types::{context, ident, sorted, time, treatment};
 use anvil_wire::call;
 
@@ -29,6 +29,8 @@
     pub handle: event::CallerHandle,
     /// The request, kept for further attempts.
     pub request: call::CallRequest,
+    /// The kind of the request.
+    pub kind: kind::CallKind,
     /// The context, of which the deadline is kept apart.
     pub context: context::CallContext,
     /// Retries that the call may still spend or lend to its attempts.
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use anvil_overload::{policy, routing};
+use anvil_overload::{kind, policy, routing};
 use anvil_types::{context, ident, name, sorted, time};
 use anvil_wire::call;
 
@@ -107,14 +107,14 @@
         self.routes.ended(now, service, node, attempt);
     }
 
-    /// The cut line below which no target of `service` takes a request of `class`.
+    /// The cut line below which no target of `service` takes a request of `kind`.
     pub fn line(
         &self,
         now: time::NodeTime,
         service: &name::ServiceName,
-        class: context::PriorityClass,
+        kind: kind::CallKind,
     ) -> Option<call::CutLine> {
-        self.routes.line(now, service, class)
+        self.routes.line(now, service, kind)
     }
 
     /// Nodes beside the targets of `service`, with their addresses.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{refusal, routing};
+use anvil_overload::{dependency, kind, refusal, routing};
 use anvil_types::{context, ident, treatment, verdict};
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
@@ -36,6 +36,7 @@
         let deadline = self.now + Duration::from_micros(context.remaining_micros);
         let call = calls::OpenCall {
             handle,
+            kind: kind::CallKind::of(&request),
             request,
             context,
             allowance: self.call_allowance(context.retries_left),
@@ -100,7 +101,11 @@
         let granted = parent
             .allowance
             .lend_child(sequence, treatment.chain_retries);
-        parent.waits.begin(now, &request.service);
+        let needed = dependency::NeededCall {
+            service: request.service.clone(),
+            kind: kind::CallKind::of(request),
+        };
+        parent.waits.begin(now, needed);
         let left = parent.deadline.since(now);
         let wait = hints.timeout.unwrap_or(treatment.deadline);
         let wait = wait.min(treatment.deadline).min(left);
@@ -129,6 +134,7 @@
         let query = routing::RouteQuery {
             service: &open.request.service,
             rank: open.rank(),
+            kind: open.kind,
             exclude: &open.tried,
         };
         match self.directory.choose(self.now, query) {
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -1,5 +1,6 @@
 //! Operators' questions to one node: dump, status, counters, rules, explanation.
 
+use anvil_overload::kind;
 use anvil_rules::render;
 use anvil_wire::call;
 use serde_json::json;
@@ -76,8 +77,8 @@
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let decision = self.book.decide(request);
         let print = entry::print_of(request);
-        let class = decision.treatment.class;
-        let line = self.directory.line(self.now, &request.service, class);
+        let kind = kind::CallKind::of(request);
+        let line = self.directory.line(self.now, &request.service, kind);
         let refusals: Vec<_> = self
             .overload
             .refusals
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -1,6 +1,8 @@
 //! The state modules of `anvil_overload` that one node holds.
 
-use anvil_overload::{admission, dependency, policy, quarantine, rank, ratio, refusal, resend};
+use anvil_overload::{
+    admission, dependency, kind, policy, quarantine, rank, ratio, refusal, resend,
+};
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
 use serde::Serialize;
@@ -51,20 +53,21 @@
 }
 
 impl reducer::NodeReducer {
-    /// The cut line of the services that the local target needs for most runs of `class`.
-    pub(crate) fn deep_line(&self, class: context::PriorityClass) -> Option<call::CutLine> {
+    /// The cut line of the calls that the local target makes for most runs of `kind`.
+    pub(crate) fn deep_line(&self, kind: kind::CallKind) -> Option<call::CutLine> {
         if !self.overload.policy.deep_refusal {
             return None;
         }
-        let needed = self.overload.dependencies.needed(class);
-        let lines = needed.filter_map(|service| self.directory.line(self.now, service, class));
+        let needed = self.overload.dependencies.needed(kind);
+        let lines =
+            needed.filter_map(|call| self.directory.line(self.now, &call.service, call.kind));
         lines.max_by_key(|line| rank::line_level(Some(line)))
     }
 
-    pub(crate) fn load_report(&mut self, class: context::PriorityClass) -> call::LoadReport {
+    pub(crate) fn load_report(&mut self, kind: kind::CallKind) -> call::LoadReport {
         let now = self.now;
         let leaving = self.refuses_runs();
-        let deep = self.deep_line(class);
+        let deep = self.deep_line(kind);
         let Some(admission) = &mut self.overload.admission else {
             return call::LoadReport {
                 leaving: true,
@@ -73,9 +76,7 @@
         };
         let mut load = admission.load(now);
         load.leaving |= leaving;
-        if rank::line_level(deep.as_ref()) > rank::line_level(load.cut.as_ref()) {
-            load.cut = deep;
-        }
+        load.deep = deep;
         load
     }
 
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -112,10 +112,12 @@
         open.allowance
             .settle(u64::from(answer.attempt), answer.retries_spent);
         if let verdict::CallVerdict::NotRun(_) = answer.verdict {
-            open.refused = Some((refusal::RefusalLimit::Cut(answer.load.cut), peer));
+            let line = answer.load.cut.max(answer.load.deep);
+            open.refused = Some((refusal::RefusalLimit::Cut(line), peer));
         }
         let report = routing::AttemptReport {
             class: open.context.class,
+            kind: open.kind,
             end: attempt_end(answer),
             load: Some(&answer.load),
         };
@@ -158,6 +160,7 @@
         let service = open.request.service.clone();
         let report = routing::AttemptReport {
             class: open.context.class,
+            kind: open.kind,
             end,
             load: None,
         };
@@ -256,6 +259,7 @@
         let query = routing::RouteQuery {
             service: &open.request.service,
             rank: open.rank(),
+            kind: open.kind,
             exclude: &open.tried,
         };
         let choice = self.directory.choose(self.now, query);
@@ -328,7 +332,7 @@
             | verdict::RefusalReason::RulesUnknown
             | verdict::RefusalReason::AttemptsSpent => {
                 let service = &open.request.service;
-                let line = self.directory.line(self.now, service, open.context.class);
+                let line = self.directory.line(self.now, service, open.kind);
                 Some(refusal::retry_after(line.as_ref(), &open.rank()))
             }
             verdict::RefusalReason::Quarantined => self.quarantine_left(open),
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -1,6 +1,6 @@
 //! Calls that this node has accepted for its local target.
 
-use anvil_overload::allowance;
+use anvil_overload::{allowance, kind};
 use anvil_types::{context, ident, name, sorted, time, treatment};
 use anvil_wire::call;
 
@@ -37,6 +37,8 @@
     pub call: ident::CallId,
     /// Its attempt.
     pub attempt: u16,
+    /// The kind of the request.
+    pub kind: kind::CallKind,
     /// The service asked for.
     pub service: name::ServiceName,
     /// The request, until it is handed to the target.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_overload::allowance;
+use anvil_overload::{allowance, kind};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
@@ -27,6 +27,7 @@
             reply_to: call.reply_to,
             call: call.call,
             attempt: call.attempt,
+            kind: kind::CallKind::of(&call.request),
             service: call.request.service.clone(),
             request: Some(call.request),
             context: call.context,
@@ -69,7 +70,7 @@
             return;
         };
         let decisions = self.release_run(run, &ended, verdict);
-        let load = self.load_report(ended.context.class);
+        let load = self.load_report(ended.kind);
         let reply = call::PeerAnswer {
             call: ended.call,
             attempt: ended.attempt,
@@ -210,7 +211,7 @@
         call: &call::PeerCall,
         reason: verdict::RefusalReason,
     ) {
-        let load = self.load_report(call.context.class);
+        let load = self.load_report(kind::CallKind::of(&call.request));
         let reply = call::PeerAnswer {
             call: call.call,
             attempt: call.attempt,
--- a/crates/anvil_core/src/waits.rs
+++ b/crates/anvil_core/src/waits.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use anvil_types::{name, time};
+use anvil_overload::dependency;
+use anvil_types::time;
 
 /// The calls that the local target made on behalf of one run.
 ///
@@ -12,18 +13,18 @@
     open: u32,
     since: time::NodeTime,
     total: Duration,
-    called: Vec<name::ServiceName>,
+    called: Vec<dependency::NeededCall>,
 }
 
 impl CallWaits {
-    /// Notes that a call to `service` begins.
-    pub fn begin(&mut self, now: time::NodeTime, service: &name::ServiceName) {
+    /// Notes that `call` begins.
+    pub fn begin(&mut self, now: time::NodeTime, call: dependency::NeededCall) {
         if self.open == 0 {
             self.since = now;
         }
         self.open += 1;
-        if !self.called.contains(service) {
-            self.called.push(service.clone());
+        if !self.called.contains(&call) {
+            self.called.push(call);
         }
     }
 
@@ -45,8 +46,8 @@
         self.total + current
     }
 
-    /// The services called, each once.
-    pub fn called(&self) -> &[name::ServiceName] {
+    /// The calls made, each once.
+    pub fn called(&self) -> &[dependency::NeededCall] {
         &self.called
     }
 }
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -98,6 +98,8 @@
     pub(crate) slow: Vec<(f64, &'static str, f64)>,
     /// Copies that a caller sends after a failure, each a tenth of a second later.
     pub(crate) resends: u32,
+    /// Requests a second that need only the first service, besides the others.
+    pub(crate) side_rate: f64,
     /// How long callers wait.
     pub(crate) patience: Duration,
 }
@@ -111,6 +113,7 @@
             rates: vec![(0.0, SATURATION / 2.0)],
             slow: Vec::new(),
             resends: 0,
+            side_rate: 0.0,
             patience: Duration::from_secs(2),
         }
     }
@@ -136,6 +139,7 @@
 
 enum Happening {
     Arrival,
+    SideArrival,
     Copy(usize),
     Step(usize, event::NodeEvent),
     Wake(usize),
@@ -209,6 +213,9 @@
             mesh.announce(node);
         }
         mesh.schedule(time::NodeTime::START, Happening::Arrival);
+        if mesh.plan.side_rate > 0.0 {
+            mesh.schedule(time::NodeTime::START, Happening::SideArrival);
+        }
         mesh
     }
 
@@ -244,6 +251,16 @@
         whole / count
     }
 
+    /// Share of the side requests that arrived in the span and became whole.
+    pub(crate) fn side_share(&self, from: f64, to: f64) -> f64 {
+        let wanted =
+            |root: &&Root| root.kind == "search" && root.arrived >= from && root.arrived < to;
+        let all = self.roots.iter().filter(wanted).count().max(1);
+        let whole = |root: &&Root| wanted(root) && root.whole.is_some();
+        let whole = self.roots.iter().filter(whole).count();
+        f64::from(u32::try_from(whole).unwrap()) / f64::from(u32::try_from(all).unwrap())
+    }
+
     /// Whole answers a second within the span.
     pub(crate) fn goodput(&self, from: f64, to: f64) -> f64 {
         let whole = self.roots.iter().filter_map(|root| root.whole);
@@ -359,6 +376,7 @@
     fn handle(&mut self, happening: Happening) {
         match happening {
             Happening::Arrival => self.arrive(),
+            Happening::SideArrival => self.arrive_beside(),
             Happening::Copy(root) => self.send_root(root),
             Happening::Step(node, event) => self.step(node, event),
             Happening::Wake(node) => {
@@ -386,10 +404,21 @@
         let (kind, _, class) = *kind.unwrap();
         let root = self.add_root(kind, class, at);
         self.send_root(root);
-        // Uniform between nothing and twice the mean.
+        self.schedule_arrival(rate, Happening::Arrival);
+    }
+
+    fn arrive_beside(&mut self) {
+        let at = self.now.since(time::NodeTime::START).as_secs_f64();
+        let root = self.add_root("search", context::PriorityClass::Normal, at);
+        self.send_root(root);
+        self.schedule_arrival(self.plan.side_rate, Happening::SideArrival);
+    }
+
+    /// Schedules the next arrival after a pause between nothing and twice the mean.
+    fn schedule_arrival(&mut self, rate: f64, happening: Happening) {
         let spread = f64::from(self.rng.next_u32()) / f64::from(u32::MAX) * 2.0;
         let next = self.now + Duration::from_secs_f64(spread / rate);
-        self.schedule(next, Happening::Arrival);
+        self.schedule(next, happening);
     }
 
     fn add_root(&mut self, kind: &'static str, class: context::PriorityClass, at: f64) -> usize {
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -177,6 +177,7 @@
             queued: self.queued(),
             limit: self.limit.current(),
             cut: self.cut.line(),
+            deep: None,
             leaving: self.leaving,
         }
     }
--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use anvil_types::{context, time};
+use anvil_types::time;
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::rank;
+use crate::{kind, rank};
 
 /// How long a reported line counts in full.
 pub const CUT_FRESH: Duration = Duration::from_millis(200);
@@ -14,50 +14,85 @@
 /// When a line that no answer renewed is gone.
 pub const CUT_GONE: Duration = Duration::from_millis(600);
 
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-struct ReportedLevel {
-    level: u16,
-    at: time::NodeTime,
-}
+/// Kinds of request remembered for each service; the one heard of longest ago gives way.
+pub const KINDS_KEPT: usize = 64;
 
-/// The cut lines that one target reported, which fade unless renewed.
-///
-/// Requests of different classes need different services, so each class has the line that came
-/// with the latest answer to a request of that class.
+/// A reported cut line that fades unless renewed.
 ///
 /// Failure: a line refuses everything, so no answer comes that could lower it. Symptom: the service
 /// stands idle long after the pressure. Fading lets ever lower requests through as probes, and
 /// whatever they meet renews or clears the line.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct FadingCut {
-    classes: [ReportedLevel; context::PriorityClass::ALL.len()],
+    level: u16,
+    at: time::NodeTime,
 }
 
 impl FadingCut {
-    /// Takes in what the answer to a request of `class` reported; the latest counts, whatever it
-    /// says.
+    /// Takes in what an answer reported; the latest counts, whatever it says.
+    pub fn learn(&mut self, now: time::NodeTime, line: Option<&call::CutLine>) {
+        self.level = rank::line_level(line);
+        self.at = now;
+    }
+
+    /// The lowest level admitted at present.
+    pub fn level(&self, now: time::NodeTime) -> u16 {
+        let age = now.since(self.at);
+        if age <= CUT_FRESH {
+            return self.level;
+        }
+        let left = CUT_GONE.saturating_sub(age).as_micros();
+        let span = (CUT_GONE - CUT_FRESH).as_micros();
+        let level = u128::from(self.level) * left / span;
+        u16::try_from(level).unwrap_or(self.level)
+    }
+}
+
+/// The cut lines that come from below one service, by kind of request.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CutTable {
+    /// Sorted by kind.
+    kinds: Vec<(kind::CallKind, FadingCut)>,
+}
+
+impl CutTable {
+    /// Takes in what the answer to a request of `kind` reported.
     pub fn learn(
         &mut self,
         now: time::NodeTime,
-        class: context::PriorityClass,
+        kind: kind::CallKind,
         line: Option<&call::CutLine>,
     ) {
-        self.classes[class as usize] = ReportedLevel {
-            level: rank::line_level(line),
-            at: now,
-        };
+        match self.place(kind) {
+            Ok(place) => self.kinds[place].1.learn(now, line),
+            // What was never cut need not be remembered.
+            Err(_) if line.is_none() => {}
+            Err(place) => {
+                let mut cut = FadingCut::default();
+                cut.learn(now, line);
+                self.kinds.insert(place, (kind, cut));
+                self.shrink();
+            }
+        }
     }
 
-    /// The lowest level admitted at present for a request of `class`.
-    pub fn level(&self, now: time::NodeTime, class: context::PriorityClass) -> u16 {
-        let reported = self.classes[class as usize];
-        let age = now.since(reported.at);
-        if age <= CUT_FRESH {
-            return reported.level;
+    /// The lowest level that is admitted below for requests of `kind`.
+    pub fn level(&self, now: time::NodeTime, kind: kind::CallKind) -> u16 {
+        let place = self.place(kind);
+        place.map_or(0, |place| self.kinds[place].1.level(now))
+    }
+
+    fn place(&self, kind: kind::CallKind) -> Result<usize, usize> {
+        self.kinds.binary_search_by_key(&kind, |(known, _)| *known)
+    }
+
+    fn shrink(&mut self) {
+        if self.kinds.len() <= KINDS_KEPT {
+            return;
+        }
+        let oldest = (0..self.kinds.len()).min_by_key(|place| self.kinds[*place].1.at);
+        if let Some(place) = oldest {
+            self.kinds.remove(place);
         }
-        let left = CUT_GONE.saturating_sub(age).as_micros();
-        let span = (CUT_GONE - CUT_FRESH).as_micros();
-        let level = u128::from(reported.level) * left / span;
-        u16::try_from(level).unwrap_or(reported.level)
     }
 }
--- a/crates/anvil_overload/src/dependency.rs
+++ b/crates/anvil_overload/src/dependency.rs
@@ -1,81 +1,87 @@
-//! Which services the local target needs for most of its requests; see
-//! `docs/design/shedding.md`.
+//! Which services the local target needs for its requests; see `docs/design/shedding.md`.
 
-use anvil_types::{context, name};
+use anvil_types::name;
 use serde::Serialize;
 
-/// Share of the runs that call a service from which it counts as needed.
+use crate::kind;
+
+/// Share of the runs of one kind that make a call from which it counts as needed.
 pub const NEEDED_SHARE: f64 = 0.5;
 
 /// Weight of one run in the share, as its divisor.
 const SHARE_DIVISOR: f64 = 32.0;
 
-/// Services remembered; those called least give way.
-const SERVICES_KEPT: usize = 64;
+/// Calls remembered; those made least give way.
+const CALLS_KEPT: usize = 256;
+
+/// A call that the local target made while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct NeededCall {
+    /// The service called.
+    pub service: name::ServiceName,
+    /// The kind of the call.
+    pub kind: kind::CallKind,
+}
 
 #[derive(Clone, Debug, Serialize)]
-struct ServiceShare {
-    class: context::PriorityClass,
-    service: name::ServiceName,
+struct CallShare {
+    run: kind::CallKind,
+    call: NeededCall,
     share: f64,
 }
 
-/// The share of the local target's runs of each class that call each service.
+/// The share of the local target's runs of each kind that make each call.
 ///
-/// The cut line of a needed service is passed upwards with the target's own, so that an entry
-/// node refuses what could not become whole. A service that only few runs call is left out: the
-/// line would refuse requests that don't need it.
+/// The cut line of a needed call is passed upwards, so that an entry node refuses what could not
+/// become whole. A call that only few runs make is left out: its line would refuse requests that
+/// don't need it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct DependencyTable {
-    /// Sorted by class and service.
-    shares: Vec<ServiceShare>,
+    /// Sorted by the run's kind and the call.
+    shares: Vec<CallShare>,
 }
 
 impl DependencyTable {
-    /// Takes in the services that one run of `class` called, each named once or more.
-    pub fn run_ended(&mut self, class: context::PriorityClass, called: &[name::ServiceName]) {
-        let of_class = |known: &&mut ServiceShare| known.class == class;
-        for known in self.shares.iter_mut().filter(of_class) {
-            let hit = called.contains(&known.service);
+    /// Takes in the calls, each named once, that a run of kind `run` made.
+    pub fn run_ended(&mut self, run: kind::CallKind, calls: &[NeededCall]) {
+        let of_kind = |known: &&mut CallShare| known.run == run;
+        for known in self.shares.iter_mut().filter(of_kind) {
+            let hit = calls.contains(&known.call);
             let target = if hit { 1.0 } else { 0.0 };
             known.share += (target - known.share) / SHARE_DIVISOR;
         }
-        for service in called {
-            self.add(class, service);
+        for call in calls {
+            self.add(run, call);
         }
     }
 
-    /// Services that at least [`NEEDED_SHARE`] of the runs of `class` call.
-    pub fn needed(
-        &self,
-        class: context::PriorityClass,
-    ) -> impl Iterator<Item = &name::ServiceName> {
-        let needed =
-            move |known: &&ServiceShare| known.class == class && known.share >= NEEDED_SHARE;
-        self.shares
-            .iter()
-            .filter(needed)
-            .map(|known| &known.service)
+    /// Calls that at least [`NEEDED_SHARE`] of the runs of kind `run` make.
+    pub fn needed(&self, run: kind::CallKind) -> impl Iterator<Item = &NeededCall> {
+        let needed = move |known: &&CallShare| known.run == run && known.share >= NEEDED_SHARE;
+        self.shares.iter().filter(needed).map(|known| &known.call)
     }
 
-    fn add(&mut self, class: context::PriorityClass, service: &name::ServiceName) {
-        let place = self
-            .shares
-            .binary_search_by(|known| (known.class, &known.service).cmp(&(class, service)));
-        let Err(place) = place else {
+    fn add(&mut self, run: kind::CallKind, call: &NeededCall) {
+        if self.place(run, call).is_ok() {
             return;
-        };
-        if self.shares.len() == SERVICES_KEPT {
+        }
+        if self.shares.len() == CALLS_KEPT {
             self.drop_least();
-            self.add(class, service);
-            return;
         }
-        let entry = ServiceShare {
-            class,
-            service: service.clone(),
+        let Err(place) = self.place(run, call) else {
+            return;
+        };
+        let share = CallShare {
+            run,
+            call: call.clone(),
             share: NEEDED_SHARE,
         };
-        self.shares.insert(place, entry);
+        self.shares.insert(place, share);
+    }
+
+    fn place(&self, run: kind::CallKind, call: &NeededCall) -> Result<usize, usize> {
+        self.shares
+            .binary_search_by(|known| (known.run, &known.call).cmp(&(run, call)))
     }
 
     fn drop_least(&mut self) {
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod demand;
 pub mod dependency;
 pub mod estimate;
+pub mod kind;
 pub mod limit;
 pub mod policy;
 pub mod quarantine;
--- a/crates/anvil_overload/src/limit.rs
+++ b/crates/anvil_overload/src/limit.rs
@@ -19,6 +19,13 @@
 /// Own time, as a multiple of the best known, from which concurrency is suspected as its cause.
 pub const SLOW_FACTOR: f64 = 2.0;
 
+/// Own time, as a multiple of the best known, up to which the concurrency of a window counts as
+/// harmless.
+pub const HARMLESS_FACTOR: f64 = 1.25;
+
+/// Concurrency, as a multiple of the highest known to be harmless, from which it is suspected.
+pub const SUSPECT_FACTOR: f64 = 1.25;
+
 /// What a trial cut leaves of the limit.
 pub const TRIAL_CUT: f64 = 0.75;
 
@@ -78,9 +85,13 @@
     limit: f64,
     ramping: bool,
     best: Option<f64>,
+    /// The highest mean concurrency of a window whose own time was near the best.
+    harmless: f64,
     trial: Option<LimitTrial>,
     opened: time::NodeTime,
     peak: u32,
+    running_sum: u64,
+    starts: u32,
     refused: u32,
     #[serde(skip)]
     samples: Vec<u64>,
@@ -98,6 +109,9 @@
             limit: (f64::from(slots) * share).max(1.0),
             ramping,
             best: None,
+            harmless: 0.0,
+            running_sum: 0,
+            starts: 0,
             trial: None,
             opened: now,
             peak: 0,
@@ -133,6 +147,8 @@
     /// Notes how many requests run after one was started.
     pub fn started(&mut self, running: u32) {
         self.peak = self.peak.max(running);
+        self.running_sum += u64::from(running);
+        self.starts += 1;
     }
 
     /// Takes in the end of a run.
@@ -177,6 +193,8 @@
         }
         self.opened = now;
         self.peak = 0;
+        self.running_sum = 0;
+        self.starts = 0;
         self.refused = 0;
         self.samples.clear();
     }
@@ -197,19 +215,30 @@
         let best = self.best.map_or(own, |best| best.min(own));
         self.best = Some(best);
         let busy = f64::from(self.peak) >= self.limit.floor();
+        let concurrency = self.concurrency();
+        if own <= best * HARMLESS_FACTOR {
+            self.harmless = self.harmless.max(concurrency);
+        }
         if own > best * SLOW_FACTOR && self.limit > 1.0 {
-            self.begin_trial(own, busy);
+            self.suspect(own, concurrency, busy);
         } else if busy {
             self.raise();
         }
     }
 
-    fn begin_trial(&mut self, own: f64, busy: bool) {
+    /// Failure: a target slows for reasons of its own and loses slots as well. Symptom: a fifth of
+    /// the speed becomes a tenth of the answers. Where no more run than did before at full speed,
+    /// concurrency is not the cause, and the new time is the one to compare with.
+    fn suspect(&mut self, own: f64, concurrency: f64, busy: bool) {
         self.ramping = false;
-        // With slots to spare nothing would change by a cut.
-        if !busy {
-            return;
+        if concurrency <= self.harmless * SUSPECT_FACTOR {
+            self.best = Some(own);
+        } else if busy {
+            self.begin_trial(own);
         }
+    }
+
+    fn begin_trial(&mut self, own: f64) {
         let limit = self.limit;
         self.trial = Some(LimitTrial { limit, own });
         self.limit = (limit * TRIAL_CUT).max(1.0);
@@ -222,6 +251,12 @@
         }
     }
 
+    fn concurrency(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "a sum over one window")]
+        let sum = self.running_sum as f64;
+        sum / f64::from(self.starts.max(1))
+    }
+
     fn raise(&mut self) {
         let slots = f64::from(self.slots);
         let step = (slots * RAISE_SHARE).max(1.0);
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg32;
 use serde::Serialize;
 
-use crate::{cut, policy, rank};
+use crate::{cut, kind, policy, rank};
 
 mod health;
 mod target;
@@ -51,6 +51,8 @@
 pub struct AttemptReport<'a> {
     /// The class of the request.
     pub class: context::PriorityClass,
+    /// Its kind.
+    pub kind: kind::CallKind,
     /// How it ended.
     pub end: AttemptEnd,
     /// The load of the target, where an answer came.
@@ -64,6 +66,8 @@
     pub service: &'a name::ServiceName,
     /// The request's rank.
     pub rank: rank::CallRank,
+    /// Its kind.
+    pub kind: kind::CallKind,
     /// Nodes that earlier attempts went to.
     pub exclude: &'a [ident::NodeId],
 }
@@ -92,6 +96,8 @@
 struct ServiceRoutes {
     service: name::ServiceName,
     turn: usize,
+    /// Lines of what the service needs below.
+    deep: cut::CutTable,
     /// Sorted by node.
     targets: Vec<target::TargetRoute>,
 }
@@ -197,21 +203,24 @@
             return;
         };
         routes.targets[place].ended(now, attempt);
+        if let Some(load) = attempt.load {
+            routes.deep.learn(now, attempt.kind, load.deep.as_ref());
+        }
         if policy.ejection {
             health::review(now, &mut routes.targets, place);
         }
     }
 
-    /// The lowest line among the targets of `service` for requests of `class`: what none of them
-    /// admits.
+    /// The line below which requests of `kind` to `service` are refused, for its own pressure or
+    /// for that of a service below it.
     pub fn line(
         &self,
         now: time::NodeTime,
         service: &name::ServiceName,
-        class: context::PriorityClass,
+        kind: kind::CallKind,
     ) -> Option<call::CutLine> {
         let place = self.find(service).ok()?;
-        rank::line_at(self.services[place].usual_level(now, class, &[]))
+        rank::line_at(self.services[place].line_level(now, kind, &[]))
     }
 
     /// Nodes beside the targets of `service`, with their addresses.
@@ -250,6 +259,7 @@
                 let routes = ServiceRoutes {
                     service: service.clone(),
                     turn: 0,
+                    deep: cut::CutTable::default(),
                     targets: Vec::new(),
                 };
                 self.services.insert(place, routes);
@@ -306,7 +316,7 @@
         source: &mut Pcg32,
     ) -> Option<usize> {
         if policy.early_refusal
-            && query.rank.level() < self.usual_level(now, query.rank.class, query.exclude)
+            && query.rank.level() < self.line_level(now, query.kind, query.exclude)
         {
             return None;
         }
@@ -358,25 +368,30 @@
 
     fn nobody(&self, now: time::NodeTime, query: &RouteQuery<'_>) -> RouteChoice {
         let some = |target: &target::TargetRoute| target.serves(query.exclude);
-        let level = self.usual_level(now, query.rank.class, query.exclude);
+        let level = self.line_level(now, query.kind, query.exclude);
         match rank::line_at(level) {
             Some(line) if self.targets.iter().any(some) => RouteChoice::Shed(line),
             _ => RouteChoice::NoTarget,
         }
     }
 
-    /// The level that half of the targets admit.
-    ///
-    /// With the lowest of all, whatever one target lets in would come from everywhere at once;
-    /// with the highest, a sick target would refuse what the others could take.
-    fn usual_level(
+    fn line_level(
         &self,
         now: time::NodeTime,
-        class: context::PriorityClass,
+        kind: kind::CallKind,
         exclude: &[ident::NodeId],
     ) -> u16 {
+        let own = self.usual_level(now, exclude);
+        own.max(self.deep.level(now, kind))
+    }
+
+    /// The level that half of the targets admit.
+    ///
+    /// With the lowest of all, whatever one target lets in would come from everywhere at once;
+    /// with the highest, a sick target would refuse what the others could take.
+    fn usual_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
         let serving = self.targets.iter().filter(|target| target.serves(exclude));
-        let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now, class)).collect();
+        let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now)).collect();
         if levels.is_empty() {
             return 0;
         }
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -89,7 +89,7 @@
     }
 
     pub(super) fn admits(&self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
-        rank.level() >= self.cut.level(now, rank.class)
+        rank.level() >= self.cut.level(now)
     }
 
     pub(super) fn choice(&self) -> routing::RouteChoice {
@@ -113,7 +113,7 @@
         };
         self.load = *load;
         self.heard = Some(now);
-        self.cut.learn(now, attempt.class, load.cut.as_ref());
+        self.cut.learn(now, load.cut.as_ref());
         if load.leaving {
             self.leaving = true;
             self.left_at = Some(now);
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -69,6 +69,8 @@
     pub limit: u32,
     /// The cut line in force, where the target is under pressure.
     pub cut: Option<CutLine>,
+    /// The highest cut line among the services that requests like the one answered need below.
+    pub deep: Option<CutLine>,
     /// Whether the node or its target is leaving.
     pub leaving: bool,
 }
