--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use anvil_overload::{policy, routing};
-use anvil_types::{ident, name, sorted, time};
+use anvil_overload::{kind, policy, routing};
+use anvil_types::{context, ident, name, sorted, time};
 use anvil_wire::call;
 
 /// One node whose target offers a service.
@@ -61,11 +61,6 @@
         }
     }
 
-    /// A known node.
-    pub fn get(&self, node: ident::NodeId) -> Option<&PeerRecord> {
-        self.peers.get(node)
-    }
-
     /// All known nodes.
     pub fn iter(&self) -> std::slice::Iter<'_, (ident::NodeId, PeerRecord)> {
         self.peers.iter()
@@ -86,26 +81,35 @@
             .choose(now, routing::RouteQuery { exclude, ..query })
     }
 
-    /// Counts a request that left for `node`.
-    pub fn sent(&mut self, service: &name::ServiceName, node: ident::NodeId) {
-        self.routes.sent(service, node);
+    /// Counts a request of `class` that left for `node`.
+    pub fn sent(
+        &mut self,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+        class: context::PriorityClass,
+    ) {
+        self.routes.sent(service, node, class);
     }
 
-    /// Counts the end of an attempt, with the load that its answer told.
+    /// Takes in the end of an attempt.
     pub fn ended(
         &mut self,
         now: time::NodeTime,
         service: &name::ServiceName,
         node: ident::NodeId,
-        end: routing::AttemptEnd,
-        load: Option<&call::LoadReport>,
+        attempt: routing::AttemptReport<'_>,
     ) {
-        self.routes.ended(now, service, node, end, load);
+        self.routes.ended(now, service, node, attempt);
     }
 
-    /// The cut line below which no target of `service` takes a request.
-    pub fn line(&self, now: time::NodeTime, service: &name::ServiceName) -> Option<call::CutLine> {
-        self.routes.line(now, service)
+    /// The cut line below which no target of `service` takes a request of `kind`.
+    pub fn line(
+        &self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        kind: kind::CallKind,
+    ) -> Option<call::CutLine> {
+        self.routes.line(now, service, kind)
     }
 
     /// Nodes beside the targets of `service`, with their addresses.
