Refuse rule texts that are made to take long

A text of 561 bytes with aliases of aliases took 7.7 s to refuse in an unoptimised build, because the parser's default allows a million repeated events.

Spoilt copies of an example and arbitrary text never panic, and every fault has a place within the text. Tables of the operators' command put the columns in front that say what a row is about.

--- a/crates/anvil_ctl/src/render.rs
+++ b/crates/anvil_ctl/src/render.rs
@@ -7,6 +7,9 @@
 /// Two spaces for each level.
 const INDENT: &str = "  ";
 
+/// Columns that say what a row is about; they stand in front.
+const LEADING: [&str; 5] = ["revision", "name", "node", "service", "field"];
+
 /// What stands in a table where a row has no such field.
 const NOTHING: &str = "-";
 
@@ -64,12 +67,7 @@
 }
 
 fn write_table(out: &mut String, rows: &[&Map<String, Value>], depth: usize) {
-    let mut columns: Vec<&str> = Vec::new();
-    for name in rows.iter().flat_map(|row| row.keys()) {
-        if !columns.contains(&name.as_str()) {
-            columns.push(name);
-        }
-    }
+    let columns = columns_of(rows);
     let cells: Vec<Vec<String>> = rows.iter().map(|row| row_cells(row, &columns)).collect();
     let widths: Vec<usize> = columns
         .iter()
@@ -86,6 +84,19 @@
     }
 }
 
+/// All columns of the rows, the leading ones in front.
+fn columns_of<'a>(rows: &[&'a Map<String, Value>]) -> Vec<&'a str> {
+    let mut columns: Vec<&str> = Vec::new();
+    for name in rows.iter().flat_map(|row| row.keys()) {
+        if !columns.contains(&name.as_str()) {
+            columns.push(name);
+        }
+    }
+    let place = |name: &&str| LEADING.iter().position(|leading| leading == name);
+    columns.sort_by_key(|name| place(name).unwrap_or(LEADING.len()));
+    columns
+}
+
 fn row_cells(row: &Map<String, Value>, columns: &[&str]) -> Vec<String> {
     let cell = |name: &&str| row.get(*name).map_or_else(|| NOTHING.to_owned(), plain);
     columns.iter().map(cell).collect()
--- a/crates/anvil_rules/src/yaml.rs
+++ b/crates/anvil_rules/src/yaml.rs
@@ -19,6 +19,10 @@
 /// Most parser events of one text; a list or a map takes two.
 const EVENT_LIMIT: usize = 2 * NODE_LIMIT;
 
+/// Most parser events that aliases may repeat. A few hundred bytes of aliases of aliases stand for
+/// billions of values and would hold a node up for seconds; real files share a few lists.
+const ALIAS_EVENT_LIMIT: usize = 20_000;
+
 /// A place in the text; both count from one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TextPlace {
@@ -103,6 +107,9 @@
     }
     let options = serde_saphyr::options! {
         budget: serde_saphyr::budget! { max_nodes: NODE_LIMIT, max_events: EVENT_LIMIT },
+        alias_limits: serde_saphyr::alias_limits! {
+            max_total_replayed_events: ALIAS_EVENT_LIMIT,
+        },
         merge_keys: MergeKeyPolicy::Error,
         duplicate_keys: options::DuplicateKeyPolicy::Error,
         with_snippet: false,
--- /dev/null
+++ b/crates/anvil_rules/tests/bad_input.rs
@@ -0,0 +1,118 @@
+//! Texts that nobody means: broken, huge, or made to take long.
+
+use std::fmt::Write;
+
+use anvil_rules::{document, parse, yaml};
+use anvil_testkit::test_cases;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+
+const EXAMPLE: &str = include_str!("../../../examples/reclamo-simple/rules.yaml");
+
+fn rules(count: usize) -> String {
+    let mut text = String::from("rules:\n");
+    for index in 0..count {
+        writeln!(
+            text,
+            "- {{name: r{index}, when: {{service: s{index}}}, then: {{}}}}"
+        )
+        .expect("memory");
+    }
+    text
+}
+
+/// Nine levels, each of which repeats the level before ten times.
+fn aliases() -> String {
+    let mut text = String::from("a0: &a0 [x]\n");
+    for level in 1..10 {
+        let before = format!("*a{}, ", level - 1).repeat(10);
+        writeln!(text, "a{level}: &a{level} [{before}]").expect("memory");
+    }
+    text + "rules: *a9\n"
+}
+
+fn check_refused(text: &str, expected: &str) {
+    let faults = parse::check_rules("r.yaml", text).expect_err("the text is wrong");
+    let told = faults.to_string();
+    assert!(told.contains(expected), "{told}");
+}
+
+test_cases! { check_refused:
+    nothing_at_all => ("", "document: expected a map, found nothing"),
+    a_tab_as_indent => ("rules:\n\t- name: a", "document: "),
+    two_documents => ("rules: []\n---\nrules: []", "document: "),
+    a_merge_key => ("base: &b {}\nrules: []\n<<: *b", "document: "),
+    deep_nesting => (&"[".repeat(100_000), "document: "),
+    an_alias_bomb => (&aliases(), "total_replayed_events=20001 > 20000"),
+    too_long => (&" ".repeat(yaml::TEXT_LIMIT + 1), "the text is longer than 4194304 bytes"),
+    too_many_rules => (&rules(document::RULE_LIMIT + 1), "rules: more than 10000 entries"),
+    a_long_path => (
+        &format!("rules: [{{name: a, when: {{path: /{}}}, then: {{}}}}]", "x".repeat(256)),
+        "rules[0].when.path: longer than 256 bytes"
+    ),
+    a_long_list => (
+        &format!("rules: [{{name: a, when: {{method: [{}]}}, then: {{}}}}]", "GET, ".repeat(65)),
+        "rules[0].when.method: more than 64 entries"
+    ),
+    a_huge_number => (
+        "rules: [{name: a, then: {retries: 99999999999999999999}}]",
+        "rules[0].then.retries: expected a whole number, found a number"
+    ),
+    a_huge_duration => (
+        "rules: [{name: a, then: {deadline: 18446744073709551615h}}]",
+        "rules[0].then.deadline: expected a duration such as 500ms, 10s or 5m, found text"
+    ),
+    nul_in_a_name => ("rules: [{name: \"a\\0b\", then: {}}]", "a name holds only"),
+}
+
+#[test]
+fn a_list_may_be_shared_by_an_alias() {
+    let text = "rules:
+- {name: a, when: {path: &p [/a, /b]}, then: {}}
+- {name: b, when: {service: s, path: *p}, then: {}}
+";
+    assert!(parse::parse_rules("r.yaml", text).is_ok());
+}
+
+#[test]
+fn as_many_rules_as_allowed_are_read() {
+    let checked = parse::check_rules("r.yaml", &rules(document::RULE_LIMIT));
+    let checked = checked.expect("the limit is allowed");
+    assert_eq!(checked.document.rules().len(), document::RULE_LIMIT);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        cases: 300,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_spoilt_example_is_read_or_told_with_places(
+        place in any::<Index>(),
+        length in 0..20_usize,
+        replacement in "[ -~\\n\\té]{0,4}",
+    ) {
+        let mut text: Vec<char> = EXAMPLE.chars().collect();
+        let start = place.index(text.len());
+        let end = (start + length).min(text.len());
+        text.splice(start..end, replacement.chars());
+        let text: String = text.into_iter().collect();
+        if let Err(faults) = parse::check_rules("r.yaml", &text) {
+            let lines = text.lines().count() as u64 + 1;
+            prop_assert!(!faults.0.is_empty());
+            for fault in faults.0 {
+                prop_assert!((1..=lines).contains(&fault.line), "{fault}");
+                prop_assert!(!fault.field.is_empty() && !fault.reason.to_string().is_empty());
+            }
+        }
+    }
+
+    #[test]
+    fn arbitrary_text_never_panics(text in "[-a-z:{}\\[\\]&*!|>#%@\"',? \\n]{0,120}") {
+        let _ = parse::check_rules("r.yaml", &text);
+    }
+}
