Describe the operators' command

A page tells how rules are changed from a copy and from a repository, what each exit code asks for, and what the command sends. A test reads every command line on the pages, so that they stay right.

--- a/crates/anvil_ctl/src/lib.rs
+++ b/crates/anvil_ctl/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' command: checks rule files, sends them to a node, and shows what a node knows.
 //!
 //! Everything but the process itself is a function of its arguments, so that tests call it
-//! without starting one. See `docs/OPERATIONS.md`.
+//! without starting one. See `docs/ANVILCTL.md`.
 
 pub mod apply;
 pub mod arguments;
--- a/crates/anvil_ctl/tests/command_line.rs
+++ b/crates/anvil_ctl/tests/command_line.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, reason = "other test files use the scripted node")]
 mod common;
 
+use anvil_ctl::arguments;
 use anvil_ctl::outcome::ExitStatus;
 use anvil_testkit::test_cases;
 
@@ -160,3 +161,23 @@
     let report = common::run(&line);
     assert!(report.out.contains("rule: bid\n"), "{}", report.out);
 }
+
+#[test]
+fn every_command_on_the_pages_is_understood() {
+    let pages = ["docs/ANVILCTL.md", "docs/RULES.md"];
+    let pages = pages.map(|page| {
+        let path = common::repository_file(page);
+        std::fs::read_to_string(path).expect("the page is there")
+    });
+    let lines: Vec<&str> = pages
+        .iter()
+        .flat_map(|page| page.lines())
+        .filter_map(|line| line.strip_prefix("$ anvilctl "))
+        .collect();
+    assert!(lines.len() >= 10, "{lines:?}");
+    for line in lines {
+        let words = line.split(' ').map(std::ffi::OsString::from).collect();
+        let read = arguments::read(words, &common::environment());
+        assert!(read.is_ok(), "{line}: {read:?}");
+    }
+}
