Compare the replay window with a set of all that was seen

Breaking the shift of the window left all tests green. A property test now compares it with a naive set on random sequences, and fails when the shift is broken.

--- a/crates/anvil_wire/tests/seal_datagram.rs
+++ b/crates/anvil_wire/tests/seal_datagram.rs
@@ -6,6 +6,8 @@
 use anvil_testkit::test_cases;
 use anvil_types::ident;
 use anvil_wire::seal::{self, datagram, replay, ring};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const SENDER: ident::NodeId = ident::NodeId(11);
 const PAYLOAD: &[u8] = b"alive";
@@ -134,6 +136,31 @@
     assert!(!guard.accept(SENDER, top));
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        cases: 512,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_window_accepts_as_a_set_of_all_that_was_seen(
+        sequences in prop::collection::vec(0..200_u64, 0..200),
+    ) {
+        let mut guard = replay::ReplayGuard::default();
+        let mut seen: Vec<u64> = Vec::new();
+        for sequence in sequences {
+            let highest = seen.iter().max().copied().unwrap_or_default();
+            let fresh = !seen.contains(&sequence) && sequence + replay::WINDOW > highest;
+            prop_assert_eq!(guard.accept(SENDER, sequence), fresh);
+            if fresh {
+                seen.push(sequence);
+            }
+        }
+    }
+}
+
 #[test]
 fn remembers_a_bounded_number_of_senders() {
     let mut guard = replay::ReplayGuard::default();
