Test that the first of several shadows is named

Taking the last table's answer alone left all tests green; a rule that is shadowed by one of three others covers it now. The test fails when the first answer is forgotten.

--- a/crates/anvil_rules/tests/parse.rs
+++ b/crates/anvil_rules/tests/parse.rs
@@ -193,6 +193,15 @@
         &["r.yaml:3: rule paths is unreachable: rule all at line 2 matches everything that it \
            matches"]
     ),
+    names_the_first_of_several_shadows => (
+        "rules:
+  - {name: portal, when: {service: portal}, then: {}}
+  - {name: posts, when: {service: '*', method: POST}, then: {}}
+  - {name: reads, when: {method: GET}, then: {}}
+  - {name: late, when: {service: portal, method: GET}, then: {}}",
+        &["r.yaml:5: rule late is unreachable: rule portal at line 2 matches everything that it \
+           matches"]
+    ),
     keeps_quiet_about_a_narrower_rule_in_front => (
         "rules:
   - {name: narrow, when: {service: portal, headers: {x-a: b}}, then: {}}
