Lose no frame when a connection to a node fails or ends

Two tests over real processes found two causes. A bid sent after its node was killed waited five seconds and was told "may have run": the dial was started before the frame was queued, a refused dial ended within microseconds, and the frame fell into a closed queue. The frame is queued first now. One of ten bids at a planned stop was told "may have run" though its answer was written: the connection was given up with the answer unread. What the other side still sends is read now before the loss is reported, for a second at most.

--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -23,6 +23,9 @@
 /// Longest wait for a connection and its handshake; nodes are a few milliseconds apart.
 pub const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for what the other side still sends after this side has ended.
+const READ_REST_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Bytes gathered before they are written; many small frames share one system call.
 const BATCH_BYTES: usize = 64 * 1024;
 
@@ -159,8 +162,9 @@
         writer,
         sealer: sealed.sealer,
         batch: Vec::new(),
+        used: false,
     };
-    let end = write(&context, writer, parts, reading).await;
+    let end = exchange(&context, writer, parts, reading).await;
     drop(open);
     context.counters.count(counters::EdgeCause::PeerLost);
     report(&context, peer, end).await;
@@ -180,6 +184,8 @@
     writer: OwnedWriteHalf,
     sealer: sealing::FrameSealer,
     batch: Vec<u8>,
+    /// Whether a byte of any frame was handed to the socket.
+    used: bool,
 }
 
 /// What became of the frames when a connection ended.
@@ -205,9 +211,8 @@
     Ok(OpenedStream { stream, sealed })
 }
 
-/// Writes frames until the connection breaks, its reader ends, it is told to close, or nobody has
-/// frames any more.
-async fn write(
+/// Serves a connection until it breaks, is told to close, or nobody has frames any more.
+async fn exchange(
     context: &LinkContext,
     mut writer: FrameWriter,
     parts: LinkParts,
@@ -218,48 +223,55 @@
         mut frames,
         mut close,
     } = parts;
-    let mut used = false;
-    let mut received = None;
-    loop {
-        let first = tokio::select! {
-            first = frames.recv() => first,
-            ended = &mut reading => {
-                received = Some(ended.unwrap_or(true));
-                break;
-            }
-            Ok(()) = &mut close => break,
-        };
-        let Some(first) = first else {
-            break;
-        };
-        writer.gather(context, first, &mut frames);
-        // From the first byte on, nobody can tell what the other side saw.
-        used = true;
+    let received = tokio::select! {
+        () = writer.write_until_end(context, &mut frames) => None,
+        received = &mut reading => Some(received),
         // A node that stopped reading would hold the write, and so the end, up.
-        let written = tokio::select! {
-            written = writer.writer.write_all(&writer.batch) => written.is_ok(),
-            Ok(()) = &mut close => false,
-        };
-        if !written {
-            break;
-        }
-    }
+        Ok(()) = &mut close => None,
+    };
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
-    if received.is_none() {
-        reading.abort();
-        // What it read until then has reached the engine before the end is reported.
-        received = Some(reading.await.unwrap_or(true));
-    }
-    let unsent = drain(frames).await;
+    let received = match received {
+        Some(received) => received.unwrap_or(true),
+        None => read_rest(reading).await,
+    };
     LinkEnd {
         link,
-        unsent,
-        used: used || received.unwrap_or(true),
+        unsent: drain(frames).await,
+        used: writer.used || received,
     }
 }
 
+/// Waits for what the other side still sends, and says whether any frame came on the connection.
+///
+/// Answers may stand unread when the writing side ends. Reported as lost, their callers would be
+/// told "may have run" of requests that were answered whole. The other side ends its side too once
+/// it sees this one's end; one that hangs is given up after [`READ_REST_LIMIT`].
+async fn read_rest(mut reading: tokio::task::JoinHandle<bool>) -> bool {
+    let rest = tokio::time::timeout(READ_REST_LIMIT, &mut reading).await;
+    if rest.is_err() {
+        reading.abort();
+    }
+    !matches!(rest, Ok(Ok(false)))
+}
+
 impl FrameWriter {
+    /// Writes frames until the connection breaks or nobody has frames any more.
+    async fn write_until_end(
+        &mut self,
+        context: &LinkContext,
+        frames: &mut mpsc::Receiver<frame::PeerFrame>,
+    ) {
+        while let Some(first) = frames.recv().await {
+            self.gather(context, first, frames);
+            // From the first byte on, nobody can tell what the other side saw.
+            self.used = true;
+            if self.writer.write_all(&self.batch).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Encodes `first` and whatever waits behind it, up to one batch.
     fn gather(
         &mut self,
@@ -315,11 +327,11 @@
         };
         used = true;
         let arrived = event::NodeEvent::FrameArrived { peer, frame };
-        // A full engine slows this reader, and so the sender, down.
+        // A full engine slows this reader, and so the sender, down. An engine that has left is no
+        // reason to stop: closing a socket with unread bytes resets it, and the reset can destroy
+        // answers on their way to the other side.
         let input = engine::EngineInput::Event(arrived);
-        if context.engine.send_async(input).await.is_err() {
-            return used;
-        }
+        let _ = context.engine.send_async(input).await;
     }
 }
 
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -55,9 +55,7 @@
             }
             return;
         }
-        let opened = self.open(peer, address);
-        // The queue is new and empty, so the frame fits.
-        let _ = opened.frames.try_send(frame);
+        let opened = self.open(peer, address, frame);
         self.adopt(opened);
     }
 
@@ -126,8 +124,17 @@
             .spawn(async move { engine.send_async(input).await });
     }
 
-    fn open(&self, peer: ident::NodeId, address: SocketAddr) -> link::PeerLink {
+    fn open(
+        &self,
+        peer: ident::NodeId,
+        address: SocketAddr,
+        first: frame::PeerFrame,
+    ) -> link::PeerLink {
         let (opened, parts) = link::pair(peer, self.context.next_link());
+        // The frame is queued before anybody dials: a refused connection ends within
+        // microseconds, and a frame that came after its end would be lost without a word, so that
+        // its caller waited for a deadline. The queue is new and empty, so the frame fits.
+        let _ = opened.frames.try_send(first);
         let context = self.context.clone();
         self.runtime
             .spawn(link::open(context, peer, address, parts));
--- a/crates/anvil_node/tests/two_nodes.rs
+++ b/crates/anvil_node/tests/two_nodes.rs
@@ -169,12 +169,7 @@
     let (status, outcome) = asking.join().unwrap();
     assert_eq!((status, outcome.to_str().unwrap()), (502, "may-have-run"));
     let (status, outcome) = ask("/afterwards");
-    assert_eq!(
-        (status, outcome.to_str().unwrap()),
-        (503, "not-run"),
-        "{:?}",
-        entry.counters()
-    );
+    assert_eq!((status, outcome.to_str().unwrap()), (503, "not-run"));
     assert!(!runs("/afterwards"));
 }
 
