--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use anvil_membership::effect::{FleetEffect, GoneReason};
 use anvil_membership::{config, fleet, member};
-use anvil_types::{ident, time};
+use anvil_types::{ident, store, time};
 use anvil_wire::{frame, gossip};
 use serde_json::json;
 
@@ -76,7 +76,18 @@
         self.take_fleet(effects);
     }
 
-    fn take_fleet(&mut self, effects: Vec<FleetEffect>) {
+    pub(crate) fn store_answered(&mut self, id: store::StoreId, outcome: store::StoreOutcome) {
+        match id.part {
+            store::StorePart::Fleet => {
+                let effects = self.fleet.on_store(self.now, id, outcome);
+                self.take_fleet(effects);
+            }
+            // The owners of keys ask nothing yet.
+            store::StorePart::Keys => {}
+        }
+    }
+
+    pub(crate) fn take_fleet(&mut self, effects: Vec<FleetEffect>) {
         for effect in effects {
             self.take_fleet_effect(effect);
         }
@@ -103,6 +114,16 @@
                 self.member_known(view);
             }
             FleetEffect::MemberGone { node, reason } => self.member_gone(node, reason),
+            FleetEffect::AdoptChange(change) => self.adopt_logged(&change),
+            FleetEffect::AdoptSnapshot(snapshot) => self.adopt_whole(&snapshot),
+            FleetEffect::WantSnapshot { wanted } => self.encode_rules(wanted),
+            FleetEffect::ProposalEnded {
+                change,
+                revision,
+                end,
+            } => self.change_ended(change, revision, &end),
+            // The entry side asks before each request.
+            FleetEffect::Ready => {}
             FleetEffect::Report(report) => self.report(effect::StateChange::Part {
                 part: PART,
                 text: report.to_string(),
@@ -153,6 +174,7 @@
         let suspects: Vec<_> = suspects.collect();
         json!({
             "joined": self.fleet.joined(),
+            "rules_compared": self.fleet.is_ready(),
             "members": self.fleet.table().live(),
             "remembered_gone": self.fleet.table().tombstones(),
             "suspects": suspects,
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -10,8 +10,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    calls, config, counters, directory, effect, event, overload, repeats, rulebook, runs, stopping,
-    timers,
+    applying, calls, config, counters, directory, effect, event, overload, repeats, rulebook, runs,
+    stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -34,6 +34,7 @@
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
     pub(crate) fleet: fleet::FleetState,
+    pub(crate) proposed: Option<applying::OpenApply>,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
 }
@@ -52,6 +53,7 @@
     ) -> Self {
         Self {
             fleet: crate::fleet::membership(&config, seed),
+            proposed: None,
             directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
             overload: overload::OverloadState::new(config.node, policy),
             config,
@@ -70,6 +72,13 @@
         }
     }
 
+    /// Lets the node keep rules and contacts in the platform's store.
+    #[must_use]
+    pub fn with_store(mut self) -> Self {
+        self.fleet.use_store(self.now);
+        self
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// A `now` behind the last one counts as the last one.
@@ -141,8 +150,7 @@
             event::NodeEvent::OperatorAsked { handle, request } => {
                 self.operator_asked(handle, request);
             }
-            // Nobody asks the store yet.
-            event::NodeEvent::StoreAnswered { .. } => {}
+            event::NodeEvent::StoreAnswered { id, outcome } => self.store_answered(id, outcome),
             event::NodeEvent::Woke => {
                 self.fire_timers();
                 self.wake_fleet();
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -28,6 +28,11 @@
         if self.refuses_callers() {
             return Some(verdict::RefusalReason::Leaving);
         }
+        // A fresh node would decide by rules that its peers have left behind, and the request
+        // would be treated as nobody ordered; the caller is told to come back instead.
+        if !self.fleet.is_ready() {
+            return Some(verdict::RefusalReason::RulesUnknown);
+        }
         if let Some(limit) = self.quarantine_of(open.context.print) {
             self.blame(sequence, limit);
             return Some(verdict::RefusalReason::Quarantined);
--- /dev/null
+++ b/crates/anvil_membership/src/asking.rs
@@ -0,0 +1,103 @@
+//! The questions to the store that are out, and what each is for.
+
+use std::time::Duration;
+
+use anvil_types::{store, time};
+
+/// Time after which an unanswered question counts as lost; longer than the longest watch.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+/// What a question is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskPurpose {
+    /// Find nodes to join through, or other parts of the fleet.
+    FindContacts,
+    /// Get a lease for a contact slot.
+    GrantContact {
+        /// The slot.
+        slot: u8,
+    },
+    /// Take a contact slot.
+    TakeContact {
+        /// The slot.
+        slot: u8,
+        /// The lease that the entry hangs on.
+        lease: store::LeaseId,
+    },
+    /// Keep the contact slot.
+    RenewContact,
+    /// Give the contact slot back.
+    ReleaseContact,
+    /// Wait for changes.
+    WatchLog,
+    /// Read the changes behind those held.
+    ReadLog,
+    /// Read the newest snapshot's manifest.
+    ReadManifest,
+    /// Read one chunk of the newest snapshot.
+    ReadChunk,
+    /// Write the operator's change.
+    Propose,
+    /// Read back whether the operator's change was written.
+    Resolve,
+    /// Write a part of a new snapshot, or remove what it makes needless.
+    Snapshot,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenAsk {
+    sequence: u64,
+    purpose: AskPurpose,
+    lost_at: time::NodeTime,
+}
+
+/// The questions that are out, sorted by number.
+#[derive(Clone, Debug, Default)]
+pub struct OpenAsks {
+    sequence: u64,
+    open: Vec<OpenAsk>,
+}
+
+impl OpenAsks {
+    /// Notes a question and gives its identity.
+    pub fn open(&mut self, purpose: AskPurpose, now: time::NodeTime) -> store::StoreId {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.open.push(OpenAsk {
+            sequence,
+            purpose,
+            lost_at: now + ANSWER_LIMIT,
+        });
+        store::StoreId {
+            part: store::StorePart::Fleet,
+            sequence,
+        }
+    }
+
+    /// Whether a question for `purpose` is out.
+    pub fn is_open(&self, purpose: AskPurpose) -> bool {
+        self.open.iter().any(|ask| ask.purpose == purpose)
+    }
+
+    /// Takes the question that an answer belongs to.
+    pub fn close(&mut self, id: store::StoreId) -> Option<AskPurpose> {
+        let place = self
+            .open
+            .binary_search_by_key(&id.sequence, |ask| ask.sequence);
+        place.ok().map(|place| self.open.remove(place).purpose)
+    }
+
+    /// Takes the questions whose answers are overdue; the edge may have dropped them.
+    pub fn take_lost(&mut self, now: time::NodeTime) -> Vec<AskPurpose> {
+        let lost = |ask: &&OpenAsk| ask.lost_at <= now;
+        let purposes = self.open.iter().filter(lost).map(|ask| ask.purpose);
+        let purposes = purposes.collect();
+        self.open.retain(|ask| ask.lost_at > now);
+        purposes
+    }
+
+    /// When the next answer is overdue.
+    pub fn next_lost(&self) -> Option<time::NodeTime> {
+        self.open.iter().map(|ask| ask.lost_at).min()
+    }
+}
--- a/crates/anvil_membership/src/config.rs
+++ b/crates/anvil_membership/src/config.rs
@@ -7,8 +7,10 @@
 /// Settings of one node's membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetConfig {
-    /// TCP addresses of nodes to join through without the store; may be empty.
+    /// Datagram addresses of nodes to join through without the store; may be empty.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the settings name a store; without one, rules live in the nodes' memory only.
+    pub store: bool,
     /// Time between two probes.
     pub period: Duration,
     /// Time after which an unanswered ping is sent once more.
@@ -56,6 +58,7 @@
     fn default() -> Self {
         Self {
             seeds: Vec::new(),
+            store: false,
             period: Duration::from_secs(1),
             resend: Duration::from_millis(250),
             indirect: Duration::from_millis(500),
--- /dev/null
+++ b/crates/anvil_membership/src/contact.rs
@@ -0,0 +1,87 @@
+//! The few nodes of a zone that stand in the store, for newcomers and as watchers.
+
+use std::time::Duration;
+
+use anvil_types::{backoff, store, time};
+
+/// Contact slots of each zone.
+///
+/// Three survive the loss of two at once; each costs the store a renewal every five seconds.
+pub const CONTACT_SLOTS: u8 = 3;
+
+/// Slots whose holders watch the log of changes; two, so that the loss of one goes unnoticed.
+pub const WATCH_SLOTS: u8 = 2;
+
+/// Span of a contact's lease.
+pub const CONTACT_LEASE: Duration = Duration::from_secs(15);
+
+/// Time between two renewals.
+pub const RENEW_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time between two looks at which slots of the own zone are vacant.
+pub const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time that each candidate gives the ones before it.
+pub const CANDIDATE_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between two lists of all contacts by a contact, to find parts of the fleet unknown to it.
+pub const FIND_INTERVAL: Duration = Duration::from_secs(60);
+
+/// First and longest pause after the store failed.
+const PAUSE_FIRST: Duration = Duration::from_secs(1);
+const PAUSE_LIMIT: Duration = Duration::from_secs(30);
+
+/// A slot that this node holds.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldSlot {
+    /// The slot.
+    pub slot: u8,
+    /// The lease.
+    pub lease: store::LeaseId,
+    /// The write that took the slot.
+    pub version: store::StoreVersion,
+    /// When to renew.
+    pub renew_at: time::NodeTime,
+}
+
+/// What this node has to do with contact entries.
+#[derive(Clone, Debug)]
+pub struct ContactState {
+    /// The slot held, if any.
+    pub held: Option<HeldSlot>,
+    /// When to list the contacts next.
+    pub find_at: time::NodeTime,
+    /// When to look for a vacant slot next.
+    pub look_at: time::NodeTime,
+    /// Since when each slot of the zone stands vacant.
+    pub vacant: [Option<time::NodeTime>; CONTACT_SLOTS as usize],
+    /// Pauses after failures of the store.
+    pub backoff: backoff::RetryBackoff,
+    /// Whether the store ever listed the contacts.
+    pub listed: bool,
+}
+
+impl ContactState {
+    /// Lists the contacts at `find_at` for the first time.
+    pub fn new(find_at: time::NodeTime) -> Self {
+        Self {
+            held: None,
+            find_at,
+            look_at: find_at + LOOK_INTERVAL / 5,
+            vacant: [None; CONTACT_SLOTS as usize],
+            backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
+            listed: false,
+        }
+    }
+
+    /// Whether this node watches the log of changes.
+    pub fn watches(&self) -> bool {
+        self.held.is_some_and(|held| held.slot < WATCH_SLOTS)
+    }
+
+    /// When something is due next.
+    pub fn next_wake(&self) -> time::NodeTime {
+        let due = self.find_at.min(self.look_at);
+        self.held.map_or(due, |held| due.min(held.renew_at))
+    }
+}
--- a/crates/anvil_membership/src/counters.rs
+++ b/crates/anvil_membership/src/counters.rs
@@ -31,11 +31,19 @@
     pub claims_refused: u64,
     /// Pauses of this process.
     pub pauses: u64,
+    /// Accepted changes and snapshots taken.
+    pub rules_adopted: u64,
+    /// Pulls sent for changes that others hold.
+    pub rule_pulls: u64,
+    /// Questions to the platform's store.
+    pub store_asked: u64,
+    /// Questions whose answers were lost, or that were not made.
+    pub store_failed: u64,
 }
 
 impl FleetCounters {
     /// Names and values, for the metrics and the dump.
-    pub fn pairs(&self) -> [(&'static str, u64); 14] {
+    pub fn pairs(&self) -> [(&'static str, u64); 18] {
         [
             ("fleet_datagrams_sent", self.datagrams_sent),
             ("fleet_datagrams_received", self.datagrams_received),
@@ -51,6 +59,10 @@
             ("fleet_members_replaced", self.members_replaced),
             ("fleet_claims_refused", self.claims_refused),
             ("fleet_pauses", self.pauses),
+            ("fleet_rules_adopted", self.rules_adopted),
+            ("fleet_rule_pulls", self.rule_pulls),
+            ("fleet_store_asked", self.store_asked),
+            ("fleet_store_failed", self.store_failed),
         ]
     }
 }
--- a/crates/anvil_membership/src/effect.rs
+++ b/crates/anvil_membership/src/effect.rs
@@ -6,7 +6,7 @@
 use anvil_wire::gossip;
 use derive_more::Display;
 
-use crate::member;
+use crate::{member, proposal};
 
 /// Why a member is no longer there.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -53,6 +53,21 @@
         /// The incarnation that refutes.
         incarnation: u32,
     },
+    /// This node holds a contact slot of its zone.
+    #[display("contact: slot={slot}")]
+    Contact {
+        /// The slot.
+        slot: u8,
+    },
+    /// This node's contact lease ran out.
+    #[display("contact lease lapsed")]
+    ContactLapsed,
+    /// The rules were compared with others or with the store; work may be served.
+    #[display("rules ready: revision={revision}")]
+    RulesReady {
+        /// The revision held.
+        revision: ident::RuleRevision,
+    },
     /// This process did not run for a while.
     #[display("paused: millis={millis}")]
     Paused {
@@ -61,6 +76,15 @@
     },
 }
 
+/// What an encoded document is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SnapshotUse {
+    /// A member that missed more than the changes kept.
+    Peer(ident::NodeId),
+    /// A snapshot in the store.
+    Store,
+}
+
 /// Everything that membership does to its surroundings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetEffect {
@@ -98,6 +122,26 @@
         /// Why.
         reason: GoneReason,
     },
+    /// Put the next accepted change in force.
+    AdoptChange(gossip::LoggedChange),
+    /// Put the whole rules in force; the body holds them encoded.
+    AdoptSnapshot(gossip::LoggedChange),
+    /// Encode the whole rules held; `give_snapshot` takes them.
+    WantSnapshot {
+        /// What for.
+        wanted: SnapshotUse,
+    },
+    /// The operator's change came to its end.
+    ProposalEnded {
+        /// The operator's id of the change.
+        change: u128,
+        /// The revision that it made or would have made.
+        revision: ident::RuleRevision,
+        /// How it ended.
+        end: proposal::ProposalEnd,
+    },
+    /// The rules were compared; work may be served from now on.
+    Ready,
     /// Write a log line.
     Report(FleetReport),
 }
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -4,18 +4,32 @@
 //! rumours, and mended by an exchange of digests. See `docs/design/membership.md`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_types::{ident, name, time};
 use anvil_wire::gossip;
 
 use crate::effect::{FleetEffect, FleetReport};
 use crate::member::MemberState;
-use crate::{config, counters, health, member, probe, pushing, random, relay, suspicion, table};
+use crate::{
+    asking, config, contact, counters, health, member, probe, pushing, random, relay, snapshot,
+    spread, suspicion, table,
+};
 
+mod asks;
 mod claims;
+mod contacts;
 mod probing;
+mod proposing;
+mod rules;
+mod snapshots;
 mod syncing;
 
+pub use proposing::ProposalRefusal;
+
+/// Shortest time between two wakes.
+const WAKE_GAP: Duration = Duration::from_millis(1);
+
 /// Exchanges of digests of a fresh node that follow one another ten times as fast.
 const EARLY_SYNCS: u8 = 4;
 
@@ -74,12 +88,17 @@
 pub struct FleetState {
     config: config::FleetConfig,
     local: ident::NodeId,
+    zone: name::ZoneName,
+    udp: SocketAddr,
     incarnation: u32,
     left: bool,
     joined: bool,
     repeating: bool,
     early_syncs: u8,
-    revision: ident::RuleRevision,
+    asks: asking::OpenAsks,
+    contacts: contact::ContactState,
+    rules: spread::RuleSpread,
+    snapshot: snapshot::SnapshotState,
     table: table::MemberTable,
     relays: relay::RelayQueue,
     pushing: pushing::PushState,
@@ -89,6 +108,7 @@
     choice: random::ChoiceSource,
     timers: FleetTimers,
     awake: time::NodeTime,
+    woke: time::NodeTime,
     counters: counters::FleetCounters,
 }
 
@@ -109,16 +129,25 @@
             trim: now + config.reconnect_interval,
         };
         let first_turn = now + choice.span(config.period);
+        let first_find = now + choice.span(config.resend);
+        let first_snapshot = choice.below(spread::SNAPSHOT_EVERY as usize) as u64;
+        let first_snapshot = ident::RuleRevision(spread::SNAPSHOT_EVERY + first_snapshot);
+        let rules = spread::RuleSpread::new(now, config.store, !config.seeds.is_empty());
         let mut state = Self {
             pushing: pushing::PushState::new(&config, now),
             config,
             local: local.node,
+            zone: local.zone.clone(),
+            udp: local.udp,
             incarnation: 0,
             left: false,
             joined: false,
             repeating: true,
             early_syncs: EARLY_SYNCS,
-            revision: ident::RuleRevision::default(),
+            asks: asking::OpenAsks::default(),
+            contacts: contact::ContactState::new(first_find),
+            rules,
+            snapshot: snapshot::SnapshotState::new(first_snapshot),
             table: table::MemberTable::default(),
             relays: relay::RelayQueue::default(),
             suspicions: suspicion::SuspicionList::default(),
@@ -127,12 +156,19 @@
             choice,
             timers,
             awake: now,
+            woke: time::NodeTime::START,
             counters: counters::FleetCounters::default(),
         };
         state.announce(local.facts(), now);
         state
     }
 
+    /// Lets the node use the platform's store; to be called before the first event.
+    pub fn use_store(&mut self, now: time::NodeTime) {
+        self.config.store = true;
+        self.rules = spread::RuleSpread::new(now, true, !self.config.seeds.is_empty());
+    }
+
     /// The local node's identity.
     pub fn local(&self) -> ident::NodeId {
         self.local
@@ -201,6 +237,7 @@
         // Said twice to different members, since nobody will repeat it for this node.
         self.push_rumour(&mut out);
         self.push_rumour(&mut out);
+        self.release_contact(now, &mut out);
         self.left = true;
         out
     }
@@ -223,6 +260,7 @@
             self.apply(now, update, &mut out);
         }
         self.on_head(now, message.head, &mut out);
+        self.hear_revision(now, from, message.head, &mut out);
         self.on_kind(now, from, message, &mut out);
         self.push_now(now, &mut out);
         out
@@ -235,6 +273,7 @@
             return out;
         }
         self.note_pause(now, &mut out);
+        self.woke = now;
         self.join_when_due(now, &mut out);
         self.probe_when_due(now, &mut out);
         self.judge_suspects(now, &mut out);
@@ -242,6 +281,9 @@
         self.reconnect_when_due(now, &mut out);
         self.sync_when_due(now, &mut out);
         self.trim_when_due(now);
+        self.lose_asks(now, &mut out);
+        self.contacts_when_due(now, &mut out);
+        self.rules_when_due(now, &mut out);
         self.push_now(now, &mut out);
         out
     }
@@ -260,7 +302,15 @@
         let live = self.table.live();
         let suspect = self.suspicions.next_deadline(&self.config, live);
         let push = self.pushing.next_wake();
-        Some(suspect.into_iter().chain(push).fold(due, Ord::min))
+        if self.config.store {
+            due = due.min(self.contacts.next_wake());
+        }
+        let asks = self.asks.next_lost();
+        let rules = self.rules_next();
+        let others = [suspect, push, asks, rules].into_iter().flatten();
+        // A due time that nothing moves on would make the reducer spin; it costs a thousand wakes
+        // a second at most.
+        Some(others.fold(due, Ord::min).max(self.woke + WAKE_GAP))
     }
 
     /// Keeps probes and suspicions of a paused process from accusing others.
@@ -294,7 +344,7 @@
             relays: 0,
             relay_serial: 0,
             since: now,
-            revision: self.revision,
+            revision: self.revision(),
             facts,
         };
         self.table.put(record);
@@ -362,7 +412,8 @@
         gossip::GossipHead {
             from: self.local,
             incarnation: self.incarnation,
-            revision: self.revision,
+            revision: self.revision(),
+            ready: self.rules.ready,
         }
     }
 }
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -0,0 +1,257 @@
+//! Contact entries in the store: joining through them, taking a vacant slot, keeping it.
+
+use anvil_types::{ident, store, time};
+use anvil_wire::gossip;
+
+use crate::asking::AskPurpose;
+use crate::contact::{self, HeldSlot};
+use crate::effect::{FleetEffect, FleetReport};
+use crate::fleet::FleetState;
+use crate::keys;
+use crate::member::MemberState;
+
+/// Most contacts read at once; 14 zones have 42.
+const LIST_LIMIT: u32 = 256;
+
+/// Contacts that a newcomer asks at once.
+const JOIN_CONTACTS: usize = 3;
+
+impl FleetState {
+    /// Does what the contact entries have due.
+    pub(super) fn contacts_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if !self.config.store {
+            return;
+        }
+        if now >= self.contacts.find_at {
+            self.find_contacts(now, out);
+        }
+        if self.contacts.held.is_some_and(|held| held.renew_at <= now) {
+            self.renew_contact(now, out);
+        }
+        if now >= self.contacts.look_at {
+            self.look_for_vacancy(now, out);
+        }
+    }
+
+    /// Takes the outcome of a question about contacts.
+    pub(super) fn on_contact_answer(
+        &mut self,
+        now: time::NodeTime,
+        purpose: AskPurpose,
+        outcome: store::StoreOutcome,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        match (purpose, outcome) {
+            (
+                AskPurpose::FindContacts,
+                store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
+            ) => self.found_contacts(now, &entries, out),
+            (AskPurpose::FindContacts, _) => {
+                let pause = self.contacts.backoff.next_pause(self.choice.any());
+                self.contacts.find_at = now + pause;
+            }
+            (
+                AskPurpose::GrantContact { slot },
+                store::StoreOutcome::Done(store::StoreReply::Granted { lease }),
+            ) => self.take_contact(now, slot, lease, out),
+            (
+                AskPurpose::TakeContact { slot, lease },
+                store::StoreOutcome::Done(store::StoreReply::Swapped { version }),
+            ) => self.contact_taken(now, slot, lease, version, out),
+            (AskPurpose::TakeContact { slot, .. }, store::StoreOutcome::Conflict { current }) => {
+                self.contact_denied(slot, current.as_ref(), out);
+            }
+            (AskPurpose::RenewContact, store::StoreOutcome::Done(store::StoreReply::Lapsed)) => {
+                self.contact_lapsed(now, out);
+            }
+            // An unavailable store keeps the entries as they are; the next look tries again.
+            _ => {}
+        }
+    }
+
+    /// Gives the slot back on a planned stop, so that it isn't vacant for a lease's span.
+    pub(super) fn release_contact(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if let Some(held) = self.contacts.held.take() {
+            let key = keys::contact(&self.zone, held.slot);
+            let version = held.version;
+            let ask = store::StoreAsk::Remove { key, version };
+            self.ask(now, AskPurpose::ReleaseContact, ask, out);
+        }
+    }
+
+    fn find_contacts(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        // An answer sets the next time; without one, the loss of the question does.
+        self.contacts.find_at = now + contact::FIND_INTERVAL * 2;
+        let ask = store::StoreAsk::List {
+            prefix: store::StoreKey::new(keys::CONTACTS),
+            after: None,
+            limit: LIST_LIMIT,
+        };
+        self.ask(now, AskPurpose::FindContacts, ask, out);
+    }
+
+    /// Joins through contacts that this node doesn't know alive: all of the fleet for a newcomer,
+    /// the other part where the fleet fell apart for longer than the dead are remembered.
+    fn found_contacts(
+        &mut self,
+        now: time::NodeTime,
+        entries: &[store::StoreEntry],
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.contacts.backoff.reset();
+        self.contacts.listed = true;
+        let decoded = entries.iter();
+        let decoded = decoded.filter_map(|entry| gossip::ContactEntry::from_value(&entry.value));
+        let mut strangers: Vec<_> = decoded
+            .filter(|contact| {
+                let known = self.table.get(contact.node);
+                known.is_none_or(|record| record.state == MemberState::Gone)
+            })
+            .collect();
+        self.choice.shuffle(&mut strangers);
+        for contact in strangers.iter().take(JOIN_CONTACTS) {
+            self.join_through(contact.udp, out);
+        }
+        // Only contacts look on, so the reads grow with the zones and not with the nodes.
+        let interval = if self.joined || strangers.is_empty() {
+            contact::FIND_INTERVAL
+        } else {
+            contact::LOOK_INTERVAL
+        };
+        self.contacts.find_at = now + interval + self.choice.span(interval / 4);
+        if self.joined && self.contacts.held.is_none() {
+            self.contacts.find_at = time::NodeTime(u64::MAX);
+        }
+        if strangers.is_empty() && !self.joined {
+            self.read_log_soon(now);
+        }
+    }
+
+    fn renew_contact(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let Some(held) = &mut self.contacts.held else {
+            return;
+        };
+        held.renew_at = now + contact::RENEW_INTERVAL;
+        let lease = held.lease;
+        let ask = store::StoreAsk::Renew { lease };
+        self.ask(now, AskPurpose::RenewContact, ask, out);
+    }
+
+    /// Becomes a candidate where a slot of the own zone has stood vacant long enough.
+    fn look_for_vacancy(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let jitter = self.choice.span(contact::LOOK_INTERVAL / 4);
+        self.contacts.look_at = now + contact::LOOK_INTERVAL + jitter;
+        if !self.contacts.listed || self.contacts.held.is_some() || self.is_leaving() {
+            return;
+        }
+        for slot in 0..contact::CONTACT_SLOTS {
+            if self.slot_is_held(slot) {
+                self.contacts.vacant[usize::from(slot)] = None;
+                continue;
+            }
+            let since = *self.contacts.vacant[usize::from(slot)].get_or_insert(now);
+            let wait = contact::CANDIDATE_WAIT * self.candidates_before(slot);
+            if now.since(since) >= wait {
+                let lease = contact::CONTACT_LEASE;
+                let ask = store::StoreAsk::Grant { lease };
+                self.ask(now, AskPurpose::GrantContact { slot }, ask, out);
+                return;
+            }
+        }
+    }
+
+    fn slot_is_held(&self, slot: u8) -> bool {
+        let mut members = self.table.all().iter();
+        members.any(|m| {
+            m.state.is_live() && m.facts.contact == Some(slot) && m.facts.zone == self.zone
+        })
+    }
+
+    /// Members of the zone that come before this node for `slot`.
+    ///
+    /// Every node computes the same order, so a vacant slot costs the store one grant and not one
+    /// from each node of the zone.
+    fn candidates_before(&self, slot: u8) -> u32 {
+        let turn = |node: ident::NodeId| node.0.rotate_left(u32::from(slot) * 21);
+        let own = turn(self.local);
+        let members = self.table.all().iter().filter(|m| {
+            m.state == MemberState::Alive && m.facts.zone == self.zone && m.facts.contact.is_none()
+        });
+        let before = members.filter(|m| !m.facts.leaving && turn(m.node) < own);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    fn take_contact(
+        &mut self,
+        now: time::NodeTime,
+        slot: u8,
+        lease: store::LeaseId,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let entry = gossip::ContactEntry {
+            node: self.local,
+            udp: self.udp,
+        };
+        let Some(value) = entry.to_value() else {
+            return;
+        };
+        let ask = store::StoreAsk::Swap {
+            key: keys::contact(&self.zone, slot),
+            base: store::SwapBase::Absent,
+            value,
+            lease: Some(lease),
+        };
+        self.ask(now, AskPurpose::TakeContact { slot, lease }, ask, out);
+    }
+
+    fn contact_taken(
+        &mut self,
+        now: time::NodeTime,
+        slot: u8,
+        lease: store::LeaseId,
+        version: store::StoreVersion,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.contacts.held = Some(HeldSlot {
+            slot,
+            lease,
+            version,
+            renew_at: now + contact::RENEW_INTERVAL,
+        });
+        self.contacts.find_at = now + contact::FIND_INTERVAL;
+        self.read_log_soon(now);
+        self.set_contact(now, Some(slot));
+        out.push(FleetEffect::Report(FleetReport::Contact { slot }));
+    }
+
+    /// Meets the holder that this node didn't know of; it may stand for a part of the fleet.
+    fn contact_denied(
+        &mut self,
+        slot: u8,
+        current: Option<&store::StoreEntry>,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        self.contacts.vacant[usize::from(slot)] = None;
+        let entry = current.and_then(|entry| gossip::ContactEntry::from_value(&entry.value));
+        if let Some(entry) = entry.filter(|entry| entry.node != self.local) {
+            self.join_through(entry.udp, out);
+        }
+    }
+
+    /// Stops acting as a contact; a paused holder learns here that its lease ran out.
+    fn contact_lapsed(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        self.contacts.held = None;
+        self.set_contact(now, None);
+        out.push(FleetEffect::Report(FleetReport::ContactLapsed));
+    }
+
+    fn set_contact(&mut self, now: time::NodeTime, slot: Option<u8>) {
+        let Some(record) = self.table.get(self.local) else {
+            return;
+        };
+        let mut facts = record.facts.clone();
+        facts.contact = slot;
+        self.incarnation += 1;
+        self.announce(facts, now);
+    }
+}
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -94,11 +94,11 @@
                 let updates = self.claim(self.local).into_iter().collect();
                 self.send(from, GossipKind::Rumour, updates, out);
             }
-            GossipKind::Welcome
-            | GossipKind::Rumour
-            | GossipKind::PullChanges { .. }
-            | GossipKind::Changes { .. }
-            | GossipKind::Census(_) => {}
+            GossipKind::PullChanges { after } => self.answer_pull(from, sender, *after, out),
+            GossipKind::Changes { changes } => {
+                self.take_changes(changes, out);
+            }
+            GossipKind::Welcome | GossipKind::Rumour | GossipKind::Census(_) => {}
         }
         self.greet_stranger(from, message, out);
     }
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -0,0 +1,367 @@
+//! Rule changes: adopting them in order, learning of newer ones, handing them on.
+
+use std::net::SocketAddr;
+
+use anvil_types::{ident, store, time};
+use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+use bytes::Bytes;
+
+use crate::asking::AskPurpose;
+use crate::effect::{FleetEffect, FleetReport, SnapshotUse};
+use crate::fleet::FleetState;
+use crate::rule_log::OfferStanding;
+use crate::{keys, spread};
+
+/// Bytes of changes that go on a datagram; more go over TCP.
+const DATAGRAM_BYTES: usize = 900;
+
+impl FleetState {
+    /// Whether work may be served: the revision held was compared with peers or with the store.
+    ///
+    /// A newcomer that served at once would treat requests by rules that its peers have left
+    /// behind, seconds or days ago.
+    pub fn is_ready(&self) -> bool {
+        self.rules.ready
+    }
+
+    /// The revision held.
+    pub fn revision(&self) -> ident::RuleRevision {
+        self.rules.log.held()
+    }
+
+    /// The last accepted changes, oldest first.
+    pub fn changes(&self) -> impl DoubleEndedIterator<Item = &gossip::LoggedChange> {
+        self.rules.log.tail()
+    }
+
+    /// Hands on the whole rules that [`FleetEffect::WantSnapshot`] asked for.
+    pub fn give_snapshot(
+        &mut self,
+        now: time::NodeTime,
+        wanted: SnapshotUse,
+        body: Bytes,
+    ) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        let snapshot = gossip::LoggedChange {
+            revision: self.revision(),
+            change: self.rules.log.last_change(),
+            body,
+        };
+        match wanted {
+            SnapshotUse::Peer(peer) => {
+                self.send_changes(peer, Some(snapshot), Vec::new(), &mut out);
+            }
+            SnapshotUse::Store => self.begin_chunks(now, snapshot, &mut out),
+        }
+        out
+    }
+
+    /// Does what the rules have due.
+    pub(super) fn rules_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        self.pull_again(now, out);
+        if self.config.store {
+            self.read_when_due(now, out);
+            self.watch_when_due(now, out);
+            self.propose_when_due(now, out);
+            self.snapshot_when_due(now, out);
+        }
+        self.become_ready(now, out);
+    }
+
+    /// When the rules have something due next.
+    pub(super) fn rules_next(&self) -> Option<time::NodeTime> {
+        let rules = &self.rules;
+        let pull = rules.pull.map(|pull| pull.retry_at);
+        let waits = !rules.ready && !self.config.store && rules.log.held() >= rules.highest;
+        let alone = waits.then_some(rules.alone_at);
+        let watch = self.may_watch().then_some(rules.watch_at);
+        let read = rules.read_at.filter(|_| !self.reads_rules());
+        let proposal = rules.proposal.as_ref().and_then(|p| p.next.map(|n| n.0));
+        let snapshot = self.snapshot.next_wake();
+        let due = [pull, alone, watch, read, proposal, snapshot];
+        due.into_iter().flatten().min()
+    }
+
+    /// Notes the revision in a message's head, and pulls where it is newer.
+    pub(super) fn hear_revision(
+        &mut self,
+        now: time::NodeTime,
+        from: SocketAddr,
+        head: gossip::GossipHead,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let rules = &mut self.rules;
+        rules.highest = rules.highest.max(head.revision);
+        let enough = rules.heard.len() >= spread::PEERS_COMPARED;
+        if head.ready && !rules.ready && !enough && !rules.heard.contains(&head.from) {
+            rules.heard.push(head.from);
+        }
+        if head.revision > rules.log.held() {
+            let open = rules.pull.is_some_and(|pull| pull.retry_at > now);
+            if !open {
+                self.pull(now, from, head.revision, out);
+            }
+        } else if head.ready && !rules.ready && rules.log.held() >= rules.highest {
+            self.read_log_soon(now);
+        }
+        self.become_ready(now, out);
+    }
+
+    /// Takes changes from a peer or from the store, in any order; tells whether some are missing.
+    pub(super) fn take_changes(
+        &mut self,
+        changes: &[gossip::LoggedChange],
+        out: &mut Vec<FleetEffect>,
+    ) -> bool {
+        let mut sorted: Vec<_> = changes.iter().collect();
+        sorted.sort_by_key(|change| change.revision);
+        let mut gap = false;
+        for change in sorted {
+            match self.rules.log.standing(change.revision) {
+                OfferStanding::Old => {}
+                OfferStanding::Gap => gap = true,
+                OfferStanding::Next => {
+                    self.rules.log.push(change);
+                    out.push(FleetEffect::AdoptChange(change.clone()));
+                    self.after_adoption();
+                }
+            }
+        }
+        gap
+    }
+
+    /// Takes the whole rules where they are newer.
+    pub(super) fn take_snapshot(
+        &mut self,
+        snapshot: &gossip::LoggedChange,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if self.rules.log.jump(snapshot) {
+            out.push(FleetEffect::AdoptSnapshot(snapshot.clone()));
+            self.after_adoption();
+        }
+    }
+
+    /// Answers a member that holds less.
+    pub(super) fn answer_pull(
+        &mut self,
+        from: SocketAddr,
+        peer: ident::NodeId,
+        after: ident::RuleRevision,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if after >= self.revision() {
+            return;
+        }
+        let Some(mut changes) = self.rules.log.since(after) else {
+            let wanted = SnapshotUse::Peer(peer);
+            out.push(FleetEffect::WantSnapshot { wanted });
+            return;
+        };
+        changes.truncate(gossip::CHANGES_LIMIT);
+        let bytes: usize = changes.iter().map(|change| change.body.len() + 32).sum();
+        if bytes <= DATAGRAM_BYTES {
+            self.send(from, GossipKind::Changes { changes }, Vec::new(), out);
+        } else {
+            self.send_changes(peer, None, changes, out);
+        }
+    }
+
+    /// Reads the log in the store at the next chance.
+    pub(super) fn read_log_soon(&mut self, now: time::NodeTime) {
+        if self.config.store && (!self.rules.store_failed || self.rules.read_at.is_none()) {
+            self.rules.read_at = Some(now);
+        }
+    }
+
+    /// Takes the outcome of a question about the log.
+    pub(super) fn on_log_answer(
+        &mut self,
+        now: time::NodeTime,
+        purpose: AskPurpose,
+        outcome: store::StoreOutcome,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let store::StoreOutcome::Done(store::StoreReply::Listed {
+            entries,
+            seen,
+            more,
+        }) = outcome
+        else {
+            self.log_failed(now, purpose, out);
+            return;
+        };
+        self.rules.backoff.reset();
+        self.rules.store_failed = false;
+        let decoded = entries.iter();
+        let decoded = decoded.filter_map(|entry| gossip::LoggedChange::from_value(&entry.value));
+        let changes: Vec<_> = decoded.collect();
+        let gap = self.take_changes(&changes, out);
+        self.rules.watch_at = now;
+        if purpose == AskPurpose::WatchLog {
+            self.rules.seen = self.rules.seen.max(seen);
+            if gap {
+                self.read_log_soon(now);
+            }
+        } else if gap {
+            // The log has been trimmed behind a snapshot.
+            let key = store::StoreKey::new(keys::MANIFEST);
+            self.ask(
+                now,
+                AskPurpose::ReadManifest,
+                store::StoreAsk::Get { key },
+                out,
+            );
+        } else if more {
+            self.rules.read_at = Some(now);
+        } else {
+            self.rules.seen = self.rules.seen.max(seen);
+            self.rules.compared = true;
+        }
+        self.become_ready(now, out);
+    }
+
+    /// Whether a question about the log or a snapshot is out.
+    fn reads_rules(&self) -> bool {
+        let purposes = [
+            AskPurpose::ReadLog,
+            AskPurpose::ReadManifest,
+            AskPurpose::ReadChunk,
+        ];
+        purposes.iter().any(|purpose| self.asks.is_open(*purpose))
+    }
+
+    fn may_watch(&self) -> bool {
+        self.config.store
+            && self.rules.compared
+            && self.contacts.watches()
+            && !self.asks.is_open(AskPurpose::WatchLog)
+    }
+
+    fn log_failed(&mut self, now: time::NodeTime, purpose: AskPurpose, out: &mut Vec<FleetEffect>) {
+        let pause = self.rules.backoff.next_pause(self.choice.any());
+        if purpose == AskPurpose::WatchLog {
+            self.rules.watch_at = now + pause;
+            return;
+        }
+        self.rules.store_failed = true;
+        self.rules.read_at = Some(now + pause);
+        self.become_ready(now, out);
+    }
+
+    fn after_adoption(&mut self) {
+        self.counters.rules_adopted += 1;
+        self.pushing.request();
+        let held = self.revision();
+        let rules = &mut self.rules;
+        rules.highest = rules.highest.max(held);
+        if rules.pull.is_some_and(|pull| pull.revision <= held) {
+            rules.pull = None;
+        }
+    }
+
+    fn pull(
+        &mut self,
+        now: time::NodeTime,
+        from: SocketAddr,
+        revision: ident::RuleRevision,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let after = self.revision();
+        self.rules.pull = Some(spread::OpenPull {
+            from,
+            revision,
+            retry_at: now + spread::PULL_RETRY,
+        });
+        self.counters.rule_pulls += 1;
+        self.send(from, GossipKind::PullChanges { after }, Vec::new(), out);
+    }
+
+    /// Pulls again from a random member where the first one did not answer.
+    fn pull_again(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let Some(pull) = self.rules.pull.filter(|pull| pull.retry_at <= now) else {
+            return;
+        };
+        if pull.revision <= self.revision() {
+            self.rules.pull = None;
+            return;
+        }
+        let held = self.revision();
+        let ahead = |m: &crate::member::MemberRecord| m.state.is_live() && m.revision > held;
+        let other = self
+            .table
+            .draw(&mut self.choice, ahead)
+            .map(|m| m.facts.udp);
+        self.pull(now, other.unwrap_or(pull.from), pull.revision, out);
+    }
+
+    fn send_changes(
+        &mut self,
+        peer: ident::NodeId,
+        snapshot: Option<gossip::LoggedChange>,
+        changes: Vec<gossip::LoggedChange>,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let head = self.head();
+        let message = SyncMessage::Changes {
+            head,
+            snapshot,
+            changes,
+        };
+        self.send_sync(peer, message, out);
+    }
+
+    fn read_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let due = self.rules.read_at.is_some_and(|at| at <= now);
+        if !due || self.reads_rules() {
+            return;
+        }
+        self.rules.read_at = None;
+        let held = self.revision();
+        let ask = store::StoreAsk::List {
+            prefix: store::StoreKey::new(keys::LOG),
+            after: (held.0 > 0).then(|| keys::logged(held)),
+            limit: spread::READ_LIMIT,
+        };
+        self.ask(now, AskPurpose::ReadLog, ask, out);
+    }
+
+    fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if !self.may_watch() || self.rules.watch_at > now {
+            return;
+        }
+        let ask = store::StoreAsk::Watch {
+            prefix: store::StoreKey::new(keys::LOG),
+            seen: self.rules.seen,
+            wait: spread::WATCH_WAIT,
+        };
+        self.ask(now, AskPurpose::WatchLog, ask, out);
+    }
+
+    fn become_ready(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if self.rules.ready || !self.has_compared(now) {
+            return;
+        }
+        self.rules.ready = true;
+        let revision = self.revision();
+        out.push(FleetEffect::Ready);
+        out.push(FleetEffect::Report(FleetReport::RulesReady { revision }));
+    }
+
+    fn has_compared(&self, now: time::NodeTime) -> bool {
+        let rules = &self.rules;
+        if rules.log.held() < rules.highest {
+            return false;
+        }
+        if rules.compared {
+            return true;
+        }
+        let others = self.table.live().saturating_sub(1);
+        let wanted = others.clamp(1, spread::PEERS_COMPARED);
+        let heard_enough = rules.heard.len() >= wanted;
+        if self.config.store {
+            return rules.store_failed && heard_enough;
+        }
+        heard_enough || now >= rules.alone_at
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/src/fleet/snapshots.rs
@@ -0,0 +1,337 @@
+//! Snapshots of the rules in the store: writing them in chunks, trimming the log, reading them.
+
+use anvil_types::{ident, store, time};
+use anvil_wire::gossip;
+use bytes::Bytes;
+
+use crate::asking::AskPurpose;
+use crate::effect::{FleetEffect, SnapshotUse};
+use crate::fleet::FleetState;
+use crate::snapshot::{SnapshotStep, SnapshotWrite};
+use crate::{keys, spread};
+
+/// Entries of the log removed in one go.
+const TRIM_LIMIT: u32 = 128;
+
+impl FleetState {
+    /// Writes a snapshot where the log has grown long, one step at a time.
+    pub(super) fn snapshot_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        if self.snapshot.open.is_none() {
+            if !self.contacts.watches() || self.revision() < self.snapshot.wanted_at {
+                return;
+            }
+            self.snapshot.open = Some(SnapshotWrite {
+                step: SnapshotStep::Check,
+                base: store::SwapBase::Absent,
+                manifest: None,
+                body: Bytes::new(),
+            });
+            self.snapshot.due = Some(now);
+        }
+        if self.snapshot.due.take_if(|due| *due <= now).is_some() {
+            self.snapshot_step(now, out);
+        }
+    }
+
+    /// Begins to write the chunks of `snapshot`.
+    pub(super) fn begin_chunks(
+        &mut self,
+        now: time::NodeTime,
+        snapshot: gossip::LoggedChange,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let local = self.local;
+        let Some(open) = &mut self.snapshot.open else {
+            return;
+        };
+        let chunks = snapshot.body.len().div_ceil(spread::CHUNK_BYTES);
+        open.manifest = Some(gossip::SnapshotManifest {
+            revision: snapshot.revision,
+            change: snapshot.change,
+            writer: local,
+            chunks: u32::try_from(chunks).unwrap_or(u32::MAX),
+        });
+        open.body = snapshot.body;
+        open.step = SnapshotStep::Chunk { next: 0 };
+        self.snapshot_step(now, out);
+    }
+
+    /// Takes the outcome of one step.
+    pub(super) fn on_snapshot_answer(
+        &mut self,
+        now: time::NodeTime,
+        outcome: store::StoreOutcome,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let Some(open) = self.snapshot.open.take() else {
+            return;
+        };
+        let failed = matches!(
+            outcome,
+            store::StoreOutcome::Unavailable | store::StoreOutcome::Unknown
+        );
+        if failed {
+            let pause = self.snapshot.backoff.next_pause(self.choice.any());
+            // A manifest whose answer was lost is looked at before anything else is done.
+            let step = match open.step {
+                SnapshotStep::Publish => SnapshotStep::Check,
+                step => step,
+            };
+            self.snapshot.open = Some(SnapshotWrite { step, ..open });
+            self.snapshot.due = Some(now + pause);
+            return;
+        }
+        self.snapshot.backoff.reset();
+        match self.after_step(open, outcome) {
+            Some(next) => {
+                self.snapshot.open = Some(next);
+                self.snapshot_step(now, out);
+            }
+            None => self.schedule_snapshot(),
+        }
+    }
+
+    /// Takes the manifest of a snapshot that is to be read.
+    pub(super) fn on_manifest(
+        &mut self,
+        now: time::NodeTime,
+        outcome: store::StoreOutcome,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let found = match outcome {
+            store::StoreOutcome::Done(store::StoreReply::Entry(Some(entry))) => {
+                gossip::SnapshotManifest::from_value(&entry.value)
+            }
+            _ => None,
+        };
+        match found.filter(|manifest| manifest.chunks <= spread::CHUNK_LIMIT) {
+            Some(manifest) => {
+                self.rules.load = Some(spread::SnapshotLoad {
+                    manifest,
+                    body: Vec::new(),
+                    next: 0,
+                });
+                self.read_chunk(now, out);
+            }
+            None => self.load_failed(now),
+        }
+    }
+
+    /// Takes one chunk of the snapshot that is being read.
+    pub(super) fn on_chunk(
+        &mut self,
+        now: time::NodeTime,
+        outcome: store::StoreOutcome,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let (Some(mut load), store::StoreOutcome::Done(store::StoreReply::Entry(Some(entry)))) =
+            (self.rules.load.take(), outcome)
+        else {
+            // Replaced by a newer snapshot meanwhile, or the store failed: begin again.
+            self.load_failed(now);
+            return;
+        };
+        load.body.extend_from_slice(&entry.value);
+        load.next += 1;
+        if load.next < load.manifest.chunks {
+            self.rules.load = Some(load);
+            self.read_chunk(now, out);
+            return;
+        }
+        let snapshot = gossip::LoggedChange {
+            revision: load.manifest.revision,
+            change: load.manifest.change,
+            body: Bytes::from(load.body),
+        };
+        self.take_snapshot(&snapshot, out);
+        self.rules.read_at = Some(now);
+    }
+
+    fn read_chunk(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let Some(load) = &self.rules.load else {
+            return;
+        };
+        let manifest = load.manifest;
+        let key = keys::chunk(manifest.revision, manifest.writer, load.next);
+        self.ask(
+            now,
+            AskPurpose::ReadChunk,
+            store::StoreAsk::Get { key },
+            out,
+        );
+    }
+
+    fn load_failed(&mut self, now: time::NodeTime) {
+        self.rules.load = None;
+        self.rules.store_failed = true;
+        let pause = self.rules.backoff.next_pause(self.choice.any());
+        self.rules.read_at = Some(now + pause);
+    }
+
+    /// Sets the revision of the next snapshot; random, so that seldom two nodes write the same.
+    fn schedule_snapshot(&mut self) {
+        let spread = self.choice.below(spread::SNAPSHOT_EVERY as usize / 2) as u64;
+        let held = self.revision().0;
+        self.snapshot.wanted_at = ident::RuleRevision(held + spread::SNAPSHOT_EVERY + spread);
+    }
+
+    fn snapshot_step(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let Some(open) = &self.snapshot.open else {
+            return;
+        };
+        let ask = match &open.step {
+            SnapshotStep::Check => store::StoreAsk::Get {
+                key: store::StoreKey::new(keys::MANIFEST),
+            },
+            SnapshotStep::Encode => {
+                let wanted = SnapshotUse::Store;
+                out.push(FleetEffect::WantSnapshot { wanted });
+                return;
+            }
+            SnapshotStep::Chunk { next } => match chunk_ask(open, *next) {
+                Some(ask) => ask,
+                None => return,
+            },
+            SnapshotStep::Publish => match publish_ask(open) {
+                Some(ask) => ask,
+                None => return,
+            },
+            SnapshotStep::ListLog => list_ask(keys::LOG, None, TRIM_LIMIT),
+            // One at a time, since each brings its whole value.
+            SnapshotStep::ListChunks { after } => list_ask(keys::SNAPSHOTS, after.clone(), 1),
+            SnapshotStep::Remove { entry, version, .. } => store::StoreAsk::Remove {
+                key: entry.clone(),
+                version: *version,
+            },
+        };
+        self.ask(now, AskPurpose::Snapshot, ask, out);
+    }
+
+    /// The write with its next step; none where it is done with.
+    fn after_step(
+        &self,
+        mut open: SnapshotWrite,
+        outcome: store::StoreOutcome,
+    ) -> Option<SnapshotWrite> {
+        open.step = match (open.step.clone(), outcome) {
+            (SnapshotStep::Check, store::StoreOutcome::Done(store::StoreReply::Entry(found))) => {
+                self.after_check(&mut open, found)?
+            }
+            (SnapshotStep::Chunk { next }, _) => {
+                // A chunk that stands there already was written before a lost answer.
+                let last = open.manifest.is_none_or(|m| next + 1 >= m.chunks);
+                if last {
+                    SnapshotStep::Publish
+                } else {
+                    SnapshotStep::Chunk { next: next + 1 }
+                }
+            }
+            (SnapshotStep::Publish, store::StoreOutcome::Done(_)) => SnapshotStep::ListLog,
+            (SnapshotStep::Publish, _) => SnapshotStep::Check,
+            (
+                SnapshotStep::ListLog,
+                store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
+            ) => trim_step(&open, &entries),
+            (
+                SnapshotStep::ListChunks { .. },
+                store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
+            ) => sweep_step(&open, entries.first()?),
+            (SnapshotStep::Remove { rest, then, .. }, _) => remove_step(rest, *then),
+            _ => return None,
+        };
+        Some(open)
+    }
+
+    fn after_check(
+        &self,
+        open: &mut SnapshotWrite,
+        found: Option<store::StoreEntry>,
+    ) -> Option<SnapshotStep> {
+        let Some(entry) = found else {
+            open.base = store::SwapBase::Absent;
+            return Some(SnapshotStep::Encode);
+        };
+        open.base = store::SwapBase::At(entry.version);
+        let current = gossip::SnapshotManifest::from_value(&entry.value)?;
+        if open.manifest == Some(current) {
+            return Some(SnapshotStep::ListLog);
+        }
+        let due = current.revision.0 + spread::SNAPSHOT_EVERY <= self.revision().0;
+        due.then_some(SnapshotStep::Encode)
+    }
+}
+
+fn chunk_ask(open: &SnapshotWrite, next: u32) -> Option<store::StoreAsk> {
+    let manifest = open.manifest?;
+    let start = next as usize * spread::CHUNK_BYTES;
+    let end = (start + spread::CHUNK_BYTES).min(open.body.len());
+    Some(store::StoreAsk::Swap {
+        key: keys::chunk(manifest.revision, manifest.writer, next),
+        base: store::SwapBase::Absent,
+        value: open.body.slice(start.min(end)..end),
+        lease: None,
+    })
+}
+
+fn publish_ask(open: &SnapshotWrite) -> Option<store::StoreAsk> {
+    Some(store::StoreAsk::Swap {
+        key: store::StoreKey::new(keys::MANIFEST),
+        base: open.base,
+        value: open.manifest?.to_value()?,
+        lease: None,
+    })
+}
+
+fn list_ask(prefix: &str, after: Option<store::StoreKey>, limit: u32) -> store::StoreAsk {
+    store::StoreAsk::List {
+        prefix: store::StoreKey::new(prefix),
+        after,
+        limit,
+    }
+}
+
+/// Removes the entries of the log that lie well behind the snapshot, then looks at the chunks.
+fn trim_step(open: &SnapshotWrite, entries: &[store::StoreEntry]) -> SnapshotStep {
+    let sweep = SnapshotStep::ListChunks { after: None };
+    let Some(manifest) = open.manifest else {
+        return sweep;
+    };
+    let kept_from = manifest.revision.0.saturating_sub(spread::LOG_KEPT);
+    let limit = keys::logged(ident::RuleRevision(kept_from));
+    let old = entries.iter().filter(|entry| entry.key < limit);
+    let old: Vec<_> = old.map(|e| (e.key.clone(), e.version)).collect();
+    let then = if old.len() < TRIM_LIMIT as usize {
+        sweep
+    } else {
+        SnapshotStep::ListLog
+    };
+    remove_step(old, then)
+}
+
+/// Removes a chunk that belongs to no snapshot at or behind the present one, then looks on.
+fn sweep_step(open: &SnapshotWrite, entry: &store::StoreEntry) -> SnapshotStep {
+    let after = Some(entry.key.clone());
+    let then = SnapshotStep::ListChunks { after };
+    let own = open.manifest.map(|m| keys::chunk(m.revision, m.writer, 0));
+    // Keys sort by revision; a writer that is still busy with a newer one is left alone.
+    let older = own.is_some_and(|own| entry.key < own);
+    if older {
+        return remove_step(vec![(entry.key.clone(), entry.version)], then);
+    }
+    then
+}
+
+fn remove_step(
+    mut rest: Vec<(store::StoreKey, store::StoreVersion)>,
+    then: SnapshotStep,
+) -> SnapshotStep {
+    match rest.pop() {
+        Some((entry, version)) => SnapshotStep::Remove {
+            entry,
+            version,
+            rest,
+            then: Box::new(then),
+        },
+        None => then,
+    }
+}
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -38,6 +38,10 @@
         self.note_pause(now, &mut out);
         self.counters.syncs_received += 1;
         self.on_head(now, message.head(), &mut out);
+        let sender = self.table.get(peer).map(|m| m.facts.udp);
+        if let Some(from) = sender {
+            self.hear_revision(now, from, message.head(), &mut out);
+        }
         match message {
             SyncMessage::Digest { sums, .. } => self.on_digest(peer, sums, &mut out),
             SyncMessage::Headers {
@@ -49,12 +53,26 @@
             SyncMessage::Members {
                 updates, wanted, ..
             } => self.on_members(now, peer, updates, wanted, &mut out),
-            SyncMessage::Changes { .. } => {}
+            SyncMessage::Changes {
+                snapshot, changes, ..
+            } => {
+                if let Some(snapshot) = snapshot {
+                    self.take_snapshot(snapshot, &mut out);
+                }
+                self.take_changes(changes, &mut out);
+            }
         }
         self.push_now(now, &mut out);
         out
     }
 
+    /// Joins through the node at `address`, beside the seeds and the store's contacts.
+    pub fn join(&mut self, address: SocketAddr) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        self.join_through(address, &mut out);
+        out
+    }
+
     /// Asks a seed to be let in, until any member has answered.
     pub(super) fn join_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
         if self.joined || now < self.timers.join {
@@ -108,6 +126,11 @@
             return;
         }
         self.timers.trim = now + self.config.reconnect_interval;
+        if self.joined && self.table.live() == 1 {
+            // Everybody is gone, so nobody will speak to this node first: join anew.
+            self.joined = false;
+            self.contacts.find_at = now;
+        }
         let span = self.config.tombstone_span.as_micros();
         let span = u64::try_from(span).unwrap_or(u64::MAX);
         let before = time::NodeTime(now.0.saturating_sub(span));
--- a/crates/anvil_membership/src/lib.rs
+++ b/crates/anvil_membership/src/lib.rs
@@ -3,17 +3,24 @@
 //! One [`fleet::FleetState`] answers all of it for one node; nothing in here reads a clock or
 //! opens a socket. See `docs/design/membership.md` and `docs/design/rule-distribution.md`.
 
+pub mod asking;
 pub mod config;
+pub mod contact;
 pub mod counters;
 pub mod digest;
 pub mod effect;
 pub mod fleet;
 pub mod health;
+pub mod keys;
 pub mod member;
 pub mod names;
 pub mod probe;
+pub mod proposal;
 pub mod pushing;
 pub mod random;
 pub mod relay;
+pub mod rule_log;
+pub mod snapshot;
+pub mod spread;
 pub mod suspicion;
 pub mod table;
--- a/crates/anvil_membership/src/random.rs
+++ b/crates/anvil_membership/src/random.rs
@@ -13,6 +13,11 @@
         Self(Pcg64Mcg::seed_from_u64(seed))
     }
 
+    /// Any number.
+    pub fn any(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+
     /// A number below `bound`, or zero where `bound` is zero.
     pub fn below(&mut self, bound: usize) -> usize {
         if bound == 0 {
--- /dev/null
+++ b/crates/anvil_membership/src/spread.rs
@@ -0,0 +1,120 @@
+//! What a node knows about the rules in force, and how it learns more.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{backoff, ident, store, time};
+use anvil_wire::gossip;
+
+use crate::{proposal, rule_log};
+
+/// Ready members whose revisions a newcomer compares with when the store can't be read.
+pub const PEERS_COMPARED: usize = 3;
+
+/// Time in which a newcomer first learns from peers before it reads the store.
+pub const PEERS_FIRST: Duration = Duration::from_millis(1_500);
+
+/// Time after which a node without a store and without ready peers begins on its own.
+pub const ALONE_AFTER: Duration = Duration::from_secs(2);
+
+/// Time after which a pull is sent again.
+pub const PULL_RETRY: Duration = Duration::from_millis(300);
+
+/// Longest wait of one watch.
+pub const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Changes read at once.
+pub const READ_LIMIT: u32 = 64;
+
+/// Changes between two snapshots: the log stays below this, a random part and the kept ones.
+pub const SNAPSHOT_EVERY: u64 = 512;
+
+/// Changes that stay in the log behind a snapshot, for readers that are just behind.
+pub const LOG_KEPT: u64 = 256;
+
+/// Bytes of one chunk of a snapshot, half of what the store holds in a value.
+pub const CHUNK_BYTES: usize = store::VALUE_LIMIT / 2;
+
+/// Most chunks of a snapshot that a reader takes.
+pub const CHUNK_LIMIT: u32 = 32;
+
+const PAUSE_FIRST: Duration = Duration::from_secs(1);
+const PAUSE_LIMIT: Duration = Duration::from_secs(10);
+
+/// A pull from a member that holds more.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenPull {
+    /// Whom it was sent to.
+    pub from: SocketAddr,
+    /// The revision that member holds.
+    pub revision: ident::RuleRevision,
+    /// When it is sent again.
+    pub retry_at: time::NodeTime,
+}
+
+/// A snapshot being read from the store.
+#[derive(Clone, Debug)]
+pub struct SnapshotLoad {
+    /// What is being read.
+    pub manifest: gossip::SnapshotManifest,
+    /// The chunks so far, one behind another.
+    pub body: Vec<u8>,
+    /// The next chunk.
+    pub next: u32,
+}
+
+/// The rules as far as this node holds them, and the ways to more.
+#[derive(Clone, Debug)]
+pub struct RuleSpread {
+    /// The changes held.
+    pub log: rule_log::RuleLog,
+    /// Whether the revision held was compared with peers or with the store.
+    pub ready: bool,
+    /// Ready members heard, at most [`PEERS_COMPARED`].
+    pub heard: Vec<ident::NodeId>,
+    /// The highest revision heard of.
+    pub highest: ident::RuleRevision,
+    /// The pull that is out.
+    pub pull: Option<OpenPull>,
+    /// When to read the log in the store next.
+    pub read_at: Option<time::NodeTime>,
+    /// Whether the last read failed.
+    pub store_failed: bool,
+    /// Whether the log was read to its end, with nothing behind the revision held.
+    pub compared: bool,
+    /// When a node without any source begins on its own.
+    pub alone_at: time::NodeTime,
+    /// When to watch the log next.
+    pub watch_at: time::NodeTime,
+    /// The point in the store's order up to which the log is known.
+    pub seen: store::StoreVersion,
+    /// Pauses after failures of the store.
+    pub backoff: backoff::RetryBackoff,
+    /// A snapshot being read.
+    pub load: Option<SnapshotLoad>,
+    /// The operator's change being written.
+    pub proposal: Option<proposal::OpenProposal>,
+}
+
+impl RuleSpread {
+    /// Holds nothing at `now`.
+    pub fn new(now: time::NodeTime, reads_store: bool, has_seeds: bool) -> Self {
+        Self {
+            log: rule_log::RuleLog::default(),
+            // Without a store and without peers there is nothing to compare with.
+            ready: !reads_store && !has_seeds,
+            heard: Vec::new(),
+            highest: ident::RuleRevision::default(),
+            pull: None,
+            read_at: reads_store.then_some(now + PEERS_FIRST),
+            store_failed: false,
+            compared: false,
+            alone_at: now + ALONE_AFTER,
+            watch_at: now,
+            seen: store::StoreVersion::default(),
+            backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
+            load: None,
+            proposal: None,
+        }
+    }
+}
--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -8,9 +8,12 @@
 
 use anvil_membership::effect::{FleetEffect, FleetReport, GoneReason};
 use anvil_membership::member::MemberState;
+use anvil_membership::proposal::ProposalEnd;
 use anvil_membership::{config, fleet, random};
-use anvil_types::{ident, name, time};
+use anvil_standins::store::fake;
+use anvil_types::{ident, name, store, time};
 use anvil_wire::gossip;
+use bytes::Bytes;
 
 /// One-way time of a message inside a region and across regions.
 const NEAR: Duration = Duration::from_millis(2);
@@ -20,6 +23,9 @@
     Wake,
     Datagram(SocketAddr, gossip::GossipMessage),
     Sync(ident::NodeId, gossip::SyncMessage),
+    AtStore(store::StoreId, store::StoreAsk),
+    StoreAnswer(store::StoreId, store::StoreOutcome),
+    StoreTick,
 }
 
 /// One node of the harness.
@@ -32,6 +38,10 @@
     pub paused_until: time::NodeTime,
     pub reports: Vec<(time::NodeTime, FleetReport)>,
     pub gone: Vec<(time::NodeTime, ident::NodeId, GoneReason)>,
+    /// The ids of the changes in force, in order.
+    pub document: Vec<u128>,
+    pub ready_at: Option<time::NodeTime>,
+    pub proposals: Vec<(u128, ident::RuleRevision, ProposalEnd)>,
     wake_at: time::NodeTime,
 }
 
@@ -43,6 +53,10 @@
     /// Regions that no message leaves or enters.
     pub cut: Vec<usize>,
     pub choice: random::ChoiceSource,
+    pub store: fake::FakeStore<(usize, store::StoreId)>,
+    /// Regions from which the store can't be reached.
+    pub store_cut: Vec<usize>,
+    ticking: bool,
     queue: BinaryHeap<Reverse<(time::NodeTime, u64, usize)>>,
     payloads: Vec<Option<Due>>,
 }
@@ -57,6 +71,14 @@
     SocketAddr::new(IpAddr::V4(ip), 7_000)
 }
 
+/// Settings of a node that finds the others through the store.
+pub fn with_store() -> config::FleetConfig {
+    config::FleetConfig {
+        store: true,
+        ..config::FleetConfig::default()
+    }
+}
+
 impl Net {
     pub fn new(seed: u64) -> Self {
         Self {
@@ -65,6 +87,9 @@
             loss_percent: 0,
             cut: Vec::new(),
             choice: random::ChoiceSource::new(seed),
+            store: fake::FakeStore::new(seed),
+            store_cut: Vec::new(),
+            ticking: false,
             queue: BinaryHeap::new(),
             payloads: Vec::new(),
         }
@@ -88,10 +113,41 @@
     }
 
     /// Starts a node at the address of slot `slot` and gives its index.
+    /// A fleet whose nodes know the store and no seed.
+    pub fn with_store(size: usize, regions: usize, seed: u64) -> Self {
+        let mut net = Self::new(seed);
+        for index in 0..size {
+            net.add(index % regions, &with_store());
+        }
+        let all = |net: &Self| {
+            let whole = |n: &Node| n.state.is_ready() && n.state.table().live() == size;
+            net.nodes.iter().all(whole)
+        };
+        net.run_until(Duration::from_secs(90), all);
+        assert!(all(&net), "the fleet joined through the store");
+        net
+    }
+
+    /// Lets a node write an operator's change; false where it refuses to try.
+    pub fn propose(&mut self, index: usize, change: u128) -> bool {
+        let now = self.now;
+        let body = Bytes::copy_from_slice(&change.to_le_bytes());
+        let proposed = self.nodes[index].state.propose(now, change, body);
+        let Ok(effects) = proposed else {
+            return false;
+        };
+        self.carry_out(index, effects);
+        true
+    }
+
     pub fn add_at(&mut self, slot: usize, region: usize, config: &config::FleetConfig) -> usize {
         let index = self.nodes.len();
         let config = config::FleetConfig {
-            seeds: vec![address(0)],
+            seeds: if config.store {
+                Vec::new()
+            } else {
+                vec![address(0)]
+            },
             ..config.clone()
         };
         let local = fleet::LocalNode {
@@ -110,6 +166,9 @@
             paused_until: time::NodeTime::START,
             reports: Vec::new(),
             gone: Vec::new(),
+            document: Vec::new(),
+            ready_at: None,
+            proposals: Vec::new(),
             wake_at: time::NodeTime(u64::MAX),
         });
         let now = self.now;
@@ -192,6 +251,11 @@
         let Some(due) = self.payloads[payload].take() else {
             return;
         };
+        match due {
+            Due::StoreTick => return self.tick_store(),
+            Due::AtStore(id, ask) => return self.arrive_at_store(index, id, &ask),
+            _ => {}
+        }
         let node = &mut self.nodes[index];
         if !node.running {
             return;
@@ -212,6 +276,8 @@
             }
             Due::Datagram(from, message) => node.state.on_datagram(now, from, &message),
             Due::Sync(peer, message) => node.state.on_sync(now, peer, &message),
+            Due::StoreAnswer(id, outcome) => node.state.on_store(now, id, outcome),
+            Due::AtStore(..) | Due::StoreTick => return,
         };
         self.carry_out(index, effects);
     }
@@ -247,9 +313,39 @@
                     let now = self.now;
                     self.nodes[index].reports.push((now, report));
                 }
-                FleetEffect::AskStore { .. }
-                | FleetEffect::MemberUp(_)
-                | FleetEffect::MemberChanged(_) => {}
+                FleetEffect::AskStore { id, ask } => {
+                    let at = self.now + NEAR;
+                    self.push(at, index, Due::AtStore(id, ask));
+                }
+                FleetEffect::AdoptChange(change) => {
+                    let node = &mut self.nodes[index];
+                    node.document.push(change.change);
+                    assert_eq!(node.document.len() as u64, change.revision.0);
+                }
+                FleetEffect::AdoptSnapshot(snapshot) => {
+                    let ids = snapshot.body.chunks_exact(16);
+                    let ids = ids.map(|id| u128::from_le_bytes(id.try_into().expect("16 bytes")));
+                    let document: Vec<_> = ids.collect();
+                    let node = &mut self.nodes[index];
+                    assert!(document.starts_with(&node.document), "nothing is undone");
+                    assert_eq!(document.len() as u64, snapshot.revision.0);
+                    node.document = document;
+                }
+                FleetEffect::WantSnapshot { wanted } => {
+                    let ids = self.nodes[index].document.iter();
+                    let body: Vec<u8> = ids.flat_map(|id| id.to_le_bytes()).collect();
+                    let now = self.now;
+                    let state = &mut self.nodes[index].state;
+                    let effects = state.give_snapshot(now, wanted, Bytes::from(body));
+                    self.carry_out(index, effects);
+                }
+                FleetEffect::ProposalEnded {
+                    change,
+                    revision,
+                    end,
+                } => self.nodes[index].proposals.push((change, revision, end)),
+                FleetEffect::Ready => self.nodes[index].ready_at = Some(self.now),
+                FleetEffect::MemberUp(_) | FleetEffect::MemberChanged(_) => {}
             }
         }
         let next = self.nodes[index].state.next_wake();
@@ -258,6 +354,41 @@
         }
     }
 
+    fn arrive_at_store(&mut self, index: usize, id: store::StoreId, ask: &store::StoreAsk) {
+        let cut = self.store_cut.contains(&self.nodes[index].region);
+        let outcome = if cut {
+            Some(store::StoreOutcome::Unavailable)
+        } else {
+            self.store.carry_out(self.now, (index, id), ask)
+        };
+        if let Some(outcome) = outcome {
+            let at = self.now + NEAR;
+            self.push(at, index, Due::StoreAnswer(id, outcome));
+        }
+        self.answer_watches();
+        if self.store.waiting() > 0 && !self.ticking {
+            self.ticking = true;
+            let at = self.now + Duration::from_millis(200);
+            self.push(at, index, Due::StoreTick);
+        }
+    }
+
+    fn tick_store(&mut self) {
+        self.answer_watches();
+        self.ticking = self.store.waiting() > 0;
+        if self.ticking {
+            let at = self.now + Duration::from_millis(200);
+            self.push(at, 0, Due::StoreTick);
+        }
+    }
+
+    fn answer_watches(&mut self) {
+        for ((index, id), outcome) in self.store.due_watches(self.now) {
+            let at = self.now + NEAR;
+            self.push(at, index, Due::StoreAnswer(id, outcome));
+        }
+    }
+
     fn send(&mut self, from: usize, to: SocketAddr, due: Due) {
         let slot = match to.ip() {
             IpAddr::V4(ip) => (u32::from(ip) - 0x0a00_0000) as usize,
--- /dev/null
+++ b/crates/anvil_membership/tests/rule_spread.rs
@@ -0,0 +1,207 @@
+//! Rule changes against a naive version: one shared document.
+
+use std::time::Duration;
+
+use anvil_membership::proposal::ProposalEnd;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+mod harness;
+
+use harness::Net;
+
+#[test]
+fn an_accepted_change_is_everywhere_within_two_seconds() {
+    // An operator applies a change through one node; every node decides by it soon after.
+    let mut net = Net::with_store(60, 3, 21);
+    net.run(Duration::from_secs(20));
+    assert!(net.propose(7, 1));
+    let spread = |net: &Net| net.nodes.iter().all(|n| n.document == [1]);
+    let took = net.run_until(Duration::from_secs(20), spread);
+    assert!(took <= Duration::from_secs(2), "took {took:?}");
+}
+
+#[test]
+fn an_answer_lost_behind_the_effect_is_told_as_accepted() {
+    // The operator is told the truth although the store's answer to the write was lost.
+    // The write takes effect, its answer is lost, the place is read back, and the id is the own.
+    let mut net = Net::with_store(6, 1, 22);
+    net.store.faults.lost_answers = 100;
+    assert!(net.propose(2, 9));
+    net.run(Duration::from_millis(100));
+    net.store.faults.lost_answers = 0;
+    net.run(Duration::from_secs(5));
+    let ends = &net.nodes[2].proposals;
+    assert!(
+        matches!(ends[..], [(9, _, ProposalEnd::Accepted)]),
+        "{ends:?}"
+    );
+    let logged = net.store.entries();
+    let logged = logged.filter(|entry| entry.key.as_str().starts_with("rules/log/"));
+    assert_eq!(logged.count(), 1, "the change was written once");
+}
+
+#[test]
+fn of_two_racing_operators_one_wins_and_the_other_sees_the_change() {
+    // Two operators apply from the same revision at the same moment through two nodes.
+    // The log's place exists once: one write creates it, the other meets it and is told which.
+    let mut net = Net::with_store(6, 2, 23);
+    assert!(net.propose(0, 100));
+    assert!(net.propose(1, 200));
+    net.run(Duration::from_secs(5));
+    let mut accepted = Vec::new();
+    let mut refused = Vec::new();
+    for node in &net.nodes {
+        for (change, _, end) in &node.proposals {
+            match end {
+                ProposalEnd::Accepted => accepted.push(*change),
+                ProposalEnd::Conflict { other } => refused.push((*change, other.change)),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert_eq!(accepted.len(), 1);
+    assert_eq!(refused, [(300 - accepted[0], accepted[0])]);
+}
+
+#[test]
+fn a_long_log_is_replaced_by_a_snapshot_that_newcomers_read() {
+    // A fleet that was replaced node by node must still know rules that are a thousand changes
+    // old. Watchers write snapshots and trim the log; a newcomer without peers reads the snapshot
+    // and the rest of the log, and holds the same document.
+    let mut net = Net::with_store(4, 1, 24);
+    net.run(Duration::from_secs(30));
+    for change in 1..=1_700 {
+        assert!(net.propose(change as usize % 4, change));
+        net.run(Duration::from_millis(500));
+    }
+    net.run(Duration::from_secs(60));
+    let keys = net.store.entries().map(|entry| entry.key.as_str());
+    let logged = keys.filter(|key| key.starts_with("rules/log/")).count();
+    assert!(logged < 1_300, "{logged} changes stay in the log");
+    let expected = net.nodes[0].document.clone();
+    assert_eq!(expected.len(), 1_700);
+    for index in 0..4 {
+        net.crash(index);
+    }
+    net.run(Duration::from_secs(20));
+    let late = net.add(0, &harness::with_store());
+    net.run(Duration::from_secs(20));
+    assert!(net.nodes[late].state.is_ready());
+    assert_eq!(net.nodes[late].document, expected);
+}
+
+/// One thing that happens to the fleet.
+#[derive(Clone, Debug)]
+enum Mishap {
+    Propose { node: usize },
+    LoseAnswers { percent: u32 },
+    LoseCalls { percent: u32 },
+    StoreDown { down: bool },
+    CutStore { region: Option<usize> },
+    Cut { region: Option<usize> },
+    LoseDatagrams { percent: usize },
+    Replace { node: usize },
+    Pause { node: usize, millis: u64 },
+}
+
+const NODES: usize = 9;
+const REGIONS: usize = 3;
+
+fn mishap() -> impl Strategy<Value = Mishap> {
+    let region = || proptest::option::of(0..REGIONS);
+    prop_oneof![
+        6 => (0..NODES).prop_map(|node| Mishap::Propose { node }),
+        1 => (0..80u32).prop_map(|percent| Mishap::LoseAnswers { percent }),
+        1 => (0..50u32).prop_map(|percent| Mishap::LoseCalls { percent }),
+        1 => any::<bool>().prop_map(|down| Mishap::StoreDown { down }),
+        1 => region().prop_map(|region| Mishap::CutStore { region }),
+        1 => region().prop_map(|region| Mishap::Cut { region }),
+        1 => (0..40usize).prop_map(|percent| Mishap::LoseDatagrams { percent }),
+        1 => (0..NODES).prop_map(|node| Mishap::Replace { node }),
+        1 => (0..NODES, 500..8_000u64).prop_map(|(node, millis)| Mishap::Pause { node, millis }),
+    ]
+}
+
+fn happen(net: &mut Net, mishap: &Mishap, next: &mut u128) {
+    match *mishap {
+        Mishap::Propose { node } => {
+            let index = running(net, node);
+            *next += u128::from(net.propose(index, *next));
+        }
+        Mishap::LoseAnswers { percent } => net.store.faults.lost_answers = percent,
+        Mishap::LoseCalls { percent } => net.store.faults.lost_calls = percent,
+        Mishap::StoreDown { down } => net.store.faults.down = down,
+        Mishap::CutStore { region } => net.store_cut = region.into_iter().collect(),
+        Mishap::Cut { region } => net.cut = region.into_iter().collect(),
+        Mishap::LoseDatagrams { percent } => net.loss_percent = percent,
+        Mishap::Replace { node } => {
+            let index = running(net, node);
+            net.crash(index);
+            net.add_at(node, node % REGIONS, &harness::with_store());
+        }
+        Mishap::Pause { node, millis } => {
+            let index = running(net, node);
+            net.nodes[index].paused_until = net.now + Duration::from_millis(millis);
+        }
+    }
+}
+
+/// The node that runs at the address of `slot`.
+fn running(net: &Net, slot: usize) -> usize {
+    let at = harness::address(slot);
+    let found = net.nodes.iter().rposition(|n| n.running && n.udp == at);
+    found.expect("one node runs at each address")
+}
+
+/// What the naive version would hold: one shared document that accepted changes are appended to.
+fn check_against_naive(net: &Net) {
+    let document = &net.nodes[running(net, 0)].document;
+    for node in &net.nodes {
+        if node.running {
+            assert_eq!(&node.document, document, "every node holds the same");
+        }
+        assert!(document.starts_with(&node.document), "nothing was undone");
+        for (change, revision, end) in &node.proposals {
+            let place = document.iter().position(|id| id == change);
+            match end {
+                ProposalEnd::Accepted => assert_eq!(place, Some(revision.0 as usize - 1)),
+                ProposalEnd::Conflict { .. } | ProposalEnd::Unavailable => {
+                    assert_eq!(place, None, "told as not accepted, so not in force");
+                }
+                ProposalEnd::Unknown => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_accepted_change_is_in_force_everywhere_once_the_network_heals(
+        mishaps in proptest::collection::vec((mishap(), 50..3_000u64), 5..40),
+    ) {
+        // Operators are never told something else than what then holds on every node, whatever
+        // was lost, cut, replaced or paused meanwhile. Forty-five seconds after the last fault
+        // are the longest pause after failed reads, a watch, a healed partition and spreading.
+        let mut net = Net::with_store(NODES, REGIONS, 31);
+        net.run(Duration::from_secs(10));
+        let mut next = 1;
+        for (mishap, millis) in &mishaps {
+            happen(&mut net, mishap, &mut next);
+            net.run(Duration::from_millis(*millis));
+        }
+        net.store.faults = anvil_standins::store::fake::StoreFaults::default();
+        net.store_cut.clear();
+        net.cut.clear();
+        net.loss_percent = 0;
+        net.run(Duration::from_secs(45));
+        check_against_naive(&net);
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/tests/store_contacts.rs
@@ -0,0 +1,90 @@
+//! Joining through the store, its outages, and how much it is asked.
+
+use std::time::Duration;
+
+mod harness;
+
+use harness::Net;
+
+#[test]
+fn a_fleet_finds_itself_through_the_store_alone() {
+    // Nodes start together with no seed; each zone's contacts stand in the store soon after.
+    let mut net = Net::with_store(30, 3, 11);
+    net.run(Duration::from_secs(30));
+    let contacts = net.store.entries();
+    let contacts = contacts.filter(|entry| entry.key.as_str().starts_with("contacts/"));
+    assert_eq!(contacts.count(), 9, "three contacts in each of three zones");
+    assert_eq!(net.store.waiting(), 6, "two watches in each zone");
+}
+
+#[test]
+fn the_store_is_asked_by_zones_and_not_by_nodes() {
+    // The store counts every call; four times the nodes in the same zones must not raise the rate.
+    let rate = |size: usize| {
+        let mut net = Net::with_store(size, 3, 12);
+        net.run(Duration::from_secs(60));
+        let before = net.store.counts();
+        net.run(Duration::from_secs(120));
+        let after = net.store.counts();
+        after.reads + after.writes - before.reads - before.writes
+    };
+    let (small, large) = (rate(24), rate(96));
+    assert!(large <= small + small / 10, "{small} calls grew to {large}");
+}
+
+#[test]
+fn a_joiner_during_an_outage_waits_and_then_serves() {
+    // A caller of a fresh node is refused as not run until the store is back: without a seed the
+    // node knows nobody, so it can't tell whether its rules are old.
+    let mut net = Net::with_store(12, 2, 13);
+    net.store.faults.down = true;
+    let late = net.add(0, &harness::with_store());
+    net.run(Duration::from_secs(60));
+    assert!(!net.nodes[late].state.is_ready());
+    net.store.faults.down = false;
+    let ready = |net: &Net| net.nodes[late].state.is_ready();
+    let took = net.run_until(Duration::from_secs(60), ready);
+    assert!(took <= Duration::from_secs(45), "took {took:?}");
+}
+
+#[test]
+fn a_joiner_with_a_seed_learns_the_rules_from_peers_in_an_outage() {
+    // A caller of the fresh node is served by the rules in force although the store is down.
+    // The node joins through a seed, pulls the changes from peers, hears three ready members
+    // that hold no more, and knows that the store can't be read.
+    let mut net = Net::with_store(12, 2, 14);
+    assert!(net.propose(3, 77));
+    net.run(Duration::from_secs(5));
+    net.store.faults.down = true;
+    let late = net.add(0, &harness::with_store());
+    let join = harness::address(1);
+    net.act(late, |state, _| state.join(join));
+    let ready = |net: &Net| net.nodes[late].state.is_ready();
+    let took = net.run_until(Duration::from_secs(60), ready);
+    assert!(took <= Duration::from_secs(15), "took {took:?}");
+    assert_eq!(net.nodes[late].document, [77]);
+}
+
+#[test]
+fn a_vanished_watcher_is_replaced() {
+    // A change accepted through any node must still be seen by watchers after some crashed.
+    // Both watchers of a zone vanish; their leases lapse, others take the slots and watch.
+    let mut net = Net::with_store(12, 1, 15);
+    net.run(Duration::from_secs(30));
+    for index in 0..12 {
+        let record = net.nodes[index].state.table().get(harness::id(index));
+        if record.is_some_and(|r| r.facts.contact.is_some_and(|slot| slot < 2)) {
+            net.crash(index);
+        }
+    }
+    assert_eq!(net.nodes.iter().filter(|n| n.running).count(), 10);
+    let running = |net: &Net| {
+        let held = |n: &&harness::Node| {
+            let record = n.state.table().get(n.state.local());
+            n.running && record.is_some_and(|r| r.facts.contact.is_some_and(|slot| slot < 2))
+        };
+        net.nodes.iter().filter(held).count() == 2
+    };
+    let took = net.run_until(Duration::from_secs(90), running);
+    assert!(took <= Duration::from_secs(60), "took {took:?}");
+}
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -206,20 +206,24 @@
         let exchange = self.start_target();
         let ring = self.settings.peer_keys.ring().clone();
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
-        // Nobody reads questions yet where no platform is named.
-        let (questions, _) = flume::bounded(platform::QUEUE_LIMIT);
+        let clock = clock::NodeClock::start();
+        let addresses = &self.settings.platform;
+        let store = platform::StoreQueue::start(addresses, clock, self.engine.clone())?;
         let engine = engine::NodeEngine {
-            clock: clock::NodeClock::start(),
+            clock,
             peers: peer::table::PeerTable::new(self.runtime.clone(), links),
             datagrams: datagram::DatagramSender::new(sending, sealer, self.counters.clone()),
             runs: runs::RunTable::new(self.runtime.clone(), exchange, self.engine.clone()),
-            store: platform::StoreQueue::new(questions),
+            store,
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
             asked: 0,
         };
         let policy = self.settings.policy;
-        let reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
+        let mut reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
+        if !addresses.is_empty() {
+            reducer = reducer.with_store();
+        }
         let builder = thread::Builder::new().name("reducer".to_owned());
         let thread = builder.spawn(move || engine.run(reducer, &inputs));
         thread.wrap_err("the reducer's thread could not be started")
--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -63,6 +63,7 @@
             from: NODE,
             incarnation: 1,
             revision: ident::RuleRevision(0),
+            ready: true,
         },
         kind: gossip::GossipKind::Rumour,
         updates: vec![gossip::MemberUpdate {
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod process;
 pub mod report;
 pub mod scenario;
+pub mod store;
--- /dev/null
+++ b/crates/anvil_standins/src/store/fake.rs
@@ -0,0 +1,391 @@
+//! A store without sockets and clock: entries, leases, watches and faults on demand.
+
+use std::time::Duration;
+
+use anvil_types::{store, time};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// What goes wrong at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Every call is refused, and nothing is done.
+    pub down: bool,
+    /// Share of the calls that are carried out but whose answer is lost, in percent.
+    pub lost_answers: u32,
+    /// Share of the calls that are lost before they are carried out, in percent.
+    pub lost_calls: u32,
+}
+
+/// Calls counted by kind, a watch that waits as one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Gets, lists and watches.
+    pub reads: u64,
+    /// Swaps, removals and everything about leases.
+    pub writes: u64,
+    /// Watches among the reads.
+    pub watches: u64,
+    /// Calls refused while the store was down.
+    pub refused: u64,
+    /// Largest value ever written, in bytes.
+    pub largest_value: usize,
+}
+
+#[derive(Clone, Debug)]
+struct FakeEntry {
+    entry: store::StoreEntry,
+    lease: Option<store::LeaseId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FakeLease {
+    id: store::LeaseId,
+    span: Duration,
+    until: time::NodeTime,
+}
+
+#[derive(Clone, Debug)]
+struct FakeWatch<Caller> {
+    caller: Caller,
+    prefix: store::StoreKey,
+    seen: store::StoreVersion,
+    until: time::NodeTime,
+}
+
+/// The store; `Caller` names whoever waits for a watch.
+#[derive(Clone, Debug)]
+pub struct FakeStore<Caller> {
+    /// What goes wrong at present.
+    pub faults: StoreFaults,
+    counts: CallCounts,
+    entries: Vec<FakeEntry>,
+    leases: Vec<FakeLease>,
+    watches: Vec<FakeWatch<Caller>>,
+    version: store::StoreVersion,
+    minted: u64,
+    choice: Pcg64Mcg,
+}
+
+impl<Caller> FakeStore<Caller>
+where
+    Caller: Clone,
+{
+    /// An empty store; `seed` chooses which answers are lost.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            faults: StoreFaults::default(),
+            counts: CallCounts::default(),
+            entries: Vec::new(),
+            leases: Vec::new(),
+            watches: Vec::new(),
+            version: store::StoreVersion(0),
+            minted: 0,
+            choice: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> CallCounts {
+        self.counts
+    }
+
+    /// Watches that wait.
+    pub fn waiting(&self) -> usize {
+        self.watches.len()
+    }
+
+    /// All entries, sorted by key.
+    pub fn entries<'store>(
+        &'store self,
+    ) -> impl Iterator<Item = &'store store::StoreEntry> + use<'store, Caller> {
+        self.entries.iter().map(|held| &held.entry)
+    }
+
+    /// Carries out one call; none where it is a watch that waits, or where no answer comes.
+    pub fn carry_out(
+        &mut self,
+        now: time::NodeTime,
+        caller: Caller,
+        ask: &store::StoreAsk,
+    ) -> Option<store::StoreOutcome> {
+        if let Some(refusal) = self.admit(now, ask) {
+            return Some(refusal);
+        }
+        let outcome = match ask {
+            store::StoreAsk::Watch { prefix, seen, wait } => {
+                self.watch(now, caller, prefix, *seen, *wait)?
+            }
+            _ => self.answer(now, ask),
+        };
+        if self.happens(self.faults.lost_answers) {
+            return Some(store::StoreOutcome::Unknown);
+        }
+        Some(outcome)
+    }
+
+    /// Counts one call; gives its outcome where a fault keeps it from being carried out.
+    pub fn admit(
+        &mut self,
+        now: time::NodeTime,
+        ask: &store::StoreAsk,
+    ) -> Option<store::StoreOutcome> {
+        self.lapse(now);
+        self.count(ask);
+        if self.faults.down {
+            self.counts.refused += 1;
+            return Some(store::StoreOutcome::Unavailable);
+        }
+        let lost = self.happens(self.faults.lost_calls);
+        lost.then_some(store::StoreOutcome::Unknown)
+    }
+
+    /// Ends the watches that have something to tell, or whose time is over.
+    pub fn due_watches(&mut self, now: time::NodeTime) -> Vec<(Caller, store::StoreOutcome)> {
+        self.lapse(now);
+        let mut ended = Vec::new();
+        let waiting = std::mem::take(&mut self.watches);
+        for watch in waiting {
+            let found = self.written_since(&watch.prefix, watch.seen);
+            if found.is_empty() && watch.until > now && !self.faults.down {
+                self.watches.push(watch);
+                continue;
+            }
+            let outcome = if self.faults.down {
+                store::StoreOutcome::Unknown
+            } else {
+                self.listed(found, false)
+            };
+            ended.push((watch.caller, outcome));
+        }
+        ended
+    }
+
+    /// What a watch of `prefix` would tell now; none where it goes on waiting and is not `over`.
+    pub fn peek(
+        &mut self,
+        prefix: &store::StoreKey,
+        seen: store::StoreVersion,
+        over: bool,
+    ) -> Option<store::StoreOutcome> {
+        let found = self.written_since(prefix, seen);
+        (over || !found.is_empty()).then(|| self.listed(found, false))
+    }
+
+    /// Drops every watch, as a restart of the platform does.
+    pub fn drop_watches(&mut self) -> Vec<(Caller, store::StoreOutcome)> {
+        let dropped = std::mem::take(&mut self.watches);
+        let ended = dropped.into_iter();
+        ended
+            .map(|watch| (watch.caller, store::StoreOutcome::Unknown))
+            .collect()
+    }
+
+    /// Ends the leases whose time is over, and their entries with them.
+    fn lapse(&mut self, now: time::NodeTime) {
+        let leases = &mut self.leases;
+        leases.retain(|lease| lease.until > now);
+        let alive = |id: store::LeaseId| leases.iter().any(|lease| lease.id == id);
+        let before = self.entries.len();
+        self.entries.retain(|held| held.lease.is_none_or(alive));
+        if self.entries.len() < before {
+            self.version.0 += 1;
+        }
+    }
+
+    fn count(&mut self, ask: &store::StoreAsk) {
+        match ask {
+            store::StoreAsk::Get { .. } | store::StoreAsk::List { .. } => self.counts.reads += 1,
+            store::StoreAsk::Watch { .. } => {
+                self.counts.reads += 1;
+                self.counts.watches += 1;
+            }
+            store::StoreAsk::Swap { value, .. } => {
+                self.counts.writes += 1;
+                self.counts.largest_value = self.counts.largest_value.max(value.len());
+            }
+            store::StoreAsk::Remove { .. }
+            | store::StoreAsk::Grant { .. }
+            | store::StoreAsk::Renew { .. } => self.counts.writes += 1,
+        }
+    }
+
+    fn happens(&mut self, percent: u32) -> bool {
+        percent > 0 && self.choice.next_u32() % 100 < percent
+    }
+
+    fn answer(&mut self, now: time::NodeTime, ask: &store::StoreAsk) -> store::StoreOutcome {
+        match ask {
+            store::StoreAsk::Get { key } => {
+                let entry = self.current(key);
+                store::StoreOutcome::Done(store::StoreReply::Entry(entry))
+            }
+            store::StoreAsk::Swap {
+                key,
+                base,
+                value,
+                lease,
+            } => self.swap(key, *base, value, *lease),
+            store::StoreAsk::Remove { key, version } => self.remove(key, *version),
+            store::StoreAsk::Grant { lease } => self.grant(now, *lease),
+            store::StoreAsk::Renew { lease } => self.renew(now, *lease),
+            store::StoreAsk::List {
+                prefix,
+                after,
+                limit,
+            } => self.list(prefix, after.as_ref(), *limit),
+            store::StoreAsk::Watch { prefix, seen, .. } => {
+                let found = self.written_since(prefix, *seen);
+                self.listed(found, false)
+            }
+        }
+    }
+
+    fn watch(
+        &mut self,
+        now: time::NodeTime,
+        caller: Caller,
+        prefix: &store::StoreKey,
+        seen: store::StoreVersion,
+        wait: Duration,
+    ) -> Option<store::StoreOutcome> {
+        let found = self.written_since(prefix, seen);
+        if !found.is_empty() {
+            return Some(self.listed(found, false));
+        }
+        self.watches.push(FakeWatch {
+            caller,
+            prefix: prefix.clone(),
+            seen,
+            until: now + wait,
+        });
+        None
+    }
+
+    fn swap(
+        &mut self,
+        key: &store::StoreKey,
+        base: store::SwapBase,
+        value: &bytes::Bytes,
+        lease: Option<store::LeaseId>,
+    ) -> store::StoreOutcome {
+        let unknown_lease = lease.is_some_and(|id| self.leases.iter().all(|l| l.id != id));
+        if value.len() > store::VALUE_LIMIT || unknown_lease {
+            return store::StoreOutcome::Unavailable;
+        }
+        let place = self.place(key);
+        let stands = match (base, place) {
+            (store::SwapBase::Absent, Err(_)) => true,
+            (store::SwapBase::At(version), Ok(place)) => {
+                self.entries[place].entry.version == version
+            }
+            _ => false,
+        };
+        if !stands {
+            let current = self.current(key);
+            return store::StoreOutcome::Conflict { current };
+        }
+        self.version.0 += 1;
+        let entry = store::StoreEntry {
+            key: key.clone(),
+            version: self.version,
+            value: value.clone(),
+        };
+        let held = FakeEntry { entry, lease };
+        match place {
+            Ok(place) => self.entries[place] = held,
+            Err(place) => self.entries.insert(place, held),
+        }
+        let version = self.version;
+        store::StoreOutcome::Done(store::StoreReply::Swapped { version })
+    }
+
+    fn remove(
+        &mut self,
+        key: &store::StoreKey,
+        version: store::StoreVersion,
+    ) -> store::StoreOutcome {
+        match self.place(key) {
+            Ok(place) if self.entries[place].entry.version == version => {
+                self.entries.remove(place);
+                self.version.0 += 1;
+                store::StoreOutcome::Done(store::StoreReply::Removed)
+            }
+            Ok(_) => {
+                let current = self.current(key);
+                store::StoreOutcome::Conflict { current }
+            }
+            Err(_) => store::StoreOutcome::Done(store::StoreReply::Removed),
+        }
+    }
+
+    fn grant(&mut self, now: time::NodeTime, span: Duration) -> store::StoreOutcome {
+        self.minted += 1;
+        let lease = store::LeaseId(self.minted);
+        self.leases.push(FakeLease {
+            id: lease,
+            span,
+            until: now + span,
+        });
+        store::StoreOutcome::Done(store::StoreReply::Granted { lease })
+    }
+
+    fn renew(&mut self, now: time::NodeTime, id: store::LeaseId) -> store::StoreOutcome {
+        let reply = match self.leases.iter_mut().find(|lease| lease.id == id) {
+            Some(lease) => {
+                lease.until = now + lease.span;
+                store::StoreReply::Renewed
+            }
+            None => store::StoreReply::Lapsed,
+        };
+        store::StoreOutcome::Done(reply)
+    }
+
+    fn list(
+        &self,
+        prefix: &store::StoreKey,
+        after: Option<&store::StoreKey>,
+        limit: u32,
+    ) -> store::StoreOutcome {
+        let matching = self.entries.iter().map(|held| &held.entry);
+        let matching = matching.filter(|entry| under(entry, prefix));
+        let matching = matching.filter(|entry| after.is_none_or(|after| entry.key > *after));
+        let mut found: Vec<_> = matching.cloned().collect();
+        let more = found.len() > limit as usize;
+        found.truncate(limit as usize);
+        self.listed(found, more)
+    }
+
+    fn listed(&self, entries: Vec<store::StoreEntry>, more: bool) -> store::StoreOutcome {
+        let seen = self.version;
+        store::StoreOutcome::Done(store::StoreReply::Listed {
+            entries,
+            seen,
+            more,
+        })
+    }
+
+    fn written_since(
+        &self,
+        prefix: &store::StoreKey,
+        seen: store::StoreVersion,
+    ) -> Vec<store::StoreEntry> {
+        let entries = self.entries.iter().map(|held| &held.entry);
+        let found = entries.filter(|entry| under(entry, prefix) && entry.version > seen);
+        found.cloned().collect()
+    }
+
+    fn current(&self, key: &store::StoreKey) -> Option<store::StoreEntry> {
+        let place = self.place(key).ok()?;
+        Some(self.entries[place].entry.clone())
+    }
+
+    fn place(&self, key: &store::StoreKey) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|held| held.entry.key.cmp(key))
+    }
+}
+
+fn under(entry: &store::StoreEntry, prefix: &store::StoreKey) -> bool {
+    entry.key.as_str().starts_with(prefix.as_str())
+}
--- /dev/null
+++ b/crates/anvil_standins/src/store/server.rs
@@ -0,0 +1,242 @@
+//! The store behind HTTP, with faults that a test turns on and off.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anvil_store::protocol;
+use anvil_types::{store, time};
+use bytes::Bytes;
+
+use crate::store::fake;
+
+/// Longest time between two looks of a waiting watch.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// State shared by the server's threads.
+struct Shared {
+    start: Instant,
+    fake: Mutex<fake::FakeStore<u64>>,
+    slowness: Mutex<Duration>,
+    written: Condvar,
+}
+
+impl Shared {
+    fn now(&self) -> time::NodeTime {
+        time::NodeTime::START + self.start.elapsed()
+    }
+
+    fn fake(&self) -> MutexGuard<'_, fake::FakeStore<u64>> {
+        self.fake.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running stand-in; it stops when dropped.
+pub struct StoreServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    stop: mpsc::Sender<()>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl StoreServer {
+    /// Starts on a free port of loopback.
+    pub fn start(seed: u64) -> eyre::Result<Self> {
+        let shared = Arc::new(Shared {
+            start: Instant::now(),
+            fake: Mutex::new(fake::FakeStore::new(seed)),
+            slowness: Mutex::new(Duration::ZERO),
+            written: Condvar::new(),
+        });
+        let serving = Arc::clone(&shared);
+        let server = rouille::Server::new("127.0.0.1:0", move |request| serve(&serving, request));
+        let server = server.map_err(|error| eyre::eyre!("the store's stand-in: {error}"))?;
+        let address = server.server_addr();
+        let (thread, stop) = server.stoppable();
+        Ok(Self {
+            shared,
+            address,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: fake::StoreFaults) {
+        self.shared.fake().faults = faults;
+    }
+
+    /// Lets every answer wait for `slowness` from now on.
+    pub fn set_slowness(&self, slowness: Duration) {
+        let mut held = self.shared.slowness.lock();
+        if let Ok(held) = &mut held {
+            **held = slowness;
+        }
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> fake::CallCounts {
+        self.shared.fake().counts()
+    }
+
+    /// All entries at present.
+    pub fn entries(&self) -> Vec<store::StoreEntry> {
+        self.shared.fake().entries().cloned().collect()
+    }
+}
+
+impl Drop for StoreServer {
+    fn drop(&mut self) {
+        let _ = self.stop.send(());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve(shared: &Shared, request: &rouille::Request) -> rouille::Response {
+    let slowness = shared.slowness.lock().map_or(Duration::ZERO, |held| *held);
+    thread::sleep(slowness);
+    let Some(ask) = question(request) else {
+        return rouille::Response::text("no such question").with_status_code(400);
+    };
+    let outcome = match &ask {
+        store::StoreAsk::Watch { wait, .. } => wait_for(shared, &ask, *wait),
+        _ => {
+            let outcome = shared.fake().carry_out(shared.now(), 0, &ask);
+            shared.written.notify_all();
+            outcome
+        }
+    };
+    answer(outcome.unwrap_or(store::StoreOutcome::Unknown))
+}
+
+/// Holds a watch until something was written or its time is over.
+fn wait_for(shared: &Shared, ask: &store::StoreAsk, wait: Duration) -> Option<store::StoreOutcome> {
+    let store::StoreAsk::Watch { prefix, seen, .. } = ask else {
+        return None;
+    };
+    let end = shared.now() + wait;
+    let mut fake = shared.fake();
+    // One call counted, however often it looks.
+    if let Some(refusal) = fake.admit(shared.now(), ask) {
+        return Some(refusal);
+    }
+    loop {
+        if fake.faults.down {
+            return None;
+        }
+        let outcome = fake.peek(prefix, *seen, shared.now() >= end);
+        if outcome.is_some() {
+            return outcome;
+        }
+        let waited = shared.written.wait_timeout(fake, LOOK_INTERVAL);
+        fake = match waited {
+            Ok((fake, _)) => fake,
+            Err(error) => error.into_inner().0,
+        };
+    }
+}
+
+fn question(request: &rouille::Request) -> Option<store::StoreAsk> {
+    let url = request.url();
+    let number = |name: &str| request.get_param(name)?.parse::<u64>().ok();
+    let span = |name: &str| number(name).map(Duration::from_millis);
+    let prefix = || Some(store::StoreKey::new(&request.get_param("prefix")?));
+    match (request.method(), url.as_str()) {
+        ("GET", "/list") => Some(store::StoreAsk::List {
+            prefix: prefix()?,
+            after: request
+                .get_param("after")
+                .map(|key| store::StoreKey::new(&key)),
+            limit: u32::try_from(number("limit")?).ok()?,
+        }),
+        ("GET", "/watch") => Some(store::StoreAsk::Watch {
+            prefix: prefix()?,
+            seen: store::StoreVersion(number("seen")?),
+            wait: span("millis")?,
+        }),
+        ("POST", "/leases") => Some(store::StoreAsk::Grant {
+            lease: span("millis")?,
+        }),
+        ("PUT", path) if path.starts_with("/leases/") => {
+            let lease = path.strip_prefix("/leases/")?.parse().ok()?;
+            let lease = store::LeaseId(lease);
+            Some(store::StoreAsk::Renew { lease })
+        }
+        (method, path) => entry_question(request, method, path),
+    }
+}
+
+fn entry_question(request: &rouille::Request, method: &str, path: &str) -> Option<store::StoreAsk> {
+    let key = store::StoreKey::new(path.strip_prefix("/kv/")?);
+    let number = |name: &str| request.get_param(name)?.parse::<u64>().ok();
+    match method {
+        "GET" => Some(store::StoreAsk::Get { key }),
+        "PUT" => {
+            let base = match request.get_param("base")?.as_str() {
+                "absent" => store::SwapBase::Absent,
+                text => store::SwapBase::At(store::StoreVersion(text.parse().ok()?)),
+            };
+            let mut value = Vec::new();
+            request.data()?.read_to_end(&mut value).ok()?;
+            let value = Bytes::from(value);
+            let lease = number("lease").map(store::LeaseId);
+            Some(store::StoreAsk::Swap {
+                key,
+                base,
+                value,
+                lease,
+            })
+        }
+        "DELETE" => {
+            let version = store::StoreVersion(number("base")?);
+            Some(store::StoreAsk::Remove { key, version })
+        }
+        _ => None,
+    }
+}
+
+fn answer(outcome: store::StoreOutcome) -> rouille::Response {
+    match outcome {
+        store::StoreOutcome::Done(reply) => done(reply),
+        store::StoreOutcome::Conflict { current } => entry(current).with_status_code(412),
+        store::StoreOutcome::Unavailable => rouille::Response::text("down").with_status_code(503),
+        // A broken body stands for a lost answer: the client can't tell what was done.
+        store::StoreOutcome::Unknown => rouille::Response::text("lost").with_status_code(502),
+    }
+}
+
+fn done(reply: store::StoreReply) -> rouille::Response {
+    match reply {
+        store::StoreReply::Entry(None) => rouille::Response::empty_404(),
+        store::StoreReply::Entry(found) => entry(found),
+        store::StoreReply::Swapped { version } => rouille::Response::text("")
+            .with_unique_header(protocol::VERSION_HEADER, version.to_string()),
+        store::StoreReply::Removed | store::StoreReply::Renewed => rouille::Response::empty_204(),
+        store::StoreReply::Granted { lease } => rouille::Response::text(lease.to_string()),
+        store::StoreReply::Lapsed => rouille::Response::empty_404(),
+        store::StoreReply::Listed {
+            entries,
+            seen,
+            more,
+        } => rouille::Response::json(&protocol::ListedBody::new(&entries, seen, more)),
+    }
+}
+
+fn entry(found: Option<store::StoreEntry>) -> rouille::Response {
+    match found {
+        Some(entry) => {
+            rouille::Response::from_data("application/octet-stream", entry.value.to_vec())
+                .with_unique_header(protocol::VERSION_HEADER, entry.version.to_string())
+        }
+        None => rouille::Response::text(""),
+    }
+}
--- /dev/null
+++ b/crates/anvil_store/src/http.rs
@@ -0,0 +1,142 @@
+//! The HTTP client of the platform's store.
+//!
+//! `attohttpc` opens a connection for each call. That costs a millisecond, which matters on the
+//! way of a request but not here: a node asks the store a few times a minute.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use anvil_types::store;
+use bytes::Bytes;
+
+use crate::{platform, protocol};
+
+/// Longest wait for a connection.
+const CONNECT_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for an answer, beyond the time that a watch waits by itself.
+const ANSWER_WAIT: Duration = Duration::from_secs(5);
+
+/// Asks the store's addresses in turn, moving on where one is down.
+#[derive(Debug)]
+pub struct HttpStore {
+    addresses: Vec<SocketAddr>,
+    preferred: AtomicUsize,
+}
+
+impl HttpStore {
+    /// Asks at `addresses`; without any, every call counts as unavailable.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            addresses,
+            preferred: AtomicUsize::new(0),
+        }
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let place = self.preferred.load(Ordering::Relaxed);
+        let place = place.checked_rem(self.addresses.len())?;
+        self.addresses.get(place).copied()
+    }
+
+    fn move_on(&self) {
+        self.preferred.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl platform::PlatformStore for HttpStore {
+    fn carry_out(&self, ask: &store::StoreAsk) -> store::StoreOutcome {
+        let Some(address) = self.address() else {
+            return store::StoreOutcome::Unavailable;
+        };
+        let outcome = send(address, ask);
+        if matches!(
+            outcome,
+            store::StoreOutcome::Unavailable | store::StoreOutcome::Unknown
+        ) {
+            self.move_on();
+        }
+        outcome
+    }
+}
+
+fn send(address: SocketAddr, ask: &store::StoreAsk) -> store::StoreOutcome {
+    let url = format!("http://{address}{}", protocol::target_of(ask));
+    let (method, body, wait) = match ask {
+        store::StoreAsk::Get { .. } | store::StoreAsk::List { .. } => {
+            (attohttpc::Method::GET, Bytes::new(), Duration::ZERO)
+        }
+        store::StoreAsk::Watch { wait, .. } => (attohttpc::Method::GET, Bytes::new(), *wait),
+        store::StoreAsk::Swap { value, .. } => {
+            (attohttpc::Method::PUT, value.clone(), Duration::ZERO)
+        }
+        store::StoreAsk::Renew { .. } => (attohttpc::Method::PUT, Bytes::new(), Duration::ZERO),
+        store::StoreAsk::Remove { .. } => (attohttpc::Method::DELETE, Bytes::new(), Duration::ZERO),
+        store::StoreAsk::Grant { .. } => (attohttpc::Method::POST, Bytes::new(), Duration::ZERO),
+    };
+    let request = attohttpc::RequestBuilder::new(method, url)
+        .connect_timeout(CONNECT_WAIT)
+        .read_timeout(ANSWER_WAIT + wait)
+        .timeout(ANSWER_WAIT + wait)
+        .follow_redirects(false)
+        .bytes(body);
+    match request.send() {
+        Ok(response) => read(ask, response).unwrap_or(store::StoreOutcome::Unknown),
+        Err(error) => failed(error),
+    }
+}
+
+/// Tells a call that never left from one whose fate is open.
+///
+/// Only a refused connection is proof; a timeout may have struck before or behind the effect.
+fn failed(error: attohttpc::Error) -> store::StoreOutcome {
+    match error.into_kind() {
+        attohttpc::ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            store::StoreOutcome::Unavailable
+        }
+        _ => store::StoreOutcome::Unknown,
+    }
+}
+
+/// Reads the answer; none where it breaks off or makes no sense.
+fn read(ask: &store::StoreAsk, response: attohttpc::Response) -> Option<store::StoreOutcome> {
+    let status = response.status().as_u16();
+    let version = response.headers().get(protocol::VERSION_HEADER);
+    let version = version.and_then(|text| text.to_str().ok()?.parse().ok());
+    let version = version.map(store::StoreVersion);
+    let body = response.bytes().ok()?;
+    let entry = |key: &store::StoreKey| {
+        Some(store::StoreEntry {
+            key: key.clone(),
+            version: version?,
+            value: Bytes::from(body.clone()),
+        })
+    };
+    let reply = match (ask, status) {
+        // The platform says 503 before it does anything.
+        (_, 503) => return Some(store::StoreOutcome::Unavailable),
+        (store::StoreAsk::Swap { key, .. } | store::StoreAsk::Remove { key, .. }, 412) => {
+            let current = entry(key);
+            return Some(store::StoreOutcome::Conflict { current });
+        }
+        (store::StoreAsk::Get { key }, 200) => store::StoreReply::Entry(Some(entry(key)?)),
+        (store::StoreAsk::Get { .. }, 404) => store::StoreReply::Entry(None),
+        (store::StoreAsk::Swap { .. }, 200) => store::StoreReply::Swapped { version: version? },
+        (store::StoreAsk::Remove { .. }, 204) => store::StoreReply::Removed,
+        (store::StoreAsk::Grant { .. }, 200) => {
+            let text = std::str::from_utf8(&body).ok()?;
+            let lease = store::LeaseId(text.trim().parse().ok()?);
+            store::StoreReply::Granted { lease }
+        }
+        (store::StoreAsk::Renew { .. }, 204) => store::StoreReply::Renewed,
+        (store::StoreAsk::Renew { .. }, 404) => store::StoreReply::Lapsed,
+        (store::StoreAsk::List { .. } | store::StoreAsk::Watch { .. }, 200) => {
+            let listed: protocol::ListedBody = serde_json::from_slice(&body).ok()?;
+            listed.into_reply()?
+        }
+        _ => return None,
+    };
+    Some(store::StoreOutcome::Done(reply))
+}
--- a/crates/anvil_store/src/lib.rs
+++ b/crates/anvil_store/src/lib.rs
@@ -2,4 +2,7 @@
 //!
 //! See `docs/design/store.md`.
 
+pub mod budget;
+pub mod http;
 pub mod platform;
+pub mod protocol;
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -103,6 +103,8 @@
     pub incarnation: u32,
     /// The rule revision that the sender has in force.
     pub revision: ident::RuleRevision,
+    /// Whether the sender has compared its rules with others or with the store.
+    pub ready: bool,
 }
 
 /// What a datagram is for.
@@ -269,3 +271,61 @@
         }
     }
 }
+
+impl LoggedChange {
+    /// The bytes that stand for the change in the store's log; none where it can't be encoded.
+    pub fn to_value(&self) -> Option<Bytes> {
+        postcard::to_stdvec(self).ok().map(Bytes::from)
+    }
+
+    /// Reads a value of the store's log; none where it is none of this version.
+    pub fn from_value(value: &[u8]) -> Option<Self> {
+        postcard::from_bytes(value).ok()
+    }
+}
+
+/// A node that lets newcomers in, as its entry in the store says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContactEntry {
+    /// The node.
+    pub node: ident::NodeId,
+    /// Where it accepts datagrams.
+    pub udp: SocketAddr,
+}
+
+impl ContactEntry {
+    /// The bytes that stand for the entry in the store; none where it can't be encoded.
+    pub fn to_value(&self) -> Option<Bytes> {
+        postcard::to_stdvec(self).ok().map(Bytes::from)
+    }
+
+    /// Reads an entry's value; none where it is none of this version.
+    pub fn from_value(value: &[u8]) -> Option<Self> {
+        postcard::from_bytes(value).ok()
+    }
+}
+
+/// Names the newest snapshot of the rules in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotManifest {
+    /// The revision of the snapshot.
+    pub revision: ident::RuleRevision,
+    /// The operator's id of the last change in it.
+    pub change: u128,
+    /// The node that wrote it; part of the keys of its chunks.
+    pub writer: ident::NodeId,
+    /// Number of its chunks.
+    pub chunks: u32,
+}
+
+impl SnapshotManifest {
+    /// The bytes that stand for the manifest in the store; none where it can't be encoded.
+    pub fn to_value(&self) -> Option<Bytes> {
+        postcard::to_stdvec(self).ok().map(Bytes::from)
+    }
+
+    /// Reads a manifest's value; none where it is none of this version.
+    pub fn from_value(value: &[u8]) -> Option<Self> {
+        postcard::from_bytes(value).ok()
+    }
+}
