--- a/crates/anvil_core/src/keys.rs
+++ b/crates/anvil_core/src/keys.rs
@@ -53,17 +53,17 @@
     pub(crate) fn next_wake(&self) -> Option<time::NodeTime> {
         self.owner.next_wake()
     }
-}
 
-impl reducer::NodeReducer {
     /// Lets keys be owned by nodes that agree through the platform's store.
     ///
     /// Without it a key protects only against the retries of one entry node; a node without a
     /// store has no way to know who else runs the same key.
-    pub fn guard_keys(&mut self) {
-        self.keys.guarded = true;
+    pub(crate) fn guard(&mut self) {
+        self.guarded = true;
     }
+}
 
+impl reducer::NodeReducer {
     pub(crate) fn guards_keys(&self) -> bool {
         self.keys.guarded
     }
@@ -185,6 +185,10 @@
         serde_json::json!({ "guarded": self.keys.guarded, "state": dump })
     }
 
+    pub(crate) fn key_counters(&self) -> serde_json::Value {
+        serde_json::json!(self.keys.owner.counters())
+    }
+
     fn step_keys(&mut self, event: moment::KeyEvent) {
         for effect in self.keys.owner.step(self.now, event) {
             self.take_key_effect(effect);
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod operator;
 mod overload;
 pub mod reducer;
+pub mod repeats;
 mod retrying;
 mod rollout;
 pub mod rulebook;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -1,5 +1,6 @@
 //! Operators' questions to one node: dump, status, counters, rules, explanation.
 
+use anvil_overload::kind;
 use anvil_rules::render;
 use anvil_wire::call;
 use serde_json::json;
@@ -15,7 +16,7 @@
         let answer = match request {
             event::OperatorRequest::Dump => Ok(self.dump().to_string()),
             event::OperatorRequest::Status => Ok(self.status().to_string()),
-            event::OperatorRequest::Counters => Ok(json!(self.counters).to_string()),
+            event::OperatorRequest::Counters => Ok(self.all_counters().to_string()),
             event::OperatorRequest::Explain(request) => Ok(self.explain(&request).to_string()),
             event::OperatorRequest::Rules => Ok(render::to_yaml(self.book.document())),
             event::OperatorRequest::History => Ok(self.history().to_string()),
@@ -49,6 +50,13 @@
         self.effects.push(effect);
     }
 
+    /// The counters of the reducer and of the key owners.
+    fn all_counters(&self) -> serde_json::Value {
+        let mut counters = json!(self.counters);
+        counters["keys"] = self.key_counters();
+        counters
+    }
+
     fn dump(&self) -> serde_json::Value {
         let calls: Vec<_> = self
             .calls
@@ -109,6 +117,8 @@
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let print = entry::print_of(request);
+        let kind = kind::CallKind::of(request);
+        let line = self.directory.line(self.now, &request.service, kind);
         let refusals: Vec<_> = self
             .overload
             .refusals
@@ -120,7 +130,7 @@
             "service": request.service,
             "revision": self.book.revision(),
             "rule": self.book.explain(request),
-            "cut_line": self.directory.line(self.now, &request.service),
+            "cut_line": line,
             "quarantine": self.quarantine_of(print),
             "recent_refusals": refusals,
         })
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -5,13 +5,13 @@
 use anvil_membership::fleet;
 use anvil_overload::policy;
 use anvil_rules::document;
-use anvil_types::{ident, store, time};
+use anvil_types::{ident, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    calls, config, counters, directory, effect, event, keys, overload, rulebook, runs, stopping,
-    timers,
+    applying, calls, config, counters, directory, effect, event, keys, overload, repeats, rulebook,
+    runs, stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -27,6 +27,7 @@
     pub(crate) directory: directory::PeerDirectory,
     pub(crate) calls: calls::CallTable,
     pub(crate) runs: runs::RunTable,
+    pub(crate) repeats: repeats::RepeatGuard,
     pub(crate) target: Option<runs::LocalTarget>,
     pub(crate) overload: overload::OverloadState,
     pub(crate) timers: timers::TimerQueue,
@@ -34,6 +35,7 @@
     pub(crate) phase: stopping::NodePhase,
     pub(crate) fleet: fleet::FleetState,
     pub(crate) keys: keys::KeyDesk,
+    pub(crate) proposed: Option<applying::OpenApply>,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
 }
@@ -53,6 +55,7 @@
         Self {
             fleet: crate::fleet::membership(&config, seed),
             keys: keys::KeyDesk::new(&config),
+            proposed: None,
             directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
             overload: overload::OverloadState::new(config.node, policy),
             config,
@@ -61,6 +64,7 @@
             book: rulebook::RuleBook::default(),
             calls: calls::CallTable::default(),
             runs: runs::RunTable::default(),
+            repeats: repeats::RepeatGuard::default(),
             target: None,
             timers: timers::TimerQueue::default(),
             counters: counters::NodeCounters::default(),
@@ -70,6 +74,15 @@
         }
     }
 
+    /// Lets the node keep rules and contacts in the platform's store, and guard idempotency keys
+    /// with the nodes that agree with it there.
+    #[must_use]
+    pub fn with_store(mut self) -> Self {
+        self.fleet.use_store(self.now);
+        self.keys.guard();
+        self
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// A `now` behind the last one counts as the last one.
@@ -144,11 +157,7 @@
             event::NodeEvent::OperatorAsked { handle, request } => {
                 self.operator_asked(handle, request);
             }
-            event::NodeEvent::StoreAnswered { id, outcome } => match id.part {
-                store::StorePart::Keys => self.key_store_answered(id, outcome),
-                // Membership does not ask the store yet.
-                store::StorePart::Fleet => {}
-            },
+            event::NodeEvent::StoreAnswered { id, outcome } => self.store_answered(id, outcome),
             event::NodeEvent::Woke => {
                 self.fire_timers();
                 self.wake_fleet();
