--- a/crates/anvil_rules/benches/matching.rs
+++ b/crates/anvil_rules/benches/matching.rs
@@ -9,6 +9,10 @@
 
 use anvil_rules::{document, matcher, parse, view};
 
+/// Counts allocations beside time; deciding a request must make none.
+#[global_allocator]
+static ALLOCATOR: divan::AllocProfiler = divan::AllocProfiler::system();
+
 const SIZES: [usize; 4] = [10, 100, 1_000, 10_000];
 
 const REQUESTS: usize = 100;
