Prove that two connections of one pair are lost together

The safeguard stood by argument only. The new test opens a second connection, ends it while a call is out on the first and answers afterwards.

--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -166,6 +166,18 @@
         self.send(&frame::PeerFrame::Answer(Box::new(answer)));
     }
 
+    /// Waits until the node ends its side; frames on the way are skipped.
+    pub fn is_ended(&mut self) -> bool {
+        let mut part = [0; 4_096];
+        loop {
+            match self.socket.read(&mut part) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
     pub fn assert_closed(mut self) {
         let mut rest = Vec::new();
         // A reset is as good as a close.
--- a/crates/anvil_node/tests/two_nodes.rs
+++ b/crates/anvil_node/tests/two_nodes.rs
@@ -11,6 +11,7 @@
 use anvil_node::{node, settings};
 use anvil_standins::{http_target, process};
 use anvil_types::ident;
+use anvil_wire::frame;
 use common::impostor;
 
 /// An entry node without a target that knows the node at `seed`.
@@ -129,6 +130,43 @@
     assert_eq!(second.join().unwrap(), "second");
 }
 
+// Two nodes dialled each other at once and hold two connections. One of them ends while a call is
+// out on the other. The entry node ends its side of both, but reads on: the answer still arrives
+// and the caller gets it. Only the end of both is the loss of the node; told of each, the reducer
+// would give the call up with the first.
+#[test]
+fn the_end_of_one_of_two_connections_loses_no_answer() {
+    let entry = entry("127.0.0.1:9".parse().unwrap());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    impostor::introduce(entry.bound().gossip, listener.local_addr().unwrap());
+    let status = format!("http://{}/status", entry.bound().admin);
+    common::await_true("the entry node knows the service", || {
+        let response = attohttpc::get(&status).send().unwrap();
+        response.text().unwrap().contains("audiencias")
+    });
+    let caller = entry.bound().caller;
+    let asking = thread::spawn(move || {
+        let response = common::request(caller, "POST", "/bids").send().unwrap();
+        response.text().unwrap()
+    });
+    let mut first = impostor::Impostor::accept(&listener);
+    let call = first.receive_call();
+    let mut second = impostor::Impostor::connect(entry.bound().peer);
+    second.send(&frame::PeerFrame::Cancel {
+        call: call.call,
+        attempt: call.attempt + 1,
+    });
+    let accepted = anvil_node::counters::EdgeCause::PeerAccepted;
+    common::await_true("both are open", || entry.counters().total(accepted) == 1);
+    drop(second);
+    assert!(
+        first.is_ended(),
+        "the entry node ends its side of the first"
+    );
+    first.answer(call.call, call.attempt, "whole");
+    assert_eq!(asking.join().unwrap(), "whole");
+}
+
 fn start(name: &str) -> process::NodeProcess {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&folder).unwrap();
