--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{refusal, routing};
+use anvil_overload::{dependency, kind, refusal, routing};
 use anvil_types::{context, ident, treatment, verdict};
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
@@ -36,6 +36,7 @@
         let deadline = self.now + Duration::from_micros(context.remaining_micros);
         let call = calls::OpenCall {
             handle,
+            kind: kind::CallKind::of(&request),
             request,
             context,
             allowance: self.call_allowance(context.retries_left),
@@ -43,10 +44,12 @@
             refused: None,
             treatment,
             mark,
+            arrived: self.now,
             deadline,
             attempts: 0,
             redirects: 0,
             tried: Vec::new(),
+            doubt: None,
             stage: calls::CallStage::Pausing,
             parent,
         };
@@ -100,7 +103,11 @@
         let granted = parent
             .allowance
             .lend_child(sequence, treatment.chain_retries);
-        parent.waits.begin(now, &request.service);
+        let needed = dependency::NeededCall {
+            service: request.service.clone(),
+            kind: kind::CallKind::of(request),
+        };
+        parent.waits.begin(now, needed);
         let left = parent.deadline.since(now);
         let wait = hints.timeout.unwrap_or(treatment.deadline);
         let wait = wait.min(treatment.deadline).min(left);
@@ -129,6 +136,7 @@
         let query = routing::RouteQuery {
             service: &open.request.service,
             rank: open.rank(),
+            kind: open.kind,
             exclude: &open.tried,
         };
         match self.directory.choose(self.now, query) {
@@ -196,7 +204,7 @@
             self.overload.budget.first_attempt(percent);
         }
         let service = open.request.service.clone();
-        self.directory.sent(&service, peer);
+        self.directory.sent(&service, peer, context.class);
         self.send_frame(peer, address, frame::PeerFrame::Call(Box::new(call)));
     }
 
@@ -303,6 +311,7 @@
         let Some(open) = self.calls.close(sequence) else {
             return;
         };
+        let verdict = open.overall(verdict);
         self.return_allowance(sequence, &open);
         self.note_call_refusal(&open, verdict);
         let reply = effect::CallerReply {
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -1,5 +1,6 @@
 //! Operators' questions to one node: dump, status, counters, rules, explanation.
 
+use anvil_overload::kind;
 use anvil_rules::render;
 use anvil_wire::call;
 use serde_json::json;
@@ -108,6 +109,8 @@
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
         let print = entry::print_of(request);
+        let kind = kind::CallKind::of(request);
+        let line = self.directory.line(self.now, &request.service, kind);
         let refusals: Vec<_> = self
             .overload
             .refusals
@@ -119,7 +122,7 @@
             "service": request.service,
             "revision": self.book.revision(),
             "rule": self.book.explain(request),
-            "cut_line": self.directory.line(self.now, &request.service),
+            "cut_line": line,
             "quarantine": self.quarantine_of(print),
             "recent_refusals": refusals,
         })
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -112,12 +112,17 @@
         open.allowance
             .settle(u64::from(answer.attempt), answer.retries_spent);
         if let verdict::CallVerdict::NotRun(_) = answer.verdict {
-            open.refused = Some((refusal::RefusalLimit::Cut(answer.load.cut), peer));
+            let line = answer.load.cut.max(answer.load.deep);
+            open.refused = Some((refusal::RefusalLimit::Cut(line), peer));
         }
-        let end = attempt_end(answer);
+        let report = routing::AttemptReport {
+            class: open.context.class,
+            kind: open.kind,
+            end: attempt_end(answer),
+            load: Some(&answer.load),
+        };
         let service = open.request.service.clone();
-        self.directory
-            .ended(now, &service, peer, end, Some(&answer.load));
+        self.directory.ended(now, &service, peer, report);
     }
 
     /// Writes off what was lent to an attempt whose node is lost.
@@ -153,21 +158,26 @@
         };
         open.allowance.settle(u64::from(open.attempts), spent);
         let service = open.request.service.clone();
-        self.directory.ended(now, &service, peer, end, None);
+        let report = routing::AttemptReport {
+            class: open.context.class,
+            kind: open.kind,
+            end,
+            load: None,
+        };
+        self.directory.ended(now, &service, peer, report);
     }
 
     /// Suspects the requests that were out at a node when it was lost.
     pub(crate) fn suspect_lost(&mut self, peer: ident::NodeId, lost: &[u64]) {
-        let Some(service) = self.directory.get(peer).map(|known| known.service.clone()) else {
+        let open = lost.iter().filter_map(|sequence| self.calls.get(*sequence));
+        // Membership may have forgotten the node already; its calls still name the service.
+        let mut services = open.clone().map(|open| &open.request.service);
+        let Some(service) = services.next().cloned() else {
             return;
         };
-        let open = lost.iter().filter_map(|sequence| self.calls.get(*sequence));
         let prints: Vec<(ident::PrintHash, quarantine::CrashRule)> = open
             .map(|open| (open.context.print, overload::crash_rule(&open.treatment)))
             .collect();
-        if prints.is_empty() {
-            return;
-        }
         let now = self.now;
         let notice = self.overload.poison.peer_lost(now, peer, &service, &prints);
         self.spread_suspicion(&notice);
@@ -186,6 +196,9 @@
         if let calls::CallStage::Out { peer, .. } = open.stage {
             open.tried.push(peer);
         }
+        if let verdict::CallVerdict::MayHaveRun(doubt) = verdict {
+            open.doubt = Some(doubt);
+        }
         open.stage = calls::CallStage::Pausing;
         if self.phase == stopping::NodePhase::Gone {
             self.end_call(sequence, verdict, answer);
@@ -215,6 +228,11 @@
         if !may_retry(verdict, open.treatment.idempotent) || open.allowance.left() == 0 {
             return None;
         }
+        // One queue that had no slot for it in all the time that its rule allows is enough.
+        let waited = now.since(open.arrived) >= open.treatment.queue_wait;
+        if policy.bounded_queue && waited && is_full(verdict) {
+            return None;
+        }
         let pause = self.pause_of(sequence)?;
         let open = self.calls.get(sequence)?;
         if now + pause >= open.deadline || !self.would_be_taken(sequence) {
@@ -248,6 +266,7 @@
         let query = routing::RouteQuery {
             service: &open.request.service,
             rank: open.rank(),
+            kind: open.kind,
             exclude: &open.tried,
         };
         let choice = self.directory.choose(self.now, query);
@@ -319,7 +338,8 @@
             | verdict::RefusalReason::KeyUnavailable
             | verdict::RefusalReason::RulesUnknown
             | verdict::RefusalReason::AttemptsSpent => {
-                let line = self.directory.line(self.now, &open.request.service);
+                let service = &open.request.service;
+                let line = self.directory.line(self.now, service, open.kind);
                 Some(refusal::retry_after(line.as_ref(), &open.rank()))
             }
             verdict::RefusalReason::Quarantined => self.quarantine_left(open),
@@ -368,6 +388,15 @@
     )
 }
 
+fn is_full(verdict: verdict::CallVerdict) -> bool {
+    matches!(
+        verdict,
+        verdict::CallVerdict::NotRun(
+            verdict::RefusalReason::QueueFull | verdict::RefusalReason::Shed
+        )
+    )
+}
+
 /// A non-idempotent request is repeated only where it is proved that it did not run.
 fn may_retry(verdict: verdict::CallVerdict, idempotent: bool) -> bool {
     match verdict {
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_overload::allowance;
+use anvil_overload::{allowance, kind};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
@@ -10,8 +10,8 @@
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
-        if self.runs.of_attempt(call.call, call.attempt).is_some() {
-            // A repeated frame; the attempt it repeats is answered when it ends.
+        if self.is_repeat(&call) {
+            self.counters.calls_repeated += 1;
             return;
         }
         if let Some(cause) = self.refusal_at_target(&call) {
@@ -27,6 +27,7 @@
             reply_to: call.reply_to,
             call: call.call,
             attempt: call.attempt,
+            kind: kind::CallKind::of(&call.request),
             service: call.request.service.clone(),
             request: Some(call.request),
             context: call.context,
@@ -45,6 +46,13 @@
         self.offer_run(id);
     }
 
+    /// Whether the frame repeats an attempt, which is answered, once, by the first frame's run.
+    fn is_repeat(&mut self, call: &call::PeerCall) -> bool {
+        let running = self.runs.of_attempt(call.call, call.attempt).is_some();
+        running
+            || (!call.context.idempotent && !self.repeats.admit(self.now, call.call, call.attempt))
+    }
+
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
         self.judge_run(run, &outcome);
         let expired = self.runs.get(run).is_some_and(|run| run.expired);
@@ -74,7 +82,7 @@
             return;
         };
         let decisions = self.release_run(run, &ended, verdict);
-        let load = self.load_report();
+        let load = self.load_report(ended.kind);
         let reply = call::PeerAnswer {
             call: ended.call,
             attempt: ended.attempt,
@@ -216,7 +224,7 @@
         call: &call::PeerCall,
         reason: verdict::RefusalReason,
     ) {
-        let load = self.load_report();
+        let load = self.load_report(kind::CallKind::of(&call.request));
         let reply = call::PeerAnswer {
             call: call.call,
             attempt: call.attempt,
