Answer at once what the platform or a full queue can't take

A question to the store got no answer while no client is there, and a frame refused by a full queue came back over a task of its own. Both are events that follow the step that caused them now, in order and without a wait.

--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -3,6 +3,8 @@
 //! The thread never waits for a socket; whatever can block is handed to the runtime. See
 //! `docs/design/edges.md`.
 
+use std::collections::VecDeque;
+
 use anvil_core::{answer, effect, event, reducer};
 use anvil_types::sorted;
 use tokio::sync::oneshot;
@@ -65,6 +67,8 @@
     pub operators: sorted::SortedTable<event::OperatorHandle, flume::Sender<OperatorAnswer>>,
     /// Operators asked so far.
     pub asked: u64,
+    /// Events that effects caused on the spot, for the steps after the present one.
+    pub followups: VecDeque<event::NodeEvent>,
 }
 
 impl NodeEngine {
@@ -157,11 +161,15 @@
         reducer: &mut reducer::NodeReducer,
         event: event::NodeEvent,
     ) -> std::ops::ControlFlow<()> {
-        let now = self.clock.now();
-        for effect in reducer.step(now, event) {
-            if self.carry_out(effect).is_break() {
-                return std::ops::ControlFlow::Break(());
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let now = self.clock.now();
+            for effect in reducer.step(now, event) {
+                if self.carry_out(effect).is_break() {
+                    return std::ops::ControlFlow::Break(());
+                }
             }
+            next = self.followups.pop_front();
         }
         std::ops::ControlFlow::Continue(())
     }
@@ -173,12 +181,18 @@
                 peer,
                 address,
                 frame,
-            } => self.peers.send(peer, address, frame),
+            } => {
+                let unsent = self.peers.send(peer, address, frame);
+                self.followups.extend(unsent);
+            }
             effect::NodeEffect::SendDatagram { to, message } => self.datagrams.send(to, &message),
             effect::NodeEffect::RunTarget(run) => self.runs.start(*run),
             effect::NodeEffect::CancelRun(run) => self.runs.cancel(run),
             effect::NodeEffect::AnswerOperator { handle, answer } => self.answer(handle, answer),
-            effect::NodeEffect::AskStore { id, ask } => self.store.ask(id, ask),
+            effect::NodeEffect::AskStore { id, ask } => {
+                let unasked = self.store.ask(id, ask);
+                self.followups.extend(unasked);
+            }
             effect::NodeEffect::Report(change) => log::info!("{change}"),
             effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
         }
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts all parts of a node and ends them in order.
 
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -206,17 +207,16 @@
         let exchange = self.start_target();
         let ring = self.settings.peer_keys.ring().clone();
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
-        // Nobody reads questions yet where no platform is named.
-        let (questions, _) = flume::bounded(platform::QUEUE_LIMIT);
         let engine = engine::NodeEngine {
             clock: clock::NodeClock::start(),
             peers: peer::table::PeerTable::new(self.runtime.clone(), links),
             datagrams: datagram::DatagramSender::new(sending, sealer, self.counters.clone()),
             runs: runs::RunTable::new(self.runtime.clone(), exchange, self.engine.clone()),
-            store: platform::StoreQueue::new(questions),
+            store: platform::StoreQueue,
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
             asked: 0,
+            followups: VecDeque::new(),
         };
         let policy = self.settings.policy;
         let reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::link;
-use crate::{counters, engine};
+use crate::counters;
 
 /// All connections to one node, and what is known of their frames.
 ///
@@ -47,16 +47,25 @@
     }
 
     /// Sends a frame on the connection to `peer`, opening one where there is none.
-    pub fn send(&mut self, peer: ident::NodeId, address: SocketAddr, frame: frame::PeerFrame) {
-        if let Some(session) = self.sessions.get_mut(peer) {
-            let refused = session.send(frame);
-            if let Err(frame) = refused {
-                self.hand_back(peer, frame);
-            }
-            return;
-        }
-        let opened = self.open(peer, address, frame);
-        self.adopt(opened);
+    ///
+    /// A full queue means that the other node doesn't keep up; the frame has not left, and the
+    /// event tells the reducer, which may send its call elsewhere.
+    pub fn send(
+        &mut self,
+        peer: ident::NodeId,
+        address: SocketAddr,
+        frame: frame::PeerFrame,
+    ) -> Option<event::NodeEvent> {
+        let Some(session) = self.sessions.get_mut(peer) else {
+            let opened = self.open(peer, address, frame);
+            self.adopt(opened);
+            return None;
+        };
+        let frame = session.send(frame).err()?;
+        let counters = &self.context.counters;
+        counters.count(counters::EdgeCause::PeerQueueFull);
+        let unsent = vec![frame];
+        Some(event::NodeEvent::PeerUnreachable { peer, unsent })
     }
 
     /// Takes a connection into use.
@@ -110,20 +119,6 @@
         closing_events(peer, unsent, false)
     }
 
-    /// A full queue means that the other node doesn't keep up; the frame has not left, so the
-    /// reducer may send its call elsewhere.
-    fn hand_back(&self, peer: ident::NodeId, frame: frame::PeerFrame) {
-        let counters = &self.context.counters;
-        counters.count(counters::EdgeCause::PeerQueueFull);
-        let unsent = vec![frame];
-        let refused = event::NodeEvent::PeerUnreachable { peer, unsent };
-        let engine = self.context.engine.clone();
-        let input = engine::EngineInput::Event(refused);
-        // The reducer's own thread must not wait for its own queue.
-        self.runtime
-            .spawn(async move { engine.send_async(input).await });
-    }
-
     fn open(
         &self,
         peer: ident::NodeId,
