--- a/crates/anvil_rules/benches/matching.rs
+++ b/crates/anvil_rules/benches/matching.rs
@@ -7,7 +7,8 @@
 
 use std::fmt::Write;
 
-use anvil_rules::{document, matcher, parse, view};
+use anvil_rules::{change, document, matcher, parse, view};
+use anvil_types::ident;
 
 /// Counts allocations beside time; deciding a request must make none.
 #[global_allocator]
@@ -127,3 +128,49 @@
     let text = text(rules);
     bencher.bench(|| parse::check_rules("bench", divan::black_box(&text)));
 }
+
+/// Replaces every rule by another one, the largest change that there is.
+#[divan::bench(args = SIZES, sample_count = 10)]
+fn apply_largest_change(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let old = parsed(rules);
+    let renamed = text(rules).replace("name: r", "name: q");
+    let new = parse::parse_rules("bench", &renamed).expect("the text is right");
+    let change = change_between(&old, &new);
+    bencher.with_inputs(|| old.clone()).bench_refs(|document| {
+        document.apply(divan::black_box(&change)).expect("it fits");
+    });
+}
+
+/// Changes one rule in the middle, as most changes do.
+#[divan::bench(args = SIZES)]
+fn apply_change_of_one_rule(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let old = parsed(rules);
+    let changed = text(rules).replacen("class: high", "class: critical", rules / 2);
+    let changed = changed.replacen("class: critical", "class: high", rules / 2 - 1);
+    let new = parse::parse_rules("bench", &changed).expect("the text is right");
+    let change = change_between(&old, &new);
+    assert_eq!(change.edits.len(), 1);
+    bencher.with_inputs(|| old.clone()).bench_refs(|document| {
+        document.apply(divan::black_box(&change)).expect("it fits");
+    });
+}
+
+fn change_between(
+    old: &document::RuleDocument,
+    new: &document::RuleDocument,
+) -> change::RuleChange {
+    change::RuleChange {
+        id: 1,
+        author: String::new(),
+        base: ident::RuleRevision(0),
+        edits: change::diff(old, new),
+    }
+}
+
+#[divan::bench(args = SIZES, sample_count = 10)]
+fn diff_largest_change(bencher: divan::Bencher<'_, '_>, rules: usize) {
+    let old = parsed(rules);
+    let renamed = text(rules).replace("name: r", "name: q");
+    let new = parse::parse_rules("bench", &renamed).expect("the text is right");
+    bencher.bench(|| change::diff(divan::black_box(&old), divan::black_box(&new)));
+}
--- a/crates/anvil_rules/src/change.rs
+++ b/crates/anvil_rules/src/change.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::document;
+use crate::{chain, document};
 
 /// One change by one operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,18 +91,18 @@
     /// and checks the text, and a node that refused an accepted change later would fall behind
     /// its peers for good.
     pub fn apply(&mut self, change: &RuleChange) -> Result<(), ChangeConflict> {
-        let mut rules = self.rules().to_vec();
+        let mut chain = chain::RuleChain::new(self.rules(), &change.edits);
         for edit in &change.edits {
-            apply_edit(&mut rules, edit)?;
+            chain.edit(edit)?;
         }
-        check_count(&rules)?;
-        *self = Self::from_checked(rules);
+        check_count(chain.len())?;
+        *self = Self::from_checked(chain.into_rules());
         Ok(())
     }
 
     /// Checks what [`crate::parse::parse_rules`] promises, for a document from elsewhere.
     pub(crate) fn check(&self) -> Result<(), ChangeConflict> {
-        check_count(self.rules())?;
+        check_count(self.rules().len())?;
         let places = places_by_name(self);
         let twice = places.windows(2).find(|pair| pair[0].0 == pair[1].0);
         match twice {
@@ -115,67 +115,14 @@
     }
 }
 
-fn check_count(rules: &[Arc<document::NamedRule>]) -> Result<(), ChangeConflict> {
+fn check_count(count: usize) -> Result<(), ChangeConflict> {
     let limit = document::RULE_LIMIT;
-    if rules.len() > limit {
+    if count > limit {
         return Err(ChangeConflict::TooMany { limit });
     }
     Ok(())
 }
 
-fn apply_edit(
-    rules: &mut Vec<Arc<document::NamedRule>>,
-    edit: &RuleEdit,
-) -> Result<(), ChangeConflict> {
-    match edit {
-        RuleEdit::Put { rule, before } => {
-            if let Some(place) = place_of(rules, &rule.name) {
-                rules.remove(place);
-            }
-            insert(rules, Arc::clone(rule), before.as_ref())
-        }
-        RuleEdit::Move { name, before } => {
-            let rule = take(rules, name)?;
-            insert(rules, rule, before.as_ref())
-        }
-        RuleEdit::Remove { name } => take(rules, name).map(|_| ()),
-    }
-}
-
-fn take(
-    rules: &mut Vec<Arc<document::NamedRule>>,
-    name: &name::RuleName,
-) -> Result<Arc<document::NamedRule>, ChangeConflict> {
-    let place = place_of(rules, name).ok_or_else(|| missing(name))?;
-    Ok(rules.remove(place))
-}
-
-fn insert(
-    rules: &mut Vec<Arc<document::NamedRule>>,
-    rule: Arc<document::NamedRule>,
-    before: Option<&name::RuleName>,
-) -> Result<(), ChangeConflict> {
-    let place = match before {
-        None => rules.len(),
-        Some(name) if *name == rule.name => {
-            let name = name.clone();
-            return Err(ChangeConflict::SelfReference { name });
-        }
-        Some(name) => place_of(rules, name).ok_or_else(|| missing(name))?,
-    };
-    rules.insert(place, rule);
-    Ok(())
-}
-
-fn place_of(rules: &[Arc<document::NamedRule>], name: &name::RuleName) -> Option<usize> {
-    rules.iter().position(|rule| rule.name == *name)
-}
-
-fn missing(name: &name::RuleName) -> ChangeConflict {
-    let name = name.clone();
-    ChangeConflict::Missing { name }
-}
-
 /// The edits that turn `old` into `new`.
 ///
 /// Rules that keep their order among themselves stay untouched, chosen as a longest increasing
--- a/crates/anvil_rules/src/lib.rs
+++ b/crates/anvil_rules/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/rules.md`. Nothing in here reads a file, a clock or a socket: the text comes in,
 //! typed values come out.
 
+mod chain;
 pub mod change;
 pub mod codec;
 pub mod condition;
--- a/crates/anvil_rules/tests/change.rs
+++ b/crates/anvil_rules/tests/change.rs
@@ -34,6 +34,58 @@
     name::RuleName::new(text).expect("a name")
 }
 
+/// The naive version: a vector that is searched for each name.
+fn naive_apply(
+    document: &document::RuleDocument,
+    edits: &[change::RuleEdit],
+) -> Option<Vec<Arc<document::NamedRule>>> {
+    let mut rules = document.rules().to_vec();
+    for edit in edits {
+        let (name, before) = match edit {
+            change::RuleEdit::Put { rule, before } => (&rule.name, before),
+            change::RuleEdit::Move { name, before } => (name, before),
+            change::RuleEdit::Remove { name } => (name, &None),
+        };
+        let place = rules.iter().position(|rule| rule.name == *name);
+        let taken = place.map(|place| rules.remove(place));
+        let rule = match edit {
+            change::RuleEdit::Put { rule, .. } => Arc::clone(rule),
+            change::RuleEdit::Move { .. } => taken?,
+            change::RuleEdit::Remove { .. } => {
+                taken?;
+                continue;
+            }
+        };
+        let place = match before {
+            None => rules.len(),
+            Some(before) => rules.iter().position(|rule| rule.name == *before)?,
+        };
+        rules.insert(place, rule);
+    }
+    Some(rules)
+}
+
+fn edits() -> impl Strategy<Value = Vec<change::RuleEdit>> {
+    let before = prop::option::of(0..12_u8);
+    let edit = (0..3_u8, 0..12_u8, before, 0..3_u8).prop_map(|(kind, name, before, retries)| {
+        let before = before.map(|name| rule_name(&format!("r{name}")));
+        match kind {
+            0 => change::RuleEdit::Put {
+                rule: Arc::clone(&document(&[(name, retries)]).rules()[0]),
+                before,
+            },
+            1 => change::RuleEdit::Move {
+                name: rule_name(&format!("r{name}")),
+                before,
+            },
+            _ => change::RuleEdit::Remove {
+                name: rule_name(&format!("r{name}")),
+            },
+        }
+    });
+    prop::collection::vec(edit, 0..6)
+}
+
 fn documents() -> impl Strategy<Value = document::RuleDocument> {
     let names = prop::collection::vec(0..12_u8, 0..12);
     (names, prop::collection::vec(0..3_u8, 12)).prop_map(|(names, retries)| {
@@ -62,6 +114,16 @@
         document.apply(&change(edits)).expect("the difference fits");
         prop_assert_eq!(document, new);
     }
+
+    #[test]
+    fn edits_do_what_they_do_to_a_searched_vector(old in documents(), edits in edits()) {
+        let expected = naive_apply(&old, &edits);
+        let mut document = old.clone();
+        let applied = document.apply(&change(edits)).ok();
+        prop_assert_eq!(applied.is_some(), expected.is_some());
+        let expected = expected.unwrap_or_else(|| old.rules().to_vec());
+        prop_assert_eq!(document.rules(), expected);
+    }
 }
 
 fn check_edits(old: &[(u8, u8)], new: &[(u8, u8)], expected: usize) {
