--- a/crates/anvil_node/examples/experiment.rs
+++ b/crates/anvil_node/examples/experiment.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::{env, fs};
 
+use anvil_standins::store::server;
 use anvil_standins::{experiment, mesh, process, report, scenario};
 use anvil_types::context;
 use eyre::{WrapErr, ensure};
@@ -25,11 +26,12 @@
 ";
 
 /// The switches of the safeguards, as `docs/design` names them.
-const SAFEGUARDS: [&str; 17] = [
+const SAFEGUARDS: [&str; 18] = [
     "adaptive-limit",
     "cold-ramp",
     "attribution",
     "ranked-queue",
+    "bounded-queue",
     "deadline-drop",
     "cut-line",
     "early-refusal",
@@ -140,14 +142,15 @@
     let scenario = scenario::ScenarioPlan::parse(&text)?;
     let folder = examples().join(&scenario.mesh);
     let mesh = mesh::MeshPlan::parse(&fs::read_to_string(folder.join("mesh.yaml"))?)?;
+    let store = server::StoreServer::start(seed)?;
     let run_folder = plan.folder.join(format!("{name}-{variant}-{seed}"));
     fs::create_dir_all(&run_folder)?;
     experiment::run(experiment::ExperimentPlan {
         starter: starter(node_binary()?, run_folder),
         mesh: Arc::new(mesh),
         scenario: Arc::new(scenario),
-        rules: None,
-        store: "127.0.0.1:9".parse()?,
+        rules: Some(fs::read_to_string(folder.join("rules.yaml"))?),
+        store: store.address(),
         extra_settings: variant_settings(variant)?,
         seed,
     })
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -6,7 +6,7 @@
 
 use anvil_types::name;
 use bytes::Bytes;
-use eyre::{WrapErr, bail, ensure};
+use eyre::{WrapErr, ensure};
 
 use crate::{client, ledger, load, mesh, mesh_target, process, report, scenario};
 
@@ -77,12 +77,12 @@
 /// Runs the scenario and returns everything recorded.
 pub async fn run_recorded(plan: ExperimentPlan) -> eyre::Result<Arc<ledger::RunLedger>> {
     let mut mesh = RunningMesh::start(plan).await?;
+    let keeper = tokio::spawn(keep_targets(mesh.keepers()));
     mesh.gather(mesh.members.len()).await?;
     mesh.apply_rules().await?;
     let start = Instant::now();
     let load = mesh.load_plan();
     let callers = tokio::spawn(load::run_load(load, start));
-    let keeper = tokio::spawn(keep_targets(mesh.keepers()));
     mesh.play_faults(start).await?;
     callers.await.wrap_err("the callers panicked")?;
     keeper.abort();
@@ -210,16 +210,26 @@
             ("anvil-change", format!("{:032x}", self.plan.seed + 1)),
             ("anvil-base", "0".to_owned()),
         ];
-        let mut request = admin_request(self.members[0].node.addresses().admin, "POST", "/rules");
-        request.headers = &headers;
-        request.body = Bytes::from(rules.clone());
-        let answer = self.client.send(request).await?;
-        if answer.status != 200 {
+        let admin = self.members[0].node.addresses().admin;
+        let until = Instant::now() + GATHER_WAIT;
+        loop {
+            let mut request = admin_request(admin, "POST", "/rules");
+            request.headers = &headers;
+            request.body = Bytes::from(rules.clone());
+            let answer = self.client.send(request).await?;
+            if answer.status == 200 {
+                break;
+            }
+            // A node that has not compared its rules with its peers' takes no change yet.
             let text = String::from_utf8_lossy(&answer.body);
-            bail!("the rules were refused with {}: {text}", answer.status);
+            ensure!(
+                answer.status == 503 && Instant::now() < until,
+                "the rules were refused with {}: {text}",
+                answer.status
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
         // Nodes take a change by gossip; the load must not start under the old rules.
-        let until = Instant::now() + GATHER_WAIT;
         for member in &self.members {
             while self.revision(member).await.unwrap_or(0) == 0 {
                 ensure!(
@@ -243,7 +253,7 @@
             ))
             .await?;
         let status: serde_json::Value = serde_json::from_slice(&answer.body)?;
-        Ok(status["revision"].as_u64().unwrap_or(0))
+        Ok(status["rules"]["revision"].as_u64().unwrap_or(0))
     }
 
     fn load_plan(&self) -> load::LoadPlan {
