Split the glob matcher into steps and show unreadable values

The glob matcher was one loop of forty lines; it is a cursor now that compares one byte or star a step, with the same bound, and agrees with the naive recursion as before. A duration or percentage that can't be read is shown in its fault, such as "10 s", instead of as 'text'.

--- a/crates/anvil_rules/src/fault.rs
+++ b/crates/anvil_rules/src/fault.rs
@@ -79,6 +79,14 @@
         /// The words that there are.
         known: &'static [&'static str],
     },
+    /// The text can't be read as what the field takes.
+    #[display("{found:?} is not {expected}")]
+    Unreadable {
+        /// What stands there.
+        found: String,
+        /// What the field takes.
+        expected: &'static str,
+    },
     /// The value is outside its range.
     #[display("{found} is outside {least} to {most}")]
     OutOfRange {
--- a/crates/anvil_rules/src/field.rs
+++ b/crates/anvil_rules/src/field.rs
@@ -89,6 +89,28 @@
         self.fault(fault::FaultReason::WrongType { expected, found }, faults);
     }
 
+    /// Reads text of a form of its own, such as a duration.
+    fn parsed<T, R>(
+        &self,
+        expected: &'static str,
+        read: R,
+        faults: &mut fault::FaultList<'_>,
+    ) -> Option<T>
+    where
+        R: Fn(&str) -> Option<T>,
+    {
+        let yaml::YamlValue::Text(text) = &self.node.value else {
+            self.wrong_type(expected, faults);
+            return None;
+        };
+        let value = read(text);
+        if value.is_none() {
+            let found = text.chars().take(range::TEXT_BYTES).collect();
+            self.fault(fault::FaultReason::Unreadable { found, expected }, faults);
+        }
+        value
+    }
+
     pub(crate) fn map(&self, faults: &mut fault::FaultList<'_>) -> Option<&'a [yaml::YamlEntry]> {
         let yaml::YamlValue::Map(entries) = &self.node.value else {
             self.wrong_type("a map", faults);
@@ -180,16 +202,9 @@
     where
         T: TryFrom<i64>,
     {
-        let number = match &self.node.value {
-            yaml::YamlValue::Text(text) => text
-                .strip_suffix('%')
-                .and_then(|digits| digits.parse().ok()),
-            _ => None,
-        };
-        let Some(number) = number else {
-            self.wrong_type("a whole number of percent, such as 10%", faults);
-            return None;
-        };
+        let expected = "a whole number of percent, such as 10%";
+        let read = |text: &str| text.strip_suffix('%')?.parse().ok();
+        let number: i64 = self.parsed(expected, read, faults)?;
         self.bounded(number, format!("{number}%"), range, faults)
     }
 
@@ -221,14 +236,8 @@
         range: &RangeInclusive<Duration>,
         faults: &mut fault::FaultList<'_>,
     ) -> Option<Duration> {
-        let read = match &self.node.value {
-            yaml::YamlValue::Text(text) => duration::read(text),
-            _ => None,
-        };
-        let Some(value) = read else {
-            self.wrong_type("a duration such as 500ms, 10s or 5m", faults);
-            return None;
-        };
+        let expected = "a duration such as 500ms, 10s or 5m";
+        let value = self.parsed(expected, duration::read, faults)?;
         if !range.contains(&value) {
             let reason = fault::FaultReason::OutOfRange {
                 found: duration::write(value),
--- a/crates/anvil_rules/src/path.rs
+++ b/crates/anvil_rules/src/path.rs
@@ -72,74 +72,99 @@
     }
 }
 
-/// A place to which matching returns when what followed a star failed.
-#[derive(Clone, Copy)]
-struct ResumePoint {
-    /// The byte of the glob behind the star.
-    glob: usize,
-    /// The byte of the path that the star takes in next.
-    path: usize,
-}
-
 /// Matches in time linear in the product of both lengths: only the last `*` and the last `**` are
 /// ever returned to, so no glob makes a node backtrack exponentially.
 fn glob_matches(glob: &[u8], path: &[u8]) -> bool {
-    let mut glob_at = 0;
-    let mut path_at = 0;
-    let mut single: Option<ResumePoint> = None;
-    let mut double: Option<ResumePoint> = None;
+    let mut cursor = GlobCursor::new(glob, path);
     loop {
-        let rest = &glob[glob_at..];
-        if rest.starts_with(&[STAR, STAR]) {
-            glob_at += 2;
-            single = None;
-            double = Some(ResumePoint {
-                glob: glob_at,
-                path: path_at,
-            });
-            continue;
+        if let Some(verdict) = cursor.step() {
+            return verdict;
         }
-        if rest.first() == Some(&STAR) {
-            glob_at += 1;
-            single = Some(ResumePoint {
-                glob: glob_at,
-                path: path_at,
-            });
-            continue;
+    }
+}
+
+/// How far a glob and a path have been compared.
+struct GlobCursor<'a> {
+    glob: &'a [u8],
+    path: &'a [u8],
+    /// Behind the last `*` since the last `**`.
+    single: Option<ResumePoint<'a>>,
+    /// Behind the last `**`.
+    double: Option<ResumePoint<'a>>,
+}
+
+/// Where to go on when what follows a star doesn't fit: the star takes in one byte more.
+#[derive(Clone, Copy)]
+struct ResumePoint<'a> {
+    glob: &'a [u8],
+    path: &'a [u8],
+}
+
+impl<'a> GlobCursor<'a> {
+    const fn new(glob: &'a [u8], path: &'a [u8]) -> Self {
+        Self {
+            glob,
+            path,
+            single: None,
+            double: None,
         }
-        if path_at == path.len() && rest.is_empty() {
-            return true;
+    }
+
+    /// Compares the next byte or star; tells the verdict once it is known.
+    fn step(&mut self) -> Option<bool> {
+        match (self.glob, self.path) {
+            ([STAR, STAR, rest @ ..], _) => {
+                self.glob = rest;
+                self.single = None;
+                self.double = Some(self.here());
+                None
+            }
+            ([STAR, rest @ ..], _) => {
+                self.glob = rest;
+                self.single = Some(self.here());
+                None
+            }
+            ([], []) => Some(true),
+            ([wanted, glob @ ..], [found, path @ ..]) if wanted == found => {
+                self.glob = glob;
+                self.path = path;
+                None
+            }
+            _ => self.resume(),
         }
-        if path_at < path.len() && rest.first() == Some(&path[path_at]) {
-            glob_at += 1;
-            path_at += 1;
-            continue;
+    }
+
+    const fn here(&self) -> ResumePoint<'a> {
+        ResumePoint {
+            glob: self.glob,
+            path: self.path,
         }
-        let resumed = resume_single(&mut single, path).or_else(|| {
-            single = None;
-            resume_double(&mut double, path)
-        });
-        let Some(point) = resumed else {
-            return false;
-        };
-        glob_at = point.glob;
-        path_at = point.path;
     }
-}
 
-fn resume_single(point: &mut Option<ResumePoint>, path: &[u8]) -> Option<ResumePoint> {
-    let kept = point.as_mut()?;
-    let byte = path.get(kept.path)?;
-    if *byte == SLASH {
-        return None;
+    /// Returns to the last star that can take in one byte more; where there is none, nothing fits.
+    fn resume(&mut self) -> Option<bool> {
+        let within_segment = |point: ResumePoint<'a>| match point.path {
+            [SLASH, ..] => None,
+            _ => point.further(),
+        };
+        self.single = self.single.and_then(within_segment);
+        if self.single.is_none() {
+            self.double = self.double.and_then(ResumePoint::further);
+        }
+        let Some(point) = self.single.or(self.double) else {
+            return Some(false);
+        };
+        self.glob = point.glob;
+        self.path = point.path;
+        None
     }
-    kept.path += 1;
-    Some(*kept)
 }
 
-fn resume_double(point: &mut Option<ResumePoint>, path: &[u8]) -> Option<ResumePoint> {
-    let kept = point.as_mut()?;
-    path.get(kept.path)?;
-    kept.path += 1;
-    Some(*kept)
+impl ResumePoint<'_> {
+    /// The same point with one byte of the path taken in; none at the end of the path.
+    fn further(self) -> Option<Self> {
+        let (_, path) = self.path.split_first()?;
+        let glob = self.glob;
+        Some(Self { glob, path })
+    }
 }
