Let the sender silent for longest give way in the replay window

Beyond 32,768 senders the lowest identity gave way, which could be a node that lives: each datagram of it would then push out the next one, and replays of both would be taken. The sender silent for longest gives way now, so only nodes that are gone lose their windows; a test fills the memory and fails with the old choice.

--- a/crates/anvil_wire/src/seal/replay.rs
+++ b/crates/anvil_wire/src/seal/replay.rs
@@ -5,7 +5,7 @@
 /// Datagrams of one sender that may arrive out of order and still be accepted.
 pub const WINDOW: u64 = 64;
 
-/// Senders remembered, about twice the members of the largest fleet; 24 bytes each.
+/// Senders remembered, about twice the members of the largest fleet; 32 bytes each.
 pub const SENDER_LIMIT: usize = 32_768;
 
 /// What was seen of one sender.
@@ -15,30 +15,39 @@
     highest: u64,
     /// Bit `n` tells whether `highest - n` was seen.
     seen: u64,
+    /// The count of datagrams when it was last heard.
+    heard: u64,
 }
 
 /// Accepts each datagram once.
 ///
 /// Without it, whoever records datagrams could send an old one again, and a node that left would
-/// seem to live. Only senders with a key get an entry, so the limit is reached by real nodes alone;
-/// then the sender with the lowest identity gives way, which costs no more than one replay of
-/// its datagrams.
+/// seem to live. Only senders with a key get an entry, so the limit is reached by real nodes alone,
+/// most of them gone after days of restarts; the one silent for longest then gives way, because
+/// old datagrams of a node that is gone say nothing that its peers still believe.
 #[derive(Clone, Debug, Default)]
 pub struct ReplayGuard {
+    /// Datagrams asked about so far.
+    asked: u64,
     windows: sorted::SortedTable<ident::NodeId, SenderWindow>,
 }
 
 impl ReplayGuard {
     /// Tells whether a datagram is new, and remembers it.
     pub fn accept(&mut self, sender: ident::NodeId, sequence: u64) -> bool {
+        self.asked += 1;
         if let Some(window) = self.windows.get_mut(sender) {
+            window.heard = self.asked;
             return window.accept(sequence);
         }
         if self.windows.len() >= SENDER_LIMIT {
             self.evict();
         }
-        let highest = sequence;
-        let window = SenderWindow { highest, seen: 1 };
+        let window = SenderWindow {
+            highest: sequence,
+            seen: 1,
+            heard: self.asked,
+        };
         self.windows.insert(sender, window);
         true
     }
@@ -59,8 +68,9 @@
     }
 
     fn evict(&mut self) {
-        let lowest = self.windows.iter().next().map(|(sender, _)| *sender);
-        if let Some(sender) = lowest {
+        let windows = self.windows.iter();
+        let silent = windows.min_by_key(|(_, window)| window.heard);
+        if let Some(sender) = silent.map(|(sender, _)| *sender) {
             self.windows.remove(sender);
         }
     }
--- a/crates/anvil_wire/tests/seal_datagram.rs
+++ b/crates/anvil_wire/tests/seal_datagram.rs
@@ -162,12 +162,19 @@
 }
 
 #[test]
-fn remembers_a_bounded_number_of_senders() {
+fn the_sender_silent_for_longest_gives_way() {
+    // A fleet restarts nodes for days until the memory for senders is full. Nodes that live must
+    // stay guarded against replays, whichever identity they drew.
+    let limit = replay::SENDER_LIMIT as u64;
     let mut guard = replay::ReplayGuard::default();
-    for sender in 0..=replay::SENDER_LIMIT as u64 {
+    for sender in 0..limit {
         assert!(guard.accept(ident::NodeId(sender), 1));
     }
+    assert!(guard.accept(ident::NodeId(0), 2));
+    assert!(guard.accept(ident::NodeId(limit), 1));
     assert_eq!(guard.len(), replay::SENDER_LIMIT);
+    assert!(!guard.accept(ident::NodeId(0), 2), "heard just now");
+    assert!(guard.accept(ident::NodeId(1), 1), "forgotten");
 }
 
 fn check_ring(keys: Vec<ring::SealKey>, expected: &str) {
