--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -205,7 +205,10 @@
             effect::NodeEffect::RunTarget(run) => self.runs.start(*run),
             effect::NodeEffect::CancelRun(run) => self.runs.cancel(run),
             effect::NodeEffect::AnswerOperator { handle, answer } => self.answer(handle, answer),
-            effect::NodeEffect::AskStore { id, ask } => self.store.ask(id, ask),
+            effect::NodeEffect::AskStore { id, ask } => {
+                let unasked = self.store.ask(id, ask);
+                self.followups.extend(unasked);
+            }
             effect::NodeEffect::Report(change) => log::info!("{change}"),
             effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
         }
