Let a caller read 413 while it still sends

Cause: a connection closed with unread bytes is reset, and a caller that was sending 20 MiB got "connection reset" in place of 413. A HEAD answer's stated length is tested too.

--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -8,12 +8,13 @@
 
 use anvil_core::event;
 use anvil_types::verdict;
+use anvil_wire::codec;
 use http::{HeaderValue, Request, header as names};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
@@ -29,6 +30,12 @@
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Most bytes read and dropped behind a refused request: twice the largest body.
+const REST_BYTES: u64 = 2 * codec::BODY_LIMIT as u64;
+
+/// Longest wait for them.
+const REST_WAIT: Duration = Duration::from_millis(1_000);
+
 /// When to come back after a process that has left; its successor is seconds away.
 const LEAVING_PAUSE: Duration = Duration::from_secs(1);
 
@@ -130,7 +137,22 @@
             let _ = stream.write_all(SLOW_HEAD).await;
         }
     }
-    let _ = stream.shutdown().await;
+    close(stream).await;
+}
+
+/// Ends this side, then reads and drops what the caller still sends, within limits.
+///
+/// A socket closed with unread bytes resets the connection, and the reset can destroy the reply
+/// that the caller has not read yet: it would see a broken connection in place of 413.
+async fn close(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut rest = stream.take(REST_BYTES);
+    let mut nowhere = tokio::io::sink();
+    let dropping = tokio::io::copy(&mut rest, &mut nowhere);
+    // Whatever comes of it, the reply had its chance.
+    let _ = tokio::time::timeout(REST_WAIT, dropping).await;
 }
 
 fn builder(limits: &CallerLimits) -> http1::Builder {
@@ -243,6 +265,8 @@
         };
         // A full queue must not lose the notice, or the target would work for nobody.
         let engine = self.edge.engine.clone();
-        tokio::spawn(async move { engine.send_async(input).await });
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { engine.send_async(input).await });
+        }
     }
 }
--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -77,16 +77,21 @@
     ),
 }
 
+// The caller learns of the limit only while it sends, and reads the reply when all is sent. The
+// node answers 413, ends its side and drops the rest; closed at once, the unread rest would reset
+// the connection and the caller would see a broken connection in place of 413.
 #[test]
 fn unstated_length_above_limit_is_refused() {
     let pair = common::Pair::start("");
     let head = "POST / HTTP/1.1\r\nhost: audiencias\r\ntransfer-encoding: chunked\r\n\r\n";
     let mut stream = common::raw(pair.caller(), head.as_bytes());
     let chunk = format!("100000\r\n{}\r\n", "x".repeat(0x10_0000));
-    for _ in 0..9 {
-        // The node may close before the last chunk is written.
-        let _ = stream.write_all(chunk.as_bytes());
+    for _ in 0..20 {
+        stream.write_all(chunk.as_bytes()).unwrap();
     }
+    stream.write_all(b"0\r\n\r\n").unwrap();
+    let answer = common::read_to_close(stream);
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer:?}");
     pair.await_count(EdgeCause::CallerBodyOversized, 1);
     pair.assert_lives();
 }
--- a/crates/anvil_node/tests/pass_through.rs
+++ b/crates/anvil_node/tests/pass_through.rs
@@ -36,6 +36,14 @@
     post_binary => ("POST", &[0, 255, 13, 10, 0, 128]),
 }
 
+#[test]
+fn head_keeps_the_stated_length() {
+    let pair = common::Pair::start("");
+    let response = pair.request("HEAD", "/bytes/1234").send().unwrap();
+    assert_eq!(response.headers()["content-length"], "1234");
+    assert_eq!(response.bytes().unwrap(), b"");
+}
+
 fn status_passes(code: u16) {
     let pair = common::Pair::start("");
     let path = format!("/status/{code}");
