--- /dev/null
+++ b/crates/anvil_node/tests/fleet_store.rs
@@ -0,0 +1,72 @@
+//! Nodes that know nothing but the platform's store.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anvil_node::{node, settings};
+use anvil_standins::store::{fake, server};
+
+const RULES: &str = include_str!("../../../examples/marche-armor/rules.yaml");
+
+fn start(store: SocketAddr) -> node::RunningNode {
+    let yaml = format!("{}platform: ['{store}']\n", common::yaml(""));
+    let settings = settings::parse(&yaml, Path::new("node.yaml")).unwrap();
+    node::start(&settings).unwrap()
+}
+
+fn get(node: &node::RunningNode, path: &str) -> serde_json::Value {
+    let url = format!("http://{}{path}", node.bound().admin);
+    let body = attohttpc::get(url).send().unwrap().text().unwrap();
+    serde_json::from_str(&body).unwrap()
+}
+
+fn apply(node: &node::RunningNode, change: &str) -> u16 {
+    let url = format!("http://{}/rules", node.bound().admin);
+    let request = attohttpc::post(url)
+        .header("anvil-change", change)
+        .header("anvil-author", "ana")
+        .header("anvil-base", "0")
+        .timeout(common::PATIENCE);
+    let response = request.text(RULES).send().unwrap();
+    response.status().as_u16()
+}
+
+#[test]
+fn a_change_through_one_node_is_in_force_at_the_other() {
+    // An operator applies rules at one node; a caller of the other is soon treated by them.
+    // The nodes meet through contact entries, the change goes into the log, the second node
+    // pulls it; the write's answer is lost, and the operator is told the truth all the same.
+    let store = server::StoreServer::start(3).unwrap();
+    let nodes = [start(store.address()), start(store.address())];
+    common::await_true("the nodes meet and compare their rules", || {
+        let whole = |n| {
+            let status = get(n, "/status");
+            status["fleet"]["members"] == 2 && status["fleet"]["rules_compared"] == true
+        };
+        nodes.iter().all(whole)
+    });
+    store.set_faults(fake::StoreFaults {
+        lost_answers: 30,
+        ..fake::StoreFaults::default()
+    });
+    assert_eq!(apply(&nodes[0], "abc1"), 200);
+    store.set_faults(fake::StoreFaults::default());
+    common::await_true("the change arrives", || {
+        get(&nodes[1], "/status")["rules"]["revision"] == 1
+    });
+    assert_eq!(apply(&nodes[1], "abc1"), 200, "asked again under its id");
+    assert_eq!(apply(&nodes[1], "abc2"), 409, "made from an old revision");
+    let logged = store.entries();
+    let logged = logged
+        .iter()
+        .filter(|e| e.key.as_str().starts_with("rules/log/"));
+    assert_eq!(logged.count(), 1);
+    for node in nodes {
+        node.stop();
+        node.wait().unwrap();
+    }
+}
