--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts all parts of a node and ends them in order.
 
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -218,6 +219,7 @@
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
             asked: 0,
+            followups: VecDeque::new(),
         };
         let policy = self.settings.policy;
         let mut reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
--- a/crates/anvil_node/src/platform.rs
+++ b/crates/anvil_node/src/platform.rs
@@ -34,7 +34,6 @@
 pub struct StoreQueue {
     calls: flume::Sender<StoreQuestion>,
     watches: flume::Sender<StoreQuestion>,
-    engine: engine::EngineSender,
 }
 
 /// What every thread of the store shares.
@@ -56,11 +55,7 @@
     ) -> eyre::Result<Self> {
         let (calls, waiting_calls) = flume::bounded(QUEUE_LIMIT);
         let (watches, waiting_watches) = flume::bounded(QUEUE_LIMIT);
-        let queue = Self {
-            calls,
-            watches,
-            engine: engine.clone(),
-        };
+        let queue = Self { calls, watches };
         if addresses.is_empty() {
             return Ok(queue);
         }
@@ -83,17 +78,16 @@
         Ok(queue)
     }
 
-    /// Asks; where the question can't wait in the queue, it is answered as unavailable at once.
-    pub fn ask(&self, id: store::StoreId, ask: store::StoreAsk) {
+    /// Asks; where the question can't wait in the queue, its answer comes back at once.
+    pub fn ask(&self, id: store::StoreId, ask: store::StoreAsk) -> Option<event::NodeEvent> {
         let queue = match ask {
             store::StoreAsk::Watch { .. } => &self.watches,
             _ => &self.calls,
         };
-        if queue.try_send(StoreQuestion { id, ask }).is_err() {
-            let outcome = store::StoreOutcome::Unavailable;
-            // A full engine loses the answer; the asker then gives the question up by itself.
-            let _ = self.engine.try_send(answer(id, outcome));
-        }
+        let refused = queue.try_send(StoreQuestion { id, ask }).is_err();
+        // The question never left, so it is known not to have been carried out.
+        let outcome = store::StoreOutcome::Unavailable;
+        refused.then_some(event::NodeEvent::StoreAnswered { id, outcome })
     }
 }
 
