Let zones meet at once, refutations hurry and missed ends be told

Cause: measuring fleets of 400 that start on an empty store showed zones that knew only themselves for 60 s, and 1,083 writes; a storm of joins used up the rumours that a leaving announcement needs; a node that missed an end could ask for it in vain, since ended members stand in no digest; a census lost a part of 19 with its paused counter. Change: contacts list the others at 2.5, 5, 10 s after they took their slot, and a node that met nobody reads the list again before it takes one; two rumours are kept for ends, leavings and refutations; a claim about an ended member is answered with its end; digests are compared soon after a storm; nodes that only heard of a suspicion ask the member before they end it; a census gives a silent part to another member.

--- /dev/null
+++ b/crates/anvil_membership/examples/capacity/fed.rs
@@ -0,0 +1,448 @@
+//! One membership state whose peers are played.
+//!
+//! Nodes are alike, so what one sends on its own account it also receives from others: each
+//! probe, rumour, pull and digest that the node sends is answered, and once in its time the same
+//! kind arrives from a random member.
+
+use std::time::{Duration, Instant};
+
+use anvil_membership::effect::FleetEffect;
+use anvil_membership::{config, digest, fleet, random};
+use anvil_types::{ident, name, time};
+use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+use anvil_wire::seal::datagram;
+use bytes::Bytes;
+
+use crate::harness;
+
+/// IP and UDP headers of a datagram.
+const UDP_BYTES: usize = 28;
+
+/// IP and TCP headers, the length and the seal of a bulk message; one segment is counted.
+const TCP_BYTES: usize = 40 + 4 + 32;
+
+/// Claims of the fleet a day, of 14,000 members: 4,700 restarts of five claims each and 61
+/// failures of three.
+const CLAIMS_A_DAY: f64 = 4_700.0 * 5.0 + 61.0 * 3.0;
+const FLEET: f64 = 14_000.0;
+
+/// Rule changes a day, whatever the size, and the size of one.
+const CHANGES_A_DAY: f64 = 31_000.0;
+const CHANGE_BYTES: usize = 300;
+
+const DAY: f64 = 86_400.0;
+
+/// Kinds of messages, for the sums.
+const KINDS: [&str; 9] = [
+    "ping", "ack", "indirect", "rumour", "pull", "changes", "other", "digest", "members",
+];
+
+/// What one run cost.
+pub(crate) struct FedReport {
+    span: Duration,
+    sent: [(u64, u64); 9],
+    received: [(u64, u64); 9],
+    cpu: Duration,
+    steps: u64,
+    peak: u64,
+}
+
+impl FedReport {
+    fn new(span: Duration) -> Self {
+        Self {
+            span,
+            sent: [(0, 0); 9],
+            received: [(0, 0); 9],
+            cpu: Duration::ZERO,
+            steps: 0,
+            peak: 0,
+        }
+    }
+
+    /// Prints the sums.
+    pub(crate) fn print(&self) {
+        let seconds = self.span.as_secs_f64();
+        for (place, kind) in KINDS.iter().enumerate() {
+            let (sent, received) = (self.sent[place], self.received[place]);
+            if sent.0 + received.0 > 0 {
+                println!(
+                    "  {kind}: sent {:.2}/s {:.0} B/s, received {:.2}/s {:.0} B/s",
+                    sent.0 as f64 / seconds,
+                    sent.1 as f64 / seconds,
+                    received.0 as f64 / seconds,
+                    received.1 as f64 / seconds
+                );
+            }
+        }
+        let all = |sums: &[(u64, u64)]| sums.iter().map(|s| s.1).sum::<u64>() as f64 / seconds;
+        println!(
+            "  all: sent {:.0} B/s, received {:.0} B/s, most sent in a second {} B",
+            all(&self.sent),
+            all(&self.received),
+            self.peak
+        );
+        println!(
+            "  processor: {:.4}% of a core, {:.1} µs an event, {} events",
+            100.0 * self.cpu.as_secs_f64() / seconds,
+            self.cpu.as_secs_f64() * 1e6 / self.steps.max(1) as f64,
+            self.steps
+        );
+    }
+}
+
+/// The node and its played peers.
+pub(crate) struct FedNode {
+    state: fleet::FleetState,
+    now: time::NodeTime,
+    size: usize,
+    choice: random::ChoiceSource,
+    revision: u64,
+    incarnations: Vec<u32>,
+    lost: Vec<bool>,
+    inbox: Vec<(time::NodeTime, Inbound)>,
+    report: FedReport,
+    second: (u64, u64),
+}
+
+enum Inbound {
+    Datagram(usize, GossipKind, Vec<gossip::MemberUpdate>),
+    Sync(usize, SyncMessage),
+}
+
+impl FedNode {
+    /// A node that knows `size` members, itself included.
+    pub(crate) fn new(size: usize) -> Self {
+        let local = fleet::LocalNode {
+            node: harness::id(0),
+            tcp: harness::address(0),
+            udp: harness::address(0),
+            zone: zone(0),
+            region: region(0),
+        };
+        let now = time::NodeTime::from_millis(1);
+        let settings = config::FleetConfig::default();
+        let mut node = Self {
+            state: fleet::FleetState::new(settings, &local, 3, now),
+            now,
+            size,
+            choice: random::ChoiceSource::new(9),
+            revision: 0,
+            incarnations: vec![0; size],
+            lost: vec![false; size],
+            inbox: Vec::new(),
+            report: FedReport::new(Duration::ZERO),
+            second: (0, 0),
+        };
+        let members: Vec<_> = (1..size).collect();
+        for part in members.chunks(gossip::BULK_LIMIT) {
+            let updates = part.iter().map(|index| node.claim(*index)).collect();
+            let message = SyncMessage::Members {
+                head: node.head(1),
+                updates,
+                wanted: Vec::new(),
+            };
+            node.state.on_sync(now, harness::id(1), &message);
+        }
+        assert_eq!(node.state.table().live(), size);
+        node
+    }
+
+    /// Lives through `span` of the ordinary rates of claims and changes.
+    pub(crate) fn run(&mut self, span: Duration) -> FedReport {
+        self.settle();
+        let claims = CLAIMS_A_DAY / DAY * self.size as f64 / FLEET;
+        let changes = CHANGES_A_DAY / DAY;
+        self.live(span, claims, changes)
+    }
+
+    /// Lives through the loss of `count` members.
+    pub(crate) fn lose_zone(&mut self, count: usize, span: Duration) -> FedReport {
+        self.settle();
+        for index in self.size - count..self.size {
+            self.lost[index] = true;
+        }
+        let rate = count as f64 / span.as_secs_f64();
+        self.live(span, rate, 0.0)
+    }
+
+    /// Lets the first digests and probes pass uncounted.
+    fn settle(&mut self) {
+        self.live(Duration::from_secs(60), 0.0, 0.0);
+    }
+
+    fn live(&mut self, span: Duration, claims: f64, changes: f64) -> FedReport {
+        let end = self.now + span;
+        self.report = FedReport::new(span);
+        let step = Duration::from_millis(1);
+        let mut next_lost = self.size - 1;
+        while self.now < end {
+            self.now = self.now + step;
+            if self.happens(claims * step.as_secs_f64()) {
+                let update = if self.lost[next_lost] {
+                    next_lost -= 1;
+                    self.end_claim(next_lost + 1)
+                } else {
+                    let index = 1 + self.choice.below(self.size - 1);
+                    self.incarnations[index] += 1;
+                    self.claim(index)
+                };
+                let from = self.living();
+                self.receive(from, GossipKind::Rumour, vec![update]);
+            }
+            if self.happens(changes * step.as_secs_f64()) {
+                self.revision += 1;
+                let from = self.living();
+                self.receive(from, GossipKind::Rumour, Vec::new());
+            }
+            self.deliver();
+            if self.state.next_wake().is_some_and(|due| due <= self.now) {
+                let now = self.now;
+                self.step(|state| state.on_wake(now));
+            }
+            self.count_second();
+        }
+        std::mem::replace(&mut self.report, FedReport::new(span))
+    }
+
+    fn happens(&mut self, chance: f64) -> bool {
+        (self.choice.below(1 << 30) as f64) < chance * f64::from(1 << 30)
+    }
+
+    fn living(&mut self) -> usize {
+        loop {
+            let index = 1 + self.choice.below(self.size - 1);
+            if !self.lost[index] {
+                return index;
+            }
+        }
+    }
+
+    fn receive(&mut self, from: usize, kind: GossipKind, updates: Vec<gossip::MemberUpdate>) {
+        let message = gossip::GossipMessage {
+            head: self.head(from),
+            kind,
+            updates,
+        };
+        count(&mut self.report.received, &message);
+        let now = self.now;
+        self.step(|state| state.on_datagram(now, harness::address(from), &message));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due = self.inbox.extract_if(.., |(at, _)| *at <= now);
+        let due: Vec<_> = due.collect();
+        for (_, inbound) in due {
+            match inbound {
+                Inbound::Datagram(from, kind, updates) => self.receive(from, kind, updates),
+                Inbound::Sync(from, message) => {
+                    count_sync(&mut self.report.received, &message);
+                    self.step(|state| state.on_sync(now, harness::id(from), &message));
+                }
+            }
+        }
+    }
+
+    fn step<Step>(&mut self, step: Step)
+    where
+        Step: FnOnce(&mut fleet::FleetState) -> Vec<FleetEffect>,
+    {
+        let start = Instant::now();
+        let effects = step(&mut self.state);
+        self.report.cpu += start.elapsed();
+        self.report.steps += 1;
+        let mut mirrored = false;
+        for effect in effects {
+            match effect {
+                FleetEffect::SendDatagram { to, message } => {
+                    self.second.1 += count(&mut self.report.sent, &message);
+                    self.answer(to, &message, &mut mirrored);
+                }
+                FleetEffect::SendSync { peer, message, .. } => {
+                    self.second.1 += count_sync(&mut self.report.sent, &message);
+                    self.answer_sync(peer, &message);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Answers a datagram, and lets the same kind arrive from somebody else.
+    fn answer(
+        &mut self,
+        to: std::net::SocketAddr,
+        message: &gossip::GossipMessage,
+        mirrored: &mut bool,
+    ) {
+        let receiver = index_of(to);
+        let updates = message.updates.clone();
+        let other = self.living();
+        match &message.kind {
+            GossipKind::Ping { probe, .. } => {
+                let of = harness::id(receiver);
+                let probe = *probe;
+                if !self.lost[receiver] {
+                    let ack = GossipKind::Ack { probe, of };
+                    self.later(4, Inbound::Datagram(receiver, ack, updates.clone()));
+                }
+                let to = harness::id(0);
+                let ping = GossipKind::Ping { probe, to };
+                self.later(500, Inbound::Datagram(other, ping, updates));
+            }
+            GossipKind::PingRequest { probe, target } => {
+                let (probe, target) = (*probe, *target);
+                if !self.lost[receiver] {
+                    let nack = GossipKind::Nack { probe };
+                    self.later(350, Inbound::Datagram(receiver, nack, updates.clone()));
+                }
+                let request = GossipKind::PingRequest { probe, target };
+                self.later(500, Inbound::Datagram(other, request, updates));
+            }
+            GossipKind::Rumour => {
+                self.later(20, Inbound::Datagram(other, GossipKind::Rumour, updates));
+                if !*mirrored && self.state.revision().0 == self.revision && self.revision > 0 {
+                    // One of the four that heard of a new revision asks this node for it.
+                    *mirrored = true;
+                    let after = ident::RuleRevision(self.revision - 1);
+                    let pull = GossipKind::PullChanges { after };
+                    self.later(4, Inbound::Datagram(other, pull, Vec::new()));
+                }
+            }
+            GossipKind::PullChanges { after } => {
+                let changes = (after.0 + 1..=self.revision).map(|revision| gossip::LoggedChange {
+                    revision: ident::RuleRevision(revision),
+                    change: u128::from(revision),
+                    body: Bytes::from(vec![7; CHANGE_BYTES]),
+                });
+                let changes = GossipKind::Changes {
+                    changes: changes.take(3).collect(),
+                };
+                self.later(4, Inbound::Datagram(receiver, changes, Vec::new()));
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_sync(&mut self, peer: ident::NodeId, message: &SyncMessage) {
+        let SyncMessage::Digest { sums, .. } = message else {
+            return;
+        };
+        let receiver = (1..self.size).find(|index| harness::id(*index) == peer);
+        let receiver = receiver.unwrap_or(1);
+        // Two buckets differ at any time: what is still on its way, a claim every four seconds.
+        let differing: Vec<u32> = (0..2)
+            .map(|_| self.choice.below(sums.len()) as u32)
+            .collect();
+        let headers = digest::headers(self.state.table(), sums.len(), &differing);
+        let answer = SyncMessage::Headers {
+            head: self.head(receiver),
+            buckets: sums.len() as u32,
+            differing: differing.clone(),
+            headers,
+        };
+        self.later(50, Inbound::Sync(receiver, answer));
+        let mut theirs = sums.clone();
+        for place in differing {
+            theirs[place as usize] ^= 1;
+        }
+        let other = self.living();
+        let sums = theirs;
+        let head = self.head(other);
+        let digest = SyncMessage::Digest { head, sums };
+        self.later(9_000, Inbound::Sync(other, digest));
+    }
+
+    fn later(&mut self, millis: u64, inbound: Inbound) {
+        let at = self.now + Duration::from_millis(millis);
+        self.inbox.push((at, inbound));
+    }
+
+    fn head(&self, from: usize) -> gossip::GossipHead {
+        gossip::GossipHead {
+            from: harness::id(from),
+            incarnation: self.incarnations[from],
+            revision: ident::RuleRevision(self.revision),
+            ready: true,
+        }
+    }
+
+    fn claim(&self, index: usize) -> gossip::MemberUpdate {
+        let service = format!("service-{:03}", index % 730);
+        let facts = gossip::MemberFacts {
+            tcp: harness::address(index),
+            udp: harness::address(index),
+            zone: zone(index),
+            region: region(index),
+            service: name::ServiceName::new(&service).ok(),
+            slots: 40,
+            leaving: self.incarnations[index] % 2 == 1,
+            contact: None,
+        };
+        gossip::MemberUpdate {
+            node: harness::id(index),
+            incarnation: self.incarnations[index],
+            standing: gossip::MemberStanding::Alive(Box::new(facts)),
+        }
+    }
+
+    fn end_claim(&self, index: usize) -> gossip::MemberUpdate {
+        gossip::MemberUpdate {
+            node: harness::id(index),
+            incarnation: self.incarnations[index],
+            standing: gossip::MemberStanding::Gone,
+        }
+    }
+
+    fn count_second(&mut self) {
+        let second = self.now.0 / 1_000_000;
+        if second != self.second.0 {
+            self.report.peak = self.report.peak.max(self.second.1);
+            self.second = (second, 0);
+        }
+    }
+}
+
+fn index_of(address: std::net::SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => (u32::from(ip) - 0x0a00_0000) as usize,
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
+
+fn zone(index: usize) -> name::ZoneName {
+    name::ZoneName::new(&format!("ar-centro-{:02}", index % 14)).expect("a name")
+}
+
+fn region(index: usize) -> name::RegionName {
+    name::RegionName::new(&format!("ar-centro-{}", index % 4)).expect("a name")
+}
+
+fn count(sums: &mut [(u64, u64); 9], message: &gossip::GossipMessage) -> u64 {
+    let place = match message.kind {
+        GossipKind::Ping { .. } => 0,
+        GossipKind::Ack { .. } => 1,
+        GossipKind::Nack { .. } | GossipKind::PingRequest { .. } => 2,
+        GossipKind::Rumour => 3,
+        GossipKind::PullChanges { .. } => 4,
+        GossipKind::Changes { .. } => 5,
+        _ => 6,
+    };
+    let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
+    let bytes = (bytes + datagram::OVERHEAD_BYTES + UDP_BYTES) as u64;
+    add(&mut sums[place], bytes)
+}
+
+fn count_sync(sums: &mut [(u64, u64); 9], message: &SyncMessage) -> u64 {
+    let place = match message {
+        SyncMessage::Digest { .. } => 7,
+        _ => 8,
+    };
+    let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
+    add(&mut sums[place], (bytes + TCP_BYTES) as u64)
+}
+
+fn add(sum: &mut (u64, u64), bytes: u64) -> u64 {
+    sum.0 += 1;
+    sum.1 += bytes;
+    bytes
+}
--- /dev/null
+++ b/crates/anvil_membership/examples/capacity_slopes.rs
@@ -0,0 +1,110 @@
+//! Prints what membership and rule changes cost one node as the fleet grows.
+//!
+//! Two parts: one state machine whose table holds the whole fleet, fed as its peers would feed it,
+//! and small fleets of state machines that really exchange their messages. The figures stand in
+//! `docs/CAPACITY.md`; run it with
+//! `cargo run --release -p anvil_membership --example capacity_slopes`.
+
+// A counting allocator can't be written without `unsafe`; it only passes calls on.
+#![allow(unsafe_code)]
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicIsize, Ordering};
+use std::time::Duration;
+
+#[path = "capacity/fed.rs"]
+mod fed;
+#[path = "../tests/harness/mod.rs"]
+mod harness;
+
+/// Counts the bytes held.
+struct CountingAllocator;
+
+static HELD: AtomicIsize = AtomicIsize::new(0);
+
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// Sizes of the fleet that one state machine is fed with.
+const FED_SIZES: [usize; 4] = [1_000, 3_500, 7_000, 14_000];
+
+/// Sizes of the fleets of real state machines.
+const NET_SIZES: [usize; 4] = [50, 100, 200, 400];
+
+fn main() {
+    println!("one node's membership, fed; bytes include seal, IP and UDP (or TCP) headers");
+    for size in FED_SIZES {
+        let before = HELD.load(Ordering::Relaxed);
+        let mut node = fed::FedNode::new(size);
+        let held = HELD.load(Ordering::Relaxed) - before;
+        let report = node.run(Duration::from_secs(600));
+        println!("members {size}");
+        println!(
+            "  memory: {} kB, {} bytes a member",
+            held / 1_000,
+            held / size as isize
+        );
+        report.print();
+        let mut node = fed::FedNode::new(size);
+        let storm = node.lose_zone(size / 14, Duration::from_secs(20));
+        println!("  a zone of {} members lost within 20 s:", size / 14);
+        storm.print();
+    }
+    println!("fleets of real state machines, four regions, 40 to 80 ms between them");
+    for size in NET_SIZES {
+        measure_net(size);
+    }
+}
+
+/// Prints how long a change, a loss and a leaving announcement take to be known everywhere.
+fn measure_net(size: usize) {
+    let mut changes = Vec::new();
+    let mut losses = Vec::new();
+    let mut net = harness::Net::with_store(size, 4, 5);
+    net.run(Duration::from_secs(90));
+    for round in 0..5 {
+        let proposed = net.propose(round * 7 + 1, round as u128 + 1);
+        assert!(proposed, "the change was tried");
+        let count = round + 1;
+        let everywhere = |net: &harness::Net| {
+            let mut running = net.nodes.iter().filter(|n| n.running);
+            running.all(|n| n.document.len() == count)
+        };
+        changes.push(net.run_until(Duration::from_secs(60), everywhere));
+        net.run(Duration::from_secs(10));
+    }
+    for round in 0..5 {
+        let lost = size - 1 - round;
+        net.crash(lost);
+        let known = |net: &harness::Net| net.believers(harness::id(lost)) == 0;
+        losses.push(net.run_until(Duration::from_secs(60), known));
+        net.run(Duration::from_secs(20));
+    }
+    println!(
+        "  {size} nodes: change everywhere after {}, loss known everywhere after {}",
+        spread(&mut changes),
+        spread(&mut losses)
+    );
+}
+
+fn spread(times: &mut [Duration]) -> String {
+    times.sort_unstable();
+    let middle = times[times.len() / 2];
+    let most = times[times.len() - 1];
+    format!(
+        "{middle:.1?} (middle), {most:.1?} (most) of {}",
+        times.len()
+    )
+}
--- a/crates/anvil_membership/src/census.rs
+++ b/crates/anvil_membership/src/census.rs
@@ -14,10 +14,11 @@
 pub const PARTS: usize = 16;
 
 /// Time that the asking node waits for the whole count.
-pub const WAIT: Duration = Duration::from_secs(3);
+pub const WAIT: Duration = Duration::from_secs(4);
 
-/// Share of the asker's time that its parts get, so that their replies arrive in time.
-pub const WAIT_SHARE: u32 = 7;
+/// Share of the asker's time that its parts get, so that a part whose counter is silent can be
+/// given to another member once.
+pub const WAIT_SHARE: u32 = 4;
 
 /// Out of this many.
 pub const WAIT_WHOLE: u32 = 10;
@@ -44,6 +45,8 @@
 pub struct OpenPart {
     /// The members in it, as this node knows them.
     pub members: Vec<ident::NodeId>,
+    /// The one that counts it.
+    pub counter: ident::NodeId,
     /// Whether the reply has come.
     pub answered: bool,
 }
@@ -61,6 +64,10 @@
     pub count: gossip::CensusCount,
     /// The parts, numbered from `number` on.
     pub parts: Vec<OpenPart>,
+    /// When missing parts are given to other members; none once that is done.
+    pub retry_at: Option<time::NodeTime>,
+    /// Time that a part gets.
+    pub share: Duration,
     /// When parts that are missing count as silent.
     pub until: time::NodeTime,
 }
@@ -128,6 +135,7 @@
 impl CensusState {
     /// When the next count gives up.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
-        self.open.iter().map(|open| open.until).min()
+        let due = |open: &OpenCensus| open.retry_at.unwrap_or(open.until).min(open.until);
+        self.open.iter().map(due).min()
     }
 }
--- a/crates/anvil_membership/src/config.rs
+++ b/crates/anvil_membership/src/config.rs
@@ -65,7 +65,7 @@
             helpers: 3,
             suspicion_floor: Duration::from_secs(4),
             suspicion_ceiling: Duration::from_secs(6),
-            ask_interval: Duration::from_millis(400),
+            ask_interval: Duration::from_millis(250),
             relay_factor: 2,
             piggyback_bytes: 500,
             rumour_bytes: 1_000,
--- a/crates/anvil_membership/src/contact.rs
+++ b/crates/anvil_membership/src/contact.rs
@@ -27,6 +27,18 @@
 /// Time between two lists of all contacts by a contact, to find parts of the fleet unknown to it.
 pub const FIND_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Time over which nodes that start together spread their first list of contacts.
+pub const FIRST_FIND: Duration = Duration::from_secs(1);
+
+/// Time over which nodes that found an empty list spread their first try for a slot.
+pub const FIRST_LOOK: Duration = Duration::from_secs(4);
+
+/// Age of a list of contacts beyond which a node that met nobody reads it again before it acts.
+pub const LIST_FRESH: Duration = Duration::from_secs(1);
+
+/// Doublings after which the time between two lists has its full length.
+const FIND_DOUBLINGS: u32 = 5;
+
 /// First and longest pause after the store failed.
 const PAUSE_FIRST: Duration = Duration::from_secs(1);
 const PAUSE_LIMIT: Duration = Duration::from_secs(30);
@@ -57,23 +69,38 @@
     pub vacant: [Option<time::NodeTime>; CONTACT_SLOTS as usize],
     /// Pauses after failures of the store.
     pub backoff: backoff::RetryBackoff,
-    /// Whether the store ever listed the contacts.
-    pub listed: bool,
+    /// When the store last listed the contacts.
+    pub listed: Option<time::NodeTime>,
+    /// Whether that list held contacts that this node did not know.
+    pub strangers: bool,
+    /// Lists since this node took its slot; the first ones follow one another faster.
+    pub finds: u32,
 }
 
 impl ContactState {
-    /// Lists the contacts at `find_at` for the first time.
-    pub fn new(find_at: time::NodeTime) -> Self {
+    /// Lists the contacts at `find_at` for the first time, and tries for a slot from `look_at` on.
+    pub fn new(find_at: time::NodeTime, look_at: time::NodeTime) -> Self {
         Self {
             held: None,
             find_at,
-            look_at: find_at + LOOK_INTERVAL / 5,
+            look_at,
             vacant: [None; CONTACT_SLOTS as usize],
             backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
-            listed: false,
+            listed: None,
+            strangers: false,
+            finds: 0,
         }
     }
 
+    /// Time to the next list.
+    ///
+    /// When many nodes start on an empty store, each zone first knows only itself; the zones meet
+    /// when their contacts list the others, so the first lists follow one another quickly.
+    pub fn find_interval(&self) -> Duration {
+        let doublings = self.finds.min(FIND_DOUBLINGS);
+        (LOOK_INTERVAL / 2 * (1 << doublings)).min(FIND_INTERVAL)
+    }
+
     /// Whether this node watches the log of changes.
     pub fn watches(&self) -> bool {
         self.held.is_some_and(|held| held.slot < WATCH_SLOTS)
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -80,6 +80,8 @@
 struct FleetTimers {
     join: time::NodeTime,
     sync: time::NodeTime,
+    /// An exchange of digests soon after many members ended, to find an end that was missed.
+    storm_sync: Option<time::NodeTime>,
     reconnect: time::NodeTime,
     trim: time::NodeTime,
 }
@@ -96,6 +98,7 @@
     joined: bool,
     repeating: bool,
     early_syncs: u8,
+    recent_ends: u32,
     asks: asking::OpenAsks,
     contacts: contact::ContactState,
     rules: spread::RuleSpread,
@@ -127,11 +130,13 @@
         let timers = FleetTimers {
             join: now,
             sync: now + choice.span(config.sync_interval),
+            storm_sync: None,
             reconnect: now + choice.span(config.reconnect_interval),
             trim: now + config.reconnect_interval,
         };
         let first_turn = now + choice.span(config.period);
-        let first_find = now + choice.span(config.resend);
+        let first_find = now + choice.span(contact::FIRST_FIND);
+        let first_look = first_find + choice.span(contact::FIRST_LOOK);
         let first_snapshot = choice.below(spread::SNAPSHOT_EVERY as usize) as u64;
         let first_snapshot = ident::RuleRevision(spread::SNAPSHOT_EVERY + first_snapshot);
         let rules = spread::RuleSpread::new(now, config.store, !config.seeds.is_empty());
@@ -146,8 +151,9 @@
             joined: false,
             repeating: true,
             early_syncs: EARLY_SYNCS,
+            recent_ends: 0,
             asks: asking::OpenAsks::default(),
-            contacts: contact::ContactState::new(first_find),
+            contacts: contact::ContactState::new(first_find, first_look),
             rules,
             snapshot: snapshot::SnapshotState::new(first_snapshot),
             census: census::CensusState::default(),
@@ -312,7 +318,9 @@
         let asks = self.asks.next_lost();
         let rules = self.rules_next();
         let census = self.census.next_wake();
-        let others = [suspect, push, asks, rules, census].into_iter().flatten();
+        let storm = timers.storm_sync;
+        let others = [suspect, push, asks, rules, census, storm];
+        let others = others.into_iter().flatten();
         // A due time that nothing moves on would make the reducer spin; it costs a thousand wakes
         // a second at most.
         Some(others.fold(due, Ord::min).max(self.woke + WAKE_GAP))
@@ -358,14 +366,25 @@
 
     /// Lets the present claim about `node` ride on datagrams and on the next rumour.
     fn relay(&mut self, node: ident::NodeId) {
+        let ends = |r: &member::MemberRecord| !r.state.is_live() || r.facts.leaving;
+        let urgent = self.table.get(node).is_some_and(ends);
+        self.relay_claim(node, urgent);
+    }
+
+    /// The same, ahead of others where it is `urgent`: ends, leavings and refutations.
+    fn relay_claim(&mut self, node: ident::NodeId, urgent: bool) {
         if !self.repeating && node != self.local {
             return;
         }
         let doublings = self.table.live().max(1).ilog2() + 1;
         let relays = u32::from(self.config.relay_factor) * doublings;
         let relays = u8::try_from(relays).unwrap_or(u8::MAX);
-        self.relays.push(&mut self.table, node, relays);
-        self.pushing.request();
+        self.relays.push(&mut self.table, node, relays, urgent);
+        if urgent {
+            self.pushing.request_twice();
+        } else {
+            self.pushing.request();
+        }
     }
 
     /// Sends a rumour where something changed and the budget allows one.
--- a/crates/anvil_membership/src/fleet/claims.rs
+++ b/crates/anvil_membership/src/fleet/claims.rs
@@ -82,6 +82,7 @@
 
     /// Asks the accused again, so that a refutation reaches its accuser on the shortest way.
     pub(super) fn ask_suspects(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        self.suspicions.join_in(self.config.suspicion_ceiling, now);
         for node in self.suspicions.take_asks(self.config.ask_interval, now) {
             let number = self.probes.number();
             self.ping(node, number, out);
@@ -118,6 +119,7 @@
             GoneReason::Crashed => self.counters.members_crashed += 1,
             GoneReason::Replaced => self.counters.members_replaced += 1,
         }
+        self.note_end(now);
         self.relay(node);
         out.push(FleetEffect::MemberGone { node, reason });
         out.push(FleetEffect::Report(FleetReport::Gone { node, reason }));
@@ -148,6 +150,7 @@
         let facts = record.facts.clone();
         self.incarnation = update.incarnation.saturating_add(1);
         self.announce(facts, now);
+        self.relay_claim(self.local, true);
         if !alive {
             self.health.worsen();
         }
@@ -189,8 +192,14 @@
             self.counters.claims_refused += 1;
             return;
         }
+        // A refutation must be faster than the suspicion's end.
+        let refutes = self.suspicions.get(update.node).is_some();
         self.suspicions.clear(update.node);
-        self.relay(update.node);
+        if refutes {
+            self.relay_claim(update.node, true);
+        } else {
+            self.relay(update.node);
+        }
         self.tell_alive(update.node, was_live, out);
     }
 
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -99,7 +99,7 @@
         out: &mut Vec<FleetEffect>,
     ) {
         self.contacts.backoff.reset();
-        self.contacts.listed = true;
+        self.contacts.listed = Some(now);
         let decoded = entries.iter();
         let decoded = decoded.filter_map(|entry| gossip::ContactEntry::from_value(&entry.value));
         let mut strangers: Vec<_> = decoded
@@ -109,12 +109,14 @@
             })
             .collect();
         self.choice.shuffle(&mut strangers);
+        self.contacts.strangers = !strangers.is_empty();
         for contact in strangers.iter().take(JOIN_CONTACTS) {
             self.join_through(contact.udp, out);
         }
         // Only contacts look on, so the reads grow with the zones and not with the nodes.
+        self.contacts.finds += 1;
         let interval = if self.joined || strangers.is_empty() {
-            contact::FIND_INTERVAL
+            self.contacts.find_interval()
         } else {
             contact::LOOK_INTERVAL
         };
@@ -141,7 +143,21 @@
     fn look_for_vacancy(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
         let jitter = self.choice.span(contact::LOOK_INTERVAL / 4);
         self.contacts.look_at = now + contact::LOOK_INTERVAL + jitter;
-        if !self.contacts.listed || self.contacts.held.is_some() || self.is_leaving() {
+        if self.contacts.held.is_some() || self.is_leaving() {
+            return;
+        }
+        let Some(listed) = self.contacts.listed else {
+            return;
+        };
+        // Of many nodes that start on an empty store, the first ones take the slots and the others
+        // see them when they read the list once more; otherwise each would cost a grant.
+        if !self.joined && now.since(listed) > contact::LIST_FRESH {
+            self.find_contacts(now, out);
+            self.contacts.look_at = now + contact::LIST_FRESH / 2;
+            return;
+        }
+        // Where contacts stand in the list, the fleet exists and is joined first.
+        if !self.joined && self.contacts.strangers {
             return;
         }
         for slot in 0..contact::CONTACT_SLOTS {
@@ -218,7 +234,8 @@
             version,
             renew_at: now + contact::RENEW_INTERVAL,
         });
-        self.contacts.find_at = now + contact::FIND_INTERVAL;
+        self.contacts.finds = 0;
+        self.contacts.find_at = now + self.contacts.find_interval();
         self.read_log_soon(now);
         self.set_contact(now, Some(slot));
         out.push(FleetEffect::Report(FleetReport::Contact { slot }));
--- a/crates/anvil_membership/src/fleet/counting.rs
+++ b/crates/anvil_membership/src/fleet/counting.rs
@@ -64,6 +64,7 @@
 
     /// Ends the counts whose time is over.
     pub(super) fn census_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        self.retry_parts(now, out);
         while let Some(place) = self.census.open.iter().position(|open| open.until <= now) {
             let mut open = self.census.open.remove(place);
             open.give_up();
@@ -100,18 +101,22 @@
         let parts = before.chunks(size).chain(behind.chunks(size));
         let parts = parts.map(|members| OpenPart {
             members: members.to_vec(),
+            counter: self.local,
             answered: false,
         });
+        let share = wait * census::WAIT_SHARE / census::WAIT_WHOLE;
         let mut open = OpenCensus {
             number: self.census.numbers,
             asker,
             revision,
             count,
             parts: parts.collect(),
+            retry_at: Some(now + wait / 2),
+            share,
             until: now + wait,
         };
         self.census.numbers = open.number.wrapping_add(open.parts.len() as u32);
-        self.ask_parts(&mut open, wait, out);
+        self.ask_parts(&mut open, out);
         if open.is_whole() {
             self.end_census(now, open, out);
         } else {
@@ -119,20 +124,43 @@
         }
     }
 
-    /// Asks one member of each part to count it.
-    fn ask_parts(&mut self, open: &mut OpenCensus, wait: Duration, out: &mut Vec<FleetEffect>) {
-        let share = wait * census::WAIT_SHARE / census::WAIT_WHOLE;
-        for (place, part) in open.parts.iter().enumerate() {
+    /// Gives the parts whose counters are silent to other members, once.
+    ///
+    /// A counter may have crashed a moment ago; its whole part would count as silent with it.
+    fn retry_parts(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+        let mut counts = std::mem::take(&mut self.census.open);
+        for open in &mut counts {
+            if open.retry_at.take_if(|due| *due <= now).is_some() {
+                self.ask_parts(open, out);
+            }
+        }
+        self.census.open = counts;
+    }
+
+    /// Asks one member of each missing part to count it, another one than before.
+    fn ask_parts(&mut self, open: &mut OpenCensus, out: &mut Vec<FleetEffect>) {
+        for (place, part) in open
+            .parts
+            .iter_mut()
+            .enumerate()
+            .filter(|(_, p)| !p.answered)
+        {
+            let former = part.counter;
+            let fresh = part.members.iter().filter(|node| **node != former);
+            let fresh: Vec<_> = fresh.copied().collect();
             let (Some(first), Some(last)) = (part.members.first(), part.members.last()) else {
                 continue;
             };
-            let counter = part.members[self.choice.below(part.members.len())];
+            let Some(counter) = fresh.get(self.choice.below(fresh.len())).copied() else {
+                continue;
+            };
+            part.counter = counter;
             let message = CensusMessage::Ask {
                 census: open.number.wrapping_add(place as u32),
                 revision: open.revision,
                 first: *first,
                 last: *last,
-                wait_millis: u32::try_from(share.as_millis()).unwrap_or(u32::MAX),
+                wait_millis: u32::try_from(open.share.as_millis()).unwrap_or(u32::MAX),
             };
             if let Some(to) = self.table.get(counter).map(|m| m.facts.udp) {
                 self.send(to, GossipKind::Census(message), Vec::new(), out);
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -9,6 +9,7 @@
 use crate::fleet::FleetState;
 use crate::member::MemberState;
 use crate::probe::{ProbeAction, ProbeAnswer};
+use crate::relay;
 
 /// Members that a newcomer is told of.
 const WELCOME_MEMBERS: usize = 8;
@@ -119,10 +120,12 @@
 
     fn welcome(&mut self, from: SocketAddr, out: &mut Vec<FleetEffect>) {
         let mut told = vec![self.local];
-        while told.len() <= WELCOME_MEMBERS {
+        let mut bytes = 0;
+        while told.len() <= WELCOME_MEMBERS && bytes < self.config.piggyback_bytes {
             let Some(peer) = self.table.draw_live(&mut self.choice, &told) else {
                 break;
             };
+            bytes += relay::claim_bytes(peer);
             told.push(peer.node);
         }
         let updates = told.into_iter().filter_map(|node| self.whole_claim(node));
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -9,11 +9,17 @@
 use crate::digest;
 use crate::effect::FleetEffect;
 use crate::fleet::FleetState;
-use crate::member::MemberState;
+use crate::member::{MemberState, claimed_state};
 
 /// Time between two attempts to join.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Ends between two exchanges that count as a storm.
+const STORM_ENDS: u32 = 16;
+
+/// Quiet time behind the last end of a storm before digests are compared.
+const STORM_QUIET: Duration = Duration::from_secs(4);
+
 /// Claims of one bulk message that are still repeated by datagrams.
 ///
 /// A few may be news to everybody; many are old news that only the receiver missed, and repeating
@@ -94,9 +100,12 @@
 
     /// Compares digests with a random member.
     pub(super) fn sync_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
-        if now < self.timers.sync {
+        let storm = self.timers.storm_sync.take_if(|due| *due <= now);
+        if now < self.timers.sync && storm.is_none() {
             return;
         }
+        self.recent_ends = 0;
+        self.timers.storm_sync = None;
         let newcomer = self.table.live() <= NEWCOMER_MEMBERS;
         // A node that starts among many that start has only the part that its first peer knew.
         let hasty = newcomer || self.early_syncs > 0;
@@ -120,6 +129,18 @@
         self.send_sync(peer, SyncMessage::Digest { head, sums }, out);
     }
 
+    /// Notes an end; after many, digests are compared as soon as it has been quiet for a while.
+    ///
+    /// In a zone's loss each claim has less room on the datagrams, so here and there a node misses
+    /// one and would send work to a target that is gone until the next regular exchange.
+    pub(super) fn note_end(&mut self, now: time::NodeTime) {
+        self.recent_ends += 1;
+        if self.recent_ends >= STORM_ENDS {
+            let pause = STORM_QUIET + self.choice.span(STORM_QUIET / 2);
+            self.timers.storm_sync = Some(now + pause);
+        }
+    }
+
     /// Forgets the members that were gone long ago.
     pub(super) fn trim_when_due(&mut self, now: time::NodeTime) {
         if now < self.timers.trim {
@@ -219,11 +240,27 @@
             self.apply(now, update, out);
         }
         self.repeating = true;
-        if !wanted.is_empty() {
-            self.send_claims(peer, wanted, Vec::new(), out);
+        let mut telling = self.ended_since(updates);
+        telling.extend(wanted);
+        if !telling.is_empty() {
+            self.send_claims(peer, &telling, Vec::new(), out);
         }
     }
 
+    /// The members that a peer claims alive and this node knows to have ended since.
+    ///
+    /// Ended members stand in no digest and no header, so the peer learns of the end only if its
+    /// claim is answered; it would otherwise send work there until its own probe fails.
+    fn ended_since(&self, updates: &[gossip::MemberUpdate]) -> Vec<ident::NodeId> {
+        let ended = updates.iter().filter(|update| {
+            let claimed = (update.incarnation, claimed_state(&update.standing));
+            let known = self.table.get(update.node);
+            known.is_some_and(|record| !record.state.is_live() && record.rank() > claimed)
+        });
+        let claimed_alive = ended.filter(|update| claimed_state(&update.standing).is_live());
+        claimed_alive.map(|update| update.node).collect()
+    }
+
     /// Sends the claims about `nodes`, in as many messages as they need, and asks for `wanted`.
     fn send_claims(
         &mut self,
--- a/crates/anvil_membership/src/relay.rs
+++ b/crates/anvil_membership/src/relay.rs
@@ -7,10 +7,10 @@
 use crate::{member, table};
 
 /// Encoded size of a claim without facts, in bytes, rounded up.
-const SHORT_CLAIM_BYTES: usize = 24;
+const SHORT_CLAIM_BYTES: usize = 28;
 
 /// Encoded size of the facts without their names, in bytes, rounded up.
-const FACTS_BYTES: usize = 40;
+const FACTS_BYTES: usize = 56;
 
 /// Stale places, beyond one for each member, that the queue may hold before it is swept.
 const STALE_LIMIT: usize = 64;
@@ -36,8 +36,15 @@
 }
 
 impl RelayQueue {
-    /// Lets the present claim about `node` ride on `relays` more datagrams.
-    pub fn push(&mut self, table: &mut table::MemberTable, node: ident::NodeId, relays: u8) {
+    /// Lets the present claim about `node` ride on `relays` more datagrams; ahead of all others
+    /// where it is `urgent`.
+    pub fn push(
+        &mut self,
+        table: &mut table::MemberTable,
+        node: ident::NodeId,
+        relays: u8,
+        urgent: bool,
+    ) {
         let Some(record) = table.get_mut(node) else {
             return;
         };
@@ -45,7 +52,13 @@
         let serial = self.serials;
         record.relays = relays;
         record.relay_serial = serial;
-        self.put(0, RelayPlace { node, serial });
+        let place = RelayPlace { node, serial };
+        if urgent && !self.levels.is_empty() {
+            self.levels[0].push_front(place);
+            self.places += 1;
+        } else {
+            self.put(0, place);
+        }
         // Without the sweep, claims that replace one another fast would let the queue outgrow the
         // table.
         if self.places > 2 * table.all().len() + STALE_LIMIT {
--- a/crates/anvil_membership/src/suspicion.rs
+++ b/crates/anvil_membership/src/suspicion.rs
@@ -12,6 +12,9 @@
 /// Suspicions that a node only heard of last this many times the ceiling.
 const HEARSAY_FACTOR: u32 = 2;
 
+/// Members that a node asks again at the same time.
+const ASKED_LIMIT: usize = 8;
+
 /// Fleets below this size hold too few independent accusers to wait for.
 const SMALL_FLEET: usize = 5;
 
@@ -24,7 +27,9 @@
     pub since: time::NodeTime,
     /// The nodes whose probes failed, the first one first.
     pub accusers: Vec<ident::NodeId>,
-    /// When this node, being an accuser, asks the member again; none where it only heard.
+    /// Whether this node's own probe failed.
+    pub accuser: bool,
+    /// When this node asks the member again, where it does.
     pub ask_at: Option<time::NodeTime>,
 }
 
@@ -40,7 +45,7 @@
     }
 
     fn span(&self, config: &config::FleetConfig, live: usize) -> Duration {
-        if self.ask_at.is_none() {
+        if !self.accuser {
             return config.suspicion_ceiling * HEARSAY_FACTOR;
         }
         if live < SMALL_FLEET {
@@ -89,6 +94,7 @@
                     node,
                     since,
                     accusers,
+                    accuser: false,
                     ask_at: None,
                 };
                 self.list.insert(place, entry);
@@ -108,10 +114,26 @@
     /// Lets this node ask `node` again from `now` on, being an accuser.
     pub fn take_part(&mut self, node: ident::NodeId, now: time::NodeTime) {
         if let Ok(place) = self.place(node) {
+            self.list[place].accuser = true;
             self.list[place].ask_at.get_or_insert(now);
         }
     }
 
+    /// Lets this node ask members whose accusers have neither ended nor cleared them in time.
+    ///
+    /// A refutation that was lost on the way to this node alone would otherwise let it end a live
+    /// member. Few are asked at once, so that a region's loss is no storm of pings.
+    pub fn join_in(&mut self, ceiling: Duration, now: time::NodeTime) {
+        let mut asking = self.list.iter().filter(|s| s.ask_at.is_some()).count();
+        for entry in &mut self.list {
+            let late = entry.ask_at.is_none() && entry.since + ceiling <= now;
+            if late && asking < ASKED_LIMIT {
+                entry.ask_at = Some(now);
+                asking += 1;
+            }
+        }
+    }
+
     /// Members to ask again now.
     pub fn take_asks(&mut self, interval: Duration, now: time::NodeTime) -> Vec<ident::NodeId> {
         let mut asks = Vec::new();
--- /dev/null
+++ b/crates/anvil_membership/tests/bounds.rs
@@ -0,0 +1,152 @@
+//! Bounded memory whatever peers send, and ends that only one side knows.
+
+use std::time::Duration;
+
+use anvil_membership::effect::FleetEffect;
+use anvil_membership::{config, fleet};
+use anvil_types::{ident, name, time};
+use anvil_wire::gossip::{
+    GossipHead, GossipKind, GossipMessage, MemberFacts, MemberStanding, MemberUpdate, SyncMessage,
+};
+
+mod harness;
+
+fn node(config: &config::FleetConfig) -> fleet::FleetState {
+    let local = fleet::LocalNode {
+        node: ident::NodeId(1),
+        tcp: harness::address(1),
+        udp: harness::address(1),
+        zone: name::ZoneName::new("zone").expect("a name"),
+        region: name::RegionName::new("region").expect("a name"),
+    };
+    fleet::FleetState::new(config.clone(), &local, 1, time::NodeTime::START)
+}
+
+fn head(from: u64) -> GossipHead {
+    GossipHead {
+        from: ident::NodeId(from),
+        incarnation: 0,
+        revision: ident::RuleRevision(0),
+        ready: true,
+    }
+}
+
+fn alive(node: u64, service: &str) -> MemberUpdate {
+    let facts = MemberFacts {
+        tcp: harness::address(2),
+        udp: harness::address(2),
+        zone: name::ZoneName::new("zone").expect("a name"),
+        region: name::RegionName::new("region").expect("a name"),
+        service: name::ServiceName::new(service).ok(),
+        slots: 1,
+        leaving: false,
+        contact: None,
+    };
+    MemberUpdate {
+        node: ident::NodeId(node),
+        incarnation: 0,
+        standing: MemberStanding::Alive(Box::new(facts)),
+    }
+}
+
+fn members(updates: Vec<MemberUpdate>) -> SyncMessage {
+    SyncMessage::Members {
+        head: head(2),
+        updates,
+        wanted: Vec::new(),
+    }
+}
+
+#[test]
+fn invented_members_and_names_fill_the_tables_and_no_more() {
+    // A peer with the key that has gone mad invents members and services without end.
+    // Its claims are refused once the tables are full, and counted; the node goes on.
+    let config = config::FleetConfig {
+        member_limit: 500,
+        tombstone_limit: 100,
+        ..config::FleetConfig::default()
+    };
+    let mut state = node(&config);
+    let now = time::NodeTime::from_millis(5);
+    for round in 0..20 {
+        let updates = (0..1_000).map(|n| alive(round * 1_000 + n + 10, &format!("s{round}-{n}")));
+        state.on_sync(now, ident::NodeId(2), &members(updates.collect()));
+    }
+    assert_eq!(state.table().live(), 500);
+    assert!(state.counters().claims_refused >= 19_000);
+    let ended = (10..510).map(|node| MemberUpdate {
+        node: ident::NodeId(node),
+        incarnation: 0,
+        standing: MemberStanding::Gone,
+    });
+    state.on_sync(now, ident::NodeId(2), &members(ended.collect()));
+    state.on_wake(now + Duration::from_secs(30));
+    assert!(state.table().tombstones() <= 100);
+    assert!(state.backlog() <= 2 * state.table().all().len() + 64);
+}
+
+#[test]
+fn a_claim_about_an_ended_member_is_answered_with_its_end() {
+    // A node that missed an end would send work to a target that is gone.
+    // Ended members stand in no digest, so the node's own claim that the member lives must be
+    // what brings it the news.
+    let mut state = node(&config::FleetConfig::default());
+    let now = time::NodeTime::from_millis(5);
+    state.on_sync(
+        now,
+        ident::NodeId(2),
+        &members(vec![alive(2, "a"), alive(7, "a")]),
+    );
+    let left = MemberUpdate {
+        standing: MemberStanding::Left,
+        ..alive(7, "a")
+    };
+    state.on_sync(now, ident::NodeId(2), &members(vec![left.clone()]));
+    let effects = state.on_sync(now, ident::NodeId(2), &members(vec![alive(7, "a")]));
+    let told = effects.iter().any(|effect| match effect {
+        FleetEffect::SendSync {
+            message: SyncMessage::Members { updates, .. },
+            ..
+        } => updates.contains(&left),
+        _ => false,
+    });
+    assert!(told, "{effects:?}");
+}
+
+#[test]
+fn every_message_fits_a_datagram_with_the_longest_names() {
+    // A datagram above the limit is dropped by the sealing edge, and with it whatever it told.
+    let mut state = node(&config::FleetConfig::default());
+    let long = "n".repeat(name::NAME_LIMIT);
+    let now = time::NodeTime::from_millis(5);
+    let updates = (10..60).map(|n| {
+        let mut update = alive(u64::MAX - n, &long);
+        if let MemberStanding::Alive(facts) = &mut update.standing {
+            facts.zone = name::ZoneName::new(&long).expect("a name");
+            facts.region = name::RegionName::new(&long).expect("a name");
+            facts.tcp = "[2001:db8::1:2:3:4]:65535".parse().expect("an address");
+        }
+        update
+    });
+    let updates: Vec<_> = updates.collect();
+    let mut largest = 0;
+    for part in updates.chunks(5) {
+        let kinds = [GossipKind::Rumour, GossipKind::Join];
+        for kind in kinds {
+            let message = GossipMessage {
+                head: head(u64::MAX - 10),
+                kind,
+                updates: part.to_vec(),
+            };
+            let effects = state.on_datagram(now, harness::address(3), &message);
+            for effect in effects {
+                if let FleetEffect::SendDatagram { message, .. } = effect {
+                    let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
+                    largest = largest.max(bytes);
+                }
+            }
+        }
+    }
+    let limit = anvil_wire::seal::datagram::PAYLOAD_LIMIT;
+    assert!(largest > 500 && largest <= limit, "{largest} bytes");
+}
