Test one node against a thousand losses and a thousand joins

Real fleets of that size don't fit a debug test, so one state is fed as its peers would feed it. A thousand ends leave exactly the thousand living, below 4 KB sent a second; a thousand joins cost the seed one datagram of at most 1,200 bytes each and at most 20 rumours.

--- /dev/null
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -0,0 +1,147 @@
+//! One node when a thousand members vanish, or a thousand join, at the same moment.
+
+use std::time::Duration;
+
+use anvil_membership::effect::FleetEffect;
+use anvil_membership::{config, fleet};
+use anvil_types::{ident, name, time};
+use anvil_wire::gossip::{
+    GossipHead, GossipKind, GossipMessage, MemberFacts, MemberStanding, MemberUpdate, SyncMessage,
+};
+
+mod harness;
+
+const MEMBERS: usize = 2_000;
+const LOST: usize = 1_000;
+
+fn head(from: usize) -> GossipHead {
+    GossipHead {
+        from: harness::id(from),
+        incarnation: 0,
+        revision: ident::RuleRevision(0),
+        ready: true,
+    }
+}
+
+fn alive(index: usize) -> MemberUpdate {
+    let zone = if index < MEMBERS - LOST { "a" } else { "b" };
+    MemberUpdate {
+        node: harness::id(index),
+        incarnation: 0,
+        standing: MemberStanding::Alive(Box::new(MemberFacts {
+            tcp: harness::address(index),
+            udp: harness::address(index),
+            zone: name::ZoneName::new(zone).expect("a name"),
+            region: name::RegionName::new("region").expect("a name"),
+            service: name::ServiceName::new("audiencias").ok(),
+            slots: 40,
+            leaving: false,
+            contact: None,
+        })),
+    }
+}
+
+fn start() -> fleet::FleetState {
+    let local = fleet::LocalNode {
+        node: harness::id(0),
+        tcp: harness::address(0),
+        udp: harness::address(0),
+        zone: name::ZoneName::new("a").expect("a name"),
+        region: name::RegionName::new("region").expect("a name"),
+    };
+    let config = config::FleetConfig::default();
+    fleet::FleetState::new(config, &local, 1, time::NodeTime::from_millis(1))
+}
+
+fn datagram(from: usize, kind: GossipKind, updates: Vec<MemberUpdate>) -> GossipMessage {
+    GossipMessage {
+        head: head(from),
+        kind,
+        updates,
+    }
+}
+
+#[test]
+fn a_thousand_lost_members_end_and_no_living_one() {
+    // Callers keep every target of the zones that live while one zone's thousand vanish at once.
+    // Pings to the lost stay unanswered, the others' claims about their ends arrive over some
+    // seconds, and the node neither accuses the living nor exceeds its budget of bytes.
+    let mut state = start();
+    let mut now = time::NodeTime::from_millis(2);
+    let members: Vec<_> = (1..MEMBERS).map(alive).collect();
+    for part in members.chunks(1_000) {
+        let updates = part.to_vec();
+        let wanted = Vec::new();
+        let head = head(1);
+        let message = SyncMessage::Members {
+            head,
+            updates,
+            wanted,
+        };
+        state.on_sync(now, harness::id(1), &message);
+    }
+    let mut told = MEMBERS - LOST;
+    let mut bytes = 0;
+    for tick in 0..400_usize {
+        now = now + Duration::from_millis(50);
+        if tick % 10 == 0 && told < MEMBERS {
+            let ends = (told..(told + 40).min(MEMBERS)).map(|index| MemberUpdate {
+                standing: MemberStanding::Gone,
+                ..alive(index)
+            });
+            let message = datagram(1, GossipKind::Rumour, ends.collect());
+            told += 40;
+            state.on_datagram(now, harness::address(1), &message);
+        }
+        let mut effects = state.on_wake(now);
+        while let Some(effect) = effects.pop() {
+            let FleetEffect::SendDatagram { to, message } = effect else {
+                continue;
+            };
+            bytes += postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
+            let living = (1..MEMBERS - LOST).find(|index| harness::address(*index) == to);
+            if let (Some(from), GossipKind::Ping { probe, to }) = (living, message.kind) {
+                let ack = datagram(from, GossipKind::Ack { probe, of: to }, Vec::new());
+                effects.extend(state.on_datagram(now, harness::address(from), &ack));
+            }
+        }
+    }
+    assert_eq!(state.table().live(), MEMBERS - LOST);
+    let living = (0..MEMBERS - LOST).map(|index| state.table().get(harness::id(index)));
+    assert!(living.flatten().all(|record| record.state.is_live()));
+    assert!(bytes / 20 < 4_096, "{} bytes a second", bytes / 20);
+}
+
+#[test]
+fn a_thousand_joiners_cost_their_seed_one_small_answer_each() {
+    // Callers of a seed notice nothing when a thousand nodes join through it in one second.
+    // Each join is answered with a few members, from which the joiner takes the fleet; the seed
+    // itself sends no bulk and tells the others within its budget of rumours.
+    let mut state = start();
+    let mut now = time::NodeTime::from_millis(2);
+    let mut answers = 0;
+    let mut others = 0;
+    let mut largest = 0;
+    for index in 1..=1_000 {
+        now = now + Duration::from_millis(1);
+        let join = datagram(index, GossipKind::Join, vec![alive(index)]);
+        for effect in state.on_datagram(now, harness::address(index), &join) {
+            match effect {
+                FleetEffect::SendDatagram { message, .. } => {
+                    let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
+                    largest = largest.max(bytes);
+                    match message.kind {
+                        GossipKind::Welcome => answers += 1,
+                        _ => others += 1,
+                    }
+                }
+                FleetEffect::SendSync { .. } => panic!("the seed sends bulk"),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(state.table().live(), 1_001);
+    assert_eq!(answers, 1_000);
+    assert!(others <= 20, "{others} further datagrams");
+    assert!(largest <= 1_200, "{largest} bytes");
+}
