--- a/crates/anvil_membership/tests/bounds.rs
+++ b/crates/anvil_membership/tests/bounds.rs
@@ -6,7 +6,8 @@
 use anvil_membership::{config, fleet};
 use anvil_types::{ident, name, time};
 use anvil_wire::gossip::{
-    GossipHead, GossipKind, GossipMessage, MemberFacts, MemberStanding, MemberUpdate, SyncMessage,
+    GossipHead, GossipKind, GossipMessage, LoggedChange, MemberFacts, MemberStanding, MemberUpdate,
+    SyncMessage,
 };
 
 mod harness;
@@ -150,3 +151,45 @@
     let limit = anvil_wire::seal::datagram::PAYLOAD_LIMIT;
     assert!(largest > 500 && largest <= limit, "{largest} bytes");
 }
+
+#[test]
+fn an_older_snapshot_and_an_older_change_undo_nothing() {
+    // A caller must not be treated by rules that an operator has replaced.
+    // A node that was cut off offers the whole rules at revision 3 to one that holds revision 5,
+    // and then a change that made revision 4; neither is put in force.
+    let mut state = node(&config::FleetConfig::default());
+    let now = time::NodeTime::from_millis(5);
+    let logged = |revision: u64| LoggedChange {
+        revision: ident::RuleRevision(revision),
+        change: u128::from(revision),
+        body: bytes::Bytes::from_static(b"rules"),
+    };
+    let changes = |snapshot: Option<u64>, changes: &[u64]| SyncMessage::Changes {
+        head: head(2),
+        snapshot: snapshot.map(logged),
+        changes: changes.iter().copied().map(logged).collect(),
+    };
+    let peer = ident::NodeId(2);
+    let adopted = |effects: &[FleetEffect]| {
+        let adopts = |effect: &&FleetEffect| {
+            matches!(
+                effect,
+                FleetEffect::AdoptChange(_) | FleetEffect::AdoptSnapshot(_)
+            )
+        };
+        effects.iter().filter(adopts).count()
+    };
+    let effects = state.on_sync(now, peer, &changes(Some(5), &[]));
+    assert_eq!(adopted(&effects), 1);
+    for message in [changes(Some(3), &[]), changes(None, &[4, 5])] {
+        let effects = state.on_sync(now, peer, &message);
+        assert_eq!(adopted(&effects), 0);
+        assert_eq!(state.revision(), ident::RuleRevision(5));
+    }
+    let effects = state.on_sync(now, peer, &changes(None, &[7]));
+    assert_eq!(adopted(&effects), 0, "a gap is not jumped");
+    assert_eq!(
+        adopted(&state.on_sync(now, peer, &changes(None, &[7, 6]))),
+        2
+    );
+}
