Test each overload decision apart and judge the limit by steady windows

A trial of the limit compared windows that had seen two limits, so a target whose runs slow one another from eight on kept all forty slots.

--- a/crates/anvil_overload/src/limit.rs
+++ b/crates/anvil_overload/src/limit.rs
@@ -10,8 +10,9 @@
 /// Shortest time over which latency is judged.
 pub const LIMIT_WINDOW: Duration = Duration::from_millis(100);
 
-/// Fewest samples by which latency is judged.
-pub const WINDOW_SAMPLES: usize = 16;
+/// Samples by which latency is judged: two for each run at once, within these bounds, so that a
+/// narrow and slow target is not judged only after many seconds.
+pub const WINDOW_SAMPLES: (usize, usize) = (4, 16);
 
 /// Most samples kept of one window.
 const SAMPLE_CAP: usize = 64;
@@ -88,6 +89,10 @@
     /// The highest mean concurrency of a window whose own time was near the best.
     harmless: f64,
     trial: Option<LimitTrial>,
+    /// Whether the former window was crowded, too, so that this one saw a steady concurrency.
+    suspected: bool,
+    /// Whether a trial began with this window, whose first runs still saw the former limit.
+    settling: bool,
     opened: time::NodeTime,
     peak: u32,
     running_sum: u64,
@@ -113,6 +118,8 @@
             running_sum: 0,
             starts: 0,
             trial: None,
+            suspected: false,
+            settling: false,
             opened: now,
             peak: 0,
             refused: 0,
@@ -186,8 +193,10 @@
         }
         if self.refused > 0 {
             self.cut_for_refusals();
-        } else if self.samples.len() < WINDOW_SAMPLES {
+        } else if self.samples.len() < self.needed() {
             return;
+        } else if self.settling {
+            self.settling = false;
         } else {
             self.judge();
         }
@@ -199,6 +208,11 @@
         self.samples.clear();
     }
 
+    fn needed(&self) -> usize {
+        let (least, most) = WINDOW_SAMPLES;
+        (2 * self.current() as usize).clamp(least, most)
+    }
+
     fn cut_for_refusals(&mut self) {
         let used = f64::from(self.peak).min(self.limit);
         self.limit = (used * REFUSED_CUT).max(1.0);
@@ -221,7 +235,10 @@
         }
         if own > best * SLOW_FACTOR && self.limit > 1.0 {
             self.suspect(own, concurrency, busy);
-        } else if busy {
+            return;
+        }
+        self.suspected = false;
+        if busy {
             self.raise();
         }
     }
@@ -233,7 +250,7 @@
         self.ramping = false;
         if concurrency <= self.harmless * SUSPECT_FACTOR {
             self.best = Some(own);
-        } else if busy {
+        } else if busy && std::mem::replace(&mut self.suspected, true) {
             self.begin_trial(own);
         }
     }
@@ -242,6 +259,7 @@
         let limit = self.limit;
         self.trial = Some(LimitTrial { limit, own });
         self.limit = (limit * TRIAL_CUT).max(1.0);
+        self.settling = true;
     }
 
     fn end_trial(&mut self, trial: LimitTrial, own: f64) {
--- /dev/null
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -0,0 +1,160 @@
+//! Which requests are blamed for crashes, in injected time.
+
+use std::time::Duration;
+
+use anvil_overload::{policy, quarantine};
+use anvil_types::{ident, name, time};
+use anvil_wire::suspicion;
+
+use quarantine::PrintStanding as Standing;
+
+const RULE: quarantine::CrashRule = quarantine::CrashRule {
+    limit: 2,
+    quarantine: Duration::from_secs(600),
+};
+
+const POISON: ident::PrintHash = ident::PrintHash(99);
+
+fn at(millis: u64) -> time::NodeTime {
+    time::NodeTime::from_millis(millis)
+}
+
+fn service() -> name::ServiceName {
+    name::ServiceName::new("expediente").expect("a name")
+}
+
+fn list(node: u64) -> quarantine::PoisonList {
+    quarantine::PoisonList::new(ident::NodeId(node), policy::OverloadPolicy::FULL)
+}
+
+/// Starts the poison as run 0 beside `crowd` innocents and crashes the target.
+fn crash(
+    list: &mut quarantine::PoisonList,
+    now: time::NodeTime,
+    crowd: std::ops::Range<u64>,
+) -> suspicion::SuspicionNotice {
+    list.started(0, POISON, RULE);
+    for innocent in crowd.clone() {
+        list.started(innocent, ident::PrintHash(innocent), RULE);
+    }
+    let notice = list.broke(now, 0, &service()).expect("a new crash");
+    for innocent in crowd {
+        assert_eq!(list.broke(now, innocent, &service()), None);
+    }
+    notice
+}
+
+fn condemned(list: &quarantine::PoisonList, now: time::NodeTime, print: ident::PrintHash) -> bool {
+    matches!(list.standing(now, print), Standing::Quarantined { .. })
+}
+
+// A request crashes the target beside 39 others, is sent again through another entry node to
+// another target, and crashes that one. The second node has heard of the first crash, so no other
+// suspect ran beside it. From then on it is refused at both, and nobody else is.
+#[test]
+fn second_crash_condemns_the_poison_alone() {
+    let (mut first, mut second) = (list(1), list(2));
+    let notice = crash(&mut first, at(0), 1..40);
+    assert_eq!(first.standing(at(1), POISON), Standing::Suspect);
+    assert!(second.learn(at(2), &notice));
+    assert_eq!(second.standing(at(3), POISON), Standing::Suspect);
+    let notice = crash(&mut second, at(5), 100..139);
+    assert!(condemned(&second, at(6), POISON));
+    assert!(first.learn(at(7), &notice));
+    assert!(condemned(&first, at(8), POISON));
+    for innocent in (1..40).chain(100..139) {
+        assert!(!condemned(&first, at(8), ident::PrintHash(innocent)));
+    }
+    // Those beside the second crash are not even suspects: one was running.
+    let beside = ident::PrintHash(100);
+    assert_eq!(first.standing(at(8), beside), Standing::Clean);
+}
+
+// An innocent runs beside the poison twice before any notice arrives. Two crashes in a crowd
+// condemn nobody; the poison itself is condemned after two more at the latest.
+#[test]
+fn crowds_take_longer_to_condemn() {
+    let mut lists = [list(1), list(2)];
+    let notices: Vec<_> = lists
+        .iter_mut()
+        .map(|list| crash(list, at(0), 1..5))
+        .collect();
+    lists[0].learn(at(1), &notices[1]);
+    assert_eq!(
+        lists[0].standing(at(2), ident::PrintHash(1)),
+        Standing::Suspect
+    );
+    assert_eq!(lists[0].standing(at(2), POISON), Standing::Suspect);
+    crash(&mut lists[0], at(3), 1..5);
+    crash(&mut lists[0], at(4), 6..9);
+    assert!(condemned(&lists[0], at(5), POISON));
+    assert!(!condemned(&lists[0], at(5), ident::PrintHash(6)));
+}
+
+// A suspect runs to its end: it is cleared. Quarantine ends with the rule's time.
+#[test]
+fn whole_answers_clear_and_time_ends_it() {
+    let mut list = list(1);
+    crash(&mut list, at(0), 1..3);
+    list.started(7, ident::PrintHash(1), RULE);
+    list.ended(7, true);
+    assert_eq!(list.standing(at(1), ident::PrintHash(1)), Standing::Clean);
+    crash(&mut list, at(2), 20..23);
+    assert!(condemned(&list, at(3), POISON));
+    let over = at(2) + RULE.quarantine;
+    assert_eq!(list.standing(over, POISON), Standing::Clean);
+}
+
+// The same notice comes by two ways and counts once.
+#[test]
+fn repeated_notice_counts_once() {
+    let mut list = list(1);
+    let notice = crash(&mut self::list(2), at(0), 1..1);
+    assert!(list.learn(at(1), &notice));
+    assert!(!list.learn(at(2), &notice));
+    assert_eq!(list.standing(at(3), POISON), Standing::Suspect);
+}
+
+// A node is lost with requests of this one out on it. That may be the network, so one loss makes
+// suspects only; a lone suspect that is out at the next lost node is condemned.
+#[test]
+fn lost_nodes_count_with_care() {
+    let mut list = list(1);
+    let prints = [(POISON, RULE), (ident::PrintHash(1), RULE)];
+    list.peer_lost(at(0), ident::NodeId(2), &service(), &prints);
+    assert_eq!(list.standing(at(1), POISON), Standing::Suspect);
+    let prints = [(POISON, RULE), (ident::PrintHash(2), RULE)];
+    list.peer_lost(at(2), ident::NodeId(3), &service(), &prints);
+    assert!(condemned(&list, at(3), POISON));
+    assert!(!condemned(&list, at(3), ident::PrintHash(1)));
+    assert!(!condemned(&list, at(3), ident::PrintHash(2)));
+}
+
+// Crash after crash names new requests; memory stays bounded and keeps the condemned.
+#[test]
+fn memory_is_bounded() {
+    let mut list = list(1);
+    crash(&mut list, at(0), 1..2);
+    crash(&mut list, at(1), 2..3);
+    assert!(condemned(&list, at(2), POISON));
+    for round in 0..100_u64 {
+        let strike = |print| suspicion::PrintStrike {
+            print: ident::PrintHash(1_000 + round * 100 + print),
+            alone: false,
+            crash_limit: 2,
+            quarantine_seconds: 600,
+        };
+        let crash = suspicion::CrashMark {
+            node: ident::NodeId(9),
+            sequence: round + 1,
+        };
+        let notice = suspicion::SuspicionNotice {
+            crash,
+            service: service(),
+            strikes: (0..100).map(strike).collect(),
+        };
+        list.learn(at(3 + round), &notice);
+    }
+    assert_eq!(list.len(), quarantine::SUSPECTS_KEPT);
+    assert!(condemned(&list, at(200), POISON));
+}
--- /dev/null
+++ b/crates/anvil_overload/tests/routing.rs
@@ -0,0 +1,290 @@
+//! Which target gets the next request, in injected time.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use anvil_overload::{cut, kind, policy, rank, routing};
+use anvil_types::{context, ident, name, time};
+use anvil_wire::call;
+
+const NORMAL: context::PriorityClass = context::PriorityClass::Normal;
+
+fn at(millis: u64) -> time::NodeTime {
+    time::NodeTime::from_millis(millis)
+}
+
+fn service() -> name::ServiceName {
+    name::ServiceName::new("expediente").expect("a name")
+}
+
+fn zone(letter: char) -> name::ZoneName {
+    name::ZoneName::new(&format!("ar-centro-{letter}")).expect("a name")
+}
+
+fn record(node: u64, letter: char, slots: u32) -> routing::TargetRecord {
+    routing::TargetRecord {
+        node: ident::NodeId(node),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        zone: zone(letter),
+        slots,
+        leaving: false,
+    }
+}
+
+/// A table in zone a that has known `targets` for long.
+fn table(policy: policy::OverloadPolicy, targets: &[(u64, char, u32)]) -> routing::RouteTable {
+    let mut table = routing::RouteTable::new(zone('a'), 5, policy);
+    for (node, letter, slots) in targets {
+        table.upsert(at(0), &service(), &record(*node, *letter, *slots));
+    }
+    table
+}
+
+fn choose(table: &mut routing::RouteTable, now: time::NodeTime, lane: u8) -> routing::RouteChoice {
+    choose_but(table, now, lane, &[])
+}
+
+fn choose_but(
+    table: &mut routing::RouteTable,
+    now: time::NodeTime,
+    lane: u8,
+    exclude: &[ident::NodeId],
+) -> routing::RouteChoice {
+    let query = routing::RouteQuery {
+        service: &service(),
+        rank: rank::CallRank {
+            class: NORMAL,
+            depth: 0,
+            lane: Reverse(context::LaneHash(lane)),
+        },
+        kind: kind::CallKind(1),
+        exclude,
+    };
+    table.choose(now, query)
+}
+
+fn node_of(choice: routing::RouteChoice) -> Option<u64> {
+    match choice {
+        routing::RouteChoice::Target { node, .. } => Some(node.0),
+        _ => None,
+    }
+}
+
+fn end(
+    table: &mut routing::RouteTable,
+    now: time::NodeTime,
+    node: u64,
+    end: routing::AttemptEnd,
+    load: Option<&call::LoadReport>,
+) {
+    let report = routing::AttemptReport {
+        class: NORMAL,
+        kind: kind::CallKind(1),
+        end,
+        load,
+    };
+    table.ended(now, &service(), ident::NodeId(node), report);
+}
+
+/// Sends `count` requests that stay out, and counts them by target.
+fn send(table: &mut routing::RouteTable, now: time::NodeTime, count: u32) -> Vec<(u64, u32)> {
+    let mut sent: Vec<(u64, u32)> = Vec::new();
+    for _ in 0..count {
+        let Some(node) = node_of(choose(table, now, 0)) else {
+            continue;
+        };
+        table.sent(&service(), ident::NodeId(node), NORMAL);
+        match sent.binary_search_by_key(&node, |(known, _)| *known) {
+            Ok(place) => sent[place].1 += 1,
+            Err(place) => sent.insert(place, (node, 1)),
+        }
+    }
+    sent
+}
+
+fn count_of(sent: &[(u64, u32)], node: u64) -> u32 {
+    let place = sent.binary_search_by_key(&node, |(known, _)| *known);
+    place.map_or(0, |place| sent[place].1)
+}
+
+// Two targets have forty slots and two have eight. Each in turn would give the small ones as much
+// as the large ones; the better of two follows the slots.
+#[test]
+fn uneven_targets_get_uneven_shares() {
+    let targets = [(1, 'a', 40), (2, 'a', 40), (3, 'a', 8), (4, 'a', 8)];
+    let sent = send(
+        &mut table(policy::OverloadPolicy::FULL, &targets),
+        at(9_000),
+        96,
+    );
+    assert!(
+        count_of(&sent, 1) > 30 && count_of(&sent, 3) < 12,
+        "{sent:?}"
+    );
+    let sent = send(
+        &mut table(policy::OverloadPolicy::NAIVE, &targets),
+        at(9_000),
+        96,
+    );
+    assert_eq!(count_of(&sent, 3), 24);
+}
+
+// The own zone has one small target. It is used first, and what it can't take goes elsewhere.
+#[test]
+fn short_zone_spills() {
+    let targets = [(1, 'a', 8), (2, 'b', 8), (3, 'b', 8)];
+    let mut table = table(policy::OverloadPolicy::FULL, &targets);
+    let few = send(&mut table, at(9_000), 2);
+    assert_eq!(few, [(1, 2)]);
+    let many = send(&mut table, at(9_000), 20);
+    assert!(count_of(&many, 1) <= 10, "{many:?}");
+    assert!(count_of(&many, 2) + count_of(&many, 3) >= 10, "{many:?}");
+}
+
+// A target's answer says that it leaves; membership has not heard and renews it as serving. It
+// gets nothing from that answer on.
+#[test]
+fn leaving_target_gets_nothing_at_once() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'b', 8)]);
+    let load = call::LoadReport {
+        leaving: true,
+        ..call::LoadReport::default()
+    };
+    end(
+        &mut table,
+        at(9_000),
+        1,
+        routing::AttemptEnd::Fine,
+        Some(&load),
+    );
+    table.upsert(at(9_001), &service(), &record(1, 'a', 8));
+    let sent = send(&mut table, at(9_002), 40);
+    assert_eq!(count_of(&sent, 1), 0);
+}
+
+// A target answers every request at once with a server error. It has the fewest in flight, so it
+// would draw all requests; it is left out, and tried again later.
+#[test]
+fn fast_failing_target_is_left_out() {
+    let mut table = table(
+        policy::OverloadPolicy::FULL,
+        &[(1, 'a', 8), (2, 'a', 8), (3, 'a', 8)],
+    );
+    for _ in 0..40 {
+        end(&mut table, at(9_000), 1, routing::AttemptEnd::Failed, None);
+        end(&mut table, at(9_000), 2, routing::AttemptEnd::Fine, None);
+        end(&mut table, at(9_000), 3, routing::AttemptEnd::Fine, None);
+    }
+    let sent = send(&mut table, at(9_001), 40);
+    assert_eq!(count_of(&sent, 1), 0);
+    let later = at(9_000) + routing::EJECT_LIMIT;
+    assert!(count_of(&send(&mut table, later, 40), 1) > 0);
+}
+
+// All targets fail alike, since something they all need is down, or this node's own network is.
+// Leaving targets out helps nobody; at least half of them stay in any case.
+#[test]
+fn ejections_never_empty_a_service() {
+    let mut table = table(
+        policy::OverloadPolicy::FULL,
+        &[(1, 'a', 8), (2, 'a', 8), (3, 'a', 8)],
+    );
+    for node in [1, 2, 3] {
+        for _ in 0..40 {
+            end(&mut table, at(9_000), node, routing::AttemptEnd::Lost, None);
+        }
+    }
+    let sent = send(&mut table, at(9_001), 60);
+    assert!(sent.len() >= 2, "{sent:?}");
+}
+
+// A report from a second ago says that a target is full. What this node itself has out counts at
+// once, what is stale counts no more.
+#[test]
+fn stale_load_counts_no_more() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'a', 8)]);
+    let full = call::LoadReport {
+        running: 8,
+        queued: [0, 40, 0, 0],
+        limit: 8,
+        ..call::LoadReport::default()
+    };
+    end(
+        &mut table,
+        at(9_000),
+        1,
+        routing::AttemptEnd::Fine,
+        Some(&full),
+    );
+    assert_eq!(count_of(&send(&mut table, at(9_010), 4), 1), 0);
+    let later = at(9_000) + routing::LOAD_GONE;
+    assert!(count_of(&send(&mut table, later, 8), 1) >= 4);
+}
+
+// A retry goes to a target that has not been tried; where none is left, that is said.
+#[test]
+fn tried_targets_are_excluded() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'b', 8)]);
+    let choice = choose_but(&mut table, at(9_000), 0, &[ident::NodeId(1)]);
+    assert_eq!(node_of(choice), Some(2));
+    let both = [ident::NodeId(1), ident::NodeId(2)];
+    let choice = choose_but(&mut table, at(9_000), 0, &both);
+    assert_eq!(choice, routing::RouteChoice::NoTarget);
+}
+
+// One target of three reports a line. Requests below it go to the others; when two report it, the
+// service as a whole refuses them, and a while after the last report it takes them again.
+#[test]
+fn lines_refuse_only_what_most_targets_refuse() {
+    let targets = [(1, 'a', 8), (2, 'a', 8), (3, 'a', 8)];
+    let mut table = table(policy::OverloadPolicy::FULL, &targets);
+    let line = call::CutLine {
+        class: NORMAL,
+        lane: context::LaneHash(100),
+    };
+    let load = call::LoadReport {
+        limit: 8,
+        cut: Some(line),
+        ..call::LoadReport::default()
+    };
+    end(
+        &mut table,
+        at(9_000),
+        1,
+        routing::AttemptEnd::Fine,
+        Some(&load),
+    );
+    for _ in 0..20 {
+        let node = node_of(choose(&mut table, at(9_000), 200));
+        assert!(node == Some(2) || node == Some(3));
+    }
+    end(
+        &mut table,
+        at(9_000),
+        2,
+        routing::AttemptEnd::Fine,
+        Some(&load),
+    );
+    let shed = routing::RouteChoice::Shed(line);
+    assert_eq!(choose(&mut table, at(9_000), 200), shed);
+    assert!(node_of(choose(&mut table, at(9_000), 50)).is_some());
+    let later = at(9_000) + cut::CUT_GONE;
+    assert!(node_of(choose(&mut table, later, 255)).is_some());
+    let spared = policy::OverloadPolicy {
+        early_refusal: false,
+        ..policy::OverloadPolicy::FULL
+    };
+    assert!(node_of(choose(&mut self::table(spared, &targets), at(9_000), 255)).is_some());
+}
+
+// A target comes new among old ones and gets a part of its share first.
+#[test]
+fn new_target_starts_slowly() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 40), (2, 'a', 40)]);
+    table.upsert(at(9_000), &service(), &record(3, 'a', 40));
+    let sent = send(&mut table, at(9_000), 60);
+    assert!(count_of(&sent, 3) <= 6, "{sent:?}");
+    let later = at(9_000) + routing::SLOW_START + Duration::from_secs(1);
+    let sent = send(&mut table, later, 60);
+    assert!(count_of(&sent, 3) >= 20, "{sent:?}");
+}
