--- /dev/null
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -0,0 +1,114 @@
+//! Cost of one decision: `cargo bench -p anvil_overload`.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use anvil_overload::{admission, kind, limit, policy, rank, routing};
+use anvil_types::{context, ident, name, time};
+
+/// Services and targets of a large fleet.
+const SERVICES: u64 = 730;
+
+fn main() {
+    divan::main();
+}
+
+fn service(number: u64) -> name::ServiceName {
+    name::ServiceName::new(&format!("service-{number}")).expect("a name")
+}
+
+fn rank(lane: u8) -> rank::CallRank {
+    rank::CallRank {
+        class: context::PriorityClass::Normal,
+        depth: 0,
+        lane: Reverse(context::LaneHash(lane)),
+    }
+}
+
+/// A choice among `per_service` targets in a table of 730 services, with its begin and end.
+#[divan::bench(args = [4, 19, 200])]
+fn route(bencher: divan::Bencher<'_, '_>, per_service: u64) {
+    let zones = ["a", "b", "c", "d"].map(|zone| name::ZoneName::new(zone).expect("a name"));
+    let policy = policy::OverloadPolicy::FULL;
+    let mut table = routing::RouteTable::new(zones[0].clone(), 1, policy);
+    for number in 0..SERVICES {
+        for target in 0..per_service {
+            let record = routing::TargetRecord {
+                node: ident::NodeId(number * per_service + target),
+                address: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
+                zone: zones[target as usize % 4].clone(),
+                slots: 40,
+                leaving: false,
+            };
+            table.upsert(time::NodeTime::START, &service(number), &record);
+        }
+    }
+    let wanted = service(365);
+    let now = time::NodeTime::from_millis(10_000);
+    bencher.bench_local(|| {
+        let query = routing::RouteQuery {
+            service: &wanted,
+            rank: rank(7),
+            kind: kind::CallKind(1),
+            exclude: &[],
+        };
+        let routing::RouteChoice::Target { node, .. } = table.choose(now, query) else {
+            return;
+        };
+        let class = context::PriorityClass::Normal;
+        table.sent(&wanted, node, class);
+        let report = routing::AttemptReport {
+            class,
+            kind: kind::CallKind(1),
+            end: routing::AttemptEnd::Fine,
+            load: None,
+        };
+        table.ended(now, &wanted, node, report);
+    });
+}
+
+/// One request through the queue of a target of forty slots, with `waiting` others in it.
+#[divan::bench(args = [0, 40, 300])]
+fn admit(bencher: divan::Bencher<'_, '_>, waiting: u64) {
+    let policy = policy::OverloadPolicy {
+        cut_line: false,
+        cold_ramp: false,
+        ..policy::OverloadPolicy::FULL
+    };
+    let mut queue = admission::AdmissionQueue::new(time::NodeTime::START, 40, policy);
+    let mut id = 0;
+    let mut now = time::NodeTime::START;
+    let call = |id: u64| admission::WaitingCall {
+        id,
+        rank: rank(id.to_le_bytes()[0]),
+        deadline: time::NodeTime(u64::MAX),
+        queue_wait: Duration::from_secs(1_000_000),
+        suspect: false,
+    };
+    let mut running = std::collections::VecDeque::new();
+    for _ in 0..40 + waiting {
+        id += 1;
+        running.extend(started(&queue.offer(now, call(id))));
+    }
+    let sample = limit::RunSample {
+        latency: Duration::from_millis(20),
+        downstream: Duration::ZERO,
+        end: limit::RunEnd::Whole,
+    };
+    bencher.bench_local(|| {
+        id += 1;
+        now = now + Duration::from_micros(500);
+        running.extend(started(&queue.offer(now, call(id))));
+        let Some(ended) = running.pop_front() else {
+            return;
+        };
+        running.extend(started(&queue.finish(now, ended, sample)));
+    });
+}
+
+fn started(decisions: &[admission::AdmissionDecision]) -> Option<u64> {
+    decisions.iter().find_map(|decision| match decision {
+        admission::AdmissionDecision::Start(id) => Some(*id),
+        admission::AdmissionDecision::Refuse { .. } => None,
+    })
+}
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -99,6 +99,8 @@
 struct ServiceRoutes {
     service: name::ServiceName,
     turn: usize,
+    /// When the last line that any target reported has faded, so that quiet services cost nothing.
+    lines_until: time::NodeTime,
     /// Lines of what the service needs below.
     deep: cut::CutTable,
     /// Sorted by node.
@@ -207,6 +209,9 @@
         };
         routes.targets[place].ended(now, attempt);
         if let Some(load) = attempt.load {
+            if load.cut.is_some() {
+                routes.lines_until = now + cut::CUT_GONE;
+            }
             routes.deep.learn(now, attempt.kind, load.deep.as_ref());
         }
         if policy.ejection {
@@ -262,6 +267,7 @@
                 let routes = ServiceRoutes {
                     service: service.clone(),
                     turn: 0,
+                    lines_until: time::NodeTime::START,
                     deep: cut::CutTable::default(),
                     targets: Vec::new(),
                 };
@@ -408,6 +414,9 @@
     /// With the lowest of all, whatever one target lets in would come from everywhere at once;
     /// with the highest, a sick target would refuse what the others could take.
     fn usual_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
+        if now >= self.lines_until {
+            return 0;
+        }
         let serving = self.targets.iter().filter(|target| target.serves(exclude));
         let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now)).collect();
         if levels.is_empty() {
--- a/crates/anvil_overload/src/shedding.rs
+++ b/crates/anvil_overload/src/shedding.rs
@@ -26,10 +26,10 @@
 
 /// Admitted requests for each that the slots can run: some are cancelled or refused elsewhere, and
 /// a short queue costs less than a free slot.
-pub const OVERBOOKING: f64 = 1.1;
+pub const OVERBOOKING: f64 = 1.3;
 
 /// Use of the slots from which they count as full.
-pub const FULL_USE: f64 = 0.97;
+pub const FULL_USE: f64 = 0.99;
 
 /// Use of the slots below which the pressure counts as gone.
 pub const IDLE_USE: f64 = 0.7;
