--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -124,6 +124,8 @@
     pub(crate) resends: u32,
     /// Requests a second that need only the first service, besides the others.
     pub(crate) side_rate: f64,
+    /// When callers close their connections, where they do before their deadline.
+    pub(crate) gone_after: Option<Duration>,
     /// How long callers wait.
     pub(crate) patience: Duration,
 }
@@ -138,6 +140,7 @@
             slow: Vec::new(),
             fault: (Fault::None, 0.0, 0.0),
             resends: 0,
+            gone_after: None,
             side_rate: 0.0,
             patience: Duration::from_secs(2),
         }
@@ -205,6 +208,8 @@
     rng: rand_pcg::Pcg64Mcg,
     pub(crate) roots: Vec<Root>,
     pub(crate) crashes: u32,
+    /// Runs that targets of the deep service brought to their end.
+    pub(crate) finished: u32,
 }
 
 fn seconds(at: f64) -> time::NodeTime {
@@ -234,6 +239,7 @@
             waiting: BTreeMap::new(),
             roots: Vec::new(),
             crashes: 0,
+            finished: 0,
         };
         for service in 0..mesh.services.len() {
             for _ in 0..mesh.services[service].targets {
@@ -488,10 +494,20 @@
             ..event::CallerHints::default()
         };
         let service = self.services[0].name;
-        self.call(node, service, hints, Waiting::Root(root));
+        let handle = self.call(node, service, hints, Waiting::Root(root));
+        if let Some(after) = self.plan.gone_after {
+            let gone = event::NodeEvent::CallerGone { handle };
+            self.schedule(self.now + after, Happening::Step(node, gone));
+        }
     }
 
-    fn call(&mut self, node: usize, service: &str, hints: event::CallerHints, waiting: Waiting) {
+    fn call(
+        &mut self,
+        node: usize,
+        service: &str,
+        hints: event::CallerHints,
+        waiting: Waiting,
+    ) -> event::CallerHandle {
         let root = match waiting {
             Waiting::Root(root) | Waiting::Child { root, .. } => root,
         };
@@ -512,6 +528,7 @@
             hints,
         };
         self.step(node, event);
+        event::CallerHandle(handle)
     }
 
     fn step(&mut self, node: usize, event: event::NodeEvent) {
@@ -604,6 +621,7 @@
         let calls = service.calls.iter().find(|(kind, _)| *kind == run.kind);
         let next = calls.and_then(|(_, calls)| calls.get(run.next).copied());
         let Some(next) = next else {
+            self.finished += u32::from(DEEP.contains(&node));
             let failing = self.suffers(node, Fault::AllFailing);
             self.end_active(node, id, answer(if failing { 500 } else { 200 }));
             return;
--- a/crates/anvil_core/tests/overload.rs
+++ b/crates/anvil_core/tests/overload.rs
@@ -203,6 +203,23 @@
     assert!(full.share(CRITICAL, 4.0, 7.0) >= 0.99);
 }
 
+// Callers close their connections after a tenth of a second, before the deep service can answer,
+// and their deadlines are two seconds away. Each call below is cancelled with the one above, so
+// the deep service hardly works for them; without cancellation it works to the end.
+#[test]
+fn work_stops_when_callers_leave() {
+    let plan = |policy| {
+        let mut plan = mesh::Plan::new(policy);
+        plan.until = 5.0;
+        plan.gone_after = Some(Duration::from_millis(100));
+        plan
+    };
+    let full = run(plan(policy::OverloadPolicy::FULL));
+    let bare = run(plan(without(|p| p.cancellation = false)));
+    assert!(full.finished <= bare.finished / 10, "{}", full.finished);
+    assert!(bare.finished > 500, "{}", bare.finished);
+}
+
 // A caller is refused under pressure. It is told so at once, long before its deadline, and when
 // to come back; the dump names the rule, the revision and the limit.
 #[test]
