--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -1,7 +1,8 @@
-//! The thread that owns the reducer: events in, one step at a time, effects out.
+//! The task that owns the reducer: events in, one step at a time, effects out.
 //!
-//! The thread never waits for a socket; whatever can block is handed to the runtime. See
-//! `docs/design/edges.md`.
+//! The task waits for nothing but its queue and the reducer's time; whatever else can wait is a task
+//! of its own. It shares the runtime of the connections instead of having a thread, so that an
+//! event, its step and its effects mostly stay on one processor; see `docs/design/edges.md`.
 
 use std::collections::VecDeque;
 
@@ -14,6 +15,9 @@
 /// Events that may wait for the reducer; a caller's request waits at its edge beyond that.
 pub const QUEUE_LIMIT: usize = 16_384;
 
+/// Steps after which the task lets others run.
+const STEPS_IN_A_ROW: u32 = 16;
+
 /// An operator's answer, or why there is none.
 pub type OperatorAnswer = Result<answer::OperatorAnswer, answer::OperatorRefusal>;
 
@@ -73,12 +77,17 @@
 
 impl NodeEngine {
     /// Steps the reducer until it says that the process may leave, or every sender is gone.
-    pub fn run(mut self, mut reducer: reducer::NodeReducer, inputs: &flume::Receiver<EngineInput>) {
+    pub async fn run(
+        mut self,
+        mut reducer: reducer::NodeReducer,
+        inputs: flume::Receiver<EngineInput>,
+    ) {
+        let mut steps = 0_u32;
         loop {
             if self.wake(&mut reducer).is_break() {
                 return;
             }
-            let Some(input) = self.receive(&reducer, inputs) else {
+            let Some(input) = self.receive(&reducer, &inputs).await else {
                 continue;
             };
             let Ok(input) = input else {
@@ -89,6 +98,12 @@
                     return;
                 }
             }
+            steps = steps.wrapping_add(1);
+            if steps.is_multiple_of(STEPS_IN_A_ROW) {
+                // Under load the queue is never empty; without a pause the tasks that this one
+                // woke last, which no other thread takes over, would wait for ever.
+                tokio::task::yield_now().await;
+            }
         }
     }
 
@@ -102,19 +117,20 @@
 
     /// The next input, nothing where the reducer's time came first, an error where all edges are
     /// gone.
-    fn receive(
+    async fn receive(
         &self,
         reducer: &reducer::NodeReducer,
         inputs: &flume::Receiver<EngineInput>,
     ) -> Option<Result<EngineInput, flume::RecvError>> {
+        if let Ok(input) = inputs.try_recv() {
+            return Some(Ok(input));
+        }
         let Some(at) = reducer.next_wake() else {
-            return Some(inputs.recv());
+            return Some(inputs.recv_async().await);
         };
-        match inputs.recv_deadline(self.clock.instant(at)) {
-            Ok(input) => Some(Ok(input)),
-            Err(flume::RecvTimeoutError::Timeout) => None,
-            Err(flume::RecvTimeoutError::Disconnected) => Some(Err(flume::RecvError::Disconnected)),
-        }
+        let at = tokio::time::Instant::from_std(self.clock.instant(at));
+        let received = tokio::time::timeout_at(at, inputs.recv_async()).await;
+        received.ok()
     }
 
     /// Notes the way back of an input and turns it into events.
