--- a/crates/anvil_core/src/applying.rs
+++ b/crates/anvil_core/src/applying.rs
@@ -2,7 +2,7 @@
 
 use anvil_membership::effect::SnapshotUse;
 use anvil_membership::proposal::ProposalEnd;
-use anvil_rules::{change, codec, fault, parse};
+use anvil_rules::{change, codec, document};
 use anvil_types::{ident, store};
 use anvil_wire::gossip;
 use bytes::Bytes;
@@ -10,9 +10,6 @@
 
 use crate::{answer, effect, event, reducer};
 
-/// Names the operator's text in faults; the operators' command puts the file's name in its place.
-const TEXT_NAME: &str = "rules";
-
 /// Names this part in log lines.
 const PART: &str = "rules";
 
@@ -22,8 +19,8 @@
 /// What an operator asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct AskedChange {
-    /// The rules, as YAML.
-    pub(crate) text: String,
+    /// The rules as they shall be.
+    pub(crate) rules: document::RuleDocument,
     /// The operator's own id of the change.
     pub(crate) change: u128,
     /// Who made it.
@@ -41,19 +38,18 @@
 }
 
 impl reducer::NodeReducer {
-    /// Checks the rules and makes a change of them, or tells what is wrong.
+    /// Makes a change of the rules asked for, or tells what stands against it.
     pub(crate) fn apply_asked(&mut self, handle: event::OperatorHandle, asked: &AskedChange) {
         // An apply whose answer was lost is asked again under its id; it must not be refused as a
         // conflict with itself.
         if let Some(revision) = self.accepted_as(asked.change) {
-            let text = accepted(revision);
-            return self.answer_operator(handle, Ok(text));
+            return self.answer_operator(handle, Ok(accepted(revision)));
         }
         match self.prepare_change(asked) {
             Ok(change) if change.edits.is_empty() => {
                 let revision = self.book.revision();
                 let text = json!({ "revision": revision, "edits": 0 }).to_string();
-                self.answer_operator(handle, Ok(text));
+                self.answer_operator(handle, Ok(answer::AnswerBody::Json(text)));
             }
             Ok(change) => self.propose_change(handle, &change),
             Err(refusal) => self.answer_operator(handle, Err(refusal)),
@@ -69,7 +65,6 @@
         &self,
         asked: &AskedChange,
     ) -> Result<change::RuleChange, answer::OperatorRefusal> {
-        let document = parse::parse_rules(TEXT_NAME, &asked.text).map_err(faults)?;
         let revision = self.book.revision();
         if asked.base != revision {
             return Err(answer::OperatorRefusal::Conflict {
@@ -82,7 +77,7 @@
             id: asked.change,
             author: asked.author.clone(),
             base: asked.base,
-            edits: change::diff(self.book.document(), &document),
+            edits: change::diff(self.book.document(), &asked.rules),
         })
     }
 
@@ -205,10 +200,6 @@
     }
 }
 
-fn accepted(revision: ident::RuleRevision) -> String {
-    json!({ "revision": revision }).to_string()
-}
-
-fn faults(faults: fault::RuleFaults) -> answer::OperatorRefusal {
-    answer::OperatorRefusal::Faults { faults }
+fn accepted(revision: ident::RuleRevision) -> answer::AnswerBody {
+    answer::AnswerBody::Json(json!({ "revision": revision }).to_string())
 }
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -1,7 +1,10 @@
-//! The thread that owns the reducer: events in, one step at a time, effects out.
+//! The task that owns the reducer: events in, one step at a time, effects out.
 //!
-//! The thread never waits for a socket; whatever can block is handed to the runtime. See
-//! `docs/design/edges.md`.
+//! The task waits for nothing but its queue and the reducer's time; whatever else can wait is a task
+//! of its own. It shares the runtime of the connections instead of having a thread, so that an
+//! event, its step and its effects mostly stay on one processor; see `docs/design/edges.md`.
+
+use std::collections::VecDeque;
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_types::sorted;
@@ -12,6 +15,9 @@
 /// Events that may wait for the reducer; a caller's request waits at its edge beyond that.
 pub const QUEUE_LIMIT: usize = 16_384;
 
+/// Steps after which the task lets others run.
+const STEPS_IN_A_ROW: u32 = 16;
+
 /// An operator's answer, or why there is none.
 pub type OperatorAnswer = Result<answer::OperatorAnswer, answer::OperatorRefusal>;
 
@@ -65,16 +71,23 @@
     pub operators: sorted::SortedTable<event::OperatorHandle, flume::Sender<OperatorAnswer>>,
     /// Operators asked so far.
     pub asked: u64,
+    /// Events that effects caused on the spot, for the steps after the present one.
+    pub followups: VecDeque<event::NodeEvent>,
 }
 
 impl NodeEngine {
     /// Steps the reducer until it says that the process may leave, or every sender is gone.
-    pub fn run(mut self, mut reducer: reducer::NodeReducer, inputs: &flume::Receiver<EngineInput>) {
+    pub async fn run(
+        mut self,
+        mut reducer: reducer::NodeReducer,
+        inputs: flume::Receiver<EngineInput>,
+    ) {
+        let mut steps = 0_u32;
         loop {
             if self.wake(&mut reducer).is_break() {
                 return;
             }
-            let Some(input) = self.receive(&reducer, inputs) else {
+            let Some(input) = self.receive(&reducer, &inputs).await else {
                 continue;
             };
             let Ok(input) = input else {
@@ -85,6 +98,12 @@
                     return;
                 }
             }
+            steps = steps.wrapping_add(1);
+            if steps.is_multiple_of(STEPS_IN_A_ROW) {
+                // Under load the queue is never empty; without a pause the tasks that this one
+                // woke last, which no other thread takes over, would wait for ever.
+                tokio::task::yield_now().await;
+            }
         }
     }
 
@@ -98,19 +117,20 @@
 
     /// The next input, nothing where the reducer's time came first, an error where all edges are
     /// gone.
-    fn receive(
+    async fn receive(
         &self,
         reducer: &reducer::NodeReducer,
         inputs: &flume::Receiver<EngineInput>,
     ) -> Option<Result<EngineInput, flume::RecvError>> {
+        if let Ok(input) = inputs.try_recv() {
+            return Some(Ok(input));
+        }
         let Some(at) = reducer.next_wake() else {
-            return Some(inputs.recv());
+            return Some(inputs.recv_async().await);
         };
-        match inputs.recv_deadline(self.clock.instant(at)) {
-            Ok(input) => Some(Ok(input)),
-            Err(flume::RecvTimeoutError::Timeout) => None,
-            Err(flume::RecvTimeoutError::Disconnected) => Some(Err(flume::RecvError::Disconnected)),
-        }
+        let at = tokio::time::Instant::from_std(self.clock.instant(at));
+        let received = tokio::time::timeout_at(at, inputs.recv_async()).await;
+        received.ok()
     }
 
     /// Notes the way back of an input and turns it into events.
@@ -157,11 +177,15 @@
         reducer: &mut reducer::NodeReducer,
         event: event::NodeEvent,
     ) -> std::ops::ControlFlow<()> {
-        let now = self.clock.now();
-        for effect in reducer.step(now, event) {
-            if self.carry_out(effect).is_break() {
-                return std::ops::ControlFlow::Break(());
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let now = self.clock.now();
+            for effect in reducer.step(now, event) {
+                if self.carry_out(effect).is_break() {
+                    return std::ops::ControlFlow::Break(());
+                }
             }
+            next = self.followups.pop_front();
         }
         std::ops::ControlFlow::Continue(())
     }
@@ -173,12 +197,18 @@
                 peer,
                 address,
                 frame,
-            } => self.peers.send(peer, address, frame),
+            } => {
+                let unsent = self.peers.send(peer, address, frame);
+                self.followups.extend(unsent);
+            }
             effect::NodeEffect::SendDatagram { to, message } => self.datagrams.send(to, &message),
             effect::NodeEffect::RunTarget(run) => self.runs.start(*run),
             effect::NodeEffect::CancelRun(run) => self.runs.cancel(run),
             effect::NodeEffect::AnswerOperator { handle, answer } => self.answer(handle, answer),
-            effect::NodeEffect::AskStore { id, ask } => self.store.ask(id, ask),
+            effect::NodeEffect::AskStore { id, ask } => {
+                let unasked = self.store.ask(id, ask);
+                self.followups.extend(unasked);
+            }
             effect::NodeEffect::Report(change) => log::info!("{change}"),
             effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
         }
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -1,9 +1,9 @@
 //! Starts all parts of a node and ends them in order.
 
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::thread;
 use std::time::Duration;
 
 use anvil_core::{config, event, reducer};
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 use crate::target::{exchange, parent, pool, runs};
 use crate::{admin, caller, clock, counters, datagram, engine, peer, platform, settings};
@@ -42,7 +43,7 @@
 pub struct RunningNode {
     bound: BoundAddresses,
     engine: engine::EngineSender,
-    reducer: thread::JoinHandle<()>,
+    reducer: JoinHandle<()>,
     runtime: runtime::Runtime,
     closing: watch::Sender<bool>,
     flushed: mpsc::Receiver<()>,
@@ -75,7 +76,7 @@
 
     /// Waits until the reducer says that everything is answered, then writes replies out.
     ///
-    /// Fails where the reducer's thread panicked.
+    /// Fails where the reducer panicked.
     pub fn wait(self) -> eyre::Result<()> {
         let Self {
             engine,
@@ -87,14 +88,14 @@
             ..
         } = self;
         drop(engine);
-        let ended = reducer.join();
+        let ended = runtime.block_on(reducer);
         // Connections finish the reply at hand and close; without the wait a reply that the
         // reducer has given would be lost in a socket buffer of this process.
         let _ = closing.send(true);
         let waiting = async { tokio::time::timeout(flush_wait, flushed.recv()).await };
         let _ = runtime.block_on(waiting);
         runtime.shutdown_background();
-        ended.map_err(|_| eyre::eyre!("the reducer's thread panicked"))
+        ended.map_err(|_| eyre::eyre!("the reducer panicked"))
     }
 }
 
@@ -197,7 +198,7 @@
         self,
         sockets: NodeSockets,
         inputs: flume::Receiver<engine::EngineInput>,
-    ) -> eyre::Result<thread::JoinHandle<()>> {
+    ) -> eyre::Result<JoinHandle<()>> {
         let _entered = self.runtime.enter();
         let sending = sockets.gossip.try_clone()?;
         self.start_callers(sockets.caller)?;
@@ -218,15 +219,14 @@
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
             asked: 0,
+            followups: VecDeque::new(),
         };
         let policy = self.settings.policy;
         let mut reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
         if !addresses.is_empty() {
             reducer = reducer.with_store();
         }
-        let builder = thread::Builder::new().name("reducer".to_owned());
-        let thread = builder.spawn(move || engine.run(reducer, &inputs));
-        thread.wrap_err("the reducer's thread could not be started")
+        Ok(self.runtime.spawn(engine.run(reducer, inputs)))
     }
 
     fn start_callers(&self, listener: TcpListener) -> eyre::Result<()> {
--- a/crates/anvil_once/src/entry.rs
+++ b/crates/anvil_once/src/entry.rs
@@ -293,7 +293,14 @@
         }
         self.asks[at].tried += 1;
         let slot = slots::slot_of(self.asks[at].question.key);
-        let nobody_knows = view.is_none() && self.views.get(slot).is_none();
+        let known = self.views.get(slot);
+        let nobody_knows = view.is_none() && known.is_none();
+        // A backup may not know yet that it is one; with the primary gone, nobody else tells it.
+        if let Some(known) = known.filter(|known| view.is_none_or(|view| view.epoch < known.epoch))
+        {
+            let target = self.asks[at].target;
+            self.send(target, key::KeyMessage::View(known));
+        }
         // The store is out and the slot was never claimed: waiting would change nothing.
         if nobody_knows && self.asks[at].tried >= change::LIKELY_NODES {
             self.give_up(now, at);
