--- a/crates/anvil_core/tests/keyed.rs
+++ b/crates/anvil_core/tests/keyed.rs
@@ -102,6 +102,51 @@
     }
 }
 
+// An owner crashes while the store is out. Keys of its slots can't be granted: no third node may
+// learn of a change that is not in the store. Their callers are told so at once, as not run, and
+// the rest goes on. Once the store is back, the same keys are answered, each with one run.
+#[test]
+fn crash_in_a_store_outage_refuses_at_once() {
+    let mut fleet = KeyedFleet::start(4);
+    let nodes = fleet.nodes();
+    fleet.store.faults.down = true;
+    fleet.crash(nodes[3]);
+    fleet.run(Duration::from_secs(10));
+    let claims = |fleet: &mut KeyedFleet| -> Vec<(anvil_types::time::NodeTime, u64)> {
+        let mut sent = Vec::new();
+        for claim in 0..400 {
+            sent.push((
+                fleet.now,
+                fleet.submit(nodes[claim % 3], &format!("claim-{claim}")),
+            ));
+            fleet.run(Duration::from_millis(50));
+        }
+        fleet.run(Duration::from_secs(10));
+        sent
+    };
+    let mut refused = 0;
+    let mut waited = Duration::ZERO;
+    for (at, handle) in claims(&mut fleet) {
+        let told = fleet.told(handle);
+        waited = waited.max(told.at.since(at));
+        match told.verdict {
+            verdict::CallVerdict::Answered => {}
+            verdict::CallVerdict::NotRun(verdict::RefusalReason::KeyUnavailable) => refused += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    println!("of 400 claims refused {refused}, longest wait {waited:?}");
+    assert!((1..300).contains(&refused), "{refused}");
+    assert!(waited < Duration::from_secs(1), "{waited:?}");
+    fleet.store.faults.down = false;
+    fleet.run(Duration::from_secs(10));
+    for (_, handle) in claims(&mut fleet) {
+        assert_eq!(fleet.told(handle).verdict, verdict::CallVerdict::Answered);
+    }
+    assert_eq!(fleet.runs.len(), 400);
+    assert_eq!(fleet.most_runs(), 1);
+}
+
 // Nodes are restarted one after the other, 200 times, while claims go on. No claim is cut, none is
 // refused and none runs twice, because a stopping node hands its slots to their backups first. A
 // second copy sent a moment later gets the answer, or hears that the first copy is in progress.
--- a/crates/anvil_once/src/grant.rs
+++ b/crates/anvil_once/src/grant.rs
@@ -53,6 +53,13 @@
             self.begin_change(now, slot);
             return AskJudgement::Refuse(refusal);
         }
+        // A record sent to a backup that is gone would wait for ever, and its caller with it.
+        let lone = role
+            .backup
+            .is_some_and(|backup| self.is_missing(now, backup, Duration::ZERO));
+        if lone {
+            return AskJudgement::Refuse(self.change_owners(now, slot));
+        }
         if copying {
             return AskJudgement::Refuse(key::KeyRefusal::Busy);
         }
@@ -130,16 +137,27 @@
     /// What a node that is not the primary answers.
     fn redirect(&mut self, now: time::NodeTime, slot: key::SlotId) -> key::KeyRefusal {
         let view = self.views.get(slot);
-        if self.proposal(now, slot, view).is_some() {
+        if self.proposal(now, slot, view).is_none() {
+            return key::KeyRefusal::NotOwner(view);
+        }
+        match (self.change_owners(now, slot), view) {
+            (key::KeyRefusal::Unavailable, None) => key::KeyRefusal::NotOwner(None),
+            (refusal, _) => refusal,
+        }
+    }
+
+    /// Begins the change that a slot needs before its keys are granted; tells whether the caller
+    /// does well to wait for it.
+    fn change_owners(&mut self, now: time::NodeTime, slot: key::SlotId) -> key::KeyRefusal {
+        if self.proposal(now, slot, self.views.get(slot)).is_some() {
             self.begin_change(now, slot);
-            // The store is out, so the wait has no end that a caller could wait for.
-            return match (self.is_resting(slot), view) {
-                (false, _) => key::KeyRefusal::Busy,
-                (true, Some(_)) => key::KeyRefusal::Unavailable,
-                (true, None) => key::KeyRefusal::NotOwner(None),
-            };
         }
-        key::KeyRefusal::NotOwner(view)
+        // The store is out, so the wait has no end that a caller could wait for.
+        if self.is_resting(slot) {
+            key::KeyRefusal::Unavailable
+        } else {
+            key::KeyRefusal::Busy
+        }
     }
 
     /// Records a new key for its call, and grants it once the backup has recorded it too.
--- a/crates/anvil_once/tests/random_runs.rs
+++ b/crates/anvil_once/tests/random_runs.rs
@@ -92,7 +92,7 @@
 
 proptest_state_machine::prop_state_machine! {
     #![proptest_config(ProptestConfig {
-        cases: 400,
+        cases: 4_000,
         rng_seed: RngSeed::Fixed(20_261_202),
         failure_persistence: None,
         max_shrink_iters: 200,
