Let targets of the naive version work on for callers that gave up

Cause: with the safeguard 'cancellation' off the target's node still closed the connection at the deadline and told the target its deadline, so the naive version had half of the safeguard. Change: without it a target is told 60 s, is never cut off, and may call on for a parent that has ended.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -1,6 +1,6 @@
 //! The reducer's side of the queue in front of the local target.
 
-use anvil_overload::{admission, kind, limit, quarantine, rank, refusal};
+use anvil_overload::{admission, kind, limit, policy, quarantine, rank, refusal};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
@@ -206,12 +206,16 @@
         let Some(request) = run.request.take() else {
             return;
         };
+        let told = match self.overload.policy.cancellation {
+            true => run.deadline.since(now),
+            false => policy::NAIVE_TIMEOUT,
+        };
         let order = effect::RunOrder {
             run: id,
             address,
             request,
             root: run.context.request,
-            timeout: run.deadline.since(now),
+            timeout: told,
         };
         let (print, rule) = (run.context.print, overload::crash_rule(&run.treatment));
         self.overload.poison.started(id.0, print, rule);
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -21,7 +21,9 @@
         let rulebook::BookDecision {
             treatment, mark, ..
         } = self.book.decide(&request);
+        let chained = self.overload.policy.cancellation;
         let parent = hints.parent.map(|token| token.0);
+        let parent = parent.filter(|run| chained || self.runs.get(*run).is_some());
         let sequence = self.calls.mint();
         let context = match parent {
             Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -107,10 +107,15 @@
                 let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
                 self.finish_run(run, verdict, None);
             }
-            runs::RunStage::Running => {
+            runs::RunStage::Running if self.overload.policy.cancellation => {
                 found.expired = true;
                 self.effects.push(effect::NodeEffect::CancelRun(run));
             }
+            runs::RunStage::Running => {
+                found.expired = true;
+                let (verdict, _) = verdict_of(event::RunOutcome::TimedOut);
+                self.finish_run(run, verdict, None);
+            }
         }
     }
 
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -3,11 +3,17 @@
 //! Operators leave all of them on. The experiment and the tests turn one off at a time, so that a
 //! safeguard that changes nothing is found and taken out; see `docs/design/shedding.md`.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Retries at each hop of the naive version, whatever the other hops do.
 pub const NAIVE_HOP_RETRIES: u16 = 2;
 
+/// Time that a target is told without [`OverloadPolicy::cancellation`]: it works on for callers
+/// that have given up long ago, as targets without deadlines do.
+pub const NAIVE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// One switch for each safeguard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
