--- a/crates/anvil_once/src/backup.rs
+++ b/crates/anvil_once/src/backup.rs
@@ -5,7 +5,7 @@
 use anvil_types::{ident, time};
 use anvil_wire::key;
 
-use crate::{owner, primary};
+use crate::{owner, role};
 
 impl owner::KeyOwner {
     /// Keeps one record and acknowledges it.
@@ -75,7 +75,7 @@
             self.refuse_epoch(from, at);
             return;
         };
-        let primary::SlotRole::Backup(role) = &mut owned.role else {
+        let role::SlotRole::Backup(role) = &mut owned.role else {
             return;
         };
         if part > role.next_part {
@@ -115,9 +115,9 @@
         &mut self,
         at: (key::SlotId, key::SlotEpoch),
         from: ident::NodeId,
-    ) -> Option<&mut primary::OwnedSlot> {
+    ) -> Option<&mut role::OwnedSlot> {
         let owned = self.owned_mut(at.0)?;
-        let primary::SlotRole::Backup(role) = &owned.role else {
+        let role::SlotRole::Backup(role) = &owned.role else {
             return None;
         };
         (role.primary == from && owned.epoch == at.1).then_some(owned)
--- a/crates/anvil_once/src/dump.rs
+++ b/crates/anvil_once/src/dump.rs
@@ -3,7 +3,7 @@
 use anvil_types::ident;
 use serde::Serialize;
 
-use crate::{counters, owner, primary};
+use crate::{counters, owner, role};
 
 /// One owned slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -59,15 +59,15 @@
     }
 }
 
-fn dump_slot(owned: &primary::OwnedSlot) -> SlotDump {
+fn dump_slot(owned: &role::OwnedSlot) -> SlotDump {
     let (role, other, pending, whole) = match &owned.role {
-        primary::SlotRole::Primary(role) => (
+        role::SlotRole::Primary(role) => (
             "primary",
             role.backup,
             role.pending.len(),
             role.copy.is_none(),
         ),
-        primary::SlotRole::Backup(role) => ("backup", Some(role.primary), 0, role.whole),
+        role::SlotRole::Backup(role) => ("backup", Some(role.primary), 0, role.whole),
     };
     SlotDump {
         slot: owned.slot.0,
--- a/crates/anvil_once/src/entry.rs
+++ b/crates/anvil_once/src/entry.rs
@@ -5,17 +5,17 @@
 use anvil_types::{ident, time, verdict};
 use anvil_wire::key;
 
-use crate::{change, effect, event, owner, slots};
+use crate::{effect, event, owner, proposal, slots};
 
 /// A call's question for a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct KeyQuestion {
+pub(crate) struct KeyQuestion {
     /// The call.
-    pub call: ident::CallId,
+    pub(crate) call: ident::CallId,
     /// The key.
-    pub key: ident::RequestKey,
+    pub(crate) key: ident::RequestKey,
     /// The digest of the request.
-    pub print: ident::PrintHash,
+    pub(crate) print: ident::PrintHash,
 }
 
 /// How far a call of this node has come with its key.
@@ -302,7 +302,7 @@
             self.send(target, key::KeyMessage::View(known));
         }
         // The store is out and the slot was never claimed: waiting would change nothing.
-        if nobody_knows && self.asks[at].tried >= change::LIKELY_NODES {
+        if nobody_knows && self.asks[at].tried >= proposal::LIKELY_NODES {
             self.give_up(now, at);
             return;
         }
--- a/crates/anvil_once/src/handover.rs
+++ b/crates/anvil_once/src/handover.rs
@@ -5,7 +5,7 @@
 use anvil_types::{ident, time};
 use anvil_wire::key;
 
-use crate::{owner, primary};
+use crate::{owner, role};
 
 impl owner::KeyOwner {
     /// Starts a planned stop: primaries hand over to their backups, backups are replaced.
@@ -89,7 +89,7 @@
             return;
         };
         let keys = owned.table.part(after, limit);
-        let copy = primary::CopyPart {
+        let copy = role::CopyPart {
             part,
             after,
             end: keys.last().map(|entry| entry.key),
@@ -103,7 +103,7 @@
         self.wake_at(retry);
     }
 
-    fn transmit(&mut self, now: time::NodeTime, slot: key::SlotId, copy: primary::CopyPart) {
+    fn transmit(&mut self, now: time::NodeTime, slot: key::SlotId, copy: role::CopyPart) {
         let Some(view) = self.views.get(slot) else {
             return;
         };
--- a/crates/anvil_once/src/lib.rs
+++ b/crates/anvil_once/src/lib.rs
@@ -8,19 +8,22 @@
 //! Nothing in here reads a clock, opens a socket or takes a lock: [`owner::KeyOwner`] turns
 //! [`event::KeyEvent`]s into [`effect::KeyEffect`]s.
 
+mod adopt;
 mod backup;
-pub mod change;
+mod change;
 pub mod counters;
 pub mod dump;
 pub mod effect;
-pub mod entry;
+mod entry;
 pub mod event;
 mod grant;
 mod handover;
 pub mod owner;
 pub mod peers;
 pub mod policy;
-mod primary;
+mod proposal;
+mod role;
+mod settle;
 pub mod slots;
 pub mod table;
 pub mod view;
--- a/crates/anvil_once/src/owner.rs
+++ b/crates/anvil_once/src/owner.rs
@@ -8,7 +8,7 @@
 use anvil_types::{ident, name, time};
 use anvil_wire::key;
 
-use crate::{change, counters, effect, entry, event, peers, policy, primary, view};
+use crate::{change, counters, effect, entry, event, peers, policy, role, view};
 
 /// Time between two looks at retention, confirmations and owners.
 const IDLE_WAKE: Duration = Duration::from_secs(1);
@@ -39,7 +39,7 @@
     /// Sorted by call.
     pub(crate) asks: Vec<entry::KeyAsk>,
     /// Sorted by slot.
-    pub(crate) slots: Vec<primary::OwnedSlot>,
+    pub(crate) slots: Vec<role::OwnedSlot>,
     /// Sorted by slot.
     pub(crate) changes: Vec<change::SlotChange>,
     pub(crate) last_ask: u64,
@@ -225,12 +225,12 @@
         self.wake.0 = self.wake.0.min(at);
     }
 
-    pub(crate) fn owned(&self, slot: key::SlotId) -> Option<&primary::OwnedSlot> {
+    pub(crate) fn owned(&self, slot: key::SlotId) -> Option<&role::OwnedSlot> {
         let at = self.place(slot).ok()?;
         Some(&self.slots[at])
     }
 
-    pub(crate) fn owned_mut(&mut self, slot: key::SlotId) -> Option<&mut primary::OwnedSlot> {
+    pub(crate) fn owned_mut(&mut self, slot: key::SlotId) -> Option<&mut role::OwnedSlot> {
         let at = self.place(slot).ok()?;
         Some(&mut self.slots[at])
     }
--- /dev/null
+++ b/crates/anvil_once/tests/pair.rs
@@ -0,0 +1,253 @@
+//! A primary and its backup in injected time.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use anvil_once::{effect, event, owner, peers, policy, slots};
+use anvil_types::{ident, name, time, verdict};
+use anvil_wire::{call, key};
+
+const PRIMARY: ident::NodeId = ident::NodeId(1);
+const BACKUP: ident::NodeId = ident::NodeId(2);
+
+/// Two nodes and a store, whose messages arrive at once and in order.
+struct Pair {
+    now: time::NodeTime,
+    nodes: Vec<(ident::NodeId, owner::KeyOwner)>,
+    records: Vec<(key::SlotView, u64)>,
+    store_down: bool,
+    calls: u64,
+    dispatched: Vec<ident::CallId>,
+    told: Vec<effect::KeyVerdict>,
+}
+
+impl Pair {
+    fn start(policy: policy::KeyPolicy) -> Self {
+        let zone = name::ZoneName::new("brest-hall").unwrap();
+        let build = |node| {
+            let start = time::NodeTime::START;
+            (
+                node,
+                owner::KeyOwner::new(start, node, zone.clone(), policy),
+            )
+        };
+        let mut pair = Self {
+            now: time::NodeTime::START,
+            nodes: [PRIMARY, BACKUP].map(build).into(),
+            records: Vec::new(),
+            store_down: false,
+            calls: 0,
+            dispatched: Vec::new(),
+            told: Vec::new(),
+        };
+        for (node, other) in [(PRIMARY, BACKUP), (BACKUP, PRIMARY)] {
+            pair.step(node, health(other, peers::PeerHealth::Alive));
+        }
+        pair
+    }
+
+    /// Asks at `node` until the call runs or is told a verdict; an answer ends each run.
+    fn submit(&mut self, node: ident::NodeId, key: u128, print: u64) -> Option<effect::KeyVerdict> {
+        self.calls += 1;
+        let call = ident::CallId {
+            node,
+            sequence: self.calls,
+        };
+        let told = self.told.len();
+        let ask = event::KeyEvent::Ask {
+            call,
+            key: ident::RequestKey(key),
+            print: ident::PrintHash(print),
+            wait: Duration::from_secs(2),
+        };
+        self.step(node, ask);
+        self.pass(Duration::from_secs(3));
+        if self.dispatched.contains(&call) {
+            let end = event::CallEnd::Answered(Box::new(answer()));
+            self.step(node, event::KeyEvent::Ended { call, end });
+        }
+        self.told.get(told).cloned()
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = until.min(self.now + Duration::from_millis(100));
+            for node in [PRIMARY, BACKUP] {
+                self.step(node, event::KeyEvent::Tick);
+            }
+        }
+    }
+
+    fn step(&mut self, node: ident::NodeId, event: event::KeyEvent) {
+        let Some(at) = self.nodes.iter().position(|held| held.0 == node) else {
+            return;
+        };
+        for effect in self.nodes[at].1.step(self.now, event) {
+            match effect {
+                effect::KeyEffect::Send { to, message } => {
+                    let from = node;
+                    self.step(to, event::KeyEvent::Message { from, message });
+                }
+                effect::KeyEffect::Dispatch { call } => self.dispatched.push(call),
+                effect::KeyEffect::Decide { verdict, .. } => self.told.push(verdict),
+                effect::KeyEffect::AskStore { id, ask } => {
+                    let reply = self.store(&ask);
+                    self.step(node, event::KeyEvent::Store { id, reply });
+                }
+                effect::KeyEffect::Report(_) => {}
+            }
+        }
+    }
+
+    fn store(&mut self, ask: &effect::StoreAsk) -> event::StoreReply {
+        if self.store_down {
+            return event::StoreReply::Unknown;
+        }
+        let find = |slot| self.records.iter().position(|record| record.0.slot == slot);
+        match *ask {
+            effect::StoreAsk::Read { slot } => {
+                event::StoreReply::Found(find(slot).map(|at| self.records[at]))
+            }
+            effect::StoreAsk::Swap { expected, view } => match (find(view.slot), expected) {
+                (None, None) => {
+                    self.records.push((view, 1));
+                    event::StoreReply::Swapped { version: 1 }
+                }
+                (Some(at), Some(version)) if self.records[at].1 == version => {
+                    let version = version + 1;
+                    self.records[at] = (view, version);
+                    event::StoreReply::Swapped { version }
+                }
+                (at, _) => event::StoreReply::Conflict(at.map(|at| self.records[at])),
+            },
+        }
+    }
+
+    fn owner(&self, node: ident::NodeId) -> &owner::KeyOwner {
+        &self.nodes.iter().find(|held| held.0 == node).unwrap().1
+    }
+
+    /// The records of `node` over all its slots.
+    fn records_of(&self, node: ident::NodeId) -> usize {
+        self.owner(node)
+            .dump()
+            .owned
+            .iter()
+            .map(|slot| slot.records)
+            .sum()
+    }
+}
+
+fn on_demand() -> policy::KeyPolicy {
+    policy::KeyPolicy {
+        claim_slots: 0,
+        copy_part: 2,
+        ..policy::KeyPolicy::default()
+    }
+}
+
+fn health(node: ident::NodeId, health: peers::PeerHealth) -> event::KeyEvent {
+    event::KeyEvent::Peer(peers::KeyPeer {
+        node,
+        zone: name::ZoneName::new("lorient-hall").unwrap(),
+        health,
+        since: time::NodeTime::START,
+    })
+}
+
+fn answer() -> call::CallAnswer {
+    call::CallAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: bytes::Bytes::from_static(b"bid 1"),
+    }
+}
+
+fn not_run(reason: verdict::RefusalReason) -> Option<effect::KeyVerdict> {
+    Some(effect::KeyVerdict::NotRun(reason))
+}
+
+fn answered() -> Option<effect::KeyVerdict> {
+    Some(effect::KeyVerdict::Answered(Box::new(answer())))
+}
+
+/// The `count`-th key of slot 0.
+fn key_of_slot(count: u128) -> u128 {
+    count * u128::from(slots::SLOT_COUNT)
+}
+
+// A workshop's client uses one key for two different bids. The second one is refused as not run,
+// because answering it with the first bid's receipt would lose the second bid.
+#[test]
+fn key_of_another_request_is_refused() {
+    let mut pair = Pair::start(on_demand());
+    assert_eq!(pair.submit(PRIMARY, 7, 1), None);
+    assert_eq!(
+        pair.submit(BACKUP, 7, 2),
+        not_run(verdict::RefusalReason::KeyMismatch)
+    );
+    assert_eq!(pair.submit(BACKUP, 7, 1), answered());
+    assert_eq!(pair.dispatched.len(), 1);
+}
+
+// The store is out for longer than a primary may go on unconfirmed. By then a third node may have
+// taken the slot, so new keys are refused as not run; known ones are still answered.
+#[test]
+fn primary_without_the_store_stops_in_time() {
+    let mut pair = Pair::start(on_demand());
+    assert_eq!(pair.submit(PRIMARY, 7, 1), None);
+    pair.store_down = true;
+    pair.pass(Duration::from_secs(600));
+    assert_eq!(pair.submit(BACKUP, key_of_slot(1) + 7, 1), None);
+    pair.pass(Duration::from_secs(1_300));
+    let unavailable = not_run(verdict::RefusalReason::KeyUnavailable);
+    assert_eq!(pair.submit(BACKUP, key_of_slot(2) + 7, 1), unavailable);
+    assert_eq!(pair.submit(BACKUP, 7, 1), answered());
+    pair.store_down = false;
+    pair.pass(Duration::from_secs(5));
+    assert_eq!(pair.submit(BACKUP, key_of_slot(2) + 7, 1), None);
+}
+
+// A key is remembered for the retention and no longer, so that the tables stay bounded; a copy
+// sent after it is a new action, as the operators' page says.
+#[test]
+fn key_is_forgotten_after_the_retention() {
+    let mut pair = Pair::start(on_demand());
+    assert_eq!(pair.submit(PRIMARY, 7, 1), None);
+    pair.pass(Duration::from_secs(3_500));
+    assert_eq!(pair.submit(BACKUP, 7, 1), answered());
+    pair.pass(Duration::from_secs(200));
+    assert_eq!(pair.records_of(PRIMARY) + pair.records_of(BACKUP), 0);
+    assert_eq!(pair.submit(BACKUP, 7, 1), None);
+}
+
+// The primary stops while it holds more records than fit one part of a copy. The backup takes its
+// slots and answers every key from its table; the primary then holds nothing and may leave.
+#[test]
+fn planned_stop_hands_every_record_over() {
+    let mut pair = Pair::start(on_demand());
+    for count in 0..25 {
+        assert_eq!(pair.submit(PRIMARY, key_of_slot(count), 1), None);
+    }
+    for (node, other) in [(PRIMARY, BACKUP), (BACKUP, PRIMARY)] {
+        let held = pair
+            .owner(node)
+            .dump()
+            .owned
+            .iter()
+            .any(|slot| slot.role == "primary");
+        if held {
+            pair.step(other, health(node, peers::PeerHealth::Leaving));
+            pair.step(node, event::KeyEvent::Leave);
+            pair.pass(Duration::from_secs(1));
+            assert!(pair.owner(node).is_released());
+            for count in 0..25 {
+                assert_eq!(pair.submit(other, key_of_slot(count), 1), answered());
+            }
+            return;
+        }
+    }
+    panic!("nobody owns the slot");
+}
