Show that a claim runs twice without owners of its key

The naive version beside the guarded one: the same claim sent to two nodes at once runs twice where no node owns the key, and once where one does.

--- a/crates/anvil_core/tests/keyed.rs
+++ b/crates/anvil_core/tests/keyed.rs
@@ -30,6 +30,18 @@
     assert_eq!(fleet.told(third).body, fleet.told(first).body);
 }
 
+// The same without owners of keys, as a naive version would have it: the claim is filed twice, and
+// the citizen gets two case numbers.
+#[test]
+fn without_owners_the_same_claim_runs_twice() {
+    let mut fleet = KeyedFleet::without_store(4);
+    let nodes = fleet.nodes();
+    fleet.submit(nodes[0], "claim-1");
+    fleet.submit(nodes[1], "claim-1");
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.most_runs(), 2);
+}
+
 // The store is out for ten minutes while claims go on and are resent. All are answered, because
 // owners grant without the store; nothing is refused.
 #[test]
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -52,6 +52,7 @@
     /// The key of each run, as the path of its request.
     pub(crate) runs: Vec<String>,
     nodes: Vec<FleetNode>,
+    stored: bool,
     queue: BTreeMap<(time::NodeTime, u64), Moment>,
     pushed: u64,
     started: u64,
@@ -61,12 +62,22 @@
 impl KeyedFleet {
     /// `size` nodes, each with a target, that have found each other and claimed all slots.
     pub(crate) fn start(size: usize) -> Self {
+        Self::with(size, true)
+    }
+
+    /// The same without a store, where no node knows who owns a key.
+    pub(crate) fn without_store(size: usize) -> Self {
+        Self::with(size, false)
+    }
+
+    fn with(size: usize, stored: bool) -> Self {
         let mut fleet = Self {
             now: time::NodeTime::START,
             store: fake::FakeStore::new(1),
             told: Vec::new(),
             runs: Vec::new(),
             nodes: Vec::new(),
+            stored,
             queue: BTreeMap::new(),
             pushed: 0,
             started: 0,
@@ -98,7 +109,9 @@
         let mut reducer = reducer::NodeReducer::new(config, self.started);
         // The node's clock runs as the others' do, so that one time serves the whole test.
         reducer.step(self.now, event::NodeEvent::Woke);
-        let reducer = reducer.with_store();
+        if self.stored {
+            reducer = reducer.with_store();
+        }
         self.nodes.push(FleetNode {
             node,
             address,
