Pace the key owners' questions to the store

Real nodes answered keyed claims with 503: the node's own call budget of four a second refused the claims of slots, and a refusal looks like an outage. The owners now pace themselves, with a budget of their own at the edge; there are 512 slots instead of 1,024, so that the loss of one node of four costs each of the others 86 changes; and a successor told by its predecessor grants before its first read.

--- a/crates/anvil_node/src/platform.rs
+++ b/crates/anvil_node/src/platform.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use anvil_core::event;
 use anvil_store::{budget, http, platform};
@@ -22,6 +23,12 @@
 /// Threads that hold watches; a watch waits for many seconds and must not keep a renewal waiting.
 const WATCH_THREADS: u32 = 1;
 
+/// Time in which one more question about the owners of keys is earned, and how many may follow one
+/// another. The owners pace themselves below both; all nodes together ask in proportion to the
+/// slots, not to the nodes, so a node's share may be larger than for the rest.
+const KEY_INTERVAL: Duration = Duration::from_millis(15);
+const KEY_BURST: u32 = 192;
+
 /// One question on its way to the store's threads.
 #[derive(Clone, Debug)]
 struct StoreQuestion {
@@ -41,6 +48,7 @@
 struct StoreWorker {
     client: Arc<http::HttpStore>,
     budget: Arc<Mutex<budget::CallBudget>>,
+    key_budget: Arc<Mutex<budget::CallBudget>>,
     clock: clock::NodeClock,
     engine: engine::EngineSender,
 }
@@ -66,6 +74,14 @@
         let worker = StoreWorker {
             client: Arc::new(http::HttpStore::new(addresses.to_vec())),
             budget: Arc::new(Mutex::new(budget::CallBudget::new(limits, clock.now()))),
+            key_budget: Arc::new(Mutex::new(budget::CallBudget::new(
+                budget::BudgetLimits {
+                    interval: KEY_INTERVAL,
+                    burst: KEY_BURST,
+                    ..limits
+                },
+                clock.now(),
+            ))),
             clock,
             engine,
         };
@@ -101,25 +117,30 @@
 
     fn run(&self, questions: &flume::Receiver<StoreQuestion>) {
         for question in questions {
-            let outcome = self.carry_out(&question.ask);
+            let outcome = self.carry_out(&question);
             if self.engine.send(answer(question.id, outcome)).is_err() {
                 return;
             }
         }
     }
 
-    fn carry_out(&self, ask: &store::StoreAsk) -> store::StoreOutcome {
+    fn carry_out(&self, question: &StoreQuestion) -> store::StoreOutcome {
         let now = self.clock.now();
-        if self.budget().begin(now).is_err() {
+        let part = question.id.part;
+        if self.budget(part).begin(now).is_err() {
             return store::StoreOutcome::Unavailable;
         }
-        let outcome = platform::PlatformStore::carry_out(&*self.client, ask);
-        self.budget().end();
+        let outcome = platform::PlatformStore::carry_out(&*self.client, &question.ask);
+        self.budget(part).end();
         outcome
     }
 
-    fn budget(&self) -> std::sync::MutexGuard<'_, budget::CallBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    fn budget(&self, part: store::StorePart) -> std::sync::MutexGuard<'_, budget::CallBudget> {
+        let budget = match part {
+            store::StorePart::Fleet => &self.budget,
+            store::StorePart::Keys => &self.key_budget,
+        };
+        budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/anvil_once/src/adopt.rs
+++ b/crates/anvil_once/src/adopt.rs
@@ -1,6 +1,6 @@
 //! How a node's part in a slot follows the records that it reads or hears of.
 
-use anvil_types::time;
+use anvil_types::{ident, time};
 use anvil_wire::key;
 
 use crate::{effect, owner, role, table};
@@ -22,6 +22,21 @@
         news
     }
 
+    /// When a view told by its own proposer was confirmed at the latest.
+    ///
+    /// The proposer tells as soon as it knows, and no connection delivers a message minutes later,
+    /// so a successor grants at once and reads the record in its turn. A view passed on by another
+    /// node may be of any age and confirms nothing.
+    pub(crate) fn told_by_proposer(
+        &self,
+        now: time::NodeTime,
+        from: ident::NodeId,
+        view: &key::SlotView,
+    ) -> Option<time::NodeTime> {
+        let span = u64::try_from(self.policy.confirm_every.as_micros()).unwrap_or(u64::MAX);
+        (from == view.proposer).then(|| time::NodeTime(now.0.saturating_sub(span)))
+    }
+
     /// Notes when the store last named this node as the primary.
     fn confirm(
         &mut self,
--- a/crates/anvil_once/src/change.rs
+++ b/crates/anvil_once/src/change.rs
@@ -6,7 +6,7 @@
 use anvil_types::time;
 use anvil_wire::key;
 
-use crate::{effect, event, owner, role, slots};
+use crate::{effect, event, owner, policy, role, slots};
 
 /// Where a change stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -28,6 +28,49 @@
     stage: ChangeStage,
 }
 
+/// Questions of a change: a read and a swap.
+const CHANGE_COST: u32 = 2;
+
+/// How many questions a node may still ask the store.
+///
+/// A crash in a small fleet changes hundreds of slots at once. Asked together they would exceed
+/// the node's share of the store's rates, be refused, and look like an outage to callers.
+#[derive(Clone, Copy, Debug, Hash)]
+pub(crate) struct StorePace {
+    tokens: u32,
+    earned: time::NodeTime,
+}
+
+impl StorePace {
+    pub(crate) const fn new(now: time::NodeTime, burst: u32) -> Self {
+        Self {
+            tokens: burst,
+            earned: now,
+        }
+    }
+
+    /// Takes the cost of one change, or tells when it is earned.
+    fn take(
+        &mut self,
+        now: time::NodeTime,
+        policy: &policy::KeyPolicy,
+    ) -> Result<(), time::NodeTime> {
+        let interval = policy.store_interval;
+        if interval.is_zero() {
+            return Ok(());
+        }
+        let count = now.since(self.earned).as_micros() / interval.as_micros();
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.earned = self.earned + interval.saturating_mul(count);
+        self.tokens = self.tokens.saturating_add(count).min(policy.store_burst);
+        if self.tokens < CHANGE_COST {
+            return Err(self.earned + interval * CHANGE_COST);
+        }
+        self.tokens -= CHANGE_COST;
+        Ok(())
+    }
+}
+
 impl owner::KeyOwner {
     /// Reads a slot's record, to change it where that is still called for.
     pub(crate) fn begin_change(&mut self, now: time::NodeTime, slot: key::SlotId) {
@@ -42,6 +85,11 @@
             Ok(_) => return,
             Err(_) => {}
         }
+        // The tick looks again at every slot whose owners should change.
+        if let Err(earned) = self.pace.take(now, &self.policy) {
+            self.wake_at(earned);
+            return;
+        }
         let ask = effect::StoreAsk::Read { slot };
         self.ask_store(now, slot, ChangeStage::Reading, ask);
     }
@@ -60,6 +108,7 @@
             self.rest(now, at);
             return;
         }
+        self.store_out = false;
         self.changes.remove(at);
         let sent = Some(change.sent);
         match (reply, change.stage) {
@@ -85,16 +134,18 @@
     /// A swap may have taken effect and its answer got lost. Repeating it blindly could undo a
     /// later change; the next read tells what stands there.
     fn rest(&mut self, now: time::NodeTime, at: usize) {
+        self.store_out = true;
         self.counters.store_unknown += 1;
         self.changes[at].stage = ChangeStage::Resting;
         self.changes[at].sent = now;
         self.wake_at(now + self.policy.store_retry);
     }
 
-    /// Whether the store did not answer about `slot` a moment ago.
+    /// Whether the store is out and nothing was asked about `slot` since.
     pub(crate) fn is_resting(&self, slot: key::SlotId) -> bool {
         let at = self.change_place(slot).ok();
-        at.is_some_and(|at| self.changes[at].stage == ChangeStage::Resting)
+        let asked = at.is_some_and(|at| self.changes[at].stage != ChangeStage::Resting);
+        self.store_out && !asked
     }
 
     fn propose(
--- a/crates/anvil_once/src/owner.rs
+++ b/crates/anvil_once/src/owner.rs
@@ -43,6 +43,9 @@
     /// Sorted by slot.
     pub(crate) changes: Vec<change::SlotChange>,
     pub(crate) last_ask: u64,
+    pub(crate) pace: change::StorePace,
+    /// Whether the store left the last question without an answer.
+    pub(crate) store_out: bool,
     /// The slot looked at next for an owner.
     pub(crate) claim_next: u16,
     pub(crate) leaving: bool,
@@ -71,6 +74,8 @@
             slots: Vec::new(),
             changes: Vec::new(),
             last_ask: 0,
+            pace: change::StorePace::new(now, policy.store_burst),
+            store_out: false,
             claim_next: 0,
             leaving: false,
             counters: counters::KeyCounters::default(),
@@ -84,6 +89,7 @@
     pub fn set_policy(&mut self, now: time::NodeTime, policy: policy::KeyPolicy) {
         self.started = now;
         self.policy = policy;
+        self.pace = change::StorePace::new(now, policy.store_burst);
     }
 
     /// Takes in one event and returns what is to be done, in order.
@@ -187,7 +193,8 @@
                 self.continue_copy(now, (slot, epoch), part);
             }
             key::KeyMessage::View(view) => {
-                let news = self.learn(now, view, None);
+                let confirmed = self.told_by_proposer(now, from, &view);
+                let news = self.learn(now, view, confirmed);
                 self.resend_outcomes(now, view.slot, news);
             }
         }
--- a/crates/anvil_once/src/policy.rs
+++ b/crates/anvil_once/src/policy.rs
@@ -22,6 +22,10 @@
     pub send_retry: Duration,
     /// Pause before the store is asked again about a slot.
     pub store_retry: Duration,
+    /// Time in which a node earns one more question to the store; zero for no bound.
+    pub store_interval: Duration,
+    /// Questions to the store that may follow one another at once.
+    pub store_burst: u32,
     /// How long an answer of the store is waited for.
     pub store_timeout: Duration,
     /// How long both owners of a slot are missing before a third node takes it without records.
@@ -88,13 +92,15 @@
             ask_retry: Duration::from_millis(25),
             send_retry: Duration::from_millis(250),
             store_retry: Duration::from_secs(1),
+            store_interval: Duration::from_millis(20),
+            store_burst: 128,
             store_timeout: Duration::from_secs(3),
             orphan_wait: Duration::from_secs(30),
             abandon_keep: Duration::from_secs(60),
             claim_slots: 32,
             claim_delay: Duration::from_secs(5),
             ask_limit: 4_096,
-            record_limit: 160_000,
+            record_limit: 320_000,
             answer_bytes: 256 * 1024,
             answer_limit: 16 * 1024,
             copy_part: 512,
--- a/crates/anvil_once/src/slots.rs
+++ b/crates/anvil_once/src/slots.rs
@@ -8,7 +8,7 @@
 ///
 /// More slots spread the records of a large fleet over more nodes, fewer cost a small one fewer
 /// changes in the store at each restart; see `docs/design/at-most-once.md`.
-pub const SLOT_COUNT: u16 = 1_024;
+pub const SLOT_COUNT: u16 = 512;
 
 /// The slot of a key.
 pub const fn slot_of(key: ident::RequestKey) -> key::SlotId {
--- a/crates/anvil_once/src/table.rs
+++ b/crates/anvil_once/src/table.rs
@@ -1,7 +1,7 @@
 //! The records of one slot.
 //!
 //! Records are kept sorted by key, in buckets: one long sorted vector would move megabytes at
-//! each insertion where a slot holds the 150,000 records of the largest fleet.
+//! each insertion where a slot holds the 300,000 records of the largest fleet.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/anvil_once/tests/support/world.rs
+++ b/crates/anvil_once/tests/support/world.rs
@@ -154,6 +154,7 @@
         store_retry: Duration::ZERO,
         orphan_wait: Duration::ZERO,
         claim_slots: 0,
+        store_interval: Duration::ZERO,
         guards,
         ..policy::KeyPolicy::default()
     }
