Part routing, retries and the test mesh by what they do

The choice among the targets of one service, the settling of allowances, and the plan and measures of the test mesh now stand apart; two functions that nobody called are gone. The naive version no longer skips a target when a retry is considered, since it asks the table only where lines count.

--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rulebook;
 pub mod runs;
 mod serving;
+mod settling;
 mod stopping;
 pub mod timers;
 pub mod waits;
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use anvil_overload::{allowance, backoff, deadline, policy, quarantine, refusal, resend, routing};
+use anvil_overload::{backoff, deadline, quarantine, refusal, routing};
 use anvil_types::{ident, treatment, verdict};
 use anvil_wire::call;
 
@@ -40,43 +40,6 @@
         self.begin_root(sequence)
     }
 
-    /// Draws the allowance of a root request that may have been here before.
-    fn begin_root(&mut self, sequence: u64) -> Option<verdict::RefusalReason> {
-        if !self.overload.policy.chain_allowance {
-            return None;
-        }
-        let open = self.calls.get_mut(sequence)?;
-        if open.parent.is_some() {
-            return None;
-        }
-        let bound = open.treatment.chain_retries;
-        match self
-            .overload
-            .resends
-            .begin(self.now, open.context.request, bound)
-        {
-            resend::ResendGrant::Granted(retries) => {
-                open.allowance = allowance::ChainAllowance::new(retries);
-                open.holds_root = true;
-                None
-            }
-            resend::ResendGrant::Spent => {
-                open.allowance = allowance::ChainAllowance::new(0);
-                self.blame(sequence, refusal::RefusalLimit::ChainRetries(bound));
-                Some(verdict::RefusalReason::AttemptsSpent)
-            }
-        }
-    }
-
-    pub(crate) fn call_allowance(&self, retries: u16) -> allowance::ChainAllowance {
-        let bound = if self.overload.policy.chain_allowance {
-            retries
-        } else {
-            policy::NAIVE_HOP_RETRIES
-        };
-        allowance::ChainAllowance::new(bound)
-    }
-
     /// Time that the next hop may take.
     pub(crate) fn hop_time(&self, sequence: u64, near: bool) -> Option<Duration> {
         let open = self.calls.get(sequence)?;
@@ -98,80 +61,13 @@
         self.end_call(sequence, entry::not_run(reason), None);
     }
 
-    fn blame(&mut self, sequence: u64, limit: refusal::RefusalLimit) {
+    pub(crate) fn blame(&mut self, sequence: u64, limit: refusal::RefusalLimit) {
         let node = self.config.node;
         if let Some(open) = self.calls.get_mut(sequence) {
             open.refused = Some((limit, node));
         }
     }
 
-    /// Takes back what an answered attempt did not spend, and learns from its load.
-    pub(crate) fn settle_attempt(&mut self, sequence: u64, answer: &call::PeerAnswer) {
-        let now = self.now;
-        let Some(open) = self.calls.get_mut(sequence) else {
-            return;
-        };
-        let calls::CallStage::Out { peer, .. } = open.stage else {
-            return;
-        };
-        open.allowance
-            .settle(u64::from(answer.attempt), answer.retries_spent);
-        if let verdict::CallVerdict::NotRun(_) = answer.verdict {
-            let line = answer.load.cut.max(answer.load.deep);
-            open.refused = Some((refusal::RefusalLimit::Cut(line), peer));
-        }
-        let report = routing::AttemptReport {
-            class: open.context.class,
-            kind: open.kind,
-            end: attempt_end(answer),
-            load: Some(&answer.load),
-        };
-        let service = open.request.service.clone();
-        self.directory.ended(now, &service, peer, report);
-    }
-
-    /// Writes off what was lent to an attempt whose node is lost.
-    pub(crate) fn lose_attempt(&mut self, sequence: u64, peer: ident::NodeId) {
-        self.close_attempt(sequence, peer, routing::AttemptEnd::Lost, u16::MAX);
-    }
-
-    /// Takes back what was lent to an attempt that never left.
-    pub(crate) fn attempt_unsent(&mut self, sequence: u64, peer: ident::NodeId) {
-        self.close_attempt(sequence, peer, routing::AttemptEnd::Lost, 0);
-    }
-
-    /// Writes off an attempt that nobody waits for any more.
-    pub(crate) fn attempt_given_up(&mut self, sequence: u64, peer: ident::NodeId, expired: bool) {
-        let end = if expired {
-            routing::AttemptEnd::Failed
-        } else {
-            routing::AttemptEnd::Fine
-        };
-        self.close_attempt(sequence, peer, end, u16::MAX);
-    }
-
-    fn close_attempt(
-        &mut self,
-        sequence: u64,
-        peer: ident::NodeId,
-        end: routing::AttemptEnd,
-        spent: u16,
-    ) {
-        let now = self.now;
-        let Some(open) = self.calls.get_mut(sequence) else {
-            return;
-        };
-        open.allowance.settle(u64::from(open.attempts), spent);
-        let service = open.request.service.clone();
-        let report = routing::AttemptReport {
-            class: open.context.class,
-            kind: open.kind,
-            end,
-            load: None,
-        };
-        self.directory.ended(now, &service, peer, report);
-    }
-
     /// Suspects the requests that were out at a node when it was lost.
     pub(crate) fn suspect_lost(&mut self, peer: ident::NodeId, lost: &[u64]) {
         let open = lost.iter().filter_map(|sequence| self.calls.get(*sequence));
@@ -276,6 +172,9 @@
     /// Whether some target is known that may take the request, so that no caller waits through a
     /// pause for a refusal that is known beforehand.
     fn would_be_taken(&mut self, sequence: u64) -> bool {
+        if !self.overload.policy.early_refusal {
+            return true;
+        }
         let Some(open) = self.calls.get(sequence) else {
             return false;
         };
@@ -296,31 +195,6 @@
         }
     }
 
-    /// Gives back what the call left: to the run that made it, or to later copies of the root.
-    pub(crate) fn return_allowance(&mut self, sequence: u64, open: &calls::OpenCall) {
-        let now = self.now;
-        if !self.overload.policy.chain_allowance {
-            if let Some(parent) = open.parent.and_then(|run| self.runs.get_mut(run)) {
-                parent.waits.end(now);
-            }
-            return;
-        }
-        let Some(run) = open.parent else {
-            let left = open.allowance.left();
-            let dispatched = open.attempts > 0;
-            if open.holds_root {
-                self.overload
-                    .resends
-                    .end(now, open.context.request, left, dispatched);
-            }
-            return;
-        };
-        if let Some(parent) = self.runs.get_mut(run) {
-            parent.allowance.settle(sequence, open.allowance.spent());
-            parent.waits.end(now);
-        }
-    }
-
     pub(crate) fn note_call_refusal(
         &mut self,
         open: &calls::OpenCall,
@@ -379,22 +253,6 @@
     }
 }
 
-fn attempt_end(answer: &call::PeerAnswer) -> routing::AttemptEnd {
-    let status = answer.answer.as_ref().map_or(0, |answer| answer.status);
-    match answer.verdict {
-        verdict::CallVerdict::Answered if status >= SERVER_ERROR => routing::AttemptEnd::Failed,
-        verdict::CallVerdict::Answered => routing::AttemptEnd::Fine,
-        verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable) => {
-            routing::AttemptEnd::Lost
-        }
-        verdict::CallVerdict::NotRun(_) => routing::AttemptEnd::Fine,
-        verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled) => {
-            routing::AttemptEnd::Fine
-        }
-        verdict::CallVerdict::MayHaveRun(_) => routing::AttemptEnd::Failed,
-    }
-}
-
 fn is_redirect(verdict: verdict::CallVerdict) -> bool {
     matches!(
         verdict,
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -3,164 +3,33 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+mod measure;
+mod plan;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvil_core::{answer, config, directory, effect, event, reducer};
-use anvil_overload::policy;
 use anvil_rules::parse;
-use anvil_types::{context, ident, name, time, verdict};
+use anvil_types::{context, ident, name, time};
 use anvil_wire::{call, frame};
 use bytes::Bytes;
 use rand_core::{Rng, SeedableRng};
 
+pub(crate) use measure::Root;
+pub(crate) use plan::{Fault, KINDS, Plan, RULES, SATURATION, Service, claims_mesh};
+
 /// One way between two nodes of two availability zones, as in the users' meshes, and of one.
 const FAR_HOP: Duration = Duration::from_micros(1_500);
 const NEAR_HOP: Duration = Duration::from_micros(200);
 /// How long a crashed target takes to come back.
 const RESTART: Duration = Duration::from_secs(1);
 
-/// One service and, for each kind of request, what its targets call in turn.
-pub(crate) struct Service {
-    pub(crate) name: &'static str,
-    pub(crate) targets: usize,
-    pub(crate) slots: u32,
-    pub(crate) work: Duration,
-    pub(crate) calls: &'static [(&'static str, &'static [&'static str])],
-}
-
-/// The claims mesh in its users' sizes; its deepest service holds some 290 requests a second.
-pub(crate) fn claims_mesh() -> Vec<Service> {
-    let service = |name, slots, millis, calls| Service {
-        name,
-        targets: 4,
-        slots,
-        work: Duration::from_millis(millis),
-        calls,
-    };
-    vec![
-        service(
-            "portal-ciudadano",
-            40,
-            10,
-            &[
-                ("claim", &["mesa-entradas"]),
-                ("hearing", &["audiencias"]),
-                ("status", &["mesa-entradas"]),
-                ("evidence", &["expediente"]),
-                ("poison", &["expediente"]),
-            ],
-        ),
-        service(
-            "mesa-entradas",
-            40,
-            10,
-            &[
-                ("claim", &["audiencias", "expediente"]),
-                ("status", &["expediente"]),
-            ],
-        ),
-        service(
-            "audiencias",
-            40,
-            10,
-            &[("claim", &["expediente"]), ("hearing", &["expediente"])],
-        ),
-        service("expediente", 8, 100, &[]),
-    ]
-}
-
-pub(crate) const SATURATION: f64 = 290.0;
-
-/// Kinds of request with their share in percent and their class.
-pub(crate) const KINDS: [(&str, u64, context::PriorityClass); 4] = [
-    ("claim", 10, context::PriorityClass::Critical),
-    ("hearing", 25, context::PriorityClass::High),
-    ("status", 50, context::PriorityClass::Normal),
-    ("evidence", 15, context::PriorityClass::Low),
-];
-
-const RULES: &str = "rules:
-  - {name: claim, when: {path: '/claim/**'}, then: {class: critical, idempotent: false, retries: 3}}
-  - {name: hearing, when: {path: '/hearing/**'}, then: {class: high, idempotent: true, retries: 3}}
-  - {name: evidence, when: {path: '/evidence/**'}, then: {class: low, idempotent: true, retries: 3}}
-  - {name: other, when: {}, then: {class: normal, idempotent: true, retries: 3}}
-";
-
 /// How long a target that came back works slowly, and by how much.
 const COLD: (f64, f64) = (2.0, 4.0);
 /// Nodes of the deep service.
 pub(crate) const DEEP: std::ops::Range<usize> = 12..16;
 
-/// What goes wrong at the targets of the deep service while the pressure lasts.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fault {
-    None,
-    /// One target works at a tenth of its speed.
-    OneSlow,
-    /// One target answers every request at once with a server error.
-    OneFailing,
-    /// All targets answer with a server error.
-    AllFailing,
-    /// Half of the targets crash at the beginning and come back cold.
-    ColdHalf,
-    /// Three runs of ten break off in the middle.
-    Breaking,
-}
-
-/// What happens from outside, in seconds since the start.
-#[derive(Clone)]
-pub(crate) struct Plan {
-    pub(crate) policy: policy::OverloadPolicy,
-    pub(crate) seed: u64,
-    pub(crate) until: f64,
-    /// Requests a second from each point on.
-    pub(crate) rates: Vec<(f64, f64)>,
-    /// The service and its factor on working time, from each point on.
-    pub(crate) slow: Vec<(f64, &'static str, f64)>,
-    /// What goes wrong, from when to when.
-    pub(crate) fault: (Fault, f64, f64),
-    /// Copies that a caller sends after a failure, each a tenth of a second later.
-    pub(crate) resends: u32,
-    /// Requests a second that need only the first service, besides the others.
-    pub(crate) side_rate: f64,
-    /// When callers close their connections, where they do before their deadline.
-    pub(crate) gone_after: Option<Duration>,
-    /// How long callers wait.
-    pub(crate) patience: Duration,
-}
-
-impl Plan {
-    pub(crate) fn new(policy: policy::OverloadPolicy) -> Self {
-        Self {
-            policy,
-            seed: 1,
-            until: 12.0,
-            rates: vec![(0.0, SATURATION / 2.0)],
-            slow: Vec::new(),
-            fault: (Fault::None, 0.0, 0.0),
-            resends: 0,
-            gone_after: None,
-            side_rate: 0.0,
-            patience: Duration::from_secs(2),
-        }
-    }
-}
-
-/// What became of one root request.
-#[derive(Clone, Debug)]
-pub(crate) struct Root {
-    pub(crate) kind: &'static str,
-    pub(crate) class: context::PriorityClass,
-    pub(crate) arrived: f64,
-    pub(crate) whole: Option<f64>,
-    pub(crate) ended: Option<f64>,
-    pub(crate) verdict: Option<verdict::CallVerdict>,
-    pub(crate) retry_after: Option<Duration>,
-    pub(crate) copies: u32,
-    pub(crate) runs: u32,
-}
-
 enum Waiting {
     Root(usize),
     Child {
@@ -281,67 +150,6 @@
         self.schedule(seconds(at), Happening::Copy(root));
     }
 
-    /// Share of the roots of `class` that arrived in the span and became whole.
-    pub(crate) fn share(&self, class: context::PriorityClass, from: f64, to: f64) -> f64 {
-        let wanted =
-            |root: &&Root| root.class == class && root.arrived >= from && root.arrived < to;
-        let all = self.roots.iter().filter(wanted);
-        let (mut whole, mut count) = (0.0, 0.0);
-        for root in all {
-            count += 1.0;
-            whole += f64::from(u8::from(root.whole.is_some()));
-        }
-        whole / count
-    }
-
-    /// Share of the side requests that arrived in the span and became whole.
-    pub(crate) fn side_share(&self, from: f64, to: f64) -> f64 {
-        let wanted =
-            |root: &&Root| root.kind == "search" && root.arrived >= from && root.arrived < to;
-        let all = self.roots.iter().filter(wanted).count().max(1);
-        let whole = |root: &&Root| wanted(root) && root.whole.is_some();
-        let whole = self.roots.iter().filter(whole).count();
-        f64::from(u32::try_from(whole).unwrap()) / f64::from(u32::try_from(all).unwrap())
-    }
-
-    /// Whole answers a second within the span.
-    pub(crate) fn goodput(&self, from: f64, to: f64) -> f64 {
-        let whole = self.roots.iter().filter_map(|root| root.whole);
-        let count = whole.filter(|at| *at >= from && *at < to).count();
-        f64::from(u32::try_from(count).unwrap()) / (to - from)
-    }
-
-    /// Seconds from `from` until half a second passes in which at least 95% of the roots that
-    /// arrive become whole.
-    pub(crate) fn recovery(&self, from: f64) -> Option<f64> {
-        let mut start = from;
-        while start + 0.5 <= self.plan.until - 2.0 {
-            let arrived = |root: &&Root| root.arrived >= start && root.arrived < start + 0.5;
-            let all = self.roots.iter().filter(arrived).count();
-            let whole = |root: &&Root| arrived(root) && root.whole.is_some();
-            let good = self.roots.iter().filter(whole).count();
-            if good * 100 >= all * 95 {
-                return Some(start - from);
-            }
-            start += 0.1;
-        }
-        None
-    }
-
-    /// Runs that served no root which became whole, as a share of all.
-    pub(crate) fn waste(&self) -> f64 {
-        let all: u32 = self.roots.iter().map(|root| root.runs).sum();
-        let lost = self.roots.iter().filter(|root| root.whole.is_none());
-        let lost: u32 = lost.map(|root| root.runs).sum();
-        f64::from(lost) / f64::from(all.max(1))
-    }
-
-    /// The most runs that any one root caused.
-    pub(crate) fn most_runs(&self) -> f64 {
-        let runs = self.roots.iter().map(|root| root.runs);
-        f64::from(runs.max().unwrap_or(0))
-    }
-
     /// The dump of each node.
     pub(crate) fn dumps(&mut self) -> Vec<String> {
         let ask = event::NodeEvent::OperatorAsked {
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -94,11 +94,6 @@
     pub fn notes(&self) -> &VecDeque<RefusalNote> {
         &self.notes
     }
-
-    /// The latest refusal of `request` that is still kept.
-    pub fn of(&self, request: ident::RequestId) -> Option<&RefusalNote> {
-        self.notes.iter().rev().find(|note| note.request == request)
-    }
 }
 
 /// When a refused caller does well to come back: the further below the line, the later.
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -4,12 +4,13 @@
 
 use anvil_types::{context, ident, name, time};
 use anvil_wire::call;
-use rand_core::{Rng, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use serde::Serialize;
 
 use crate::{cut, kind, policy, rank};
 
+mod choice;
 mod health;
 mod target;
 
@@ -95,24 +96,12 @@
     UnknownService,
 }
 
-#[derive(Clone, Debug, Serialize)]
-struct ServiceRoutes {
-    service: name::ServiceName,
-    turn: usize,
-    /// When the last line that any target reported has faded, so that quiet services cost nothing.
-    lines_until: time::NodeTime,
-    /// Lines of what the service needs below.
-    deep: cut::CutTable,
-    /// Sorted by node.
-    targets: Vec<target::TargetRoute>,
-}
-
 /// All known targets by service, with what their answers told.
 #[derive(Clone, Debug, Serialize)]
 pub struct RouteTable {
     zone: name::ZoneName,
     /// Sorted by service.
-    services: Vec<ServiceRoutes>,
+    services: Vec<choice::ServiceRoutes>,
     #[serde(skip)]
     source: Pcg32,
     #[serde(skip)]
@@ -164,20 +153,7 @@
         let Ok(place) = self.find(query.service) else {
             return RouteChoice::UnknownService;
         };
-        let routes = &mut self.services[place];
-        if !policy.better_of_two {
-            return routes.next_in_turn(now, &query, policy);
-        }
-        let mut picked = routes.pick(now, &query, policy, false, &mut self.source);
-        if picked.is_none() {
-            // Failure: every target that is left stands ejected. Symptom: a service that could
-            // serve something serves nothing. The floor therefore yields to the last resort.
-            picked = routes.pick(now, &query, policy, true, &mut self.source);
-        }
-        match picked {
-            Some(place) => routes.targets[place].choice(),
-            None => routes.nobody(now, &query),
-        }
+        self.services[place].choose(now, &query, policy, &mut self.source)
     }
 
     /// Counts a request of `class` that left for `node`.
@@ -241,36 +217,21 @@
         targets.iter().map(|target| (target.node, target.address))
     }
 
-    /// The service that the target beside `node` offers.
-    pub fn service_of(&self, node: ident::NodeId) -> Option<&name::ServiceName> {
-        let holds = |routes: &&ServiceRoutes| routes.place(node).is_ok();
-        self.services
-            .iter()
-            .find(holds)
-            .map(|routes| &routes.service)
-    }
-
     fn find(&self, service: &name::ServiceName) -> Result<usize, usize> {
         self.services
             .binary_search_by(|routes| routes.service.cmp(service))
     }
 
-    fn routes_mut(&mut self, service: &name::ServiceName) -> Option<&mut ServiceRoutes> {
+    fn routes_mut(&mut self, service: &name::ServiceName) -> Option<&mut choice::ServiceRoutes> {
         let place = self.find(service).ok()?;
         self.services.get_mut(place)
     }
 
-    fn routes_or_insert(&mut self, service: &name::ServiceName) -> &mut ServiceRoutes {
+    fn routes_or_insert(&mut self, service: &name::ServiceName) -> &mut choice::ServiceRoutes {
         let place = match self.find(service) {
             Ok(place) => place,
             Err(place) => {
-                let routes = ServiceRoutes {
-                    service: service.clone(),
-                    turn: 0,
-                    lines_until: time::NodeTime::START,
-                    deep: cut::CutTable::default(),
-                    targets: Vec::new(),
-                };
+                let routes = choice::ServiceRoutes::new(service);
                 self.services.insert(place, routes);
                 place
             }
@@ -288,144 +249,3 @@
         routes.targets.get_mut(place)
     }
 }
-
-/// Keeps two of a stream at random.
-#[derive(Clone, Copy, Debug, Default)]
-struct PairDraw {
-    kept: [Option<usize>; 2],
-    seen: u32,
-}
-
-impl PairDraw {
-    fn offer(&mut self, place: usize, source: &mut Pcg32) {
-        self.seen += 1;
-        if self.seen <= 2 {
-            self.kept[self.seen as usize - 1] = Some(place);
-            return;
-        }
-        let draw = source.next_u32() % self.seen;
-        if let Some(kept) = self.kept.get_mut(draw as usize) {
-            *kept = Some(place);
-        }
-    }
-}
-
-impl PairDraw {
-    /// The two in random order, since the first is drawn from longer and wins ties.
-    fn shuffled(&self, source: &mut Pcg32) -> [Option<usize>; 2] {
-        let [first, second] = self.kept;
-        let swap = second.is_some() && source.next_u32() & 1 == 1;
-        if swap {
-            [second, first]
-        } else {
-            [first, second]
-        }
-    }
-}
-
-impl ServiceRoutes {
-    fn place(&self, node: ident::NodeId) -> Result<usize, usize> {
-        self.targets
-            .binary_search_by_key(&node, |target| target.node)
-    }
-
-    fn pick(
-        &self,
-        now: time::NodeTime,
-        query: &RouteQuery<'_>,
-        policy: policy::OverloadPolicy,
-        ejected_too: bool,
-        source: &mut Pcg32,
-    ) -> Option<usize> {
-        if policy.early_refusal
-            && query.rank.level() < self.line_level(now, query.kind, query.exclude)
-        {
-            return None;
-        }
-        let mut near = PairDraw::default();
-        let mut far = PairDraw::default();
-        for (place, target) in self.targets.iter().enumerate() {
-            let fit = target.serves(query.exclude)
-                && (ejected_too || !target.ejected(now))
-                && (!policy.early_refusal || target.admits(now, &query.rank));
-            if !fit {
-                continue;
-            }
-            if target.near || !policy.zone_preference {
-                near.offer(place, source);
-            } else {
-                far.offer(place, source);
-            }
-        }
-        // With two near ones drawn, one far one is enough to notice that the zone is short.
-        let near_kept = near.shuffled(source);
-        let far_kept = far.shuffled(source);
-        let others = match near.seen {
-            0 => &far_kept[..],
-            _ => &far_kept[..1],
-        };
-        let drawn = near_kept.iter().chain(others).copied();
-        let cost = |place: &usize| self.targets[*place].cost(now, query.rank.class, policy);
-        drawn.flatten().min_by(|a, b| cost(a).total_cmp(&cost(b)))
-    }
-
-    fn next_in_turn(
-        &mut self,
-        now: time::NodeTime,
-        query: &RouteQuery<'_>,
-        policy: policy::OverloadPolicy,
-    ) -> RouteChoice {
-        let count = self.targets.len();
-        for step in 1..=count {
-            let place = (self.turn + step) % count;
-            let target = &self.targets[place];
-            let fit = target.serves(query.exclude)
-                && !target.ejected(now)
-                && (!policy.early_refusal || target.admits(now, &query.rank));
-            if fit {
-                self.turn = place;
-                return target.choice();
-            }
-        }
-        self.nobody(now, query)
-    }
-
-    fn nobody(&self, now: time::NodeTime, query: &RouteQuery<'_>) -> RouteChoice {
-        let some = |target: &target::TargetRoute| target.serves(query.exclude);
-        let level = self.line_level(now, query.kind, query.exclude);
-        match rank::line_at(level) {
-            Some(line) if self.targets.iter().any(some) => RouteChoice::Shed(line),
-            _ => RouteChoice::NoTarget,
-        }
-    }
-
-    fn line_level(
-        &self,
-        now: time::NodeTime,
-        kind: kind::CallKind,
-        exclude: &[ident::NodeId],
-    ) -> u16 {
-        let own = self.usual_level(now, exclude);
-        own.max(self.deep.level(now, kind))
-    }
-
-    /// The level that half of the targets admit.
-    ///
-    /// With the lowest of all, whatever one target lets in would come from everywhere at once;
-    /// with the highest, a sick target would refuse what the others could take.
-    fn usual_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
-        if now >= self.lines_until {
-            return 0;
-        }
-        let serving = self.targets.iter().filter(|target| target.serves(exclude));
-        let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now)).collect();
-        if levels.is_empty() {
-            return 0;
-        }
-        let middle = (levels.len() - 1) / 2;
-        *levels.select_nth_unstable(middle).1
-    }
-}
-
-// The line fades in `cut`, so that routing and refusal read the same value.
-const _: () = assert!(cut::CUT_FRESH.as_millis() < cut::CUT_GONE.as_millis());
