Test the exit codes of the process itself

The other tests call the library; four cases start the binary and look at its exit code, output and error, so that the thin main is covered too.

--- a/crates/anvil_ctl/tests/command_line.rs
+++ b/crates/anvil_ctl/tests/command_line.rs
@@ -181,3 +181,27 @@
         assert!(read.is_ok(), "{line}: {read:?}");
     }
 }
+
+fn check_process(line: &str, code: i32, out: &str, err: &str) {
+    let words = line.split(' ');
+    let ended = std::process::Command::new(env!("CARGO_BIN_EXE_anvilctl"))
+        .args(words)
+        .env_clear()
+        .output()
+        .expect("the command starts");
+    assert_eq!(ended.status.code(), Some(code));
+    assert!(String::from_utf8_lossy(&ended.stdout).contains(out));
+    assert!(String::from_utf8_lossy(&ended.stderr).contains(err));
+}
+
+test_cases! { check_process:
+    the_process_tells_success => ("--help", 0, "Usage: anvilctl", ""),
+    the_process_tells_faults => (
+        &format!("check {}", common::written("list.yaml", "[]")), 1, "",
+        "document: expected a map, found a list"
+    ),
+    the_process_tells_misuse => ("status", 2, "", "name a node with --node URL"),
+    the_process_tells_an_unreachable_node => (
+        "status --node http://127.0.0.1:1", 3, "", "the node can't be reached"
+    ),
+}
