--- a/crates/anvil_ctl/tests/command_line.rs
+++ b/crates/anvil_ctl/tests/command_line.rs
@@ -3,13 +3,15 @@
 #[allow(dead_code, reason = "other test files use the scripted node")]
 mod common;
 
-use anvil_ctl::arguments;
-use anvil_ctl::outcome::ExitStatus;
+use anvil_ctl::{arguments, outcome};
 use anvil_testkit::test_cases;
 
 fn check_help(line: &str, expected: &str) {
     let report = common::run(line);
-    assert_eq!((report.status, report.err.as_str()), (ExitStatus::Done, ""));
+    assert_eq!(
+        (report.status, report.err.as_str()),
+        (outcome::ExitStatus::Done, "")
+    );
     assert!(report.out.contains(expected), "{}", report.out);
 }
 
@@ -26,7 +28,7 @@
 
 fn check_usage(line: &str, expected: &str) {
     let report = common::run(line);
-    assert_eq!(report.status, ExitStatus::Usage);
+    assert_eq!(report.status, outcome::ExitStatus::Usage);
     assert_eq!(report.status.code(), 2);
     assert_eq!(report.err, format!("anvilctl: {expected}\n"));
 }
--- a/crates/anvil_rules/tests/examples.rs
+++ b/crates/anvil_rules/tests/examples.rs
@@ -6,10 +6,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use anvil_rules::{duration, matcher, parse, range, view};
+use anvil_rules::{change, codec, document, duration, matcher, parse, range, view};
 use anvil_testkit::test_cases;
-use anvil_types::context::PriorityClass;
-use anvil_types::treatment;
+use anvil_types::{context, ident, treatment};
 use rstest::{fixture, rstest};
 
 fn read(file: &str) -> String {
@@ -24,7 +23,7 @@
     matcher::RuleMatcher::compile(&checked.document)
 }
 
-fn check(mesh: &str, request: (&str, &str, &str), class: PriorityClass, idempotent: bool) {
+fn check(mesh: &str, request: (&str, &str, &str), class: context::PriorityClass, idempotent: bool) {
     let (method, service, path) = request;
     let headers = &[];
     let request = view::RequestView {
@@ -40,33 +39,33 @@
 
 test_cases! { check:
     a_claim => (
-        "reclamo-simple", ("POST", "portal-ciudadano", "/claims"), PriorityClass::Critical, false
+        "reclamo-simple", ("POST", "portal-ciudadano", "/claims"), context::PriorityClass::Critical, false
     ),
     a_claim_down_the_chain => (
-        "reclamo-simple", ("POST", "expediente", "/claims/17"), PriorityClass::Critical, false
+        "reclamo-simple", ("POST", "expediente", "/claims/17"), context::PriorityClass::Critical, false
     ),
     a_hearing_date => (
-        "reclamo-simple", ("GET", "audiencias", "/hearings/3"), PriorityClass::High, true
+        "reclamo-simple", ("GET", "audiencias", "/hearings/3"), context::PriorityClass::High, true
     ),
     a_case => (
-        "reclamo-simple", ("GET", "portal-ciudadano", "/cases/9"), PriorityClass::Normal, true
+        "reclamo-simple", ("GET", "portal-ciudadano", "/cases/9"), context::PriorityClass::Normal, true
     ),
     an_evidence_bundle => (
-        "reclamo-simple", ("GET", "expediente", "/evidence/9"), PriorityClass::Low, true
+        "reclamo-simple", ("GET", "expediente", "/evidence/9"), context::PriorityClass::Low, true
     ),
     an_unnamed_write => (
-        "reclamo-simple", ("PUT", "audiencias", "/hearings/3"), PriorityClass::High, false
+        "reclamo-simple", ("PUT", "audiencias", "/hearings/3"), context::PriorityClass::High, false
     ),
-    a_bid => ("marche-armor", ("POST", "bidding", "/bids"), PriorityClass::Critical, false),
+    a_bid => ("marche-armor", ("POST", "bidding", "/bids"), context::PriorityClass::Critical, false),
     an_award_notice => (
-        "marche-armor", ("POST", "awards", "/award-notices"), PriorityClass::Critical, false
+        "marche-armor", ("POST", "awards", "/award-notices"), context::PriorityClass::Critical, false
     ),
-    closing_hours => ("marche-armor", ("GET", "bidding", "/closing"), PriorityClass::High, true),
+    closing_hours => ("marche-armor", ("GET", "bidding", "/closing"), context::PriorityClass::High, true),
     a_specification => (
-        "marche-armor", ("GET", "catalogue", "/specifications/4"), PriorityClass::High, true
+        "marche-armor", ("GET", "catalogue", "/specifications/4"), context::PriorityClass::High, true
     ),
-    a_tender => ("marche-armor", ("GET", "catalogue", "/tenders"), PriorityClass::Normal, true),
-    a_profile => ("marche-armor", ("GET", "directory", "/suppliers/2"), PriorityClass::Low, true),
+    a_tender => ("marche-armor", ("GET", "catalogue", "/tenders"), context::PriorityClass::Normal, true),
+    a_profile => ("marche-armor", ("GET", "directory", "/suppliers/2"), context::PriorityClass::Low, true),
 }
 
 #[fixture]
@@ -133,3 +132,28 @@
         assert!(page.contains(&row), "{row}");
     }
 }
+
+fn check_size(mesh: &str, document_bytes: usize, rule_bytes: usize) {
+    let text = read(&format!("examples/{mesh}/rules.yaml"));
+    let document = parse::parse_rules(mesh, &text).expect("the rules are right");
+    let whole = codec::encode_document(&document).expect("memory").len();
+    let edits = change::diff(&document::RuleDocument::default(), &document);
+    let sizes = edits.into_iter().map(|edit| {
+        let change = change::RuleChange {
+            id: u128::MAX,
+            author: "ana".to_owned(),
+            base: ident::RuleRevision(1_000_000),
+            edits: vec![edit],
+        };
+        codec::encode_change(&change).expect("memory").len()
+    });
+    let largest = sizes.max().expect("a rule");
+    assert!(whole <= document_bytes, "{whole} bytes");
+    assert!(largest <= rule_bytes, "{largest} bytes");
+}
+
+// Values of the store hold a megabyte, and 31,000 changes go through it a day.
+test_cases! { check_size:
+    rules_of_reclamo_simple_are_small => ("reclamo-simple", 640, 200),
+    rules_of_marche_armor_are_small => ("marche-armor", 640, 200),
+}
--- a/crates/anvil_wire/src/seal/datagram.rs
+++ b/crates/anvil_wire/src/seal/datagram.rs
@@ -5,7 +5,8 @@
 
 use anvil_types::ident;
 
-use super::{SealError, TAG_BYTES, replay, ring};
+use super::{replay, ring};
+use crate::seal;
 
 /// The first byte of each datagram.
 const FORMAT: u8 = 1;
@@ -14,7 +15,7 @@
 const HEADER_BYTES: usize = 1 + 2 + 8 + 8;
 
 /// Bytes that sealing adds to a payload.
-pub const OVERHEAD_BYTES: usize = HEADER_BYTES + TAG_BYTES;
+pub const OVERHEAD_BYTES: usize = HEADER_BYTES + seal::TAG_BYTES;
 
 /// Largest sealed datagram, in bytes; it fits an Ethernet frame with IPv6 and UDP headers.
 pub const DATAGRAM_LIMIT: usize = 1_400;
@@ -60,9 +61,9 @@
     /// Seals `payload` for the node at `to`.
     ///
     /// Fails where the payload is above [`PAYLOAD_LIMIT`].
-    pub fn seal(&mut self, to: SocketAddr, payload: &[u8]) -> Result<Vec<u8>, SealError> {
+    pub fn seal(&mut self, to: SocketAddr, payload: &[u8]) -> Result<Vec<u8>, seal::SealError> {
         if payload.len() > PAYLOAD_LIMIT {
-            return Err(SealError::Oversized {
+            return Err(seal::SealError::Oversized {
                 length: payload.len(),
                 limit: PAYLOAD_LIMIT,
             });
@@ -95,21 +96,21 @@
     }
 
     /// Checks a datagram; nothing is allocated before its tag is known to fit.
-    pub fn open<'a>(&mut self, bytes: &'a [u8]) -> Result<OpenedDatagram<'a>, SealError> {
+    pub fn open<'a>(&mut self, bytes: &'a [u8]) -> Result<OpenedDatagram<'a>, seal::SealError> {
         if bytes.len() > DATAGRAM_LIMIT {
-            return Err(SealError::Oversized {
+            return Err(seal::SealError::Oversized {
                 length: bytes.len(),
                 limit: DATAGRAM_LIMIT,
             });
         }
-        let split = bytes.len().checked_sub(TAG_BYTES);
+        let split = bytes.len().checked_sub(seal::TAG_BYTES);
         let (sealed, tag) = split.map_or((bytes, &[][..]), |at| bytes.split_at(at));
         let header = DatagramHeader::read(sealed)?;
         let key = self.ring.find(header.key)?;
         let address = address_bytes(self.address);
         key.datagram().verify(&[&address, sealed], tag)?;
         if !self.guard.accept(header.sender, header.sequence) {
-            return Err(SealError::Replayed);
+            return Err(seal::SealError::Replayed);
         }
         Ok(OpenedDatagram {
             sender: header.sender,
@@ -130,13 +131,13 @@
 }
 
 impl DatagramHeader {
-    fn read(bytes: &[u8]) -> Result<Self, SealError> {
+    fn read(bytes: &[u8]) -> Result<Self, seal::SealError> {
         let Some((format, rest)) = bytes.split_first() else {
-            return Err(SealError::short("the datagram"));
+            return Err(seal::SealError::short("the datagram"));
         };
         if *format != FORMAT {
             let found = u16::from(*format);
-            return Err(SealError::Version { found });
+            return Err(seal::SealError::Version { found });
         }
         let header = || {
             let (key, rest) = rest.split_first_chunk::<2>()?;
@@ -148,7 +149,7 @@
                 sequence: u64::from_be_bytes(*sequence),
             })
         };
-        header().ok_or_else(|| SealError::short("the datagram"))
+        header().ok_or_else(|| seal::SealError::short("the datagram"))
     }
 }
 
--- a/crates/anvil_wire/src/seal/handshake.rs
+++ b/crates/anvil_wire/src/seal/handshake.rs
@@ -12,8 +12,8 @@
 
 use anvil_types::ident;
 
-use super::{SealError, ring, stream};
-use crate::{codec, frame};
+use super::{ring, stream};
+use crate::{codec, frame, seal};
 
 /// Largest message, in bytes, so that a stranger can't make a node reserve a frame's worth.
 pub const MESSAGE_LIMIT: usize = 256;
@@ -68,11 +68,11 @@
 }
 
 /// Checks the length in front of a message.
-pub fn check_length(prefix: [u8; codec::LENGTH_BYTES]) -> Result<usize, SealError> {
+pub fn check_length(prefix: [u8; codec::LENGTH_BYTES]) -> Result<usize, seal::SealError> {
     let length = u32::from_be_bytes(prefix) as usize;
     if length > MESSAGE_LIMIT {
         let limit = MESSAGE_LIMIT;
-        return Err(SealError::Oversized { length, limit });
+        return Err(seal::SealError::Oversized { length, limit });
     }
     Ok(length)
 }
@@ -83,7 +83,7 @@
         ring: &ring::KeyRing,
         own: frame::PeerHello,
         nonce: HandshakeNonce,
-    ) -> Result<(Self, Vec<u8>), SealError> {
+    ) -> Result<(Self, Vec<u8>), seal::SealError> {
         let key = ring.sending().clone();
         let message = HelloMessage {
             hello: own.clone(),
@@ -103,14 +103,14 @@
         self,
         bytes: &[u8],
         expected: Option<ident::NodeId>,
-    ) -> Result<(stream::SealedStream, Vec<u8>), SealError> {
+    ) -> Result<(stream::SealedStream, Vec<u8>), seal::SealError> {
         let message: ChallengeMessage = decode(bytes)?;
         let keys = SessionKeys::derive(&self.key, &self.sent, &message)?;
         keys.verify(RESPONDER_ROLE, &message.tag)?;
         check_peer(&self.own, &message.hello)?;
         let found = message.hello.node;
         if let Some(expected) = expected.filter(|expected| *expected != found) {
-            return Err(SealError::OtherPeer { expected, found });
+            return Err(seal::SealError::OtherPeer { expected, found });
         }
         let proof = encode(&ProofMessage {
             tag: keys.tag(INITIATOR_ROLE),
@@ -129,7 +129,7 @@
         own: &frame::PeerHello,
         nonce: HandshakeNonce,
         bytes: &[u8],
-    ) -> Result<(Self, Vec<u8>), SealError> {
+    ) -> Result<(Self, Vec<u8>), seal::SealError> {
         let message: HelloMessage = decode(bytes)?;
         check_peer(own, &message.hello)?;
         let key = ring.find(message.key)?;
@@ -145,20 +145,20 @@
     }
 
     /// Checks the initiator.
-    pub fn finish(self, bytes: &[u8]) -> Result<stream::SealedStream, SealError> {
+    pub fn finish(self, bytes: &[u8]) -> Result<stream::SealedStream, seal::SealError> {
         let message: ProofMessage = decode(bytes)?;
         self.keys.verify(INITIATOR_ROLE, &message.tag)?;
         Ok(self.keys.responder_stream(self.peer))
     }
 }
 
-fn check_peer(own: &frame::PeerHello, peer: &frame::PeerHello) -> Result<(), SealError> {
+fn check_peer(own: &frame::PeerHello, peer: &frame::PeerHello) -> Result<(), seal::SealError> {
     if peer.version != own.version {
         let found = peer.version;
-        return Err(SealError::Version { found });
+        return Err(seal::SealError::Version { found });
     }
     if peer.node == own.node {
-        return Err(SealError::OwnIdentity);
+        return Err(seal::SealError::OwnIdentity);
     }
     Ok(())
 }
@@ -175,14 +175,14 @@
         key: &ring::SealKey,
         hello: &[u8],
         challenge: &ChallengeMessage,
-    ) -> Result<Self, SealError> {
+    ) -> Result<Self, seal::SealError> {
         let untagged = ChallengeMessage {
             hello: challenge.hello.clone(),
             nonce: challenge.nonce,
             tag: ring::Tag::default(),
         };
         let answer = postcard::to_allocvec(&untagged);
-        let answer = answer.map_err(|error| SealError::malformed(&error))?;
+        let answer = answer.map_err(|error| seal::SealError::malformed(&error))?;
         let length = (hello.len() as u64).to_be_bytes();
         let maker = key.stream().derive(&[&length, hello, &answer]);
         Ok(Self { maker })
@@ -192,7 +192,7 @@
         self.maker.tag(&[role])
     }
 
-    fn verify(&self, role: &[u8], tag: &ring::Tag) -> Result<(), SealError> {
+    fn verify(&self, role: &[u8], tag: &ring::Tag) -> Result<(), seal::SealError> {
         self.maker.verify(&[role], tag)
     }
 
@@ -213,16 +213,16 @@
     }
 }
 
-fn encode<T>(message: &T) -> Result<Vec<u8>, SealError>
+fn encode<T>(message: &T) -> Result<Vec<u8>, seal::SealError>
 where
     T: Serialize,
 {
     let bytes = postcard::to_extend(message, vec![0; codec::LENGTH_BYTES]);
-    let mut bytes = bytes.map_err(|error| SealError::malformed(&error))?;
+    let mut bytes = bytes.map_err(|error| seal::SealError::malformed(&error))?;
     let length = bytes.len() - codec::LENGTH_BYTES;
     if length > MESSAGE_LIMIT {
         let limit = MESSAGE_LIMIT;
-        return Err(SealError::Oversized { length, limit });
+        return Err(seal::SealError::Oversized { length, limit });
     }
     // The limit is far below what four bytes can tell.
     let prefix = u32::try_from(length).unwrap_or(u32::MAX);
@@ -230,14 +230,14 @@
     Ok(bytes)
 }
 
-fn decode<'a, T>(bytes: &'a [u8]) -> Result<T, SealError>
+fn decode<'a, T>(bytes: &'a [u8]) -> Result<T, seal::SealError>
 where
     T: Deserialize<'a>,
 {
     let taken = postcard::take_from_bytes(bytes);
-    let (message, rest) = taken.map_err(|error| SealError::malformed(&error))?;
+    let (message, rest) = taken.map_err(|error| seal::SealError::malformed(&error))?;
     if !rest.is_empty() {
-        return Err(SealError::Malformed {
+        return Err(seal::SealError::Malformed {
             reason: format!("{} bytes behind its end", rest.len()),
         });
     }
--- a/crates/anvil_wire/src/seal/ring.rs
+++ b/crates/anvil_wire/src/seal/ring.rs
@@ -2,13 +2,12 @@
 
 use std::fmt;
 
+use crate::seal;
 use derive_more::{Display, Error};
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use super::TAG_BYTES;
-
 /// Least length of a secret, in bytes: the output of the hash, below which guessing gets easier.
 pub const SECRET_BYTES: usize = 32;
 
@@ -127,14 +126,14 @@
     }
 
     /// The key of this id, where the node accepts it.
-    pub(super) fn find(&self, id: KeyId) -> Result<&SealKey, super::SealError> {
+    pub(super) fn find(&self, id: KeyId) -> Result<&SealKey, seal::SealError> {
         let found = self.keys.iter().find(|key| key.id == id);
-        found.ok_or(super::SealError::UnknownKey { id })
+        found.ok_or(seal::SealError::UnknownKey { id })
     }
 }
 
-/// A tag of [`TAG_BYTES`].
-pub(super) type Tag = [u8; TAG_BYTES];
+/// A tag of [`seal::TAG_BYTES`].
+pub(super) type Tag = [u8; seal::TAG_BYTES];
 
 /// HMAC-SHA256 with its key taken in, ready to be copied for each message.
 #[derive(Clone)]
@@ -156,18 +155,18 @@
 
     pub(super) fn tag(&self, parts: &[&[u8]]) -> Tag {
         let whole = self.over(parts).finalize().into_bytes();
-        let mut tag = [0; TAG_BYTES];
-        tag.copy_from_slice(&whole[..TAG_BYTES]);
+        let mut tag = [0; seal::TAG_BYTES];
+        tag.copy_from_slice(&whole[..seal::TAG_BYTES]);
         tag
     }
 
     /// Compares in constant time, so that a forger doesn't learn a tag byte by byte.
-    pub(super) fn verify(&self, parts: &[&[u8]], tag: &[u8]) -> Result<(), super::SealError> {
-        if tag.len() != TAG_BYTES {
-            return Err(super::SealError::Forged);
+    pub(super) fn verify(&self, parts: &[&[u8]], tag: &[u8]) -> Result<(), seal::SealError> {
+        if tag.len() != seal::TAG_BYTES {
+            return Err(seal::SealError::Forged);
         }
         let verified = self.over(parts).verify_truncated_left(tag);
-        verified.map_err(|_| super::SealError::Forged)
+        verified.map_err(|_| seal::SealError::Forged)
     }
 
     fn over(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
--- a/crates/anvil_wire/src/seal/stream.rs
+++ b/crates/anvil_wire/src/seal/stream.rs
@@ -3,8 +3,8 @@
 //! Each frame's tag covers its place in the stream, so a frame that is changed, repeated, left
 //! out, moved or brought from another connection ends the connection instead of being run.
 
-use super::{SealError, TAG_BYTES, ring};
-use crate::{codec, frame};
+use super::ring;
+use crate::{codec, frame, seal};
 
 /// A connection whose ends have proved themselves.
 #[derive(Debug)]
@@ -53,14 +53,14 @@
 
     /// Bytes to read behind a length that [`codec::check_length`] accepted.
     pub const fn sealed_length(length: usize) -> usize {
-        length + TAG_BYTES
+        length + seal::TAG_BYTES
     }
 
     /// Checks the bytes behind a length and gives those of the frame, for
     /// [`codec::decode_frame`]. After an error the connection must be closed.
-    pub fn open<'a>(&mut self, sealed: &'a [u8]) -> Result<&'a [u8], SealError> {
-        let split = sealed.len().checked_sub(TAG_BYTES);
-        let at = split.ok_or_else(|| SealError::short("the frame"))?;
+    pub fn open<'a>(&mut self, sealed: &'a [u8]) -> Result<&'a [u8], seal::SealError> {
+        let split = sealed.len().checked_sub(seal::TAG_BYTES);
+        let at = split.ok_or_else(|| seal::SealError::short("the frame"))?;
         let (body, tag) = sealed.split_at(at);
         let sequence = self.sequence.to_be_bytes();
         self.maker.verify(&[&sequence, body], tag)?;
