--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -14,7 +14,11 @@
     ) {
         let json = match request {
             event::OperatorRequest::Dump => self.dump(),
-            event::OperatorRequest::Status => self.status(),
+            event::OperatorRequest::Status => {
+                let status = self.status();
+                self.count_rollout();
+                status
+            }
             event::OperatorRequest::Counters => json!(self.counters),
             event::OperatorRequest::Explain(request) => self.explain(&request),
             event::OperatorRequest::History => self.history(),
