--- a/crates/anvil_core/src/rollout.rs
+++ b/crates/anvil_core/src/rollout.rs
@@ -1,6 +1,7 @@
 //! How far the rules in force have come, as this node sees it.
 
 use anvil_types::ident;
+use anvil_wire::gossip;
 use serde_json::json;
 
 use crate::reducer;
@@ -8,6 +9,17 @@
 /// Lagging nodes named one by one; beyond it only their number is told.
 const LAGGING_NODES: usize = 20;
 
+/// On how many nodes the rules are in force.
+#[derive(Debug, Default)]
+struct RuleReach {
+    members: u32,
+    in_force: u32,
+    /// Nodes that a count asked in vain.
+    silent: u32,
+    /// Some of the nodes that lag or are silent.
+    lagging: Vec<serde_json::Value>,
+}
+
 impl reducer::NodeReducer {
     /// Begins a count of the nodes on which the revision held is in force; its result shows in a
     /// later answer, as an operator who waits asks again and again.
@@ -23,43 +35,54 @@
     /// "everywhere" only when everyone has said so.
     pub(crate) fn rules_status(&self) -> serde_json::Value {
         let revision = self.book.revision();
-        if let Some(counted) = self.fleet.census().filter(|c| c.revision == revision) {
-            let count = &counted.count;
-            let heard = |node: &ident::NodeId| self.fleet.table().get(*node).map(|m| m.revision);
-            let lagging: Vec<_> = count
-                .lagging
-                .iter()
-                .map(|node| json!({ "node": node.to_string(), "revision": heard(node) }))
-                .collect();
-            return json!({
-                "revision": revision,
-                "rules": self.book.document().rules().len(),
-                "members": count.holding + count.behind + count.silent,
-                "in_force": count.holding,
-                "silent": count.silent,
-                "lagging": lagging,
-            });
-        }
-        let live = self.fleet.table().all().iter();
-        let live = live.filter(|member| member.state.is_live());
-        let own = self.config.node;
-        let heard = live.map(|member| match member.node {
-            node if node == own => (node, revision),
-            node => (node, member.revision),
-        });
-        let heard: Vec<(ident::NodeId, ident::RuleRevision)> = heard.collect();
-        let lags = heard.iter().filter(|(_, held)| *held < revision);
-        let lagging: Vec<_> = lags
-            .clone()
-            .take(LAGGING_NODES)
-            .map(|(node, held)| json!({ "node": node.to_string(), "revision": held }))
-            .collect();
+        let counted = self.fleet.census().filter(|c| c.revision == revision);
+        let reach = match counted {
+            Some(counted) => self.counted_reach(&counted.count),
+            None => self.heard_reach(revision),
+        };
         json!({
             "revision": revision,
             "rules": self.book.document().rules().len(),
-            "members": heard.len(),
-            "in_force": heard.len() - lags.count(),
-            "lagging": lagging,
+            "members": reach.members,
+            "in_force": reach.in_force,
+            "silent": reach.silent,
+            "lagging": reach.lagging,
         })
     }
+
+    /// What a finished count says.
+    fn counted_reach(&self, count: &gossip::CensusCount) -> RuleReach {
+        let heard = |node: &ident::NodeId| self.fleet.table().get(*node).map(|m| m.revision);
+        let lagging = count.lagging.iter();
+        RuleReach {
+            members: count.holding + count.behind + count.silent,
+            in_force: count.holding,
+            silent: count.silent,
+            lagging: lagging
+                .map(|node| lagging_node(*node, heard(node)))
+                .collect(),
+        }
+    }
+
+    /// What the live members themselves told this node.
+    fn heard_reach(&self, revision: ident::RuleRevision) -> RuleReach {
+        let own = self.config.node;
+        let members = self.fleet.table().all().iter();
+        let live = members.filter(|member| member.state.is_live());
+        let mut reach = RuleReach::default();
+        for member in live {
+            reach.members += 1;
+            if member.node == own || member.revision >= revision {
+                reach.in_force += 1;
+            } else if reach.lagging.len() < LAGGING_NODES {
+                let lagging = lagging_node(member.node, Some(member.revision));
+                reach.lagging.push(lagging);
+            }
+        }
+        reach
+    }
+}
+
+fn lagging_node(node: ident::NodeId, held: Option<ident::RuleRevision>) -> serde_json::Value {
+    json!({ "node": node.to_string(), "revision": held })
 }
--- a/crates/anvil_node/tests/key_rotation.rs
+++ b/crates/anvil_node/tests/key_rotation.rs
@@ -36,6 +36,11 @@
         let request = common::request(entry.bound().caller, "GET", "/alive");
         request.send().unwrap().status() == 200
     });
+    for node in [&beside, &entry] {
+        for cause in [EdgeCause::DatagramRefused, EdgeCause::PeerHandshakeRefused] {
+            assert_eq!(node.counters().total(cause), 0, "{cause}");
+        }
+    }
 }
 
 test_cases! { crosses:
