Name a lagging node that was never heard as such

A count of the fleet can name a node without knowing its revision, which the command showed as null. It says now that the node was not heard of, and a test covers it.

--- a/crates/anvil_ctl/src/wait.rs
+++ b/crates/anvil_ctl/src/wait.rs
@@ -54,7 +54,10 @@
         let lagging = rules["lagging"].as_array().into_iter().flatten();
         let lagging = lagging.map(|node| {
             let name = node["node"].as_str().unwrap_or("?");
-            format!("{name} at revision {}", node["revision"])
+            match node["revision"].as_u64() {
+                Some(revision) => format!("{name} at revision {revision}"),
+                None => format!("{name}, not heard of"),
+            }
         });
         (held >= revision.0).then_some(Self {
             in_force: rules["in_force"].as_u64()?,
--- a/crates/anvil_ctl/tests/asking.rs
+++ b/crates/anvil_ctl/tests/asking.rs
@@ -137,6 +137,13 @@
         "accepted as revision 8\nanvilctl: in force on 2 of 3 nodes; lagging:\n  0f at revision 6\n\
          look again with `anvilctl status`; the change stays accepted\n"
     ),
+    a_node_that_was_never_heard_lags => (
+        r#"{"rules": {"revision": 9, "members": 2, "in_force": 1,
+                      "lagging": [{"node": "0e", "revision": null}]}}"#,
+        5,
+        "accepted as revision 8\nanvilctl: in force on 1 of 2 nodes; lagging:\n  0e, not heard of\n\
+         look again with `anvilctl status`; the change stays accepted\n"
+    ),
     the_asked_node_itself_lags => (
         r#"{"rules": {"revision": 7, "members": 3, "in_force": 3, "lagging": []}}"#,
         5,
