--- a/crates/anvil_node/src/datagram.rs
+++ b/crates/anvil_node/src/datagram.rs
@@ -9,7 +9,7 @@
 
 use crate::{counters, engine};
 
-/// Sends datagrams; owned by the reducer's thread.
+/// Sends datagrams; owned by the reducer's task.
 #[derive(Debug)]
 pub struct DatagramSender {
     socket: UdpSocket,
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -21,7 +21,7 @@
 /// An operator's answer, or why there is none.
 pub type OperatorAnswer = Result<answer::OperatorAnswer, answer::OperatorRefusal>;
 
-/// What the edges hand to the reducer's thread.
+/// What the edges hand to the reducer's task.
 #[derive(Debug)]
 pub enum EngineInput {
     /// An event with nothing beside it.
@@ -51,7 +51,7 @@
 /// The sending side of the engine's queue.
 pub type EngineSender = flume::Sender<EngineInput>;
 
-/// Everything that carries out effects; owned by the reducer's thread.
+/// Everything that carries out effects; owned by the reducer's task.
 #[derive(Debug)]
 pub struct NodeEngine {
     /// Reads time for each step.
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -27,7 +27,7 @@
     unsent: Vec<frame::PeerFrame>,
 }
 
-/// The connections in use for each node; owned by the reducer's thread.
+/// The connections in use for each node; owned by the reducer's task.
 #[derive(Debug)]
 pub struct PeerTable {
     runtime: runtime::Handle,
--- a/crates/anvil_node/src/platform.rs
+++ b/crates/anvil_node/src/platform.rs
@@ -29,7 +29,7 @@
     ask: store::StoreAsk,
 }
 
-/// Hands questions to the store's threads; owned by the reducer's thread.
+/// Hands questions to the store's threads; owned by the reducer's task.
 #[derive(Debug)]
 pub struct StoreQueue {
     calls: flume::Sender<StoreQuestion>,
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -8,7 +8,7 @@
 use super::exchange;
 use crate::engine;
 
-/// Starts runs on the runtime and cancels them; owned by the reducer's thread.
+/// Starts runs on the runtime and cancels them; owned by the reducer's task.
 #[derive(Debug)]
 pub struct RunTable {
     runtime: runtime::Handle,
