Test a frozen node from the caller's side

A frozen node keeps its connections, so only the caller's deadline can end the wait; the test shows 504 with may-have-run at that deadline and that the connection serves again afterwards.

--- a/crates/anvil_node/src/lib.rs
+++ b/crates/anvil_node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The node process: everything around the reducer that touches a socket, a clock or a file.
 //!
-//! One thread owns the reducer ([`engine`]); a small runtime carries the connections of callers
+//! One task owns the reducer ([`engine`]); a small runtime carries it and the connections of callers
 //! ([`caller`]), of the local target ([`target`]) and of other nodes ([`peer`], [`datagram`]).
 //! Operators and the target's announcements come in by [`admin`]. See `docs/design/edges.md`.
 
--- a/crates/anvil_node/tests/two_nodes.rs
+++ b/crates/anvil_node/tests/two_nodes.rs
@@ -236,3 +236,24 @@
     assert!(node.wait_end(common::PATIENCE).unwrap(), "exit code zero");
     assert_eq!(target.abandoned(), 0);
 }
+
+// The node beside the target freezes with a bid on its way to it. Its connection stays open, so
+// nothing tells of the loss; the caller learns "may have run" at its own deadline. Once the node
+// goes on, the same connection serves again.
+#[test]
+fn a_frozen_node_costs_a_caller_no_more_than_its_deadline() {
+    let node = start("frozen_node");
+    let target = http_target::StandInTarget::start().unwrap();
+    common::announce(node.addresses().admin, target.address(), common::SERVICE);
+    let entry = entry(node.addresses().gossip);
+    await_target(&entry);
+    node.pause().unwrap();
+    let request = common::request(entry.bound().caller, "POST", "/bids")
+        .header("anvil-timeout-ms", "300")
+        .text("a bid");
+    let response = request.send().unwrap();
+    assert_eq!(response.status(), 504);
+    assert_eq!(response.headers()["anvil-outcome"], "may-have-run");
+    node.resume().unwrap();
+    await_target(&entry);
+}
