Tell a slow head from a connection that rests

Cause: the HTTP library has one limit of time for both, so a kept connection was closed after the 10 seconds meant for slow heads, and callers that ask seldom paid a new connection, 1 ms where the users run, for most requests. Change: the socket notes when a head begins; heads have `header_wait_ms`, resting connections `idle_wait_ms` (120 s). Bytes that the library reads early, while a request is served, count as a begun head once the reply is out.

The test of the quiet close of a resting connection now sets `idle_wait_ms` in place of `header_wait_ms`, since the limit it tests has that name; it checks the same. Three tests are new: a later head that stalls, one that begins early and stalls, and a rest of ten header waits that keeps the connection.

--- a/crates/anvil_node/src/caller.rs
+++ b/crates/anvil_node/src/caller.rs
@@ -6,3 +6,4 @@
 pub mod problem;
 pub mod reply;
 pub mod server;
+pub mod watched;
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
-use super::{intake, problem, reply};
+use super::{intake, problem, reply, watched};
 use crate::target::parent;
 use crate::{counters, engine};
 
@@ -39,6 +39,9 @@
 /// When to come back after a process that has left; its successor is seconds away.
 const LEAVING_PAUSE: Duration = Duration::from_secs(1);
 
+/// Looks at a connection's head for each limit of its wait.
+const LOOKS_PER_WAIT: u32 = 4;
+
 /// Limits of the caller edge.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -48,8 +51,10 @@
     pub header_bytes: usize,
     /// Header lines of a request.
     pub header_count: usize,
-    /// Longest wait for a whole request head, on a fresh or kept connection.
+    /// Longest wait for a whole request head, from its first byte.
     pub header_wait: Duration,
+    /// Longest rest of a connection between requests, or before the first one.
+    pub idle_wait: Duration,
     /// Longest wait for a whole body.
     pub body_wait: Duration,
 }
@@ -111,35 +116,79 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let serving = edge.clone();
+    let watch = watched::HeadWatch::start();
+    let (serving, watching) = (edge.clone(), watch.clone());
     let respond = service::service_fn(move |request| {
-        let edge = serving.clone();
-        let answering = async move { Ok::<_, Infallible>(respond(&edge, request).await) };
-        Box::pin(answering)
+        let (edge, watch) = (serving.clone(), watching.clone());
+        Box::pin(async move {
+            watch.begin_body();
+            let response = respond(&edge, &watch, request).await;
+            watch.end_serving();
+            Ok::<_, Infallible>(response)
+        })
     });
+    let stream = watched::WatchedStream::new(stream, watch.clone());
     let mut serving = builder(&edge.limits).serve_connection(TokioIo::new(stream), respond);
+    let mut looking = tokio::time::interval(edge.limits.header_wait / LOOKS_PER_WAIT);
     let mut told = false;
-    let result = loop {
+    let end = loop {
         let step = future::poll_fn(|context| serving.poll_without_shutdown(context));
         tokio::select! {
-            result = step => break result,
+            result = step => break ConnectionEnd::of(result),
+            _ = looking.tick() => {
+                if watch.is_overdue(edge.limits.header_wait) {
+                    break ConnectionEnd::SlowHead;
+                }
+            }
             _ = drain.closing.wait_for(|closing| *closing), if !told => {
                 told = true;
                 Pin::new(&mut serving).graceful_shutdown();
             }
         }
     };
-    let http1::Parts { io, read_buf, .. } = serving.into_parts();
-    let mut stream = io.into_inner();
-    if let Err(error) = result {
-        count_failure(&edge.counters, &error, &read_buf);
-        if error.is_timeout() && !read_buf.is_empty() {
-            let _ = stream.write_all(SLOW_HEAD).await;
-        }
+    let mut stream = serving.into_parts().io.into_inner().into_inner();
+    if let Some(cause) = end.cause() {
+        edge.counters.count(cause);
+    }
+    if end == ConnectionEnd::SlowHead {
+        // A caller that reads nothing either is closed all the same.
+        let _ = stream.write_all(SLOW_HEAD).await;
     }
     close(stream).await;
 }
 
+/// Why a caller's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The caller closed it, it rested too long, or the process leaves.
+    Quiet,
+    /// A head took too long.
+    SlowHead,
+    /// A head was malformed; the library has answered 400.
+    Malformed,
+    /// A head was too large; the library has answered 414 or 431.
+    Oversized,
+}
+
+impl ConnectionEnd {
+    fn of(result: hyper::Result<()>) -> Self {
+        match result {
+            Err(error) if error.is_parse_too_large() => Self::Oversized,
+            Err(error) if error.is_parse() => Self::Malformed,
+            _ => Self::Quiet,
+        }
+    }
+
+    fn cause(self) -> Option<counters::EdgeCause> {
+        match self {
+            Self::Quiet => None,
+            Self::SlowHead => Some(counters::EdgeCause::CallerHeadSlow),
+            Self::Malformed => Some(counters::EdgeCause::CallerHeadMalformed),
+            Self::Oversized => Some(counters::EdgeCause::CallerHeadOversized),
+        }
+    }
+}
+
 /// Ends this side, then reads and drops what the caller still sends, within limits.
 ///
 /// A socket closed with unread bytes resets the connection, and the reset can destroy the reply
@@ -159,7 +208,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_wait)
+        .header_read_timeout(limits.idle_wait)
         .max_headers(limits.header_count)
         .max_buf_size(limits.header_bytes)
         .keep_alive(true)
@@ -167,21 +216,12 @@
     builder
 }
 
-fn count_failure(counters: &counters::EdgeCounters, error: &hyper::Error, unread: &[u8]) {
-    if error.is_timeout() {
-        // A kept connection that rests is closed the same way, and is no fault.
-        if !unread.is_empty() {
-            counters.count(counters::EdgeCause::CallerHeadSlow);
-        }
-    } else if error.is_parse_too_large() {
-        counters.count(counters::EdgeCause::CallerHeadOversized);
-    } else if error.is_parse() {
-        counters.count(counters::EdgeCause::CallerHeadMalformed);
-    }
-}
-
-async fn respond(edge: &Arc<CallerEdge>, request: Request<Incoming>) -> reply::WholeResponse {
-    match admit(edge, request).await {
+async fn respond(
+    edge: &Arc<CallerEdge>,
+    watch: &watched::HeadWatch,
+    request: Request<Incoming>,
+) -> reply::WholeResponse {
+    match admit(edge, watch, request).await {
         Ok(response) => response,
         Err(refusal) => {
             edge.counters.count(refusal.cause());
@@ -192,11 +232,13 @@
 
 async fn admit(
     edge: &Arc<CallerEdge>,
+    watch: &watched::HeadWatch,
     request: Request<Incoming>,
 ) -> Result<reply::WholeResponse, intake::IntakeRefusal> {
     let (head, body) = request.into_parts();
     let intake::CallHead { mut request, hints } = intake::read_head(&head, &edge.mint)?;
     request.body = intake::read_body(body, edge.limits.body_wait).await?;
+    watch.begin_serving();
     let handle = event::CallerHandle(edge.handles.fetch_add(1, Ordering::Relaxed) + 1);
     let (sender, reply) = oneshot::channel();
     let arrival = event::NodeEvent::CallArrived {
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -241,6 +241,7 @@
                 header_bytes: usize::try_from(limits.header_bytes)?,
                 header_count: usize::try_from(limits.header_count)?,
                 header_wait: limits.header_wait(),
+                idle_wait: limits.idle_wait(),
                 body_wait: limits.body_wait(),
             },
             handles: AtomicU64::new(0),
--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -94,9 +94,12 @@
     /// Header lines of a request.
     #[serde(deserialize_with = "bounded::<_, 1, 1_000>")]
     pub header_count: u64,
-    /// Longest wait for a whole request head, in milliseconds.
+    /// Longest wait for a whole request head, from its first byte, in milliseconds.
     #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
     pub header_wait_ms: u64,
+    /// Longest rest of a caller's connection between requests, in milliseconds.
+    #[serde(deserialize_with = "bounded::<_, 10, 3_600_000>")]
+    pub idle_wait_ms: u64,
     /// Longest wait for a whole body, in milliseconds.
     #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
     pub body_wait_ms: u64,
@@ -118,6 +121,9 @@
             header_bytes: 65_536,
             header_count: 100,
             header_wait_ms: 10_000,
+            // Longer than the pools of common clients keep a connection, so that a caller seldom
+            // meets one that the node closes at that moment.
+            idle_wait_ms: 120_000,
             body_wait_ms: 30_000,
             flush_wait_ms: 5_000,
             worker_threads: 2,
@@ -131,6 +137,11 @@
         Duration::from_millis(self.header_wait_ms)
     }
 
+    /// Longest rest of a caller's connection between requests.
+    pub fn idle_wait(&self) -> Duration {
+        Duration::from_millis(self.idle_wait_ms)
+    }
+
     /// Longest wait for a whole body.
     pub fn body_wait(&self) -> Duration {
         Duration::from_millis(self.body_wait_ms)
--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -128,13 +128,54 @@
     pair.assert_lives();
 }
 
-// A caller stalls in the middle of its head on a connection that served a request before. The
-// node answers 408 and closes, and gives the connection's place to others; a connection that
-// merely rests between requests is closed without a word, since nothing was asked on it.
+// A caller serves its first request fast and stalls in the middle of its next head. It is told 408
+// and closed, like one that stalls at once.
 #[test]
-fn a_resting_connection_is_closed_quietly() {
+fn a_later_head_may_not_stall_either() {
     let pair = common::Pair::start(LIMITS);
     let request = "GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n";
+    let mut stream = common::raw(pair.caller(), request.as_bytes());
+    common::await_true("the first is served", || pair.target.seen().len() == 1);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: audi").unwrap();
+    let answer = common::read_to_close(stream);
+    assert!(answer.contains("HTTP/1.1 408 "), "{answer}");
+    pair.await_count(EdgeCause::CallerHeadSlow, 1);
+}
+
+// The next head begins while the first request is still served, and stalls. The node reads these
+// bytes early, to see the connection's end; they count as a begun head once the reply is out.
+#[test]
+fn a_head_that_begins_early_may_not_stall_either() {
+    let pair = common::Pair::start(LIMITS);
+    let request = "GET /slow/100 HTTP/1.1\r\nhost: audiencias\r\n\r\n";
+    let mut stream = common::raw(pair.caller(), request.as_bytes());
+    common::await_true("the first is served", || pair.target.seen().len() == 1);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: audi").unwrap();
+    let answer = common::read_to_close(stream);
+    assert!(answer.contains("HTTP/1.1 200 OK"), "{answer}");
+    assert!(answer.contains("HTTP/1.1 408 "), "{answer}");
+}
+
+// A connection rests between two requests for several times the wait for a head. It stays open:
+// closed, each request of a caller that asks seldom would cost a new connection.
+#[test]
+fn a_resting_connection_stays_open() {
+    let pair = common::Pair::start("  header_wait_ms: 20\n");
+    let request = "GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n";
+    let mut stream = common::raw(pair.caller(), request.as_bytes());
+    common::await_true("the first is served", || pair.target.seen().len() == 1);
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    let last = "GET / HTTP/1.1\r\nhost: audiencias\r\nconnection: close\r\n\r\n";
+    stream.write_all(last.as_bytes()).unwrap();
+    let answer = common::read_to_close(stream);
+    assert_eq!(answer.matches("HTTP/1.1 200 OK").count(), 2, "{answer}");
+    assert_eq!(pair.node.counters().total(EdgeCause::CallerHeadSlow), 0);
+}
+
+#[test]
+fn a_connection_that_rests_too_long_is_closed_quietly() {
+    let pair = common::Pair::start("  idle_wait_ms: 100\n");
+    let request = "GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n";
     let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
     assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
     assert!(!answer.contains("408"), "{answer}");
