--- a/crates/anvil_membership/examples/capacity_slopes.rs
+++ b/crates/anvil_membership/examples/capacity_slopes.rs
@@ -73,7 +73,12 @@
     let mut changes = Vec::new();
     let mut losses = Vec::new();
     let mut net = harness::Net::with_store(size, 4, 5);
+    let joined = net.now;
+    let start = net.store.counts();
     net.run(Duration::from_secs(90));
+    let before = net.store.counts();
+    net.run(Duration::from_secs(100));
+    let after = net.store.counts();
     for round in 0..5 {
         let proposed = net.propose(round * 7 + 1, round as u128 + 1);
         assert!(proposed, "the change was tried");
@@ -92,6 +97,16 @@
         losses.push(net.run_until(Duration::from_secs(60), known));
         net.run(Duration::from_secs(20));
     }
+    println!(
+        "  {size} nodes: all joined and ready after {:.1} s with {} reads and {} writes; then {:.1} \
+         reads and {:.1} writes a second, {} waiting watches",
+        joined.0 as f64 / 1e6,
+        start.reads,
+        start.writes,
+        (after.reads - before.reads) as f64 / 100.0,
+        (after.writes - before.writes) as f64 / 100.0,
+        net.store.waiting()
+    );
     println!(
         "  {size} nodes: change everywhere after {}, loss known everywhere after {}",
         spread(&mut changes),
