--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -19,7 +19,7 @@
                 self.count_rollout();
                 status
             }
-            event::OperatorRequest::Counters => json!(self.counters),
+            event::OperatorRequest::Counters => self.all_counters(),
             event::OperatorRequest::Explain(request) => self.explain(&request),
             event::OperatorRequest::History => self.history(),
             event::OperatorRequest::Rules => {
@@ -67,17 +67,9 @@
             .iter()
             .map(|(id, run)| run_json(*id, run))
             .collect();
-        let fleet_counters: serde_json::Map<_, _> = self
-            .fleet
-            .counters()
-            .pairs()
-            .into_iter()
-            .map(|(name, value)| (name.to_owned(), value.into()))
-            .collect();
         json!({
             "status": self.status(),
-            "counters": self.counters,
-            "fleet_counters": fleet_counters,
+            "counters": self.all_counters(),
             "members": self.fleet_members(),
             "calls": calls,
             "runs": runs,
@@ -86,6 +78,15 @@
         })
     }
 
+    /// The reducer's counters and those of membership, by name.
+    fn all_counters(&self) -> serde_json::Value {
+        let mut counters = json!(self.counters);
+        for (name, value) in self.fleet.counters().pairs() {
+            counters[name] = value.into();
+        }
+        counters
+    }
+
     fn status(&self) -> serde_json::Value {
         let peers: Vec<_> = self
             .directory
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -12,8 +12,8 @@
 use crate::effect::{FleetEffect, FleetReport};
 use crate::member::MemberState;
 use crate::{
-    asking, census, config, contact, counters, health, member, probe, pushing, random, relay,
-    snapshot, spread, suspicion, table,
+    asking, census, config, contact, counters, health, probe, pushing, random, relay, snapshot,
+    spread, suspicion, table,
 };
 
 mod asks;
@@ -23,6 +23,7 @@
 mod probing;
 mod proposing;
 mod rules;
+mod sending;
 mod snapshots;
 mod syncing;
 
@@ -230,7 +231,7 @@
         if facts == record.facts {
             return Vec::new();
         }
-        self.incarnation += 1;
+        self.incarnation = self.incarnation.saturating_add(1);
         self.announce(facts, now);
         let mut out = Vec::new();
         self.push_now(now, &mut out);
@@ -346,98 +347,4 @@
         let millis = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
         out.push(FleetEffect::Report(FleetReport::Paused { millis }));
     }
-
-    /// Puts the local node's facts into the table under its present incarnation.
-    fn announce(&mut self, facts: gossip::MemberFacts, now: time::NodeTime) {
-        let record = member::MemberRecord {
-            node: self.local,
-            incarnation: self.incarnation,
-            told: self.incarnation,
-            state: MemberState::Alive,
-            relays: 0,
-            relay_serial: 0,
-            since: now,
-            revision: self.revision(),
-            facts,
-        };
-        self.table.put(record);
-        self.relay(self.local);
-    }
-
-    /// Lets the present claim about `node` ride on datagrams and on the next rumour.
-    fn relay(&mut self, node: ident::NodeId) {
-        let ends = |r: &member::MemberRecord| !r.state.is_live() || r.facts.leaving;
-        let urgent = self.table.get(node).is_some_and(ends);
-        self.relay_claim(node, urgent);
-    }
-
-    /// The same, ahead of others where it is `urgent`: ends, leavings and refutations.
-    fn relay_claim(&mut self, node: ident::NodeId, urgent: bool) {
-        if !self.repeating && node != self.local {
-            return;
-        }
-        let doublings = self.table.live().max(1).ilog2() + 1;
-        let relays = u32::from(self.config.relay_factor) * doublings;
-        let relays = u8::try_from(relays).unwrap_or(u8::MAX);
-        self.relays.push(&mut self.table, node, relays, urgent);
-        if urgent {
-            self.pushing.request_twice();
-        } else {
-            self.pushing.request();
-        }
-    }
-
-    /// Sends a rumour where something changed and the budget allows one.
-    fn push_now(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
-        if self.pushing.take(&self.config, now) {
-            self.push_rumour(out);
-        }
-    }
-
-    fn push_rumour(&mut self, out: &mut Vec<FleetEffect>) {
-        let updates = self.take_updates(self.config.rumour_bytes);
-        let mut told = vec![self.local];
-        for _ in 0..self.config.fanout {
-            let Some(peer) = self.table.draw_live(&mut self.choice, &told) else {
-                break;
-            };
-            told.push(peer.node);
-            let to = peer.facts.udp;
-            let kind = gossip::GossipKind::Rumour;
-            self.send(to, kind, updates.clone(), out);
-            self.counters.rumours_sent += 1;
-        }
-    }
-
-    fn take_updates(&mut self, bytes: usize) -> Vec<gossip::MemberUpdate> {
-        let nodes = self.relays.take(&mut self.table, bytes);
-        let claims = nodes.into_iter().filter_map(|node| self.claim(node));
-        claims.collect()
-    }
-
-    fn send(
-        &mut self,
-        to: SocketAddr,
-        kind: gossip::GossipKind,
-        updates: Vec<gossip::MemberUpdate>,
-        out: &mut Vec<FleetEffect>,
-    ) {
-        self.counters.datagrams_sent += 1;
-        let head = self.head();
-        let message = gossip::GossipMessage {
-            head,
-            kind,
-            updates,
-        };
-        out.push(FleetEffect::SendDatagram { to, message });
-    }
-
-    fn head(&self) -> gossip::GossipHead {
-        gossip::GossipHead {
-            from: self.local,
-            incarnation: self.incarnation,
-            revision: self.revision(),
-            ready: self.rules.ready,
-        }
-    }
 }
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -268,7 +268,7 @@
         };
         let mut facts = record.facts.clone();
         facts.contact = slot;
-        self.incarnation += 1;
+        self.incarnation = self.incarnation.saturating_add(1);
         self.announce(facts, now);
     }
 }
--- a/crates/anvil_membership/src/fleet/proposing.rs
+++ b/crates/anvil_membership/src/fleet/proposing.rs
@@ -43,7 +43,7 @@
             return Err(ProposalRefusal::Busy);
         }
         let mut revision = self.revision();
-        revision.0 += 1;
+        revision.0 = revision.0.saturating_add(1);
         let change = gossip::LoggedChange {
             revision,
             change,
--- a/crates/anvil_membership/src/fleet/snapshots.rs
+++ b/crates/anvil_membership/src/fleet/snapshots.rs
@@ -172,7 +172,8 @@
     fn schedule_snapshot(&mut self) {
         let spread = self.choice.below(spread::SNAPSHOT_EVERY as usize / 2) as u64;
         let held = self.revision().0;
-        self.snapshot.wanted_at = ident::RuleRevision(held + spread::SNAPSHOT_EVERY + spread);
+        self.snapshot.wanted_at =
+            ident::RuleRevision(held.saturating_add(spread::SNAPSHOT_EVERY + spread));
     }
 
     fn snapshot_step(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
@@ -256,7 +257,8 @@
         if open.manifest == Some(current) {
             return Some(SnapshotStep::ListLog);
         }
-        let due = current.revision.0 + spread::SNAPSHOT_EVERY <= self.revision().0;
+        let behind = self.revision().0.saturating_sub(current.revision.0);
+        let due = behind >= spread::SNAPSHOT_EVERY;
         due.then_some(SnapshotStep::Encode)
     }
 }
