--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -81,7 +81,8 @@
         let Some(ended) = self.runs.end(run) else {
             return;
         };
-        let decisions = self.release_run(run, &ended, verdict);
+        let status = answer.as_ref().map_or(0, |answer| answer.status);
+        let decisions = self.release_run(run, &ended, verdict, status);
         let load = self.load_report(ended.kind);
         let reply = call::PeerAnswer {
             call: ended.call,
@@ -106,10 +107,15 @@
                 let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
                 self.finish_run(run, verdict, None);
             }
-            runs::RunStage::Running => {
+            runs::RunStage::Running if self.overload.policy.cancellation => {
                 found.expired = true;
                 self.effects.push(effect::NodeEffect::CancelRun(run));
             }
+            runs::RunStage::Running => {
+                found.expired = true;
+                let (verdict, _) = verdict_of(event::RunOutcome::TimedOut);
+                self.finish_run(run, verdict, None);
+            }
         }
     }
 
--- a/crates/anvil_membership/tests/hostile.rs
+++ b/crates/anvil_membership/tests/hostile.rs
@@ -72,8 +72,7 @@
         // refused, the tables keep their limits, and revisions only rise.
         let mut state = start();
         let mut now = time::NodeTime::from_millis(1);
-        let mut sequence = 0;
-        for (bytes, millis) in &inputs {
+        for (sequence, (bytes, millis)) in (1..).zip(&inputs) {
             now = now + Duration::from_millis(*millis);
             let revision = state.revision();
             if let Ok(message) = postcard::from_bytes::<GossipMessage>(bytes) {
@@ -82,7 +81,6 @@
             if let Ok(message) = postcard::from_bytes::<SyncMessage>(bytes) {
                 state.on_sync(now, message.head().from, &message);
             }
-            sequence += 1;
             let part = store::StorePart::Fleet;
             state.on_store(now, store::StoreId { part, sequence }, outcome(bytes));
             state.on_wake(now);
