Tell a leaving process from a killed one, with real processes

Four node processes meet through a seed; one is stopped as planned and one killed. The two that stay agree that one left and one crashed, which the counters of their dumps show.

--- /dev/null
+++ b/crates/anvil_node/tests/fleet_process.rs
@@ -0,0 +1,65 @@
+//! Real node processes that vanish or leave, as the others see it.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anvil_standins::process;
+
+fn start(name: &str, seed: Option<SocketAddr>) -> process::NodeProcess {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("fleet_process");
+    std::fs::create_dir_all(&folder).unwrap();
+    let seeds = seed.map(|seed| format!("seeds: ['{seed}']\n"));
+    let settings = format!("{}{}", common::yaml(""), seeds.unwrap_or_default());
+    process::NodeProcess::start(&process::ProcessPlan {
+        binary: Path::new(env!("CARGO_BIN_EXE_anvil-node")),
+        folder: &folder,
+        name,
+        settings: &settings,
+    })
+    .unwrap()
+}
+
+fn dump(node: &process::NodeProcess) -> serde_json::Value {
+    let url = format!("http://{}/dump", node.addresses().admin);
+    let body = attohttpc::get(url).send().unwrap().text().unwrap();
+    serde_json::from_str(&body).unwrap()
+}
+
+fn members(node: &process::NodeProcess) -> u64 {
+    let dump = dump(node);
+    dump["status"]["fleet"]["members"].as_u64().unwrap()
+}
+
+// A caller's work goes to targets that live. One node leaves by a planned stop and tells so; one
+// is killed without a word and stands accused by the others until its time is over. The ones that
+// stay agree on both, and on the reasons.
+#[test]
+fn a_node_that_leaves_and_one_that_is_killed_are_told_apart() {
+    let first = start("first", None);
+    let seed = Some(first.addresses().gossip);
+    let second = start("second", seed);
+    let leaving = start("leaving", seed);
+    let mut killed = start("killed", seed);
+    common::await_true("all four know each other", || {
+        [&first, &second, &leaving, &killed]
+            .iter()
+            .all(|node| members(node) == 4)
+    });
+    leaving.terminate().unwrap();
+    common::await_true("the planned stop is known", || {
+        members(&first) == 3 && members(&second) == 3
+    });
+    killed.kill();
+    common::await_true("the crash is known", || {
+        members(&first) == 2 && members(&second) == 2
+    });
+    for node in [&first, &second] {
+        let counters = dump(node)["counters"].clone();
+        assert_eq!(counters["fleet_members_left"], 1);
+        assert_eq!(counters["fleet_members_crashed"], 1);
+    }
+}
