Let an accuser that missed a refutation hear it with the next answer

Cause: a member refutes under a higher incarnation; an accuser that missed that kept accusing the former one, and the member, having refuted already, answered each of its pings without a word about it, until the accuser ended it. Ruled out: too few questions (16 instead of 10 did not help) and nodes that only heard (their asking did not either). Change: an accusation of a former incarnation puts the refutation on the answer. Digests are compared with log2(n) members instead of random ones, since each costs a connection that stays open; in an hour of a hundred digests the partners stay below sixteen.

--- a/crates/anvil_membership/src/fleet/claims.rs
+++ b/crates/anvil_membership/src/fleet/claims.rs
@@ -139,9 +139,15 @@
         out: &mut Vec<FleetEffect>,
     ) {
         let alive = member::claimed_state(&update.standing) == MemberState::Alive;
-        if update.incarnation < self.incarnation
-            || (alive && update.incarnation == self.incarnation)
-        {
+        if update.incarnation < self.incarnation {
+            // Refuted before, but the sender missed it and would end this node although it
+            // answers each of its pings: the refutation goes along with the next answer.
+            if !alive {
+                self.relay_claim(self.local, true);
+            }
+            return;
+        }
+        if alive && update.incarnation == self.incarnation {
             return;
         }
         let Some(record) = self.table.get(self.local) else {
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -115,10 +115,9 @@
             self.config.sync_interval
         };
         self.timers.sync = now + interval + self.choice.span(interval / 4);
-        let Some(peer) = self.table.draw_live(&mut self.choice, &[self.local]) else {
+        let Some(peer) = self.sync_partner() else {
             return;
         };
-        let peer = peer.node;
         self.early_syncs = self.early_syncs.saturating_sub(1);
         let sums = if newcomer {
             Vec::new()
@@ -129,6 +128,24 @@
         self.send_sync(peer, SyncMessage::Digest { head, sums }, out);
     }
 
+    /// With whom digests are compared next: a random member at first, then one of a few.
+    ///
+    /// A bulk message opens a connection that stays. Random partners would make a node of a large
+    /// fleet collect thousands of connections within a day. The members that follow at halved
+    /// distances around the sorted identities are `log2(n)` and seldom change, and news still
+    /// crosses the fleet in as many steps.
+    fn sync_partner(&mut self) -> Option<ident::NodeId> {
+        if self.early_syncs > 0 || self.table.live() <= NEWCOMER_MEMBERS {
+            let drawn = self.table.draw_live(&mut self.choice, &[self.local])?;
+            return Some(drawn.node);
+        }
+        let distances = self.table.live().ilog2() as usize + 1;
+        let halvings = self.choice.below(distances);
+        let distance = 1 << (u64::BITS as usize - 1 - halvings);
+        let from = ident::NodeId(self.local.0.wrapping_add(distance));
+        Some(self.table.following(from, self.local)?.node)
+    }
+
     /// Notes an end; after many, digests are compared as soon as it has been quiet for a while.
     ///
     /// In a zone's loss each claim has less room on the datagrams, so here and there a node misses
--- a/crates/anvil_membership/src/table.rs
+++ b/crates/anvil_membership/src/table.rs
@@ -109,6 +109,18 @@
             .retain(|m| nodes.binary_search(&m.node).is_err());
     }
 
+    /// The live member whose identity follows `from` most closely, around the end, save `except`.
+    pub fn following(
+        &self,
+        from: ident::NodeId,
+        except: ident::NodeId,
+    ) -> Option<&member::MemberRecord> {
+        let start = self.members.partition_point(|m| m.node < from);
+        let (head, tail) = self.members.split_at(start);
+        let mut around = tail.iter().chain(head);
+        around.find(|m| m.state.is_live() && m.node != except)
+    }
+
     /// A random member that is alive and not among `except`.
     pub fn draw_live(
         &self,
--- a/crates/anvil_membership/tests/failures.rs
+++ b/crates/anvil_membership/tests/failures.rs
@@ -50,11 +50,24 @@
     // Callers see no target vanish although nearly a third of the datagrams are lost for minutes.
     // Probes fail by chance and members are accused; the second ping, the helpers and refutations
     // told along with the accusation keep them alive.
+    // An accuser that missed an earlier refutation hears it with the next answer; with seeds 101,
+    // 102 and 107 such accusers ended live members.
+    for seed in [3, 101, 102, 107] {
+        let mut net = Net::joined(50, 2, seed);
+        net.loss_percent = 30;
+        net.run(Duration::from_secs(120));
+        let ends: usize = net.nodes.iter().map(|n| n.gone.len()).sum();
+        assert_eq!(ends, 0, "a live member was declared gone, seed {seed}");
+    }
+}
+
+#[test]
+fn a_crash_is_known_although_a_third_of_the_messages_is_lost() {
+    // Callers must not be sent to a crashed target for long only because the network is bad.
+    // Accusations and the end travel on what arrives; nothing refutes them.
     let mut net = Net::joined(50, 2, 3);
     net.loss_percent = 30;
-    net.run(Duration::from_secs(120));
-    let ends: usize = net.nodes.iter().map(|n| n.gone.len()).sum();
-    assert_eq!(ends, 0, "no live member was declared gone");
+    net.run(Duration::from_secs(20));
     net.crash(9);
     let gone = |net: &Net| net.believers(harness::id(9)) == 0;
     let took = net.run_until(Duration::from_secs(60), gone);
--- a/crates/anvil_membership/tests/thousand.rs
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -112,6 +112,51 @@
     assert!(bytes / 20 < 4_096, "{} bytes a second", bytes / 20);
 }
 
+#[test]
+fn digests_are_compared_with_few_members_in_an_hour() {
+    // A node must not collect a connection to each member of a large fleet.
+    // Each digest goes over a connection that stays open; in an hour of a hundred digests the
+    // partners stay a dozen, the distances around the identities, and the first random ones.
+    let mut state = start();
+    let mut now = time::NodeTime::from_millis(2);
+    let members: Vec<_> = (1..MEMBERS).map(alive).collect();
+    for part in members.chunks(1_000) {
+        let updates = part.to_vec();
+        let wanted = Vec::new();
+        let head = head(1);
+        let message = SyncMessage::Members {
+            head,
+            updates,
+            wanted,
+        };
+        state.on_sync(now, harness::id(1), &message);
+    }
+    let mut partners = Vec::new();
+    let mut digests = 0;
+    for _ in 0..36_000 {
+        now = now + Duration::from_millis(100);
+        for effect in state.on_wake(now) {
+            match effect {
+                FleetEffect::SendSync { peer, .. } => {
+                    digests += 1;
+                    partners.push(peer);
+                }
+                FleetEffect::SendDatagram { to, message } => {
+                    if let GossipKind::Ping { probe, to: of } = message.kind {
+                        let ack = datagram(1, GossipKind::Ack { probe, of }, Vec::new());
+                        state.on_datagram(now, to, &ack);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    partners.sort_unstable();
+    partners.dedup();
+    assert!(digests > 90, "{digests} digests");
+    assert!(partners.len() <= 16, "{} partners", partners.len());
+}
+
 #[test]
 fn a_thousand_joiners_cost_their_seed_one_small_answer_each() {
     // Callers of a seed notice nothing when a thousand nodes join through it in one second.
