Test membership and readiness through the reducer

A fresh node with its store down refuses as not run and serves once the log was read; a request out at a member that crashed without closing its connection ends as may have run as soon as membership says so.

--- /dev/null
+++ b/crates/anvil_core/tests/fleet.rs
@@ -0,0 +1,116 @@
+//! Membership and the store as the callers of one reducer feel them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use anvil_core::{effect, event, reducer};
+use anvil_standins::store::fake;
+use anvil_types::{ident, name, store, verdict};
+use anvil_wire::gossip;
+
+use support::{PEER, address, arrival, at, service};
+
+/// Wakes the node each hundredth of a second and lets `store` answer, until `end`.
+fn live(
+    node: &mut reducer::NodeReducer,
+    store: &mut fake::FakeStore<store::StoreId>,
+    millis: std::ops::Range<u64>,
+) {
+    for now in millis.step_by(10) {
+        let mut effects = node.step(at(now), event::NodeEvent::Woke);
+        while let Some(effect) = effects.pop() {
+            let effect::NodeEffect::AskStore { id, ask } = effect else {
+                continue;
+            };
+            if let Some(outcome) = store.carry_out(at(now), id, &ask) {
+                let answered = event::NodeEvent::StoreAnswered { id, outcome };
+                effects.extend(node.step(at(now), answered));
+            }
+        }
+    }
+}
+
+fn verdict_of(node: &mut reducer::NodeReducer, millis: u64) -> Option<verdict::CallVerdict> {
+    let effects = node.step(at(millis), arrival(millis, "GET"));
+    effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::ReplyCaller { reply, .. } => Some(reply.verdict),
+        _ => None,
+    })
+}
+
+fn rumour(standing: gossip::MemberStanding) -> event::NodeEvent {
+    let head = gossip::GossipHead {
+        from: ident::NodeId(9),
+        incarnation: 0,
+        revision: ident::RuleRevision(0),
+        ready: true,
+    };
+    let updates = vec![gossip::MemberUpdate {
+        node: PEER,
+        incarnation: 3,
+        standing,
+    }];
+    let kind = gossip::GossipKind::Rumour;
+    event::NodeEvent::DatagramArrived {
+        from: address(7999),
+        message: gossip::GossipMessage {
+            head,
+            kind,
+            updates,
+        },
+    }
+}
+
+fn alive() -> gossip::MemberStanding {
+    gossip::MemberStanding::Alive(Box::new(gossip::MemberFacts {
+        tcp: address(7102),
+        udp: address(7102),
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        region: name::RegionName::new("ar-centro").unwrap(),
+        service: Some(service()),
+        slots: 8,
+        leaving: false,
+        contact: None,
+    }))
+}
+
+// The caller of a fresh node is told "not run" while the store is down, since the node can't know
+// whether its rules are old. The store comes back, the log is read to its end, and the next
+// request is decided by the rules.
+#[test]
+fn a_fresh_node_refuses_until_it_has_compared_its_rules() {
+    let mut node = support::target_node(4).with_store();
+    let mut store = fake::FakeStore::new(1);
+    store.faults.down = true;
+    live(&mut node, &mut store, 10..8_000);
+    let unknown = verdict::CallVerdict::NotRun(verdict::RefusalReason::RulesUnknown);
+    assert_eq!(verdict_of(&mut node, 8_000), Some(unknown));
+    store.faults.down = false;
+    live(&mut node, &mut store, 8_010..30_000);
+    assert_eq!(verdict_of(&mut node, 30_000), None, "the request runs");
+}
+
+// The instance with the target loses its power, so no connection closes. The caller whose request
+// was out learns from membership that it may have run, long before its deadline; the next request
+// finds no target and is told "not run".
+#[test]
+fn a_request_at_a_member_that_crashed_may_have_run() {
+    let mut node = support::entry_node();
+    node.step(at(5), rumour(alive()));
+    assert_eq!(verdict_of(&mut node, 10), None, "the request is out");
+    let effects = node.step(at(900), rumour(gossip::MemberStanding::Gone));
+    let told = effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::ReplyCaller { reply, .. } => Some(reply.verdict),
+        _ => None,
+    });
+    assert!(
+        matches!(told, Some(verdict::CallVerdict::MayHaveRun(_))),
+        "{told:?}"
+    );
+    let next = verdict_of(&mut node, 910);
+    assert!(
+        matches!(next, Some(verdict::CallVerdict::NotRun(_))),
+        "{next:?}"
+    );
+}
