--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::config::NodeConfig;
-use crate::{directory, effect, reducer};
+use crate::{directory, effect, keys, reducer};
 
 /// Members named one by one in the dump; beyond it only their number is told.
 const DUMP_MEMBERS: usize = 1_000;
@@ -82,8 +82,7 @@
                 let effects = self.fleet.on_store(self.now, id, outcome);
                 self.take_fleet(effects);
             }
-            // The owners of keys ask nothing yet.
-            store::StorePart::Keys => {}
+            store::StorePart::Keys => self.key_store_answered(id, outcome),
         }
     }
 
@@ -132,6 +131,14 @@
     }
 
     fn member_known(&mut self, view: member::MemberView) {
+        let peer = keys::KeyPeer {
+            address: view.facts.tcp,
+            zone: view.facts.zone.clone(),
+            leaving: view.facts.leaving,
+            suspected: view.suspected,
+            broken: false,
+        };
+        self.key_peer(view.node, peer);
         match view.facts.service {
             Some(service) => {
                 let record = directory::PeerRecord {
@@ -154,6 +161,7 @@
     /// believed gone by mistake.
     fn member_gone(&mut self, node: ident::NodeId, reason: GoneReason) {
         self.directory.remove(node);
+        self.key_peer_gone(node);
         match reason {
             GoneReason::Crashed | GoneReason::Replaced => self.peer_lost(node),
             GoneReason::Left => {}
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -56,6 +56,13 @@
         self.effects.push(effect);
     }
 
+    /// The counters of the reducer and of the key owners.
+    fn all_counters(&self) -> serde_json::Value {
+        let mut counters = json!(self.counters);
+        counters["keys"] = self.key_counters();
+        counters
+    }
+
     fn dump(&self) -> serde_json::Value {
         let calls: Vec<_> = self
             .calls
@@ -75,6 +82,7 @@
             "runs": runs,
             "overload": self.overload,
             "routes": self.directory.routes(),
+            "keys": self.key_dump(),
         })
     }
 
