Merge the key owners into the reducer

Membership's counters and the key owners' met in one function of the dump; it now tells both. Lints and all tests pass with every part merged.

--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -56,13 +56,6 @@
         self.effects.push(effect);
     }
 
-    /// The counters of the reducer and of the key owners.
-    fn all_counters(&self) -> serde_json::Value {
-        let mut counters = json!(self.counters);
-        counters["keys"] = self.key_counters();
-        counters
-    }
-
     fn dump(&self) -> serde_json::Value {
         let calls: Vec<_> = self
             .calls
@@ -86,9 +79,10 @@
         })
     }
 
-    /// The reducer's counters and those of membership, by name.
+    /// The reducer's counters, those of membership by name, and those of the key owners.
     fn all_counters(&self) -> serde_json::Value {
         let mut counters = json!(self.counters);
+        counters["keys"] = self.key_counters();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
