--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -56,13 +56,6 @@
         self.effects.push(effect);
     }
 
-    /// The counters of the reducer and of the key owners.
-    fn all_counters(&self) -> serde_json::Value {
-        let mut counters = json!(self.counters);
-        counters["keys"] = self.key_counters();
-        counters
-    }
-
     fn dump(&self) -> serde_json::Value {
         let calls: Vec<_> = self
             .calls
@@ -74,17 +67,9 @@
             .iter()
             .map(|(id, run)| run_json(*id, run))
             .collect();
-        let fleet_counters: serde_json::Map<_, _> = self
-            .fleet
-            .counters()
-            .pairs()
-            .into_iter()
-            .map(|(name, value)| (name.to_owned(), value.into()))
-            .collect();
         json!({
             "status": self.status(),
-            "counters": self.counters,
-            "fleet_counters": fleet_counters,
+            "counters": self.all_counters(),
             "members": self.fleet_members(),
             "calls": calls,
             "runs": runs,
@@ -94,6 +79,16 @@
         })
     }
 
+    /// The reducer's counters, those of membership by name, and those of the key owners.
+    fn all_counters(&self) -> serde_json::Value {
+        let mut counters = json!(self.counters);
+        counters["keys"] = self.key_counters();
+        for (name, value) in self.fleet.counters().pairs() {
+            counters[name] = value.into();
+        }
+        counters
+    }
+
     fn status(&self) -> serde_json::Value {
         let peers: Vec<_> = self
             .directory
