--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -75,12 +75,14 @@
             "runs": runs,
             "overload": self.overload,
             "routes": self.directory.routes(),
+            "keys": self.key_dump(),
         })
     }
 
-    /// The reducer's counters and those of membership, by name.
+    /// The reducer's counters, those of membership by name, and those of the key owners.
     fn all_counters(&self) -> serde_json::Value {
         let mut counters = json!(self.counters);
+        counters["keys"] = self.key_counters();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -10,7 +10,7 @@
 pub const HEADER_LINES: usize = 1_024;
 
 /// One header line; the name is lower case.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HeaderLine {
     /// Field name, lower case.
     pub name: String,
@@ -35,7 +35,7 @@
 }
 
 /// A whole answer of a target, without hop-by-hop headers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallAnswer {
     /// HTTP status.
     pub status: u16,
