--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -10,8 +10,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, overload, repeats, rulebook, runs,
-    stopping, timers,
+    applying, calls, config, counters, directory, effect, event, keys, overload, repeats, rulebook,
+    runs, stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -34,6 +34,7 @@
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
     pub(crate) fleet: fleet::FleetState,
+    pub(crate) keys: keys::KeyDesk,
     pub(crate) proposed: Option<applying::OpenApply>,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
@@ -53,6 +54,7 @@
     ) -> Self {
         Self {
             fleet: crate::fleet::membership(&config, seed),
+            keys: keys::KeyDesk::new(&config),
             proposed: None,
             directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
             overload: overload::OverloadState::new(config.node, policy),
@@ -72,10 +74,12 @@
         }
     }
 
-    /// Lets the node keep rules and contacts in the platform's store.
+    /// Lets the node keep rules and contacts in the platform's store, and guard idempotency keys
+    /// with the nodes that agree with it there.
     #[must_use]
     pub fn with_store(mut self) -> Self {
         self.fleet.use_store(self.now);
+        self.keys.guard(self.now);
         self
     }
 
@@ -110,13 +114,22 @@
         node: ident::NodeId,
         record: directory::PeerRecord,
     ) {
+        self.now = self.now.max(now);
+        let peer = keys::KeyPeer {
+            address: record.address,
+            zone: record.zone.clone(),
+            leaving: record.leaving,
+            suspected: false,
+            broken: false,
+        };
+        self.key_peer(node, peer);
         self.directory.upsert(now, node, record);
     }
 
     /// When the reducer wants a [`event::NodeEvent::Woke`] at the latest.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
         let due = self.timers.next().into_iter().chain(self.fleet.next_wake());
-        due.min()
+        due.chain(self.keys.next_wake()).min()
     }
 
     /// Takes in the frames that this node sent to itself.
@@ -154,12 +167,14 @@
             event::NodeEvent::Woke => {
                 self.fire_timers();
                 self.wake_fleet();
+                self.wake_keys();
             }
             event::NodeEvent::StopRequested => self.stop_requested(),
         }
     }
 
     fn frame_arrived(&mut self, peer: ident::NodeId, frame: frame::PeerFrame) {
+        self.key_peer_heard(peer);
         match frame {
             frame::PeerFrame::Call(call) => self.peer_called(peer, *call),
             frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
@@ -167,7 +182,7 @@
             frame::PeerFrame::Suspicion(notice) => {
                 self.overload.poison.learn(self.now, &notice);
             }
-            frame::PeerFrame::Key(message) => match *message {},
+            frame::PeerFrame::Key(message) => self.key_arrived(peer, *message),
             frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
         }
     }
