Let a call wait in queues as long as the request it serves

Cause: behind a slow expediente claims failed though they come first: the lookups that a claim makes have rules with waits of 200 to 300 ms, so they were refused while the claim itself could wait 2 s. Change: a call's wait is at least that of the run it serves; class and deadline were inherited already.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -19,12 +19,17 @@
     ) {
         self.counters.calls_arrived += 1;
         let rulebook::BookDecision {
-            treatment, mark, ..
+            mut treatment,
+            mark,
+            ..
         } = self.book.decide(&request);
         let chained = self.overload.policy.cancellation;
         let parent = hints.parent.map(|token| token.0);
         let parent = parent.filter(|run| chained || self.runs.get(*run).is_some());
         let sequence = self.calls.mint();
+        if let Some(waiting) = parent.and_then(|run| self.runs.get(run)) {
+            inherit_wait(&mut treatment, &waiting.treatment);
+        }
         let context = match parent {
             Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
             None => Some(self.root_context(&request, &treatment, hints)),
@@ -353,6 +358,16 @@
     }
 }
 
+/// Lets a call wait in queues for as long as the request that it serves.
+///
+/// Failure: a claim calls a lookup whose rule allows a short wait, and the lookup is refused while
+/// the claim could still wait. Symptom: claims fail behind a slow service although they come
+/// first, and the work done for them so far is lost. The lookup keeps its own rule in all else;
+/// its class and deadline are those of the claim already, so its wait stays bounded by them.
+fn inherit_wait(own: &mut treatment::RuleTreatment, parent: &treatment::RuleTreatment) {
+    own.queue_wait = own.queue_wait.max(parent.queue_wait);
+}
+
 pub(crate) fn not_run(reason: verdict::RefusalReason) -> verdict::CallVerdict {
     verdict::CallVerdict::NotRun(reason)
 }
