--- a/crates/anvil_standins/src/store/server.rs
+++ b/crates/anvil_standins/src/store/server.rs
@@ -44,6 +44,11 @@
 impl StoreServer {
     /// Starts on a free port of loopback.
     pub fn start(seed: u64) -> eyre::Result<Self> {
+        Self::bind(SocketAddr::from(([127, 0, 0, 1], 0)), seed)
+    }
+
+    /// Starts on an address of loopback; `seed` feeds its faults.
+    pub fn bind(address: SocketAddr, seed: u64) -> eyre::Result<Self> {
         let shared = Arc::new(Shared {
             start: Instant::now(),
             fake: Mutex::new(fake::FakeStore::new(seed)),
@@ -51,7 +56,7 @@
             written: Condvar::new(),
         });
         let serving = Arc::clone(&shared);
-        let server = rouille::Server::new("127.0.0.1:0", move |request| serve(&serving, request));
+        let server = rouille::Server::new(address, move |request| serve(&serving, request));
         let server = server.map_err(|error| eyre::eyre!("the store's stand-in: {error}"))?;
         let address = server.server_addr();
         let (thread, stop) = server.stoppable();
