--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -131,6 +131,15 @@
     calls.collect()
 }
 
+/// A run that ended whole.
+pub fn whole() -> event::RunOutcome {
+    event::RunOutcome::Whole(call::CallAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"whole"),
+    })
+}
+
 /// An answer of `peer` to a call, as its frame arrives.
 pub fn answer(
     peer: ident::NodeId,
--- a/crates/anvil_node/examples/demo.rs
+++ b/crates/anvil_node/examples/demo.rs
@@ -41,11 +41,23 @@
     }
 
     fn kill(&mut self) {
+        self.end(2);
+    }
+
+    fn stop(&mut self) -> eyre::Result<()> {
+        self.end(1);
+        Ok(())
+    }
+}
+
+impl LocalNode {
+    fn end(&mut self, signals: usize) {
         let Some(running) = self.running.take() else {
             return;
         };
-        running.stop();
-        running.stop();
+        for _ in 0..signals {
+            running.stop();
+        }
         // The node waits on a runtime of its own, which another runtime's thread must not. One that
         // panicked has shown it on the standard error already.
         let _ = thread::spawn(move || running.wait()).join();
--- a/crates/anvil_node/examples/experiment.rs
+++ b/crates/anvil_node/examples/experiment.rs
@@ -115,8 +115,8 @@
 async fn print_table(plan: &TablePlan) -> eyre::Result<()> {
     print(
         "| scenario | version | critical % | high % | normal % | low % | goodput /s | wasted % \
-         | runs per root | recovery s | most runs per key | foreign | silent |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         | runs per root | recovery s | most runs per key | foreign | silent | cut | whole of all |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for name in &plan.scenarios {
         for variant in &plan.variants {
@@ -213,15 +213,19 @@
         cells.push(spread(reports.iter().map(figure).collect(), 1));
     }
     cells.push(recovery(reports));
-    let counts: [fn(&report::RunReport) -> usize; 3] = [
+    let counts: [fn(&report::RunReport) -> usize; 4] = [
         |report| report.most_runs_per_key,
         |report| report.foreign,
         |report| report.silent,
+        |report| report.cut as usize,
     ];
     for count in counts {
         let most = reports.iter().map(count).max().unwrap_or(0);
         cells.push(most.to_string());
     }
+    let whole: usize = reports.iter().map(|report| report.all.whole).sum();
+    let sent: usize = reports.iter().map(|report| report.all.sent).sum();
+    cells.push(format!("{whole} of {sent}"));
     format!("| {} |\n", cells.join(" | "))
 }
 
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -23,6 +23,9 @@
 /// Longest wait for all nodes to know all targets.
 const GATHER_WAIT: Duration = Duration::from_secs(20);
 
+/// Pause between two groups of a rolling restart.
+const RESTART_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// How long a target that crashed stays away.
 const CRASH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -283,7 +286,7 @@
         let poison = self.start_poison(start);
         tokio::time::sleep_until((start + times.pressure).into()).await;
         for fault in &scenario.faults {
-            self.start_fault(fault).await;
+            self.start_fault(fault).await?;
         }
         tokio::time::sleep_until((start + times.relief).into()).await;
         for fault in &scenario.faults {
@@ -307,7 +310,7 @@
         tasks
     }
 
-    async fn start_fault(&mut self, fault: &scenario::FaultPlan) {
+    async fn start_fault(&mut self, fault: &scenario::FaultPlan) -> eyre::Result<()> {
         match fault {
             scenario::FaultPlan::Slow { service, factor } => {
                 for target in self.targets_of(service) {
@@ -330,8 +333,50 @@
                     target.restart();
                 }
             }
+            scenario::FaultPlan::RollingRestart { at_once, restarts } => {
+                self.restart_in_turn(*at_once, *restarts).await?;
+            }
             scenario::FaultPlan::Poison { .. } => {}
         }
+        Ok(())
+    }
+
+    /// Stops nodes gracefully, some at once, and puts new ones in their places.
+    async fn restart_in_turn(&mut self, at_once: usize, restarts: usize) -> eyre::Result<()> {
+        let count = self.members.len();
+        let step = at_once.clamp(1, count);
+        let mut done = 0;
+        while done < restarts {
+            // Members stand service by service; a stride keeps a group from emptying a service.
+            let first = done / step;
+            let group = (0..step).map(|turn| (first + turn * (count / step)) % count);
+            let group: Vec<usize> = group.collect();
+            self.stop_nodes(&group).await?;
+            for place in &group {
+                self.revive(*place).await?;
+            }
+            done += step;
+            // A group follows when the one before is known, as an operator's rollout would wait.
+            tokio::time::sleep(RESTART_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    async fn stop_nodes(&mut self, group: &[usize]) -> eyre::Result<()> {
+        let chosen = self.members.iter_mut().enumerate();
+        let chosen = chosen.filter(|(place, _)| group.contains(place));
+        tokio::task::block_in_place(|| {
+            std::thread::scope(|scope| {
+                let stopping: Vec<_> = chosen
+                    .map(|(_, member)| scope.spawn(|| member.node.stop()))
+                    .collect();
+                for stopped in stopping {
+                    let ended = stopped.join();
+                    ended.map_err(|_| eyre::eyre!("a stop panicked"))??;
+                }
+                Ok(())
+            })
+        })
     }
 
     async fn end_fault(&mut self, fault: &scenario::FaultPlan) -> eyre::Result<()> {
@@ -348,7 +393,9 @@
                     }
                 }
             }
-            scenario::FaultPlan::ColdRestart { .. } | scenario::FaultPlan::Poison { .. } => {}
+            scenario::FaultPlan::ColdRestart { .. }
+            | scenario::FaultPlan::RollingRestart { .. }
+            | scenario::FaultPlan::Poison { .. } => {}
         }
         Ok(())
     }
@@ -360,7 +407,9 @@
         let node = self.start_node(&member.name, &member.zone, port)?;
         let member = &mut self.members[place];
         member.node = node;
-        member.target.restart();
+        if member.target.is_down() {
+            member.target.restart();
+        }
         let admin = member.node.addresses().admin;
         tokio::spawn(keep_targets(vec![(Arc::clone(&member.target), admin)]));
         Ok(())
--- a/crates/anvil_standins/src/ledger.rs
+++ b/crates/anvil_standins/src/ledger.rs
@@ -52,6 +52,8 @@
     pub outcome: CallerOutcome,
     /// Times the caller sent it.
     pub sends: u32,
+    /// Sends of it that ended without a whole answer and not as not run.
+    pub cut: u32,
     /// Attempts that the entry node dispatched for the last send.
     pub attempts: u32,
     /// The place of the rule that decided, as told in the reply.
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -124,9 +124,11 @@
         let habits = self.plan.scenario.callers;
         let request = self.plan.mesh.pick(self.draws.kind).clone();
         let mut sends = 0;
+        let mut cut = 0;
         let ending = loop {
             let ending = self.send(&request, sends, habits).await;
             sends += 1;
+            cut += u32::from(ending.is_cut());
             if ending.outcome == ledger::CallerOutcome::Whole || sends > habits.resends {
                 break ending;
             }
@@ -142,6 +144,7 @@
             ended: self.start.elapsed(),
             outcome: ending.outcome,
             sends,
+            cut,
             attempts: ending.attempts,
             rule: ending.rule,
             reason: ending.reason,
@@ -226,6 +229,14 @@
 }
 
 impl SendEnding {
+    /// Whether the caller got neither its answer nor a proof that nothing ran.
+    fn is_cut(&self) -> bool {
+        !matches!(
+            self.outcome,
+            ledger::CallerOutcome::Whole | ledger::CallerOutcome::NotRun
+        )
+    }
+
     fn silent() -> Self {
         Self {
             outcome: ledger::CallerOutcome::Silent,
--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 use std::{fs, io, thread};
 
-use eyre::{WrapErr, bail};
+use eyre::{WrapErr, bail, ensure};
 use nix::sys::signal;
 use nix::unistd;
 use serde::Deserialize;
@@ -14,6 +14,9 @@
 /// Longest wait for a process to say that it serves.
 const READY_WAIT: Duration = Duration::from_secs(10);
 
+/// Longest wait for a graceful stop.
+const STOP_WAIT: Duration = Duration::from_secs(30);
+
 /// Pause between two looks at a process.
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
@@ -37,6 +40,9 @@
 
     /// Ends it without notice and waits for its end.
     fn kill(&mut self);
+
+    /// Stops it gracefully and waits for its end; fails where it does not end in time or badly.
+    fn stop(&mut self) -> eyre::Result<()>;
 }
 
 /// Starts a node from its name and its settings as YAML.
@@ -50,6 +56,13 @@
     fn kill(&mut self) {
         end(&mut self.child);
     }
+
+    fn stop(&mut self) -> eyre::Result<()> {
+        self.terminate()?;
+        let clean = self.wait_end(STOP_WAIT)?;
+        ensure!(clean, "the process ended with an error");
+        Ok(())
+    }
 }
 
 /// A node process; it is killed when dropped.
--- a/crates/anvil_standins/src/report.rs
+++ b/crates/anvil_standins/src/report.rs
@@ -54,6 +54,10 @@
     pub foreign: usize,
     /// Requests that ended without any answer.
     pub silent: usize,
+    /// Sends that ended without a whole answer and not as not run.
+    pub cut: u32,
+    /// Requests of the whole run, and those of them answered whole.
+    pub all: ClassCount,
 }
 
 impl RunReport {
@@ -73,6 +77,11 @@
             recovery: recovery(&callers, &quiet, times),
             most_runs_per_key: ledger.most_runs_per_key(),
             foreign: count(&callers, ledger::CallerOutcome::Foreign),
+            cut: callers.iter().map(|record| record.cut).sum(),
+            all: ClassCount {
+                sent: callers.len(),
+                whole: count(&callers, ledger::CallerOutcome::Whole),
+            },
             silent: count(&callers, ledger::CallerOutcome::Silent),
         }
     }
--- a/crates/anvil_standins/src/scenario.rs
+++ b/crates/anvil_standins/src/scenario.rs
@@ -56,6 +56,14 @@
         /// Which service.
         service: name::ServiceName,
     },
+    /// Nodes are stopped gracefully and started anew, some at once, until all have been; then
+    /// again from the first, while the pressure lasts.
+    RollingRestart {
+        /// Nodes that are restarted at once.
+        at_once: usize,
+        /// Restarts in all.
+        restarts: usize,
+    },
     /// Callers send a request that crashes each target that runs it, and resend it.
     Poison {
         /// Which service they send it to.
--- a/crates/anvil_standins/tests/examples.rs
+++ b/crates/anvil_standins/tests/examples.rs
@@ -34,7 +34,7 @@
         assert!(examples().join(&plan.mesh).join("mesh.yaml").exists());
         seen += 1;
     }
-    assert_eq!(seen, 20);
+    assert_eq!(seen, 21);
 }
 
 #[test]
