--- a/crates/anvil_membership/examples/capacity/fed.rs
+++ b/crates/anvil_membership/examples/capacity/fed.rs
@@ -6,10 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use anvil_membership::effect::FleetEffect;
-use anvil_membership::{config, digest, fleet, random};
+use anvil_membership::{config, digest, effect, fleet, random};
 use anvil_types::{ident, name, time};
-use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+use anvil_wire::gossip;
 use anvil_wire::seal::datagram;
 use bytes::Bytes;
 
@@ -105,8 +104,8 @@
 }
 
 enum Inbound {
-    Datagram(usize, GossipKind, Vec<gossip::MemberUpdate>),
-    Sync(usize, SyncMessage),
+    Datagram(usize, gossip::GossipKind, Vec<gossip::MemberUpdate>),
+    Sync(usize, gossip::SyncMessage),
 }
 
 impl FedNode {
@@ -136,7 +135,7 @@
         let members: Vec<_> = (1..size).collect();
         for part in members.chunks(gossip::BULK_LIMIT) {
             let updates = part.iter().map(|index| node.claim(*index)).collect();
-            let message = SyncMessage::Members {
+            let message = gossip::SyncMessage::Members {
                 head: node.head(1),
                 updates,
                 wanted: Vec::new(),
@@ -187,12 +186,12 @@
                     self.claim(index)
                 };
                 let from = self.living();
-                self.receive(from, GossipKind::Rumour, vec![update]);
+                self.receive(from, gossip::GossipKind::Rumour, vec![update]);
             }
             if self.happens(changes * step.as_secs_f64()) {
                 self.revision += 1;
                 let from = self.living();
-                self.receive(from, GossipKind::Rumour, Vec::new());
+                self.receive(from, gossip::GossipKind::Rumour, Vec::new());
             }
             self.deliver();
             if self.state.next_wake().is_some_and(|due| due <= self.now) {
@@ -217,7 +216,12 @@
         }
     }
 
-    fn receive(&mut self, from: usize, kind: GossipKind, updates: Vec<gossip::MemberUpdate>) {
+    fn receive(
+        &mut self,
+        from: usize,
+        kind: gossip::GossipKind,
+        updates: Vec<gossip::MemberUpdate>,
+    ) {
         let message = gossip::GossipMessage {
             head: self.head(from),
             kind,
@@ -245,7 +249,7 @@
 
     fn step<Step>(&mut self, step: Step)
     where
-        Step: FnOnce(&mut fleet::FleetState) -> Vec<FleetEffect>,
+        Step: FnOnce(&mut fleet::FleetState) -> Vec<effect::FleetEffect>,
     {
         let start = Instant::now();
         let effects = step(&mut self.state);
@@ -254,11 +258,11 @@
         let mut mirrored = false;
         for effect in effects {
             match effect {
-                FleetEffect::SendDatagram { to, message } => {
+                effect::FleetEffect::SendDatagram { to, message } => {
                     self.second.1 += count(&mut self.report.sent, &message);
                     self.answer(to, &message, &mut mirrored);
                 }
-                FleetEffect::SendSync { peer, message, .. } => {
+                effect::FleetEffect::SendSync { peer, message, .. } => {
                     self.second.1 += count_sync(&mut self.report.sent, &message);
                     self.answer_sync(peer, &message);
                 }
@@ -278,43 +282,46 @@
         let updates = message.updates.clone();
         let other = self.living();
         match &message.kind {
-            GossipKind::Ping { probe, .. } => {
+            gossip::GossipKind::Ping { probe, .. } => {
                 let of = harness::id(receiver);
                 let probe = *probe;
                 if !self.lost[receiver] {
-                    let ack = GossipKind::Ack { probe, of };
+                    let ack = gossip::GossipKind::Ack { probe, of };
                     self.later(4, Inbound::Datagram(receiver, ack, updates.clone()));
                 }
                 let to = harness::id(0);
-                let ping = GossipKind::Ping { probe, to };
+                let ping = gossip::GossipKind::Ping { probe, to };
                 self.later(500, Inbound::Datagram(other, ping, updates));
             }
-            GossipKind::PingRequest { probe, target } => {
+            gossip::GossipKind::PingRequest { probe, target } => {
                 let (probe, target) = (*probe, *target);
                 if !self.lost[receiver] {
-                    let nack = GossipKind::Nack { probe };
+                    let nack = gossip::GossipKind::Nack { probe };
                     self.later(350, Inbound::Datagram(receiver, nack, updates.clone()));
                 }
-                let request = GossipKind::PingRequest { probe, target };
+                let request = gossip::GossipKind::PingRequest { probe, target };
                 self.later(500, Inbound::Datagram(other, request, updates));
             }
-            GossipKind::Rumour => {
-                self.later(20, Inbound::Datagram(other, GossipKind::Rumour, updates));
+            gossip::GossipKind::Rumour => {
+                self.later(
+                    20,
+                    Inbound::Datagram(other, gossip::GossipKind::Rumour, updates),
+                );
                 if !*mirrored && self.state.revision().0 == self.revision && self.revision > 0 {
                     // One of the four that heard of a new revision asks this node for it.
                     *mirrored = true;
                     let after = ident::RuleRevision(self.revision - 1);
-                    let pull = GossipKind::PullChanges { after };
+                    let pull = gossip::GossipKind::PullChanges { after };
                     self.later(4, Inbound::Datagram(other, pull, Vec::new()));
                 }
             }
-            GossipKind::PullChanges { after } => {
+            gossip::GossipKind::PullChanges { after } => {
                 let changes = (after.0 + 1..=self.revision).map(|revision| gossip::LoggedChange {
                     revision: ident::RuleRevision(revision),
                     change: u128::from(revision),
                     body: Bytes::from(vec![7; CHANGE_BYTES]),
                 });
-                let changes = GossipKind::Changes {
+                let changes = gossip::GossipKind::Changes {
                     changes: changes.take(3).collect(),
                 };
                 self.later(4, Inbound::Datagram(receiver, changes, Vec::new()));
@@ -323,8 +330,8 @@
         }
     }
 
-    fn answer_sync(&mut self, peer: ident::NodeId, message: &SyncMessage) {
-        let SyncMessage::Digest { sums, .. } = message else {
+    fn answer_sync(&mut self, peer: ident::NodeId, message: &gossip::SyncMessage) {
+        let gossip::SyncMessage::Digest { sums, .. } = message else {
             return;
         };
         let receiver = (1..self.size).find(|index| harness::id(*index) == peer);
@@ -334,7 +341,7 @@
             .map(|_| self.choice.below(sums.len()) as u32)
             .collect();
         let headers = digest::headers(self.state.table(), sums.len(), &differing);
-        let answer = SyncMessage::Headers {
+        let answer = gossip::SyncMessage::Headers {
             head: self.head(receiver),
             buckets: sums.len() as u32,
             differing: differing.clone(),
@@ -348,7 +355,7 @@
         let other = self.living();
         let sums = theirs;
         let head = self.head(other);
-        let digest = SyncMessage::Digest { head, sums };
+        let digest = gossip::SyncMessage::Digest { head, sums };
         self.later(9_000, Inbound::Sync(other, digest));
     }
 
@@ -419,12 +426,12 @@
 
 fn count(sums: &mut [(u64, u64); 9], message: &gossip::GossipMessage) -> u64 {
     let place = match message.kind {
-        GossipKind::Ping { .. } => 0,
-        GossipKind::Ack { .. } => 1,
-        GossipKind::Nack { .. } | GossipKind::PingRequest { .. } => 2,
-        GossipKind::Rumour => 3,
-        GossipKind::PullChanges { .. } => 4,
-        GossipKind::Changes { .. } => 5,
+        gossip::GossipKind::Ping { .. } => 0,
+        gossip::GossipKind::Ack { .. } => 1,
+        gossip::GossipKind::Nack { .. } | gossip::GossipKind::PingRequest { .. } => 2,
+        gossip::GossipKind::Rumour => 3,
+        gossip::GossipKind::PullChanges { .. } => 4,
+        gossip::GossipKind::Changes { .. } => 5,
         _ => 6,
     };
     let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
@@ -432,9 +439,9 @@
     add(&mut sums[place], bytes)
 }
 
-fn count_sync(sums: &mut [(u64, u64); 9], message: &SyncMessage) -> u64 {
+fn count_sync(sums: &mut [(u64, u64); 9], message: &gossip::SyncMessage) -> u64 {
     let place = match message {
-        SyncMessage::Digest { .. } => 7,
+        gossip::SyncMessage::Digest { .. } => 7,
         _ => 8,
     };
     let bytes = postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -9,11 +9,9 @@
 use anvil_types::{ident, name, time};
 use anvil_wire::gossip;
 
-use crate::effect::{FleetEffect, FleetReport};
-use crate::member::MemberState;
 use crate::{
-    asking, census, config, contact, counters, health, probe, pushing, random, relay, snapshot,
-    spread, suspicion, table,
+    asking, census, config, contact, counters, effect, health, member, probe, pushing, random,
+    relay, snapshot, spread, suspicion, table,
 };
 
 mod asks;
@@ -220,7 +218,11 @@
     }
 
     /// Tells the fleet about the local target; nothing is sent where nothing changed.
-    pub fn set_local(&mut self, now: time::NodeTime, target: &LocalTarget) -> Vec<FleetEffect> {
+    pub fn set_local(
+        &mut self,
+        now: time::NodeTime,
+        target: &LocalTarget,
+    ) -> Vec<effect::FleetEffect> {
         let Some(record) = self.table.get(self.local) else {
             return Vec::new();
         };
@@ -245,9 +247,9 @@
     }
 
     /// Says that this node is gone for good; it answers nothing any more.
-    pub fn leave(&mut self, now: time::NodeTime) -> Vec<FleetEffect> {
+    pub fn leave(&mut self, now: time::NodeTime) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
-        let rank = (self.incarnation, MemberState::Left);
+        let rank = (self.incarnation, member::MemberState::Left);
         self.table.set_state(self.local, rank, now);
         self.relay(self.local);
         // Said twice to different members, since nobody will repeat it for this node.
@@ -263,7 +265,7 @@
         now: time::NodeTime,
         from: SocketAddr,
         message: &gossip::GossipMessage,
-    ) -> Vec<FleetEffect> {
+    ) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         // An own datagram reflected by a wrong address must not count as a peer's word.
         if self.left || message.head.from == self.local {
@@ -282,7 +284,7 @@
     }
 
     /// Does what is due.
-    pub fn on_wake(&mut self, now: time::NodeTime) -> Vec<FleetEffect> {
+    pub fn on_wake(&mut self, now: time::NodeTime) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         if self.left {
             return out;
@@ -336,7 +338,7 @@
     ///
     /// After a pause every answer and refutation of that time lies unread in the socket; judged by
     /// the clock alone, the node would declare healthy members gone.
-    fn note_pause(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn note_pause(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(due) = self.next_wake().filter(|_| self.config.lifeguard) else {
             return;
         };
@@ -350,6 +352,8 @@
         self.suspicions.restart(now);
         self.counters.pauses += 1;
         let millis = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
-        out.push(FleetEffect::Report(FleetReport::Paused { millis }));
+        out.push(effect::FleetEffect::Report(effect::FleetReport::Paused {
+            millis,
+        }));
     }
 }
--- a/crates/anvil_membership/src/fleet/asks.rs
+++ b/crates/anvil_membership/src/fleet/asks.rs
@@ -2,19 +2,16 @@
 
 use anvil_types::{store, time};
 
-use crate::asking::AskPurpose;
-use crate::effect::FleetEffect;
-use crate::fleet::FleetState;
-use crate::member::MemberState;
+use crate::{asking, effect, fleet, member};
 
-impl FleetState {
+impl fleet::FleetState {
     /// Takes the outcome of a question to the store.
     pub fn on_store(
         &mut self,
         now: time::NodeTime,
         id: store::StoreId,
         outcome: store::StoreOutcome,
-    ) -> Vec<FleetEffect> {
+    ) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         if self.left {
             return out;
@@ -31,20 +28,20 @@
     pub(super) fn ask(
         &mut self,
         now: time::NodeTime,
-        purpose: AskPurpose,
+        purpose: asking::AskPurpose,
         ask: store::StoreAsk,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if self.asks.is_open(purpose) {
             return;
         }
         self.counters.store_asked += 1;
         let id = self.asks.open(purpose, now);
-        out.push(FleetEffect::AskStore { id, ask });
+        out.push(effect::FleetEffect::AskStore { id, ask });
     }
 
     /// Gives up the questions whose answers never came.
-    pub(super) fn lose_asks(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn lose_asks(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         for purpose in self.asks.take_lost(now) {
             self.answered(now, purpose, store::StoreOutcome::Unknown, out);
         }
@@ -53,15 +50,15 @@
     /// Whether this node has told that it leaves.
     pub(super) fn is_leaving(&self) -> bool {
         let record = self.table.get(self.local);
-        record.is_none_or(|r| r.facts.leaving || r.state != MemberState::Alive)
+        record.is_none_or(|r| r.facts.leaving || r.state != member::MemberState::Alive)
     }
 
     fn answered(
         &mut self,
         now: time::NodeTime,
-        purpose: AskPurpose,
+        purpose: asking::AskPurpose,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let failed = matches!(
             outcome,
@@ -69,20 +66,22 @@
         );
         self.counters.store_failed += u64::from(failed);
         match purpose {
-            AskPurpose::FindContacts
-            | AskPurpose::GrantContact { .. }
-            | AskPurpose::TakeContact { .. }
-            | AskPurpose::RenewContact
-            | AskPurpose::ReleaseContact => self.on_contact_answer(now, purpose, outcome, out),
-            AskPurpose::WatchLog | AskPurpose::ReadLog => {
+            asking::AskPurpose::FindContacts
+            | asking::AskPurpose::GrantContact { .. }
+            | asking::AskPurpose::TakeContact { .. }
+            | asking::AskPurpose::RenewContact
+            | asking::AskPurpose::ReleaseContact => {
+                self.on_contact_answer(now, purpose, outcome, out);
+            }
+            asking::AskPurpose::WatchLog | asking::AskPurpose::ReadLog => {
                 self.on_log_answer(now, purpose, outcome, out);
             }
-            AskPurpose::ReadManifest => self.on_manifest(now, outcome, out),
-            AskPurpose::ReadChunk => self.on_chunk(now, outcome, out),
-            AskPurpose::Propose | AskPurpose::Resolve => {
+            asking::AskPurpose::ReadManifest => self.on_manifest(now, outcome, out),
+            asking::AskPurpose::ReadChunk => self.on_chunk(now, outcome, out),
+            asking::AskPurpose::Propose | asking::AskPurpose::Resolve => {
                 self.on_proposal_answer(now, outcome, out);
             }
-            AskPurpose::Snapshot => self.on_snapshot_answer(now, outcome, out),
+            asking::AskPurpose::Snapshot => self.on_snapshot_answer(now, outcome, out),
         }
     }
 }
--- a/crates/anvil_membership/src/fleet/claims.rs
+++ b/crates/anvil_membership/src/fleet/claims.rs
@@ -3,18 +3,15 @@
 use anvil_types::{ident, time};
 use anvil_wire::gossip;
 
-use crate::effect::{FleetEffect, FleetReport, GoneReason};
-use crate::fleet::FleetState;
-use crate::member::{self, MemberState};
-use crate::suspicion::Accusation;
+use crate::{effect, fleet, member, suspicion};
 
-impl FleetState {
+impl fleet::FleetState {
     /// Takes one claim in; older ones and repetitions change nothing.
     pub(super) fn apply(
         &mut self,
         now: time::NodeTime,
         update: &gossip::MemberUpdate,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if update.node == self.local {
             self.hear_of_self(now, update, out);
@@ -23,8 +20,12 @@
         match &update.standing {
             gossip::MemberStanding::Alive(facts) => self.hear_alive(now, update, facts, out),
             gossip::MemberStanding::Suspect { by } => self.hear_suspect(now, update, *by, out),
-            gossip::MemberStanding::Gone => self.hear_end(now, update, GoneReason::Crashed, out),
-            gossip::MemberStanding::Left => self.hear_end(now, update, GoneReason::Left, out),
+            gossip::MemberStanding::Gone => {
+                self.hear_end(now, update, effect::GoneReason::Crashed, out);
+            }
+            gossip::MemberStanding::Left => {
+                self.hear_end(now, update, effect::GoneReason::Left, out);
+            }
         }
     }
 
@@ -32,12 +33,14 @@
     pub(super) fn claim(&self, node: ident::NodeId) -> Option<gossip::MemberUpdate> {
         let record = self.table.get(node)?;
         let standing = match record.state {
-            MemberState::Alive => gossip::MemberStanding::Alive(Box::new(record.facts.clone())),
-            MemberState::Suspect => gossip::MemberStanding::Suspect {
+            member::MemberState::Alive => {
+                gossip::MemberStanding::Alive(Box::new(record.facts.clone()))
+            }
+            member::MemberState::Suspect => gossip::MemberStanding::Suspect {
                 by: self.latest_accuser(node),
             },
-            MemberState::Gone => gossip::MemberStanding::Gone,
-            MemberState::Left => gossip::MemberStanding::Left,
+            member::MemberState::Gone => gossip::MemberStanding::Gone,
+            member::MemberState::Left => gossip::MemberStanding::Left,
         };
         Some(gossip::MemberUpdate {
             node,
@@ -66,7 +69,7 @@
         &mut self,
         now: time::NodeTime,
         node: ident::NodeId,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let Some(record) = self.table.get(node).filter(|r| r.state.is_live()) else {
             return;
@@ -81,7 +84,7 @@
     }
 
     /// Asks the accused again, so that a refutation reaches its accuser on the shortest way.
-    pub(super) fn ask_suspects(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn ask_suspects(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         self.suspicions.join_in(self.config.suspicion_ceiling, now);
         for node in self.suspicions.take_asks(self.config.ask_interval, now) {
             let number = self.probes.number();
@@ -90,10 +93,14 @@
     }
 
     /// Declares the suspects gone whose time is over.
-    pub(super) fn judge_suspects(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn judge_suspects(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let live = self.table.live();
         for node in self.suspicions.due(&self.config, live, now) {
-            self.end(now, node, GoneReason::Crashed, out);
+            self.end(now, node, effect::GoneReason::Crashed, out);
         }
     }
 
@@ -102,27 +109,30 @@
         &mut self,
         now: time::NodeTime,
         node: ident::NodeId,
-        reason: GoneReason,
-        out: &mut Vec<FleetEffect>,
+        reason: effect::GoneReason,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.suspicions.clear(node);
         let Some(record) = self.table.get(node).filter(|r| r.state.is_live()) else {
             return;
         };
         let state = match reason {
-            GoneReason::Left => MemberState::Left,
-            GoneReason::Crashed | GoneReason::Replaced => MemberState::Gone,
+            effect::GoneReason::Left => member::MemberState::Left,
+            effect::GoneReason::Crashed | effect::GoneReason::Replaced => member::MemberState::Gone,
         };
         self.table.set_state(node, (record.incarnation, state), now);
         match reason {
-            GoneReason::Left => self.counters.members_left += 1,
-            GoneReason::Crashed => self.counters.members_crashed += 1,
-            GoneReason::Replaced => self.counters.members_replaced += 1,
+            effect::GoneReason::Left => self.counters.members_left += 1,
+            effect::GoneReason::Crashed => self.counters.members_crashed += 1,
+            effect::GoneReason::Replaced => self.counters.members_replaced += 1,
         }
         self.note_end(now);
         self.relay(node);
-        out.push(FleetEffect::MemberGone { node, reason });
-        out.push(FleetEffect::Report(FleetReport::Gone { node, reason }));
+        out.push(effect::FleetEffect::MemberGone { node, reason });
+        out.push(effect::FleetEffect::Report(effect::FleetReport::Gone {
+            node,
+            reason,
+        }));
     }
 
     fn latest_accuser(&self, node: ident::NodeId) -> ident::NodeId {
@@ -136,9 +146,9 @@
         &mut self,
         now: time::NodeTime,
         update: &gossip::MemberUpdate,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
-        let alive = member::claimed_state(&update.standing) == MemberState::Alive;
+        let alive = member::claimed_state(&update.standing) == member::MemberState::Alive;
         if update.incarnation < self.incarnation {
             // Refuted before, but the sender missed it and would end this node although it
             // answers each of its pings: the refutation goes along with the next answer.
@@ -162,7 +172,9 @@
         }
         self.counters.refutations += 1;
         let incarnation = self.incarnation;
-        out.push(FleetEffect::Report(FleetReport::Refuted { incarnation }));
+        out.push(effect::FleetEffect::Report(effect::FleetReport::Refuted {
+            incarnation,
+        }));
     }
 
     fn hear_alive(
@@ -170,10 +182,10 @@
         now: time::NodeTime,
         update: &gossip::MemberUpdate,
         facts: &gossip::MemberFacts,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let known = self.table.get(update.node);
-        let rank = (update.incarnation, MemberState::Alive);
+        let rank = (update.incarnation, member::MemberState::Alive);
         if known.is_some_and(|r| rank <= r.rank()) {
             self.take_late_facts(update, facts, out);
             return;
@@ -187,7 +199,7 @@
             node: update.node,
             incarnation: update.incarnation,
             told: update.incarnation,
-            state: MemberState::Alive,
+            state: member::MemberState::Alive,
             relays: 0,
             relay_serial: 0,
             since: now,
@@ -209,17 +221,22 @@
         self.tell_alive(update.node, was_live, out);
     }
 
-    fn tell_alive(&mut self, node: ident::NodeId, was_live: bool, out: &mut Vec<FleetEffect>) {
+    fn tell_alive(
+        &mut self,
+        node: ident::NodeId,
+        was_live: bool,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let Some(view) = self.table.get(node).map(member::MemberRecord::view) else {
             return;
         };
         if was_live {
-            out.push(FleetEffect::MemberChanged(view));
+            out.push(effect::FleetEffect::MemberChanged(view));
             return;
         }
         self.counters.members_up += 1;
         self.probes.admit(node, &mut self.choice);
-        out.push(FleetEffect::MemberUp(view));
+        out.push(effect::FleetEffect::MemberUp(view));
     }
 
     /// Keeps facts that arrive behind a suspicion of their own incarnation.
@@ -227,7 +244,7 @@
         &mut self,
         update: &gossip::MemberUpdate,
         facts: &gossip::MemberFacts,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let Some(record) = self.table.get(update.node) else {
             return;
@@ -240,7 +257,7 @@
         record.facts = facts.clone();
         let view = record.view();
         if self.table.put(record) {
-            out.push(FleetEffect::MemberChanged(view));
+            out.push(effect::FleetEffect::MemberChanged(view));
         }
     }
 
@@ -249,27 +266,29 @@
         now: time::NodeTime,
         update: &gossip::MemberUpdate,
         by: ident::NodeId,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let node = update.node;
-        let rank = (update.incarnation, MemberState::Suspect);
+        let rank = (update.incarnation, member::MemberState::Suspect);
         let Some(record) = self.table.get(node).filter(|r| rank >= r.rank()) else {
             return;
         };
-        if rank > record.rank() && record.state == MemberState::Suspect {
+        if rank > record.rank() && record.state == member::MemberState::Suspect {
             // The accusers of the former incarnation say nothing about this one.
             self.suspicions.clear(node);
         }
         let was_live = record.state.is_live();
         self.table.set_state(node, rank, now);
         match self.suspicions.accuse(node, by, now) {
-            Accusation::Known => {}
-            Accusation::Confirmed => self.relay(node),
-            Accusation::First => {
+            suspicion::Accusation::Known => {}
+            suspicion::Accusation::Confirmed => self.relay(node),
+            suspicion::Accusation::First => {
                 self.counters.suspicions += 1;
                 self.relay(node);
                 self.tell_alive(node, was_live, out);
-                out.push(FleetEffect::Report(FleetReport::Suspected { node, by }));
+                out.push(effect::FleetEffect::Report(
+                    effect::FleetReport::Suspected { node, by },
+                ));
             }
         }
     }
@@ -278,8 +297,8 @@
         &mut self,
         now: time::NodeTime,
         update: &gossip::MemberUpdate,
-        reason: GoneReason,
-        out: &mut Vec<FleetEffect>,
+        reason: effect::GoneReason,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let node = update.node;
         let rank = (update.incarnation, member::claimed_state(&update.standing));
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -3,12 +3,7 @@
 use anvil_types::{ident, store, time};
 use anvil_wire::gossip;
 
-use crate::asking::AskPurpose;
-use crate::contact::{self, HeldSlot};
-use crate::effect::{FleetEffect, FleetReport};
-use crate::fleet::FleetState;
-use crate::keys;
-use crate::member::MemberState;
+use crate::{asking, contact, effect, fleet, keys, member};
 
 /// Most contacts read at once; 14 zones have 42.
 const LIST_LIMIT: u32 = 256;
@@ -16,9 +11,13 @@
 /// Contacts that a newcomer asks at once.
 const JOIN_CONTACTS: usize = 3;
 
-impl FleetState {
+impl fleet::FleetState {
     /// Does what the contact entries have due.
-    pub(super) fn contacts_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn contacts_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         if !self.config.store {
             return;
         }
@@ -37,31 +36,37 @@
     pub(super) fn on_contact_answer(
         &mut self,
         now: time::NodeTime,
-        purpose: AskPurpose,
+        purpose: asking::AskPurpose,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         match (purpose, outcome) {
             (
-                AskPurpose::FindContacts,
+                asking::AskPurpose::FindContacts,
                 store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
             ) => self.found_contacts(now, &entries, out),
-            (AskPurpose::FindContacts, _) => {
+            (asking::AskPurpose::FindContacts, _) => {
                 let pause = self.contacts.backoff.next_pause(self.choice.any());
                 self.contacts.find_at = now + pause;
             }
             (
-                AskPurpose::GrantContact { slot },
+                asking::AskPurpose::GrantContact { slot },
                 store::StoreOutcome::Done(store::StoreReply::Granted { lease }),
             ) => self.take_contact(now, slot, lease, out),
             (
-                AskPurpose::TakeContact { slot, lease },
+                asking::AskPurpose::TakeContact { slot, lease },
                 store::StoreOutcome::Done(store::StoreReply::Swapped { version }),
             ) => self.contact_taken(now, slot, lease, version, out),
-            (AskPurpose::TakeContact { slot, .. }, store::StoreOutcome::Conflict { current }) => {
+            (
+                asking::AskPurpose::TakeContact { slot, .. },
+                store::StoreOutcome::Conflict { current },
+            ) => {
                 self.contact_denied(slot, current.as_ref(), out);
             }
-            (AskPurpose::RenewContact, store::StoreOutcome::Done(store::StoreReply::Lapsed)) => {
+            (
+                asking::AskPurpose::RenewContact,
+                store::StoreOutcome::Done(store::StoreReply::Lapsed),
+            ) => {
                 self.contact_lapsed(now, out);
             }
             // An unavailable store keeps the entries as they are; the next look tries again.
@@ -70,16 +75,20 @@
     }
 
     /// Gives the slot back before a planned stop.
-    pub(super) fn release_contact(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn release_contact(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         if let Some(held) = self.contacts.held.take() {
             let key = keys::contact(&self.zone, held.slot);
             let version = held.version;
             let ask = store::StoreAsk::Remove { key, version };
-            self.ask(now, AskPurpose::ReleaseContact, ask, out);
+            self.ask(now, asking::AskPurpose::ReleaseContact, ask, out);
         }
     }
 
-    fn find_contacts(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn find_contacts(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         // An answer sets the next time; without one, the loss of the question does.
         self.contacts.find_at = now + contact::FIND_INTERVAL * 2;
         let ask = store::StoreAsk::List {
@@ -87,7 +96,7 @@
             after: None,
             limit: LIST_LIMIT,
         };
-        self.ask(now, AskPurpose::FindContacts, ask, out);
+        self.ask(now, asking::AskPurpose::FindContacts, ask, out);
     }
 
     /// Joins through contacts that this node doesn't know alive: all of the fleet for a newcomer,
@@ -96,7 +105,7 @@
         &mut self,
         now: time::NodeTime,
         entries: &[store::StoreEntry],
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.contacts.backoff.reset();
         self.contacts.listed = Some(now);
@@ -105,7 +114,7 @@
         let mut strangers: Vec<_> = decoded
             .filter(|contact| {
                 let known = self.table.get(contact.node);
-                known.is_none_or(|record| record.state == MemberState::Gone)
+                known.is_none_or(|record| record.state == member::MemberState::Gone)
             })
             .collect();
         self.choice.shuffle(&mut strangers);
@@ -129,18 +138,18 @@
         }
     }
 
-    fn renew_contact(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn renew_contact(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(held) = &mut self.contacts.held else {
             return;
         };
         held.renew_at = now + contact::RENEW_INTERVAL;
         let lease = held.lease;
         let ask = store::StoreAsk::Renew { lease };
-        self.ask(now, AskPurpose::RenewContact, ask, out);
+        self.ask(now, asking::AskPurpose::RenewContact, ask, out);
     }
 
     /// Becomes a candidate where a slot of the own zone has stood vacant long enough.
-    fn look_for_vacancy(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn look_for_vacancy(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let jitter = self.choice.span(contact::LOOK_INTERVAL / 4);
         self.contacts.look_at = now + contact::LOOK_INTERVAL + jitter;
         if self.contacts.held.is_some() || self.is_leaving() {
@@ -170,7 +179,7 @@
             if now.since(since) >= wait {
                 let lease = contact::CONTACT_LEASE;
                 let ask = store::StoreAsk::Grant { lease };
-                self.ask(now, AskPurpose::GrantContact { slot }, ask, out);
+                self.ask(now, asking::AskPurpose::GrantContact { slot }, ask, out);
                 return;
             }
         }
@@ -191,7 +200,9 @@
         let turn = |node: ident::NodeId| node.0.rotate_left(u32::from(slot) * 21);
         let own = turn(self.local);
         let members = self.table.all().iter().filter(|m| {
-            m.state == MemberState::Alive && m.facts.zone == self.zone && m.facts.contact.is_none()
+            m.state == member::MemberState::Alive
+                && m.facts.zone == self.zone
+                && m.facts.contact.is_none()
         });
         let before = members.filter(|m| !m.facts.leaving && turn(m.node) < own);
         u32::try_from(before.count()).unwrap_or(u32::MAX)
@@ -202,7 +213,7 @@
         now: time::NodeTime,
         slot: u8,
         lease: store::LeaseId,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let entry = gossip::ContactEntry {
             node: self.local,
@@ -217,7 +228,12 @@
             value,
             lease: Some(lease),
         };
-        self.ask(now, AskPurpose::TakeContact { slot, lease }, ask, out);
+        self.ask(
+            now,
+            asking::AskPurpose::TakeContact { slot, lease },
+            ask,
+            out,
+        );
     }
 
     fn contact_taken(
@@ -226,9 +242,9 @@
         slot: u8,
         lease: store::LeaseId,
         version: store::StoreVersion,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
-        self.contacts.held = Some(HeldSlot {
+        self.contacts.held = Some(contact::HeldSlot {
             slot,
             lease,
             version,
@@ -238,7 +254,9 @@
         self.contacts.find_at = now + self.contacts.find_interval();
         self.read_log_soon(now);
         self.set_contact(now, Some(slot));
-        out.push(FleetEffect::Report(FleetReport::Contact { slot }));
+        out.push(effect::FleetEffect::Report(effect::FleetReport::Contact {
+            slot,
+        }));
     }
 
     /// Meets the holder that this node didn't know of; it may stand for a part of the fleet.
@@ -246,7 +264,7 @@
         &mut self,
         slot: u8,
         current: Option<&store::StoreEntry>,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.contacts.vacant[usize::from(slot)] = None;
         let entry = current.and_then(|entry| gossip::ContactEntry::from_value(&entry.value));
@@ -256,10 +274,12 @@
     }
 
     /// Stops acting as a contact; a paused holder learns here that its lease ran out.
-    fn contact_lapsed(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn contact_lapsed(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         self.contacts.held = None;
         self.set_contact(now, None);
-        out.push(FleetEffect::Report(FleetReport::ContactLapsed));
+        out.push(effect::FleetEffect::Report(
+            effect::FleetReport::ContactLapsed,
+        ));
     }
 
     fn set_contact(&mut self, now: time::NodeTime, slot: Option<u8>) {
--- a/crates/anvil_membership/src/fleet/counting.rs
+++ b/crates/anvil_membership/src/fleet/counting.rs
@@ -4,32 +4,30 @@
 use std::time::Duration;
 
 use anvil_types::{ident, time};
-use anvil_wire::gossip::{self, CensusMessage, GossipKind};
+use anvil_wire::gossip;
 
-use crate::census::{self, CensusAsker, CensusResult, OpenCensus, OpenPart};
-use crate::effect::FleetEffect;
-use crate::fleet::FleetState;
+use crate::{census, effect, fleet};
 
-impl FleetState {
+impl fleet::FleetState {
     /// Counts on how many members the revision held is in force; see [`Self::census`].
     ///
     /// Nothing is asked while an operator's count is under way.
-    pub fn count_revision(&mut self, now: time::NodeTime) -> Vec<FleetEffect> {
+    pub fn count_revision(&mut self, now: time::NodeTime) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         let mut open = self.census.open.iter();
-        if open.any(|open| open.asker == CensusAsker::Operator) {
+        if open.any(|open| open.asker == census::CensusAsker::Operator) {
             return out;
         }
         let asked = gossip::CensusCount::default();
         let whole = (ident::NodeId(0), ident::NodeId(u64::MAX));
         let revision = self.revision();
-        let asker = CensusAsker::Operator;
+        let asker = census::CensusAsker::Operator;
         self.begin_census(now, asker, revision, asked, whole, census::WAIT, &mut out);
         out
     }
 
     /// The last whole count that was asked for here.
-    pub fn census(&self) -> Option<&CensusResult> {
+    pub fn census(&self) -> Option<&census::CensusResult> {
         self.census.last.as_ref()
     }
 
@@ -38,18 +36,18 @@
         &mut self,
         now: time::NodeTime,
         from: SocketAddr,
-        message: &CensusMessage,
-        out: &mut Vec<FleetEffect>,
+        message: &gossip::CensusMessage,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         match message {
-            CensusMessage::Ask {
+            gossip::CensusMessage::Ask {
                 census,
                 revision,
                 first,
                 last,
                 wait_millis,
             } => {
-                let asker = CensusAsker::Member {
+                let asker = census::CensusAsker::Member {
                     to: from,
                     census: *census,
                 };
@@ -58,12 +56,18 @@
                 let asked = gossip::CensusCount::default();
                 self.begin_census(now, asker, *revision, asked, part, wait, out);
             }
-            CensusMessage::Reply { census, count } => self.on_part(now, *census, count, out),
+            gossip::CensusMessage::Reply { census, count } => {
+                self.on_part(now, *census, count, out);
+            }
         }
     }
 
     /// Ends the counts whose time is over.
-    pub(super) fn census_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn census_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         self.retry_parts(now, out);
         while let Some(place) = self.census.open.iter().position(|open| open.until <= now) {
             let mut open = self.census.open.remove(place);
@@ -76,12 +80,12 @@
     fn begin_census(
         &mut self,
         now: time::NodeTime,
-        asker: CensusAsker,
+        asker: census::CensusAsker,
         revision: ident::RuleRevision,
         mut count: gossip::CensusCount,
         part: (ident::NodeId, ident::NodeId),
         wait: Duration,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if self.census.open.len() >= census::OPEN_LIMIT {
             return;
@@ -99,13 +103,13 @@
         // No part spans this node, which would be counted once more by the part's counter.
         let (before, behind) = members.split_at(members.partition_point(|n| *n < self.local));
         let parts = before.chunks(size).chain(behind.chunks(size));
-        let parts = parts.map(|members| OpenPart {
+        let parts = parts.map(|members| census::OpenPart {
             members: members.to_vec(),
             counter: self.local,
             answered: false,
         });
         let share = wait * census::WAIT_SHARE / census::WAIT_WHOLE;
-        let mut open = OpenCensus {
+        let mut open = census::OpenCensus {
             number: self.census.numbers,
             asker,
             revision,
@@ -127,7 +131,7 @@
     /// Gives the parts whose counters are silent to other members, once.
     ///
     /// A counter may have crashed a moment ago; its whole part would count as silent with it.
-    fn retry_parts(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn retry_parts(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let mut counts = std::mem::take(&mut self.census.open);
         for open in &mut counts {
             if open.retry_at.take_if(|due| *due <= now).is_some() {
@@ -138,7 +142,7 @@
     }
 
     /// Asks one member of each missing part to count it, another one than before.
-    fn ask_parts(&mut self, open: &mut OpenCensus, out: &mut Vec<FleetEffect>) {
+    fn ask_parts(&mut self, open: &mut census::OpenCensus, out: &mut Vec<effect::FleetEffect>) {
         for (place, part) in open
             .parts
             .iter_mut()
@@ -155,7 +159,7 @@
                 continue;
             };
             part.counter = counter;
-            let message = CensusMessage::Ask {
+            let message = gossip::CensusMessage::Ask {
                 census: open.number.wrapping_add(place as u32),
                 revision: open.revision,
                 first: *first,
@@ -163,7 +167,7 @@
                 wait_millis: u32::try_from(open.share.as_millis()).unwrap_or(u32::MAX),
             };
             if let Some(to) = self.table.get(counter).map(|m| m.facts.udp) {
-                self.send(to, GossipKind::Census(message), Vec::new(), out);
+                self.send(to, gossip::GossipKind::Census(message), Vec::new(), out);
             }
         }
     }
@@ -173,7 +177,7 @@
         now: time::NodeTime,
         number: u32,
         count: &gossip::CensusCount,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let place = self.census.open.iter().position(|open| {
             let part = number.wrapping_sub(open.number) as usize;
@@ -192,25 +196,30 @@
         }
     }
 
-    fn end_census(&mut self, now: time::NodeTime, open: OpenCensus, out: &mut Vec<FleetEffect>) {
-        let OpenCensus {
+    fn end_census(
+        &mut self,
+        now: time::NodeTime,
+        open: census::OpenCensus,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        let census::OpenCensus {
             asker,
             revision,
             count,
             ..
         } = open;
         match asker {
-            CensusAsker::Operator => {
+            census::CensusAsker::Operator => {
                 let at = now;
-                self.census.last = Some(CensusResult {
+                self.census.last = Some(census::CensusResult {
                     revision,
                     count,
                     at,
                 });
             }
-            CensusAsker::Member { to, census } => {
-                let reply = CensusMessage::Reply { census, count };
-                self.send(to, GossipKind::Census(reply), Vec::new(), out);
+            census::CensusAsker::Member { to, census } => {
+                let reply = gossip::CensusMessage::Reply { census, count };
+                self.send(to, gossip::GossipKind::Census(reply), Vec::new(), out);
             }
         }
     }
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -3,33 +3,33 @@
 use std::net::SocketAddr;
 
 use anvil_types::{ident, time};
-use anvil_wire::gossip::{self, GossipKind};
+use anvil_wire::gossip;
 
-use crate::effect::{FleetEffect, GoneReason};
-use crate::fleet::FleetState;
-use crate::member::MemberState;
-use crate::probe::{ProbeAction, ProbeAnswer};
-use crate::relay;
+use crate::{effect, fleet, member, probe, relay};
 
 /// Members that a newcomer is told of.
 const WELCOME_MEMBERS: usize = 8;
 
-impl FleetState {
+impl fleet::FleetState {
     /// Does what the probes have due.
-    pub(super) fn probe_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn probe_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         for action in self.probes.on_wake(now, &self.config, self.health) {
             match action {
-                ProbeAction::Ping { target, number } => self.ping(target, number, out),
-                ProbeAction::AskHelpers { target, number } => {
+                probe::ProbeAction::Ping { target, number } => self.ping(target, number, out),
+                probe::ProbeAction::AskHelpers { target, number } => {
                     self.ask_helpers(target, number, out);
                 }
-                ProbeAction::Failed { target, alone } => {
+                probe::ProbeAction::Failed { target, alone } => {
                     self.probe_failed(now, target, alone, out);
                 }
-                ProbeAction::Nack { asker, probe } => {
-                    self.answer_member(asker, GossipKind::Nack { probe }, out);
+                probe::ProbeAction::Nack { asker, probe } => {
+                    self.answer_member(asker, gossip::GossipKind::Nack { probe }, out);
                 }
-                ProbeAction::Turn => self.probe_next(now, out),
+                probe::ProbeAction::Turn => self.probe_next(now, out),
             }
         }
     }
@@ -37,7 +37,11 @@
     /// Pings a member believed gone now and then, so that two sides of a healed partition meet.
     ///
     /// Each side believes the other gone and would never speak to it again.
-    pub(super) fn reconnect_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn reconnect_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         if now < self.timers.reconnect {
             return;
         }
@@ -46,7 +50,7 @@
         if self.table.tombstones() == 0 {
             return;
         }
-        let gone = |m: &crate::member::MemberRecord| m.state == MemberState::Gone;
+        let gone = |m: &crate::member::MemberRecord| m.state == member::MemberState::Gone;
         let Some(record) = self.table.draw(&mut self.choice, gone) else {
             return;
         };
@@ -60,7 +64,7 @@
         &mut self,
         now: time::NodeTime,
         head: gossip::GossipHead,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if let Some(record) = self.table.get_mut(head.from) {
             record.revision = record.revision.max(head.revision);
@@ -70,7 +74,7 @@
             self.timers.sync = now;
             let members = self.table.live();
             let report = crate::effect::FleetReport::Joined { members };
-            out.push(FleetEffect::Report(report));
+            out.push(effect::FleetEffect::Report(report));
         }
     }
 
@@ -80,27 +84,29 @@
         now: time::NodeTime,
         from: SocketAddr,
         message: &gossip::GossipMessage,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let sender = message.head.from;
         match &message.kind {
-            GossipKind::Join => self.welcome(from, out),
-            GossipKind::Ping { probe, .. } => self.answer_ping(from, sender, *probe, out),
-            GossipKind::Ack { probe, of } => self.on_ack(now, *probe, *of, out),
-            GossipKind::Nack { probe } => self.probes.on_nack(*probe),
-            GossipKind::PingRequest { probe, target } => {
+            gossip::GossipKind::Join => self.welcome(from, out),
+            gossip::GossipKind::Ping { probe, .. } => self.answer_ping(from, sender, *probe, out),
+            gossip::GossipKind::Ack { probe, of } => self.on_ack(now, *probe, *of, out),
+            gossip::GossipKind::Nack { probe } => self.probes.on_nack(*probe),
+            gossip::GossipKind::PingRequest { probe, target } => {
                 self.help(now, sender, *probe, *target, out);
             }
-            GossipKind::Introduce => {
+            gossip::GossipKind::Introduce => {
                 let updates = self.claim(self.local).into_iter().collect();
-                self.send(from, GossipKind::Rumour, updates, out);
+                self.send(from, gossip::GossipKind::Rumour, updates, out);
             }
-            GossipKind::PullChanges { after } => self.answer_pull(from, sender, *after, out),
-            GossipKind::Changes { changes } => {
+            gossip::GossipKind::PullChanges { after } => {
+                self.answer_pull(from, sender, *after, out);
+            }
+            gossip::GossipKind::Changes { changes } => {
                 self.take_changes(changes, out);
             }
-            GossipKind::Census(message) => self.on_census(now, from, message, out),
-            GossipKind::Welcome | GossipKind::Rumour => {}
+            gossip::GossipKind::Census(message) => self.on_census(now, from, message, out),
+            gossip::GossipKind::Welcome | gossip::GossipKind::Rumour => {}
         }
         self.greet_stranger(from, message, out);
     }
@@ -110,15 +116,15 @@
         &mut self,
         from: SocketAddr,
         message: &gossip::GossipMessage,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let known = self.table.get(message.head.from).is_some();
-        if !known && message.kind != GossipKind::Introduce {
-            self.send(from, GossipKind::Introduce, Vec::new(), out);
+        if !known && message.kind != gossip::GossipKind::Introduce {
+            self.send(from, gossip::GossipKind::Introduce, Vec::new(), out);
         }
     }
 
-    fn welcome(&mut self, from: SocketAddr, out: &mut Vec<FleetEffect>) {
+    fn welcome(&mut self, from: SocketAddr, out: &mut Vec<effect::FleetEffect>) {
         let mut told = vec![self.local];
         let mut bytes = 0;
         while told.len() <= WELCOME_MEMBERS && bytes < self.config.piggyback_bytes {
@@ -130,7 +136,7 @@
         }
         let updates = told.into_iter().filter_map(|node| self.whole_claim(node));
         let updates = updates.collect();
-        self.send(from, GossipKind::Welcome, updates, out);
+        self.send(from, gossip::GossipKind::Welcome, updates, out);
     }
 
     fn answer_ping(
@@ -138,11 +144,11 @@
         from: SocketAddr,
         sender: ident::NodeId,
         probe: u32,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let of = self.local;
         let updates = self.updates_for(sender);
-        self.send(from, GossipKind::Ack { probe, of }, updates, out);
+        self.send(from, gossip::GossipKind::Ack { probe, of }, updates, out);
     }
 
     fn on_ack(
@@ -150,15 +156,17 @@
         now: time::NodeTime,
         probe: u32,
         of: ident::NodeId,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         match self.probes.on_ack(probe, of) {
-            ProbeAnswer::Alive => self.health.improve(),
-            ProbeAnswer::Replaced { target } => self.end(now, target, GoneReason::Replaced, out),
-            ProbeAnswer::Relay { asker, probe } => {
-                self.answer_member(asker, GossipKind::Ack { probe, of }, out);
+            probe::ProbeAnswer::Alive => self.health.improve(),
+            probe::ProbeAnswer::Replaced { target } => {
+                self.end(now, target, effect::GoneReason::Replaced, out);
+            }
+            probe::ProbeAnswer::Relay { asker, probe } => {
+                self.answer_member(asker, gossip::GossipKind::Ack { probe, of }, out);
             }
-            ProbeAnswer::Stray => {}
+            probe::ProbeAnswer::Stray => {}
         }
     }
 
@@ -169,7 +177,7 @@
         asker: ident::NodeId,
         asker_probe: u32,
         target: ident::NodeId,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         // A nack must reach the asker before its period ends.
         let patience = (self.config.period - self.config.indirect) * 3 / 5;
@@ -182,7 +190,7 @@
         }
     }
 
-    fn probe_next(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn probe_next(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let local = self.local;
         let table = &self.table;
         let target = loop {
@@ -202,8 +210,13 @@
         self.ping(target, number, out);
     }
 
-    pub(super) fn ping(&mut self, target: ident::NodeId, number: u32, out: &mut Vec<FleetEffect>) {
-        let kind = GossipKind::Ping {
+    pub(super) fn ping(
+        &mut self,
+        target: ident::NodeId,
+        number: u32,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        let kind = gossip::GossipKind::Ping {
             probe: number,
             to: target,
         };
@@ -211,7 +224,12 @@
     }
 
     /// Sends `kind` to a known member, with the claims it should hear.
-    fn answer_member(&mut self, node: ident::NodeId, kind: GossipKind, out: &mut Vec<FleetEffect>) {
+    fn answer_member(
+        &mut self,
+        node: ident::NodeId,
+        kind: gossip::GossipKind,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let Some(to) = self.table.get(node).map(|m| m.facts.udp) else {
             return;
         };
@@ -222,14 +240,19 @@
     /// The claims for one receiver; one that is doubted hears so first, to refute at once.
     fn updates_for(&mut self, receiver: ident::NodeId) -> Vec<gossip::MemberUpdate> {
         let mut updates = self.take_updates(self.config.piggyback_bytes);
-        let doubted = |r: &&crate::member::MemberRecord| r.state != MemberState::Alive;
+        let doubted = |r: &&crate::member::MemberRecord| r.state != member::MemberState::Alive;
         if self.table.get(receiver).filter(doubted).is_some() {
             updates.extend(self.claim(receiver));
         }
         updates
     }
 
-    fn ask_helpers(&mut self, target: ident::NodeId, number: u32, out: &mut Vec<FleetEffect>) {
+    fn ask_helpers(
+        &mut self,
+        target: ident::NodeId,
+        number: u32,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let mut asked = vec![self.local, target];
         for _ in 0..self.config.helpers {
             let Some(helper) = self.table.draw_live(&mut self.choice, &asked) else {
@@ -237,7 +260,7 @@
             };
             let node = helper.node;
             asked.push(node);
-            let kind = GossipKind::PingRequest {
+            let kind = gossip::GossipKind::PingRequest {
                 probe: number,
                 target,
             };
@@ -251,7 +274,7 @@
         now: time::NodeTime,
         target: ident::NodeId,
         alone: bool,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.counters.probes_failed += 1;
         if self.config.lifeguard && alone {
--- a/crates/anvil_membership/src/fleet/proposing.rs
+++ b/crates/anvil_membership/src/fleet/proposing.rs
@@ -4,11 +4,7 @@
 use anvil_wire::gossip;
 use bytes::Bytes;
 
-use crate::asking::AskPurpose;
-use crate::effect::FleetEffect;
-use crate::fleet::FleetState;
-use crate::keys;
-use crate::proposal::{OpenProposal, ProposalEnd, ProposalStep, UNAVAILABLE_LIMIT};
+use crate::{asking, effect, fleet, keys, proposal};
 
 /// Why a change was not even tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -24,15 +20,15 @@
     NoStore,
 }
 
-impl FleetState {
+impl fleet::FleetState {
     /// Writes a change that follows the revision held; the end comes as
-    /// [`FleetEffect::ProposalEnded`].
+    /// [`effect::FleetEffect::ProposalEnded`].
     pub fn propose(
         &mut self,
         now: time::NodeTime,
         change: u128,
         body: Bytes,
-    ) -> Result<Vec<FleetEffect>, ProposalRefusal> {
+    ) -> Result<Vec<effect::FleetEffect>, ProposalRefusal> {
         if !self.config.store {
             return Err(ProposalRefusal::NoStore);
         }
@@ -49,14 +45,18 @@
             change,
             body,
         };
-        self.rules.proposal = Some(OpenProposal::new(change, now));
+        self.rules.proposal = Some(proposal::OpenProposal::new(change, now));
         let mut out = Vec::new();
         self.propose_when_due(now, &mut out);
         Ok(out)
     }
 
     /// Takes the next step of the open proposal.
-    pub(super) fn propose_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn propose_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let Some(open) = &mut self.rules.proposal else {
             return;
         };
@@ -75,18 +75,25 @@
             return;
         }
         match (step, change.to_value()) {
-            (ProposalStep::Write, Some(value)) => {
+            (proposal::ProposalStep::Write, Some(value)) => {
                 let ask = store::StoreAsk::Swap {
                     key,
                     base: store::SwapBase::Absent,
                     value,
                     lease: None,
                 };
-                self.ask(now, AskPurpose::Propose, ask, out);
+                self.ask(now, asking::AskPurpose::Propose, ask, out);
+            }
+            (proposal::ProposalStep::Write, None) => {
+                self.end_proposal(proposal::ProposalEnd::Unavailable, out);
             }
-            (ProposalStep::Write, None) => self.end_proposal(ProposalEnd::Unavailable, out),
-            (ProposalStep::Read, _) => {
-                self.ask(now, AskPurpose::Resolve, store::StoreAsk::Get { key }, out);
+            (proposal::ProposalStep::Read, _) => {
+                self.ask(
+                    now,
+                    asking::AskPurpose::Resolve,
+                    store::StoreAsk::Get { key },
+                    out,
+                );
             }
         }
     }
@@ -100,7 +107,7 @@
         &mut self,
         now: time::NodeTime,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         match outcome {
             store::StoreOutcome::Done(store::StoreReply::Swapped { .. }) => {
@@ -110,14 +117,14 @@
                 }
             }
             store::StoreOutcome::Done(store::StoreReply::Entry(None)) => {
-                self.next_step(now, ProposalStep::Write, out);
+                self.next_step(now, proposal::ProposalStep::Write, out);
             }
             store::StoreOutcome::Done(store::StoreReply::Entry(Some(entry)))
             | store::StoreOutcome::Conflict {
                 current: Some(entry),
             } => match gossip::LoggedChange::from_value(&entry.value) {
                 Some(found) => self.settle(now, &found, out),
-                None => self.end_proposal(ProposalEnd::Unknown, out),
+                None => self.end_proposal(proposal::ProposalEnd::Unknown, out),
             },
             store::StoreOutcome::Unavailable => self.proposal_unavailable(now, out),
             store::StoreOutcome::Conflict { current: None }
@@ -126,34 +133,39 @@
                 if let Some(open) = &mut self.rules.proposal {
                     open.doubtful = true;
                 }
-                self.next_step(now, ProposalStep::Read, out);
+                self.next_step(now, proposal::ProposalStep::Read, out);
             }
         }
     }
 
-    fn proposal_unavailable(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn proposal_unavailable(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(open) = &self.rules.proposal else {
             return;
         };
         if open.doubtful {
-            self.next_step(now, ProposalStep::Read, out);
-        } else if open.backoff.failures() >= UNAVAILABLE_LIMIT {
-            self.end_proposal(ProposalEnd::Unavailable, out);
+            self.next_step(now, proposal::ProposalStep::Read, out);
+        } else if open.backoff.failures() >= proposal::UNAVAILABLE_LIMIT {
+            self.end_proposal(proposal::ProposalEnd::Unavailable, out);
         } else {
-            self.next_step(now, ProposalStep::Write, out);
+            self.next_step(now, proposal::ProposalStep::Write, out);
         }
     }
 
-    fn next_step(&mut self, now: time::NodeTime, step: ProposalStep, out: &mut Vec<FleetEffect>) {
+    fn next_step(
+        &mut self,
+        now: time::NodeTime,
+        step: proposal::ProposalStep,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let draw = self.choice.any();
         let Some(open) = &mut self.rules.proposal else {
             return;
         };
         if now >= open.give_up {
             let end = if open.doubtful {
-                ProposalEnd::Unknown
+                proposal::ProposalEnd::Unknown
             } else {
-                ProposalEnd::Unavailable
+                proposal::ProposalEnd::Unavailable
             };
             self.end_proposal(end, out);
             return;
@@ -167,7 +179,7 @@
         &mut self,
         now: time::NodeTime,
         found: &gossip::LoggedChange,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let Some(open) = &self.rules.proposal else {
             return;
@@ -180,18 +192,18 @@
         if accepted {
             // The operator is told only once the change is on its way to others.
             self.push_rumour(out);
-            self.end_proposal(ProposalEnd::Accepted, out);
+            self.end_proposal(proposal::ProposalEnd::Accepted, out);
         } else {
             let other = found.clone();
-            self.end_proposal(ProposalEnd::Conflict { other }, out);
+            self.end_proposal(proposal::ProposalEnd::Conflict { other }, out);
         }
     }
 
-    fn end_proposal(&mut self, end: ProposalEnd, out: &mut Vec<FleetEffect>) {
+    fn end_proposal(&mut self, end: proposal::ProposalEnd, out: &mut Vec<effect::FleetEffect>) {
         let Some(open) = self.rules.proposal.take() else {
             return;
         };
-        out.push(FleetEffect::ProposalEnded {
+        out.push(effect::FleetEffect::ProposalEnded {
             change: open.change.change,
             revision: open.change.revision,
             end,
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -3,19 +3,15 @@
 use std::net::SocketAddr;
 
 use anvil_types::{ident, store, time};
-use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+use anvil_wire::gossip;
 use bytes::Bytes;
 
-use crate::asking::AskPurpose;
-use crate::effect::{FleetEffect, FleetReport, SnapshotUse};
-use crate::fleet::FleetState;
-use crate::rule_log::OfferStanding;
-use crate::{keys, spread};
+use crate::{asking, effect, fleet, keys, rule_log, spread};
 
 /// Bytes of changes that go on a datagram; more go over TCP.
 const DATAGRAM_BYTES: usize = 900;
 
-impl FleetState {
+impl fleet::FleetState {
     /// Whether work may be served: the revision held was compared with peers or with the store.
     ///
     /// A newcomer that served at once would treat requests by rules that its peers have left
@@ -34,13 +30,13 @@
         self.rules.log.tail()
     }
 
-    /// Hands on the whole rules that [`FleetEffect::WantSnapshot`] asked for.
+    /// Hands on the whole rules that [`effect::FleetEffect::WantSnapshot`] asked for.
     pub fn give_snapshot(
         &mut self,
         now: time::NodeTime,
-        wanted: SnapshotUse,
+        wanted: effect::SnapshotUse,
         body: Bytes,
-    ) -> Vec<FleetEffect> {
+    ) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         let snapshot = gossip::LoggedChange {
             revision: self.revision(),
@@ -48,16 +44,20 @@
             body,
         };
         match wanted {
-            SnapshotUse::Peer(peer) => {
+            effect::SnapshotUse::Peer(peer) => {
                 self.send_changes(peer, Some(snapshot), Vec::new(), &mut out);
             }
-            SnapshotUse::Store => self.begin_chunks(now, snapshot, &mut out),
+            effect::SnapshotUse::Store => self.begin_chunks(now, snapshot, &mut out),
         }
         out
     }
 
     /// Does what the rules have due.
-    pub(super) fn rules_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn rules_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         self.pull_again(now, out);
         if self.config.store {
             self.read_when_due(now, out);
@@ -88,7 +88,7 @@
         now: time::NodeTime,
         from: SocketAddr,
         head: gossip::GossipHead,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let rules = &mut self.rules;
         rules.highest = rules.highest.max(head.revision);
@@ -111,18 +111,18 @@
     pub(super) fn take_changes(
         &mut self,
         changes: &[gossip::LoggedChange],
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) -> bool {
         let mut sorted: Vec<_> = changes.iter().collect();
         sorted.sort_by_key(|change| change.revision);
         let mut gap = false;
         for change in sorted {
             match self.rules.log.standing(change.revision) {
-                OfferStanding::Old => {}
-                OfferStanding::Gap => gap = true,
-                OfferStanding::Next => {
+                rule_log::OfferStanding::Old => {}
+                rule_log::OfferStanding::Gap => gap = true,
+                rule_log::OfferStanding::Next => {
                     self.rules.log.push(change);
-                    out.push(FleetEffect::AdoptChange(change.clone()));
+                    out.push(effect::FleetEffect::AdoptChange(change.clone()));
                     self.after_adoption();
                 }
             }
@@ -134,10 +134,10 @@
     pub(super) fn take_snapshot(
         &mut self,
         snapshot: &gossip::LoggedChange,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if self.rules.log.jump(snapshot) {
-            out.push(FleetEffect::AdoptSnapshot(snapshot.clone()));
+            out.push(effect::FleetEffect::AdoptSnapshot(snapshot.clone()));
             self.after_adoption();
         }
     }
@@ -148,20 +148,25 @@
         from: SocketAddr,
         peer: ident::NodeId,
         after: ident::RuleRevision,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if after >= self.revision() {
             return;
         }
         let Some(mut changes) = self.rules.log.since(after) else {
-            let wanted = SnapshotUse::Peer(peer);
-            out.push(FleetEffect::WantSnapshot { wanted });
+            let wanted = effect::SnapshotUse::Peer(peer);
+            out.push(effect::FleetEffect::WantSnapshot { wanted });
             return;
         };
         changes.truncate(gossip::CHANGES_LIMIT);
         let bytes: usize = changes.iter().map(|change| change.body.len() + 32).sum();
         if bytes <= DATAGRAM_BYTES {
-            self.send(from, GossipKind::Changes { changes }, Vec::new(), out);
+            self.send(
+                from,
+                gossip::GossipKind::Changes { changes },
+                Vec::new(),
+                out,
+            );
         } else {
             self.send_changes(peer, None, changes, out);
         }
@@ -178,9 +183,9 @@
     pub(super) fn on_log_answer(
         &mut self,
         now: time::NodeTime,
-        purpose: AskPurpose,
+        purpose: asking::AskPurpose,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let store::StoreOutcome::Done(store::StoreReply::Listed {
             entries,
@@ -198,7 +203,7 @@
         let changes: Vec<_> = decoded.collect();
         let gap = self.take_changes(&changes, out);
         self.rules.watch_at = now;
-        if purpose == AskPurpose::WatchLog {
+        if purpose == asking::AskPurpose::WatchLog {
             self.rules.seen = self.rules.seen.max(seen);
             if gap {
                 self.read_log_soon(now);
@@ -208,7 +213,7 @@
             let key = store::StoreKey::new(keys::MANIFEST);
             self.ask(
                 now,
-                AskPurpose::ReadManifest,
+                asking::AskPurpose::ReadManifest,
                 store::StoreAsk::Get { key },
                 out,
             );
@@ -224,9 +229,9 @@
     /// Whether a question about the log or a snapshot is out.
     fn reads_rules(&self) -> bool {
         let purposes = [
-            AskPurpose::ReadLog,
-            AskPurpose::ReadManifest,
-            AskPurpose::ReadChunk,
+            asking::AskPurpose::ReadLog,
+            asking::AskPurpose::ReadManifest,
+            asking::AskPurpose::ReadChunk,
         ];
         purposes.iter().any(|purpose| self.asks.is_open(*purpose))
     }
@@ -235,12 +240,17 @@
         self.config.store
             && self.rules.compared
             && self.contacts.watches()
-            && !self.asks.is_open(AskPurpose::WatchLog)
+            && !self.asks.is_open(asking::AskPurpose::WatchLog)
     }
 
-    fn log_failed(&mut self, now: time::NodeTime, purpose: AskPurpose, out: &mut Vec<FleetEffect>) {
+    fn log_failed(
+        &mut self,
+        now: time::NodeTime,
+        purpose: asking::AskPurpose,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let pause = self.rules.backoff.next_pause(self.choice.any());
-        if purpose == AskPurpose::WatchLog {
+        if purpose == asking::AskPurpose::WatchLog {
             self.rules.watch_at = now + pause;
             return;
         }
@@ -265,7 +275,7 @@
         now: time::NodeTime,
         from: SocketAddr,
         revision: ident::RuleRevision,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let after = self.revision();
         self.rules.pull = Some(spread::OpenPull {
@@ -274,11 +284,16 @@
             retry_at: now + spread::PULL_RETRY,
         });
         self.counters.rule_pulls += 1;
-        self.send(from, GossipKind::PullChanges { after }, Vec::new(), out);
+        self.send(
+            from,
+            gossip::GossipKind::PullChanges { after },
+            Vec::new(),
+            out,
+        );
     }
 
     /// Pulls again from a random member where the first one did not answer.
-    fn pull_again(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn pull_again(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(pull) = self.rules.pull.filter(|pull| pull.retry_at <= now) else {
             return;
         };
@@ -300,10 +315,10 @@
         peer: ident::NodeId,
         snapshot: Option<gossip::LoggedChange>,
         changes: Vec<gossip::LoggedChange>,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let head = self.head();
-        let message = SyncMessage::Changes {
+        let message = gossip::SyncMessage::Changes {
             head,
             snapshot,
             changes,
@@ -311,7 +326,7 @@
         self.send_sync(peer, message, out);
     }
 
-    fn read_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn read_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let due = self.rules.read_at.is_some_and(|at| at <= now);
         if !due || self.reads_rules() {
             return;
@@ -323,10 +338,10 @@
             after: (held.0 > 0).then(|| keys::logged(held)),
             limit: spread::READ_LIMIT,
         };
-        self.ask(now, AskPurpose::ReadLog, ask, out);
+        self.ask(now, asking::AskPurpose::ReadLog, ask, out);
     }
 
-    fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if !self.may_watch() || self.rules.watch_at > now {
             return;
         }
@@ -335,17 +350,19 @@
             seen: self.rules.seen,
             wait: spread::WATCH_WAIT,
         };
-        self.ask(now, AskPurpose::WatchLog, ask, out);
+        self.ask(now, asking::AskPurpose::WatchLog, ask, out);
     }
 
-    fn become_ready(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn become_ready(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if self.rules.ready || !self.has_compared(now) {
             return;
         }
         self.rules.ready = true;
         let revision = self.revision();
-        out.push(FleetEffect::Ready);
-        out.push(FleetEffect::Report(FleetReport::RulesReady { revision }));
+        out.push(effect::FleetEffect::Ready);
+        out.push(effect::FleetEffect::Report(
+            effect::FleetReport::RulesReady { revision },
+        ));
     }
 
     fn has_compared(&self, now: time::NodeTime) -> bool {
--- a/crates/anvil_membership/src/fleet/sending.rs
+++ b/crates/anvil_membership/src/fleet/sending.rs
@@ -5,18 +5,16 @@
 use anvil_types::{ident, time};
 use anvil_wire::gossip;
 
-use crate::effect::FleetEffect;
-use crate::fleet::FleetState;
-use crate::member::{self, MemberState};
+use crate::{effect, fleet, member};
 
-impl FleetState {
+impl fleet::FleetState {
     /// Puts the local node's facts into the table under its present incarnation.
     pub(super) fn announce(&mut self, facts: gossip::MemberFacts, now: time::NodeTime) {
         let record = member::MemberRecord {
             node: self.local,
             incarnation: self.incarnation,
             told: self.incarnation,
-            state: MemberState::Alive,
+            state: member::MemberState::Alive,
             relays: 0,
             relay_serial: 0,
             since: now,
@@ -51,13 +49,13 @@
     }
 
     /// Sends a rumour where something changed and the budget allows one.
-    pub(super) fn push_now(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn push_now(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if self.pushing.take(&self.config, now) {
             self.push_rumour(out);
         }
     }
 
-    pub(super) fn push_rumour(&mut self, out: &mut Vec<FleetEffect>) {
+    pub(super) fn push_rumour(&mut self, out: &mut Vec<effect::FleetEffect>) {
         let updates = self.take_updates(self.config.rumour_bytes);
         let mut told = vec![self.local];
         for _ in 0..self.config.fanout {
@@ -83,7 +81,7 @@
         to: SocketAddr,
         kind: gossip::GossipKind,
         updates: Vec<gossip::MemberUpdate>,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.counters.datagrams_sent += 1;
         let head = self.head();
@@ -92,7 +90,7 @@
             kind,
             updates,
         };
-        out.push(FleetEffect::SendDatagram { to, message });
+        out.push(effect::FleetEffect::SendDatagram { to, message });
     }
 
     pub(super) fn head(&self) -> gossip::GossipHead {
--- a/crates/anvil_membership/src/fleet/snapshots.rs
+++ b/crates/anvil_membership/src/fleet/snapshots.rs
@@ -4,24 +4,24 @@
 use anvil_wire::gossip;
 use bytes::Bytes;
 
-use crate::asking::AskPurpose;
-use crate::effect::{FleetEffect, SnapshotUse};
-use crate::fleet::FleetState;
-use crate::snapshot::{SnapshotStep, SnapshotWrite};
-use crate::{keys, spread};
+use crate::{asking, effect, fleet, keys, snapshot, spread};
 
 /// Entries of the log removed in one go.
 const TRIM_LIMIT: u32 = 128;
 
-impl FleetState {
+impl fleet::FleetState {
     /// Writes a snapshot where the log has grown long, one step at a time.
-    pub(super) fn snapshot_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn snapshot_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         if self.snapshot.open.is_none() {
             if !self.contacts.watches() || self.revision() < self.snapshot.wanted_at {
                 return;
             }
-            self.snapshot.open = Some(SnapshotWrite {
-                step: SnapshotStep::Check,
+            self.snapshot.open = Some(snapshot::SnapshotWrite {
+                step: snapshot::SnapshotStep::Check,
                 base: store::SwapBase::Absent,
                 manifest: None,
                 body: Bytes::new(),
@@ -38,7 +38,7 @@
         &mut self,
         now: time::NodeTime,
         snapshot: gossip::LoggedChange,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let local = self.local;
         let Some(open) = &mut self.snapshot.open else {
@@ -52,7 +52,7 @@
             chunks: u32::try_from(chunks).unwrap_or(u32::MAX),
         });
         open.body = snapshot.body;
-        open.step = SnapshotStep::Chunk { next: 0 };
+        open.step = snapshot::SnapshotStep::Chunk { next: 0 };
         self.snapshot_step(now, out);
     }
 
@@ -61,7 +61,7 @@
         &mut self,
         now: time::NodeTime,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let Some(open) = self.snapshot.open.take() else {
             return;
@@ -74,10 +74,10 @@
             let pause = self.snapshot.backoff.next_pause(self.choice.any());
             // A manifest whose answer was lost is looked at before anything else is done.
             let step = match open.step {
-                SnapshotStep::Publish => SnapshotStep::Check,
+                snapshot::SnapshotStep::Publish => snapshot::SnapshotStep::Check,
                 step => step,
             };
-            self.snapshot.open = Some(SnapshotWrite { step, ..open });
+            self.snapshot.open = Some(snapshot::SnapshotWrite { step, ..open });
             self.snapshot.due = Some(now + pause);
             return;
         }
@@ -96,7 +96,7 @@
         &mut self,
         now: time::NodeTime,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let found = match outcome {
             store::StoreOutcome::Done(store::StoreReply::Entry(Some(entry))) => {
@@ -122,7 +122,7 @@
         &mut self,
         now: time::NodeTime,
         outcome: store::StoreOutcome,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let (Some(mut load), store::StoreOutcome::Done(store::StoreReply::Entry(Some(entry)))) =
             (self.rules.load.take(), outcome)
@@ -147,7 +147,7 @@
         self.rules.read_at = Some(now);
     }
 
-    fn read_chunk(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn read_chunk(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(load) = &self.rules.load else {
             return;
         };
@@ -155,7 +155,7 @@
         let key = keys::chunk(manifest.revision, manifest.writer, load.next);
         self.ask(
             now,
-            AskPurpose::ReadChunk,
+            asking::AskPurpose::ReadChunk,
             store::StoreAsk::Get { key },
             out,
         );
@@ -176,68 +176,73 @@
             ident::RuleRevision(held.saturating_add(spread::SNAPSHOT_EVERY + spread));
     }
 
-    fn snapshot_step(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    fn snapshot_step(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(open) = &self.snapshot.open else {
             return;
         };
         let ask = match &open.step {
-            SnapshotStep::Check => store::StoreAsk::Get {
+            snapshot::SnapshotStep::Check => store::StoreAsk::Get {
                 key: store::StoreKey::new(keys::MANIFEST),
             },
-            SnapshotStep::Encode => {
-                let wanted = SnapshotUse::Store;
-                out.push(FleetEffect::WantSnapshot { wanted });
+            snapshot::SnapshotStep::Encode => {
+                let wanted = effect::SnapshotUse::Store;
+                out.push(effect::FleetEffect::WantSnapshot { wanted });
                 return;
             }
-            SnapshotStep::Chunk { next } => match chunk_ask(open, *next) {
+            snapshot::SnapshotStep::Chunk { next } => match chunk_ask(open, *next) {
                 Some(ask) => ask,
                 None => return,
             },
-            SnapshotStep::Publish => match publish_ask(open) {
+            snapshot::SnapshotStep::Publish => match publish_ask(open) {
                 Some(ask) => ask,
                 None => return,
             },
-            SnapshotStep::ListLog => list_ask(keys::LOG, None, TRIM_LIMIT),
+            snapshot::SnapshotStep::ListLog => list_ask(keys::LOG, None, TRIM_LIMIT),
             // One at a time, since each brings its whole value.
-            SnapshotStep::ListChunks { after } => list_ask(keys::SNAPSHOTS, after.clone(), 1),
-            SnapshotStep::Remove { entry, version, .. } => store::StoreAsk::Remove {
+            snapshot::SnapshotStep::ListChunks { after } => {
+                list_ask(keys::SNAPSHOTS, after.clone(), 1)
+            }
+            snapshot::SnapshotStep::Remove { entry, version, .. } => store::StoreAsk::Remove {
                 key: entry.clone(),
                 version: *version,
             },
         };
-        self.ask(now, AskPurpose::Snapshot, ask, out);
+        self.ask(now, asking::AskPurpose::Snapshot, ask, out);
     }
 
     /// The write with its next step; none where it is done with.
     fn after_step(
         &self,
-        mut open: SnapshotWrite,
+        mut open: snapshot::SnapshotWrite,
         outcome: store::StoreOutcome,
-    ) -> Option<SnapshotWrite> {
+    ) -> Option<snapshot::SnapshotWrite> {
         open.step = match (open.step.clone(), outcome) {
-            (SnapshotStep::Check, store::StoreOutcome::Done(store::StoreReply::Entry(found))) => {
-                self.after_check(&mut open, found)?
-            }
-            (SnapshotStep::Chunk { next }, _) => {
+            (
+                snapshot::SnapshotStep::Check,
+                store::StoreOutcome::Done(store::StoreReply::Entry(found)),
+            ) => self.after_check(&mut open, found)?,
+            (snapshot::SnapshotStep::Chunk { next }, _) => {
                 // A chunk that stands there already was written before a lost answer.
                 let last = open.manifest.is_none_or(|m| next + 1 >= m.chunks);
                 if last {
-                    SnapshotStep::Publish
+                    snapshot::SnapshotStep::Publish
                 } else {
-                    SnapshotStep::Chunk { next: next + 1 }
+                    snapshot::SnapshotStep::Chunk { next: next + 1 }
                 }
             }
-            (SnapshotStep::Publish, store::StoreOutcome::Done(_)) => SnapshotStep::ListLog,
-            (SnapshotStep::Publish, _) => SnapshotStep::Check,
+            (snapshot::SnapshotStep::Publish, store::StoreOutcome::Done(_)) => {
+                snapshot::SnapshotStep::ListLog
+            }
+            (snapshot::SnapshotStep::Publish, _) => snapshot::SnapshotStep::Check,
             (
-                SnapshotStep::ListLog,
+                snapshot::SnapshotStep::ListLog,
                 store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
             ) => trim_step(&open, &entries),
             (
-                SnapshotStep::ListChunks { .. },
+                snapshot::SnapshotStep::ListChunks { .. },
                 store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
             ) => sweep_step(&open, entries.first()?),
-            (SnapshotStep::Remove { rest, then, .. }, _) => remove_step(rest, *then),
+            (snapshot::SnapshotStep::Remove { rest, then, .. }, _) => remove_step(rest, *then),
             _ => return None,
         };
         Some(open)
@@ -245,25 +250,25 @@
 
     fn after_check(
         &self,
-        open: &mut SnapshotWrite,
+        open: &mut snapshot::SnapshotWrite,
         found: Option<store::StoreEntry>,
-    ) -> Option<SnapshotStep> {
+    ) -> Option<snapshot::SnapshotStep> {
         let Some(entry) = found else {
             open.base = store::SwapBase::Absent;
-            return Some(SnapshotStep::Encode);
+            return Some(snapshot::SnapshotStep::Encode);
         };
         open.base = store::SwapBase::At(entry.version);
         let current = gossip::SnapshotManifest::from_value(&entry.value)?;
         if open.manifest == Some(current) {
-            return Some(SnapshotStep::ListLog);
+            return Some(snapshot::SnapshotStep::ListLog);
         }
         let behind = self.revision().0.saturating_sub(current.revision.0);
         let due = behind >= spread::SNAPSHOT_EVERY;
-        due.then_some(SnapshotStep::Encode)
+        due.then_some(snapshot::SnapshotStep::Encode)
     }
 }
 
-fn chunk_ask(open: &SnapshotWrite, next: u32) -> Option<store::StoreAsk> {
+fn chunk_ask(open: &snapshot::SnapshotWrite, next: u32) -> Option<store::StoreAsk> {
     let manifest = open.manifest?;
     let start = next as usize * spread::CHUNK_BYTES;
     let end = (start + spread::CHUNK_BYTES).min(open.body.len());
@@ -275,7 +280,7 @@
     })
 }
 
-fn publish_ask(open: &SnapshotWrite) -> Option<store::StoreAsk> {
+fn publish_ask(open: &snapshot::SnapshotWrite) -> Option<store::StoreAsk> {
     Some(store::StoreAsk::Swap {
         key: store::StoreKey::new(keys::MANIFEST),
         base: open.base,
@@ -293,8 +298,11 @@
 }
 
 /// Removes the entries of the log that lie well behind the snapshot, then looks at the chunks.
-fn trim_step(open: &SnapshotWrite, entries: &[store::StoreEntry]) -> SnapshotStep {
-    let sweep = SnapshotStep::ListChunks { after: None };
+fn trim_step(
+    open: &snapshot::SnapshotWrite,
+    entries: &[store::StoreEntry],
+) -> snapshot::SnapshotStep {
+    let sweep = snapshot::SnapshotStep::ListChunks { after: None };
     let Some(manifest) = open.manifest else {
         return sweep;
     };
@@ -305,15 +313,15 @@
     let then = if old.len() < TRIM_LIMIT as usize {
         sweep
     } else {
-        SnapshotStep::ListLog
+        snapshot::SnapshotStep::ListLog
     };
     remove_step(old, then)
 }
 
 /// Removes a chunk that belongs to no snapshot at or behind the present one, then looks on.
-fn sweep_step(open: &SnapshotWrite, entry: &store::StoreEntry) -> SnapshotStep {
+fn sweep_step(open: &snapshot::SnapshotWrite, entry: &store::StoreEntry) -> snapshot::SnapshotStep {
     let after = Some(entry.key.clone());
-    let then = SnapshotStep::ListChunks { after };
+    let then = snapshot::SnapshotStep::ListChunks { after };
     let own = open.manifest.map(|m| keys::chunk(m.revision, m.writer, 0));
     // Keys sort by revision; a writer that is still busy with a newer one is left alone.
     let older = own.is_some_and(|own| entry.key < own);
@@ -325,10 +333,10 @@
 
 fn remove_step(
     mut rest: Vec<(store::StoreKey, store::StoreVersion)>,
-    then: SnapshotStep,
-) -> SnapshotStep {
+    then: snapshot::SnapshotStep,
+) -> snapshot::SnapshotStep {
     match rest.pop() {
-        Some((entry, version)) => SnapshotStep::Remove {
+        Some((entry, version)) => snapshot::SnapshotStep::Remove {
             entry,
             version,
             rest,
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -4,12 +4,9 @@
 use std::time::Duration;
 
 use anvil_types::{ident, time};
-use anvil_wire::gossip::{self, GossipKind, SyncMessage};
+use anvil_wire::gossip;
 
-use crate::digest;
-use crate::effect::FleetEffect;
-use crate::fleet::FleetState;
-use crate::member::{MemberState, claimed_state};
+use crate::{digest, effect, fleet, member};
 
 /// Time between two attempts to join.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
@@ -29,14 +26,14 @@
 /// Below this size a node takes the whole fleet instead of comparing digests.
 const NEWCOMER_MEMBERS: usize = 10;
 
-impl FleetState {
+impl fleet::FleetState {
     /// Takes a bulk message of a peer.
     pub fn on_sync(
         &mut self,
         now: time::NodeTime,
         peer: ident::NodeId,
-        message: &SyncMessage,
-    ) -> Vec<FleetEffect> {
+        message: &gossip::SyncMessage,
+    ) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         if self.left || message.head().from != peer {
             return out;
@@ -49,17 +46,17 @@
             self.hear_revision(now, from, message.head(), &mut out);
         }
         match message {
-            SyncMessage::Digest { sums, .. } => self.on_digest(peer, sums, &mut out),
-            SyncMessage::Headers {
+            gossip::SyncMessage::Digest { sums, .. } => self.on_digest(peer, sums, &mut out),
+            gossip::SyncMessage::Headers {
                 buckets,
                 differing,
                 headers,
                 ..
             } => self.on_headers(peer, *buckets, differing, headers, &mut out),
-            SyncMessage::Members {
+            gossip::SyncMessage::Members {
                 updates, wanted, ..
             } => self.on_members(now, peer, updates, wanted, &mut out),
-            SyncMessage::Changes {
+            gossip::SyncMessage::Changes {
                 snapshot, changes, ..
             } => {
                 if let Some(snapshot) = snapshot {
@@ -73,14 +70,18 @@
     }
 
     /// Joins through the node at `address`, beside the seeds and the store's contacts.
-    pub fn join(&mut self, address: SocketAddr) -> Vec<FleetEffect> {
+    pub fn join(&mut self, address: SocketAddr) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
         self.join_through(address, &mut out);
         out
     }
 
     /// Asks a seed to be let in, until any member has answered.
-    pub(super) fn join_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn join_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         if self.joined || now < self.timers.join {
             return;
         }
@@ -93,13 +94,17 @@
     }
 
     /// Asks the node at `address`, whichever it is, to be let in.
-    pub(super) fn join_through(&mut self, address: SocketAddr, out: &mut Vec<FleetEffect>) {
+    pub(super) fn join_through(&mut self, address: SocketAddr, out: &mut Vec<effect::FleetEffect>) {
         let updates = self.claim(self.local).into_iter().collect();
-        self.send(address, GossipKind::Join, updates, out);
+        self.send(address, gossip::GossipKind::Join, updates, out);
     }
 
     /// Compares digests with a random member.
-    pub(super) fn sync_when_due(&mut self, now: time::NodeTime, out: &mut Vec<FleetEffect>) {
+    pub(super) fn sync_when_due(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         let storm = self.timers.storm_sync.take_if(|due| *due <= now);
         if now < self.timers.sync && storm.is_none() {
             return;
@@ -125,7 +130,7 @@
             digest::sums(&self.table, digest::bucket_count(self.table.live()))
         };
         let head = self.head();
-        self.send_sync(peer, SyncMessage::Digest { head, sums }, out);
+        self.send_sync(peer, gossip::SyncMessage::Digest { head, sums }, out);
     }
 
     /// With whom digests are compared next: a random member at first, then one of a few.
@@ -175,7 +180,7 @@
         self.table.trim(before, self.config.tombstone_limit);
     }
 
-    fn on_digest(&mut self, peer: ident::NodeId, sums: &[u32], out: &mut Vec<FleetEffect>) {
+    fn on_digest(&mut self, peer: ident::NodeId, sums: &[u32], out: &mut Vec<effect::FleetEffect>) {
         if sums.is_empty() {
             self.send_everything(peer, out);
             return;
@@ -191,7 +196,7 @@
             return;
         }
         let headers = digest::headers(&self.table, sums.len(), &differing);
-        let message = SyncMessage::Headers {
+        let message = gossip::SyncMessage::Headers {
             head: self.head(),
             buckets: sums.len() as u32,
             differing,
@@ -200,7 +205,7 @@
         self.send_sync(peer, message, out);
     }
 
-    fn send_everything(&mut self, peer: ident::NodeId, out: &mut Vec<FleetEffect>) {
+    fn send_everything(&mut self, peer: ident::NodeId, out: &mut Vec<effect::FleetEffect>) {
         let live = self.table.all().iter().filter(|m| m.state.is_live());
         let live: Vec<_> = live.map(|m| m.node).collect();
         self.send_claims(peer, &live, Vec::new(), out);
@@ -212,7 +217,7 @@
         buckets: u32,
         differing: &[u32],
         headers: &[gossip::MemberHeader],
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         if !digest::is_bucket_count(buckets as usize) {
             return;
@@ -230,7 +235,7 @@
             .collect();
         let mut wanted = Vec::new();
         for header in &theirs {
-            let theirs = (header.incarnation, MemberState::Alive);
+            let theirs = (header.incarnation, member::MemberState::Alive);
             match self.table.get(header.node) {
                 None => wanted.push(header.node),
                 Some(record) if record.rank() < theirs => wanted.push(header.node),
@@ -250,7 +255,7 @@
         peer: ident::NodeId,
         updates: &[gossip::MemberUpdate],
         wanted: &[ident::NodeId],
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         self.repeating = updates.len() <= REPEAT_LIMIT;
         for update in updates {
@@ -270,11 +275,12 @@
     /// claim is answered; it would otherwise send work there until its own probe fails.
     fn ended_since(&self, updates: &[gossip::MemberUpdate]) -> Vec<ident::NodeId> {
         let ended = updates.iter().filter(|update| {
-            let claimed = (update.incarnation, claimed_state(&update.standing));
+            let claimed = (update.incarnation, member::claimed_state(&update.standing));
             let known = self.table.get(update.node);
             known.is_some_and(|record| !record.state.is_live() && record.rank() > claimed)
         });
-        let claimed_alive = ended.filter(|update| claimed_state(&update.standing).is_live());
+        let claimed_alive =
+            ended.filter(|update| member::claimed_state(&update.standing).is_live());
         claimed_alive.map(|update| update.node).collect()
     }
 
@@ -284,7 +290,7 @@
         peer: ident::NodeId,
         nodes: &[ident::NodeId],
         wanted: Vec<ident::NodeId>,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let nodes = &nodes[..nodes.len().min(gossip::MEMBERS_LIMIT)];
         let mut wanted = Some(wanted).filter(|wanted| !wanted.is_empty());
@@ -306,10 +312,10 @@
         peer: ident::NodeId,
         updates: Vec<gossip::MemberUpdate>,
         wanted: Vec<ident::NodeId>,
-        out: &mut Vec<FleetEffect>,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let head = self.head();
-        let message = SyncMessage::Members {
+        let message = gossip::SyncMessage::Members {
             head,
             updates,
             wanted,
@@ -320,14 +326,14 @@
     pub(super) fn send_sync(
         &mut self,
         peer: ident::NodeId,
-        message: SyncMessage,
-        out: &mut Vec<FleetEffect>,
+        message: gossip::SyncMessage,
+        out: &mut Vec<effect::FleetEffect>,
     ) {
         let Some(address) = self.table.get(peer).map(|m| m.facts.tcp) else {
             return;
         };
         self.counters.syncs_sent += 1;
-        out.push(FleetEffect::SendSync {
+        out.push(effect::FleetEffect::SendSync {
             peer,
             address,
             message,
--- a/crates/anvil_membership/src/table.rs
+++ b/crates/anvil_membership/src/table.rs
@@ -3,8 +3,7 @@
 use anvil_types::{ident, time};
 use anvil_wire::gossip;
 
-use crate::member::{self, MemberState};
-use crate::{names, random};
+use crate::{member, names, random};
 
 /// Attempts to draw a random member that is alive before giving up.
 const DRAWS: usize = 16;
@@ -74,7 +73,7 @@
     pub fn set_state(
         &mut self,
         node: ident::NodeId,
-        rank: (u32, MemberState),
+        rank: (u32, member::MemberState),
         now: time::NodeTime,
     ) {
         let Ok(place) = self.place(node) else {
--- a/crates/anvil_membership/tests/bounds.rs
+++ b/crates/anvil_membership/tests/bounds.rs
@@ -2,13 +2,9 @@
 
 use std::time::Duration;
 
-use anvil_membership::effect::FleetEffect;
-use anvil_membership::{config, fleet};
+use anvil_membership::{config, effect, fleet};
 use anvil_types::{ident, name, time};
-use anvil_wire::gossip::{
-    GossipHead, GossipKind, GossipMessage, LoggedChange, MemberFacts, MemberStanding, MemberUpdate,
-    SyncMessage,
-};
+use anvil_wire::gossip;
 
 mod harness;
 
@@ -23,8 +19,8 @@
     fleet::FleetState::new(config.clone(), &local, 1, time::NodeTime::START)
 }
 
-fn head(from: u64) -> GossipHead {
-    GossipHead {
+fn head(from: u64) -> gossip::GossipHead {
+    gossip::GossipHead {
         from: ident::NodeId(from),
         incarnation: 0,
         revision: ident::RuleRevision(0),
@@ -32,8 +28,8 @@
     }
 }
 
-fn alive(node: u64, service: &str) -> MemberUpdate {
-    let facts = MemberFacts {
+fn alive(node: u64, service: &str) -> gossip::MemberUpdate {
+    let facts = gossip::MemberFacts {
         tcp: harness::address(2),
         udp: harness::address(2),
         zone: name::ZoneName::new("zone").expect("a name"),
@@ -43,15 +39,15 @@
         leaving: false,
         contact: None,
     };
-    MemberUpdate {
+    gossip::MemberUpdate {
         node: ident::NodeId(node),
         incarnation: 0,
-        standing: MemberStanding::Alive(Box::new(facts)),
+        standing: gossip::MemberStanding::Alive(Box::new(facts)),
     }
 }
 
-fn members(updates: Vec<MemberUpdate>) -> SyncMessage {
-    SyncMessage::Members {
+fn members(updates: Vec<gossip::MemberUpdate>) -> gossip::SyncMessage {
+    gossip::SyncMessage::Members {
         head: head(2),
         updates,
         wanted: Vec::new(),
@@ -75,10 +71,10 @@
     }
     assert_eq!(state.table().live(), 500);
     assert!(state.counters().claims_refused >= 19_000);
-    let ended = (10..510).map(|node| MemberUpdate {
+    let ended = (10..510).map(|node| gossip::MemberUpdate {
         node: ident::NodeId(node),
         incarnation: 0,
-        standing: MemberStanding::Gone,
+        standing: gossip::MemberStanding::Gone,
     });
     state.on_sync(now, ident::NodeId(2), &members(ended.collect()));
     state.on_wake(now + Duration::from_secs(30));
@@ -98,15 +94,15 @@
         ident::NodeId(2),
         &members(vec![alive(2, "a"), alive(7, "a")]),
     );
-    let left = MemberUpdate {
-        standing: MemberStanding::Left,
+    let left = gossip::MemberUpdate {
+        standing: gossip::MemberStanding::Left,
         ..alive(7, "a")
     };
     state.on_sync(now, ident::NodeId(2), &members(vec![left.clone()]));
     let effects = state.on_sync(now, ident::NodeId(2), &members(vec![alive(7, "a")]));
     let told = effects.iter().any(|effect| match effect {
-        FleetEffect::SendSync {
-            message: SyncMessage::Members { updates, .. },
+        effect::FleetEffect::SendSync {
+            message: gossip::SyncMessage::Members { updates, .. },
             ..
         } => updates.contains(&left),
         _ => false,
@@ -122,7 +118,7 @@
     let now = time::NodeTime::from_millis(5);
     let updates = (10..60).map(|n| {
         let mut update = alive(u64::MAX - n, &long);
-        if let MemberStanding::Alive(facts) = &mut update.standing {
+        if let gossip::MemberStanding::Alive(facts) = &mut update.standing {
             facts.zone = name::ZoneName::new(&long).expect("a name");
             facts.region = name::RegionName::new(&long).expect("a name");
             facts.tcp = "[2001:db8::1:2:3:4]:65535".parse().expect("an address");
@@ -132,16 +128,16 @@
     let updates: Vec<_> = updates.collect();
     let mut largest = 0;
     for part in updates.chunks(5) {
-        let kinds = [GossipKind::Rumour, GossipKind::Join];
+        let kinds = [gossip::GossipKind::Rumour, gossip::GossipKind::Join];
         for kind in kinds {
-            let message = GossipMessage {
+            let message = gossip::GossipMessage {
                 head: head(u64::MAX - 10),
                 kind,
                 updates: part.to_vec(),
             };
             let effects = state.on_datagram(now, harness::address(3), &message);
             for effect in effects {
-                if let FleetEffect::SendDatagram { message, .. } = effect {
+                if let effect::FleetEffect::SendDatagram { message, .. } = effect {
                     let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
                     largest = largest.max(bytes);
                 }
@@ -159,22 +155,22 @@
     // and then a change that made revision 4; neither is put in force.
     let mut state = node(&config::FleetConfig::default());
     let now = time::NodeTime::from_millis(5);
-    let logged = |revision: u64| LoggedChange {
+    let logged = |revision: u64| gossip::LoggedChange {
         revision: ident::RuleRevision(revision),
         change: u128::from(revision),
         body: bytes::Bytes::from_static(b"rules"),
     };
-    let changes = |snapshot: Option<u64>, changes: &[u64]| SyncMessage::Changes {
+    let changes = |snapshot: Option<u64>, changes: &[u64]| gossip::SyncMessage::Changes {
         head: head(2),
         snapshot: snapshot.map(logged),
         changes: changes.iter().copied().map(logged).collect(),
     };
     let peer = ident::NodeId(2);
-    let adopted = |effects: &[FleetEffect]| {
-        let adopts = |effect: &&FleetEffect| {
+    let adopted = |effects: &[effect::FleetEffect]| {
+        let adopts = |effect: &&effect::FleetEffect| {
             matches!(
                 effect,
-                FleetEffect::AdoptChange(_) | FleetEffect::AdoptSnapshot(_)
+                effect::FleetEffect::AdoptChange(_) | effect::FleetEffect::AdoptSnapshot(_)
             )
         };
         effects.iter().filter(adopts).count()
--- a/crates/anvil_membership/tests/failures.rs
+++ b/crates/anvil_membership/tests/failures.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_membership::effect::GoneReason;
-use anvil_membership::{config, fleet};
+use anvil_membership::{config, effect, fleet};
 
 mod harness;
 
@@ -124,7 +123,7 @@
     let took = net.run_until(Duration::from_secs(30), done);
     assert!(took <= Duration::from_secs(8), "took {took:?}");
     let ends = net.nodes.iter().flat_map(|n| &n.gone);
-    let replaced = ends.filter(|(_, _, why)| *why == GoneReason::Replaced);
+    let replaced = ends.filter(|(_, _, why)| *why == effect::GoneReason::Replaced);
     assert!(replaced.count() > 0);
 }
 
--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -6,10 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use anvil_membership::effect::{FleetEffect, FleetReport, GoneReason};
-use anvil_membership::member::MemberState;
-use anvil_membership::proposal::ProposalEnd;
-use anvil_membership::{config, fleet, random};
+use anvil_membership::{config, effect, fleet, member, proposal, random};
 use anvil_standins::store::fake;
 use anvil_types::{ident, name, store, time};
 use anvil_wire::gossip;
@@ -36,12 +33,12 @@
     pub running: bool,
     /// Until when the process does not run; its messages wait in the socket.
     pub paused_until: time::NodeTime,
-    pub reports: Vec<(time::NodeTime, FleetReport)>,
-    pub gone: Vec<(time::NodeTime, ident::NodeId, GoneReason)>,
+    pub reports: Vec<(time::NodeTime, effect::FleetReport)>,
+    pub gone: Vec<(time::NodeTime, ident::NodeId, effect::GoneReason)>,
     /// The ids of the changes in force, in order.
     pub document: Vec<u128>,
     pub ready_at: Option<time::NodeTime>,
-    pub proposals: Vec<(u128, ident::RuleRevision, ProposalEnd)>,
+    pub proposals: Vec<(u128, ident::RuleRevision, proposal::ProposalEnd)>,
     wake_at: time::NodeTime,
 }
 
@@ -215,7 +212,7 @@
     /// Carries out what a method of a node's state returned.
     pub fn act<Step>(&mut self, index: usize, step: Step)
     where
-        Step: FnOnce(&mut fleet::FleetState, time::NodeTime) -> Vec<FleetEffect>,
+        Step: FnOnce(&mut fleet::FleetState, time::NodeTime) -> Vec<effect::FleetEffect>,
     {
         let now = self.now;
         let effects = step(&mut self.nodes[index].state, now);
@@ -237,8 +234,12 @@
         for (observer, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.running) {
             for member in 0..self.nodes.len() {
                 let record = node.state.table().get(id(member));
-                let ended = record
-                    .is_some_and(|r| matches!(r.state, MemberState::Gone | MemberState::Left));
+                let ended = record.is_some_and(|r| {
+                    matches!(
+                        r.state,
+                        member::MemberState::Gone | member::MemberState::Left
+                    )
+                });
                 if ended && self.nodes[member].running {
                     found.push((observer, member));
                 }
@@ -282,16 +283,16 @@
         self.carry_out(index, effects);
     }
 
-    fn carry_out(&mut self, index: usize, effects: Vec<FleetEffect>) {
+    fn carry_out(&mut self, index: usize, effects: Vec<effect::FleetEffect>) {
         for effect in effects {
             match effect {
-                FleetEffect::SendDatagram { to, message } => {
+                effect::FleetEffect::SendDatagram { to, message } => {
                     if self.choice.below(100) >= self.loss_percent {
                         let from = self.nodes[index].udp;
                         self.send(index, to, Due::Datagram(from, message));
                     }
                 }
-                FleetEffect::SendSync {
+                effect::FleetEffect::SendSync {
                     peer,
                     address,
                     message,
@@ -305,24 +306,24 @@
                         self.send(index, address, Due::Sync(own, message));
                     }
                 }
-                FleetEffect::MemberGone { node, reason } => {
+                effect::FleetEffect::MemberGone { node, reason } => {
                     let now = self.now;
                     self.nodes[index].gone.push((now, node, reason));
                 }
-                FleetEffect::Report(report) => {
+                effect::FleetEffect::Report(report) => {
                     let now = self.now;
                     self.nodes[index].reports.push((now, report));
                 }
-                FleetEffect::AskStore { id, ask } => {
+                effect::FleetEffect::AskStore { id, ask } => {
                     let at = self.now + NEAR;
                     self.push(at, index, Due::AtStore(id, ask));
                 }
-                FleetEffect::AdoptChange(change) => {
+                effect::FleetEffect::AdoptChange(change) => {
                     let node = &mut self.nodes[index];
                     node.document.push(change.change);
                     assert_eq!(node.document.len() as u64, change.revision.0);
                 }
-                FleetEffect::AdoptSnapshot(snapshot) => {
+                effect::FleetEffect::AdoptSnapshot(snapshot) => {
                     let ids = snapshot.body.chunks_exact(16);
                     let ids = ids.map(|id| u128::from_le_bytes(id.try_into().expect("16 bytes")));
                     let document: Vec<_> = ids.collect();
@@ -331,7 +332,7 @@
                     assert_eq!(document.len() as u64, snapshot.revision.0);
                     node.document = document;
                 }
-                FleetEffect::WantSnapshot { wanted } => {
+                effect::FleetEffect::WantSnapshot { wanted } => {
                     let ids = self.nodes[index].document.iter();
                     let body: Vec<u8> = ids.flat_map(|id| id.to_le_bytes()).collect();
                     let now = self.now;
@@ -339,13 +340,13 @@
                     let effects = state.give_snapshot(now, wanted, Bytes::from(body));
                     self.carry_out(index, effects);
                 }
-                FleetEffect::ProposalEnded {
+                effect::FleetEffect::ProposalEnded {
                     change,
                     revision,
                     end,
                 } => self.nodes[index].proposals.push((change, revision, end)),
-                FleetEffect::Ready => self.nodes[index].ready_at = Some(self.now),
-                FleetEffect::MemberUp(_) | FleetEffect::MemberChanged(_) => {}
+                effect::FleetEffect::Ready => self.nodes[index].ready_at = Some(self.now),
+                effect::FleetEffect::MemberUp(_) | effect::FleetEffect::MemberChanged(_) => {}
             }
         }
         let next = self.nodes[index].state.next_wake();
--- a/crates/anvil_membership/tests/hostile.rs
+++ b/crates/anvil_membership/tests/hostile.rs
@@ -4,7 +4,7 @@
 
 use anvil_membership::{config, fleet};
 use anvil_types::{ident, name, store, time};
-use anvil_wire::gossip::{GossipMessage, SyncMessage};
+use anvil_wire::gossip;
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -75,10 +75,10 @@
         for (sequence, (bytes, millis)) in (1..).zip(&inputs) {
             now = now + Duration::from_millis(*millis);
             let revision = state.revision();
-            if let Ok(message) = postcard::from_bytes::<GossipMessage>(bytes) {
+            if let Ok(message) = postcard::from_bytes::<gossip::GossipMessage>(bytes) {
                 state.on_datagram(now, harness::address(2), &message);
             }
-            if let Ok(message) = postcard::from_bytes::<SyncMessage>(bytes) {
+            if let Ok(message) = postcard::from_bytes::<gossip::SyncMessage>(bytes) {
                 state.on_sync(now, message.head().from, &message);
             }
             let part = store::StorePart::Fleet;
@@ -101,8 +101,8 @@
     let mut decoded = [0, 0];
     for _ in 0..2_000 {
         let bytes = bytes().new_tree(&mut runner).expect("bytes").current();
-        decoded[0] += usize::from(postcard::from_bytes::<GossipMessage>(&bytes).is_ok());
-        decoded[1] += usize::from(postcard::from_bytes::<SyncMessage>(&bytes).is_ok());
+        decoded[0] += usize::from(postcard::from_bytes::<gossip::GossipMessage>(&bytes).is_ok());
+        decoded[1] += usize::from(postcard::from_bytes::<gossip::SyncMessage>(&bytes).is_ok());
     }
     assert!(
         decoded.iter().all(|count| *count > 100),
--- a/crates/anvil_membership/tests/rule_spread.rs
+++ b/crates/anvil_membership/tests/rule_spread.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_membership::proposal::ProposalEnd;
+use anvil_membership::proposal;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -33,7 +33,7 @@
     net.run(Duration::from_secs(5));
     let ends = &net.nodes[2].proposals;
     assert!(
-        matches!(ends[..], [(9, _, ProposalEnd::Accepted)]),
+        matches!(ends[..], [(9, _, proposal::ProposalEnd::Accepted)]),
         "{ends:?}"
     );
     let logged = net.store.entries();
@@ -54,8 +54,8 @@
     for node in &net.nodes {
         for (change, _, end) in &node.proposals {
             match end {
-                ProposalEnd::Accepted => accepted.push(*change),
-                ProposalEnd::Conflict { other } => refused.push((*change, other.change)),
+                proposal::ProposalEnd::Accepted => accepted.push(*change),
+                proposal::ProposalEnd::Conflict { other } => refused.push((*change, other.change)),
                 other => panic!("{other:?}"),
             }
         }
@@ -165,11 +165,11 @@
         for (change, revision, end) in &node.proposals {
             let place = document.iter().position(|id| id == change);
             match end {
-                ProposalEnd::Accepted => assert_eq!(place, Some(revision.0 as usize - 1)),
-                ProposalEnd::Conflict { .. } | ProposalEnd::Unavailable => {
+                proposal::ProposalEnd::Accepted => assert_eq!(place, Some(revision.0 as usize - 1)),
+                proposal::ProposalEnd::Conflict { .. } | proposal::ProposalEnd::Unavailable => {
                     assert_eq!(place, None, "told as not accepted, so not in force");
                 }
-                ProposalEnd::Unknown => {}
+                proposal::ProposalEnd::Unknown => {}
             }
         }
     }
--- a/crates/anvil_membership/tests/thousand.rs
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -2,20 +2,17 @@
 
 use std::time::Duration;
 
-use anvil_membership::effect::FleetEffect;
-use anvil_membership::{config, fleet};
+use anvil_membership::{config, effect, fleet};
 use anvil_types::{ident, name, time};
-use anvil_wire::gossip::{
-    GossipHead, GossipKind, GossipMessage, MemberFacts, MemberStanding, MemberUpdate, SyncMessage,
-};
+use anvil_wire::gossip;
 
 mod harness;
 
 const MEMBERS: usize = 2_000;
 const LOST: usize = 1_000;
 
-fn head(from: usize) -> GossipHead {
-    GossipHead {
+fn head(from: usize) -> gossip::GossipHead {
+    gossip::GossipHead {
         from: harness::id(from),
         incarnation: 0,
         revision: ident::RuleRevision(0),
@@ -23,12 +20,12 @@
     }
 }
 
-fn alive(index: usize) -> MemberUpdate {
+fn alive(index: usize) -> gossip::MemberUpdate {
     let zone = if index < MEMBERS - LOST { "a" } else { "b" };
-    MemberUpdate {
+    gossip::MemberUpdate {
         node: harness::id(index),
         incarnation: 0,
-        standing: MemberStanding::Alive(Box::new(MemberFacts {
+        standing: gossip::MemberStanding::Alive(Box::new(gossip::MemberFacts {
             tcp: harness::address(index),
             udp: harness::address(index),
             zone: name::ZoneName::new(zone).expect("a name"),
@@ -53,8 +50,12 @@
     fleet::FleetState::new(config, &local, 1, time::NodeTime::from_millis(1))
 }
 
-fn datagram(from: usize, kind: GossipKind, updates: Vec<MemberUpdate>) -> GossipMessage {
-    GossipMessage {
+fn datagram(
+    from: usize,
+    kind: gossip::GossipKind,
+    updates: Vec<gossip::MemberUpdate>,
+) -> gossip::GossipMessage {
+    gossip::GossipMessage {
         head: head(from),
         kind,
         updates,
@@ -73,7 +74,7 @@
         let updates = part.to_vec();
         let wanted = Vec::new();
         let head = head(1);
-        let message = SyncMessage::Members {
+        let message = gossip::SyncMessage::Members {
             head,
             updates,
             wanted,
@@ -85,23 +86,23 @@
     for tick in 0..400_usize {
         now = now + Duration::from_millis(50);
         if tick % 10 == 0 && told < MEMBERS {
-            let ends = (told..(told + 40).min(MEMBERS)).map(|index| MemberUpdate {
-                standing: MemberStanding::Gone,
+            let ends = (told..(told + 40).min(MEMBERS)).map(|index| gossip::MemberUpdate {
+                standing: gossip::MemberStanding::Gone,
                 ..alive(index)
             });
-            let message = datagram(1, GossipKind::Rumour, ends.collect());
+            let message = datagram(1, gossip::GossipKind::Rumour, ends.collect());
             told += 40;
             state.on_datagram(now, harness::address(1), &message);
         }
         let mut effects = state.on_wake(now);
         while let Some(effect) = effects.pop() {
-            let FleetEffect::SendDatagram { to, message } = effect else {
+            let effect::FleetEffect::SendDatagram { to, message } = effect else {
                 continue;
             };
             bytes += postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
             let living = (1..MEMBERS - LOST).find(|index| harness::address(*index) == to);
-            if let (Some(from), GossipKind::Ping { probe, to }) = (living, message.kind) {
-                let ack = datagram(from, GossipKind::Ack { probe, of: to }, Vec::new());
+            if let (Some(from), gossip::GossipKind::Ping { probe, to }) = (living, message.kind) {
+                let ack = datagram(from, gossip::GossipKind::Ack { probe, of: to }, Vec::new());
                 effects.extend(state.on_datagram(now, harness::address(from), &ack));
             }
         }
@@ -124,7 +125,7 @@
         let updates = part.to_vec();
         let wanted = Vec::new();
         let head = head(1);
-        let message = SyncMessage::Members {
+        let message = gossip::SyncMessage::Members {
             head,
             updates,
             wanted,
@@ -137,13 +138,13 @@
         now = now + Duration::from_millis(100);
         for effect in state.on_wake(now) {
             match effect {
-                FleetEffect::SendSync { peer, .. } => {
+                effect::FleetEffect::SendSync { peer, .. } => {
                     digests += 1;
                     partners.push(peer);
                 }
-                FleetEffect::SendDatagram { to, message } => {
-                    if let GossipKind::Ping { probe, to: of } = message.kind {
-                        let ack = datagram(1, GossipKind::Ack { probe, of }, Vec::new());
+                effect::FleetEffect::SendDatagram { to, message } => {
+                    if let gossip::GossipKind::Ping { probe, to: of } = message.kind {
+                        let ack = datagram(1, gossip::GossipKind::Ack { probe, of }, Vec::new());
                         state.on_datagram(now, to, &ack);
                     }
                 }
@@ -169,18 +170,18 @@
     let mut largest = 0;
     for index in 1..=1_000 {
         now = now + Duration::from_millis(1);
-        let join = datagram(index, GossipKind::Join, vec![alive(index)]);
+        let join = datagram(index, gossip::GossipKind::Join, vec![alive(index)]);
         for effect in state.on_datagram(now, harness::address(index), &join) {
             match effect {
-                FleetEffect::SendDatagram { message, .. } => {
+                effect::FleetEffect::SendDatagram { message, .. } => {
                     let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
                     largest = largest.max(bytes);
                     match message.kind {
-                        GossipKind::Welcome => answers += 1,
+                        gossip::GossipKind::Welcome => answers += 1,
                         _ => others += 1,
                     }
                 }
-                FleetEffect::SendSync { .. } => panic!("the seed sends bulk"),
+                effect::FleetEffect::SendSync { .. } => panic!("the seed sends bulk"),
                 _ => {}
             }
         }
--- a/crates/anvil_node/examples/fleet_processes.rs
+++ b/crates/anvil_node/examples/fleet_processes.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anvil_standins::process::{NodeProcess, ProcessPlan};
+use anvil_standins::process;
 use anvil_standins::store::server;
 use eyre::{ContextCompat, ensure};
 
@@ -49,7 +49,7 @@
     for index in 0..size {
         let name = format!("node-{size}-{index}");
         let settings = settings(index, store.address());
-        nodes.push(NodeProcess::start(&ProcessPlan {
+        nodes.push(process::NodeProcess::start(&process::ProcessPlan {
             binary,
             folder,
             name: &name,
@@ -97,7 +97,7 @@
     datagrams: u64,
 }
 
-fn sums(nodes: &[NodeProcess]) -> eyre::Result<ProcessSums> {
+fn sums(nodes: &[process::NodeProcess]) -> eyre::Result<ProcessSums> {
     let mut sums = ProcessSums {
         resident: 0,
         ticks: 0,
@@ -112,7 +112,7 @@
     Ok(sums)
 }
 
-fn knows(node: &NodeProcess, size: usize) -> bool {
+fn knows(node: &process::NodeProcess, size: usize) -> bool {
     let status = get(node, "/status");
     status.is_ok_and(|status| {
         let fleet = &status["fleet"];
@@ -120,7 +120,7 @@
     })
 }
 
-fn get(node: &NodeProcess, path: &str) -> eyre::Result<serde_json::Value> {
+fn get(node: &process::NodeProcess, path: &str) -> eyre::Result<serde_json::Value> {
     let url = format!("http://{}{path}", node.addresses().admin);
     let body = attohttpc::get(url).send()?.text()?;
     Ok(serde_json::from_str(&body)?)
--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -6,8 +6,7 @@
 
 use std::path::Path;
 
-use anvil_node::counters::EdgeCause;
-use anvil_node::{node, settings};
+use anvil_node::{counters, node, settings};
 use anvil_testkit::test_cases;
 use serde_json::Value;
 
@@ -109,7 +108,14 @@
     ),
 }
 
-fn refused(method: &str, path: &str, body: &str, status: u16, said: &str, cause: EdgeCause) {
+fn refused(
+    method: &str,
+    path: &str,
+    body: &str,
+    status: u16,
+    said: &str,
+    cause: counters::EdgeCause,
+) {
     let pair = common::Pair::start("");
     let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap();
     let url = format!("http://{}{path}", pair.node.bound().admin);
@@ -129,7 +135,7 @@
         body,
         422,
         said,
-        EdgeCause::AnnouncementRefused,
+        counters::EdgeCause::AnnouncementRefused,
     );
 }
 
@@ -153,10 +159,10 @@
 
 test_cases! {
     refused:
-    explain_no_json => ("POST", "/explain", "GET /", 422, "malformed", EdgeCause::OperatorRefused),
-    explain_unknown_field => ("POST", "/explain", r#"{"service":"a","verb":"GET"}"#, 422, "verb", EdgeCause::OperatorRefused),
-    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":[["a b","c"]]}"#, 422, "a b", EdgeCause::OperatorRefused),
-    rules_without_change => ("POST", "/rules", "rules: []", 422, "anvil-change", EdgeCause::OperatorRefused),
+    explain_no_json => ("POST", "/explain", "GET /", 422, "malformed", counters::EdgeCause::OperatorRefused),
+    explain_unknown_field => ("POST", "/explain", r#"{"service":"a","verb":"GET"}"#, 422, "verb", counters::EdgeCause::OperatorRefused),
+    explain_bad_header => ("POST", "/explain", r#"{"service":"a","headers":[["a b","c"]]}"#, 422, "a b", counters::EdgeCause::OperatorRefused),
+    rules_without_change => ("POST", "/rules", "rules: []", 422, "anvil-change", counters::EdgeCause::OperatorRefused),
 }
 
 #[test]
--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -6,14 +6,14 @@
 
 use std::io::Write;
 
-use anvil_node::counters::EdgeCause;
+use anvil_node::counters;
 use anvil_testkit::test_cases;
 
 /// Short waits, so that slow callers are found out within the test.
 const LIMITS: &str = "  header_wait_ms: 100\n  body_wait_ms: 100\n  header_bytes: 8192\n  \
                       header_count: 20\n  caller_connections: 8\n";
 
-fn refused(request: &str, status: &str, cause: EdgeCause) {
+fn refused(request: &str, status: &str, cause: counters::EdgeCause) {
     let pair = common::Pair::start(LIMITS);
     let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
     assert!(
@@ -29,51 +29,51 @@
 
 test_cases! {
     refused:
-    no_http => ("hello\r\n\r\n", "400", EdgeCause::CallerHeadMalformed),
-    bad_header => ("GET / HTTP/1.1\r\nhost audiencias\r\n\r\n", "400", EdgeCause::CallerHeadMalformed),
+    no_http => ("hello\r\n\r\n", "400", counters::EdgeCause::CallerHeadMalformed),
+    bad_header => ("GET / HTTP/1.1\r\nhost audiencias\r\n\r\n", "400", counters::EdgeCause::CallerHeadMalformed),
     long_head => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nx: {}\r\n\r\n", "x".repeat(9_000)),
-        "431", EdgeCause::CallerHeadOversized,
+        "431", counters::EdgeCause::CallerHeadOversized,
     ),
     many_headers => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\n{}\r\n", "x: 1\r\n".repeat(30)),
-        "431", EdgeCause::CallerHeadOversized,
+        "431", counters::EdgeCause::CallerHeadOversized,
     ),
-    no_service => (&format!("GET / HTTP/1.1\r\nhost: 127.0.0.1\r\n{CLOSE}"), "400", EdgeCause::CallerServiceMalformed),
-    bad_service => (&format!("GET / HTTP/1.1\r\nhost: a\r\nanvil-service: A_B\r\n{CLOSE}"), "400", EdgeCause::CallerServiceMalformed),
+    no_service => (&format!("GET / HTTP/1.1\r\nhost: 127.0.0.1\r\n{CLOSE}"), "400", counters::EdgeCause::CallerServiceMalformed),
+    bad_service => (&format!("GET / HTTP/1.1\r\nhost: a\r\nanvil-service: A_B\r\n{CLOSE}"), "400", counters::EdgeCause::CallerServiceMalformed),
     bad_timeout => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-timeout-ms: soon\r\n{CLOSE}"),
-        "400", EdgeCause::CallerHintMalformed,
+        "400", counters::EdgeCause::CallerHintMalformed,
     ),
     zero_timeout => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-timeout-ms: 0\r\n{CLOSE}"),
-        "400", EdgeCause::CallerHintMalformed,
+        "400", counters::EdgeCause::CallerHintMalformed,
     ),
     bad_request_id => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-request-id: 12\r\n{CLOSE}"),
-        "400", EdgeCause::CallerHintMalformed,
+        "400", counters::EdgeCause::CallerHintMalformed,
     ),
     empty_key => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nidempotency-key:\r\n{CLOSE}"),
-        "400", EdgeCause::CallerHintMalformed,
+        "400", counters::EdgeCause::CallerHintMalformed,
     ),
     forged_parent => (
         &format!("GET / HTTP/1.1\r\nhost: audiencias\r\nanvil-parent: {}\r\n{CLOSE}", "0".repeat(48)),
-        "400", EdgeCause::CallerParentForged,
+        "400", counters::EdgeCause::CallerParentForged,
     ),
-    connect => (&format!("CONNECT audiencias:80 HTTP/1.1\r\nhost: audiencias\r\n{CLOSE}"), "501", EdgeCause::CallerMethodRefused),
+    connect => (&format!("CONNECT audiencias:80 HTTP/1.1\r\nhost: audiencias\r\n{CLOSE}"), "501", counters::EdgeCause::CallerMethodRefused),
     stated_length_above_limit => (
         "POST / HTTP/1.1\r\nhost: audiencias\r\ncontent-length: 8388609\r\n\r\n",
-        "413", EdgeCause::CallerBodyOversized,
+        "413", counters::EdgeCause::CallerBodyOversized,
     ),
     bad_chunk => (
         "POST / HTTP/1.1\r\nhost: audiencias\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nx\r\n",
-        "400", EdgeCause::CallerBodyMalformed,
+        "400", counters::EdgeCause::CallerBodyMalformed,
     ),
-    slow_head => ("GET / HTTP/1.1\r\nhost: audi", "408", EdgeCause::CallerHeadSlow),
+    slow_head => ("GET / HTTP/1.1\r\nhost: audi", "408", counters::EdgeCause::CallerHeadSlow),
     slow_body => (
         "POST / HTTP/1.1\r\nhost: audiencias\r\ncontent-length: 9\r\n\r\nhalf",
-        "408", EdgeCause::CallerBodySlow,
+        "408", counters::EdgeCause::CallerBodySlow,
     ),
 }
 
@@ -92,7 +92,7 @@
     stream.write_all(b"0\r\n\r\n").unwrap();
     let answer = common::read_to_close(stream);
     assert!(answer.starts_with("HTTP/1.1 413 "), "{answer:?}");
-    pair.await_count(EdgeCause::CallerBodyOversized, 1);
+    pair.await_count(counters::EdgeCause::CallerBodyOversized, 1);
     pair.assert_lives();
 }
 
@@ -118,10 +118,10 @@
 fn callers_above_the_limit_are_closed_and_the_others_served() {
     let pair = common::Pair::start("  caller_connections: 2\n");
     let held: Vec<_> = (0..2).map(|_| common::raw(pair.caller(), b"GET")).collect();
-    pair.await_count(EdgeCause::CallerAccepted, 2);
+    pair.await_count(counters::EdgeCause::CallerAccepted, 2);
     let surplus = common::read_to_close(common::raw(pair.caller(), b""));
     assert_eq!(surplus, "");
-    pair.await_count(EdgeCause::CallerOverLimit, 1);
+    pair.await_count(counters::EdgeCause::CallerOverLimit, 1);
     drop(held);
     let gauge = pair.node.counters().caller_connections();
     common::await_true("the held connections end", || gauge.get() == 0);
@@ -139,7 +139,7 @@
     stream.write_all(b"GET / HTTP/1.1\r\nhost: audi").unwrap();
     let answer = common::read_to_close(stream);
     assert!(answer.contains("HTTP/1.1 408 "), "{answer}");
-    pair.await_count(EdgeCause::CallerHeadSlow, 1);
+    pair.await_count(counters::EdgeCause::CallerHeadSlow, 1);
 }
 
 // The next head begins while the first request is still served, and stalls. The node reads these
@@ -169,7 +169,12 @@
     stream.write_all(last.as_bytes()).unwrap();
     let answer = common::read_to_close(stream);
     assert_eq!(answer.matches("HTTP/1.1 200 OK").count(), 2, "{answer}");
-    assert_eq!(pair.node.counters().total(EdgeCause::CallerHeadSlow), 0);
+    assert_eq!(
+        pair.node
+            .counters()
+            .total(counters::EdgeCause::CallerHeadSlow),
+        0
+    );
 }
 
 // A connection that rests for longer than allowed is closed without a word: the caller, who asks
@@ -182,5 +187,10 @@
     let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
     assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
     assert!(!answer.contains("408"), "{answer}");
-    assert_eq!(pair.node.counters().total(EdgeCause::CallerHeadSlow), 0);
+    assert_eq!(
+        pair.node
+            .counters()
+            .total(counters::EdgeCause::CallerHeadSlow),
+        0
+    );
 }
--- a/crates/anvil_node/tests/key_rotation.rs
+++ b/crates/anvil_node/tests/key_rotation.rs
@@ -6,8 +6,7 @@
 
 use std::path::Path;
 
-use anvil_node::counters::EdgeCause;
-use anvil_node::{node, settings};
+use anvil_node::{counters, node, settings};
 use anvil_standins::http_target;
 use anvil_testkit::test_cases;
 
@@ -37,7 +36,10 @@
         request.send().unwrap().status() == 200
     });
     for node in [&beside, &entry] {
-        for cause in [EdgeCause::DatagramRefused, EdgeCause::PeerHandshakeRefused] {
+        for cause in [
+            counters::EdgeCause::DatagramRefused,
+            counters::EdgeCause::PeerHandshakeRefused,
+        ] {
             assert_eq!(node.counters().total(cause), 0, "{cause}");
         }
     }
@@ -60,7 +62,10 @@
     let seeds = format!("seeds: ['{}']\n", beside.bound().gossip);
     let outside = start(&[1], &seeds);
     common::await_true("its datagrams are refused", || {
-        beside.counters().total(EdgeCause::DatagramRefused) >= 1
+        beside
+            .counters()
+            .total(counters::EdgeCause::DatagramRefused)
+            >= 1
     });
     let url = format!("http://{}/status", beside.bound().admin);
     let status = attohttpc::get(url).send().unwrap().text().unwrap();
--- a/crates/anvil_node/tests/peer_faults.rs
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -8,7 +8,7 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 
-use anvil_node::counters::EdgeCause;
+use anvil_node::counters;
 use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, treatment, verdict};
 use anvil_wire::seal::handshake;
@@ -62,7 +62,7 @@
     }
 }
 
-fn sealed_garbage(body: &[u8], cause: EdgeCause) {
+fn sealed_garbage(body: &[u8], cause: counters::EdgeCause) {
     let pair = common::Pair::start("");
     let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.send_sealed(body);
@@ -73,13 +73,13 @@
 
 test_cases! {
     sealed_garbage:
-    no_frame => (&[255; 40], EdgeCause::PeerFrameMalformed),
-    empty_frame => (&[], EdgeCause::PeerFrameMalformed),
-    cut_call => (&[0, 1, 2], EdgeCause::PeerFrameMalformed),
-    bytes_behind_a_frame => (&[2, 1, 1, 1, 99], EdgeCause::PeerFrameMalformed),
+    no_frame => (&[255; 40], counters::EdgeCause::PeerFrameMalformed),
+    empty_frame => (&[], counters::EdgeCause::PeerFrameMalformed),
+    cut_call => (&[0, 1, 2], counters::EdgeCause::PeerFrameMalformed),
+    bytes_behind_a_frame => (&[2, 1, 1, 1, 99], counters::EdgeCause::PeerFrameMalformed),
 }
 
-fn bytes_behind_the_handshake(bytes: &[u8], cause: EdgeCause) {
+fn bytes_behind_the_handshake(bytes: &[u8], cause: counters::EdgeCause) {
     let pair = common::Pair::start("");
     let mut peer = impostor::Impostor::connect(pair.node.bound().peer);
     peer.socket.write_all(bytes).unwrap();
@@ -91,17 +91,17 @@
 
 test_cases! {
     bytes_behind_the_handshake:
-    oversized => (&[255; 4], EdgeCause::PeerFrameOversized),
-    cut_length => (&[0; 2], EdgeCause::PeerFrameTruncated),
-    cut_body => (&[0, 0, 1, 0, 1, 2, 3], EdgeCause::PeerFrameTruncated),
-    unsealed => (&[0; 24], EdgeCause::PeerFrameForged),
+    oversized => (&[255; 4], counters::EdgeCause::PeerFrameOversized),
+    cut_length => (&[0; 2], counters::EdgeCause::PeerFrameTruncated),
+    cut_body => (&[0, 0, 1, 0, 1, 2, 3], counters::EdgeCause::PeerFrameTruncated),
+    unsealed => (&[0; 24], counters::EdgeCause::PeerFrameForged),
 }
 
 fn strange_hello(first: &[u8]) {
     let pair = common::Pair::start("");
     let answer = common::read_to_close(common::raw(pair.node.bound().peer, first));
     assert_eq!(answer, "", "a stranger learns nothing");
-    pair.await_count(EdgeCause::PeerHandshakeRefused, 1);
+    pair.await_count(counters::EdgeCause::PeerHandshakeRefused, 1);
     pair.assert_lives();
 }
 
@@ -134,7 +134,7 @@
     // The node may have closed already.
     let _ = socket.write_all(&call);
     assert_eq!(common::read_to_close(socket), "");
-    pair.await_count(EdgeCause::PeerHandshakeRefused, 1);
+    pair.await_count(counters::EdgeCause::PeerHandshakeRefused, 1);
     assert!(pair.target.seen().is_empty());
 }
 
@@ -148,7 +148,7 @@
     common::await_true("the target has it", || pair.target.seen().len() == 1);
     drop(peer);
     common::await_true("the target is told", || pair.target.abandoned() == 1);
-    pair.await_count(EdgeCause::PeerLost, 1);
+    pair.await_count(counters::EdgeCause::PeerLost, 1);
     pair.assert_lives();
 }
 
@@ -171,7 +171,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let gossip = pair.node.bound().gossip;
     socket.send_to(bytes, gossip).unwrap();
-    pair.await_count(EdgeCause::DatagramRefused, 1);
+    pair.await_count(counters::EdgeCause::DatagramRefused, 1);
     socket
         .set_read_timeout(Some(Duration::from_millis(20)))
         .unwrap();
--- a/crates/anvil_node/tests/target_faults.rs
+++ b/crates/anvil_node/tests/target_faults.rs
@@ -8,10 +8,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
-use anvil_node::counters::EdgeCause;
+use anvil_node::counters;
 use anvil_testkit::test_cases;
 
-fn fails(path: &str, status: u16, outcome: &str, cause: EdgeCause) {
+fn fails(path: &str, status: u16, outcome: &str, cause: counters::EdgeCause) {
     let pair = common::Pair::start("");
     let response = pair.request("POST", path).text("a bid").send().unwrap();
     assert_eq!(response.status().as_u16(), status);
@@ -28,11 +28,11 @@
     fails:
     // The caller sees 502 and may-have-run, never a 200 with half a body: the target answers 200,
     // sends the first half and breaks off; the node had not begun its own reply yet.
-    dies_in_its_answer => ("/cut", 502, "may-have-run", EdgeCause::TargetAnswerCut),
+    dies_in_its_answer => ("/cut", 502, "may-have-run", counters::EdgeCause::TargetAnswerCut),
     // The caller sees may-have-run: the target took the whole request and closed without an
     // answer, so it may have stored the bid.
-    dies_before_its_answer => ("/drop", 502, "may-have-run", EdgeCause::TargetBroken),
-    answer_too_large => ("/bytes/8388609", 502, "may-have-run", EdgeCause::TargetAnswerOversized),
+    dies_before_its_answer => ("/drop", 502, "may-have-run", counters::EdgeCause::TargetBroken),
+    answer_too_large => ("/bytes/8388609", 502, "may-have-run", counters::EdgeCause::TargetAnswerOversized),
 }
 
 /// A target that answers every connection with `bytes` and closes it.
@@ -50,7 +50,7 @@
     address
 }
 
-fn scripted_fails(bytes: &'static [u8], cause: EdgeCause) {
+fn scripted_fails(bytes: &'static [u8], cause: counters::EdgeCause) {
     let pair = common::Pair::start("");
     let target = scripted(bytes);
     common::announce(pair.node.bound().admin, target, common::SERVICE);
@@ -64,10 +64,10 @@
     scripted_fails:
     // A target that dies closes its connection like one that has finished; without a length or
     // chunks the two can't be told apart, and a caller would take half an answer for a whole one.
-    unframed_answer => (b"HTTP/1.1 200 OK\r\n\r\nhalf or whole?", EdgeCause::TargetAnswerUnframed),
-    short_answer => (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", EdgeCause::TargetAnswerCut),
-    cut_chunks => (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nthr", EdgeCause::TargetAnswerCut),
-    no_http => (b"hello\r\n\r\n", EdgeCause::TargetBroken),
+    unframed_answer => (b"HTTP/1.1 200 OK\r\n\r\nhalf or whole?", counters::EdgeCause::TargetAnswerUnframed),
+    short_answer => (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", counters::EdgeCause::TargetAnswerCut),
+    cut_chunks => (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nthr", counters::EdgeCause::TargetAnswerCut),
+    no_http => (b"hello\r\n\r\n", counters::EdgeCause::TargetBroken),
 }
 
 #[test]
@@ -81,7 +81,7 @@
     assert_eq!(response.status(), 503);
     assert_eq!(response.headers()["anvil-outcome"], "not-run");
     assert!(response.headers().contains_key("retry-after"));
-    pair.await_count(EdgeCause::TargetRefused, 1);
+    pair.await_count(counters::EdgeCause::TargetRefused, 1);
 }
 
 #[test]
@@ -95,7 +95,7 @@
     let response = pair.request("POST", "/bids").text("a bid").send().unwrap();
     assert_eq!(response.status(), 503);
     assert_eq!(response.headers()["anvil-outcome"], "not-run");
-    pair.await_count(EdgeCause::TargetUnreachable, 1);
+    pair.await_count(counters::EdgeCause::TargetUnreachable, 1);
 }
 
 // The caller waits 100 ms and gets 504 with may-have-run: the request was out at a target that
@@ -123,7 +123,7 @@
     common::await_true("the target has it", || pair.target.seen().len() == 1);
     drop(stream);
     common::await_true("the target is told", || pair.target.abandoned() == 1);
-    pair.await_count(EdgeCause::CallerGone, 1);
+    pair.await_count(counters::EdgeCause::CallerGone, 1);
     pair.assert_lives();
 }
 
--- a/crates/anvil_rules/src/chain.rs
+++ b/crates/anvil_rules/src/chain.rs
@@ -9,8 +9,7 @@
 
 use anvil_types::name;
 
-use crate::change::{self, ChangeConflict};
-use crate::document;
+use crate::{change, document};
 
 /// A doubly linked ring of rules that the change speaks of and of runs between them.
 #[derive(Debug)]
@@ -62,7 +61,7 @@
     }
 
     /// Makes one edit; after an error the list is of no further use.
-    pub(crate) fn edit(&mut self, edit: &change::RuleEdit) -> Result<(), ChangeConflict> {
+    pub(crate) fn edit(&mut self, edit: &change::RuleEdit) -> Result<(), change::ChangeConflict> {
         match edit {
             change::RuleEdit::Put { rule, before } => {
                 let slot = self.slot(&rule.name)?;
@@ -123,7 +122,7 @@
         self.names.len()
     }
 
-    fn slot(&self, name: &name::RuleName) -> Result<usize, ChangeConflict> {
+    fn slot(&self, name: &name::RuleName) -> Result<usize, change::ChangeConflict> {
         let found = self.names.binary_search(&name);
         found.map_err(|_| missing(name))
     }
@@ -131,7 +130,7 @@
     fn take(
         &mut self,
         name: &name::RuleName,
-    ) -> Result<(usize, Arc<document::NamedRule>), ChangeConflict> {
+    ) -> Result<(usize, Arc<document::NamedRule>), change::ChangeConflict> {
         let slot = self.slot(name)?;
         let rule = self.unlink(slot).ok_or_else(|| missing(name))?;
         Ok((slot, rule))
@@ -142,12 +141,12 @@
         slot: usize,
         rule: Arc<document::NamedRule>,
         before: Option<&name::RuleName>,
-    ) -> Result<(), ChangeConflict> {
+    ) -> Result<(), change::ChangeConflict> {
         let next = match before {
             None => self.end(),
             Some(name) if *name == rule.name => {
                 let name = name.clone();
-                return Err(ChangeConflict::SelfReference { name });
+                return Err(change::ChangeConflict::SelfReference { name });
             }
             Some(name) => {
                 let next = self.slot(name)?;
@@ -195,7 +194,7 @@
     }
 }
 
-fn missing(name: &name::RuleName) -> ChangeConflict {
+fn missing(name: &name::RuleName) -> change::ChangeConflict {
     let name = name.clone();
-    ChangeConflict::Missing { name }
+    change::ChangeConflict::Missing { name }
 }
--- a/crates/anvil_store/tests/budget.rs
+++ b/crates/anvil_store/tests/budget.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use anvil_store::budget::{BudgetLimits, BudgetRefusal, CallBudget};
-use anvil_types::backoff::RetryBackoff;
-use anvil_types::time::NodeTime;
+use anvil_store::budget;
+use anvil_types::{backoff, time};
 
-fn limits() -> BudgetLimits {
-    BudgetLimits {
+fn limits() -> budget::BudgetLimits {
+    budget::BudgetLimits {
         interval: Duration::from_millis(100),
         burst: 3,
         concurrent: 2,
@@ -16,23 +15,26 @@
 
 #[test]
 fn calls_beyond_the_burst_wait_for_the_rate() {
-    let start = NodeTime::from_millis(0);
-    let mut budget = CallBudget::new(limits(), start);
+    let start = time::NodeTime::from_millis(0);
+    let mut budget = budget::CallBudget::new(limits(), start);
     for _ in 0..3 {
         assert_eq!(budget.begin(start), Ok(()));
         budget.end();
     }
-    let until = NodeTime::from_millis(100);
-    assert_eq!(budget.begin(start), Err(BudgetRefusal::Spent { until }));
+    let until = time::NodeTime::from_millis(100);
+    assert_eq!(
+        budget.begin(start),
+        Err(budget::BudgetRefusal::Spent { until })
+    );
     assert_eq!(budget.begin(until), Ok(()));
 }
 
 #[test]
 fn an_hour_of_demand_stays_within_the_rate() {
-    let mut budget = CallBudget::new(limits(), NodeTime::START);
+    let mut budget = budget::CallBudget::new(limits(), time::NodeTime::START);
     let mut made = 0;
     for millis in 0..3_600_000 {
-        if budget.begin(NodeTime::from_millis(millis)).is_ok() {
+        if budget.begin(time::NodeTime::from_millis(millis)).is_ok() {
             budget.end();
             made += 1;
         }
@@ -42,11 +44,11 @@
 
 #[test]
 fn calls_out_at_once_are_bounded() {
-    let now = NodeTime::from_millis(5);
-    let mut budget = CallBudget::new(limits(), now);
+    let now = time::NodeTime::from_millis(5);
+    let mut budget = budget::CallBudget::new(limits(), now);
     assert_eq!(budget.begin(now), Ok(()));
     assert_eq!(budget.begin(now), Ok(()));
-    assert_eq!(budget.begin(now), Err(BudgetRefusal::Busy));
+    assert_eq!(budget.begin(now), Err(budget::BudgetRefusal::Busy));
     budget.end();
     assert_eq!(budget.begin(now), Ok(()));
 }
@@ -54,7 +56,7 @@
 #[test]
 fn pauses_double_up_to_the_limit_and_differ() {
     let limit = Duration::from_secs(2);
-    let mut backoff = RetryBackoff::new(Duration::from_millis(100), limit);
+    let mut backoff = backoff::RetryBackoff::new(Duration::from_millis(100), limit);
     let pauses: Vec<_> = (0..8).map(|_| backoff.next_pause(u64::MAX / 3)).collect();
     for (index, pause) in pauses.iter().enumerate() {
         let whole = limit.min(Duration::from_millis(100 << index));
@@ -63,7 +65,7 @@
             "{pause:?} of {whole:?}"
         );
     }
-    let mut other = RetryBackoff::new(Duration::from_millis(100), limit);
+    let mut other = backoff::RetryBackoff::new(Duration::from_millis(100), limit);
     assert_ne!(other.next_pause(1_234), pauses[0], "nodes come back apart");
     backoff.reset();
     assert!(backoff.next_pause(0) <= Duration::from_millis(100));
--- a/crates/anvil_wire/tests/seal_stream.rs
+++ b/crates/anvil_wire/tests/seal_stream.rs
@@ -2,8 +2,8 @@
 
 use anvil_testkit::test_cases;
 use anvil_types::ident;
-use anvil_wire::seal::{SealError, handshake, ring, stream};
-use anvil_wire::{codec, frame};
+use anvil_wire::seal::{handshake, ring, stream};
+use anvil_wire::{codec, frame, seal};
 
 const INITIATOR: ident::NodeId = ident::NodeId(1);
 const RESPONDER: ident::NodeId = ident::NodeId(2);
@@ -127,7 +127,10 @@
     let mut old = connect(1, 2);
     let mut new = connect(3, 4);
     let bytes = sealed(&mut old.initiator.sealer, 1);
-    assert_eq!(new.responder.opener.open(&bytes), Err(SealError::Forged));
+    assert_eq!(
+        new.responder.opener.open(&bytes),
+        Err(seal::SealError::Forged)
+    );
 }
 
 #[test]
@@ -136,7 +139,7 @@
     let bytes = sealed(&mut connection.initiator.sealer, 1);
     assert_eq!(
         connection.initiator.opener.open(&bytes),
-        Err(SealError::Forged)
+        Err(seal::SealError::Forged)
     );
 }
 
@@ -148,7 +151,10 @@
     let own = hello(RESPONDER);
     let answered = handshake::ResponderHandshake::begin(&keys(7), &own, nonce(5), &first);
     let (responder, _) = answered.expect("a challenge for everyone");
-    assert!(matches!(responder.finish(&third), Err(SealError::Forged)));
+    assert!(matches!(
+        responder.finish(&third),
+        Err(seal::SealError::Forged)
+    ));
 }
 
 #[test]
@@ -157,7 +163,7 @@
     let begun = handshake::InitiatorHandshake::begin(&keys(7), hello(INITIATOR), nonce(5));
     let (initiator, _) = begun.expect("a hello");
     let finished = initiator.finish(&second, None);
-    assert!(matches!(finished, Err(SealError::Forged)));
+    assert!(matches!(finished, Err(seal::SealError::Forged)));
 }
 
 #[test]
@@ -168,7 +174,7 @@
     let answered = handshake::ResponderHandshake::begin(&keys(7), &own, nonce(2), unframed(&first));
     let (_, second) = answered.expect("a challenge for everyone");
     let finished = stranger.finish(unframed(&second), None);
-    assert!(matches!(finished, Err(SealError::Forged)));
+    assert!(matches!(finished, Err(seal::SealError::Forged)));
 }
 
 #[test]
@@ -183,11 +189,11 @@
     let tag_start = second.len() - anvil_wire::seal::TAG_BYTES;
     assert!(matches!(
         responder.finish(&second[tag_start..]),
-        Err(SealError::Forged)
+        Err(seal::SealError::Forged)
     ));
 }
 
-fn check_hello(change: fn(&mut frame::PeerHello), expected: &SealError) {
+fn check_hello(change: fn(&mut frame::PeerHello), expected: &seal::SealError) {
     let mut peer = hello(INITIATOR);
     change(&mut peer);
     let begun = handshake::InitiatorHandshake::begin(&keys(7), peer, nonce(1));
@@ -198,8 +204,8 @@
 }
 
 test_cases! { check_hello:
-    another_version => (|hello| hello.version = 9, &SealError::Version { found: 9 }),
-    this_node_itself => (|hello| hello.node = RESPONDER, &SealError::OwnIdentity),
+    another_version => (|hello| hello.version = 9, &seal::SealError::Version { found: 9 }),
+    this_node_itself => (|hello| hello.node = RESPONDER, &seal::SealError::OwnIdentity),
 }
 
 #[test]
@@ -216,7 +222,7 @@
     let found = ident::NodeId(3);
     assert_eq!(
         error,
-        SealError::OtherPeer {
+        seal::SealError::OtherPeer {
             expected: RESPONDER,
             found
         }
