Refuse datagrams whose head names another node than their seal

Cause, noted while the edges were tested: the reducer believes the node that a datagram's head names, the replay window guards the one that its seal names, and nothing compared them. Conclusion: a revision or an answer is believed only of the node that sent it.

--- a/crates/anvil_node/src/datagram.rs
+++ b/crates/anvil_node/src/datagram.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use anvil_core::event;
+use anvil_types::ident;
 use anvil_wire::gossip;
 use anvil_wire::seal::datagram;
 
@@ -71,11 +72,23 @@
     }
 }
 
-/// The message, where its sender holds a key and its bytes are one message and no more.
-fn read(opener: &mut datagram::DatagramOpener, bytes: &[u8]) -> Option<gossip::GossipMessage> {
+/// The message, where its sender holds a key and names itself, and its bytes are one message and no
+/// more.
+///
+/// Failure: the head names another node than the seal, whose sequence guards against repeats.
+/// Symptom: the fleet takes that node's word for a revision or a probe that it never sent. With one
+/// name for both, whatever is believed of a node passed its own guard.
+pub fn read(opener: &mut datagram::DatagramOpener, bytes: &[u8]) -> Option<gossip::GossipMessage> {
     let opened = opener.open(bytes).ok()?;
     match postcard::take_from_bytes(opened.payload) {
-        Ok((message, [])) => Some(message),
+        Ok((message, [])) => speaks_for_itself(opened.sender, message),
         _ => None,
     }
 }
+
+fn speaks_for_itself(
+    sender: ident::NodeId,
+    message: gossip::GossipMessage,
+) -> Option<gossip::GossipMessage> {
+    (message.head.from == sender).then_some(message)
+}
