Count what node processes use in an experiment

Change: the experiment reads both of each node at its end and the table gives them for each call that ran.

--- a/crates/anvil_node/examples/demo.rs
+++ b/crates/anvil_node/examples/demo.rs
@@ -44,6 +44,10 @@
         self.end(2);
     }
 
+    fn usage(&self) -> Option<ledger::UsageRecord> {
+        None
+    }
+
     fn stop(&mut self) -> eyre::Result<()> {
         self.end(1);
         Ok(())
--- a/crates/anvil_node/examples/experiment.rs
+++ b/crates/anvil_node/examples/experiment.rs
@@ -115,8 +115,9 @@
 async fn print_table(plan: &TablePlan) -> eyre::Result<()> {
     print(
         "| scenario | version | critical % | high % | normal % | low % | goodput /s | wasted % \
-         | runs per root | recovery s | most runs per key | foreign | silent | cut | whole of all |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         | runs per root | recovery s | most runs per key | foreign | silent | cut | whole of all \
+         | node CPU µs per run | most MB |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for name in &plan.scenarios {
         for variant in &plan.variants {
@@ -226,6 +227,13 @@
     let whole: usize = reports.iter().map(|report| report.all.whole).sum();
     let sent: usize = reports.iter().map(|report| report.all.sent).sum();
     cells.push(format!("{whole} of {sent}"));
+    let costs: [fn(&report::RunReport) -> f64; 2] = [
+        |report| report.cpu_micros_per_run,
+        |report| report.most_megabytes,
+    ];
+    for cost in costs {
+        cells.push(spread(reports.iter().map(cost).collect(), 0));
+    }
     format!("| {} |\n", cells.join(" | "))
 }
 
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -91,6 +91,11 @@
     mesh.play_faults(start).await?;
     callers.await.wrap_err("the callers panicked")?;
     keeper.abort();
+    for member in &mesh.members {
+        if let Some(usage) = member.node.usage() {
+            mesh.ledger.used(usage);
+        }
+    }
     Ok(Arc::clone(&mesh.ledger))
 }
 
--- a/crates/anvil_standins/src/ledger.rs
+++ b/crates/anvil_standins/src/ledger.rs
@@ -62,9 +62,19 @@
     pub reason: Option<String>,
 }
 
+/// What one node process has used, from its start.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageRecord {
+    /// Processor time, of the user and of the system.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
 /// Everything recorded in one experiment.
 #[derive(Debug, Default)]
 pub struct RunLedger {
+    usage: Mutex<Vec<UsageRecord>>,
     runs: Mutex<Vec<RunRecord>>,
     callers: Mutex<Vec<CallerRecord>>,
 }
@@ -80,6 +90,16 @@
         lock(&self.callers).push(record);
     }
 
+    /// Records what a node has used.
+    pub fn used(&self, record: UsageRecord) {
+        lock(&self.usage).push(record);
+    }
+
+    /// What each node has used, as far as recorded.
+    pub fn usage(&self) -> Vec<UsageRecord> {
+        lock(&self.usage).clone()
+    }
+
     /// All runs so far.
     pub fn runs(&self) -> Vec<RunRecord> {
         lock(&self.runs).clone()
--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -11,9 +11,14 @@
 use nix::unistd;
 use serde::Deserialize;
 
+use crate::ledger;
+
 /// Longest wait for a process to say that it serves.
 const READY_WAIT: Duration = Duration::from_secs(10);
 
+/// One tick of the processor times that the system tells.
+const TICK: Duration = Duration::from_millis(10);
+
 /// Longest wait for a graceful stop.
 const STOP_WAIT: Duration = Duration::from_secs(30);
 
@@ -41,6 +46,9 @@
     /// Ends it without notice and waits for its end.
     fn kill(&mut self);
 
+    /// Processor time and memory so far; none where the node has no process of its own.
+    fn usage(&self) -> Option<ledger::UsageRecord>;
+
     /// Stops it gracefully and waits for its end; fails where it does not end in time or badly.
     fn stop(&mut self) -> eyre::Result<()>;
 }
@@ -57,6 +65,13 @@
         end(&mut self.child);
     }
 
+    fn usage(&self) -> Option<ledger::UsageRecord> {
+        Some(ledger::UsageRecord {
+            cpu: TICK * u32::try_from(self.cpu_ticks().ok()?).ok()?,
+            resident_bytes: self.resident_bytes().ok()?,
+        })
+    }
+
     fn stop(&mut self) -> eyre::Result<()> {
         self.terminate()?;
         let clean = self.wait_end(STOP_WAIT)?;
--- a/crates/anvil_standins/src/report.rs
+++ b/crates/anvil_standins/src/report.rs
@@ -56,6 +56,11 @@
     pub silent: usize,
     /// Sends that ended without a whole answer and not as not run.
     pub cut: u32,
+    /// Processor time of all nodes for one call that ran, in microseconds; it includes what the
+    /// nodes spend idle and on calls that they refuse.
+    pub cpu_micros_per_run: f64,
+    /// Most resident memory of a node, in megabytes.
+    pub most_megabytes: f64,
     /// Requests of the whole run, and those of them answered whole.
     pub all: ClassCount,
 }
@@ -78,6 +83,8 @@
             most_runs_per_key: ledger.most_runs_per_key(),
             foreign: count(&callers, ledger::CallerOutcome::Foreign),
             cut: callers.iter().map(|record| record.cut).sum(),
+            cpu_micros_per_run: cpu_micros(&ledger.usage(), runs.len()),
+            most_megabytes: most_megabytes(&ledger.usage()),
             all: ClassCount {
                 sent: callers.len(),
                 whole: count(&callers, ledger::CallerOutcome::Whole),
@@ -92,6 +99,16 @@
     }
 }
 
+fn cpu_micros(usage: &[ledger::UsageRecord], runs: usize) -> f64 {
+    let all: Duration = usage.iter().map(|used| used.cpu).sum();
+    all.as_secs_f64() * 1e6 / runs.max(1) as f64
+}
+
+fn most_megabytes(usage: &[ledger::UsageRecord]) -> f64 {
+    let most = usage.iter().map(|used| used.resident_bytes).max();
+    most.unwrap_or(0) as f64 / 1e6
+}
+
 fn window(
     callers: &[ledger::CallerRecord],
     from: Duration,
