Cost no request when a node is replaced

Change: a fresh node names no target and refuses runs as not run until it is ready, which callers' nodes follow at no cost; a leaving node carries the calls of its runs to their end.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -24,6 +24,15 @@
                 refusal::RefusalLimit::Leaving,
             );
         }
+        // Failure: a fresh node takes a run before it has compared its rules. Symptom: the calls
+        // that the run makes come back to this node, are refused, and the run has failed. The
+        // caller's node sends it elsewhere at no cost.
+        if !self.fleet.is_ready() {
+            return cause(
+                verdict::RefusalReason::RulesUnknown,
+                refusal::RefusalLimit::Other,
+            );
+        }
         if call.context.remaining_micros == 0 {
             return cause(
                 verdict::RefusalReason::Deadline,
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -122,7 +122,7 @@
                 end,
             } => self.change_ended(change, revision, &end),
             // The entry side asks before each request.
-            FleetEffect::Ready => {}
+            FleetEffect::Ready => self.publish_target(),
             FleetEffect::Report(report) => self.report(effect::StateChange::Part {
                 part: PART,
                 text: report.to_string(),
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -25,7 +25,9 @@
         if open.treatment.action == treatment::RuleAction::Refuse {
             return Some(verdict::RefusalReason::Rule);
         }
-        if self.refuses_callers() {
+        // A leaving node finishes what runs, and with it the calls that it makes: refused here,
+        // each would cost its root request although the node waits for it anyway.
+        if open.parent.is_none() && self.refuses_callers() {
             return Some(verdict::RefusalReason::Leaving);
         }
         // A fresh node would decide by rules that its peers have left behind, and the request
@@ -261,7 +263,9 @@
     matches!(
         verdict,
         verdict::CallVerdict::NotRun(
-            verdict::RefusalReason::Leaving | verdict::RefusalReason::Unreachable
+            verdict::RefusalReason::Leaving
+                | verdict::RefusalReason::RulesUnknown
+                | verdict::RefusalReason::Unreachable
         )
     )
 }
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -208,7 +208,13 @@
     }
 
     /// Tells the directory, and through it the fleet, what the local target offers.
+    ///
+    /// A node that can't take runs yet names no target, so that none is sent to it in vain; it
+    /// does so as soon as it can.
     pub(crate) fn publish_target(&mut self) {
+        if !self.fleet.is_ready() {
+            return;
+        }
         self.announce_local();
         let leaving = self.refuses_runs();
         let Some(target) = &self.target else {
--- /dev/null
+++ b/crates/anvil_core/tests/restarts.rs
@@ -0,0 +1,59 @@
+//! What a planned restart of a node may not cost.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use anvil_core::{effect, event};
+use anvil_types::verdict;
+use anvil_wire::frame;
+
+fn refusals(effects: &[effect::NodeEffect]) -> Vec<verdict::CallVerdict> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::SendFrame {
+            frame: frame::PeerFrame::Answer(answer),
+            ..
+        } => Some(answer.verdict),
+        _ => None,
+    });
+    answers.collect()
+}
+
+// A citizen's lookup reaches a target whose node was started a moment ago and has not compared its
+// rules with its peers'. The lookup calls on, through that node, which refuses it; so the citizen
+// would read an error. The fresh node must not take the run in the first place.
+#[test]
+fn fresh_node_takes_no_run_that_it_could_not_carry_on() {
+    let mut node = support::with_target(support::fresh_node(), 8);
+    let effects = node.step(support::at(1), support::peer_call(1, true));
+    assert!(support::started(&effects).is_empty());
+    let refusal = verdict::CallVerdict::NotRun(verdict::RefusalReason::RulesUnknown);
+    assert_eq!(refusals(&effects), [refusal]);
+}
+
+// A claim runs at a target whose node is asked to stop, and after two seconds, when callers are
+// refused already, it looks a calendar up. The node waits for the claim; refusing the lookup would
+// fail the claim that it waits for.
+#[test]
+fn leaving_node_carries_the_calls_of_what_it_finishes() {
+    let mut node = support::target_node(8);
+    support::learn(&mut node, support::PEER);
+    let effects = node.step(support::at(1), support::peer_call(1, false));
+    let run = support::started(&effects)[0];
+    node.step(support::at(2), event::NodeEvent::StopRequested);
+    support::run_until(&mut node, support::at(2_000));
+    let lookup = event::NodeEvent::CallArrived {
+        handle: event::CallerHandle(1),
+        request: Box::new(support::request("GET")),
+        hints: event::CallerHints {
+            parent: Some(event::ParentToken(run)),
+            ..event::CallerHints::default()
+        },
+    };
+    let effects = node.step(support::at(2_001), lookup);
+    assert!(support::replies(&effects).is_empty());
+    assert_eq!(support::sent_calls(&effects).len(), 1);
+    let stranger = node.step(support::at(2_002), support::arrival(2, "GET"));
+    let refusal = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
+    assert_eq!(support::replies(&stranger), [(2, refusal)]);
+}
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -28,20 +28,35 @@
 
 /// A node without a target of its own.
 pub fn entry_node() -> reducer::NodeReducer {
-    let config = config::NodeConfig {
+    reducer::NodeReducer::new(config(), 1)
+}
+
+/// A node that knows of others and has not heard from them yet.
+pub fn fresh_node() -> reducer::NodeReducer {
+    let mut config = config();
+    config.seeds = vec![address(7009)];
+    reducer::NodeReducer::new(config, 1)
+}
+
+fn config() -> config::NodeConfig {
+    let address = address(7000);
+    config::NodeConfig {
         node: NODE,
         zone: name::ZoneName::new("ar-centro-a").unwrap(),
         region: name::RegionName::new("ar-centro").unwrap(),
-        peer_address: address(7000),
-        gossip_address: address(7000),
+        peer_address: address,
+        gossip_address: address,
         seeds: Vec::new(),
-    };
-    reducer::NodeReducer::new(config, 1)
+    }
 }
 
 /// A node with a target of `slots` slots.
 pub fn target_node(slots: u32) -> reducer::NodeReducer {
-    let mut node = entry_node();
+    with_target(entry_node(), slots)
+}
+
+/// Gives `node` a target of `slots` slots.
+pub fn with_target(mut node: reducer::NodeReducer, slots: u32) -> reducer::NodeReducer {
     let announcement = event::TargetAnnouncement {
         service: service(),
         address: address(8000),
