Let a warm target say so to a new node

Cause: in restarts of real processes nearly every cut send was a lookup shed by a node that had just been replaced: it took its target for cold and started a quarter of its slots, though nothing had happened to the target. Change: an optional field of the announcement; such a queue starts without the ramp. Two tests, of a warm and of a cold target.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -136,6 +136,10 @@
 
     /// Follows an announcement: a new queue for a new target, a new ramp for one that crashed.
     pub(crate) fn announce_admission(&mut self, slots: u32, renewed: bool) {
+        let warm = self
+            .target
+            .as_ref()
+            .is_some_and(|target| target.announcement.warm);
         let now = self.now;
         let crashed = std::mem::take(&mut self.overload.crashed);
         let policy = self.overload.policy;
@@ -148,7 +152,11 @@
             }
             former => {
                 let left = former.as_mut().map(admission::AdmissionQueue::leave);
-                *former = Some(admission::AdmissionQueue::new(now, slots, policy));
+                let fresh = match warm {
+                    true => admission::AdmissionQueue::warm(now, slots, policy),
+                    false => admission::AdmissionQueue::new(now, slots, policy),
+                };
+                *former = Some(fresh);
                 left.unwrap_or_default()
             }
         };
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -71,6 +71,8 @@
     pub connections: u32,
     /// Time until the announcement lapses unless renewed.
     pub lease: Duration,
+    /// Whether it has served for long enough to take a full load at once.
+    pub warm: bool,
 }
 
 /// A question of an operator to this node.
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -124,6 +124,7 @@
             slots: 40,
             connections: 350,
             lease: Duration::from_secs(1_000_000),
+            warm: false,
         };
         self.push_event(
             node,
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -218,6 +218,7 @@
             slots: service.slots,
             connections: 350,
             lease: Duration::from_secs(1_000),
+            warm: false,
         };
         self.step(node, event::NodeEvent::TargetAnnounced(announcement));
     }
--- a/crates/anvil_core/tests/restarts.rs
+++ b/crates/anvil_core/tests/restarts.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use anvil_core::{effect, event};
+use anvil_testkit::test_cases;
 use anvil_types::verdict;
 use anvil_wire::frame;
 
@@ -57,3 +58,30 @@
     let refusal = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
     assert_eq!(support::replies(&stranger), [(2, refusal)]);
 }
+
+// Forty citizens ask at once for what a warm target offers, a moment after its node was replaced.
+// The target could take them all. A node that takes it for cold starts a few and sheds others,
+// though nothing happened to the target.
+fn check_start(warm: bool, all: bool) {
+    let mut node = support::entry_node();
+    let event::NodeEvent::TargetAnnounced(mut announcement) = support::announcement(40) else {
+        unreachable!("the function makes an announcement");
+    };
+    announcement.warm = warm;
+    node.step(
+        support::at(0),
+        event::NodeEvent::TargetAnnounced(announcement),
+    );
+    let mut running = 0;
+    for sequence in 1..=40 {
+        let effects = node.step(support::at(1), support::peer_call(sequence, true));
+        running += support::started(&effects).len();
+    }
+    assert_eq!(running == 40, all, "{running} of 40 run");
+}
+
+test_cases! {
+    check_start:
+    warm_target_of_a_new_node_takes_a_full_load => (true, true),
+    cold_target_takes_a_part_at_first => (false, false),
+}
--- a/crates/anvil_core/tests/rules.rs
+++ b/crates/anvil_core/tests/rules.rs
@@ -42,6 +42,7 @@
         slots: 4,
         connections: 350,
         lease: Duration::from_secs(60),
+        warm: false,
     };
     node.step(
         time::NodeTime::START,
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -57,15 +57,20 @@
 
 /// Gives `node` a target of `slots` slots.
 pub fn with_target(mut node: reducer::NodeReducer, slots: u32) -> reducer::NodeReducer {
-    let announcement = event::TargetAnnouncement {
+    node.step(at(0), announcement(slots));
+    node
+}
+
+/// The announcement of a target that has only just started.
+pub fn announcement(slots: u32) -> event::NodeEvent {
+    event::NodeEvent::TargetAnnounced(event::TargetAnnouncement {
         service: service(),
         address: address(8000),
         slots,
         connections: 350,
         lease: Duration::from_secs(600),
-    };
-    node.step(at(0), event::NodeEvent::TargetAnnounced(announcement));
-    node
+        warm: false,
+    })
 }
 
 /// Tells `node` of a peer that offers the service.
--- a/crates/anvil_core/tests/whole_path.rs
+++ b/crates/anvil_core/tests/whole_path.rs
@@ -26,6 +26,7 @@
         slots: 1,
         connections: 350,
         lease: Duration::from_secs(60),
+        warm: false,
     };
     node.step(at(0), event::NodeEvent::TargetAnnounced(announcement));
     node
--- a/crates/anvil_node/src/admin/announcement.rs
+++ b/crates/anvil_node/src/admin/announcement.rs
@@ -50,6 +50,8 @@
     slots: u32,
     connections: u32,
     lease_ms: u64,
+    #[serde(default)]
+    warm: bool,
 }
 
 /// Reads an announcement from the JSON in `bytes`.
@@ -73,6 +75,7 @@
         slots: body.slots,
         connections: body.connections,
         lease: Duration::from_millis(body.lease_ms),
+        warm: body.warm,
     })
 }
 
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -88,6 +88,22 @@
         }
     }
 
+    /// A queue for a target that has served for a while, beside a node that has not.
+    ///
+    /// Failure: a node is replaced and takes its target for cold. Symptom: three quarters of the
+    /// slots stay empty and the lowest classes are shed, though nothing happened to the target.
+    /// The target knows its own age; what it says wrongly is found by the limit as ever.
+    pub fn warm(now: time::NodeTime, slots: u32, policy: policy::OverloadPolicy) -> Self {
+        let full = policy::OverloadPolicy {
+            cold_ramp: false,
+            ..policy
+        };
+        Self {
+            limit: limit::ConcurrencyLimit::new(now, slots, full),
+            ..Self::new(now, slots, policy)
+        }
+    }
+
     /// Follows a renewed announcement of the target.
     pub fn announce(&mut self, now: time::NodeTime, slots: u32) -> Vec<AdmissionDecision> {
         self.slots = slots;
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -303,6 +303,7 @@
         "slots": target.slots(),
         "connections": target.connections(),
         "lease_ms": ANNOUNCE_LEASE_MS,
+        "warm": target.is_warm(),
     });
     let mut request = admin_request(admin, "PUT", "/target");
     request.body = Bytes::from(announcement.to_string());
--- a/crates/anvil_standins/src/mesh_target.rs
+++ b/crates/anvil_standins/src/mesh_target.rs
@@ -138,6 +138,12 @@
         *started = started.checked_sub(self.plan.cold.span).unwrap_or(*started);
     }
 
+    /// Whether its cold start is over.
+    pub fn is_warm(&self) -> bool {
+        let started = self.started.lock().unwrap_or_else(PoisonError::into_inner);
+        started.elapsed() >= self.plan.cold.span
+    }
+
     /// Whether its last crash was the work of a request.
     pub fn poisoned(&self) -> bool {
         self.poisoned.load(Ordering::SeqCst)
