Choose the node of a key's message in one place

Cause: a question for a key and the report of its end chose their receiver and the time of the repeat by the same seven lines, written twice. Change: one function does it for both.

--- a/crates/anvil_once/src/entry.rs
+++ b/crates/anvil_once/src/entry.rs
@@ -318,13 +318,7 @@
 
     fn send_ask(&mut self, now: time::NodeTime, at: usize) {
         let KeyQuestion { call, key, print } = self.asks[at].question;
-        let target = self.route(now, key, self.asks[at].tried);
-        let ask = &mut self.asks[at];
-        ask.target = target;
-        ask.answered = false;
-        ask.next = now + self.policy.send_retry;
-        let next = ask.next;
-        self.wake_at(next);
+        let target = self.aim(now, at);
         self.send(target, key::KeyMessage::Ask { call, key, print });
     }
 
@@ -333,14 +327,21 @@
             return;
         };
         let KeyQuestion { call, key, .. } = self.asks[at].question;
-        let target = self.route(now, key, self.asks[at].tried);
+        let target = self.aim(now, at);
+        self.send(target, key::KeyMessage::Settle { call, key, outcome });
+    }
+
+    /// Chooses the node that the next message of an ask goes to, and when to repeat it.
+    fn aim(&mut self, now: time::NodeTime, at: usize) -> ident::NodeId {
+        let question = self.asks[at].question;
+        let target = self.route(now, question.key, self.asks[at].tried);
+        let next = now + self.policy.send_retry;
         let ask = &mut self.asks[at];
         ask.target = target;
         ask.answered = false;
-        ask.next = now + self.policy.send_retry;
-        let next = ask.next;
+        ask.next = next;
         self.wake_at(next);
-        self.send(target, key::KeyMessage::Settle { call, key, outcome });
+        target
     }
 
     /// The node to ask: the primary, then the backup, then whoever would take the slot.
