--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -182,6 +182,7 @@
             event::RunOutcome::Broken { .. } => poison.broke(now, id.0, &service),
             event::RunOutcome::Whole(_) => poison.ended(now, id.0, true, &service),
             event::RunOutcome::Refused
+            | event::RunOutcome::Misdirected { .. }
             | event::RunOutcome::Unreachable
             | event::RunOutcome::TimedOut
             | event::RunOutcome::Cancelled => poison.ended(now, id.0, false, &service),
@@ -217,6 +218,10 @@
             .target
             .as_ref()
             .map(|target| target.announcement.address);
+        let incarnation = self.target.as_ref().and_then(|target| {
+            let incarnation = target.announcement.incarnation.as_ref();
+            incarnation.map(|incarnation| incarnation.id.clone())
+        });
         let (Some(address), Some(run)) = (address, self.runs.start(id, now)) else {
             return;
         };
@@ -230,8 +235,11 @@
         let order = effect::RunOrder {
             run: id,
             address,
+            incarnation,
+            label: run.label.clone(),
             request,
             root: run.context.request,
+            idempotent: run.context.idempotent,
             timeout: told,
         };
         let (print, rule) = (run.context.print, overload::crash_rule(&run.treatment));
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -31,6 +31,8 @@
     pub handle: event::CallerHandle,
     /// The request, kept for further attempts.
     pub request: call::CallRequest,
+    /// The caller's own id of the request.
+    pub label: Option<ident::RequestLabel>,
     /// The kind of the request.
     pub kind: kind::CallKind,
     /// The context, of which the deadline is kept apart.
@@ -88,6 +90,14 @@
         self.context.key.filter(|_| !self.treatment.idempotent)
     }
 
+    /// Whether a further attempt would exceed the targets that the rule allows for the call.
+    ///
+    /// Attempts that a leaving or unreachable node turned away came to no target.
+    pub fn targets_spent(&self) -> bool {
+        let sent = self.attempts.saturating_sub(u16::from(self.redirects));
+        sent >= self.treatment.attempts
+    }
+
     /// Whether the current attempt is out at `node`.
     pub fn is_out_at(&self, node: ident::NodeId) -> bool {
         matches!(self.stage, CallStage::Out { peer, .. } if peer == node)
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -7,7 +7,7 @@
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 
-use crate::{answer, event};
+use crate::{answer, event, incarnations};
 
 /// The one reply to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +24,23 @@
     pub mark: treatment::RuleMark,
     /// When to come back, where the request was refused for want of capacity.
     pub retry_after: Option<Duration>,
+    /// The caller's own id of the request.
+    pub label: Option<ident::RequestLabel>,
+}
+
+impl CallerReply {
+    /// The reply to a request that never reached the reducer, or that it forgot.
+    pub fn without_answer(verdict: verdict::CallVerdict, retry_after: Option<Duration>) -> Self {
+        Self {
+            verdict,
+            answer: None,
+            request: ident::RequestId(0),
+            attempts: 0,
+            mark: treatment::RuleMark::default(),
+            retry_after,
+            label: None,
+        }
+    }
 }
 
 /// A run at the local target.
@@ -33,10 +50,16 @@
     pub run: event::RunId,
     /// Where the target listens.
     pub address: SocketAddr,
+    /// The start of the target that the request is for, where the target names its starts.
+    pub incarnation: Option<ident::IncarnationId>,
+    /// The caller's own id of the request.
+    pub label: Option<ident::RequestLabel>,
     /// The request.
     pub request: call::CallRequest,
     /// The root request, told to the target.
     pub root: ident::RequestId,
+    /// Whether a run may be repeated.
+    pub idempotent: bool,
     /// Time left; also told to the target.
     pub timeout: Duration,
 }
@@ -60,6 +83,16 @@
         /// Why.
         reason: String,
     },
+    /// A word of the target came too late to count.
+    #[display("word ignored: incarnation={incarnation} sequence={sequence} standing={standing}")]
+    WordIgnored {
+        /// The start that it is of.
+        incarnation: ident::IncarnationId,
+        /// Its place among the words of that start.
+        sequence: u64,
+        /// Why it doesn't count.
+        standing: incarnations::WordStanding,
+    },
     /// Anything a state module reports in its own words.
     #[display("{part}: {text}")]
     Part {
@@ -123,6 +156,8 @@
         /// The question.
         ask: store::StoreAsk,
     },
+    /// Callers should send this node work from now on, or should stop to.
+    Readiness(bool),
     /// Write a log line.
     Report(StateChange),
     /// Leave the process with everything answered.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use anvil_overload::{dependency, kind, refusal, routing};
-use anvil_types::{context, ident, treatment, verdict};
+use anvil_rules::destination;
+use anvil_types::{context, ident, name, treatment, verdict};
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
@@ -14,18 +15,20 @@
     pub(crate) fn call_arrived(
         &mut self,
         handle: event::CallerHandle,
-        request: call::CallRequest,
+        mut request: call::CallRequest,
         hints: &event::CallerHints,
     ) {
         self.counters.calls_arrived += 1;
         let rulebook::BookDecision {
             mut treatment,
             mark,
+            send_to,
             ..
         } = self.book.decide(&request);
-        let chained = self.overload.policy.cancellation;
-        let parent = hints.parent.map(|token| token.0);
-        let parent = parent.filter(|run| chained || self.runs.get(*run).is_some());
+        if let Some(send_to) = send_to.cloned() {
+            request.service = self.divide(&send_to);
+        }
+        let parent = self.parent_of(hints);
         let sequence = self.calls.mint();
         if let Some(waiting) = parent.and_then(|run| self.runs.get(run)) {
             inherit_wait(&mut treatment, &waiting.treatment);
@@ -43,6 +46,7 @@
         let deadline = self.now + Duration::from_micros(context.remaining_micros);
         let call = calls::OpenCall {
             handle,
+            label: hints.label.clone(),
             kind: kind::CallKind::of(&request),
             request,
             context,
@@ -72,6 +76,24 @@
         }
     }
 
+    /// The service of a request that a rule sends to one of several.
+    fn divide(&mut self, send_to: &destination::RuleDestination) -> name::ServiceName {
+        let draw = match send_to {
+            destination::RuleDestination::Service(_) => 0,
+            destination::RuleDestination::Split(_) => self.random(),
+        };
+        send_to.pick(draw).cloned().unwrap_or_default()
+    }
+
+    /// The run of the local target that a call serves: proved by its token, or told by its id.
+    fn parent_of(&self, hints: &event::CallerHints) -> Option<event::RunId> {
+        let chained = self.overload.policy.cancellation;
+        if let Some(event::ParentToken(run)) = hints.parent {
+            return (chained || self.runs.get(run).is_some()).then_some(run);
+        }
+        self.runs.labelled(hints.parent_label.as_ref()?)
+    }
+
     fn root_context(
         &mut self,
         request: &call::CallRequest,
@@ -204,6 +226,7 @@
             context,
             treatment: open.treatment.clone(),
             mark: open.mark,
+            label: open.label.clone(),
             request: open.request.clone(),
         };
         if open.attempts > 1 {
@@ -345,6 +368,7 @@
             attempts: open.attempts,
             mark: open.mark,
             retry_after: self.retry_after(&open, verdict),
+            label: open.label.clone(),
         };
         self.reply(open.handle, reply);
     }
@@ -373,14 +397,9 @@
 }
 
 fn refusal(reason: verdict::RefusalReason, mark: treatment::RuleMark) -> effect::CallerReply {
-    let verdict = not_run(reason);
     effect::CallerReply {
-        verdict,
-        answer: None,
-        request: ident::RequestId(0),
-        attempts: 0,
         mark,
-        retry_after: None,
+        ..effect::CallerReply::without_answer(not_run(reason), None)
     }
 }
 
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -29,6 +29,11 @@
     pub timeout: Option<Duration>,
     /// The idempotency key, as sent.
     pub key: Option<Bytes>,
+    /// The caller's own id of the request.
+    pub label: Option<ident::RequestLabel>,
+    /// The id of the request on whose behalf the local target may be calling, as far as the call's
+    /// own id tells; a hint only, since nobody promises that ids are built so.
+    pub parent_label: Option<ident::RequestLabel>,
     /// The context of the parent call, where the local target calls on behalf of it.
     pub parent: Option<ParentToken>,
 }
@@ -45,6 +50,11 @@
     Whole(call::CallAnswer),
     /// The target said that it refused the request without running it.
     Refused,
+    /// Another start of a target answered at the address, without running the request.
+    Misdirected {
+        /// The one that answered, where it said so.
+        holder: Option<ident::IncarnationId>,
+    },
     /// No connection came about, so no byte of the request left.
     Unreachable,
     /// The connection broke after the first byte had left and before the whole answer arrived.
@@ -73,6 +83,33 @@
     pub lease: Duration,
     /// Whether it has served for long enough to take a full load at once.
     pub warm: bool,
+    /// Which start of the target speaks, where it says so.
+    pub incarnation: Option<TargetIncarnation>,
+}
+
+impl TargetAnnouncement {
+    /// Which start speaks, where it says so.
+    pub fn incarnation_id(&self) -> Option<&ident::IncarnationId> {
+        self.incarnation.as_ref().map(|incarnation| &incarnation.id)
+    }
+
+    /// Whether `next` says the same as this one, but for its place among the words of its start.
+    pub fn is_renewed_by(&self, next: &Self) -> bool {
+        let same = Self {
+            incarnation: next.incarnation.clone(),
+            ..self.clone()
+        };
+        self.incarnation_id() == next.incarnation_id() && same == *next
+    }
+}
+
+/// One start of the target and the place of its word among its others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetIncarnation {
+    /// The start.
+    pub id: ident::IncarnationId,
+    /// Rises with each word of that start, so that one which comes late can be told.
+    pub sequence: u64,
 }
 
 /// A question of an operator to this node.
@@ -158,6 +195,13 @@
     TargetAnnounced(TargetAnnouncement),
     /// The local target says that it leaves.
     TargetLeaving,
+    /// One start of the local target says that it leaves, or is gone for good.
+    TargetWithdrawn {
+        /// Which, and the place of its word among its others.
+        incarnation: TargetIncarnation,
+        /// Whether nothing more will come from it.
+        gone: bool,
+    },
     /// An operator asked something.
     OperatorAsked {
         /// Where the answer goes.
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -5,13 +5,13 @@
 use anvil_membership::fleet;
 use anvil_overload::policy;
 use anvil_rules::document;
-use anvil_types::{ident, time};
+use anvil_types::{ident, store, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, keys, overload, repeats, rulebook,
-    runs, stopping, timers,
+    applying, calls, config, counters, directory, effect, event, incarnations, keys, overload,
+    repeats, rulebook, runs, stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -29,13 +29,19 @@
     pub(crate) runs: runs::RunTable,
     pub(crate) repeats: repeats::RepeatGuard,
     pub(crate) target: Option<runs::LocalTarget>,
+    /// The start of the target before the present one, in case that one's word came late.
+    pub(crate) former_target: Option<runs::LocalTarget>,
     pub(crate) overload: overload::OverloadState,
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
     pub(crate) phase: stopping::NodePhase,
+    pub(crate) stop: stopping::StopPlan,
+    pub(crate) incarnations: incarnations::IncarnationBook,
     pub(crate) fleet: fleet::FleetState,
     pub(crate) keys: keys::KeyDesk,
     pub(crate) proposed: Option<applying::OpenApply>,
+    /// Whether callers were last told to send this node work.
+    ready: bool,
     pub(crate) effects: Vec<effect::NodeEffect>,
     loopback: VecDeque<frame::PeerFrame>,
 }
@@ -66,9 +72,13 @@
             runs: runs::RunTable::default(),
             repeats: repeats::RepeatGuard::default(),
             target: None,
+            former_target: None,
             timers: timers::TimerQueue::default(),
             counters: counters::NodeCounters::default(),
             phase: stopping::NodePhase::Serving,
+            stop: stopping::StopPlan::default(),
+            incarnations: incarnations::IncarnationBook::default(),
+            ready: false,
             effects: Vec::new(),
             loopback: VecDeque::new(),
         }
@@ -83,6 +93,21 @@
         self
     }
 
+    /// Lets the node keep contacts in the platform's store and take its rules from one key there,
+    /// which the operators write.
+    #[must_use]
+    pub fn with_rule_document(mut self, key: store::StoreKey) -> Self {
+        self.fleet.use_document(self.now, key);
+        self
+    }
+
+    /// Sets how long a stopping node serves callers, and when it gives up what is still out.
+    #[must_use]
+    pub fn with_stop(mut self, plan: stopping::StopPlan) -> Self {
+        self.stop = plan;
+        self
+    }
+
     /// Takes one event and returns what is to be done about it.
     ///
     /// A `now` behind the last one counts as the last one.
@@ -95,6 +120,7 @@
         self.dispatch(event);
         self.deliver_loopback();
         self.leave_if_done();
+        self.tell_readiness();
         std::mem::take(&mut self.effects)
     }
 
@@ -132,6 +158,15 @@
         due.chain(self.keys.next_wake()).min()
     }
 
+    /// Tells when callers should begin or stop to send this node work.
+    fn tell_readiness(&mut self) {
+        let ready = self.phase == stopping::NodePhase::Serving && self.fleet.is_ready();
+        if ready != self.ready {
+            self.ready = ready;
+            self.effects.push(effect::NodeEffect::Readiness(ready));
+        }
+    }
+
     /// Takes in the frames that this node sent to itself.
     pub(crate) fn deliver_loopback(&mut self) {
         while let Some(frame) = self.loopback.pop_front() {
@@ -160,6 +195,9 @@
                 self.target_announced(announcement);
             }
             event::NodeEvent::TargetLeaving => self.target_leaving(),
+            event::NodeEvent::TargetWithdrawn { incarnation, gone } => {
+                self.target_withdrawn(&incarnation, gone);
+            }
             event::NodeEvent::OperatorAsked { handle, request } => {
                 self.operator_asked(handle, request);
             }
@@ -184,6 +222,8 @@
             }
             frame::PeerFrame::Key(message) => self.key_arrived(peer, *message),
             frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
+            // The connection itself answers these.
+            frame::PeerFrame::Ping | frame::PeerFrame::Pong => {}
         }
     }
 
@@ -196,6 +236,7 @@
                 timers::TimerKind::Admission => self.admission_woke(),
                 timers::TimerKind::TargetLease => self.target_lapsed(),
                 timers::TimerKind::Leave => {}
+                timers::TimerKind::StopLimit => self.stop_limit_reached(),
             }
         }
     }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -35,6 +35,9 @@
         if !self.fleet.is_ready() {
             return Some(verdict::RefusalReason::RulesUnknown);
         }
+        if open.treatment.action == treatment::RuleAction::NotFound {
+            return Some(verdict::RefusalReason::NotFound);
+        }
         if let Some(limit) = self.quarantine_of(open.context.print) {
             self.blame(sequence, limit);
             return Some(verdict::RefusalReason::Quarantined);
@@ -139,7 +142,8 @@
         let open = self.calls.get(sequence)?;
         let idempotent = open.treatment.idempotent;
         let error = failed && idempotent && !policy.chain_allowance;
-        if !(error || may_retry(verdict, idempotent)) || open.allowance.left() == 0 {
+        let spent = open.allowance.left() == 0 || open.targets_spent();
+        if spent || !(error || may_retry(verdict, idempotent)) {
             return None;
         }
         // One queue that had no slot for it in all the time that its rule allows is enough.
@@ -243,6 +247,7 @@
             | verdict::RefusalReason::BodyTooLarge
             | verdict::RefusalReason::KeyMismatch
             | verdict::RefusalReason::Cancelled
+            | verdict::RefusalReason::NotFound
             | verdict::RefusalReason::Rule
             | verdict::RefusalReason::Malformed => None,
         }
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -1,6 +1,6 @@
 //! The rules in force at this node.
 
-use anvil_rules::{change, document, explain, matcher, view};
+use anvil_rules::{change, destination, document, explain, matcher, view};
 use anvil_types::{ident, name, treatment};
 use anvil_wire::call;
 
@@ -19,6 +19,8 @@
     pub treatment: treatment::RuleTreatment,
     /// The rule that decided, and the revision.
     pub mark: treatment::RuleMark,
+    /// Where the rule sends the request; none where the caller names the service.
+    pub send_to: Option<&'a destination::RuleDestination>,
     /// The rule's name; none where the built-in default decided.
     pub name: Option<&'a name::RuleName>,
 }
@@ -83,6 +85,7 @@
                 revision: self.revision,
                 index: decision.index,
             },
+            send_to: decision.send_to,
             name: decision.name,
         }
     }
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -37,6 +37,8 @@
     pub call: ident::CallId,
     /// Its attempt.
     pub attempt: u16,
+    /// The caller's own id of the request.
+    pub label: Option<ident::RequestLabel>,
     /// The kind of the request.
     pub kind: kind::CallKind,
     /// The service asked for.
@@ -114,6 +116,13 @@
         found.map(|(id, _)| event::RunId(*id))
     }
 
+    /// The run of the request that its caller names `label`, the newest of several.
+    pub fn labelled(&self, label: &ident::RequestLabel) -> Option<event::RunId> {
+        let mut entries = self.runs.iter().rev();
+        let found = entries.find(|(_, run)| run.label.as_ref() == Some(label));
+        found.map(|(id, _)| event::RunId(*id))
+    }
+
     /// All runs, oldest first.
     pub fn iter(&self) -> std::slice::Iter<'_, (u64, Box<TargetRun>)> {
         self.runs.iter()
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
-use crate::{directory, effect, event, reducer, runs, timers, waits};
+use crate::{effect, event, reducer, runs, timers, waits};
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
@@ -27,6 +27,7 @@
             reply_to: call.reply_to,
             call: call.call,
             attempt: call.attempt,
+            label: call.label,
             kind: kind::CallKind::of(&call.request),
             service: call.request.service.clone(),
             request: Some(call.request),
@@ -54,6 +55,9 @@
     }
 
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
+        if let event::RunOutcome::Misdirected { holder } = &outcome {
+            self.target_misdirected(holder.as_ref());
+        }
         self.judge_run(run, &outcome);
         let expired = self.runs.get(run).is_some_and(|run| run.expired);
         let (verdict, answer) = match outcome {
@@ -157,79 +161,6 @@
         }
     }
 
-    pub(crate) fn target_announced(&mut self, announcement: event::TargetAnnouncement) {
-        let until = self.now + announcement.lease;
-        let known = self
-            .target
-            .as_ref()
-            .is_some_and(|target| target.announcement == announcement && !target.leaving);
-        self.timers.set(until, timers::TimerKind::TargetLease);
-        if !known {
-            self.report(effect::StateChange::TargetServing {
-                service: announcement.service.to_string(),
-                address: announcement.address,
-                slots: announcement.slots,
-            });
-        }
-        let renewed = self.target.as_ref().is_some_and(|target| {
-            let former = &target.announcement;
-            !target.leaving
-                && former.service == announcement.service
-                && former.address == announcement.address
-        });
-        let slots = announcement.slots;
-        self.target = Some(runs::LocalTarget {
-            announcement,
-            until,
-            leaving: false,
-        });
-        self.announce_admission(slots, renewed);
-        self.publish_target();
-    }
-
-    pub(crate) fn target_leaving(&mut self) {
-        if let Some(target) = &mut self.target {
-            target.leaving = true;
-            let reason = "it said that it leaves".to_owned();
-            self.report(effect::StateChange::TargetGone { reason });
-            self.publish_target();
-            self.leave_admission();
-        }
-    }
-
-    pub(crate) fn target_lapsed(&mut self) {
-        let lapsed = self
-            .target
-            .as_ref()
-            .is_some_and(|target| target.until <= self.now && !target.leaving);
-        if lapsed {
-            self.target_leaving();
-        }
-    }
-
-    /// Tells the directory, and through it the fleet, what the local target offers.
-    ///
-    /// A node that can't take runs yet names no target, so that none is sent to it in vain; it
-    /// does so as soon as it can.
-    pub(crate) fn publish_target(&mut self) {
-        if !self.fleet.is_ready() {
-            return;
-        }
-        self.announce_local();
-        let leaving = self.refuses_runs();
-        let Some(target) = &self.target else {
-            return;
-        };
-        let record = directory::PeerRecord {
-            address: self.config.peer_address,
-            service: target.announcement.service.clone(),
-            zone: self.config.zone.clone(),
-            slots: target.announcement.slots,
-            leaving: target.leaving || leaving,
-        };
-        self.directory.upsert(self.now, self.config.node, record);
-    }
-
     fn answer_refusal(
         &mut self,
         peer: ident::NodeId,
@@ -254,7 +185,7 @@
     let verdict = match outcome {
         event::RunOutcome::Whole(answer) => return (verdict::CallVerdict::Answered, Some(answer)),
         event::RunOutcome::Refused => verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed),
-        event::RunOutcome::Unreachable => {
+        event::RunOutcome::Unreachable | event::RunOutcome::Misdirected { .. } => {
             verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
         }
         event::RunOutcome::Broken { in_answer: false } => {
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -6,9 +6,26 @@
 
 use crate::{calls, effect, event, keys, reducer, runs, timers};
 
-/// How long a leaving node still takes callers' requests and sends them to other nodes, so that
-/// callers which have not heard yet are served meanwhile.
-const LINGER: Duration = Duration::from_secs(1);
+/// How a node stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopPlan {
+    /// How long a leaving node still takes callers' requests and sends them to other nodes, so that
+    /// callers which have not heard yet are served meanwhile.
+    pub linger: Duration,
+    /// When it gives up what is still out, so that callers hear so before whoever stops the process
+    /// kills it; none where nobody does.
+    pub limit: Option<Duration>,
+}
+
+impl Default for StopPlan {
+    /// A second, in which other nodes hear of the leaving, and no limit.
+    fn default() -> Self {
+        Self {
+            linger: Duration::from_secs(1),
+            limit: None,
+        }
+    }
+}
 
 /// Where a node stands in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +62,11 @@
             self.stop_by_force();
             return;
         }
-        let callers_until = self.now + LINGER;
+        let callers_until = self.now + self.stop.linger;
+        if let Some(limit) = self.stop.limit {
+            let stop_at = self.now + limit;
+            self.timers.set(stop_at, timers::TimerKind::StopLimit);
+        }
         self.phase = NodePhase::Leaving { callers_until };
         self.timers.set(callers_until, timers::TimerKind::Leave);
         let handover_until = callers_until + keys::HANDOVER_LIMIT;
@@ -68,6 +89,12 @@
         }
     }
 
+    pub(crate) fn stop_limit_reached(&mut self) {
+        if matches!(self.phase, NodePhase::Leaving { .. }) {
+            self.stop_by_force();
+        }
+    }
+
     fn stop_by_force(&mut self) {
         if self.phase == NodePhase::Gone {
             return;
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -125,6 +125,7 @@
             connections: 350,
             lease: Duration::from_secs(1_000_000),
             warm: false,
+            incarnation: None,
         };
         self.push_event(
             node,
@@ -284,6 +285,7 @@
             effect::NodeEffect::Exit => self.nodes.retain(|held| held.node != node),
             effect::NodeEffect::CancelRun(_)
             | effect::NodeEffect::AnswerOperator { .. }
+            | effect::NodeEffect::Readiness(_)
             | effect::NodeEffect::Report(_) => {}
         }
     }
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -219,6 +219,7 @@
             connections: 350,
             lease: Duration::from_secs(1_000),
             warm: false,
+            incarnation: None,
         };
         self.step(node, event::NodeEvent::TargetAnnounced(announcement));
     }
--- a/crates/anvil_core/tests/rules.rs
+++ b/crates/anvil_core/tests/rules.rs
@@ -43,6 +43,7 @@
         connections: 350,
         lease: Duration::from_secs(60),
         warm: false,
+        incarnation: None,
     };
     node.step(
         time::NodeTime::START,
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -70,6 +70,7 @@
         connections: 350,
         lease: Duration::from_secs(600),
         warm: false,
+        incarnation: None,
     })
 }
 
@@ -130,6 +131,7 @@
         context,
         treatment,
         mark: treatment::RuleMark::default(),
+        label: None,
         request: request(if idempotent { "GET" } else { "POST" }),
     };
     event::NodeEvent::FrameArrived {
--- a/crates/anvil_core/tests/whole_path.rs
+++ b/crates/anvil_core/tests/whole_path.rs
@@ -27,6 +27,7 @@
         connections: 350,
         lease: Duration::from_secs(60),
         warm: false,
+        incarnation: None,
     };
     node.step(at(0), event::NodeEvent::TargetAnnounced(announcement));
     node
--- a/crates/anvil_ctl/src/explain.rs
+++ b/crates/anvil_ctl/src/explain.rs
@@ -9,6 +9,9 @@
 
 use crate::{arguments, node, outcome, render, rule_file};
 
+/// The header that rules with a host compare.
+const HOST: &str = "host";
+
 /// The header by which a caller names the service.
 const SERVICE: &str = "anvil-service";
 
@@ -64,11 +67,20 @@
             name: name.clone(),
             value: value.clone().into(),
         });
+    let mut lines: Vec<_> = headers.filter(|line| line.name != SERVICE).collect();
+    if !lines.iter().any(|line| line.name == HOST) {
+        // A caller's library sets it from the URL, and rules may speak of it.
+        let host = url.authority().map(|authority| call::HeaderLine {
+            name: HOST.to_owned(),
+            value: authority.as_str().to_owned().into(),
+        });
+        lines.extend(host);
+    }
     Ok(call::CallRequest {
         service: read_service(&url, &arguments.headers)?,
         method: arguments.method.clone(),
         path: path.to_owned(),
-        headers: headers.filter(|line| line.name != SERVICE).collect(),
+        headers: lines,
         body: bytes::Bytes::new(),
     })
 }
--- a/crates/anvil_node/src/caller/hops.rs
+++ b/crates/anvil_edge/src/hops.rs
@@ -5,8 +5,6 @@
 use http::header as names;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-use super::header;
-
 /// Headers that never go further: those of the connection, and the framing that each connection
 /// builds anew for the whole body it sends.
 const HOP_BY_HOP: [&str; 8] = [
@@ -23,17 +21,24 @@
 /// The length of a body, built anew unless the body is left out on purpose.
 const LENGTH: &str = "content-length";
 
-/// End-to-end headers of a caller's request, in order, without those of this system.
-pub fn request_lines(headers: &HeaderMap) -> Vec<call::HeaderLine> {
-    lines(headers, false)
+/// End-to-end headers of a caller's request, in order, without those that `is_own` names: they
+/// belong to the dialect and are set anew.
+pub fn request_lines<F>(headers: &HeaderMap, is_own: F) -> Vec<call::HeaderLine>
+where
+    F: Fn(&str) -> bool,
+{
+    lines(headers, false, is_own)
 }
 
-/// End-to-end headers of a target's answer, in order, without those of this system, so that a
-/// target can't forge an outcome.
+/// End-to-end headers of a target's answer, in order, without those that `is_own` names, so that a
+/// target can't forge what the node says of an answer.
 ///
 /// `bodiless` answers, such as those to HEAD, keep the length that they state.
-pub fn answer_lines(headers: &HeaderMap, bodiless: bool) -> Vec<call::HeaderLine> {
-    lines(headers, bodiless)
+pub fn answer_lines<F>(headers: &HeaderMap, bodiless: bool, is_own: F) -> Vec<call::HeaderLine>
+where
+    F: Fn(&str) -> bool,
+{
+    lines(headers, bodiless, is_own)
 }
 
 /// Appends `lines` to `headers`; nothing where one is malformed.
@@ -47,13 +52,16 @@
     Some(())
 }
 
-fn lines(headers: &HeaderMap, keep_length: bool) -> Vec<call::HeaderLine> {
+fn lines<F>(headers: &HeaderMap, keep_length: bool, is_own: F) -> Vec<call::HeaderLine>
+where
+    F: Fn(&str) -> bool,
+{
     let nominated = nominated(headers);
     let mut lines = Vec::with_capacity(headers.len());
     for (name, value) in headers {
         let name = name.as_str();
         let framing = name == LENGTH && !keep_length;
-        let own = name.starts_with(header::PREFIX);
+        let own = is_own(name);
         let hop = HOP_BY_HOP.contains(&name) || nominated.iter().any(|n| n == name);
         if framing || own || hop {
             continue;
--- /dev/null
+++ b/crates/anvil_edge/src/target.rs
@@ -0,0 +1,52 @@
+//! Requests to the local target, and what its answers mean.
+
+use anvil_core::effect;
+use anvil_types::ident;
+use bytes::Bytes;
+use http::response;
+
+/// What an answer means, told by its head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerMeaning {
+    /// It is the target's answer to this request, once its body is whole.
+    Answer,
+    /// The target refused the request without running it.
+    Refused,
+    /// Another start of a target holds the address and refused the request without running it.
+    Misdirected {
+        /// The one that answered, where it said so.
+        holder: Option<ident::IncarnationId>,
+    },
+    /// It answers another request, so the answer to this one is still to come.
+    Stray,
+    /// It can't be what the target meant to say, so whether the request ran is not known.
+    Spoilt,
+}
+
+/// How a body that states no length ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenEnd {
+    /// The end of its connection looks the same whether the target finished it or died, so it
+    /// counts as cut off.
+    Cut,
+    /// A clean end of the connection ends it; a reset cuts it off.
+    Whole,
+}
+
+/// How requests to the target and its answers look on the wire.
+///
+/// A trait, because the node's own dialect and that of a platform both stand behind it.
+pub trait TargetDialect: std::fmt::Debug + Send + Sync {
+    /// The request to send for `order`, or none where it can't be put on the wire.
+    fn build(&self, order: &effect::RunOrder) -> Option<http::Request<Bytes>>;
+
+    /// What an answer with this head means for `order`.
+    fn judge(&self, order: &effect::RunOrder, head: &response::Parts) -> AnswerMeaning;
+
+    /// How a body that states no length ends.
+    fn open_end(&self) -> OpenEnd;
+
+    /// Whether a header of the answer is for this node alone and goes no further; names are lower
+    /// case.
+    fn keeps_back(&self, header: &str) -> bool;
+}
--- a/crates/anvil_membership/src/config.rs
+++ b/crates/anvil_membership/src/config.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_types::store;
+
 /// Settings of one node's membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetConfig {
@@ -11,6 +13,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the settings name a store; without one, rules live in the nodes' memory only.
     pub store: bool,
+    /// The key at which operators keep the whole rules, where they write them there themselves;
+    /// otherwise the rules are the log of the changes that nodes accepted.
+    pub document: Option<store::StoreKey>,
     /// Time between two probes.
     pub period: Duration,
     /// Time after which an unanswered ping is sent once more.
@@ -59,6 +64,7 @@
         Self {
             seeds: Vec::new(),
             store: false,
+            document: None,
             period: Duration::from_secs(1),
             resend: Duration::from_millis(250),
             indirect: Duration::from_millis(500),
--- a/crates/anvil_membership/src/contact.rs
+++ b/crates/anvil_membership/src/contact.rs
@@ -33,6 +33,14 @@
 /// Time over which nodes that found an empty list spread their first try for a slot.
 pub const FIRST_LOOK: Duration = Duration::from_secs(4);
 
+/// The same for a fleet of hundreds of nodes at most: sixteen lists within 200 ms are a tenth of the
+/// reads that its store allows, and a node that restarts knows its peers before its target's next
+/// heartbeat.
+pub const SMALL_FIRST_FIND: Duration = Duration::from_millis(200);
+
+/// The same as [`FIRST_LOOK`] for such a fleet.
+pub const SMALL_FIRST_LOOK: Duration = Duration::from_millis(800);
+
 /// Age of a list of contacts beyond which a node that met nobody reads it again before it acts.
 pub const LIST_FRESH: Duration = Duration::from_secs(1);
 
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, name, time};
+use anvil_types::{ident, name, store, time};
 use anvil_wire::gossip;
 
 use crate::{
@@ -177,6 +177,21 @@
         self.rules = spread::RuleSpread::new(now, true, !self.config.seeds.is_empty());
     }
 
+    /// Lets the node take its rules from one key of the store, which the operators write; to be
+    /// called before the first event.
+    ///
+    /// Such fleets are of hundreds of nodes at most, so each node reads and watches the key itself
+    /// and looks for its peers at once.
+    pub fn use_document(&mut self, now: time::NodeTime, key: store::StoreKey) {
+        self.use_store(now);
+        self.config.document = Some(key);
+        self.rules.read_at = Some(now);
+        self.rules.backoff = spread::document_backoff();
+        let find_at = now + self.choice.span(contact::SMALL_FIRST_FIND);
+        let look_at = find_at + self.choice.span(contact::SMALL_FIRST_LOOK);
+        self.contacts = contact::ContactState::new(find_at, look_at);
+    }
+
     /// The local node's identity.
     pub fn local(&self) -> ident::NodeId {
         self.local
--- a/crates/anvil_membership/src/fleet/asks.rs
+++ b/crates/anvil_membership/src/fleet/asks.rs
@@ -62,7 +62,9 @@
     ) {
         let failed = matches!(
             outcome,
-            store::StoreOutcome::Unavailable | store::StoreOutcome::Unknown
+            store::StoreOutcome::Unavailable
+                | store::StoreOutcome::HistoryLost
+                | store::StoreOutcome::Unknown
         );
         self.counters.store_failed += u64::from(failed);
         match purpose {
@@ -74,7 +76,7 @@
                 self.on_contact_answer(now, purpose, outcome, out);
             }
             asking::AskPurpose::WatchLog | asking::AskPurpose::ReadLog => {
-                self.on_log_answer(now, purpose, outcome, out);
+                self.on_log_answer(now, purpose, &outcome, out);
             }
             asking::AskPurpose::ReadManifest => self.on_manifest(now, outcome, out),
             asking::AskPurpose::ReadChunk => self.on_chunk(now, outcome, out),
--- a/crates/anvil_membership/src/fleet/proposing.rs
+++ b/crates/anvil_membership/src/fleet/proposing.rs
@@ -129,6 +129,7 @@
             store::StoreOutcome::Unavailable => self.proposal_unavailable(now, out),
             store::StoreOutcome::Conflict { current: None }
             | store::StoreOutcome::Done(_)
+            | store::StoreOutcome::HistoryLost
             | store::StoreOutcome::Unknown => {
                 if let Some(open) = &mut self.rules.proposal {
                     open.doubtful = true;
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -62,6 +62,8 @@
         if self.config.store {
             self.read_when_due(now, out);
             self.watch_when_due(now, out);
+        }
+        if self.config.store && self.config.document.is_none() {
             self.propose_when_due(now, out);
             self.snapshot_when_due(now, out);
         }
@@ -184,7 +186,7 @@
         &mut self,
         now: time::NodeTime,
         purpose: asking::AskPurpose,
-        outcome: store::StoreOutcome,
+        outcome: &store::StoreOutcome,
         out: &mut Vec<effect::FleetEffect>,
     ) {
         let store::StoreOutcome::Done(store::StoreReply::Listed {
@@ -193,7 +195,7 @@
             more,
         }) = outcome
         else {
-            self.log_failed(now, purpose, out);
+            self.log_failed(now, purpose, outcome, out);
             return;
         };
         self.rules.backoff.reset();
@@ -201,10 +203,18 @@
         let decoded = entries.iter();
         let decoded = decoded.filter_map(|entry| gossip::LoggedChange::from_value(&entry.value));
         let changes: Vec<_> = decoded.collect();
-        let gap = self.take_changes(&changes, out);
+        let gap = if self.config.document.is_some() {
+            // The key holds whole rules, so none is missing before the newest.
+            for snapshot in &changes {
+                self.take_snapshot(snapshot, out);
+            }
+            false
+        } else {
+            self.take_changes(&changes, out)
+        };
         self.rules.watch_at = now;
         if purpose == asking::AskPurpose::WatchLog {
-            self.rules.seen = self.rules.seen.max(seen);
+            self.rules.seen = self.rules.seen.max(*seen);
             if gap {
                 self.read_log_soon(now);
             }
@@ -217,10 +227,10 @@
                 store::StoreAsk::Get { key },
                 out,
             );
-        } else if more {
+        } else if *more {
             self.rules.read_at = Some(now);
         } else {
-            self.rules.seen = self.rules.seen.max(seen);
+            self.rules.seen = self.rules.seen.max(*seen);
             self.rules.compared = true;
         }
         self.become_ready(now, out);
@@ -239,7 +249,7 @@
     fn may_watch(&self) -> bool {
         self.config.store
             && self.rules.compared
-            && self.contacts.watches()
+            && (self.config.document.is_some() || self.contacts.watches())
             && !self.asks.is_open(asking::AskPurpose::WatchLog)
     }
 
@@ -247,8 +257,17 @@
         &mut self,
         now: time::NodeTime,
         purpose: asking::AskPurpose,
+        outcome: &store::StoreOutcome,
         out: &mut Vec<effect::FleetEffect>,
     ) {
+        if *outcome == store::StoreOutcome::HistoryLost {
+            // What was written in the gap can only be read; watching on from the same point would
+            // be refused for ever.
+            self.rules.watch_at = now;
+            self.rules.compared = false;
+            self.rules.read_at = Some(now);
+            return;
+        }
         let pause = self.rules.backoff.next_pause(self.choice.any());
         if purpose == asking::AskPurpose::WatchLog {
             self.rules.watch_at = now + pause;
@@ -333,6 +352,15 @@
         }
         self.rules.read_at = None;
         let held = self.revision();
+        if let Some(key) = self.config.document.clone() {
+            let ask = store::StoreAsk::List {
+                prefix: key,
+                after: None,
+                limit: 1,
+            };
+            self.ask(now, asking::AskPurpose::ReadLog, ask, out);
+            return;
+        }
         let ask = store::StoreAsk::List {
             prefix: store::StoreKey::new(keys::LOG),
             after: (held.0 > 0).then(|| keys::logged(held)),
@@ -345,10 +373,14 @@
         if !self.may_watch() || self.rules.watch_at > now {
             return;
         }
+        let (prefix, wait) = match &self.config.document {
+            Some(key) => (key.clone(), spread::DOCUMENT_WATCH_WAIT),
+            None => (store::StoreKey::new(keys::LOG), spread::WATCH_WAIT),
+        };
         let ask = store::StoreAsk::Watch {
-            prefix: store::StoreKey::new(keys::LOG),
+            prefix,
             seen: self.rules.seen,
-            wait: spread::WATCH_WAIT,
+            wait,
         };
         self.ask(now, asking::AskPurpose::WatchLog, ask, out);
     }
@@ -367,7 +399,8 @@
 
     fn has_compared(&self, now: time::NodeTime) -> bool {
         let rules = &self.rules;
-        if rules.log.held() < rules.highest {
+        let unwritten = rules.log.held() == ident::RuleRevision::default();
+        if rules.log.held() < rules.highest || (self.config.document.is_some() && unwritten) {
             return false;
         }
         if rules.compared {
@@ -376,9 +409,9 @@
         let others = self.table.live().saturating_sub(1);
         let wanted = others.clamp(1, spread::PEERS_COMPARED);
         let heard_enough = rules.heard.len() >= wanted;
-        if self.config.store {
+        if self.config.store && self.config.document.is_none() {
             return rules.store_failed && heard_enough;
         }
-        heard_enough || now >= rules.alone_at
+        heard_enough || (!self.config.store && now >= rules.alone_at)
     }
 }
--- a/crates/anvil_membership/src/fleet/snapshots.rs
+++ b/crates/anvil_membership/src/fleet/snapshots.rs
@@ -68,7 +68,9 @@
         };
         let failed = matches!(
             outcome,
-            store::StoreOutcome::Unavailable | store::StoreOutcome::Unknown
+            store::StoreOutcome::Unavailable
+                | store::StoreOutcome::HistoryLost
+                | store::StoreOutcome::Unknown
         );
         if failed {
             let pause = self.snapshot.backoff.next_pause(self.choice.any());
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -41,6 +41,21 @@
 const PAUSE_FIRST: Duration = Duration::from_secs(1);
 const PAUSE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Longest wait of one watch of a key that holds the whole rules. A connection that went silent is
+/// noticed after it and one more second, and until then a change comes from the peers.
+pub const DOCUMENT_WATCH_WAIT: Duration = Duration::from_millis(2_500);
+
+/// First and longest pause after a failed read of such a key; the longest is below the two seconds
+/// within which operators expect a change to be in force.
+const DOCUMENT_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1_200));
+
+/// Pauses after failures of the store where one key holds the whole rules.
+pub fn document_backoff() -> backoff::RetryBackoff {
+    let (first, longest) = DOCUMENT_PAUSES;
+    backoff::RetryBackoff::new(first, longest)
+}
+
 /// A pull from a member that holds more.
 #[derive(Clone, Copy, Debug)]
 pub struct OpenPull {
--- a/crates/anvil_node/src/admin/announcement.rs
+++ b/crates/anvil_node/src/admin/announcement.rs
@@ -76,6 +76,7 @@
         connections: body.connections,
         lease: Duration::from_millis(body.lease_ms),
         warm: body.warm,
+        incarnation: None,
     })
 }
 
--- a/crates/anvil_node/src/caller.rs
+++ b/crates/anvil_node/src/caller.rs
@@ -1,8 +1,8 @@
 //! The edge towards callers: HTTP/1.1 in, whole answers out.
 
 pub mod header;
-pub mod hops;
 pub mod intake;
+pub mod native;
 pub mod problem;
 pub mod reply;
 pub mod server;
--- a/crates/anvil_node/src/caller/header.rs
+++ b/crates/anvil_node/src/caller/header.rs
@@ -32,3 +32,8 @@
 
 /// Revision of the rules in force.
 pub const REVISION: &str = "anvil-revision";
+
+/// Whether a header belongs to this system; names are lower case.
+pub fn is_own(name: &str) -> bool {
+    name.starts_with(PREFIX)
+}
--- /dev/null
+++ b/crates/anvil_node/src/caller/native.rs
@@ -0,0 +1,184 @@
+//! The node's own dialect towards callers: `anvil-` headers, problem bodies.
+
+use std::time::Duration;
+
+use anvil_core::{effect, event};
+use anvil_edge::caller::{self, CallHead, IntakeRefusal};
+use anvil_edge::hops;
+use anvil_types::{ident, name, verdict};
+use anvil_wire::call;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, header as names, request, uri};
+
+use super::{header, problem, reply};
+use crate::target::parent;
+
+/// Longest idempotency key, in bytes.
+pub const KEY_LIMIT: usize = 256;
+
+/// Speaks the node's own dialect towards callers.
+#[derive(Clone, Debug)]
+pub struct NativeCallers {
+    /// Recognises parent tokens.
+    pub mint: parent::ParentMint,
+}
+
+impl caller::CallerDialect for NativeCallers {
+    fn read_head(&self, head: &request::Parts) -> Result<CallHead, IntakeRefusal> {
+        read_head(head, &self.mint)
+    }
+
+    fn refused(&self, refusal: &IntakeRefusal) -> caller::WholeResponse {
+        reply::refused(&problem_of(refusal), None, Some(refusal.to_string()))
+    }
+
+    fn reply(&self, reply: effect::CallerReply) -> caller::WholeResponse {
+        reply::response(reply)
+    }
+}
+
+/// How a refusal at the edge shows to the caller.
+fn problem_of(refusal: &IntakeRefusal) -> problem::ProblemKind {
+    let mut kind = problem::refusal(verdict::RefusalReason::Malformed);
+    match refusal {
+        IntakeRefusal::Method(_) => {
+            kind.status = StatusCode::NOT_IMPLEMENTED;
+            kind.title = "the method is not served";
+        }
+        IntakeRefusal::BodyOversized => {
+            kind = problem::refusal(verdict::RefusalReason::BodyTooLarge);
+        }
+        IntakeRefusal::BodySlow => {
+            kind.status = StatusCode::REQUEST_TIMEOUT;
+            kind.title = "the request did not arrive in time";
+        }
+        _ => {}
+    }
+    kind
+}
+
+/// Reads the head of a request.
+pub fn read_head(
+    head: &request::Parts,
+    mint: &parent::ParentMint,
+) -> Result<CallHead, IntakeRefusal> {
+    if head.method == Method::CONNECT {
+        return Err(IntakeRefusal::Method(head.method.clone()));
+    }
+    let service = service(head)?;
+    let hints = hints(&head.headers, mint)?;
+    let request = call::CallRequest {
+        service,
+        method: head.method.as_str().to_owned(),
+        path: path(&head.uri),
+        headers: hops::request_lines(&head.headers, header::is_own),
+        body: Bytes::new(),
+    };
+    Ok(CallHead { request, hints })
+}
+
+fn service(head: &request::Parts) -> Result<name::ServiceName, IntakeRefusal> {
+    let named = head.headers.get(header::SERVICE);
+    let text = match named {
+        Some(value) => value.to_str().unwrap_or("?").to_owned(),
+        None => host_label(head).ok_or(IntakeRefusal::ServiceMissing)?,
+    };
+    name::ServiceName::new(&text).map_err(|reason| IntakeRefusal::ServiceMalformed { text, reason })
+}
+
+/// The first label of the host; nothing where the host is an address.
+fn host_label(head: &request::Parts) -> Option<String> {
+    let host = head.headers.get(names::HOST);
+    let authority: uri::Authority = match head.uri.authority() {
+        Some(authority) => authority.clone(),
+        None => host?.to_str().ok()?.parse().ok()?,
+    };
+    let host = authority.host();
+    let is_address = host.starts_with('[') || host.parse::<std::net::IpAddr>().is_ok();
+    if is_address {
+        return None;
+    }
+    let label = host.split('.').next()?;
+    Some(label.to_ascii_lowercase())
+}
+
+fn path(uri: &http::Uri) -> String {
+    match uri.path_and_query() {
+        Some(path) => path.as_str().to_owned(),
+        None => "/".to_owned(),
+    }
+}
+
+fn hints(
+    headers: &HeaderMap,
+    mint: &parent::ParentMint,
+) -> Result<event::CallerHints, IntakeRefusal> {
+    let request = hint(headers, header::REQUEST_ID, "32 hex digits", request_id)?;
+    let timeout = hint(headers, header::TIMEOUT, "milliseconds above zero", timeout)?;
+    let key = match headers.get(header::KEY) {
+        Some(value) => Some(key(value.as_bytes())?),
+        None => None,
+    };
+    let parent = match headers.get(header::PARENT) {
+        Some(value) => Some(parent(value, mint)?),
+        None => None,
+    };
+    Ok(event::CallerHints {
+        request,
+        timeout,
+        key,
+        parent,
+        label: None,
+        parent_label: None,
+    })
+}
+
+fn hint<T, F>(
+    headers: &HeaderMap,
+    header: &'static str,
+    expected: &'static str,
+    parse: F,
+) -> Result<Option<T>, IntakeRefusal>
+where
+    F: Fn(&str) -> Option<T>,
+{
+    let Some(value) = headers.get(header) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(parse);
+    let refusal = IntakeRefusal::HintMalformed { header, expected };
+    parsed.map(Some).ok_or(refusal)
+}
+
+fn request_id(text: &str) -> Option<ident::RequestId> {
+    const DIGITS: usize = 32;
+    let digits = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if text.len() != DIGITS || !digits {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok().map(ident::RequestId)
+}
+
+fn timeout(text: &str) -> Option<Duration> {
+    let millis: u32 = text.parse().ok()?;
+    (millis > 0).then(|| Duration::from_millis(u64::from(millis)))
+}
+
+fn key(value: &[u8]) -> Result<Bytes, IntakeRefusal> {
+    if value.is_empty() || value.len() > KEY_LIMIT {
+        return Err(IntakeRefusal::HintMalformed {
+            header: header::KEY,
+            expected: "a key of 1 to 256 bytes",
+        });
+    }
+    Ok(Bytes::copy_from_slice(value))
+}
+
+fn parent(
+    value: &http::HeaderValue,
+    mint: &parent::ParentMint,
+) -> Result<event::ParentToken, IntakeRefusal> {
+    let text = value.to_str().ok();
+    text.and_then(|text| mint.check(text))
+        .ok_or(IntakeRefusal::ParentForged)
+}
--- a/crates/anvil_node/src/caller/problem.rs
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -102,6 +102,7 @@
         Reason::Cancelled => (busy(), "the parent request ended"),
         Reason::Unreachable => (busy(), "no connection to a target came about"),
         Reason::RulesUnknown => (busy(), "the node has not learned the rules yet"),
+        Reason::NotFound => (StatusCode::NOT_FOUND, "a rule says that nothing is here"),
         Reason::Rule => (StatusCode::FORBIDDEN, "a rule refuses the request"),
         Reason::Malformed => (StatusCode::BAD_REQUEST, "the request is malformed"),
     }
--- a/crates/anvil_node/src/caller/reply.rs
+++ b/crates/anvil_node/src/caller/reply.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use anvil_core::effect;
+use anvil_edge::caller::WholeResponse;
+use anvil_edge::hops;
 use anvil_types::{ident, verdict};
 use anvil_wire::call;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header as names};
 use http_body_util::Full;
 
-use super::{header, hops, problem};
-
-/// A response with its whole body.
-pub type WholeResponse = Response<Full<Bytes>>;
+use super::{header, problem};
 
 /// Builds the response of a reply; `head_only` says that the caller asked by HEAD.
 pub fn response(reply: effect::CallerReply) -> WholeResponse {
@@ -23,6 +22,7 @@
         attempts,
         mark,
         retry_after,
+        label: _,
     } = reply;
     let mut response = match (verdict, answer) {
         (verdict::CallVerdict::Answered, Some(answer)) => answered(answer),
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use anvil_core::event;
+use anvil_core::{effect, event};
+use anvil_edge::caller;
 use anvil_types::verdict;
 use anvil_wire::codec;
 use http::{HeaderValue, Request, header as names};
@@ -18,8 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
-use super::{intake, problem, reply, watched};
-use crate::target::parent;
+use super::{intake, watched};
 use crate::{counters, engine};
 
 /// The answer to a head that did not arrive in time; the HTTP library closes without one.
@@ -64,8 +64,8 @@
 pub struct CallerEdge {
     /// Where calls go.
     pub engine: engine::EngineSender,
-    /// Recognises parent tokens.
-    pub mint: parent::ParentMint,
+    /// How requests and replies look on the wire.
+    pub dialect: Arc<dyn caller::CallerDialect>,
     /// Counts each cause.
     pub counters: counters::EdgeCounters,
     /// Limits.
@@ -220,12 +220,12 @@
     edge: &Arc<CallerEdge>,
     watch: &watched::HeadWatch,
     request: Request<Incoming>,
-) -> reply::WholeResponse {
+) -> caller::WholeResponse {
     match admit(edge, watch, request).await {
         Ok(response) => response,
         Err(refusal) => {
-            edge.counters.count(refusal.cause());
-            refuse(&refusal)
+            edge.counters.count(intake::cause(&refusal));
+            refuse(edge, &refusal)
         }
     }
 }
@@ -234,9 +234,9 @@
     edge: &Arc<CallerEdge>,
     watch: &watched::HeadWatch,
     request: Request<Incoming>,
-) -> Result<reply::WholeResponse, intake::IntakeRefusal> {
+) -> Result<caller::WholeResponse, caller::IntakeRefusal> {
     let (head, body) = request.into_parts();
-    let intake::CallHead { mut request, hints } = intake::read_head(&head, &edge.mint)?;
+    let caller::CallHead { mut request, hints } = edge.dialect.read_head(&head)?;
     request.body = intake::read_body(body, edge.limits.body_wait).await?;
     watch.begin_serving();
     let handle = event::CallerHandle(edge.handles.fetch_add(1, Ordering::Relaxed) + 1);
@@ -259,24 +259,25 @@
     let sent = edge.engine.send_async(input).await;
     if sent.is_err() {
         presence.waiting = false;
-        let kind = problem::refusal(verdict::RefusalReason::Leaving);
-        return Ok(reply::refused(&kind, Some(LEAVING_PAUSE), None));
+        let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
+        let reply = effect::CallerReply::without_answer(verdict, Some(LEAVING_PAUSE));
+        return Ok(edge.dialect.reply(reply));
     }
     let replied = reply.await;
     presence.waiting = false;
     match replied {
-        Ok(reply) => Ok(reply::response(*reply)),
+        Ok(reply) => Ok(edge.dialect.reply(*reply)),
         Err(_) => {
             // The process leaves by force while the request may be out.
-            let kind = problem::doubt(verdict::DoubtReason::Stopped);
-            Ok(reply::refused(&kind, None, None))
+            let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Stopped);
+            let reply = effect::CallerReply::without_answer(verdict, None);
+            Ok(edge.dialect.reply(reply))
         }
     }
 }
 
-fn refuse(refusal: &intake::IntakeRefusal) -> reply::WholeResponse {
-    let kind = refusal.problem();
-    let mut response = reply::refused(&kind, None, Some(refusal.to_string()));
+fn refuse(edge: &CallerEdge, refusal: &caller::IntakeRefusal) -> caller::WholeResponse {
+    let mut response = edge.dialect.refused(refusal);
     if refusal.leaves_body() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(names::CONNECTION, close);
--- a/crates/anvil_node/src/command.rs
+++ b/crates/anvil_node/src/command.rs
@@ -11,9 +11,12 @@
 
 USAGE:
     anvil-node --settings FILE [--check-settings] [--ready-file FILE]
+    anvil-node --settings-variable NAME [...]
 
 OPTIONS:
     --settings FILE     Settings of this instance, in YAML; see docs/OPERATIONS.md
+    --settings-variable NAME
+                        Take the settings file's path from the environment variable NAME
     --check-settings    Check the settings, say what is wrong and stop
     --ready-file FILE   Write the bound addresses as JSON to FILE once the node serves
     --log-level LEVEL   off, error, warn, info (default) or debug
@@ -27,6 +30,7 @@
 
 SIGNALS:
     SIGTERM or SIGINT stops the node gracefully; a second one stops it at once.
+    SIGHUP reads the settings again and logs whether they changed.
 ";
 
 /// What the process is asked to do.
@@ -58,6 +62,10 @@
     /// An option is missing or malformed.
     #[display("{_0}")]
     Option(pico_args::Error),
+    /// The environment variable that should name the settings file is not set.
+    #[display("the environment variable {_0} is not set")]
+    #[from(skip)]
+    Unset(#[error(not(source))] String),
     /// An argument is not known.
     #[display("the argument {_0:?} is not known")]
     #[from(skip)]
@@ -73,7 +81,13 @@
         return Ok(NodeCommand::Version);
     }
     let check = arguments.contains("--check-settings");
-    let settings: PathBuf = arguments.value_from_str("--settings")?;
+    let variable: Option<String> = arguments.opt_value_from_str("--settings-variable")?;
+    let settings: PathBuf = match variable {
+        Some(variable) => std::env::var_os(&variable)
+            .map(PathBuf::from)
+            .ok_or(CommandError::Unset(variable))?,
+        None => arguments.value_from_str("--settings")?,
+    };
     let ready = arguments.opt_value_from_str("--ready-file")?;
     let level = arguments.opt_value_from_str("--log-level")?;
     if let Some(unknown) = arguments.finish().into_iter().next() {
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -60,6 +60,9 @@
     /// The target refused a request without running it.
     #[display("target_refused")]
     TargetRefused,
+    /// Another start of a target answered at the address.
+    #[display("target_misdirected")]
+    TargetMisdirected,
     /// The connection broke while a request was out.
     #[display("target_broken")]
     TargetBroken,
@@ -108,6 +111,9 @@
     /// A connection to another node broke.
     #[display("peer_lost")]
     PeerLost,
+    /// A connection to another node was given up, since answers were due and nothing came.
+    #[display("peer_silent")]
+    PeerSilent,
     /// A frame found the queue to its peer full and was handed back unsent.
     #[display("peer_queue_full")]
     PeerQueueFull,
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -5,6 +5,8 @@
 //! event, its step and its effects mostly stay on one processor; see `docs/design/edges.md`.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_types::sorted;
@@ -42,6 +44,13 @@
         /// Takes the answer.
         reply: flume::Sender<OperatorAnswer>,
     },
+    /// Something told by the target or the platform, to be acknowledged once it is taken in.
+    Told {
+        /// What.
+        event: event::NodeEvent,
+        /// Told once the reducer has taken it in.
+        taken: oneshot::Sender<()>,
+    },
     /// Another node opened a connection and proved its identity.
     LinkOpened(peer::link::PeerLink),
     /// A connection to another node ended.
@@ -64,6 +73,8 @@
     pub runs: target::runs::RunTable,
     /// Questions to the platform's store.
     pub store: platform::StoreQueue,
+    /// Whether callers should send this node work; the control address tells it.
+    pub ready: Arc<AtomicBool>,
     /// Callers that wait.
     pub callers:
         sorted::SortedTable<event::CallerHandle, oneshot::Sender<Box<effect::CallerReply>>>,
@@ -93,11 +104,19 @@
             let Ok(input) = input else {
                 return;
             };
+            let (input, taken) = match input {
+                EngineInput::Told { event, taken } => (EngineInput::Event(event), Some(taken)),
+                input => (input, None),
+            };
             for event in self.admit(input) {
                 if self.step(&mut reducer, event).is_break() {
                     return;
                 }
             }
+            if let Some(taken) = taken {
+                // Whoever told it may have gone meanwhile.
+                let _ = taken.send(());
+            }
             steps = steps.wrapping_add(1);
             if steps.is_multiple_of(STEPS_IN_A_ROW) {
                 // Under load the queue is never empty; without a pause the tasks that this one
@@ -136,7 +155,7 @@
     /// Notes the way back of an input and turns it into events.
     fn admit(&mut self, input: EngineInput) -> Vec<event::NodeEvent> {
         match input {
-            EngineInput::Event(event) => {
+            EngineInput::Event(event) | EngineInput::Told { event, .. } => {
                 self.note(&event);
                 vec![event]
             }
@@ -209,6 +228,10 @@
                 let unasked = self.store.ask(id, ask);
                 self.followups.extend(unasked);
             }
+            effect::NodeEffect::Readiness(ready) => {
+                self.ready.store(ready, Ordering::Relaxed);
+                log::info!("readiness: ready={ready}");
+            }
             effect::NodeEffect::Report(change) => log::info!("{change}"),
             effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
         }
--- a/crates/anvil_node/src/main.rs
+++ b/crates/anvil_node/src/main.rs
@@ -32,11 +32,11 @@
             ExitCode::SUCCESS
         }),
         command::NodeCommand::Run {
-            settings,
+            settings: file,
             ready,
             level,
-        } => with_settings(&settings, |settings| {
-            match run(&settings, ready.as_deref(), level) {
+        } => with_settings(&file, |settings| {
+            match run(&settings, &file, ready.as_deref(), level) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => {
                     eprintln!("anvil-node: {error:#}");
@@ -62,12 +62,13 @@
 
 fn run(
     settings: &settings::NodeSettings,
+    file: &Path,
     ready: Option<&Path>,
     level: log::LevelFilter,
 ) -> eyre::Result<()> {
     logs::start(level)?;
     let running = node::start(settings)?;
-    stop::watch(running.engine().clone())?;
+    stop::watch(running.engine().clone(), file.to_owned())?;
     let bound = serde_json::to_string(running.bound()).wrap_err("addresses as JSON")?;
     if let Some(file) = ready {
         write_whole(file, &bound)?;
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
 
 use anvil_core::{config, event, reducer};
@@ -17,7 +17,9 @@
 use tokio::task::JoinHandle;
 
 use crate::target::{exchange, parent, pool, runs};
-use crate::{admin, caller, clock, counters, datagram, engine, peer, platform, settings};
+use crate::{
+    admin, caller, clock, control, counters, datagram, dialect, engine, peer, platform, settings,
+};
 
 /// How often kept connections to the target are looked through.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -101,7 +103,7 @@
 
 /// Binds every address and starts every part.
 pub fn start(settings: &settings::NodeSettings) -> eyre::Result<RunningNode> {
-    let sockets = NodeSockets::bind(&settings.listen)?;
+    let sockets = NodeSockets::bind(settings)?;
     let node = ident::NodeId(random_u64());
     let counters = counters::EdgeCounters::new().wrap_err("counters")?;
     let (engine, inputs) = flume::bounded(engine::QUEUE_LIMIT);
@@ -124,13 +126,14 @@
         closing: closed,
         alive,
     };
+    let mint = parent::ParentMint::new(random_key());
     let parts = NodeParts {
+        dialects: dialect::NodeDialects::of(settings, &mint),
         settings,
         bound,
         engine: engine.clone(),
         counters: counters.clone(),
         runtime: runtime.handle().clone(),
-        mint: parent::ParentMint::new(random_key()),
         drain,
     };
     let reducer = parts.start(sockets, inputs)?;
@@ -151,11 +154,23 @@
     caller: TcpListener,
     peer: TcpListener,
     gossip: UdpSocket,
+    /// Where the target and the platform around the node speak to it.
+    control: Vec<TcpListener>,
 }
 
 impl NodeSockets {
-    fn bind(listen: &settings::ListenSettings) -> eyre::Result<Self> {
+    fn bind(settings: &settings::NodeSettings) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let mut control = Vec::new();
+        if let Some(hosted) = &settings.hosted {
+            control.push(bind_tcp("hosted.control", hosted.control)?);
+            control.push(bind_tcp("hosted.ready", hosted.ready)?);
+        }
+        for listener in &control {
+            listener.set_nonblocking(true)?;
+        }
         let sockets = Self {
+            control,
             caller: bind_tcp("listen.caller", listen.caller)?,
             peer: bind_tcp("listen.peer", listen.peer)?,
             gossip: UdpSocket::bind(listen.gossip)
@@ -189,7 +204,7 @@
     engine: engine::EngineSender,
     counters: counters::EdgeCounters,
     runtime: runtime::Handle,
-    mint: parent::ParentMint,
+    dialects: dialect::NodeDialects,
     drain: caller::server::DrainSignal,
 }
 
@@ -208,24 +223,25 @@
         let ring = self.settings.peer_keys.ring().clone();
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
         let clock = clock::NodeClock::start();
-        let addresses = &self.settings.platform;
-        let store = platform::StoreQueue::start(addresses, clock, self.engine.clone())?;
+        let client = self.dialects.store.clone();
+        let store = platform::StoreQueue::start(client, clock, self.engine.clone())?;
+        let ready = Arc::new(AtomicBool::new(false));
+        self.start_control(sockets.control, &ready)?;
         let engine = engine::NodeEngine {
             clock,
             peers: peer::table::PeerTable::new(self.runtime.clone(), links),
             datagrams: datagram::DatagramSender::new(sending, sealer, self.counters.clone()),
             runs: runs::RunTable::new(self.runtime.clone(), exchange, self.engine.clone()),
             store,
+            ready,
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
             asked: 0,
             followups: VecDeque::new(),
         };
         let policy = self.settings.policy;
-        let mut reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
-        if !addresses.is_empty() {
-            reducer = reducer.with_store();
-        }
+        let reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
+        let reducer = dialect::arrange(reducer, self.settings);
         Ok(self.runtime.spawn(engine.run(reducer, inputs)))
     }
 
@@ -234,7 +250,7 @@
         let limits = &self.settings.limits;
         let edge = caller::server::CallerEdge {
             engine: self.engine.clone(),
-            mint: self.mint.clone(),
+            dialect: self.dialects.callers.clone(),
             counters: self.counters.clone(),
             limits: caller::server::CallerLimits {
                 connections: usize::try_from(limits.caller_connections)?,
@@ -251,6 +267,27 @@
         Ok(())
     }
 
+    fn start_control(
+        &self,
+        listeners: Vec<TcpListener>,
+        ready: &Arc<AtomicBool>,
+    ) -> eyre::Result<()> {
+        let Some(dialect) = &self.dialects.control else {
+            return Ok(());
+        };
+        let edge = Arc::new(control::ControlEdge {
+            engine: self.engine.clone(),
+            dialect: dialect.clone(),
+            ready: ready.clone(),
+            counters: self.counters.clone(),
+        });
+        for listener in listeners {
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            self.runtime.spawn(control::serve(listener, edge.clone()));
+        }
+        Ok(())
+    }
+
     fn start_peers(&self, listener: TcpListener) -> eyre::Result<peer::link::LinkContext> {
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let context = peer::link::LinkContext {
@@ -293,7 +330,7 @@
         });
         exchange::TargetExchange {
             pool,
-            mint: self.mint.clone(),
+            dialect: self.dialects.targets.clone(),
             counters: self.counters.clone(),
         }
     }
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -14,14 +14,18 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{handshake, stream};
+use super::{handshake, pulse, stream};
 use crate::{caller, counters, engine};
 
 /// Frames that may wait for one connection.
 pub const QUEUE_LIMIT: usize = 4_096;
 
-/// Longest wait for a connection and its handshake; nodes are a few milliseconds apart.
-pub const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a connection and its handshake; nodes are a few milliseconds apart, and a call
+/// whose node can't be reached goes elsewhere at no cost.
+pub const OPEN_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for the other side to read; one that takes nothing for so long answers nothing.
+const WRITE_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// Longest wait for what the other side still sends after this side has ended.
 const READ_REST_LIMIT: Duration = Duration::from_millis(1_000);
@@ -157,8 +161,10 @@
     let open = counters::GaugeGuard::hold(context.counters.peer_connections());
     let (reader, writer) = stream.into_split();
     let reader = stream::FrameReader::new(reader, sealed.opener);
-    let reading = tokio::spawn(read(context.clone(), peer, reader));
+    let pulse = Arc::new(pulse::LinkPulse::default());
+    let reading = tokio::spawn(read(context.clone(), peer, reader, pulse.clone()));
     let writer = FrameWriter {
+        pulse,
         writer,
         sealer: sealed.sealer,
         batch: Vec::new(),
@@ -181,6 +187,7 @@
 
 /// The writing side of a connection.
 struct FrameWriter {
+    pulse: Arc<pulse::LinkPulse>,
     writer: OwnedWriteHalf,
     sealer: sealing::FrameSealer,
     batch: Vec<u8>,
@@ -256,17 +263,39 @@
 }
 
 impl FrameWriter {
-    /// Writes frames until the connection breaks or nobody has frames any more.
+    /// Writes frames until the connection breaks, falls silent, or nobody has frames any more.
     async fn write_until_end(
         &mut self,
         context: &LinkContext,
         frames: &mut mpsc::Receiver<frame::PeerFrame>,
     ) {
-        while let Some(first) = frames.recv().await {
+        let pulse = self.pulse.clone();
+        let mut looks = tokio::time::interval(pulse::LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut silent = 0;
+        loop {
+            let first = tokio::select! {
+                biased;
+                frame = frames.recv() => match frame {
+                    Some(frame) => frame,
+                    None => return,
+                },
+                () = pulse.wait_asked() => frame::PeerFrame::Pong,
+                _ = looks.tick(), if pulse.awaits() => match pulse.look(&mut silent) {
+                    pulse::PulseLook::Fine => continue,
+                    pulse::PulseLook::Probe => frame::PeerFrame::Ping,
+                    pulse::PulseLook::Silent => {
+                        context.counters.count(counters::EdgeCause::PeerSilent);
+                        return;
+                    }
+                },
+            };
             self.gather(context, first, frames);
             // From the first byte on, nobody can tell what the other side saw.
             self.used = true;
-            if self.writer.write_all(&self.batch).await.is_err() {
+            let writing = self.writer.write_all(&self.batch);
+            let written = tokio::time::timeout(WRITE_LIMIT, writing).await;
+            if !matches!(written, Ok(Ok(()))) {
                 return;
             }
         }
@@ -292,6 +321,9 @@
     }
 
     fn append(&mut self, context: &LinkContext, frame: &frame::PeerFrame) {
+        if matches!(frame, frame::PeerFrame::Call(_)) {
+            self.pulse.call_sent();
+        }
         let Ok(mut bytes) = codec::encode_frame(frame) else {
             // The caller edge bounds bodies and heads below a frame's limit.
             context
@@ -313,6 +345,7 @@
     context: LinkContext,
     peer: ident::NodeId,
     mut reader: stream::FrameReader<OwnedReadHalf>,
+    pulse: Arc<pulse::LinkPulse>,
 ) -> bool {
     let mut used = false;
     loop {
@@ -326,6 +359,15 @@
             }
         };
         used = true;
+        pulse.frame_heard(matches!(frame, frame::PeerFrame::Answer(_)));
+        match frame {
+            frame::PeerFrame::Ping => {
+                pulse.asked();
+                continue;
+            }
+            frame::PeerFrame::Pong => continue,
+            _ => {}
+        }
         let arrived = event::NodeEvent::FrameArrived { peer, frame };
         // A full engine slows this reader, and so the sender, down. An engine that has left is no
         // reason to stop: closing a socket with unread bytes resets it, and the reset can destroy
--- /dev/null
+++ b/crates/anvil_node/src/peer/pulse.rs
@@ -0,0 +1,97 @@
+//! Whether the other end of a connection still lives.
+//!
+//! Failure: a connection goes silent for good, without a reset, since the other instance lost its
+//! power or the network dropped its state. Symptom: calls out on it wait for their deadlines, and
+//! new calls follow them. While answers are due and nothing comes, the connection is probed; one
+//! that stays silent is given up, so its calls end within a second and a half.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+/// Time between two looks at a connection on which answers are due.
+///
+/// The farthest node is some milliseconds away and a busy one takes some tens more, so a node that
+/// lives answers long before the next look.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Looks without a sign of life after which the connection is given up; the first of them probes.
+const SILENT_LOOKS: u32 = 3;
+
+/// What the reading and the writing side of a connection tell each other.
+#[derive(Debug, Default)]
+pub struct LinkPulse {
+    /// Calls sent less answers received; they may be answered on another connection of the same
+    /// two nodes, so the sum is a reason to look and no more.
+    awaited: AtomicU32,
+    /// Whether anything came since the last look.
+    heard: AtomicBool,
+    /// The other end asked for a sign of life.
+    asked: Notify,
+}
+
+/// What a look at the connection calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PulseLook {
+    /// Nothing.
+    Fine,
+    /// Ask for a sign of life.
+    Probe,
+    /// Give the connection up.
+    Silent,
+}
+
+impl LinkPulse {
+    /// Notes that a call was sent.
+    pub fn call_sent(&self) {
+        if self.awaited.fetch_add(1, Ordering::Relaxed) == 0 {
+            // Silence before the first call says nothing.
+            self.heard.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Notes that a frame came.
+    pub fn frame_heard(&self, is_answer: bool) {
+        self.heard.store(true, Ordering::Relaxed);
+        if is_answer {
+            let fewer = |awaited: u32| awaited.checked_sub(1);
+            // An answer to a call on another connection finds nothing to take back.
+            let _ = self
+                .awaited
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, fewer);
+        }
+    }
+
+    /// Notes that the other end asked for a sign of life.
+    pub fn asked(&self) {
+        self.asked.notify_one();
+    }
+
+    /// Waits until the other end asks for a sign of life.
+    pub async fn wait_asked(&self) {
+        self.asked.notified().await;
+    }
+
+    /// Whether answers are due.
+    pub fn awaits(&self) -> bool {
+        self.awaited.load(Ordering::Relaxed) > 0
+    }
+
+    /// Looks at the connection once; `silent` counts the looks without a sign of life.
+    ///
+    /// Looks are counted and not time, since a process that was paused finds much time gone and the
+    /// answers of that time unread in its socket.
+    pub fn look(&self, silent: &mut u32) -> PulseLook {
+        if self.heard.swap(false, Ordering::Relaxed) {
+            *silent = 0;
+            return PulseLook::Fine;
+        }
+        *silent += 1;
+        match *silent {
+            1 => PulseLook::Probe,
+            looks if looks >= SILENT_LOOKS => PulseLook::Silent,
+            _ => PulseLook::Fine,
+        }
+    }
+}
--- a/crates/anvil_node/src/platform.rs
+++ b/crates/anvil_node/src/platform.rs
@@ -2,17 +2,16 @@
 //!
 //! See `docs/design/store.md`.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use anvil_core::event;
-use anvil_store::{budget, http, platform};
+use anvil_store::budget;
 use anvil_types::store;
 use eyre::WrapErr;
 
-use crate::{clock, engine};
+use crate::{clock, dialect, engine};
 
 /// Questions that wait for the store's threads.
 pub const QUEUE_LIMIT: usize = 256;
@@ -46,7 +45,7 @@
 /// What every thread of the store shares.
 #[derive(Clone)]
 struct StoreWorker {
-    client: Arc<http::HttpStore>,
+    client: Arc<dyn dialect::StoreDialect>,
     budget: Arc<Mutex<budget::CallBudget>>,
     key_budget: Arc<Mutex<budget::CallBudget>>,
     clock: clock::NodeClock,
@@ -54,25 +53,25 @@
 }
 
 impl StoreQueue {
-    /// Starts the threads that ask the store at `addresses`; without any address, every question
-    /// is answered as unavailable.
+    /// Starts the threads that ask the store; without one, every question is answered as
+    /// unavailable.
     pub fn start(
-        addresses: &[SocketAddr],
+        client: Option<Arc<dyn dialect::StoreDialect>>,
         clock: clock::NodeClock,
         engine: engine::EngineSender,
     ) -> eyre::Result<Self> {
         let (calls, waiting_calls) = flume::bounded(QUEUE_LIMIT);
         let (watches, waiting_watches) = flume::bounded(QUEUE_LIMIT);
         let queue = Self { calls, watches };
-        if addresses.is_empty() {
+        let Some(client) = client else {
             return Ok(queue);
-        }
+        };
         let limits = budget::BudgetLimits {
             concurrent: CALL_THREADS + WATCH_THREADS,
             ..budget::BudgetLimits::default()
         };
         let worker = StoreWorker {
-            client: Arc::new(http::HttpStore::new(addresses.to_vec())),
+            client,
             budget: Arc::new(Mutex::new(budget::CallBudget::new(limits, clock.now()))),
             key_budget: Arc::new(Mutex::new(budget::CallBudget::new(
                 budget::BudgetLimits {
@@ -130,7 +129,7 @@
         if self.budget(part).begin(now).is_err() {
             return store::StoreOutcome::Unavailable;
         }
-        let outcome = platform::PlatformStore::carry_out(&*self.client, &question.ask);
+        let outcome = self.client.carry_out(&question.ask);
         self.budget(part).end();
         outcome
     }
--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anvil_overload::policy;
+use anvil_platform::settings as hosted;
 use anvil_types::name;
 use anvil_wire::seal::ring;
 use derive_more::{Display, Error};
@@ -56,6 +57,10 @@
     /// What operators must send as bearer token; none means that the admin address is trusted.
     #[serde(default)]
     pub admin_token: Option<String>,
+    /// What the users' platform tells a node that runs there, which then speaks the platform's
+    /// dialect; left out, the node speaks its own.
+    #[serde(default)]
+    pub hosted: Option<hosted::HostedSettings>,
     /// Limits of the edges.
     #[serde(default)]
     pub limits: LimitSettings,
--- /dev/null
+++ b/crates/anvil_node/src/target/native.rs
@@ -0,0 +1,62 @@
+//! The node's own dialect towards its target: `anvil-` headers.
+
+use std::time::Duration;
+
+use anvil_core::effect;
+use anvil_edge::{hops, target};
+use bytes::Bytes;
+use http::response;
+
+use super::parent;
+use crate::caller::header;
+
+/// Speaks the node's own dialect towards the target.
+#[derive(Clone, Debug)]
+pub struct NativeTargets {
+    /// Mints the token that the target sends back on its own calls.
+    pub mint: parent::ParentMint,
+}
+
+impl target::TargetDialect for NativeTargets {
+    fn build(&self, order: &effect::RunOrder) -> Option<http::Request<Bytes>> {
+        let request = &order.request;
+        let mut built = http::Request::new(request.body.clone());
+        *built.method_mut() = http::Method::from_bytes(request.method.as_bytes()).ok()?;
+        *built.uri_mut() = request.path.parse().ok()?;
+        let headers = built.headers_mut();
+        hops::append_lines(headers, &request.headers)?;
+        if !headers.contains_key(http::header::HOST) {
+            let host = request.service.as_str().parse().ok()?;
+            headers.insert(http::header::HOST, host);
+        }
+        let millis = whole_millis(order.timeout).into();
+        headers.insert(header::TIMEOUT, millis);
+        let parent = self.mint.mint(order.run).parse().ok()?;
+        headers.insert(header::PARENT, parent);
+        let root = order.root.to_string().parse().ok()?;
+        headers.insert(header::REQUEST_ID, root);
+        Some(built)
+    }
+
+    fn judge(&self, _: &effect::RunOrder, head: &response::Parts) -> target::AnswerMeaning {
+        let marked = head.headers.get(header::NOT_RUN);
+        let refused = head.status == http::StatusCode::SERVICE_UNAVAILABLE
+            && marked.is_some_and(|mark| mark == "1");
+        match refused {
+            true => target::AnswerMeaning::Refused,
+            false => target::AnswerMeaning::Answer,
+        }
+    }
+
+    fn open_end(&self) -> target::OpenEnd {
+        target::OpenEnd::Cut
+    }
+
+    fn keeps_back(&self, name: &str) -> bool {
+        header::is_own(name)
+    }
+}
+
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -4,14 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::Full;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use prometheus::IntGauge;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
+use super::message;
 use crate::counters;
 
 /// Longest wait for a connection to the local target; it stands on the same instance.
@@ -21,6 +18,15 @@
 /// that a request seldom meets a connection that the target closes at that moment.
 pub const IDLE_LIMIT: Duration = Duration::from_millis(4_000);
 
+/// Share of the time that the target says it keeps a connection, in percent, after which it is
+/// used no more: the rest covers the way there and a busy node.
+const STATED_SHARE: u32 = 70;
+
+/// Longest rest of a connection that may carry a request which must not run twice. The longer it
+/// rested, the likelier the target closes it at that moment, and a request that meets the close can
+/// neither be sent again nor be told as not run. A new connection costs a millisecond.
+const CAREFUL_IDLE_LIMIT: Duration = Duration::from_millis(500);
+
 /// No connection to the target came about, so no byte of the request left.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 #[display("no connection to the target")]
@@ -29,16 +35,23 @@
 /// One open connection; dropping it closes it, which tells the target to stop.
 #[derive(Debug)]
 pub struct TargetConnection {
-    /// Sends one request at a time.
-    pub sender: http1::SendRequest<Full<Bytes>>,
+    /// The socket.
+    pub stream: TcpStream,
     address: SocketAddr,
-    driver: AbortHandle,
     idle_since: Instant,
+    idle_limit: Duration,
+    _open: counters::GaugeGuard,
 }
 
-impl Drop for TargetConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
+impl TargetConnection {
+    /// Whether nothing came since the last answer and the target has not closed the connection.
+    ///
+    /// Bytes that came meanwhile belong to no request; read as the next answer, they would reach
+    /// another caller.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let read = self.stream.try_read(&mut byte);
+        read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
     }
 }
 
@@ -56,11 +69,12 @@
         Self { resting, counters }
     }
 
-    /// A kept connection to `address`, the latest used first, so that surplus ones age and close.
-    pub async fn take(&self, address: SocketAddr) -> Option<TargetConnection> {
+    /// A kept connection to `address`, the latest used first, so that surplus ones age and close;
+    /// `careful` takes only one that was used a moment ago.
+    pub fn take(&self, address: SocketAddr, careful: bool) -> Option<TargetConnection> {
         loop {
-            let mut connection = self.pop(address)?;
-            if connection.sender.ready().await.is_ok() {
+            let connection = self.pop(address, careful)?;
+            if connection.is_quiet() {
                 self.counters.count(counters::EdgeCause::TargetReused);
                 return Some(connection);
             }
@@ -69,54 +83,44 @@
 
     /// Opens a new connection to `address`.
     pub async fn open(&self, address: SocketAddr) -> Result<TargetConnection, ConnectFailed> {
-        let opening = tokio::time::timeout(CONNECT_LIMIT, self.connect(address));
-        let connection = opening.await.unwrap_or(Err(ConnectFailed))?;
+        let opening = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
+        let stream = opening.await.map_err(|_| ConnectFailed)?;
+        let stream = stream.map_err(|_| ConnectFailed)?;
+        // Nagle's algorithm would hold the tail of a request back for a delayed acknowledgement.
+        stream.set_nodelay(true).map_err(|_| ConnectFailed)?;
         self.counters.count(counters::EdgeCause::TargetConnected);
-        Ok(connection)
+        let gauge: &IntGauge = self.counters.target_connections();
+        Ok(TargetConnection {
+            stream,
+            address,
+            idle_since: Instant::now(),
+            idle_limit: IDLE_LIMIT,
+            _open: counters::GaugeGuard::hold(gauge),
+        })
     }
 
-    /// Keeps a connection whose answer was read whole.
-    pub fn give_back(&self, mut connection: TargetConnection) {
-        if connection.sender.is_closed() {
+    /// Keeps a connection whose answer was read whole, where the target keeps it too.
+    pub fn give_back(&self, mut connection: TargetConnection, keeping: message::KeepOpen) {
+        let message::KeepOpen::Yes(stated) = keeping else {
             return;
-        }
+        };
+        let stated = stated.map(|span| span * STATED_SHARE / 100);
+        connection.idle_limit = stated.unwrap_or(IDLE_LIMIT);
         connection.idle_since = Instant::now();
         self.lock().push(connection);
     }
 
-    /// Closes what has rested longer than [`IDLE_LIMIT`].
+    /// Closes what has rested too long.
     pub fn sweep(&self) {
-        self.lock()
-            .retain(|connection| connection.idle_since.elapsed() < IDLE_LIMIT);
+        self.lock().retain(is_fresh);
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<TargetConnection, ConnectFailed> {
-        let stream = TcpStream::connect(address).await;
-        let stream = stream.map_err(|_| ConnectFailed)?;
-        // Nagle's algorithm would hold the tail of a request back for a delayed acknowledgement.
-        stream.set_nodelay(true).map_err(|_| ConnectFailed)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(|_| ConnectFailed)?;
-        let guard = counters::GaugeGuard::hold(self.counters.target_connections());
-        let driver = tokio::spawn(async move {
-            let _guard = guard;
-            // The exchange in flight learns of a failure by its own future.
-            let _ = driver.await;
-        });
-        Ok(TargetConnection {
-            sender,
-            address,
-            driver: driver.abort_handle(),
-            idle_since: Instant::now(),
-        })
-    }
-
-    fn pop(&self, address: SocketAddr) -> Option<TargetConnection> {
+    fn pop(&self, address: SocketAddr, careful: bool) -> Option<TargetConnection> {
         let mut resting = self.lock();
         let usable = |connection: &TargetConnection| {
-            connection.address == address
-                && !connection.sender.is_closed()
-                && connection.idle_since.elapsed() < IDLE_LIMIT
+            let rested = connection.idle_since.elapsed();
+            let fit = !careful || rested < CAREFUL_IDLE_LIMIT;
+            connection.address == address && is_fresh(connection) && fit
         };
         let place = resting.iter().rposition(usable)?;
         Some(resting.remove(place))
@@ -126,3 +130,7 @@
         self.resting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn is_fresh(connection: &TargetConnection) -> bool {
+    connection.idle_since.elapsed() < connection.idle_limit
+}
--- a/crates/anvil_node/tests/peer_faults.rs
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -37,6 +37,7 @@
         },
         treatment: treatment::RuleTreatment::default(),
         mark: treatment::RuleMark::default(),
+        label: None,
         request: call::CallRequest {
             service: name::ServiceName::new(common::SERVICE).unwrap(),
             method: "GET".to_owned(),
--- a/crates/anvil_rules/src/condition.rs
+++ b/crates/anvil_rules/src/condition.rs
@@ -8,6 +8,8 @@
 /// All parts must hold; an empty part holds for every request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RuleCondition {
+    /// One of these hosts, in lower case and without a port.
+    pub hosts: Vec<String>,
     /// One of these services.
     pub services: Vec<service::ServicePattern>,
     /// One of these methods, case-sensitive as in RFC 9110.
@@ -46,6 +48,9 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ConditionPart {
+    /// The host is another.
+    #[display("host")]
+    Host,
     /// The service is another.
     #[display("service")]
     Service,
@@ -68,6 +73,9 @@
 
     /// The first part that doesn't hold for `request`, or none where all hold.
     pub fn first_miss(&self, request: &view::RequestView<'_>) -> Option<ConditionPart> {
+        if !self.holds_host(request) {
+            return Some(ConditionPart::Host);
+        }
         if !self.holds_service(request.service) {
             return Some(ConditionPart::Service);
         }
@@ -83,6 +91,16 @@
         None
     }
 
+    fn holds_host(&self, request: &view::RequestView<'_>) -> bool {
+        if self.hosts.is_empty() {
+            return true;
+        }
+        let host = request.host().unwrap_or_default();
+        self.hosts
+            .iter()
+            .any(|known| known.eq_ignore_ascii_case(host))
+    }
+
     fn holds_service(&self, service: &str) -> bool {
         let mut services = self.services.iter();
         self.services.is_empty() || services.any(|pattern| pattern.matches(service))
@@ -100,9 +118,11 @@
     ///
     /// A `false` may be wrong where only several patterns together cover one; a `true` never is.
     pub fn covers(&self, other: &Self) -> bool {
-        covers_each(&self.services, &other.services, |own, inner| {
-            own.covers(inner)
-        }) && covers_each(&self.methods, &other.methods, |own, inner| own == inner)
+        covers_each(&self.hosts, &other.hosts, |own, inner| own == inner)
+            && covers_each(&self.services, &other.services, |own, inner| {
+                own.covers(inner)
+            })
+            && covers_each(&self.methods, &other.methods, |own, inner| own == inner)
             && covers_each(&self.paths, &other.paths, |own, inner| own.covers(inner))
             && self
                 .headers
--- a/crates/anvil_rules/src/document.rs
+++ b/crates/anvil_rules/src/document.rs
@@ -5,7 +5,7 @@
 use anvil_types::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{condition, outcome};
+use crate::{change, condition, outcome};
 
 /// Most rules of one document; matching and checking are measured up to here, see
 /// `docs/design/rules.md`.
@@ -32,6 +32,14 @@
 }
 
 impl RuleDocument {
+    /// Takes rules in order; two of one name, or too many, are refused.
+    pub fn new(rules: Vec<NamedRule>) -> Result<Self, change::ChangeConflict> {
+        let rules = rules.into_iter().map(Arc::new).collect();
+        let document = Self { rules };
+        document.check()?;
+        Ok(document)
+    }
+
     /// Takes rules whose names the caller has checked to be unique.
     pub(crate) const fn from_checked(rules: Vec<Arc<NamedRule>>) -> Self {
         Self { rules }
--- a/crates/anvil_rules/src/explain.rs
+++ b/crates/anvil_rules/src/explain.rs
@@ -108,12 +108,19 @@
     let action = match decided.action {
         treatment::RuleAction::Serve => "serve",
         treatment::RuleAction::Refuse => "refuse",
+        treatment::RuleAction::NotFound => "not-found",
     };
     let ratio = format!("{}%", decided.retry_ratio_percent);
     let retries = decided.chain_retries.to_string();
+    let attempts = decided.attempts.to_string();
+    let objective = decided.objective.map(duration::write);
+    let objective = objective.unwrap_or_else(|| "none".to_owned());
+    let send_to = then.send_to.as_ref().map(ToString::to_string);
+    let send_to = send_to.unwrap_or_else(|| "the service that the caller names".to_owned());
     let crashes = decided.crash_limit.to_string();
     vec![
         field("action", action.to_owned(), then.action.as_ref()),
+        field("send-to", send_to, then.send_to.as_ref()),
         field("class", decided.class.to_string(), then.class.as_ref()),
         idempotent,
         field("retries", retries, then.chain_retries.as_ref()),
@@ -123,6 +130,8 @@
             duration::write(decided.backoff),
             then.backoff.as_ref(),
         ),
+        field("attempts", attempts, then.attempts.as_ref()),
+        field("objective", objective, then.objective.as_ref()),
         field(
             "deadline",
             duration::write(decided.deadline),
--- a/crates/anvil_rules/src/fault.rs
+++ b/crates/anvil_rules/src/fault.rs
@@ -111,6 +111,15 @@
         /// Where its first rule stands.
         line: u64,
     },
+    /// No part of a split has a weight above zero.
+    #[display("no weight is above zero, so no request could be sent anywhere")]
+    NoWeight,
+    /// The text is no host.
+    #[display("{found:?} is no host; hosts are names without a port, such as portal.example")]
+    Host {
+        /// What stands there.
+        found: String,
+    },
     /// The text is no method.
     #[display("{found:?} is no method; methods are case-sensitive, such as POST")]
     Method {
--- a/crates/anvil_rules/src/field.rs
+++ b/crates/anvil_rules/src/field.rs
@@ -119,6 +119,11 @@
         Some(entries)
     }
 
+    /// Whether a list stands here.
+    pub(crate) fn is_list(&self) -> bool {
+        matches!(self.node.value, yaml::YamlValue::List(_))
+    }
+
     /// The entries of a list with at most `limit` of them.
     pub(crate) fn list(
         &self,
--- a/crates/anvil_rules/src/lib.rs
+++ b/crates/anvil_rules/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod codec;
 pub mod condition;
+pub mod destination;
 pub mod document;
 pub mod duration;
 pub mod explain;
--- a/crates/anvil_rules/src/matcher.rs
+++ b/crates/anvil_rules/src/matcher.rs
@@ -7,7 +7,7 @@
 
 use anvil_types::{name, treatment};
 
-use crate::{document, outcome, path, service, table, view};
+use crate::{destination, document, outcome, path, service, table, view};
 
 /// Most index entries of one rule. One whose lists multiply to more is indexed by service alone,
 /// so that no document makes a node hold more than a bounded multiple of its rules.
@@ -20,6 +20,8 @@
     pub treatment: treatment::RuleTreatment,
     /// The place of the rule in the list, from zero; none where no rule matched.
     pub index: Option<u32>,
+    /// The services that the rule sends the request to; none where the caller names the service.
+    pub send_to: Option<&'a destination::RuleDestination>,
     /// The name of the rule; none where no rule matched.
     pub name: Option<&'a name::RuleName>,
 }
@@ -108,6 +110,7 @@
             return RuleDecision {
                 treatment: outcome::RuleOutcome::default().treatment(request.method),
                 index: None,
+                send_to: None,
                 name: None,
             };
         };
@@ -115,6 +118,7 @@
         RuleDecision {
             treatment: rule.then.treatment(request.method),
             index: Some(index),
+            send_to: rule.then.send_to.as_ref(),
             name: Some(&rule.name),
         }
     }
--- a/crates/anvil_rules/src/outcome.rs
+++ b/crates/anvil_rules/src/outcome.rs
@@ -5,7 +5,7 @@
 use anvil_types::{context, treatment};
 use serde::{Deserialize, Serialize};
 
-use crate::method;
+use crate::{destination, method};
 
 /// What a rule says about matching requests; a field that it leaves out takes its safe default.
 ///
@@ -31,6 +31,12 @@
     pub crash_limit: Option<u8>,
     /// How long a quarantined request stays refused.
     pub quarantine: Option<Duration>,
+    /// Targets that one call may be sent to.
+    pub attempts: Option<u16>,
+    /// Time within which an answer is worth most.
+    pub objective: Option<Duration>,
+    /// The services that matching requests go to; left out, the caller names the service.
+    pub send_to: Option<destination::RuleDestination>,
     /// Whether matching requests are served at all.
     pub action: Option<treatment::RuleAction>,
 }
@@ -53,6 +59,8 @@
             backoff: self.backoff.unwrap_or(base.backoff),
             deadline: self.deadline.unwrap_or(base.deadline),
             queue_wait: self.queue_wait.unwrap_or(base.queue_wait),
+            attempts: self.attempts.unwrap_or(base.attempts),
+            objective: self.objective.or(base.objective),
             crash_limit: self.crash_limit.unwrap_or(base.crash_limit),
             quarantine: self.quarantine.unwrap_or(base.quarantine),
             action: self.action.unwrap_or(base.action),
--- a/crates/anvil_rules/src/parse_then.rs
+++ b/crates/anvil_rules/src/parse_then.rs
@@ -2,19 +2,22 @@
 
 use std::time::Duration;
 
-use anvil_types::{context, treatment};
+use anvil_types::{context, name, treatment};
 
-use crate::{duration, fault, field, outcome, range};
+use crate::{destination, duration, fault, field, outcome, range};
 
 /// Fields of an outcome, in the order in which documents are written.
-const FIELDS: [&str; 10] = [
+const FIELDS: [&str; 13] = [
     "action",
+    "send-to",
     "class",
     "idempotent",
     "retries",
     "retry-ratio",
     "backoff",
+    "attempts",
     "deadline",
+    "objective",
     "queue-wait",
     "crash-limit",
     "quarantine",
@@ -24,11 +27,17 @@
 const CLASS_WORDS: [&str; 4] = ["low", "normal", "high", "critical"];
 
 /// Words for [`ACTIONS`].
-const ACTION_WORDS: [&str; 2] = ["serve", "refuse"];
+const ACTION_WORDS: [&str; 3] = ["serve", "refuse", "not-found"];
 
 /// Actions, in the order of their words.
-const ACTIONS: [treatment::RuleAction; 2] =
-    [treatment::RuleAction::Serve, treatment::RuleAction::Refuse];
+const ACTIONS: [treatment::RuleAction; 3] = [
+    treatment::RuleAction::Serve,
+    treatment::RuleAction::Refuse,
+    treatment::RuleAction::NotFound,
+];
+
+/// Fields of one part of a split.
+const PART_FIELDS: [&str; 2] = ["service", "weight"];
 
 /// Reads an outcome; a field with faults is left out.
 pub(crate) fn read_outcome(
@@ -52,6 +61,13 @@
             .get("retry-ratio")
             .and_then(|field| field.percent(&range::RETRY_RATIO_PERCENT, faults)),
         backoff: read_duration(&map, "backoff", &range::BACKOFF, faults),
+        attempts: map
+            .get("attempts")
+            .and_then(|field| field.integer(&range::ATTEMPTS, faults)),
+        objective: read_duration(&map, "objective", &range::DEADLINE, faults),
+        send_to: map
+            .get("send-to")
+            .and_then(|field| read_destination(&field, faults)),
         deadline: read_duration(&map, "deadline", &range::DEADLINE, faults),
         queue_wait: read_duration(&map, "queue-wait", &range::QUEUE_WAIT, faults),
         crash_limit: map
@@ -67,6 +83,58 @@
     outcome
 }
 
+/// Reads a service, or a list of services with weights of which at least one is above zero.
+fn read_destination(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<destination::RuleDestination> {
+    if !field.is_list() {
+        let service = read_service(field, faults)?;
+        return Some(destination::RuleDestination::Service(service));
+    }
+    let items = field.list(destination::PART_LIMIT, faults)?;
+    let count = items.len();
+    let parts = items.iter().filter_map(|item| read_part(item, faults));
+    let parts: Vec<_> = parts.collect();
+    if parts.len() < count {
+        return None;
+    }
+    if parts.iter().all(|part| part.weight == 0) {
+        field.fault(fault::FaultReason::NoWeight, faults);
+        return None;
+    }
+    Some(destination::RuleDestination::Split(parts))
+}
+
+fn read_part(
+    item: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<destination::WeightedService> {
+    let map = field::FieldMap::open(item, &PART_FIELDS, faults)?;
+    let service = map.require("service", faults);
+    let service = service.and_then(|field| read_service(&field, faults));
+    let weight = map.require("weight", faults);
+    let weight = weight.and_then(|field| field.integer(&range::WEIGHT, faults));
+    Some(destination::WeightedService {
+        service: service?,
+        weight: weight?,
+    })
+}
+
+fn read_service(
+    field: &field::NodeField<'_>,
+    faults: &mut fault::FaultList<'_>,
+) -> Option<name::ServiceName> {
+    let text = field.text(faults)?;
+    match name::ServiceName::new(text) {
+        Ok(service) => Some(service),
+        Err(reason) => {
+            field.fault(fault::FaultReason::Name { reason }, faults);
+            None
+        }
+    }
+}
+
 fn read_duration(
     map: &field::FieldMap<'_>,
     name: &str,
--- a/crates/anvil_rules/src/parse_when.rs
+++ b/crates/anvil_rules/src/parse_when.rs
@@ -3,7 +3,7 @@
 use crate::{condition, fault, field, method, path, service};
 
 /// Fields of a condition.
-const FIELDS: [&str; 4] = ["service", "method", "path", "headers"];
+const FIELDS: [&str; 5] = ["host", "service", "method", "path", "headers"];
 
 /// Fields of what must hold for one header.
 const HEADER_FIELDS: [&str; 2] = ["equals", "present"];
@@ -17,6 +17,7 @@
         return condition::RuleCondition::default();
     };
     condition::RuleCondition {
+        hosts: read_part(map.get("host"), read_host, faults),
         services: read_part(map.get("service"), read_service, faults),
         methods: read_part(map.get("method"), read_method, faults),
         paths: read_part(map.get("path"), read_path, faults),
@@ -51,6 +52,15 @@
     parts
 }
 
+fn read_host(text: &str) -> Result<String, fault::FaultReason> {
+    let forbidden = |c: char| c.is_whitespace() || c.is_control() || "/?#@*".contains(c);
+    if text.is_empty() || text.contains(forbidden) {
+        let found = text.to_owned();
+        return Err(fault::FaultReason::Host { found });
+    }
+    Ok(text.to_ascii_lowercase())
+}
+
 fn read_service(text: &str) -> Result<service::ServicePattern, fault::FaultReason> {
     let found = || text.to_owned();
     match text.split_once('*') {
--- a/crates/anvil_rules/src/range.rs
+++ b/crates/anvil_rules/src/range.rs
@@ -6,9 +6,17 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use crate::destination;
+
 /// Retries of a whole chain; more than this is load, not help.
 pub const CHAIN_RETRIES: RangeInclusive<i64> = 0..=32;
 
+/// Targets that one call may be sent to; the first attempt is one of them.
+pub const ATTEMPTS: RangeInclusive<i64> = 1..=33;
+
+/// Weight of one part of a split.
+pub const WEIGHT: RangeInclusive<i64> = 0..=destination::WEIGHT_LIMIT as i64;
+
 /// Retries that a node may add, in percent of its first attempts.
 pub const RETRY_RATIO_PERCENT: RangeInclusive<i64> = 0..=100;
 
--- a/crates/anvil_rules/src/render.rs
+++ b/crates/anvil_rules/src/render.rs
@@ -6,7 +6,7 @@
 use anvil_types::{context, treatment};
 use serde::{Serialize, Serializer};
 
-use crate::{condition, document, duration, outcome};
+use crate::{condition, destination, document, duration, outcome};
 
 #[derive(Serialize)]
 struct DocumentText<'a> {
@@ -18,11 +18,13 @@
     name: &'a str,
     #[serde(skip_serializing_if = "WhenText::is_empty")]
     when: WhenText<'a>,
-    then: ThenText,
+    then: ThenText<'a>,
 }
 
 #[derive(Serialize)]
 struct WhenText<'a> {
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    host: &'a [String],
     #[serde(skip_serializing_if = "Vec::is_empty")]
     service: Vec<String>,
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
@@ -42,10 +44,12 @@
 
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
-struct ThenText {
+struct ThenText<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
     action: Option<treatment::RuleAction>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    send_to: Option<SendText<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     class: Option<context::PriorityClass>,
     #[serde(skip_serializing_if = "Option::is_none")]
     idempotent: Option<bool>,
@@ -56,8 +60,12 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     backoff: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    attempts: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     deadline: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    objective: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     queue_wait: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     crash_limit: Option<u8>,
@@ -65,6 +73,34 @@
     quarantine: Option<String>,
 }
 
+#[derive(Serialize)]
+#[serde(untagged)]
+enum SendText<'a> {
+    Service(&'a str),
+    Split(Vec<PartText<'a>>),
+}
+
+#[derive(Serialize)]
+struct PartText<'a> {
+    service: &'a str,
+    weight: u32,
+}
+
+impl<'a> SendText<'a> {
+    fn of(destination: &'a destination::RuleDestination) -> Self {
+        let part = |part: &'a destination::WeightedService| PartText {
+            service: part.service.as_str(),
+            weight: part.weight,
+        };
+        match destination {
+            destination::RuleDestination::Service(service) => Self::Service(service.as_str()),
+            destination::RuleDestination::Split(parts) => {
+                Self::Split(parts.iter().map(part).collect())
+            }
+        }
+    }
+}
+
 /// Writes a document as YAML that [`crate::parse::parse_rules`] reads back to an equal one.
 pub fn to_yaml(document: &document::RuleDocument) -> String {
     let rules = document.rules().iter().map(|rule| rule_text(rule));
@@ -101,6 +137,7 @@
             (header.name.as_str(), test)
         };
         Self {
+            host: &when.hosts,
             service: when.services.iter().map(ToString::to_string).collect(),
             method: &when.methods,
             path: when.paths.iter().map(ToString::to_string).collect(),
@@ -109,17 +146,21 @@
     }
 
     const fn is_empty(&self) -> bool {
-        self.service.is_empty()
+        self.host.is_empty()
+            && self.service.is_empty()
             && self.method.is_empty()
             && self.path.is_empty()
             && self.headers.is_empty()
     }
 }
 
-impl ThenText {
-    fn of(then: &outcome::RuleOutcome) -> Self {
+impl<'a> ThenText<'a> {
+    fn of(then: &'a outcome::RuleOutcome) -> Self {
         Self {
             action: then.action,
+            send_to: then.send_to.as_ref().map(SendText::of),
+            attempts: then.attempts,
+            objective: then.objective.map(duration::write),
             class: then.class,
             idempotent: then.idempotent,
             retries: then.chain_retries,
--- a/crates/anvil_rules/src/view.rs
+++ b/crates/anvil_rules/src/view.rs
@@ -25,6 +25,21 @@
             headers: &request.headers,
         }
     }
+
+    /// The host that the caller asked, without its port; none where it named none.
+    pub fn host(&self) -> Option<&'a str> {
+        let line = self.headers.iter().find(|line| line.name == "host")?;
+        let text = std::str::from_utf8(&line.value).ok()?.trim();
+        Some(without_port(text))
+    }
+}
+
+/// The host up to its port; the colons of an address in brackets are no port.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
 }
 
 /// The path up to its query.
--- a/crates/anvil_rules/tests/parse.rs
+++ b/crates/anvil_rules/tests/parse.rs
@@ -16,6 +16,7 @@
         "rules:
   - name: submit-claim
     when:
+      host: [Portal.example, api.example]
       service: [mesa-entradas, 'portal-*']
       method: POST
       path: [/claims, '/claims/*/evidence', '/bundles/**']
@@ -25,6 +26,9 @@
         x-test: {present: false}
     then:
       action: serve
+      send-to: [{service: mesa-entradas, weight: 90}, {service: mesa-nueva, weight: 10}]
+      attempts: 2
+      objective: 1500ms
       class: critical
       idempotent: false
       retries: 2
@@ -38,6 +42,9 @@
     );
     let rule = &document.rules()[0];
     assert_eq!(rule.when.services[1].to_string(), "portal-*");
+    assert_eq!(rule.when.hosts, ["portal.example", "api.example"]);
+    let parts = rule.then.send_to.as_ref().map(ToString::to_string);
+    assert_eq!(parts.as_deref(), Some("mesa-entradas 90, mesa-nueva 10"));
     assert_eq!(rule.when.methods, ["POST"]);
     assert_eq!(rule.when.paths.len(), 3);
     let names: Vec<&str> = rule.when.headers.iter().map(|h| h.name.as_str()).collect();
@@ -50,6 +57,8 @@
         backoff: Duration::from_millis(50),
         deadline: Duration::from_secs(8),
         queue_wait: Duration::from_secs(1),
+        attempts: 2,
+        objective: Some(Duration::from_millis(1_500)),
         crash_limit: 3,
         quarantine: Duration::from_secs(900),
         action: treatment::RuleAction::Serve,
--- a/crates/anvil_rules/tests/render.rs
+++ b/crates/anvil_rules/tests/render.rs
@@ -32,6 +32,7 @@
             let (services, paths) = patterns.into_iter().unzip();
             let headers = header.map(|(name, test)| condition::HeaderCondition { name, test });
             condition::RuleCondition {
+                hosts: Vec::new(),
                 services,
                 methods,
                 paths,
--- a/crates/anvil_standins/src/store/server.rs
+++ b/crates/anvil_standins/src/store/server.rs
@@ -214,6 +214,7 @@
         store::StoreOutcome::Done(reply) => done(reply),
         store::StoreOutcome::Conflict { current } => entry(current).with_status_code(412),
         store::StoreOutcome::Unavailable => rouille::Response::text("down").with_status_code(503),
+        store::StoreOutcome::HistoryLost => rouille::Response::text("gone").with_status_code(410),
         // A broken body stands for a lost answer: the client can't tell what was done.
         store::StoreOutcome::Unknown => rouille::Response::text("lost").with_status_code(502),
     }
--- a/crates/anvil_store/src/http.rs
+++ b/crates/anvil_store/src/http.rs
@@ -117,6 +117,7 @@
     let reply = match (ask, status) {
         // The platform says 503 before it does anything.
         (_, 503) => return Some(store::StoreOutcome::Unavailable),
+        (store::StoreAsk::Watch { .. }, 410) => return Some(store::StoreOutcome::HistoryLost),
         (store::StoreAsk::Swap { key, .. } | store::StoreAsk::Remove { key, .. }, 412) => {
             let current = entry(key);
             return Some(store::StoreOutcome::Conflict { current });
--- a/crates/anvil_types/src/ident.rs
+++ b/crates/anvil_types/src/ident.rs
@@ -1,5 +1,7 @@
 //! Identities of nodes, calls, requests and keys.
 
+use std::sync::Arc;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -52,6 +54,40 @@
     }
 }
 
+/// The id by which a caller names its request, as text; logs show it, and a target that calls on
+/// behalf of a request may build its own ids from it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestLabel(Arc<str>);
+
+impl RequestLabel {
+    /// Takes `text` as it is.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// One start of a target, as the target names it; a process that comes back at the same address has
+/// another one.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct IncarnationId(Arc<str>);
+
+impl IncarnationId {
+    /// Takes `text` as it is.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// A digest of what a request asks for, equal for its resends; see `docs/design/quarantine.md`.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/anvil_types/src/name.rs
+++ b/crates/anvil_types/src/name.rs
@@ -87,3 +87,11 @@
     /// The name of a region, such as `ar-centro`.
     RegionName
 }
+
+impl Default for ServiceName {
+    /// The name of no service: the caller left the choice to the rules, and no target can announce
+    /// it, so a request that no rule sends anywhere reaches nobody.
+    fn default() -> Self {
+        Self(Arc::from(""))
+    }
+}
--- a/crates/anvil_types/src/store.rs
+++ b/crates/anvil_types/src/store.rs
@@ -182,6 +182,8 @@
         /// What stands there, where anything does.
         current: Option<StoreEntry>,
     },
+    /// A watch asked for writes that the store has forgotten; the entries must be read anew.
+    HistoryLost,
     /// Proved not to have been carried out: no connection came about, the store refused, or the
     /// node's own call budget held it back.
     Unavailable,
--- a/crates/anvil_types/src/treatment.rs
+++ b/crates/anvil_types/src/treatment.rs
@@ -25,6 +25,10 @@
     pub deadline: Duration,
     /// Longest wait in the queue of a target's node.
     pub queue_wait: Duration,
+    /// Targets that one call may be sent to, the first one included.
+    pub attempts: u16,
+    /// Time within which an answer is worth most; later ones count less until the deadline.
+    pub objective: Option<Duration>,
     /// Targets that one request may crash before it is quarantined.
     pub crash_limit: u8,
     /// How long a quarantined request stays refused.
@@ -42,6 +46,9 @@
     Serve,
     /// Refuse it as not run.
     Refuse,
+    /// Answer that there is nothing at its host and path.
+    #[serde(rename = "not-found")]
+    NotFound,
 }
 
 impl Default for RuleTreatment {
@@ -55,6 +62,8 @@
             backoff: Duration::from_millis(20),
             deadline: Duration::from_secs(10),
             queue_wait: Duration::from_millis(500),
+            attempts: 33,
+            objective: None,
             crash_limit: 2,
             quarantine: Duration::from_secs(600),
             action: RuleAction::Serve,
--- a/crates/anvil_types/src/verdict.rs
+++ b/crates/anvil_types/src/verdict.rs
@@ -66,6 +66,9 @@
     /// The node has not yet learned the rules that its peers hold.
     #[display("rules-unknown")]
     RulesUnknown,
+    /// A rule says that nothing stands at the request's host and path.
+    #[display("not-found")]
+    NotFound,
     /// A rule says that such requests are refused.
     #[display("rule")]
     Rule,
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -92,6 +92,8 @@
     pub treatment: treatment::RuleTreatment,
     /// Which rule decided.
     pub mark: treatment::RuleMark,
+    /// The caller's own id of the request, where it named one.
+    pub label: Option<ident::RequestLabel>,
     /// The request itself.
     pub request: CallRequest,
 }
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -39,4 +39,8 @@
     Suspicion(Box<suspicion::SuspicionNotice>),
     /// Membership and rules in bulk.
     Sync(Box<gossip::SyncMessage>),
+    /// Asks for a [`PeerFrame::Pong`], since answers are due and nothing came for a while.
+    Ping,
+    /// Answers a [`PeerFrame::Ping`].
+    Pong,
 }
