Tell each failed request in the log, with what decided it

Change: one JSON line on standard output at the end of a request at its entry node and at its target's node: id, rule and revision, limit, attempts, nodes, times, what the caller was told. All failures and one lane in sixteen of the successes, 200 lines a second at most, the rest counted. A refusal by the target itself has a reason of its own. Ruled out: log4rs' own JSON encoder, which writes 300 bytes of places in the source with each line.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -280,7 +280,9 @@
         // How fast a target fails says nothing about how fast it works.
         verdict::CallVerdict::Answered if status >= retrying::SERVER_ERROR => limit::RunEnd::Failed,
         verdict::CallVerdict::Answered => limit::RunEnd::Whole,
-        verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed) => limit::RunEnd::Refused,
+        verdict::CallVerdict::NotRun(verdict::RefusalReason::TargetRefused) => {
+            limit::RunEnd::Refused
+        }
         verdict::CallVerdict::MayHaveRun(_) if run.expired => limit::RunEnd::TimedOut,
         verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Deadline) => limit::RunEnd::TimedOut,
         verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled) => {
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -53,6 +53,8 @@
     pub deadline: time::NodeTime,
     /// Attempts dispatched so far.
     pub attempts: u16,
+    /// Attempts that may have come to a target.
+    pub reached: u16,
     /// Attempts refused by nodes that were leaving or could not be reached.
     pub redirects: u8,
     /// Nodes that refused or failed an attempt.
@@ -92,10 +94,9 @@
 
     /// Whether a further attempt would exceed the targets that the rule allows for the call.
     ///
-    /// Attempts that a leaving or unreachable node turned away came to no target.
+    /// Attempts that a node turned away by itself came to no target.
     pub fn targets_spent(&self) -> bool {
-        let sent = self.attempts.saturating_sub(u16::from(self.redirects));
-        sent >= self.treatment.attempts
+        self.reached >= self.treatment.attempts
     }
 
     /// Whether the current attempt is out at `node`.
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -6,8 +6,9 @@
 use anvil_types::{ident, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
+use serde::Serialize;
 
-use crate::{answer, event, incarnations};
+use crate::{answer, event, incarnations, notes};
 
 /// The one reply to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,7 +66,11 @@
 }
 
 /// A change of state worth a log line.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+///
+/// The text is for people, the serialized form for the log: one JSON object, whose field `event`
+/// names the change.
+#[derive(Clone, Debug, Display, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
 pub enum StateChange {
     /// The local target came.
     #[display("target serving: service={service} address={address} slots={slots}")]
@@ -101,6 +106,18 @@
         /// What changed.
         text: String,
     },
+    /// A request came to its end at its entry node.
+    #[display("call ended")]
+    CallEnded(Box<notes::CallNote>),
+    /// A request came to its end at the target's node.
+    #[display("run ended")]
+    RunEnded(Box<notes::RunNote>),
+    /// Lines about single requests were held back, to bound the log.
+    #[display("lines held back: {count}")]
+    HeldBack {
+        /// How many.
+        count: u64,
+    },
     /// The node stops.
     #[display("stopping: forced={forced} running={running}")]
     Stopping {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -9,7 +9,7 @@
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
-use crate::{calls, effect, event, reducer, rulebook, timers};
+use crate::{calls, effect, event, notes, reducer, rulebook, timers};
 
 impl reducer::NodeReducer {
     pub(crate) fn call_arrived(
@@ -58,6 +58,7 @@
             arrived: self.now,
             deadline,
             attempts: 0,
+            reached: 0,
             redirects: 0,
             tried: Vec::new(),
             doubt: None,
@@ -361,18 +362,51 @@
         self.return_allowance(sequence, &open);
         self.note_call_refusal(&open, verdict);
         self.close_key(sequence, &open, verdict, answer.as_ref());
+        let retry_after = self.retry_after(&open, verdict);
+        let status = answer.as_ref().map(|answer| answer.status);
+        self.tell_call(&open, verdict, status, retry_after);
         let reply = effect::CallerReply {
             verdict,
             answer,
             request: open.context.request,
             attempts: open.attempts,
             mark: open.mark,
-            retry_after: self.retry_after(&open, verdict),
+            retry_after,
             label: open.label.clone(),
         };
         self.reply(open.handle, reply);
     }
 
+    fn tell_call(
+        &mut self,
+        open: &calls::OpenCall,
+        verdict: verdict::CallVerdict,
+        status: Option<u16>,
+        retry_after: Option<Duration>,
+    ) {
+        if !notes::is_told(verdict, status, open.context.lane) {
+            return;
+        }
+        let note = notes::CallNote {
+            request: open.label.clone(),
+            root: open.context.request,
+            service: open.request.service.clone(),
+            class: open.context.class,
+            lane: open.context.lane,
+            rule: open.mark,
+            verdict,
+            status,
+            attempts: open.attempts,
+            reached: open.reached,
+            nodes: open.tried.clone(),
+            refused: open.refused,
+            took_ms: notes::millis(self.now.since(open.arrived)),
+            left_ms: notes::millis(open.deadline.since(self.now)),
+            retry_after_ms: retry_after.map(notes::millis),
+        };
+        self.tell(effect::StateChange::CallEnded(Box::new(note)));
+    }
+
     pub(crate) fn reply(&mut self, handle: event::CallerHandle, reply: effect::CallerReply) {
         self.counters.count_reply(reply.verdict);
         self.effects.push(effect::NodeEffect::ReplyCaller {
--- a/crates/anvil_core/src/incarnations.rs
+++ b/crates/anvil_core/src/incarnations.rs
@@ -7,6 +7,7 @@
 
 use anvil_types::ident;
 use derive_more::Display;
+use serde::Serialize;
 
 use crate::event;
 
@@ -17,7 +18,8 @@
 const ENDED_KEPT: usize = 64;
 
 /// How a word of a target stands to those before it.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum WordStanding {
     /// The newest word of a start that has not ended.
     #[display("newest")]
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet;
 pub mod incarnations;
 mod keys;
+pub mod notes;
 mod operator;
 mod overload;
 pub mod reducer;
--- /dev/null
+++ b/crates/anvil_core/src/notes.rs
@@ -0,0 +1,152 @@
+//! What is told of single requests, and how much of it.
+//!
+//! Whoever looks into a failed request has logs and no more, so each end that is no success is
+//! told with what decided it. Successes are told for one lane in sixteen: the lane is the same at
+//! every hop, so a request that is told is told at all its nodes. A budget bounds both under load;
+//! what it holds back is counted and told.
+
+use std::time::Duration;
+
+use anvil_overload::refusal;
+use anvil_types::{context, ident, name, time, treatment, verdict};
+use serde::{Serialize, Serializer};
+
+/// Lanes of 256 whose successes are told.
+const TOLD_LANES: u8 = 16;
+
+/// Lines about single requests that a node writes each second; a line is some 300 bytes, so a node
+/// writes 60 kB/s at most.
+const LINES_PER_SECOND: u32 = 200;
+
+/// The end of a request at its entry node.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct CallNote {
+    /// The caller's own id of the request.
+    pub request: Option<ident::RequestLabel>,
+    /// The root request that it serves.
+    pub root: ident::RequestId,
+    /// The service asked for.
+    pub service: name::ServiceName,
+    /// Importance.
+    pub class: context::PriorityClass,
+    /// Lane.
+    pub lane: context::LaneHash,
+    /// The rule that decided and its revision.
+    pub rule: treatment::RuleMark,
+    /// Whether it ran, as the caller is told.
+    #[serde(serialize_with = "in_words")]
+    pub verdict: verdict::CallVerdict,
+    /// Status of the target's answer, where there is one.
+    pub status: Option<u16>,
+    /// Attempts dispatched.
+    pub attempts: u16,
+    /// Attempts that may have come to a target.
+    pub reached: u16,
+    /// Nodes that the attempts went to.
+    pub nodes: Vec<ident::NodeId>,
+    /// The limit that refused the last attempt, and the node that it belongs to.
+    pub refused: Option<(refusal::RefusalLimit, ident::NodeId)>,
+    /// Time since the request came, in milliseconds.
+    pub took_ms: u64,
+    /// Time left of what the caller and the rule allow, in milliseconds.
+    pub left_ms: u64,
+    /// When the caller is told to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The end of a run, or of the wait for one, at the target's node.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RunNote {
+    /// The caller's own id of the request.
+    pub request: Option<ident::RequestLabel>,
+    /// The root request that it serves.
+    pub root: ident::RequestId,
+    /// The entry node.
+    pub entry: ident::NodeId,
+    /// The attempt of the entry node.
+    pub attempt: u16,
+    /// The start of the target, where it names its starts.
+    pub incarnation: Option<ident::IncarnationId>,
+    /// Whether it ran.
+    #[serde(serialize_with = "in_words")]
+    pub verdict: verdict::CallVerdict,
+    /// Status of the target's answer, where there is one.
+    pub status: Option<u16>,
+    /// Time in the queue, in milliseconds; all of it where the request was never started.
+    pub queued_ms: u64,
+    /// Time at the target, in milliseconds; none where it never started.
+    pub ran_ms: Option<u64>,
+    /// Requests running at the target at the end.
+    pub running: u32,
+    /// Requests that waited at the end.
+    pub queued: usize,
+}
+
+fn in_words<S>(verdict: &verdict::CallVerdict, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    match verdict {
+        verdict::CallVerdict::Answered => serializer.collect_str(verdict),
+        verdict::CallVerdict::NotRun(reason) => {
+            serializer.collect_str(&format_args!("{verdict}: {reason}"))
+        }
+        verdict::CallVerdict::MayHaveRun(reason) => {
+            serializer.collect_str(&format_args!("{verdict}: {reason}"))
+        }
+    }
+}
+
+/// Whether the end of a request is worth a line, by how it ended and by its lane.
+pub fn is_told(
+    verdict: verdict::CallVerdict,
+    status: Option<u16>,
+    lane: context::LaneHash,
+) -> bool {
+    let fine = status.is_some_and(|status| status < 500);
+    let success = verdict == verdict::CallVerdict::Answered && fine;
+    !success || lane.0 < TOLD_LANES
+}
+
+/// Whole milliseconds of a span.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Bounds the lines about single requests, second by second.
+#[derive(Clone, Debug, Default)]
+pub struct NoteBudget {
+    second: u64,
+    written: u32,
+    held_back: u64,
+}
+
+/// What becomes of one line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoteGrant {
+    /// Write it, after a line that tells how many were held back before, where any were.
+    Write {
+        /// Lines held back since the last one written.
+        held_back: u64,
+    },
+    /// Hold it back.
+    Hold,
+}
+
+impl NoteBudget {
+    /// Asks for one line.
+    pub fn ask(&mut self, now: time::NodeTime) -> NoteGrant {
+        let second = now.0 / 1_000_000;
+        if second != self.second {
+            self.second = second;
+            self.written = 0;
+        }
+        if self.written >= LINES_PER_SECOND {
+            self.held_back += 1;
+            return NoteGrant::Hold;
+        }
+        self.written += 1;
+        let held_back = std::mem::take(&mut self.held_back);
+        NoteGrant::Write { held_back }
+    }
+}
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -10,8 +10,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, incarnations, keys, overload,
-    repeats, rulebook, runs, stopping, timers,
+    applying, calls, config, counters, directory, effect, event, incarnations, keys, notes,
+    overload, repeats, rulebook, runs, stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -34,6 +34,7 @@
     pub(crate) overload: overload::OverloadState,
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
+    pub(crate) lines: notes::NoteBudget,
     pub(crate) phase: stopping::NodePhase,
     pub(crate) stop: stopping::StopPlan,
     pub(crate) incarnations: incarnations::IncarnationBook,
@@ -75,6 +76,7 @@
             former_target: None,
             timers: timers::TimerQueue::default(),
             counters: counters::NodeCounters::default(),
+            lines: notes::NoteBudget::default(),
             phase: stopping::NodePhase::Serving,
             stop: stopping::StopPlan::default(),
             incarnations: incarnations::IncarnationBook::default(),
@@ -263,6 +265,18 @@
         self.effects.push(effect::NodeEffect::Report(change));
     }
 
+    /// Writes a line about one request, as far as the budget of such lines goes.
+    pub(crate) fn tell(&mut self, change: effect::StateChange) {
+        match self.lines.ask(self.now) {
+            notes::NoteGrant::Write { held_back: 0 } => self.report(change),
+            notes::NoteGrant::Write { held_back } => {
+                self.report(effect::StateChange::HeldBack { count: held_back });
+                self.report(change);
+            }
+            notes::NoteGrant::Hold => {}
+        }
+    }
+
     pub(crate) fn random(&mut self) -> u64 {
         self.rng.next_u64()
     }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -105,6 +105,9 @@
         if let verdict::CallVerdict::MayHaveRun(doubt) = verdict {
             open.doubt = Some(doubt);
         }
+        if reached_target(verdict) {
+            open.reached += 1;
+        }
         open.stage = calls::CallStage::Pausing;
         if self.phase == stopping::NodePhase::Gone {
             self.end_call(sequence, verdict, answer);
@@ -230,6 +233,7 @@
         };
         match reason {
             verdict::RefusalReason::Shed
+            | verdict::RefusalReason::TargetRefused
             | verdict::RefusalReason::QueueFull
             | verdict::RefusalReason::Deadline
             | verdict::RefusalReason::NoTarget
@@ -275,11 +279,21 @@
     )
 }
 
+/// Whether the attempt may have come to a target, which then has had to deal with it.
+fn reached_target(verdict: verdict::CallVerdict) -> bool {
+    match verdict {
+        verdict::CallVerdict::Answered | verdict::CallVerdict::MayHaveRun(_) => true,
+        verdict::CallVerdict::NotRun(reason) => reason == verdict::RefusalReason::TargetRefused,
+    }
+}
+
 fn is_full(verdict: verdict::CallVerdict) -> bool {
     matches!(
         verdict,
         verdict::CallVerdict::NotRun(
-            verdict::RefusalReason::QueueFull | verdict::RefusalReason::Shed
+            verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::Shed
+                | verdict::RefusalReason::TargetRefused
         )
     )
 }
@@ -292,6 +306,7 @@
             reason,
             verdict::RefusalReason::QueueFull
                 | verdict::RefusalReason::Shed
+                | verdict::RefusalReason::TargetRefused
                 | verdict::RefusalReason::Leaving
                 | verdict::RefusalReason::NoTarget
                 | verdict::RefusalReason::Unreachable
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -55,6 +55,8 @@
     pub mark: treatment::RuleMark,
     /// The allowance that came with the call, on which the target's own calls draw.
     pub allowance: allowance::ChainAllowance,
+    /// When it was accepted.
+    pub accepted: time::NodeTime,
     /// When it was handed to the target.
     pub started: Option<time::NodeTime>,
     /// Whether its deadline passed while it was out.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
-use crate::{effect, event, reducer, runs, timers, waits};
+use crate::{effect, event, notes, reducer, runs, timers, waits};
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
@@ -28,6 +28,7 @@
             call: call.call,
             attempt: call.attempt,
             label: call.label,
+            accepted: self.now,
             kind: kind::CallKind::of(&call.request),
             service: call.request.service.clone(),
             request: Some(call.request),
@@ -85,7 +86,9 @@
         let Some(ended) = self.runs.end(run) else {
             return;
         };
-        let status = answer.as_ref().map_or(0, |answer| answer.status);
+        let status = answer.as_ref().map(|answer| answer.status);
+        self.tell_run(&ended, verdict, status);
+        let status = status.unwrap_or(0);
         let decisions = self.release_run(run, &ended, verdict, status);
         let load = self.load_report(ended.kind);
         let reply = call::PeerAnswer {
@@ -101,6 +104,34 @@
         self.apply_decisions(decisions);
     }
 
+    fn tell_run(
+        &mut self,
+        ended: &runs::TargetRun,
+        verdict: verdict::CallVerdict,
+        status: Option<u16>,
+    ) {
+        if !notes::is_told(verdict, status, ended.context.lane) {
+            return;
+        }
+        let target = self.target.as_ref();
+        let incarnation = target.and_then(|target| target.announcement.incarnation_id());
+        let started = ended.started.unwrap_or(self.now);
+        let note = notes::RunNote {
+            request: ended.label.clone(),
+            root: ended.context.request,
+            entry: ended.peer,
+            attempt: ended.attempt,
+            incarnation: incarnation.cloned(),
+            verdict,
+            status,
+            queued_ms: notes::millis(started.since(ended.accepted)),
+            ran_ms: ended.started.map(|at| notes::millis(self.now.since(at))),
+            running: self.runs.running(),
+            queued: self.runs.queued(),
+        };
+        self.tell(effect::StateChange::RunEnded(Box::new(note)));
+    }
+
     pub(crate) fn run_expired(&mut self, run: event::RunId) {
         let Some(found) = self.runs.get_mut(run) else {
             return;
@@ -184,7 +215,9 @@
 fn verdict_of(outcome: event::RunOutcome) -> (verdict::CallVerdict, Option<call::CallAnswer>) {
     let verdict = match outcome {
         event::RunOutcome::Whole(answer) => return (verdict::CallVerdict::Answered, Some(answer)),
-        event::RunOutcome::Refused => verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed),
+        event::RunOutcome::Refused => {
+            verdict::CallVerdict::NotRun(verdict::RefusalReason::TargetRefused)
+        }
         event::RunOutcome::Unreachable | event::RunOutcome::Misdirected { .. } => {
             verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
         }
--- /dev/null
+++ b/crates/anvil_core/tests/notes.rs
@@ -0,0 +1,84 @@
+//! What the log tells of single requests, and how much of it.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use anvil_core::{effect, event, notes};
+use anvil_types::{context, ident, time, verdict};
+
+/// The lines about single requests among `effects`.
+fn lines(effects: &[effect::NodeEffect]) -> Vec<&effect::StateChange> {
+    let lines = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::Report(change) => Some(change),
+        _ => None,
+    });
+    lines
+        .filter(|change| matches!(change, effect::StateChange::CallEnded(_)))
+        .collect()
+}
+
+fn labelled(handle: u64, label: &str) -> event::NodeEvent {
+    event::NodeEvent::CallArrived {
+        handle: event::CallerHandle(handle),
+        request: Box::new(support::request("POST")),
+        hints: event::CallerHints {
+            label: Some(ident::RequestLabel::new(label)),
+            ..event::CallerHints::default()
+        },
+    }
+}
+
+#[test]
+fn a_refused_request_is_told_with_its_id_and_cause() {
+    // The caller is told to come back. Its engineer later has the id alone: the one line that
+    // carries it says that nothing ran, why, and what the caller was told.
+    let mut node = support::entry_node();
+    let effects = node.step(support::at(5), labelled(1, "9c41d07be2a35f68"));
+    let lines = lines(&effects);
+    assert_eq!(lines.len(), 1);
+    let text = serde_json::to_value(lines[0]).unwrap();
+    assert_eq!(text["event"], "call-ended");
+    assert_eq!(text["request"], "9c41d07be2a35f68");
+    assert_eq!(text["verdict"], "not-run: unknown-service");
+    assert_eq!(text["reached"], 0);
+}
+
+#[test]
+fn a_storm_of_refusals_fills_no_disk() {
+    // Callers send a thousand requests in a second, and all are refused. The log holds a bounded
+    // number of lines and, with the next line, the number of those left out.
+    let mut node = support::entry_node();
+    let mut told = 0;
+    for handle in 0..1_000 {
+        let effects = node.step(support::at(handle / 2), labelled(handle, "a"));
+        told += lines(&effects).len();
+    }
+    assert_eq!(told, 200);
+    let effects = node.step(support::at(2_000), labelled(1_000, "b"));
+    let held = effects.iter().any(|effect| {
+        matches!(
+            effect,
+            effect::NodeEffect::Report(effect::StateChange::HeldBack { count: 800 })
+        )
+    });
+    assert!(held);
+}
+
+#[test]
+fn successes_are_told_for_a_sixteenth_of_the_lanes() {
+    let told = |lane| {
+        let lane = context::LaneHash(lane);
+        notes::is_told(verdict::CallVerdict::Answered, Some(200), lane)
+    };
+    assert_eq!((0..=255).filter(|lane| told(*lane)).count(), 16);
+    let failed = context::LaneHash(200);
+    assert!(notes::is_told(
+        verdict::CallVerdict::Answered,
+        Some(503),
+        failed
+    ));
+    let mut budget = notes::NoteBudget::default();
+    let first = budget.ask(time::NodeTime::START);
+    assert_eq!(first, notes::NoteGrant::Write { held_back: 0 });
+}
--- a/crates/anvil_node/src/caller/problem.rs
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -88,6 +88,7 @@
         Reason::NoTarget => (busy(), "no target of the service is serving"),
         Reason::UnknownService => (StatusCode::NOT_FOUND, "nobody ever announced the service"),
         Reason::Shed => (busy(), "the service is under pressure"),
+        Reason::TargetRefused => (busy(), "the target refused the request"),
         Reason::QueueFull => (busy(), "the queue of the target is full"),
         Reason::Deadline => (late(), "the deadline passed before the request was sent"),
         Reason::Leaving => (busy(), "the node or its target is leaving"),
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -232,7 +232,7 @@
                 self.ready.store(ready, Ordering::Relaxed);
                 log::info!("readiness: ready={ready}");
             }
-            effect::NodeEffect::Report(change) => log::info!("{change}"),
+            effect::NodeEffect::Report(change) => report(&change),
             effect::NodeEffect::Exit => return std::ops::ControlFlow::Break(()),
         }
         std::ops::ControlFlow::Continue(())
@@ -254,3 +254,11 @@
         let _ = waiting.try_send(answer);
     }
 }
+
+/// Writes a change of state as a JSON object; as text where it can't be written so.
+fn report(change: &effect::StateChange) {
+    match serde_json::to_string(change) {
+        Ok(facts) => log::info!("{facts}"),
+        Err(error) => log::info!("{change} (not as JSON: {error})"),
+    }
+}
--- a/crates/anvil_node/src/logs.rs
+++ b/crates/anvil_node/src/logs.rs
@@ -8,11 +8,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
+use std::time::SystemTime;
 
 use eyre::WrapErr;
 use log4rs::append;
 use log4rs::config;
-use log4rs::encode::{self, json};
+use serde_json::json;
 
 /// Lines that may wait to be written: two seconds of the most that a node writes.
 const QUEUE_LINES: usize = 4_096;
@@ -23,32 +24,28 @@
 /// Hands lines to the thread that writes them.
 #[derive(Debug)]
 struct QueueAppender {
-    encoder: json::JsonEncoder,
     lines: flume::Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
 }
 
-/// Gathers the bytes of one line.
-#[derive(Debug, Default)]
-struct LineBuffer(Vec<u8>);
-
-impl Write for LineBuffer {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.write(bytes)
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
+/// One line: the time of day, the level, and the facts.
+///
+/// Facts that come as a JSON object are taken as they are, others as text.
+fn line(record: &log::Record<'_>) -> Vec<u8> {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let time = since.unwrap_or_default().as_secs_f64();
+    let level = record.level();
+    let message = record.args().to_string();
+    let facts = match message.starts_with('{') {
+        true => message,
+        false => json!({ "event": "note", "text": message }).to_string(),
+    };
+    format!("{{\"time\":{time:.6},\"level\":\"{level}\",\"facts\":{facts}}}\n").into_bytes()
 }
 
-impl encode::Write for LineBuffer {}
-
 impl append::Append for QueueAppender {
     fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
-        let mut line = LineBuffer::default();
-        encode::Encode::encode(&self.encoder, &mut line, record)?;
-        if self.lines.try_send(line.0).is_err() {
+        if self.lines.try_send(line(record)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -62,7 +59,6 @@
     let (lines, waiting) = flume::bounded(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let appender = QueueAppender {
-        encoder: json::JsonEncoder::new(),
         lines,
         dropped: dropped.clone(),
     };
@@ -88,8 +84,8 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let note =
-                format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped: {lost}\"}}\n");
+            let note = json!({ "event": "dropped", "lines": lost });
+            let note = format!("{{\"level\":\"WARN\",\"facts\":{note}}}\n");
             batch.extend_from_slice(note.as_bytes());
         }
         let mut output = std::io::stdout().lock();
--- a/crates/anvil_types/src/verdict.rs
+++ b/crates/anvil_types/src/verdict.rs
@@ -33,6 +33,9 @@
     /// The request stood below the cut line of a service under pressure.
     #[display("shed")]
     Shed,
+    /// The target itself refused it without running it.
+    #[display("target-refused")]
+    TargetRefused,
     /// The queue of the target's node was full.
     #[display("queue-full")]
     QueueFull,
