Tell refused callers to come back within their objective

Change: where a rule tells an objective, the pause is 15 to 50 in 100 of what is left of it, spread by lane; 0.7 to 1.2 s where nobody offers the service, since nodes and targets restart in that time. Conclusion: returning early costs no one a place, as the line refuses by lane and not by age.

--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -243,6 +243,9 @@
         let verdict::CallVerdict::NotRun(reason) = verdict else {
             return None;
         };
+        if let Some(pause) = self.appointment(open, reason) {
+            return Some(pause);
+        }
         match reason {
             verdict::RefusalReason::Shed
             | verdict::RefusalReason::TargetRefused
@@ -269,6 +272,32 @@
         }
     }
 
+    /// When to come back, where the rule tells an objective and the reason passes by itself.
+    fn appointment(
+        &self,
+        open: &calls::OpenCall,
+        reason: verdict::RefusalReason,
+    ) -> Option<Duration> {
+        let objective = open.treatment.objective?;
+        let lane = open.context.lane;
+        match reason {
+            verdict::RefusalReason::Shed
+            | verdict::RefusalReason::TargetRefused
+            | verdict::RefusalReason::QueueFull
+            | verdict::RefusalReason::Deadline
+            | verdict::RefusalReason::AttemptsSpent => {
+                let elapsed = self.now.since(open.arrived);
+                Some(refusal::retry_within(objective, elapsed, lane))
+            }
+            verdict::RefusalReason::NoTarget
+            | verdict::RefusalReason::UnknownService
+            | verdict::RefusalReason::Leaving
+            | verdict::RefusalReason::Unreachable
+            | verdict::RefusalReason::RulesUnknown => Some(refusal::retry_when_back(lane)),
+            _ => None,
+        }
+    }
+
     fn quarantine_left(&self, open: &calls::OpenCall) -> Option<Duration> {
         match self.overload.poison.standing(self.now, open.context.print) {
             quarantine::PrintStanding::Quarantined { left, .. } => Some(left),
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -15,6 +15,16 @@
 /// Shortest time after which a refused caller is told to come back.
 pub const RETRY_AFTER_LEAST: Duration = Duration::from_secs(1);
 
+/// Shares of what is left of the objective, in percent, between which refused callers return.
+const RETURN_SHARES: (u32, u32) = (15, 50);
+
+/// Shortest time after which a caller with an objective returns; the nodes' view of the pressure is
+/// a tenth of a second old.
+const RETURN_LEAST: Duration = Duration::from_millis(100);
+
+/// Shortest time after which a caller returns to a service that nobody offers.
+const RESTART_PAUSE: Duration = Duration::from_millis(700);
+
 /// The limit that refused a request, with its value at that moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -96,6 +106,25 @@
     }
 }
 
+/// When a caller with an objective does well to come back to a service under pressure.
+///
+/// Coming back within the objective is worth all of the answer and later a part of it, so the pause
+/// is a part of what is left of the objective. The lane spreads the callers of one moment, so that
+/// they don't return together and push each other out.
+pub fn retry_within(objective: Duration, elapsed: Duration, lane: context::LaneHash) -> Duration {
+    let left = objective.saturating_sub(elapsed);
+    let (earliest, latest) = RETURN_SHARES;
+    let share = earliest + (latest - earliest) * u32::from(lane.0) / 256;
+    (left * share / 100).max(RETURN_LEAST)
+}
+
+/// When a caller does well to come back to a service that no node offers at the moment: its targets
+/// or nodes are restarting, which takes a second or two.
+pub fn retry_when_back(lane: context::LaneHash) -> Duration {
+    let spread = Duration::from_millis(u64::from(lane.0) * 500 / 256);
+    RESTART_PAUSE + spread
+}
+
 /// When a refused caller does well to come back: the further below the line, the later.
 ///
 /// The lane spreads the callers of one moment over a second, so that they don't return together.
