--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -114,8 +114,9 @@
 pub fn retry_within(objective: Duration, elapsed: Duration, lane: context::LaneHash) -> Duration {
     let left = objective.saturating_sub(elapsed);
     let (earliest, latest) = RETURN_SHARES;
-    let share = earliest + (latest - earliest) * u32::from(lane.0) / 256;
-    (left * share / 100).max(RETURN_LEAST)
+    let spread = left * (latest - earliest) / 100;
+    let pause = left * earliest / 100 + spread * u32::from(lane.0) / 256;
+    pause.max(RETURN_LEAST)
 }
 
 /// When a caller does well to come back to a service that no node offers at the moment: its targets
