Keep targets working through restarts of their nodes, and meet restarted nodes

Cause: a node that restarts took its target out for three seconds and more; one that restarted while the store was away found nobody, and nobody looked for the address of a member that had left; after all processes were killed, each request of the second before the next heartbeats was refused, and came back when its objective was over. Ruled out: a factor of 2.2 for zones, see the constant.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -11,6 +11,13 @@
 
 use crate::{calls, effect, event, notes, reducer, rulebook, timers};
 
+/// Part of the objective, in percent, for which a request waits for a target of its service to come.
+/// Runs take a quarter of their objective or so, and the way there and back some milliseconds.
+const TARGET_WAIT_PERCENT: u32 = 40;
+
+/// Time between two looks for a target; a tenth of the shortest objective of the users' routes.
+const TARGET_WAIT_STEP: Duration = Duration::from_millis(30);
+
 impl reducer::NodeReducer {
     pub(crate) fn call_arrived(
         &mut self,
@@ -186,6 +193,13 @@
                 let limit = refusal::RefusalLimit::Cut(Some(line));
                 self.refuse_call(sequence, verdict::RefusalReason::Shed, limit);
             }
+            routing::RouteChoice::NoTarget | routing::RouteChoice::UnknownService
+                if self.may_wait(sequence) =>
+            {
+                let when = self.now + TARGET_WAIT_STEP;
+                self.timers
+                    .set(when, timers::TimerKind::CallRetry(sequence));
+            }
             routing::RouteChoice::NoTarget => {
                 let limit = refusal::RefusalLimit::Other;
                 self.refuse_call(sequence, verdict::RefusalReason::NoTarget, limit);
@@ -197,6 +211,22 @@
         }
     }
 
+    /// Whether a call may wait for a target of its service to come.
+    ///
+    /// Failure: all processes were killed, and each target's next heartbeat is a second away.
+    /// Symptom: every request of that second is refused and comes back when its objective is over.
+    /// A part of the objective is spent on waiting, so that what is served then is still in time.
+    fn may_wait(&self, sequence: u64) -> bool {
+        let Some(open) = self.calls.get(sequence) else {
+            return false;
+        };
+        let Some(objective) = open.treatment.objective else {
+            return false;
+        };
+        let until = open.arrived + objective * TARGET_WAIT_PERCENT / 100;
+        self.now < until.min(open.deadline)
+    }
+
     fn send_attempt(
         &mut self,
         sequence: u64,
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -245,6 +245,7 @@
                 timers::TimerKind::Admission => self.admission_woke(),
                 timers::TimerKind::TargetLease => self.target_lapsed(),
                 timers::TimerKind::Leave => {}
+                timers::TimerKind::StopRuns => self.stop_runs(),
                 timers::TimerKind::StopLimit => self.stop_limit_reached(),
             }
         }
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 
-use crate::{effect, event, notes, reducer, runs, timers, waits};
+use crate::{effect, event, notes, reducer, runs, stopping, timers, waits};
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
@@ -80,9 +80,7 @@
         verdict: verdict::CallVerdict,
         answer: Option<call::CallAnswer>,
     ) {
-        for sequence in self.calls.children(run) {
-            self.abandon_call(sequence);
-        }
+        self.abandon_children(run);
         let Some(ended) = self.runs.end(run) else {
             return;
         };
@@ -104,6 +102,19 @@
         self.apply_decisions(decisions);
     }
 
+    /// Ends the calls that a run left open, since nobody uses their answers any more.
+    ///
+    /// A stopping node lets them come to their end: a call that is broken off then looks to its
+    /// caller like one that the stop has cost, and it takes no longer than the stop does.
+    fn abandon_children(&mut self, run: event::RunId) {
+        if matches!(self.phase, stopping::NodePhase::Leaving { .. }) {
+            return;
+        }
+        for sequence in self.calls.children(run) {
+            self.abandon_call(sequence);
+        }
+    }
+
     fn tell_run(
         &mut self,
         ended: &runs::TargetRun,
@@ -171,9 +182,7 @@
                 self.finish_run(run, verdict, None);
             }
             runs::RunStage::Running => {
-                for sequence in self.calls.children(run) {
-                    self.abandon_call(sequence);
-                }
+                self.abandon_children(run);
                 self.effects.push(effect::NodeEffect::CancelRun(run));
             }
         }
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -12,6 +12,11 @@
     /// How long a leaving node still takes callers' requests and sends them to other nodes, so that
     /// callers which have not heard yet are served meanwhile.
     pub linger: Duration,
+    /// How long it still takes runs for its target.
+    ///
+    /// A target whose node restarts works on, so each moment without runs is lost capacity; the
+    /// nodes that send them hear of the leaving only then, and follow a refusal at no cost.
+    pub runs: Duration,
     /// When it gives up what is still out, so that callers hear so before whoever stops the process
     /// kills it; none where nobody does.
     pub limit: Option<Duration>,
@@ -22,6 +27,7 @@
     fn default() -> Self {
         Self {
             linger: Duration::from_secs(1),
+            runs: Duration::ZERO,
             limit: None,
         }
     }
@@ -32,8 +38,10 @@
 pub(crate) enum NodePhase {
     /// It takes work.
     Serving,
-    /// It takes no work for its target; callers are served until the time given.
+    /// It says that it leaves.
     Leaving {
+        /// When it takes no more work for its target.
+        runs_until: time::NodeTime,
         /// When callers are refused too.
         callers_until: time::NodeTime,
     },
@@ -43,13 +51,17 @@
 
 impl reducer::NodeReducer {
     pub(crate) fn refuses_runs(&self) -> bool {
-        self.phase != NodePhase::Serving
+        match self.phase {
+            NodePhase::Serving => false,
+            NodePhase::Leaving { runs_until, .. } => self.now >= runs_until,
+            NodePhase::Gone => true,
+        }
     }
 
     pub(crate) fn refuses_callers(&self) -> bool {
         match self.phase {
             NodePhase::Serving => false,
-            NodePhase::Leaving { callers_until } => self.now >= callers_until,
+            NodePhase::Leaving { callers_until, .. } => self.now >= callers_until,
             NodePhase::Gone => true,
         }
     }
@@ -67,7 +79,12 @@
             let stop_at = self.now + limit;
             self.timers.set(stop_at, timers::TimerKind::StopLimit);
         }
-        self.phase = NodePhase::Leaving { callers_until };
+        let runs_until = self.now + self.stop.runs;
+        self.phase = NodePhase::Leaving {
+            runs_until,
+            callers_until,
+        };
+        self.timers.set(runs_until, timers::TimerKind::StopRuns);
         self.timers.set(callers_until, timers::TimerKind::Leave);
         let handover_until = callers_until + keys::HANDOVER_LIMIT;
         self.timers.set(handover_until, timers::TimerKind::Leave);
@@ -77,7 +94,7 @@
 
     /// Leaves once the last request is answered and callers had time to hear of it.
     pub(crate) fn leave_if_done(&mut self) {
-        let NodePhase::Leaving { callers_until } = self.phase else {
+        let NodePhase::Leaving { callers_until, .. } = self.phase else {
             return;
         };
         let handed_over = self.keys_released() || self.now >= callers_until + keys::HANDOVER_LIMIT;
@@ -89,6 +106,13 @@
         }
     }
 
+    /// Tells the fleet that this node takes no more runs.
+    pub(crate) fn stop_runs(&mut self) {
+        if matches!(self.phase, NodePhase::Leaving { .. }) {
+            self.publish_target();
+        }
+    }
+
     pub(crate) fn stop_limit_reached(&mut self) {
         if matches!(self.phase, NodePhase::Leaving { .. }) {
             self.stop_by_force();
--- a/crates/anvil_core/src/timers.rs
+++ b/crates/anvil_core/src/timers.rs
@@ -20,6 +20,8 @@
     TargetLease,
     /// The node may leave.
     Leave,
+    /// A stopping node takes no more runs.
+    StopRuns,
     /// A stopping node gives up what is still out.
     StopLimit,
 }
--- a/crates/anvil_membership/src/config.rs
+++ b/crates/anvil_membership/src/config.rs
@@ -6,6 +6,14 @@
 
 use anvil_types::store;
 
+/// Time between two pings of members believed gone in a fleet of hundreds of nodes at most: each
+/// node sends one datagram, so an address that came back is met within a second or so.
+pub const SMALL_RECONNECT_INTERVAL: Duration = Duration::from_millis(700);
+
+/// How long such a fleet remembers a member that is gone; machines that are away longer find the
+/// fleet by the store when they return.
+pub const SMALL_TOMBSTONE_SPAN: Duration = Duration::from_secs(60);
+
 /// Settings of one node's membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetConfig {
@@ -46,6 +54,12 @@
     pub sync_interval: Duration,
     /// Time between two pings of members believed gone, to find a healed partition.
     pub reconnect_interval: Duration,
+    /// Whether the addresses of members that left are pinged too.
+    ///
+    /// Failure: a node restarts while the store is away. Symptom: it finds nobody, and nobody looks
+    /// for it, since the node that it was has left; it refuses everything until the store is back.
+    /// Its peers know the address, and whoever answers there is met.
+    pub revisit_left: bool,
     /// How long a member that is gone is remembered.
     pub tombstone_span: Duration,
     /// Lateness of a wake that counts as a pause of this process.
@@ -80,6 +94,7 @@
             rumour_burst: 4,
             sync_interval: Duration::from_secs(30),
             reconnect_interval: Duration::from_secs(10),
+            revisit_left: false,
             tombstone_span: Duration::from_secs(3_600),
             pause_margin: Duration::from_millis(500),
             lifeguard: true,
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -185,6 +185,10 @@
     pub fn use_document(&mut self, now: time::NodeTime, key: store::StoreKey) {
         self.use_store(now);
         self.config.document = Some(key);
+        self.config.reconnect_interval = config::SMALL_RECONNECT_INTERVAL;
+        self.config.tombstone_span = config::SMALL_TOMBSTONE_SPAN;
+        self.config.revisit_left = true;
+        self.timers.reconnect = now + self.choice.span(self.config.reconnect_interval);
         self.rules.read_at = Some(now);
         self.rules.backoff = spread::document_backoff();
         let find_at = now + self.choice.span(contact::SMALL_FIRST_FIND);
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -50,7 +50,12 @@
         if self.table.tombstones() == 0 {
             return;
         }
-        let gone = |m: &crate::member::MemberRecord| m.state == member::MemberState::Gone;
+        let revisits = self.config.revisit_left;
+        let gone = |m: &crate::member::MemberRecord| match m.state {
+            member::MemberState::Gone => true,
+            member::MemberState::Left => revisits,
+            member::MemberState::Alive | member::MemberState::Suspect => false,
+        };
         let Some(record) = self.table.draw(&mut self.choice, gone) else {
             return;
         };
--- /dev/null
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -0,0 +1,235 @@
+//! Rules that operators keep under one key of the store, as nodes learn of them.
+
+use std::time::Duration;
+
+use anvil_membership::{effect, fleet};
+use anvil_testkit::test_cases;
+use anvil_types::{ident, name, store, time};
+use anvil_wire::gossip;
+
+mod harness;
+
+use harness::Net;
+
+const KEY: &str = "rules-of-the-operator";
+
+/// Within this, operators expect a change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+fn key() -> store::StoreKey {
+    store::StoreKey::new(KEY)
+}
+
+/// The whole rules at `revision`; the harness checks that their body grows with it.
+fn whole(revision: u64) -> gossip::LoggedChange {
+    let ids = (1..=u128::from(revision)).flat_map(u128::to_le_bytes);
+    gossip::LoggedChange {
+        revision: ident::RuleRevision(revision),
+        change: 0,
+        body: ids.collect::<Vec<u8>>().into(),
+    }
+}
+
+/// The operator writes to the store, which no node has any part in.
+fn write(net: &mut Net, revision: u64) {
+    let standing = net.store.entries().find(|entry| entry.key == key());
+    let base = standing.map_or(store::SwapBase::Absent, |entry| {
+        store::SwapBase::At(entry.version)
+    });
+    let ask = store::StoreAsk::Swap {
+        key: key(),
+        base,
+        value: whole(revision).to_value().expect("it can be encoded"),
+        lease: None,
+    };
+    let nobody = store::StoreId {
+        part: store::StorePart::Keys,
+        sequence: revision,
+    };
+    let outcome = net.store.carry_out(net.now, (0, nobody), &ask);
+    assert!(matches!(outcome, Some(store::StoreOutcome::Done(_))));
+}
+
+fn add(net: &mut Net, slot: usize, region: usize) -> usize {
+    let index = net.add_at(slot, region, &harness::with_store());
+    let now = net.now;
+    net.nodes[index].state.use_document(now, key());
+    index
+}
+
+/// Sixteen nodes, of which the last four stand in another region, with the first rules in force.
+fn fleet() -> Net {
+    let mut net = Net::new(5);
+    write(&mut net, 2);
+    for slot in 0..16 {
+        add(&mut net, slot, usize::from(slot >= 12));
+    }
+    let whole = |net: &Net| {
+        let joined = |n: &harness::Node| n.state.is_ready() && n.state.table().live() == 16;
+        net.nodes.iter().all(joined)
+    };
+    let took = net.run_until(Duration::from_secs(8), whole);
+    assert!(whole(&net), "the fleet met within {took:?}");
+    net
+}
+
+fn holding(net: &Net, revision: u64) -> usize {
+    let held = |n: &&harness::Node| n.running && n.state.revision().0 >= revision;
+    net.nodes.iter().filter(held).count()
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_time() {
+    // A route is moved; from two seconds later on no request may go the old way. Each node watches
+    // the key; revisions rise in uneven steps.
+    let mut net = fleet();
+    write(&mut net, 7);
+    let took = net.run_until(Duration::from_secs(10), |net| holding(net, 7) == 16);
+    assert!(took <= IN_FORCE, "took {took:?}");
+}
+
+#[test]
+fn nodes_that_the_store_turns_away_hear_of_a_change_from_their_peers() {
+    // Callers at four nodes would be treated by rules that were dropped minutes ago. The store
+    // serves the others; their datagrams tell of the newer revision, and the rules are asked for.
+    let mut net = fleet();
+    net.store_cut = vec![1];
+    net.run(Duration::from_secs(1));
+    write(&mut net, 7);
+    let took = net.run_until(Duration::from_secs(10), |net| holding(net, 7) == 16);
+    assert!(took <= IN_FORCE, "took {took:?}");
+}
+
+#[test]
+fn a_node_that_restarts_without_the_store_is_met_by_its_peers() {
+    // Its callers would be refused until the store is back. It knows nobody, and it has said
+    // good-bye, so nobody looks for it; but its peers ping the addresses of those who left, and
+    // whoever answers there gets the rules.
+    let mut net = fleet();
+    net.store_cut = vec![0, 1];
+    net.act(3, fleet::FleetState::leave);
+    net.crash(3);
+    net.run(Duration::from_millis(500));
+    let again = add(&mut net, 3, 0);
+    let ready = |net: &Net| net.nodes[again].state.is_ready();
+    let took = net.run_until(Duration::from_secs(20), ready);
+    assert!(
+        ready(&net) && took <= Duration::from_secs(3),
+        "took {took:?}"
+    );
+    assert_eq!(net.nodes[again].state.revision(), ident::RuleRevision(2));
+}
+
+#[test]
+fn a_node_that_knows_no_rules_serves_nothing() {
+    // Nothing stands at the key yet. Ready nodes would answer that no route exists, and callers
+    // would take that for the truth.
+    let mut net = Net::new(6);
+    for slot in 0..4 {
+        add(&mut net, slot, 0);
+    }
+    net.run(Duration::from_secs(6));
+    assert!(net.nodes.iter().all(|n| !n.state.is_ready()));
+    write(&mut net, 3);
+    let ready = |net: &Net| net.nodes.iter().all(|n| n.state.is_ready());
+    let took = net.run_until(Duration::from_secs(10), ready);
+    assert!(took <= IN_FORCE, "took {took:?}");
+}
+
+/// One node on its own, and what it asks the store as time goes on.
+struct LoneNode {
+    state: fleet::FleetState,
+    now: time::NodeTime,
+}
+
+impl LoneNode {
+    fn new() -> Self {
+        let local = fleet::LocalNode {
+            node: ident::NodeId(1),
+            tcp: harness::address(0),
+            udp: harness::address(0),
+            zone: name::ZoneName::new("zone").expect("a name"),
+            region: name::RegionName::new("region").expect("a name"),
+        };
+        let now = time::NodeTime::from_millis(1);
+        let mut state = fleet::FleetState::new(harness::with_store(), &local, 3, now);
+        state.use_document(now, key());
+        Self { state, now }
+    }
+
+    /// The next question about the rules, and the time until it is asked.
+    fn next_ask(&mut self) -> (Duration, store::StoreId, store::StoreAsk) {
+        let start = self.now;
+        loop {
+            self.now = self.state.next_wake().expect("it has something due");
+            for effect in self.state.on_wake(self.now) {
+                let effect::FleetEffect::AskStore { id, ask } = effect else {
+                    continue;
+                };
+                let about = match &ask {
+                    store::StoreAsk::List { prefix, .. }
+                    | store::StoreAsk::Watch { prefix, .. } => *prefix == key(),
+                    _ => false,
+                };
+                if about {
+                    return (self.now.since(start), id, ask);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, id: store::StoreId, outcome: store::StoreOutcome) {
+        self.now = self.now + Duration::from_millis(4);
+        self.state.on_store(self.now, id, outcome);
+    }
+}
+
+fn listed(revision: u64, seen: u64) -> store::StoreOutcome {
+    let entry = store::StoreEntry {
+        key: key(),
+        version: store::StoreVersion(seen),
+        value: whole(revision).to_value().unwrap_or_default(),
+    };
+    store::StoreOutcome::Done(store::StoreReply::Listed {
+        entries: vec![entry],
+        seen: store::StoreVersion(seen),
+        more: false,
+    })
+}
+
+// A watch fails: its history is lost, its answer is lost, or the store is down. A change made in the
+// gap must not stay unheard, and a store that is away must not be asked without a pause.
+fn a_failed_watch_is_followed_by(
+    outcome: &store::StoreOutcome,
+    reads_anew: bool,
+    least: Duration,
+    most: Duration,
+) {
+    let mut node = LoneNode::new();
+    let (_, id, ask) = node.next_ask();
+    assert!(matches!(ask, store::StoreAsk::List { .. }));
+    node.answer(id, listed(2, 40));
+    let (_, id, ask) = node.next_ask();
+    assert!(matches!(ask, store::StoreAsk::Watch { .. }));
+    node.answer(id, outcome.clone());
+    let (pause, id, ask) = node.next_ask();
+    assert_eq!(matches!(ask, store::StoreAsk::List { .. }), reads_anew);
+    assert!(least <= pause && pause <= most, "{pause:?}");
+    node.answer(id, listed(9, 90));
+    assert_eq!(node.state.revision(), ident::RuleRevision(9));
+    // A stale answer takes nothing back.
+    let (_, id, _) = node.next_ask();
+    node.answer(id, listed(4, 60));
+    assert_eq!(node.state.revision(), ident::RuleRevision(9));
+}
+
+test_cases! {
+    a_failed_watch_is_followed_by:
+    a_read_where_history_is_lost => (
+        &store::StoreOutcome::HistoryLost, true, Duration::ZERO, Duration::from_millis(20)),
+    a_pause_where_the_answer_is_lost => (
+        &store::StoreOutcome::Unknown, false, Duration::from_millis(100), Duration::from_millis(1_500)),
+    a_pause_where_the_store_is_down => (
+        &store::StoreOutcome::Unavailable, false, Duration::from_millis(100),
+        Duration::from_millis(1_500)),
+}
--- a/crates/anvil_node/src/dialect.rs
+++ b/crates/anvil_node/src/dialect.rs
@@ -81,6 +81,7 @@
     };
     let plan = stopping::StopPlan {
         linger: hosted.linger(),
+        runs: hosted.run_linger(),
         limit: Some(hosted.stop_limit()),
     };
     reducer
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -49,6 +49,8 @@
     pub better_of_two: bool,
     /// Targets of the own availability zone are preferred.
     pub zone_preference: bool,
+    /// They are preferred strongly, where bytes between availability zones are dear.
+    pub stay_in_zone: bool,
     /// A target that just came gets a growing share of the requests.
     pub slow_start: bool,
     /// Targets that fail are left out for a while.
@@ -60,8 +62,8 @@
 }
 
 impl OverloadPolicy {
-    /// Every safeguard in force that any target profits from; spare slots cost a twentieth where a
-    /// target bears to be full.
+    /// Every safeguard in force that any fleet profits from. Spare slots cost a twentieth where a
+    /// target bears to be full, and staying in the zone sends more to a slow target next door.
     pub const FULL: Self = Self {
         adaptive_limit: true,
         spare_slots: false,
@@ -78,6 +80,7 @@
         backoff: true,
         better_of_two: true,
         zone_preference: true,
+        stay_in_zone: false,
         slow_start: true,
         ejection: true,
         cancellation: true,
@@ -101,6 +104,7 @@
         backoff: false,
         better_of_two: false,
         zone_preference: false,
+        stay_in_zone: false,
         slow_start: false,
         ejection: false,
         cancellation: false,
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -24,6 +24,13 @@
 /// has to be busier by as much before requests leave it.
 pub const ZONE_FACTOR: f64 = 1.5;
 
+/// The same where bytes between availability zones are dear.
+///
+/// A target of the own zone is then left, while it is free, only for one three times as fast. Mean
+/// worth of six days of high load and faults, without processor time: at Reclamo Simple 0.638 with
+/// a factor of 1.5, 0.655 with 2.2 and 0.663 with 3; at Marché Armor 0.778, 0.777 and 0.780.
+pub const HOME_ZONE_FACTOR: f64 = 3.0;
+
 /// What membership knows of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -160,7 +160,11 @@
         // With slots free nobody waits; the share in use then only settles ties.
         let wait = (used.max(FREE_SHARE) + used * TIE_WEIGHT) * self.usual();
         let far = !self.near && policy.zone_preference;
-        let distance = if far { routing::ZONE_FACTOR } else { 1.0 };
+        let distance = match (far, policy.stay_in_zone) {
+            (false, _) => 1.0,
+            (true, false) => routing::ZONE_FACTOR,
+            (true, true) => routing::HOME_ZONE_FACTOR,
+        };
         let failures = if policy.ejection {
             1.0 + self.recent_failures(now) * routing::health::FAILURE_FACTOR
         } else {
