--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -195,6 +195,15 @@
     used: bool,
 }
 
+/// How the writing side of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteEnd {
+    /// The other side may still send what it has.
+    Flushed,
+    /// The other side gave no sign of life, or takes nothing any more.
+    Dead,
+}
+
 /// What became of the frames when a connection ended.
 struct LinkEnd {
     link: LinkId,
@@ -230,17 +239,22 @@
         mut frames,
         mut close,
     } = parts;
-    let received = tokio::select! {
-        () = writer.write_until_end(context, &mut frames) => None,
-        received = &mut reading => Some(received),
+    let end = tokio::select! {
+        end = writer.write_until_end(context, &mut frames) => Ok(end),
+        received = &mut reading => Err(received),
         // A node that stopped reading would hold the write, and so the end, up.
-        Ok(()) = &mut close => None,
+        Ok(()) = &mut close => Ok(WriteEnd::Flushed),
     };
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
-    let received = match received {
-        Some(received) => received.unwrap_or(true),
-        None => read_rest(reading).await,
+    let received = match end {
+        Err(received) => received.unwrap_or(true),
+        Ok(WriteEnd::Flushed) => read_rest(reading).await,
+        Ok(WriteEnd::Dead) => {
+            // Nothing came for a second, so nothing is worth waiting for.
+            reading.abort();
+            true
+        }
     };
     LinkEnd {
         link,
@@ -268,7 +282,7 @@
         &mut self,
         context: &LinkContext,
         frames: &mut mpsc::Receiver<frame::PeerFrame>,
-    ) {
+    ) -> WriteEnd {
         let pulse = self.pulse.clone();
         let mut looks = tokio::time::interval(pulse::LOOK_INTERVAL);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -278,7 +292,7 @@
                 biased;
                 frame = frames.recv() => match frame {
                     Some(frame) => frame,
-                    None => return,
+                    None => return WriteEnd::Flushed,
                 },
                 () = pulse.wait_asked() => frame::PeerFrame::Pong,
                 _ = looks.tick(), if pulse.awaits() => match pulse.look(&mut silent) {
@@ -286,7 +300,7 @@
                     pulse::PulseLook::Probe => frame::PeerFrame::Ping,
                     pulse::PulseLook::Silent => {
                         context.counters.count(counters::EdgeCause::PeerSilent);
-                        return;
+                        return WriteEnd::Dead;
                     }
                 },
             };
@@ -295,8 +309,11 @@
             self.used = true;
             let writing = self.writer.write_all(&self.batch);
             let written = tokio::time::timeout(WRITE_LIMIT, writing).await;
-            if !matches!(written, Ok(Ok(()))) {
-                return;
+            match written {
+                Ok(Ok(())) => {}
+                // Answers may stand unread in the socket of a connection that broke.
+                Ok(Err(_)) => return WriteEnd::Flushed,
+                Err(_) => return WriteEnd::Dead,
             }
         }
     }
--- a/crates/anvil_node/src/peer/pulse.rs
+++ b/crates/anvil_node/src/peer/pulse.rs
@@ -3,7 +3,7 @@
 //! Failure: a connection goes silent for good, without a reset, since the other instance lost its
 //! power or the network dropped its state. Symptom: calls out on it wait for their deadlines, and
 //! new calls follow them. While answers are due and nothing comes, the connection is probed; one
-//! that stays silent is given up, so its calls end within a second and a half.
+//! that stays silent is given up, so its calls end within a second.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
@@ -13,8 +13,9 @@
 /// Time between two looks at a connection on which answers are due.
 ///
 /// The farthest node is some milliseconds away and a busy one takes some tens more, so a node that
-/// lives answers long before the next look.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(400);
+/// lives answers long before the next look. Calls that wait on a silent connection use up their
+/// callers' objectives, the shortest of which are some hundred milliseconds, so it is no longer.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Looks without a sign of life after which the connection is given up; the first of them probes.
 const SILENT_LOOKS: u32 = 3;
