--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -38,6 +38,10 @@
     pub peer: SocketAddr,
     /// Other nodes, over UDP.
     pub gossip: SocketAddr,
+    /// The target's heartbeats, where the platform around the node has any.
+    pub control: Option<SocketAddr>,
+    /// Questions for readiness, where the platform around the node asks any.
+    pub readiness: Option<SocketAddr>,
 }
 
 /// A node that serves.
@@ -183,7 +187,13 @@
     }
 
     fn bound(&self, node: ident::NodeId, admin: SocketAddr) -> eyre::Result<BoundAddresses> {
+        let control = |place: usize| {
+            let listener = self.control.get(place);
+            listener.map(TcpListener::local_addr).transpose()
+        };
         Ok(BoundAddresses {
+            control: control(0)?,
+            readiness: control(1)?,
             node,
             caller: self.caller.local_addr()?,
             admin,
