Answer on the connection that was last heard from, and let an idle one end alone

Cause: two nodes that dial each other at once keep two connections and sent on the first. Where the network dropped that one without a sign, answers were sent on it, and callers waited for their deadlines; its end, whenever it came, ended the living one with all calls out on it. Ruled out: the other node's pauses and its stop (its log has no line at the time). Change: frames go on the connection last heard from; the end of one on which no answer is due concerns no call. Both tests fail without the change.

--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -310,6 +310,7 @@
             engine: self.engine.clone(),
             counters: self.counters.clone(),
             links: Arc::default(),
+            heard: Arc::default(),
             drain: self.drain.clone(),
         };
         let limit = usize::try_from(self.settings.limits.peer_connections)?;
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -46,6 +46,8 @@
     pub link: LinkId,
     /// Frames to send.
     pub frames: mpsc::Sender<frame::PeerFrame>,
+    /// When anything last came on it.
+    pub pulse: Arc<pulse::LinkPulse>,
     close: Option<oneshot::Sender<()>>,
 }
 
@@ -65,6 +67,7 @@
     /// Which connection.
     pub link: LinkId,
     frames: mpsc::Receiver<frame::PeerFrame>,
+    pulse: Arc<pulse::LinkPulse>,
     close: oneshot::Receiver<()>,
 }
 
@@ -72,14 +75,17 @@
 pub fn pair(peer: ident::NodeId, link: LinkId) -> (PeerLink, LinkParts) {
     let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
     let (close, closed) = oneshot::channel();
+    let pulse = Arc::new(pulse::LinkPulse::default());
     let opened = PeerLink {
         peer,
         link,
+        pulse: pulse.clone(),
         frames: sender,
         close: Some(close),
     };
     let parts = LinkParts {
         link,
+        pulse,
         frames: receiver,
         close: closed,
     };
@@ -95,8 +101,10 @@
     pub link: LinkId,
     /// Frames of which no byte was handed to the socket.
     pub unsent: Vec<frame::PeerFrame>,
-    /// Whether frames had crossed it, whose fate is unknown now.
+    /// Whether frames had crossed it.
     pub used: bool,
+    /// Whether calls had crossed it whose answers have not come, so that their fate is unknown now.
+    pub owed: bool,
 }
 
 /// What every connection works with.
@@ -112,6 +120,8 @@
     pub counters: counters::EdgeCounters,
     /// Makes links unique.
     pub links: Arc<AtomicU64>,
+    /// Counts the frames that came on all links.
+    pub heard: Arc<AtomicU64>,
     /// Lets connections flush at the end.
     pub drain: caller::server::DrainSignal,
 }
@@ -148,6 +158,7 @@
                 link: parts.link,
                 unsent: drain(parts.frames).await,
                 used: false,
+                owed: false,
             };
             report(&context, peer, end).await;
         }
@@ -161,7 +172,7 @@
     let open = counters::GaugeGuard::hold(context.counters.peer_connections());
     let (reader, writer) = stream.into_split();
     let reader = stream::FrameReader::new(reader, sealed.opener);
-    let pulse = Arc::new(pulse::LinkPulse::default());
+    let pulse = parts.pulse.clone();
     let reading = tokio::spawn(read(context.clone(), peer, reader, pulse.clone()));
     let writer = FrameWriter {
         pulse,
@@ -211,6 +222,8 @@
     unsent: Vec<frame::PeerFrame>,
     /// Whether a byte of any other was.
     used: bool,
+    /// Whether answers to calls were due.
+    owed: bool,
 }
 
 async fn connect(
@@ -237,6 +250,7 @@
     let LinkParts {
         link,
         mut frames,
+        pulse,
         mut close,
     } = parts;
     let end = tokio::select! {
@@ -260,6 +274,7 @@
         link,
         unsent: drain(frames).await,
         used: writer.used || received,
+        owed: pulse.awaits(),
     }
 }
 
@@ -377,6 +392,7 @@
         };
         used = true;
         pulse.frame_heard(matches!(frame, frame::PeerFrame::Answer(_)));
+        pulse.stamp(context.heard.fetch_add(1, Ordering::Relaxed) + 1);
         match frame {
             frame::PeerFrame::Ping => {
                 pulse.asked();
@@ -405,12 +421,18 @@
 }
 
 async fn report(context: &LinkContext, peer: ident::NodeId, end: LinkEnd) {
-    let LinkEnd { link, unsent, used } = end;
+    let LinkEnd {
+        link,
+        unsent,
+        used,
+        owed,
+    } = end;
     let closed = engine::EngineInput::LinkClosed(ClosedLink {
         peer,
         link,
         unsent,
         used,
+        owed,
     });
     // The engine is gone only when the process leaves.
     let _ = context.engine.send_async(closed).await;
--- a/crates/anvil_node/src/peer/pulse.rs
+++ b/crates/anvil_node/src/peer/pulse.rs
@@ -5,7 +5,7 @@
 //! new calls follow them. While answers are due and nothing comes, the connection is probed; one
 //! that stays silent is given up, so its calls end within a second.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -28,6 +28,8 @@
     awaited: AtomicU32,
     /// Whether anything came since the last look.
     heard: AtomicBool,
+    /// The place of the last frame among all frames that came to this node.
+    last_heard: AtomicU64,
     /// The other end asked for a sign of life.
     asked: Notify,
 }
@@ -69,6 +71,16 @@
         self.asked.notify_one();
     }
 
+    /// Notes the place of a frame among all that came to this node.
+    pub fn stamp(&self, place: u64) {
+        self.last_heard.store(place, Ordering::Relaxed);
+    }
+
+    /// The place of the last frame; later ones came on connections that lived later.
+    pub fn last_heard(&self) -> u64 {
+        self.last_heard.load(Ordering::Relaxed)
+    }
+
     /// Waits until the other end asks for a sign of life.
     pub async fn wait_asked(&self) {
         self.asked.notified().await;
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -14,12 +14,17 @@
 /// All connections to one node, and what is known of their frames.
 ///
 /// Mostly there is one; two arise where both nodes dial at the same moment. The reducer knows
-/// nodes and no connections, so the end of one connection ends the others too, and only then it is
-/// told of the loss. Otherwise a call sent after the first end would count as lost at the
-/// second one, and its caller would be told "may have run" of a request that never left.
+/// nodes and no connections, so the end of a connection on which answers are due ends the others
+/// too, and only then it is told of the loss. Otherwise a call sent after the first end would count
+/// as lost at the second one, and its caller would be told "may have run" of a request that never
+/// left. The end of one on which nothing is due concerns no call.
 #[derive(Debug, Default)]
 struct PeerSession {
-    /// The first one is sent on, all are read.
+    /// The one last heard from is sent on, all are read.
+    ///
+    /// Failure: the network drops one of two connections without a sign, and answers are sent on it.
+    /// Symptom: callers wait for their deadlines, since only calls are known to be due an answer. A
+    /// call's answer goes back on a connection that was alive when the call came.
     links: Vec<link::PeerLink>,
     /// Whether the remaining connections are being ended.
     closing: bool,
@@ -88,7 +93,8 @@
         };
         session.links.retain(|kept| kept.link != closed.link);
         session.unsent.extend(closed.unsent);
-        if !closed.used && !session.links.is_empty() && !session.closing {
+        let concerned = closed.used && closed.owed;
+        if !concerned && !session.links.is_empty() && !session.closing {
             let unsent = std::mem::take(&mut session.unsent);
             return self.reroute(peer, unsent);
         }
@@ -147,7 +153,12 @@
 
     /// Hands the frame back where the queue is full.
     fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
-        let current = self.links.first().filter(|_| !self.closing);
+        let alive = self
+            .links
+            .iter()
+            .rev()
+            .max_by_key(|link| link.pulse.last_heard());
+        let current = alive.filter(|_| !self.closing);
         let Some(current) = current else {
             self.unsent.push(frame);
             return Ok(());
--- a/crates/anvil_node/tests/peer_faults.rs
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -188,3 +188,34 @@
     unsealed_datagram => (&[1; 200]),
     large_datagram => (&[1; 1_401]),
 }
+
+#[test]
+fn answers_go_back_on_a_connection_that_lives() {
+    // Both nodes dialled at the same moment, and the network has dropped one of the two connections
+    // without a sign. An answer sent on that one would never arrive; its caller would wait for its
+    // deadline. So it goes back on the connection that was last heard from.
+    let pair = common::Pair::start("");
+    let _dropped = impostor::Impostor::connect(pair.node.bound().peer);
+    let mut living = impostor::Impostor::connect(pair.node.bound().peer);
+    for sequence in 1..4 {
+        living.send(&call_of(sequence, "/fast"));
+        assert_eq!(living.receive_answer().call.sequence, sequence);
+    }
+}
+
+#[test]
+fn the_end_of_an_idle_connection_costs_no_call() {
+    // One of two connections ends at last, long after it was of use. A call is out on the other
+    // one; given up with it, its caller would be told "may have run" for nothing.
+    let pair = common::Pair::start("");
+    let idle = impostor::Impostor::connect(pair.node.bound().peer);
+    let mut living = impostor::Impostor::connect(pair.node.bound().peer);
+    living.send(&call_of(1, "/fast"));
+    living.receive_answer();
+    living.send(&call_of(2, "/slow/300"));
+    drop(idle);
+    pair.await_count(counters::EdgeCause::PeerLost, 1);
+    let answer = living.receive_answer();
+    assert_eq!(answer.call.sequence, 2);
+    assert_eq!(answer.verdict, verdict::CallVerdict::Answered);
+}
