Tell how each connection between nodes ended, and await no answer for ever

Cause: the count of answers due on a connection kept those that came on the other of two, so its end could count as a loss; and a sign of life moved the traffic to the connection that was probed. Change: only frames with content say which connection lives; what is awaited fifteen seconds after the last call is forgotten; a log line tells how a connection ended and whether calls were out.

--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -175,6 +175,7 @@
     let pulse = parts.pulse.clone();
     let reading = tokio::spawn(read(context.clone(), peer, reader, pulse.clone()));
     let writer = FrameWriter {
+        peer,
         pulse,
         writer,
         sealer: sealed.sealer,
@@ -198,6 +199,7 @@
 
 /// The writing side of a connection.
 struct FrameWriter {
+    peer: ident::NodeId,
     pulse: Arc<pulse::LinkPulse>,
     writer: OwnedWriteHalf,
     sealer: sealing::FrameSealer,
@@ -261,6 +263,7 @@
     };
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
+    note_end(&writer, link, &end);
     let received = match end {
         Err(received) => received.unwrap_or(true),
         Ok(WriteEnd::Flushed) => read_rest(reading).await,
@@ -278,6 +281,24 @@
     }
 }
 
+/// Tells the log how a connection to another node ended, and whether calls were out on it.
+fn note_end<E>(writer: &FrameWriter, link: LinkId, end: &Result<WriteEnd, E>) {
+    let cause = match end {
+        Err(_) => "ended by the other side",
+        Ok(WriteEnd::Flushed) => "ended or broken on this side",
+        Ok(WriteEnd::Dead) => "no sign of life",
+    };
+    let (peer, owed) = (writer.peer, writer.pulse.awaits());
+    let facts = serde_json::json!({
+        "event": "link-ended",
+        "peer": peer.to_string(),
+        "link": link.0,
+        "cause": cause,
+        "calls_out": owed,
+    });
+    log::info!("{facts}");
+}
+
 /// Waits for what the other side still sends, and says whether any frame came on the connection.
 ///
 /// Answers may stand unread when the writing side ends. Reported as lost, their callers would be
@@ -392,14 +413,14 @@
         };
         used = true;
         pulse.frame_heard(matches!(frame, frame::PeerFrame::Answer(_)));
-        pulse.stamp(context.heard.fetch_add(1, Ordering::Relaxed) + 1);
         match frame {
             frame::PeerFrame::Ping => {
                 pulse.asked();
                 continue;
             }
             frame::PeerFrame::Pong => continue,
-            _ => {}
+            // Signs of life don't count, or each probe would move the traffic to its connection.
+            _ => pulse.stamp(context.heard.fetch_add(1, Ordering::Relaxed) + 1),
         }
         let arrived = event::NodeEvent::FrameArrived { peer, frame };
         // A full engine slows this reader, and so the sender, down. An engine that has left is no
--- a/crates/anvil_node/src/peer/pulse.rs
+++ b/crates/anvil_node/src/peer/pulse.rs
@@ -20,12 +20,18 @@
 /// Looks without a sign of life after which the connection is given up; the first of them probes.
 const SILENT_LOOKS: u32 = 3;
 
+/// Looks after the last call by which it has been answered or given up: fifteen seconds, more than
+/// callers wait.
+const LOOKS_PER_CALL: u32 = 60;
+
 /// What the reading and the writing side of a connection tell each other.
 #[derive(Debug, Default)]
 pub struct LinkPulse {
     /// Calls sent less answers received; they may be answered on another connection of the same
     /// two nodes, so the sum is a reason to look and no more.
     awaited: AtomicU32,
+    /// Looks since the last call was sent.
+    quiet_looks: AtomicU32,
     /// Whether anything came since the last look.
     heard: AtomicBool,
     /// The place of the last frame among all frames that came to this node.
@@ -48,6 +54,7 @@
 impl LinkPulse {
     /// Notes that a call was sent.
     pub fn call_sent(&self) {
+        self.quiet_looks.store(0, Ordering::Relaxed);
         if self.awaited.fetch_add(1, Ordering::Relaxed) == 0 {
             // Silence before the first call says nothing.
             self.heard.store(true, Ordering::Relaxed);
@@ -96,6 +103,11 @@
     /// Looks are counted and not time, since a process that was paused finds much time gone and the
     /// answers of that time unread in its socket.
     pub fn look(&self, silent: &mut u32) -> PulseLook {
+        if self.quiet_looks.fetch_add(1, Ordering::Relaxed) >= LOOKS_PER_CALL {
+            // What is still awaited was answered on another connection of the two nodes.
+            self.awaited.store(0, Ordering::Relaxed);
+            return PulseLook::Fine;
+        }
         if self.heard.swap(false, Ordering::Relaxed) {
             *silent = 0;
             return PulseLook::Fine;
--- a/crates/anvil_node/tests/pulse.rs
+++ b/crates/anvil_node/tests/pulse.rs
@@ -62,3 +62,16 @@
     pulse.frame_heard(true);
     assert!(!pulse.awaits());
 }
+
+#[test]
+fn an_answer_on_another_connection_is_not_awaited_for_ever() {
+    // The answer came on the other connection of the two nodes. The end of this one, minutes later,
+    // must not count as the loss of a call.
+    let (pulse, mut silent) = (pulse::LinkPulse::default(), 0);
+    pulse.call_sent();
+    for _ in 0..70 {
+        assert_ne!(pulse.look(&mut silent), PulseLook::Silent);
+        pulse.frame_heard(false);
+    }
+    assert!(!pulse.awaits());
+}
