--- a/crates/anvil_core/src/notes.rs
+++ b/crates/anvil_core/src/notes.rs
@@ -43,9 +43,13 @@
     /// Attempts that may have come to a target.
     pub reached: u16,
     /// Nodes that the attempts went to.
+    #[serde(serialize_with = "as_texts")]
     pub nodes: Vec<ident::NodeId>,
-    /// The limit that refused the last attempt, and the node that it belongs to.
-    pub refused: Option<(refusal::RefusalLimit, ident::NodeId)>,
+    /// The limit that refused the last attempt.
+    pub refused: Option<refusal::RefusalLimit>,
+    /// The node that the limit belongs to.
+    #[serde(serialize_with = "as_text")]
+    pub refused_by: Option<ident::NodeId>,
     /// Time since the request came, in milliseconds.
     pub took_ms: u64,
     /// Time left of what the caller and the rule allow, in milliseconds.
@@ -62,6 +66,7 @@
     /// The root request that it serves.
     pub root: ident::RequestId,
     /// The entry node.
+    #[serde(serialize_with = "in_hex")]
     pub entry: ident::NodeId,
     /// The attempt of the entry node.
     pub attempt: u16,
@@ -82,6 +87,31 @@
     pub queued: usize,
 }
 
+/// Identities of nodes as text: they are wider than the numbers that readers of JSON keep whole.
+fn in_hex<S>(node: &ident::NodeId, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.collect_str(node)
+}
+
+fn as_text<S>(node: &Option<ident::NodeId>, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    match node {
+        Some(node) => serializer.collect_str(node),
+        None => serializer.serialize_none(),
+    }
+}
+
+fn as_texts<S>(nodes: &[ident::NodeId], serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.collect_seq(nodes.iter().map(ToString::to_string))
+}
+
 fn in_words<S>(verdict: &verdict::CallVerdict, serializer: S) -> Result<S::Ok, S::Error>
 where
     S: Serializer,
