--- a/crates/anvil_edge/src/control.rs
+++ b/crates/anvil_edge/src/control.rs
@@ -23,6 +23,9 @@
         /// The path asked for.
         path: String,
     },
+    /// The node is ending and takes nothing in any more; another one may.
+    #[display("the node is leaving")]
+    Leaving,
     /// The body or the path is malformed.
     #[display("{reason}")]
     Malformed {
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -4,7 +4,7 @@
 use std::future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvil_core::{effect, event};
 use anvil_edge::caller;
@@ -256,6 +256,7 @@
         handle,
         waiting: true,
     };
+    let began = Instant::now();
     let sent = edge.engine.send_async(input).await;
     if sent.is_err() {
         presence.waiting = false;
@@ -266,7 +267,15 @@
     let replied = reply.await;
     presence.waiting = false;
     match replied {
-        Ok(reply) => Ok(edge.dialect.reply(*reply)),
+        Ok(reply) => {
+            let outcome = match reply.verdict {
+                verdict::CallVerdict::Answered => counters::LatencyOutcome::Answered,
+                verdict::CallVerdict::NotRun(_) => counters::LatencyOutcome::NotRun,
+                verdict::CallVerdict::MayHaveRun(_) => counters::LatencyOutcome::MayHaveRun,
+            };
+            edge.counters.call_took(outcome, began.elapsed());
+            Ok(edge.dialect.reply(*reply))
+        }
         Err(_) => {
             // The process leaves by force while the request may be out.
             let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Stopped);
--- a/crates/anvil_node/src/control.rs
+++ b/crates/anvil_node/src/control.rs
@@ -115,10 +115,8 @@
         // take. So it is given only once the reducer has taken the event in.
         let (taken, done) = tokio::sync::oneshot::channel();
         let input = engine::EngineInput::Told { event, taken };
-        let reason = "the node is leaving".to_owned();
-        let gone = control::ControlRefusal::Malformed { reason };
         if self.engine.send_async(input).await.is_err() || done.await.is_err() {
-            return Err(gone);
+            return Err(control::ControlRefusal::Leaving);
         }
         Ok(control::ControlOutcome::Taken)
     }
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -2,9 +2,11 @@
 //!
 //! The reducer keeps its own totals; both are exported by the metrics endpoint.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use prometheus::core::Collector;
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Everything that the edges count; each is a value of the label `cause`.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -131,11 +133,33 @@
     OperatorRefused,
 }
 
-/// The registry of the edges' counters and gauges.
+/// Upper bounds of the latency histograms, in seconds: from a lookup without queue to the longest
+/// time that callers wait, each about twice the one before.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// How a request or a run ended, as the label `outcome` of the latency histograms.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LatencyOutcome {
+    /// With a whole answer of the target.
+    #[display("answered")]
+    Answered,
+    /// Proved not to have run.
+    #[display("not_run")]
+    NotRun,
+    /// Nobody can tell whether it ran.
+    #[display("may_have_run")]
+    MayHaveRun,
+}
+
+/// The registry of the edges' counters, gauges and histograms.
 #[derive(Clone, Debug)]
 pub struct EdgeCounters {
     registry: Registry,
     events: IntCounterVec,
+    calls: HistogramVec,
+    runs: HistogramVec,
     caller_connections: IntGauge,
     target_connections: IntGauge,
     peer_connections: IntGauge,
@@ -151,6 +175,16 @@
         );
         let events = IntCounterVec::new(opts, &["cause"])?;
         register(&registry, &events)?;
+        let calls = latency(
+            &registry,
+            "anvil_call_duration_seconds",
+            "Time from a whole request of a caller to its reply by outcome, in seconds.",
+        )?;
+        let runs = latency(
+            &registry,
+            "anvil_run_duration_seconds",
+            "Time of a run at the local target by outcome, in seconds.",
+        )?;
         let caller_connections = gauge(
             &registry,
             "anvil_caller_connections",
@@ -169,6 +203,8 @@
         Ok(Self {
             registry,
             events,
+            calls,
+            runs,
             caller_connections,
             target_connections,
             peer_connections,
@@ -185,6 +221,16 @@
         self.events.with_label_values(&[&cause.to_string()]).get()
     }
 
+    /// Notes the time from a whole request to its reply.
+    pub fn call_took(&self, outcome: LatencyOutcome, span: Duration) {
+        observe(&self.calls, outcome, span);
+    }
+
+    /// Notes the time of a run at the local target.
+    pub fn run_took(&self, outcome: LatencyOutcome, span: Duration) {
+        observe(&self.runs, outcome, span);
+    }
+
     /// Open connections of callers.
     pub fn caller_connections(&self) -> &IntGauge {
         &self.caller_connections
@@ -234,6 +280,18 @@
     registry.register(Box::new(collector.clone()))
 }
 
+fn latency(registry: &Registry, name: &str, help: &str) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+    let histogram = HistogramVec::new(opts, &["outcome"])?;
+    register(registry, &histogram)?;
+    Ok(histogram)
+}
+
+fn observe(histogram: &HistogramVec, outcome: LatencyOutcome, span: Duration) {
+    let series = histogram.with_label_values(&[&outcome.to_string()]);
+    series.observe(span.as_secs_f64());
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
     let gauge = IntGauge::new(name, help)?;
     register(registry, &gauge)?;
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -74,11 +74,14 @@
             return event::RunOutcome::Unreachable;
         };
         let bytes = encode(&request);
+        let began = time::Instant::now();
         let outcome = match time::timeout_at(deadline, self.send(&run, &bytes)).await {
             Ok(outcome) => outcome,
             Err(_) => event::RunOutcome::TimedOut,
         };
         self.count(&outcome);
+        self.counters
+            .run_took(latency_outcome(&outcome), began.elapsed());
         outcome
     }
 
@@ -250,6 +253,18 @@
     }
 }
 
+fn latency_outcome(outcome: &event::RunOutcome) -> counters::LatencyOutcome {
+    match outcome {
+        event::RunOutcome::Whole(_) => counters::LatencyOutcome::Answered,
+        event::RunOutcome::Refused
+        | event::RunOutcome::Misdirected { .. }
+        | event::RunOutcome::Unreachable => counters::LatencyOutcome::NotRun,
+        event::RunOutcome::Broken { .. }
+        | event::RunOutcome::TimedOut
+        | event::RunOutcome::Cancelled => counters::LatencyOutcome::MayHaveRun,
+    }
+}
+
 /// The request as bytes, head and body in one piece so that they leave in one segment.
 fn encode(request: &http::Request<Bytes>) -> Bytes {
     let (path, body) = (request.uri().path_and_query(), request.body());
