Check the metrics' help and type for histograms too

A histogram's samples carry suffixes behind the name of their family; the check looked for help and type under each sample's own name. It looks under the family's, and is as strict for all others.

--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -45,6 +45,11 @@
     let samples = text.lines().filter(|line| !line.starts_with('#'));
     for sample in samples {
         let name = sample.split(['{', ' ']).next().unwrap();
+        // The samples of a histogram stand under the name of their family.
+        let suffixes = ["_bucket", "_sum", "_count"];
+        let families = suffixes.iter().filter_map(|end| name.strip_suffix(end));
+        let histogram = |family: &&str| text.contains(&format!("# TYPE {family} histogram\n"));
+        let name = families.into_iter().find(histogram).unwrap_or(name);
         for kind in ["HELP", "TYPE"] {
             let line = format!("# {kind} {name} ");
             assert!(text.contains(&line), "{sample} has no {kind}");
