--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use http::response;
 
+use crate::hops;
+
 /// What an answer means, told by its head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerMeaning {
@@ -50,3 +52,14 @@
     /// case.
     fn keeps_back(&self, header: &str) -> bool;
 }
+
+/// The request of `order` with its end-to-end headers, to which a dialect adds its own; none where it
+/// can't be put on the wire.
+pub fn plain_request(order: &effect::RunOrder) -> Option<http::Request<Bytes>> {
+    let request = &order.request;
+    let mut built = http::Request::new(request.body.clone());
+    *built.method_mut() = http::Method::from_bytes(request.method.as_bytes()).ok()?;
+    *built.uri_mut() = request.path.parse().ok()?;
+    hops::append_lines(built.headers_mut(), &request.headers)?;
+    Some(built)
+}
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anvil_core::effect;
-use anvil_edge::{hops, target};
+use anvil_edge::target;
 use bytes::Bytes;
 use http::response;
 
@@ -19,14 +19,10 @@
 
 impl target::TargetDialect for NativeTargets {
     fn build(&self, order: &effect::RunOrder) -> Option<http::Request<Bytes>> {
-        let request = &order.request;
-        let mut built = http::Request::new(request.body.clone());
-        *built.method_mut() = http::Method::from_bytes(request.method.as_bytes()).ok()?;
-        *built.uri_mut() = request.path.parse().ok()?;
+        let mut built = target::plain_request(order)?;
         let headers = built.headers_mut();
-        hops::append_lines(headers, &request.headers)?;
         if !headers.contains_key(http::header::HOST) {
-            let host = request.service.as_str().parse().ok()?;
+            let host = order.request.service.as_str().parse().ok()?;
             headers.insert(http::header::HOST, host);
         }
         let millis = whole_millis(order.timeout).into();
--- a/crates/anvil_store/src/http.rs
+++ b/crates/anvil_store/src/http.rs
@@ -88,10 +88,10 @@
     }
 }
 
-/// Tells a call that never left from one whose fate is open.
+/// Tells a call that never left from one whose fate is open; every HTTP client of a store asks it.
 ///
 /// Only a refused connection is proof; a timeout may have struck before or behind the effect.
-fn failed(error: attohttpc::Error) -> store::StoreOutcome {
+pub fn failed(error: attohttpc::Error) -> store::StoreOutcome {
     match error.into_kind() {
         attohttpc::ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             store::StoreOutcome::Unavailable
--- a/crates/anvil_types/src/ident.rs
+++ b/crates/anvil_types/src/ident.rs
@@ -54,38 +54,37 @@
     }
 }
 
-/// The id by which a caller names its request, as text; logs show it, and a target that calls on
-/// behalf of a request may build its own ids from it.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestLabel(Arc<str>);
-
-impl RequestLabel {
-    /// Takes `text` as it is.
-    pub fn new(text: &str) -> Self {
-        Self(Arc::from(text))
-    }
-
-    /// The id as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
+macro_rules! foreign_text {
+    ($(#[$note:meta])* $name:ident) => {
+        $(#[$note])*
+        #[derive(
+            Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Takes `text` as it is; whoever made it gives it its form.
+            pub fn new(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+    };
 }
 
-/// One start of a target, as the target names it; a process that comes back at the same address has
-/// another one.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct IncarnationId(Arc<str>);
-
-impl IncarnationId {
-    /// Takes `text` as it is.
-    pub fn new(text: &str) -> Self {
-        Self(Arc::from(text))
-    }
-
-    /// The id as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
+foreign_text! {
+    /// The id by which a caller names its request; logs show it, and a target that calls on behalf
+    /// of a request may build its own ids from it.
+    RequestLabel
+}
+foreign_text! {
+    /// One start of a target, as the target names it; a process that comes back at the same address
+    /// has another one.
+    IncarnationId
 }
 
 /// A digest of what a request asks for, equal for its resends; see `docs/design/quarantine.md`.
