--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -12,7 +12,7 @@
 use anvil_types::sorted;
 use tokio::sync::oneshot;
 
-use crate::{clock, datagram, peer, platform, target};
+use crate::{clock, datagram, peer, store, target};
 
 /// Events that may wait for the reducer; a caller's request waits at its edge beyond that.
 pub const QUEUE_LIMIT: usize = 16_384;
@@ -72,7 +72,7 @@
     /// Runs at the local target.
     pub runs: target::runs::RunTable,
     /// Questions to the platform's store.
-    pub store: platform::StoreQueue,
+    pub store: store::StoreQueue,
     /// Whether callers should send this node work; the control address tells it.
     pub ready: Arc<AtomicBool>,
     /// Callers that wait.
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::target::{exchange, parent, pool, runs};
 use crate::{
-    admin, caller, clock, control, counters, datagram, dialect, engine, peer, platform, settings,
+    admin, caller, clock, control, counters, datagram, dialect, engine, peer, settings, store,
 };
 
 /// How often kept connections to the target are looked through.
@@ -234,7 +234,7 @@
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
         let clock = clock::NodeClock::start();
         let client = self.dialects.store.clone();
-        let store = platform::StoreQueue::start(client, clock, self.engine.clone())?;
+        let store = store::StoreQueue::start(client, clock, self.engine.clone())?;
         let ready = Arc::new(AtomicBool::new(false));
         self.start_control(sockets.control, &ready)?;
         let engine = engine::NodeEngine {
