Wait until a paused process has stopped

SIGSTOP is acted on after the call returns, so a thread of the paused node may still answer a request that is sent at once.

Change: `pause` waits until every thread is stopped, up to 5 s, and fails otherwise. The test's own checks are as they were, and stricter now that the node is truly frozen when the request goes out.

--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -22,6 +22,9 @@
 /// Longest wait for a graceful stop.
 const STOP_WAIT: Duration = Duration::from_secs(30);
 
+/// Longest wait for a process to stop where it stands.
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Pause between two looks at a process.
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
@@ -149,9 +152,36 @@
         self.signal(signal::Signal::SIGTERM)
     }
 
-    /// Freezes it where it stands.
+    /// Freezes it where it stands, and waits until each of its threads has stopped.
+    ///
+    /// The signal is sent before it is acted on: a thread that runs on another processor goes on for
+    /// a moment, and a request that is sent at once may still be answered.
     pub fn pause(&self) -> eyre::Result<()> {
-        self.signal(signal::Signal::SIGSTOP)
+        self.signal(signal::Signal::SIGSTOP)?;
+        let until = Instant::now() + PAUSE_LIMIT;
+        while !self.is_stopped()? {
+            ensure!(Instant::now() < until, "the process does not stop");
+            thread::sleep(LOOK_PAUSE);
+        }
+        Ok(())
+    }
+
+    /// Whether each thread is stopped, as proc(5) tells it behind the name in brackets.
+    fn is_stopped(&self) -> eyre::Result<bool> {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        for task in fs::read_dir(tasks)? {
+            let told = match fs::read_to_string(task?.path().join("stat")) {
+                Ok(told) => told,
+                // A thread that ended between the two reads has not stopped; the next look tells.
+                Err(error) if matches!(error.kind(), io::ErrorKind::NotFound) => return Ok(false),
+                Err(error) => return Err(error.into()),
+            };
+            let state = told.rsplit(')').next().unwrap_or_default();
+            if !state.trim_start().starts_with('T') {
+                return Ok(false);
+            }
+        }
+        Ok(true)
     }
 
     /// Lets it go on.
