Take connections in one place

Cause: callers, other nodes and control calls each had their own accept with the same pause after a failure, and the same constant three times.

Change: `listen::next` gives the next connection; the three loops call it. A stop that falls into the pause is now noticed at once instead of up to 50 ms later. Limits and the counting of refused connections stay with each edge, since they differ there.

--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -20,16 +20,13 @@
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use super::{intake, watched};
-use crate::{counters, engine};
+use crate::{counters, engine, listen};
 
 /// The answer to a head that did not arrive in time; the HTTP library closes without one.
 const SLOW_HEAD: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\
       anvil-outcome: not-run\r\n\r\n";
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Most bytes read and dropped behind a refused request: twice the largest body.
 const REST_BYTES: u64 = 2 * codec::BODY_LIMIT as u64;
 
@@ -87,14 +84,10 @@
 pub async fn serve(listener: TcpListener, edge: Arc<CallerEdge>, mut drain: DrainSignal) {
     let places = Arc::new(Semaphore::new(edge.limits.connections));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = listen::next(&listener) => stream,
             _ = drain.closing.wait_for(|closing| *closing) => return,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
         // Callers beyond the limit are closed at once: each held connection costs memory, and a
         // caller that is told at once can go to another node.
         let Ok(place) = places.clone().try_acquire_owned() else {
--- a/crates/anvil_node/src/control.rs
+++ b/crates/anvil_node/src/control.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{counters, engine};
+use crate::{counters, engine, listen};
 
 /// Largest body of a call, in bytes; an announcement takes some hundreds.
 const BODY_LIMIT: usize = 64 * 1024;
@@ -30,9 +30,6 @@
 /// Longest wait for a whole body.
 const BODY_WAIT: Duration = Duration::from_secs(2);
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What every control connection works with.
 #[derive(Debug)]
 pub struct ControlEdge {
@@ -49,10 +46,7 @@
 /// Accepts calls until the process ends: a stopping node still says that it is not ready.
 pub async fn serve(listener: TcpListener, edge: Arc<ControlEdge>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = listen::next(&listener).await;
         tokio::spawn(connection(stream, edge.clone()));
     }
 }
--- a/crates/anvil_node/src/peer/accept.rs
+++ b/crates/anvil_node/src/peer/accept.rs
@@ -1,30 +1,22 @@
 //! Accepts connections of other nodes.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
 use super::{handshake, link};
-use crate::{counters, engine};
-
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::{counters, engine, listen};
 
 /// Accepts other nodes until the drain signal.
 pub async fn serve(listener: TcpListener, context: link::LinkContext, limit: usize) {
     let places = Arc::new(Semaphore::new(limit));
     let mut drain = context.drain.clone();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = listen::next(&listener) => stream,
             _ = drain.closing.wait_for(|closing| *closing) => return,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
         let Ok(place) = places.clone().try_acquire_owned() else {
             context.counters.count(counters::EdgeCause::PeerOverLimit);
             continue;
