Read checked text of rules in one way

Cause: names of rules, names of services and the parts of a condition each had their own steps from a field's text to a value or a fault at its place.

Change: `NodeField::read` takes them, `NodeField::name` is its case for names, and a refused name turns into a fault's reason by `From`.

--- a/crates/anvil_rules/src/fault.rs
+++ b/crates/anvil_rules/src/fault.rs
@@ -1,7 +1,7 @@
 //! What may be wrong with a rule file, and where.
 
 use anvil_types::name;
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
 use serde::{Serialize, Serializer};
 
 use crate::yaml;
@@ -43,7 +43,7 @@
 }
 
 /// Why a field was refused.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq, Display, From)]
 pub enum FaultReason {
     /// The text is no YAML.
     #[display("{message}")]
@@ -99,6 +99,7 @@
     },
     /// The text is no name.
     #[display("{reason}")]
+    #[from]
     Name {
         /// Why.
         reason: name::NameError,
--- a/crates/anvil_rules/src/field.rs
+++ b/crates/anvil_rules/src/field.rs
@@ -3,6 +3,8 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use anvil_types::name;
+
 use crate::{duration, fault, range, yaml};
 
 /// A value with its path in the text, such as `rules[2].then.deadline`.
@@ -174,6 +176,23 @@
         Some(text)
     }
 
+    /// Text that `read` makes something of; what `read` refuses is a fault at this field.
+    pub(crate) fn read<T, R>(&self, read: R, faults: &mut fault::FaultList<'_>) -> Option<T>
+    where
+        R: Fn(&str) -> Result<T, fault::FaultReason>,
+    {
+        let text = self.text(faults)?;
+        read(text).map_err(|reason| self.fault(reason, faults)).ok()
+    }
+
+    /// A name, checked by `new`.
+    pub(crate) fn name<T, N>(&self, new: N, faults: &mut fault::FaultList<'_>) -> Option<T>
+    where
+        N: Fn(&str) -> Result<T, name::NameError>,
+    {
+        self.read(|text| Ok(new(text)?), faults)
+    }
+
     pub(crate) fn boolean(&self, faults: &mut fault::FaultList<'_>) -> Option<bool> {
         let yaml::YamlValue::Bool(value) = self.node.value else {
             self.wrong_type("true or false", faults);
--- a/crates/anvil_rules/src/parse.rs
+++ b/crates/anvil_rules/src/parse.rs
@@ -92,7 +92,7 @@
 ) -> Option<LocatedRule> {
     let map = field::FieldMap::open(item, &RULE_FIELDS, faults)?;
     let name = map.require("name", faults);
-    let name = name.and_then(|field| read_name(&field, faults));
+    let name = name.and_then(|field| field.name(name::RuleName::new, faults));
     let when = map.get("when");
     let when = when.map(|field| parse_when::read_condition(&field, faults));
     let then = map.require("then", faults);
@@ -108,20 +108,6 @@
     })
 }
 
-fn read_name(
-    field: &field::NodeField<'_>,
-    faults: &mut fault::FaultList<'_>,
-) -> Option<name::RuleName> {
-    let text = field.text(faults)?;
-    match name::RuleName::new(text) {
-        Ok(name) => Some(name),
-        Err(reason) => {
-            field.fault(fault::FaultReason::Name { reason }, faults);
-            None
-        }
-    }
-}
-
 fn refuse_duplicates(located: &[LocatedRule], faults: &mut fault::FaultList<'_>) {
     let mut sorted: Vec<&LocatedRule> = located.iter().collect();
     sorted.sort_by(|a, b| a.rule.name.cmp(&b.rule.name).then(a.line.cmp(&b.line)));
--- a/crates/anvil_rules/src/parse_then.rs
+++ b/crates/anvil_rules/src/parse_then.rs
@@ -89,7 +89,7 @@
     faults: &mut fault::FaultList<'_>,
 ) -> Option<destination::RuleDestination> {
     if !field.is_list() {
-        let service = read_service(field, faults)?;
+        let service = field.name(name::ServiceName::new, faults)?;
         return Some(destination::RuleDestination::Service(service));
     }
     let items = field.list(destination::PART_LIMIT, faults)?;
@@ -112,7 +112,7 @@
 ) -> Option<destination::WeightedService> {
     let map = field::FieldMap::open(item, &PART_FIELDS, faults)?;
     let service = map.require("service", faults);
-    let service = service.and_then(|field| read_service(&field, faults));
+    let service = service.and_then(|field| field.name(name::ServiceName::new, faults));
     let weight = map.require("weight", faults);
     let weight = weight.and_then(|field| field.integer(&range::WEIGHT, faults));
     Some(destination::WeightedService {
@@ -121,20 +121,6 @@
     })
 }
 
-fn read_service(
-    field: &field::NodeField<'_>,
-    faults: &mut fault::FaultList<'_>,
-) -> Option<name::ServiceName> {
-    let text = field.text(faults)?;
-    match name::ServiceName::new(text) {
-        Ok(service) => Some(service),
-        Err(reason) => {
-            field.fault(fault::FaultReason::Name { reason }, faults);
-            None
-        }
-    }
-}
-
 fn read_duration(
     map: &field::FieldMap<'_>,
     name: &str,
--- a/crates/anvil_rules/src/parse_when.rs
+++ b/crates/anvil_rules/src/parse_when.rs
@@ -1,5 +1,7 @@
 //! Reading the `when` of a rule.
 
+use anvil_types::name;
+
 use crate::{condition, fault, field, method, path, service};
 
 /// Fields of a condition.
@@ -39,17 +41,8 @@
     let Some(field) = field else {
         return Vec::new();
     };
-    let mut parts = Vec::new();
-    for item in field.one_or_more(faults) {
-        let Some(text) = item.text(faults) else {
-            continue;
-        };
-        match read(text) {
-            Ok(part) => parts.push(part),
-            Err(reason) => item.fault(reason, faults),
-        }
-    }
-    parts
+    let items = field.one_or_more(faults).into_iter();
+    items.filter_map(|item| item.read(&read, faults)).collect()
 }
 
 fn read_host(text: &str) -> Result<String, fault::FaultReason> {
@@ -65,8 +58,7 @@
     let found = || text.to_owned();
     match text.split_once('*') {
         None => {
-            let checked = anvil_types::name::ServiceName::new(text);
-            checked.map_err(|reason| fault::FaultReason::Name { reason })?;
+            name::ServiceName::new(text)?;
             Ok(service::ServicePattern::Exact(found()))
         }
         Some((_, rest)) if !rest.is_empty() => {
@@ -74,8 +66,7 @@
         }
         Some(("", _)) => Ok(service::ServicePattern::Prefix(String::new())),
         Some((prefix, _)) => {
-            let checked = anvil_types::name::ServiceName::new(prefix);
-            checked.map_err(|reason| fault::FaultReason::Name { reason })?;
+            name::ServiceName::new(prefix)?;
             Ok(service::ServicePattern::Prefix(prefix.to_owned()))
         }
     }
