Conclude calls to a store in one place

Cause: both HTTP clients of a store turned a sent call into its outcome by themselves, and both dropped an answer that broke off without a word; the product's own client also dropped one that made no sense.

Change: `http::conclude` does it for both, with one log line for each way in which an answer fails. A body is held once now instead of copied for its entry.

Ruled out: a change of outcomes. An answer that breaks off counts as unknown as before, whatever its status, and only a refused connection counts as not made.

--- a/crates/anvil_store/src/http.rs
+++ b/crates/anvil_store/src/http.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anvil_types::store;
+use attohttpc::header;
 use bytes::Bytes;
 
 use crate::{platform, protocol};
@@ -51,7 +52,9 @@
         let Some(address) = self.address() else {
             return store::StoreOutcome::Unavailable;
         };
-        let outcome = send(address, ask);
+        let outcome = conclude(send(address, ask), |status, headers, body| {
+            read(ask, status, headers, body)
+        });
         if matches!(
             outcome,
             store::StoreOutcome::Unavailable | store::StoreOutcome::Unknown
@@ -62,7 +65,7 @@
     }
 }
 
-fn send(address: SocketAddr, ask: &store::StoreAsk) -> store::StoreOutcome {
+fn send(address: SocketAddr, ask: &store::StoreAsk) -> attohttpc::Result<attohttpc::Response> {
     let url = format!("http://{address}{}", protocol::target_of(ask));
     let (method, body, wait) = match ask {
         store::StoreAsk::Get { .. } | store::StoreAsk::List { .. } => {
@@ -76,22 +79,49 @@
         store::StoreAsk::Remove { .. } => (attohttpc::Method::DELETE, Bytes::new(), Duration::ZERO),
         store::StoreAsk::Grant { .. } => (attohttpc::Method::POST, Bytes::new(), Duration::ZERO),
     };
-    let request = attohttpc::RequestBuilder::new(method, url)
+    attohttpc::RequestBuilder::new(method, url)
         .connect_timeout(CONNECT_WAIT)
         .read_timeout(ANSWER_WAIT + wait)
         .timeout(ANSWER_WAIT + wait)
         .follow_redirects(false)
-        .bytes(body);
-    match request.send() {
-        Ok(response) => read(ask, response).unwrap_or(store::StoreOutcome::Unknown),
-        Err(error) => failed(error),
-    }
+        .bytes(body)
+        .send()
+}
+
+/// What became of a call that was `sent`; every HTTP client of a store asks it.
+///
+/// `read` gets the status, the headers and the body of an answer that came whole, and gives none
+/// where it makes no sense. What is not told by such an answer has an open fate.
+pub fn conclude<R>(sent: attohttpc::Result<attohttpc::Response>, read: R) -> store::StoreOutcome
+where
+    R: FnOnce(u16, &header::HeaderMap, Vec<u8>) -> Option<store::StoreOutcome>,
+{
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) => {
+            log::debug!("the store can't be asked: {error}");
+            return failed(error);
+        }
+    };
+    let (status, headers, body) = response.split();
+    let status = status.as_u16();
+    let body = match body.bytes() {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!("the store's answer, status {status}, broke off: {error}");
+            return store::StoreOutcome::Unknown;
+        }
+    };
+    read(status, &headers, body).unwrap_or_else(|| {
+        log::warn!("the store's answer, status {status}, makes no sense");
+        store::StoreOutcome::Unknown
+    })
 }
 
-/// Tells a call that never left from one whose fate is open; every HTTP client of a store asks it.
+/// Tells a call that never left from one whose fate is open.
 ///
 /// Only a refused connection is proof; a timeout may have struck before or behind the effect.
-pub fn failed(error: attohttpc::Error) -> store::StoreOutcome {
+fn failed(error: attohttpc::Error) -> store::StoreOutcome {
     match error.into_kind() {
         attohttpc::ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             store::StoreOutcome::Unavailable
@@ -100,18 +130,22 @@
     }
 }
 
-/// Reads the answer; none where it breaks off or makes no sense.
-fn read(ask: &store::StoreAsk, response: attohttpc::Response) -> Option<store::StoreOutcome> {
-    let status = response.status().as_u16();
-    let version = response.headers().get(protocol::VERSION_HEADER);
+/// Reads the answer; none where it makes no sense.
+fn read(
+    ask: &store::StoreAsk,
+    status: u16,
+    headers: &header::HeaderMap,
+    body: Vec<u8>,
+) -> Option<store::StoreOutcome> {
+    let version = headers.get(protocol::VERSION_HEADER);
     let version = version.and_then(|text| text.to_str().ok()?.parse().ok());
     let version = version.map(store::StoreVersion);
-    let body = response.bytes().ok()?;
+    let body = Bytes::from(body);
     let entry = |key: &store::StoreKey| {
         Some(store::StoreEntry {
             key: key.clone(),
             version: version?,
-            value: Bytes::from(body.clone()),
+            value: body.clone(),
         })
     };
     let reply = match (ask, status) {
