Share the start of the tests with a thousand members

Both told a fresh node of all members with the same lines; `knowing_all` does it for both. Every assertion stays as it was, and the whole check passes.

--- a/crates/anvil_membership/tests/thousand.rs
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -50,6 +50,21 @@
     fleet::FleetState::new(config, &local, 1, time::NodeTime::from_millis(1))
 }
 
+/// A node that another has told of all members.
+fn knowing_all(now: time::NodeTime) -> fleet::FleetState {
+    let mut state = start();
+    let members: Vec<_> = (1..MEMBERS).map(alive).collect();
+    for part in members.chunks(1_000) {
+        let message = gossip::SyncMessage::Members {
+            head: head(1),
+            updates: part.to_vec(),
+            wanted: Vec::new(),
+        };
+        state.on_sync(now, harness::id(1), &message);
+    }
+    state
+}
+
 fn datagram(
     from: usize,
     kind: gossip::GossipKind,
@@ -67,20 +82,8 @@
     // Callers keep every target of the zones that live while one zone's thousand vanish at once.
     // Pings to the lost stay unanswered, the others' claims about their ends arrive over some
     // seconds, and the node neither accuses the living nor exceeds its budget of bytes.
-    let mut state = start();
     let mut now = time::NodeTime::from_millis(2);
-    let members: Vec<_> = (1..MEMBERS).map(alive).collect();
-    for part in members.chunks(1_000) {
-        let updates = part.to_vec();
-        let wanted = Vec::new();
-        let head = head(1);
-        let message = gossip::SyncMessage::Members {
-            head,
-            updates,
-            wanted,
-        };
-        state.on_sync(now, harness::id(1), &message);
-    }
+    let mut state = knowing_all(now);
     let mut told = MEMBERS - LOST;
     let mut bytes = 0;
     for tick in 0..400_usize {
@@ -118,20 +121,8 @@
     // A node must not collect a connection to each member of a large fleet.
     // Each digest goes over a connection that stays open; in an hour of a hundred digests the
     // partners stay a dozen, the distances around the identities, and the first random ones.
-    let mut state = start();
     let mut now = time::NodeTime::from_millis(2);
-    let members: Vec<_> = (1..MEMBERS).map(alive).collect();
-    for part in members.chunks(1_000) {
-        let updates = part.to_vec();
-        let wanted = Vec::new();
-        let head = head(1);
-        let message = gossip::SyncMessage::Members {
-            head,
-            updates,
-            wanted,
-        };
-        state.on_sync(now, harness::id(1), &message);
-    }
+    let mut state = knowing_all(now);
     let mut partners = Vec::new();
     let mut digests = 0;
     for _ in 0..36_000 {
