Log the end of a process, and trace the processes killed at the end of their grace

Ruled out: a node that hangs in its stop.

What was missing to see it was a line at the end of a process; 'stopped' is written now, and the process waits up to 200 ms until its log is out.

--- a/crates/anvil_node/src/logs.rs
+++ b/crates/anvil_node/src/logs.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use eyre::WrapErr;
 use log4rs::append;
@@ -21,10 +21,43 @@
 /// Bytes gathered before they are written; many lines share one system call.
 const BATCH_BYTES: usize = 32 * 1024;
 
+/// Longest wait, at the end of the process, for the lines that are still in the queue. A reader that is
+/// stuck must not keep a process that was told to stop; one that reads takes them within milliseconds.
+const LAST_LINES_WAIT: Duration = Duration::from_millis(200);
+
+/// What the writing thread is handed.
+#[derive(Debug)]
+enum LogEntry {
+    /// One line, with its end.
+    Line(Vec<u8>),
+    /// Whoever waits until everything before this is written.
+    Written(flume::Sender<()>),
+}
+
+/// Lets the end of the process wait for its last lines.
+#[derive(Clone, Debug)]
+pub struct LogQueue {
+    entries: flume::Sender<LogEntry>,
+}
+
+impl LogQueue {
+    /// Waits until all lines so far are written, at most [`LAST_LINES_WAIT`].
+    ///
+    /// Without it the line that tells of the stop would end with the process, in its queue.
+    pub fn flush(&self) {
+        let (written, wait) = flume::bounded(1);
+        let entry = LogEntry::Written(written);
+        if self.entries.try_send(entry).is_ok() {
+            // A reader that takes nothing loses the last lines, as it lost those before.
+            let _ = wait.recv_timeout(LAST_LINES_WAIT);
+        }
+    }
+}
+
 /// Hands lines to the thread that writes them.
 #[derive(Debug)]
 struct QueueAppender {
-    lines: flume::Sender<Vec<u8>>,
+    entries: flume::Sender<LogEntry>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -45,7 +78,8 @@
 
 impl append::Append for QueueAppender {
     fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
-        if self.lines.try_send(line(record)).is_err() {
+        let entry = LogEntry::Line(line(record));
+        if self.entries.try_send(entry).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -55,11 +89,14 @@
 }
 
 /// Starts logging at `level`; fails where logging was started before.
-pub fn start(level: log::LevelFilter) -> eyre::Result<()> {
-    let (lines, waiting) = flume::bounded(QUEUE_LINES);
+pub fn start(level: log::LevelFilter) -> eyre::Result<LogQueue> {
+    let (entries, waiting) = flume::bounded(QUEUE_LINES);
+    let queue = LogQueue {
+        entries: entries.clone(),
+    };
     let dropped = Arc::new(AtomicU64::new(0));
     let appender = QueueAppender {
-        lines,
+        entries,
         dropped: dropped.clone(),
     };
     let builder = thread::Builder::new().name("logs".to_owned());
@@ -70,17 +107,24 @@
     let config = config::Config::builder().appender(appender).build(root);
     let config = config.wrap_err("the log configuration is refused")?;
     log4rs::init_config(config).wrap_err("logging was started before")?;
-    Ok(())
+    Ok(queue)
 }
 
-fn write(lines: &flume::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write(entries: &flume::Receiver<LogEntry>, dropped: &AtomicU64) {
     let mut batch = Vec::new();
-    for first in lines {
+    for first in entries {
         batch.clear();
-        batch.extend_from_slice(&first);
-        while batch.len() < BATCH_BYTES {
-            let Ok(next) = lines.try_recv() else { break };
-            batch.extend_from_slice(&next);
+        let mut waiting = Vec::new();
+        let mut next = Some(first);
+        while let Some(entry) = next {
+            match entry {
+                LogEntry::Line(line) => batch.extend_from_slice(&line),
+                LogEntry::Written(written) => waiting.push(written),
+            }
+            next = match batch.len() < BATCH_BYTES {
+                true => entries.try_recv().ok(),
+                false => None,
+            };
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -97,5 +141,6 @@
         {
             dropped.fetch_add(1, Ordering::Relaxed);
         }
+        drop(waiting);
     }
 }
--- a/crates/anvil_node/src/main.rs
+++ b/crates/anvil_node/src/main.rs
@@ -66,7 +66,7 @@
     ready: Option<&Path>,
     level: log::LevelFilter,
 ) -> eyre::Result<()> {
-    logs::start(level)?;
+    let queue = logs::start(level)?;
     let running = node::start(settings)?;
     stop::watch(running.engine().clone(), file.to_owned())?;
     let bound = serde_json::to_string(running.bound()).wrap_err("addresses as JSON")?;
@@ -74,7 +74,11 @@
         write_whole(file, &bound)?;
     }
     log::info!("node serving: {bound}");
-    running.wait()
+    let ended = running.wait();
+    let facts = serde_json::json!({ "event": "stopped", "clean": ended.is_ok() });
+    log::info!("{facts}");
+    queue.flush();
+    ended
 }
 
 /// Writes beside the file and renames, so that a reader never sees half of it.
