Give out retries over ten seconds and by rank

A submission needs eight (five) of its answers.

Change: the share is the mean of ten seconds; a second of it may be saved up; the lanes of the critical class leave up to half of the savings to those before them, lower classes what that class asked for within a second.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -270,8 +270,9 @@
         if attempt > 1 {
             self.counters.retries += 1;
         } else {
+            let now = self.now;
             let budget = self.retry_budget(&service);
-            budget.first_attempt(percent);
+            budget.first_attempt(now, percent);
             if inherited {
                 budget.inherited();
             }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use anvil_overload::{backoff, deadline, quarantine, ratio, refusal, routing};
-use anvil_types::{context, ident, treatment, verdict};
+use anvil_overload::{backoff, deadline, quarantine, refusal, routing};
+use anvil_types::{ident, treatment, verdict};
 use anvil_wire::call;
 
 use crate::{calls, entry, keys, overload, reducer, stopping, timers};
@@ -168,17 +168,14 @@
         open.allowance.spend().then_some(pause)
     }
 
-    /// Spends from the budget of the call's service; what matters most may spend it to its end.
+    /// Spends from the budget of the call's service.
     fn spend_retry(&mut self, sequence: u64) -> bool {
         let Some(open) = self.calls.get(sequence) else {
             return false;
         };
-        let reserve = match open.context.class {
-            context::PriorityClass::Critical => ratio::RetryReserve::None,
-            _ => ratio::RetryReserve::Few,
-        };
+        let rank = open.rank();
         let (service, now) = (open.request.service.clone(), self.now);
-        self.retry_budget(&service).spend(now, reserve)
+        self.retry_budget(&service).spend(now, &rank)
     }
 
     fn pause_of(&mut self, sequence: u64) -> Option<Duration> {
--- a/crates/anvil_overload/src/ratio.rs
+++ b/crates/anvil_overload/src/ratio.rs
@@ -1,8 +1,12 @@
 //! Retries of one node as a share of its first attempts; see `docs/design/retries.md`.
 
-use anvil_types::{name, time};
+use std::time::Duration;
+
+use anvil_types::{context, name, time};
 use serde::Serialize;
 
+use crate::rank;
+
 /// Retries that may come in one burst.
 pub const RATIO_BURST: u64 = 20;
 
@@ -13,8 +17,31 @@
 /// One retry, in the unit of the budget: micro-retries.
 const RETRY: u64 = 1_000_000;
 
-/// Retries that requests of lower classes leave; a small burst is nearly all left.
-const RESERVED_RETRIES: u64 = 2;
+/// Spans of [`SHARE_SPAN`] over whose mean the share is given out.
+///
+/// A service that begins to refuse gets fewer first attempts at once, since requests end at their first
+/// refusal; with a share of these alone, the retries that would carry requests through shrink just when
+/// they are needed. Ten seconds are the window in which the platform counts repeats against the requests
+/// of that window or of the one before it, so a mean over them stays within the larger of the two.
+pub const SHARE_SPANS: usize = 10;
+
+/// See [`SHARE_SPANS`]; also the time whose share may be saved up beyond the burst.
+///
+/// Savings are what ranks are told apart by: the retries of a service that fails half of its requests
+/// go to the highest ranks, of which most then come through whole. They raise the repeats of ten seconds
+/// by a tenth of their share at most.
+pub const SHARE_SPAN: Duration = Duration::from_secs(1);
+
+/// What the last lane of the highest class leaves of the savings to the lanes before it, in percent.
+const LANES_LEAVE: u64 = 50;
+
+/// The most that the classes below the highest leave of the savings, in percent. With less, browsing that
+/// comes twice as often as submissions takes a fifth of the retries of a small burst, and with this a tenth.
+const CLASSES_LEAVE: u64 = 90;
+
+/// What they leave, in micro-retries, beyond the retries that the highest class has asked for within the
+/// last span; so a budget that only they need is theirs.
+const CLASSES_LEAVE_ALWAYS: u64 = 2 * RETRY;
 
 /// What a budget holds beyond the share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -42,16 +69,7 @@
     }
 }
 
-/// How much a retry must leave in the budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RetryReserve {
-    /// Nothing.
-    None,
-    /// A few retries, for requests that matter more.
-    Few,
-}
-
-/// A token bucket that first attempts fill and retries empty.
+/// A token bucket that the share of recent first attempts fills and retries empty.
 ///
 /// The chain's allowance bounds the retries of one root; this bounds those of many roots
 /// together, which could still double the load of a service that refuses most of its requests.
@@ -61,6 +79,62 @@
     tokens: i64,
     filled: time::NodeTime,
     limits: RatioLimits,
+    share: ShareHistory,
+}
+
+/// What first attempts have added to a budget lately, span by span.
+#[derive(Clone, Debug, Serialize)]
+struct ShareHistory {
+    /// When the present span began.
+    began: time::NodeTime,
+    /// What the present span has added.
+    present: u64,
+    /// What the spans before it have added; the place of the next one to be replaced goes round.
+    former: [u64; SHARE_SPANS],
+    next: usize,
+    /// Spans that have ended, until all places are filled.
+    ended: usize,
+    /// What the highest class has asked for in the present span, and in the one before it.
+    asked: u64,
+    former_asked: u64,
+}
+
+impl ShareHistory {
+    fn new(now: time::NodeTime) -> Self {
+        Self {
+            began: now,
+            present: 0,
+            former: [0; SHARE_SPANS],
+            next: 0,
+            ended: 0,
+            asked: 0,
+            former_asked: 0,
+        }
+    }
+
+    /// Ends the spans that are over at `now`.
+    fn turn(&mut self, now: time::NodeTime) {
+        let over = now.since(self.began).as_micros() / SHARE_SPAN.as_micros();
+        let over = u32::try_from(over).unwrap_or(u32::MAX);
+        // Beyond all places, each further span is as empty as the last.
+        for _ in 0..(over as usize).min(SHARE_SPANS + 1) {
+            self.former[self.next] = std::mem::take(&mut self.present);
+            self.next = (self.next + 1) % SHARE_SPANS;
+            self.ended = (self.ended + 1).min(SHARE_SPANS);
+            self.former_asked = std::mem::take(&mut self.asked);
+        }
+        self.began = self.began + SHARE_SPAN * over;
+    }
+
+    /// Whether the past is long enough for its mean to stand for the share.
+    fn is_known(&self) -> bool {
+        self.ended >= SHARE_SPANS
+    }
+
+    /// What a span adds in the mean.
+    fn mean(&self) -> u64 {
+        self.former.iter().sum::<u64>() / SHARE_SPANS as u64
+    }
 }
 
 impl RetryBudget {
@@ -75,12 +149,18 @@
             tokens: signed(limits.burst),
             filled: now,
             limits,
+            share: ShareHistory::new(now),
         }
     }
 
     /// Counts a first attempt whose rule allows `percent` retries for each hundred.
-    pub fn first_attempt(&mut self, percent: u8) {
-        self.add(u64::from(percent) * RETRY / 100);
+    pub fn first_attempt(&mut self, now: time::NodeTime, percent: u8) {
+        self.fill(now);
+        let added = u64::from(percent) * RETRY / 100;
+        self.share.present += added;
+        if !self.share.is_known() {
+            self.add(added);
+        }
     }
 
     /// Counts a repeat that a retry further up the chain made unavoidable.
@@ -89,15 +169,15 @@
         self.tokens = (self.tokens - signed(RETRY)).max(least);
     }
 
-    /// Spends one retry; false where the share is used up.
-    pub fn spend(&mut self, now: time::NodeTime, reserve: RetryReserve) -> bool {
-        let micros = u64::try_from(now.since(self.filled).as_micros()).unwrap_or(u64::MAX);
-        self.add(micros.saturating_mul(self.limits.floor_per_second) / 1_000_000);
-        self.filled = now;
-        let kept = match reserve {
-            RetryReserve::None => 0,
-            RetryReserve::Few => (self.limits.burst / 10 * 9).min(RESERVED_RETRIES * RETRY),
-        };
+    /// Spends one retry for a request of `rank`; false where its part of the budget is used up.
+    ///
+    /// Failure: a service refuses half of what it gets, and a request needs eight answers of it. With
+    /// retries given to whoever asks first, each request gets one or two and hardly any comes through.
+    /// Each rank therefore leaves a part of the savings to the ranks above it; lanes are the same at
+    /// every hop, so the requests that win here win at their other calls as well.
+    pub fn spend(&mut self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
+        self.fill(now);
+        let kept = self.kept_above(rank);
         let allowed = self.tokens >= signed(RETRY.max(kept));
         if allowed {
             self.tokens -= signed(RETRY);
@@ -105,8 +185,37 @@
         allowed
     }
 
+    /// What a request of `rank` leaves to the ranks above it.
+    fn kept_above(&mut self, rank: &rank::CallRank) -> u64 {
+        let most = self.most();
+        if rank.class == context::PriorityClass::Critical {
+            self.share.asked += RETRY;
+            let lane = u64::from(rank.lane.0.0);
+            return most * LANES_LEAVE * lane / u64::from(rank::LANES) / 100;
+        }
+        let asked = self.share.asked.max(self.share.former_asked);
+        (most * CLASSES_LEAVE / 100).min(asked + CLASSES_LEAVE_ALWAYS)
+    }
+
+    /// The most that may be saved: the burst, and the share of one span.
+    fn most(&self) -> u64 {
+        self.limits.burst + self.share.mean()
+    }
+
+    /// Adds what the time since the last look has brought.
+    fn fill(&mut self, now: time::NodeTime) {
+        self.share.turn(now);
+        let mut rate = self.limits.floor_per_second;
+        if self.share.is_known() {
+            rate += self.share.mean();
+        }
+        let micros = u64::try_from(now.since(self.filled).as_micros()).unwrap_or(u64::MAX);
+        self.filled = now;
+        self.add(micros.saturating_mul(rate) / 1_000_000);
+    }
+
     fn add(&mut self, tokens: u64) {
-        let most = signed(self.limits.burst);
+        let most = signed(self.most());
         self.tokens = self.tokens.saturating_add(signed(tokens)).min(most);
     }
 }
