--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -295,6 +295,9 @@
             return;
         }
         self.settle_attempt(sequence, &answer);
+        if answer.verdict == verdict::CallVerdict::Answered {
+            self.absolve(sequence);
+        }
         self.attempt_ended(sequence, answer.verdict, answer.answer);
     }
 
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -89,6 +89,13 @@
         self.spread_suspicion(&notice);
     }
 
+    /// Takes a strike back from a request that came back whole.
+    pub(crate) fn absolve(&mut self, sequence: u64) {
+        if let Some(open) = self.calls.get(sequence) {
+            self.overload.poison.answered(open.context.print);
+        }
+    }
+
     /// Decides what follows the end of an attempt.
     pub(crate) fn attempt_ended(
         &mut self,
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -68,10 +68,16 @@
 
     pub(crate) fn stop_requested(&mut self) {
         let running = self.calls.len() + self.runs.running() as usize;
-        let forced = self.phase != NodePhase::Serving;
+        let again = self.phase != NodePhase::Serving;
+        // Failure: whoever stops the process asks twice, as stops of one machine and of a whole zone
+        // overlap. Symptom: requests in progress are cut seconds before their answers. A limit says that
+        // somebody ends the process in time anyway, so there the second request changes nothing.
+        let forced = again && self.stop.limit.is_none();
         self.report(effect::StateChange::Stopping { forced, running });
         if forced {
             self.stop_by_force();
+        }
+        if again {
             return;
         }
         let callers_until = self.now + self.stop.linger;
--- a/crates/anvil_core/tests/platform_hardships.rs
+++ b/crates/anvil_core/tests/platform_hardships.rs
@@ -144,6 +144,26 @@
     assert!(left);
 }
 
+#[test]
+fn a_second_request_to_stop_cuts_nothing() {
+    // A run is in progress when its node is told to stop, and told again a second later, as the stop of
+    // one machine and of its whole zone overlap. Its caller gets the whole answer that the target gives
+    // two seconds later; whoever stops the node ends it after five seconds in any case.
+    let mut node = stopping_node(PLAN);
+    let effects = node.step(at(20), support::arrival(1, "POST"));
+    let run = started(&effects)[0];
+    let effects = node.step(at(1_000), event::NodeEvent::StopRequested);
+    assert_eq!(replies(&effects), []);
+    let outcome = support::whole();
+    let effects = node.step(at(2_900), event::NodeEvent::RunEnded { run, outcome });
+    assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
+    let effects = support::run_until(&mut node, at(3_100));
+    let left = effects
+        .iter()
+        .any(|effect| matches!(effect, effect::NodeEffect::Exit));
+    assert!(left);
+}
+
 const ROUTE: &str = "rules:
   - name: status
     when: {host: portal.example, path: /cases/**}
--- a/crates/anvil_node/src/command.rs
+++ b/crates/anvil_node/src/command.rs
@@ -29,7 +29,8 @@
     2    the command line or the settings are refused
 
 SIGNALS:
-    SIGTERM or SIGINT stops the node gracefully; a second one stops it at once.
+    SIGTERM or SIGINT stops the node gracefully; a second one stops it at once, but
+    not where the settings tell after which grace the process is killed anyway.
     SIGHUP reads the settings again and logs whether they changed.
 ";
 
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -71,6 +71,8 @@
     alone: bool,
     rule: CrashRule,
     struck: time::NodeTime,
+    /// The crash of the last strike.
+    crash: suspicion::CrashMark,
 }
 
 impl SuspectPrint {
@@ -177,6 +179,14 @@
         self.conclude(now, service)
     }
 
+    /// Notes that a request came back whole from another node, which takes one strike back as well.
+    ///
+    /// Without it, a caller's node that has no target to run the request would add up the losses of a
+    /// minute, and refuse what all targets serve.
+    pub fn answered(&mut self, print: ident::PrintHash) {
+        self.clear(print);
+    }
+
     /// Notes a run whose connection broke.
     ///
     /// Returns a notice once every run that was under way has broken or ended without an answer:
@@ -308,11 +318,19 @@
         }
         self.marks.push_back(notice.crash);
         for strike in &notice.strikes {
-            self.strike(now, strike);
+            self.strike(now, notice.crash, strike);
         }
     }
 
-    fn strike(&mut self, now: time::NodeTime, strike: &suspicion::PrintStrike) {
+    /// Failure: a page that everybody asks for is out many times at a node that is lost, and each caller's
+    /// node tells of its own share. Symptom: one loss gives it enough strikes to be refused everywhere for
+    /// the time of the quarantine. A crash therefore strikes a print once, however often it was running.
+    fn strike(
+        &mut self,
+        now: time::NodeTime,
+        crash: suspicion::CrashMark,
+        strike: &suspicion::PrintStrike,
+    ) {
         let rule = CrashRule {
             limit: strike.crash_limit,
             quarantine: Duration::from_secs(u64::from(strike.quarantine_seconds)),
@@ -321,6 +339,10 @@
             Ok(place) => {
                 let suspect = &mut self.suspects[place];
                 let stale = suspect.left(now).is_zero();
+                if suspect.crash == crash && !stale {
+                    return;
+                }
+                suspect.crash = crash;
                 suspect.strikes = if stale {
                     1
                 } else {
@@ -336,6 +358,7 @@
                 alone: strike.alone,
                 rule,
                 struck: now,
+                crash,
             }),
         }
     }
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -188,3 +188,43 @@
     }
     assert_eq!(crashes, u64::from(RULE.limit + quarantine::CROWD_MARGIN));
 }
+
+// A page that everybody asks for is out six times from each of three callers' nodes when a target's node is
+// lost. Each of them strikes it for its own share. One loss is one crash: the page stays in service.
+#[test]
+fn one_loss_strikes_a_request_once_however_often_it_was_out() {
+    let lost = ident::NodeId(9);
+    let mut lists = [list(1), list(2), list(3)];
+    let out = [(POISON, RULE); 6];
+    let notices = lists
+        .each_mut()
+        .map(|list| list.peer_lost(at(0), lost, &service(), &out));
+    for list in &mut lists {
+        for notice in &notices {
+            list.learn(at(1), notice);
+        }
+        assert_eq!(list.standing(at(2), POISON), Standing::Suspect);
+    }
+    // A second node is lost with it, and it was the only suspect there: two crashes, one alone.
+    lists[0].peer_lost(at(3), ident::NodeId(8), &service(), &out[..1]);
+    assert!(condemned(&lists[0], at(4), POISON));
+}
+
+// All nodes of a service are lost one after the other, each while the same page is out at it, and in
+// between the page is answered by others. A caller's node without a target of that service takes the
+// strikes back, or it would refuse after the fourth loss what all targets serve.
+#[test]
+fn answers_of_other_nodes_take_strikes_back() {
+    let mut list = list(1);
+    for loss in 0..6 {
+        let crowd = [(POISON, RULE), (ident::PrintHash(50 + loss), RULE)];
+        list.peer_lost(
+            at(loss * 1_000),
+            ident::NodeId(20 + loss),
+            &service(),
+            &crowd,
+        );
+        list.answered(POISON);
+    }
+    assert_eq!(list.standing(at(6_000), POISON), Standing::Clean);
+}
