Name the request in answers that the caller's edge gives by itself

Cause: once the reducer of a leaving node has ended, the edge answers 503 or 502 by itself, and such an answer did not carry the id of its request. Ruled out: an answer of another request; its body was the edge's own refusal.

Change: the label is an argument of the one function that makes such answers, so that none can be made without thinking of it.

--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -30,8 +30,12 @@
 }
 
 impl CallerReply {
-    /// The reply to a request that never reached the reducer, or that it forgot.
-    pub fn without_answer(verdict: verdict::CallVerdict, retry_after: Option<Duration>) -> Self {
+    /// The reply to the request called `label` that never reached the reducer, or that it forgot.
+    pub fn without_answer(
+        label: Option<ident::RequestLabel>,
+        verdict: verdict::CallVerdict,
+        retry_after: Option<Duration>,
+    ) -> Self {
         Self {
             verdict,
             answer: None,
@@ -39,7 +43,7 @@
             attempts: 0,
             mark: treatment::RuleMark::default(),
             retry_after,
-            label: None,
+            label,
         }
     }
 }
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -46,7 +46,12 @@
         };
         let Some(context) = context else {
             // The parent run has ended, so nobody waits for this call.
-            let reply = refusal(verdict::RefusalReason::Cancelled, mark);
+            let verdict = not_run(verdict::RefusalReason::Cancelled);
+            let label = hints.label.clone();
+            let reply = effect::CallerReply {
+                mark,
+                ..effect::CallerReply::without_answer(label, verdict, None)
+            };
             self.reply(handle, reply);
             return;
         };
@@ -474,13 +479,6 @@
     verdict::CallVerdict::NotRun(reason)
 }
 
-fn refusal(reason: verdict::RefusalReason, mark: treatment::RuleMark) -> effect::CallerReply {
-    effect::CallerReply {
-        mark,
-        ..effect::CallerReply::without_answer(not_run(reason), None)
-    }
-}
-
 pub(crate) fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -234,6 +234,7 @@
     watch.begin_serving();
     let handle = event::CallerHandle(edge.handles.fetch_add(1, Ordering::Relaxed) + 1);
     let (sender, reply) = oneshot::channel();
+    let label = hints.label.clone();
     let arrival = event::NodeEvent::CallArrived {
         handle,
         request: Box::new(request),
@@ -254,7 +255,7 @@
     if sent.is_err() {
         presence.waiting = false;
         let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
-        let reply = effect::CallerReply::without_answer(verdict, Some(LEAVING_PAUSE));
+        let reply = effect::CallerReply::without_answer(label, verdict, Some(LEAVING_PAUSE));
         return Ok(edge.dialect.reply(reply));
     }
     let replied = reply.await;
@@ -272,7 +273,7 @@
         Err(_) => {
             // The process leaves by force while the request may be out.
             let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Stopped);
-            let reply = effect::CallerReply::without_answer(verdict, None);
+            let reply = effect::CallerReply::without_answer(label, verdict, None);
             Ok(edge.dialect.reply(reply))
         }
     }
