Hold the leaving of a target against no later announcement of its node

Cause: a refusal that tells of a leaving kept its target out until membership said something else, but news from membership within ten seconds of it was not believed, and none came later. A target that was released and back within ten seconds, or whose refusal arrived behind the announcement of its successor, got nothing any more from that caller's node, and once it was so for all targets of a service every request there was refused.

Ruled out: lost membership; the other nodes served the same targets, and the node knew all six members.

Change: reports carry the number of the announcement that they go back to. A later announcement ends the leaving at once, and where none comes ten seconds do.

Before: a_successor_is_used_at_once and a_leaving_that_nobody_confirms fail, as a told leaving never ended.

--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -19,6 +19,8 @@
     pub slots: u32,
     /// Whether the node or its target is leaving.
     pub leaving: bool,
+    /// Which of the node's announcements told so.
+    pub announced: u32,
 }
 
 /// All known targets, and the choice among them.
@@ -45,6 +47,7 @@
             zone: record.zone.clone(),
             slots: record.slots,
             leaving: record.leaving,
+            announced: record.announced,
         };
         let former = self.peers.get(node).map(|known| &known.service);
         if let Some(former) = former.filter(|former| **former != record.service) {
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -147,6 +147,7 @@
                     zone: view.facts.zone,
                     slots: view.facts.slots,
                     leaving: view.facts.leaving,
+                    announced: view.announced,
                 };
                 self.directory.upsert(self.now, view.node, record);
             }
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -80,15 +80,18 @@
         let now = self.now;
         let leaving = self.refuses_runs();
         let deep = self.deep_line(kind);
+        let announced = self.fleet.announced();
         let Some(admission) = &mut self.overload.admission else {
             return call::LoadReport {
                 leaving: true,
+                announced,
                 ..call::LoadReport::default()
             };
         };
         let mut load = admission.load(now);
         load.leaving |= leaving;
         load.deep = deep;
+        load.announced = announced;
         load
     }
 
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -202,6 +202,7 @@
                 zone: zone(other),
                 slots: service.slots,
                 leaving: false,
+                announced: 0,
             };
             let id = ident::NodeId(other as u64 + 1);
             for node in &mut self.nodes {
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -82,6 +82,7 @@
         zone: name::ZoneName::new("ar-centro-a").unwrap(),
         slots: 8,
         leaving: false,
+        announced: 0,
     };
     node.learn_peer(at(0), peer, record);
 }
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -265,6 +265,11 @@
         out
     }
 
+    /// Counts what this node has announced of itself; each announcement has a higher number.
+    pub fn announced(&self) -> u32 {
+        self.incarnation
+    }
+
     /// Says that this node is gone for good; it answers nothing any more.
     pub fn leave(&mut self, now: time::NodeTime) -> Vec<effect::FleetEffect> {
         let mut out = Vec::new();
--- a/crates/anvil_membership/src/member.rs
+++ b/crates/anvil_membership/src/member.rs
@@ -69,6 +69,7 @@
             facts: self.facts.clone(),
             suspected: self.state == MemberState::Suspect,
             revision: self.revision,
+            announced: self.told,
         }
     }
 }
@@ -84,4 +85,6 @@
     pub suspected: bool,
     /// The rule revision it last told this node itself; zero where it never did.
     pub revision: ident::RuleRevision,
+    /// Which of its announcements told the facts.
+    pub announced: u32,
 }
--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -39,6 +39,7 @@
                 zone: zones[target as usize % 4].clone(),
                 slots: 40,
                 leaving: false,
+                announced: 0,
             };
             table.upsert(time::NodeTime::START, &service(number), &record);
         }
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -196,6 +196,7 @@
             cut: self.cut.line(),
             deep: None,
             leaving: self.leaving,
+            announced: 0,
         }
     }
 
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -44,6 +44,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Which of the node's announcements told so.
+    pub announced: u32,
 }
 
 /// How an attempt ended, as far as routing is concerned.
@@ -136,7 +138,7 @@
         let near = record.zone == self.zone;
         let routes = self.routes_or_insert(service);
         match routes.place(record.node) {
-            Ok(place) => routes.targets[place].renew(now, record, near),
+            Ok(place) => routes.targets[place].renew(record, near),
             Err(place) => {
                 let target = target::TargetRoute::new(now, record, near);
                 routes.targets.insert(place, target);
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -107,7 +107,7 @@
         let mut near = PairDraw::default();
         let mut far = PairDraw::default();
         for (place, target) in self.targets.iter().enumerate() {
-            let fit = target.serves(query.exclude)
+            let fit = target.serves(now, query.exclude)
                 && (ejected_too || !target.ejected(now))
                 && (!policy.early_refusal || target.admits(now, &query.rank));
             if !fit {
@@ -141,7 +141,7 @@
         for step in 1..=count {
             let place = (self.turn + step) % count;
             let target = &self.targets[place];
-            let fit = target.serves(query.exclude)
+            let fit = target.serves(now, query.exclude)
                 && !target.ejected(now)
                 && (!policy.early_refusal || target.admits(now, &query.rank));
             if fit {
@@ -153,7 +153,7 @@
     }
 
     fn nobody(&self, now: time::NodeTime, query: &routing::RouteQuery<'_>) -> routing::RouteChoice {
-        let some = |target: &target::TargetRoute| target.serves(query.exclude);
+        let some = |target: &target::TargetRoute| target.serves(now, query.exclude);
         let level = self.line_level(now, query.kind, query.exclude);
         match rank::line_at(level) {
             Some(line) if self.targets.iter().any(some) => routing::RouteChoice::Shed(line),
@@ -179,7 +179,10 @@
         if now >= self.lines_until {
             return 0;
         }
-        let serving = self.targets.iter().filter(|target| target.serves(exclude));
+        let serving = self
+            .targets
+            .iter()
+            .filter(|target| target.serves(now, exclude));
         let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now)).collect();
         if levels.is_empty() {
             return 0;
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -30,9 +30,17 @@
 /// Time of a run below which targets count as equally fast, in microseconds.
 const USUAL_LEAST: u32 = 1_000;
 
-/// How long a leaving that an answer told outlasts older news from membership.
+/// How long a leaving that an answer told counts where membership doesn't confirm it.
 const LEAVING_HOLD: Duration = Duration::from_secs(10);
 
+/// A leaving that an answer told.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct ToldLeaving {
+    /// The node's latest announcement when it answered.
+    announced: u32,
+    at: time::NodeTime,
+}
+
 /// One target and what its answers told.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct TargetRoute {
@@ -41,7 +49,10 @@
     pub(super) near: bool,
     slots: u32,
     leaving: bool,
-    left_at: Option<time::NodeTime>,
+    /// Which of the node's announcements this goes back to.
+    announced: u32,
+    /// The leaving that an answer told, where one did.
+    told: Option<ToldLeaving>,
     since: time::NodeTime,
     in_flight: [u32; context::PriorityClass::ALL.len()],
     #[serde(skip)]
@@ -63,7 +74,8 @@
             near,
             slots: record.slots,
             leaving: record.leaving,
-            left_at: None,
+            announced: record.announced,
+            told: None,
             since: now,
             in_flight: [0; context::PriorityClass::ALL.len()],
             load: call::LoadReport::default(),
@@ -77,22 +89,28 @@
         }
     }
 
-    pub(super) fn renew(
-        &mut self,
-        now: time::NodeTime,
-        record: &routing::TargetRecord,
-        near: bool,
-    ) {
+    pub(super) fn renew(&mut self, record: &routing::TargetRecord, near: bool) {
         self.address = record.address;
         self.near = near;
         self.slots = record.slots;
-        // Membership may not have heard yet of a leaving that an answer told.
-        let told = self.left_at.is_some_and(|at| now.since(at) < LEAVING_HOLD);
-        self.leaving = record.leaving || told;
+        self.leaving = record.leaving;
+        self.announced = record.announced;
     }
 
-    pub(super) fn serves(&self, exclude: &[ident::NodeId]) -> bool {
-        !self.leaving && !exclude.contains(&self.node)
+    pub(super) fn serves(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> bool {
+        !self.leaving && !self.told_leaving(now) && !exclude.contains(&self.node)
+    }
+
+    /// Whether an answer told of a leaving that membership may not have heard of yet.
+    ///
+    /// Failure: the refusal of a target that leaves is held against its successor. Symptom: this node
+    /// sends nothing there any more, so no answer corrects it, and once it is so for all targets of a
+    /// service every request is refused. A later announcement therefore ends it, and time does where
+    /// none arrives.
+    fn told_leaving(&self, now: time::NodeTime) -> bool {
+        self.told.as_ref().is_some_and(|told| {
+            told.announced >= self.announced && now.since(told.at) < LEAVING_HOLD
+        })
     }
 
     pub(super) fn ejected(&self, now: time::NodeTime) -> bool {
@@ -126,8 +144,8 @@
         self.heard = Some(now);
         self.cut.learn(now, load.cut.as_ref());
         if load.leaving {
-            self.leaving = true;
-            self.left_at = Some(now);
+            let announced = load.announced;
+            self.told = Some(ToldLeaving { announced, at: now });
         }
     }
 
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anvil_overload::{cut, kind, policy, rank, routing};
+use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, time};
 use anvil_wire::call;
 
@@ -28,6 +29,7 @@
         zone: zone(letter),
         slots,
         leaving: false,
+        announced: 0,
     }
 }
 
@@ -162,6 +164,64 @@
     assert_eq!(count_of(&sent, 1), 0);
 }
 
+// A target leaves and its successor is announced 400 ms later, as in a release. The refusal that told of
+// the leaving came on a slow connection, in between or even behind the announcement. Taken for newer than
+// that, it would keep this node from the target for ever, since nothing is sent that could tell better.
+fn a_successor_is_used_at_once(refusal: u64, announcement: u64) {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'a', 8)]);
+    let refused = call::LoadReport {
+        leaving: true,
+        announced: 7,
+        ..call::LoadReport::default()
+    };
+    let successor = routing::TargetRecord {
+        announced: 8,
+        ..record(1, 'a', 8)
+    };
+    for now in [at(9_000), at(9_400)] {
+        if now == at(refusal) {
+            end(
+                &mut table,
+                now,
+                1,
+                routing::AttemptEnd::Fine,
+                Some(&refused),
+            );
+        }
+        if now == at(announcement) {
+            table.upsert(now, &service(), &successor);
+        }
+    }
+    let sent = send(&mut table, at(9_500), 40);
+    assert!(count_of(&sent, 1) > 0, "{sent:?}");
+}
+
+test_cases! {
+    a_successor_is_used_at_once:
+    announced_behind_the_refusal => (9_000, 9_400),
+    announced_before_the_refusal_arrives => (9_400, 9_000),
+}
+
+// A target's answer says that it leaves, and no announcement of its ever comes to this node, as its
+// datagrams are lost. It is asked again after a while, and what it answers then decides.
+#[test]
+fn a_leaving_that_nobody_confirms_is_asked_about_again() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'a', 8)]);
+    let refused = call::LoadReport {
+        leaving: true,
+        ..call::LoadReport::default()
+    };
+    end(
+        &mut table,
+        at(9_000),
+        1,
+        routing::AttemptEnd::Fine,
+        Some(&refused),
+    );
+    assert_eq!(count_of(&send(&mut table, at(18_000), 40), 1), 0);
+    assert!(count_of(&send(&mut table, at(19_100), 80), 1) > 0);
+}
+
 // A target answers every request at once with a server error. It has the fewest in flight, so it
 // would draw all requests; it is left out, and tried again later.
 #[test]
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -75,6 +75,9 @@
     pub deep: Option<CutLine>,
     /// Whether the node or its target is leaving.
     pub leaving: bool,
+    /// The node's latest announcement to the fleet when it made this report, so that one that arrives
+    /// behind a later announcement is known for old.
+    pub announced: u32,
 }
 
 /// A call from one node to the node beside the chosen target.
