Refuse nothing as poison that was answered whole within a minute

Cause: three instances were lost within seconds, by faults of their own, and a call that every request makes was out at each. Two losses, one of them with no other suspect beside it, condemn a request for ten minutes, so the whole service was refused.

Change: each node remembers the last 256 requests that were answered whole, one a byte of their digest. What crashes its targets is never answered, so what is among them stays a suspect and is not refused.

Before: what_was_answered_lately_is_not_refused_for_a_series_of_losses fails. After: it holds, and poison_is_stopped_after_two_crashes still does.

--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -92,7 +92,7 @@
     /// Takes a strike back from a request that came back whole.
     pub(crate) fn absolve(&mut self, sequence: u64) {
         if let Some(open) = self.calls.get(sequence) {
-            self.overload.poison.answered(open.context.print);
+            self.overload.poison.answered(self.now, open.context.print);
         }
     }
 
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -22,6 +22,33 @@
 /// Crashes remembered, so that a notice heard twice counts once.
 pub const MARKS_KEPT: usize = 256;
 
+/// Prints whose whole answers are remembered, one for each value of their lowest byte; what everybody asks
+/// for is among them at any time, at 4 KB a node.
+const PROVED_KEPT: usize = 256;
+
+/// Prints that were answered whole lately.
+#[derive(Clone, Debug, Default)]
+struct ProvedPrints {
+    kept: Vec<Option<(ident::PrintHash, time::NodeTime)>>,
+}
+
+impl ProvedPrints {
+    fn note(&mut self, now: time::NodeTime, print: ident::PrintHash) {
+        self.kept.resize(PROVED_KEPT, None);
+        self.kept[place_of(print)] = Some((print, now));
+    }
+
+    /// Whether `print` was answered whole within [`SUSPECT_SPAN`].
+    fn holds(&self, now: time::NodeTime, print: ident::PrintHash) -> bool {
+        let kept = self.kept.get(place_of(print)).copied().flatten();
+        kept.is_some_and(|(known, at)| known == print && now.since(at) < SUSPECT_SPAN)
+    }
+}
+
+fn place_of(print: ident::PrintHash) -> usize {
+    usize::from(print.0.to_le_bytes()[0])
+}
+
 /// What is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PrintStanding {
@@ -110,6 +137,8 @@
     suspects: Vec<SuspectPrint>,
     marks: VecDeque<suspicion::CrashMark>,
     #[serde(skip)]
+    proved: ProvedPrints,
+    #[serde(skip)]
     policy: policy::OverloadPolicy,
 }
 
@@ -123,11 +152,17 @@
             running: Vec::new(),
             suspects: Vec::new(),
             marks: VecDeque::new(),
+            proved: ProvedPrints::default(),
             policy,
         }
     }
 
     /// What is known of `print`.
+    ///
+    /// Failure: some instances are lost for another reason, one after the other, and what everybody asks
+    /// for was out at each of them. Symptom: it is refused everywhere for the time of the quarantine. A
+    /// request that crashes its targets is never answered, so one that was answered whole within a
+    /// minute is not refused; it stays a suspect and runs apart from others.
     pub fn standing(&self, now: time::NodeTime, print: ident::PrintHash) -> PrintStanding {
         let Some(suspect) = self.find(print) else {
             return PrintStanding::Clean;
@@ -135,7 +170,7 @@
         let left = suspect.left(now);
         if !self.policy.quarantine || left.is_zero() {
             PrintStanding::Clean
-        } else if suspect.condemned() {
+        } else if suspect.condemned() && !self.proved.holds(now, print) {
             PrintStanding::Quarantined {
                 seen: suspect.strikes,
                 allowed: suspect.rule.limit,
@@ -165,7 +200,7 @@
     ) -> Option<suspicion::SuspicionNotice> {
         let entry = self.take(run)?;
         if whole {
-            self.clear(entry.print);
+            self.answered(now, entry.print);
         }
         let group = self.group.as_mut()?;
         let place = group.waiting.binary_search(&run).ok()?;
@@ -179,11 +214,12 @@
         self.conclude(now, service)
     }
 
-    /// Notes that a request came back whole from another node, which takes one strike back as well.
+    /// Notes that a request was answered whole, here or by another node, which takes one strike back.
     ///
-    /// Without it, a caller's node that has no target to run the request would add up the losses of a
-    /// minute, and refuse what all targets serve.
-    pub fn answered(&mut self, print: ident::PrintHash) {
+    /// Without what other nodes answered, a caller's node that has no target to run the request would add
+    /// up the losses of a minute, and refuse what all targets serve.
+    pub fn answered(&mut self, now: time::NodeTime, print: ident::PrintHash) {
+        self.proved.note(now, print);
         self.clear(print);
     }
 
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -224,7 +224,26 @@
             &service(),
             &crowd,
         );
-        list.answered(POISON);
+        list.answered(at(loss * 1_000 + 500), POISON);
     }
     assert_eq!(list.standing(at(6_000), POISON), Standing::Clean);
 }
+
+// Six nodes are lost within half a second, by a fault of their own, and a page that everybody asks for was
+// out at each of them. It was answered just before, so it can't be what ended them: it stays in service. A
+// request that was never answered whole is refused after the same losses.
+#[test]
+fn what_was_answered_lately_is_not_refused_for_a_series_of_losses() {
+    let mut list = list(1);
+    let page = ident::PrintHash(7);
+    list.answered(at(0), page);
+    for loss in 0..6 {
+        let node = ident::NodeId(20 + loss);
+        list.peer_lost(at(100 + loss * 80), node, &service(), &[(page, RULE)]);
+        list.peer_lost(at(100 + loss * 80), node, &service(), &[(POISON, RULE)]);
+    }
+    assert_eq!(list.standing(at(700), page), Standing::Suspect);
+    assert!(condemned(&list, at(700), POISON));
+    // An hour later the page is still asked for, and nothing is held against it.
+    assert_eq!(list.standing(at(3_600_000), page), Standing::Clean);
+}
