Let frames refer to those before them on their connection

Change: both ends keep 4 KB of the latest frames of a direction without their bodies, and LZ4 packs frames of up to 2 KB by them.

Ruled out: stream compressors, for some 200 KB each direction of a connection.

The stand-in for a node in the tests reads packed frames.

--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -8,7 +8,7 @@
 use anvil_core::event;
 use anvil_types::ident;
 use anvil_wire::seal::{ring, stream as sealing};
-use anvil_wire::{codec, frame};
+use anvil_wire::{codec, frame, pack};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -178,6 +178,7 @@
         peer,
         pulse,
         writer,
+        packer: pack::FramePacker::default(),
         sealer: sealed.sealer,
         batch: Vec::new(),
         used: false,
@@ -202,6 +203,7 @@
     peer: ident::NodeId,
     pulse: Arc<pulse::LinkPulse>,
     writer: OwnedWriteHalf,
+    packer: pack::FramePacker,
     sealer: sealing::FrameSealer,
     batch: Vec<u8>,
     /// Whether a byte of any frame was handed to the socket.
@@ -377,13 +379,14 @@
         if matches!(frame, frame::PeerFrame::Call(_)) {
             self.pulse.call_sent();
         }
-        let Ok(mut bytes) = codec::encode_frame(frame) else {
+        let Ok(encoded) = codec::encode_frame(frame) else {
             // The caller edge bounds bodies and heads below a frame's limit.
             context
                 .counters
                 .count(counters::EdgeCause::PeerFrameOversized);
             return;
         };
+        let mut bytes = self.packer.pack(encoded);
         self.sealer.seal(&mut bytes);
         if self.batch.is_empty() {
             self.batch = bytes;
--- a/crates/anvil_node/src/peer/stream.rs
+++ b/crates/anvil_node/src/peer/stream.rs
@@ -1,7 +1,7 @@
 //! Frames on a byte stream.
 
 use anvil_wire::seal::{self, stream};
-use anvil_wire::{codec, frame};
+use anvil_wire::{codec, frame, pack};
 use bytes::{Buf, BytesMut};
 use derive_more::{Display, Error, From};
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -53,6 +53,7 @@
 pub struct FrameReader<R> {
     reader: R,
     opener: stream::FrameOpener,
+    unpacker: pack::FrameUnpacker,
     buffer: BytesMut,
 }
 
@@ -66,6 +67,7 @@
         Self {
             reader,
             opener,
+            unpacker: pack::FrameUnpacker::default(),
             buffer,
         }
     }
@@ -83,7 +85,8 @@
         let bytes = self.buffer.split_to(sealed);
         // The seal is checked before a byte is decoded, so only key holders reach the decoder.
         let frame = self.opener.open(&bytes)?;
-        Ok(codec::decode_frame(frame)?)
+        let plain = self.unpacker.unpack(frame)?;
+        Ok(codec::decode_frame(&plain)?)
     }
 
     async fn fill(&mut self, wanted: usize) -> Result<(), StreamError> {
--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -6,7 +6,7 @@
 
 use anvil_types::{ident, name, verdict};
 use anvil_wire::seal::{datagram, handshake, ring, stream};
-use anvil_wire::{call, codec, frame, gossip};
+use anvil_wire::{call, codec, frame, gossip, pack};
 use bytes::Bytes;
 
 /// Its identity.
@@ -16,6 +16,7 @@
 pub struct Impostor {
     pub socket: TcpStream,
     sealed: stream::SealedStream,
+    unpacker: pack::FrameUnpacker,
 }
 
 /// The key of the tests, or another one where `twist` is not zero.
@@ -90,7 +91,11 @@
         let challenge = read_message(&mut socket).unwrap();
         let (sealed, proof) = shaking.finish(&challenge, None).unwrap();
         socket.write_all(&proof).unwrap();
-        Self { socket, sealed }
+        Self {
+            socket,
+            sealed,
+            unpacker: pack::FrameUnpacker::default(),
+        }
     }
 
     /// Takes the connection that a node opens.
@@ -105,7 +110,11 @@
         socket.write_all(&challenge).unwrap();
         let proof = read_message(&mut socket).unwrap();
         let sealed = shaking.finish(&proof).unwrap();
-        Self { socket, sealed }
+        Self {
+            socket,
+            sealed,
+            unpacker: pack::FrameUnpacker::default(),
+        }
     }
 
     pub fn send(&mut self, frame: &frame::PeerFrame) {
@@ -129,7 +138,9 @@
         let length = codec::check_length(prefix).unwrap();
         let mut bytes = vec![0; stream::FrameOpener::sealed_length(length)];
         self.socket.read_exact(&mut bytes).unwrap();
-        codec::decode_frame(self.sealed.opener.open(&bytes).unwrap()).unwrap()
+        let opened = self.sealed.opener.open(&bytes).unwrap();
+        let plain = self.unpacker.unpack(opened).unwrap();
+        codec::decode_frame(&plain).unwrap()
     }
 
     /// The next answer; frames of membership are skipped.
--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod frame;
 pub mod gossip;
 pub mod key;
+pub mod pack;
 pub mod seal;
 pub mod suspicion;
--- /dev/null
+++ b/crates/anvil_wire/tests/pack.rs
@@ -0,0 +1,129 @@
+//! Frames that refer to those before them on their connection.
+
+use anvil_testkit::test_cases;
+use anvil_types::{context, ident, name, treatment};
+use anvil_wire::{call, codec, frame, pack};
+use proptest::{collection, prelude::*};
+
+fn line(name: &str, value: &str) -> call::HeaderLine {
+    call::HeaderLine {
+        name: name.to_owned(),
+        value: value.to_owned().into(),
+    }
+}
+
+/// A call of one route; `number` tells it from the others.
+fn call(number: u64, body: usize) -> frame::PeerFrame {
+    let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 << 60;
+    let request = call::CallRequest {
+        service: name::ServiceName::new("expediente").expect("a name"),
+        method: "GET".to_owned(),
+        path: format!("/pruebas/actas/{:06x}", mixed >> 40),
+        headers: vec![
+            line("host", "portal.reclamo.example"),
+            line("user-agent", "sdk-client/1.9.3"),
+            line("accept", "*/*"),
+            line("accept-encoding", "identity"),
+            line("caller-service", "audiencias"),
+        ],
+        body: vec![mixed.to_le_bytes()[7]; body].into(),
+    };
+    frame::PeerFrame::Call(Box::new(call::PeerCall {
+        call: ident::CallId {
+            node: ident::NodeId(0x1dba_3399_be06_54aa),
+            sequence: number,
+        },
+        attempt: 1,
+        reply_to: "10.1.0.8:7620".parse().expect("an address"),
+        context: context::CallContext {
+            request: ident::RequestId(u128::from(mixed) << 60),
+            class: context::PriorityClass::High,
+            lane: context::LaneHash(mixed.to_le_bytes()[3]),
+            remaining_micros: 700_000 - number % 1_000,
+            retries_left: 3,
+            depth: 2,
+            idempotent: true,
+            repeat: false,
+            key: None,
+            print: ident::PrintHash(mixed),
+        },
+        treatment: treatment::RuleTreatment::default(),
+        mark: treatment::RuleMark::default(),
+        label: Some(ident::RequestLabel::new(&format!(
+            "{mixed:016x}.{mixed:016x}"
+        ))),
+        request,
+    }))
+}
+
+fn encoded(frame: &frame::PeerFrame) -> Vec<u8> {
+    codec::encode_frame(frame).expect("a frame")
+}
+
+fn unpack(unpacker: &mut pack::FrameUnpacker, bytes: &[u8]) -> frame::PeerFrame {
+    let (length, rest) = bytes.split_first_chunk().expect("a length");
+    assert_eq!(codec::check_length(*length), Ok(rest.len()));
+    let plain = unpacker.unpack(rest).expect("a frame");
+    codec::decode_frame(&plain).expect("a frame")
+}
+
+// Calls of one route follow each other. From the second on, each crosses in less than half of its bytes:
+// what is left are its ids, which are like no others.
+#[test]
+fn calls_of_one_route_cross_in_less_than_half() {
+    let (mut packer, mut unpacker) = Default::default();
+    let mut bytes = (0, 0);
+    for number in 0..200 {
+        let plain = encoded(&call(number, 0));
+        let packed = pack::FramePacker::pack(&mut packer, plain.clone());
+        if number > 0 {
+            bytes.0 += plain.len();
+            bytes.1 += packed.len();
+        }
+        assert_eq!(unpack(&mut unpacker, &packed), call(number, 0));
+    }
+    let (plain, packed) = bytes;
+    assert!(packed * 100 < plain * 45, "{packed} of {plain}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Short and long frames in any order, some too long to be packed: each arrives as it left.
+    #[test]
+    fn every_frame_arrives_as_it_left(bodies in collection::vec(0_usize..4_000, 1..60)) {
+        let mut packer = pack::FramePacker::default();
+        let mut unpacker = pack::FrameUnpacker::default();
+        for (number, body) in bodies.into_iter().enumerate() {
+            let sent = call(number as u64, body);
+            let packed = packer.pack(encoded(&sent));
+            prop_assert!(packed.len() <= encoded(&sent).len());
+            prop_assert_eq!(unpack(&mut unpacker, &packed), sent);
+        }
+    }
+
+    // Whatever comes in place of a packed frame is refused or is some bytes; nothing panics.
+    #[test]
+    fn garbage_is_refused_in_peace(bytes in collection::vec(any::<u8>(), 0..300)) {
+        let mut unpacker = pack::FrameUnpacker::default();
+        let mut packed = vec![0x80];
+        packed.extend_from_slice(&bytes);
+        if let Ok(plain) = unpacker.unpack(&packed) {
+            prop_assert!(plain.len() <= 2_048);
+        }
+    }
+}
+
+fn malformed_frames_are_refused(bytes: &[u8], reason: &str) {
+    let refused = pack::FrameUnpacker::default().unpack(bytes);
+    let error = refused.expect_err("a malformed frame").to_string();
+    assert!(error.contains(reason), "{error}");
+}
+
+test_cases! {
+    malformed_frames_are_refused:
+    no_length => (&[0x80, 0], "without its length"),
+    too_long => (&[0x80, 0xff, 0xff, 0], "above the limit"),
+    nothing_behind => (&[0x80, 0, 9], "no frame"),
+    fewer_than_announced => (&[0x80, 0, 9, 0x10, 1], "1 bytes unpacked, 9 announced"),
+}
