Take a condemnation back when the request is answered

A request that everybody sends stays condemned by its number of strikes, and is kept in service only while its last answer is remembered. Others with the same byte of their digest push it out after some hundred requests, it is refused from then on, and no answer comes any more that could tell better.

Change: a whole answer to a condemned request clears it.

Before: the test extended for this fails, the page is refused once the other request is remembered in its place. After: it holds.

--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -302,10 +302,12 @@
             return;
         };
         let suspect = &mut self.suspects[place];
-        if suspect.condemned() {
-            return;
-        }
-        suspect.strikes -= 1;
+        // What crashes its targets is not answered, so an answer takes a condemnation back as a whole; with
+        // one strike less it would be refused again as soon as the answer is forgotten.
+        suspect.strikes = match suspect.condemned() {
+            true => 0,
+            false => suspect.strikes - 1,
+        };
         if suspect.strikes == 0 {
             self.suspects.remove(place);
         }
