--- a/crates/anvil_node/src/logs.rs
+++ b/crates/anvil_node/src/logs.rs
@@ -41,7 +41,7 @@
 }
 
 impl LogQueue {
-    /// Waits until all lines so far are written, at most [`LAST_LINES_WAIT`].
+    /// Waits until all lines so far are written, a fifth of a second at most.
     ///
     /// Without it the line that tells of the stop would end with the process, in its queue.
     pub fn flush(&self) {
