--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -143,22 +143,22 @@
     assert!(count_of(&many, 2) + count_of(&many, 3) >= 10, "{many:?}");
 }
 
+/// The first target answers that it leaves, at its node's announcement `announced`.
+fn tell_leaving(table: &mut routing::RouteTable, now: time::NodeTime, announced: u32) {
+    let refused = call::LoadReport {
+        leaving: true,
+        announced,
+        ..call::LoadReport::default()
+    };
+    end(table, now, 1, routing::AttemptEnd::Fine, Some(&refused));
+}
+
 // A target's answer says that it leaves; membership has not heard and renews it as serving. It
 // gets nothing from that answer on.
 #[test]
 fn leaving_target_gets_nothing_at_once() {
     let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'b', 8)]);
-    let load = call::LoadReport {
-        leaving: true,
-        ..call::LoadReport::default()
-    };
-    end(
-        &mut table,
-        at(9_000),
-        1,
-        routing::AttemptEnd::Fine,
-        Some(&load),
-    );
+    tell_leaving(&mut table, at(9_000), 0);
     table.upsert(at(9_001), &service(), &record(1, 'a', 8));
     let sent = send(&mut table, at(9_002), 40);
     assert_eq!(count_of(&sent, 1), 0);
@@ -169,24 +169,13 @@
 // that, it would keep this node from the target for ever, since nothing is sent that could tell better.
 fn a_successor_is_used_at_once(refusal: u64, announcement: u64) {
     let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'a', 8)]);
-    let refused = call::LoadReport {
-        leaving: true,
-        announced: 7,
-        ..call::LoadReport::default()
-    };
     let successor = routing::TargetRecord {
         announced: 8,
         ..record(1, 'a', 8)
     };
     for now in [at(9_000), at(9_400)] {
         if now == at(refusal) {
-            end(
-                &mut table,
-                now,
-                1,
-                routing::AttemptEnd::Fine,
-                Some(&refused),
-            );
+            tell_leaving(&mut table, now, 7);
         }
         if now == at(announcement) {
             table.upsert(now, &service(), &successor);
@@ -207,17 +196,7 @@
 #[test]
 fn a_leaving_that_nobody_confirms_is_asked_about_again() {
     let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'a', 8)]);
-    let refused = call::LoadReport {
-        leaving: true,
-        ..call::LoadReport::default()
-    };
-    end(
-        &mut table,
-        at(9_000),
-        1,
-        routing::AttemptEnd::Fine,
-        Some(&refused),
-    );
+    tell_leaving(&mut table, at(9_000), 0);
     assert_eq!(count_of(&send(&mut table, at(18_000), 40), 1), 0);
     assert!(count_of(&send(&mut table, at(19_100), 80), 1) > 0);
 }
