Order the words of a target by its birth, and take none of an unknown service

Cause: a target may start again under the id that it had, with its counts anew. The book of starts held an id that ended as ended for good and a smaller sequence as late, so such a target was never used again; runs at its former life waited for their deadline. A heartbeat of another program took the target's place, whatever service it named.

Change: words are ordered by birth, then by sequence. An end that names no birth binds what is there, for good only where it can't mean a former life; a smaller birth counts once the present one has been silent for longer than a word is late, since clocks jump. Runs at a former life end when the target is back. A service that neither settings nor rules name is not taken.

Ruled out: taking any smaller sequence as a new life, which late words of a partition would revive.

--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -30,6 +30,8 @@
     pub runs_failed: u64,
     /// Calls of other nodes refused before they ran.
     pub runs_refused: u64,
+    /// Words of the local target that came too late to count.
+    pub words_ignored: u64,
     /// Crashes of the local target seen by broken runs.
     pub targets_crashed: u64,
     /// Retries that the node's ratio did not allow.
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -97,6 +97,8 @@
     WordIgnored {
         /// The start that it is of.
         incarnation: ident::IncarnationId,
+        /// When that started by its own clock, in Unix milliseconds, where the word says so.
+        born: Option<u64>,
         /// Its place among the words of that start.
         sequence: u64,
         /// Why it doesn't count.
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -93,25 +93,43 @@
         self.incarnation.as_ref().map(|incarnation| &incarnation.id)
     }
 
+    /// Whether `next` is a word of the same start.
+    pub fn is_same_start(&self, next: &Self) -> bool {
+        match (&self.incarnation, &next.incarnation) {
+            (Some(own), Some(other)) => own.is_same_start(other),
+            (None, None) => true,
+            _ => false,
+        }
+    }
+
     /// Whether `next` says the same as this one, but for its place among the words of its start.
     pub fn is_renewed_by(&self, next: &Self) -> bool {
         let same = Self {
             incarnation: next.incarnation.clone(),
             ..self.clone()
         };
-        self.incarnation_id() == next.incarnation_id() && same == *next
+        self.is_same_start(next) && same == *next
     }
 }
 
 /// One start of the target and the place of its word among its others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetIncarnation {
-    /// The start.
+    /// The name that the start goes by; a target may start again under the one that it had.
     pub id: ident::IncarnationId,
+    /// When it started by its own clock, in Unix milliseconds, where it says so.
+    pub born: Option<u64>,
     /// Rises with each word of that start, so that one which comes late can be told.
     pub sequence: u64,
 }
 
+impl TargetIncarnation {
+    /// Whether `other` is a word of the same start, and not of another one under the same id.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.id == other.id && self.born == other.born
+    }
+}
+
 /// A question of an operator to this node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorRequest {
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -5,7 +5,7 @@
 use anvil_membership::fleet;
 use anvil_overload::policy;
 use anvil_rules::document;
-use anvil_types::{ident, store, time};
+use anvil_types::{ident, name, store, time};
 use anvil_wire::frame;
 use rand_core::{Rng, SeedableRng};
 
@@ -38,6 +38,8 @@
     pub(crate) phase: stopping::NodePhase,
     pub(crate) stop: stopping::StopPlan,
     pub(crate) incarnations: incarnations::IncarnationBook,
+    /// The service that the instance's target should offer, where the settings say so.
+    pub(crate) home: Option<name::ServiceName>,
     pub(crate) fleet: fleet::FleetState,
     pub(crate) keys: keys::KeyDesk,
     pub(crate) proposed: Option<applying::OpenApply>,
@@ -72,6 +74,7 @@
             calls: calls::CallTable::default(),
             runs: runs::RunTable::default(),
             repeats: repeats::RepeatGuard::default(),
+            home: None,
             target: None,
             former_target: None,
             timers: timers::TimerQueue::default(),
@@ -110,6 +113,13 @@
         self
     }
 
+    /// Names the service that the instance's target should offer.
+    #[must_use]
+    pub fn with_home(mut self, service: name::ServiceName) -> Self {
+        self.home = Some(service);
+        self
+    }
+
     /// Bounds the retries for each service by a burst that all nodes of the fleet share.
     #[must_use]
     pub fn with_fleet_burst(mut self, burst: u32) -> Self {
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -36,6 +36,15 @@
         &self.document
     }
 
+    /// Whether a rule sends requests to `service`.
+    pub fn names_service(&self, service: &name::ServiceName) -> bool {
+        let mut destinations = self.document.rules().iter();
+        destinations.any(|rule| match &rule.then.send_to {
+            Some(send_to) => send_to.names(service),
+            None => false,
+        })
+    }
+
     /// Puts a document in force where its revision is higher; tells whether it did.
     ///
     /// Rules arrive by several ways and in any order. Going back to an older revision would undo
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -61,6 +61,8 @@
     pub started: Option<time::NodeTime>,
     /// Whether its deadline passed while it was out.
     pub expired: bool,
+    /// Whether the start of the target that it was handed to is gone.
+    pub lost: bool,
     /// The target's own calls on its behalf.
     pub waits: waits::CallWaits,
     /// Whether it is queued or running.
@@ -92,6 +94,17 @@
         Some(started)
     }
 
+    /// Marks all runs that are out at the target as lost with it, and names them.
+    pub fn lose_running(&mut self) -> Vec<event::RunId> {
+        let lost = self.runs.keys_where(|run| run.stage == RunStage::Running);
+        for id in &lost {
+            if let Some(run) = self.runs.get_mut(*id) {
+                run.lost = true;
+            }
+        }
+        lost.into_iter().map(event::RunId).collect()
+    }
+
     /// Takes a run out, queued or running.
     pub fn end(&mut self, run: event::RunId) -> Option<Box<TargetRun>> {
         let ended = self.runs.remove(run.0)?;
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -40,6 +40,7 @@
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
             started: None,
             expired: false,
+            lost: false,
             waits: waits::CallWaits::default(),
         };
         let id = self.runs.accept(Box::new(run));
@@ -59,8 +60,16 @@
         if let event::RunOutcome::Misdirected { holder } = &outcome {
             self.target_misdirected(holder.as_ref());
         }
+        let found = self.runs.get(run);
+        let expired = found.is_some_and(|run| run.expired);
+        let outcome = match outcome {
+            // The node closed the connection, since nobody is there any more to answer on it.
+            event::RunOutcome::Cancelled if found.is_some_and(|run| run.lost) => {
+                event::RunOutcome::Broken { in_answer: false }
+            }
+            outcome => outcome,
+        };
         self.judge_run(run, &outcome);
-        let expired = self.runs.get(run).is_some_and(|run| run.expired);
         let (verdict, answer) = match outcome {
             // The run was cancelled for its deadline; "cancelled" would blame the caller.
             event::RunOutcome::Cancelled if expired => verdict_of(event::RunOutcome::TimedOut),
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -1,25 +1,38 @@
 //! What the local target says of itself, and what the fleet hears of it.
 
-use anvil_types::ident;
+use anvil_types::{ident, name};
 
 use crate::{directory, effect, event, incarnations, reducer, runs, timers};
 
 impl reducer::NodeReducer {
     pub(crate) fn target_announced(&mut self, announcement: event::TargetAnnouncement) {
+        if self.is_foreign(&announcement.service) {
+            if let Some(word) = &announcement.incarnation {
+                self.ignore_word(word, incarnations::WordStanding::UnknownService);
+            }
+            return;
+        }
         if let Some(word) = &announcement.incarnation {
-            let standing = self.incarnations.hear(word);
+            let standing = self.incarnations.hear(self.now, word);
             if standing != incarnations::WordStanding::Newest {
-                self.report(effect::StateChange::WordIgnored {
-                    incarnation: word.id.clone(),
-                    sequence: word.sequence,
-                    standing,
-                });
+                self.ignore_word(word, standing);
                 return;
             }
         }
         self.follow_target(announcement);
     }
 
+    /// Whether a target of `service` can't be the one beside this node.
+    ///
+    /// Failure: another program announces itself at the node under a service that nobody knows.
+    /// Symptom: it takes the place of the target, whose requests are refused until its next
+    /// heartbeat. A service that a rule sends requests to is taken, since an address may come to
+    /// serve another one.
+    fn is_foreign(&self, service: &name::ServiceName) -> bool {
+        let home = self.home.as_ref();
+        home.is_some_and(|home| home != service) && !self.book.names_service(service)
+    }
+
     /// Takes the announcement as that of the local target.
     fn follow_target(&mut self, announcement: event::TargetAnnouncement) {
         let until = self.now + announcement.lease;
@@ -39,11 +52,12 @@
             !target.leaving
                 && former.service == announcement.service
                 && former.address == announcement.address
-                && former.incarnation_id() == announcement.incarnation_id()
+                && former.is_same_start(&announcement)
         });
         let slots = announcement.slots;
         if !renewed {
             self.former_target = self.target.take();
+            self.drop_former_life(&announcement);
         }
         self.target = Some(runs::LocalTarget {
             announcement,
@@ -54,6 +68,26 @@
         self.publish_target();
     }
 
+    /// Ends the runs at an earlier start of a target that is back under its id.
+    ///
+    /// Failure: a target loses power and starts again, and the connections to its former life stay
+    /// silent. Symptom: their callers wait for their whole deadline for answers that nobody can
+    /// give. Only the same id proves that the former start is gone; a new id may be a late word.
+    fn drop_former_life(&mut self, announcement: &event::TargetAnnouncement) {
+        let back = self.former_target.as_ref().is_some_and(|former| {
+            let id = former.announcement.incarnation_id();
+            id.is_some()
+                && id == announcement.incarnation_id()
+                && !former.announcement.is_same_start(announcement)
+        });
+        if !back {
+            return;
+        }
+        for run in self.runs.lose_running() {
+            self.effects.push(effect::NodeEffect::CancelRun(run));
+        }
+    }
+
     pub(crate) fn target_leaving(&mut self) {
         if let Some(target) = &mut self.target {
             target.leaving = true;
@@ -66,17 +100,37 @@
 
     /// Takes in that one start of the target leaves, or is gone for good.
     pub(crate) fn target_withdrawn(&mut self, word: &event::TargetIncarnation, gone: bool) {
-        let standing = self.incarnations.hear(word);
-        if gone {
-            self.incarnations.end(&word.id);
-        }
-        let present = self.is_present(&word.id);
-        // A leaving binds whatever came before it, so only one of an ended start says nothing new.
-        if present && standing != incarnations::WordStanding::Ended {
-            self.target_leaving();
+        let standing = match gone {
+            true => self.incarnations.end(self.now, word),
+            false => self.incarnations.hear(self.now, word),
+        };
+        match standing {
+            // A leaving binds whatever came before it, also where a later word was first.
+            incarnations::WordStanding::Newest | incarnations::WordStanding::Late => {
+                if self.is_present(word) {
+                    self.target_leaving();
+                }
+            }
+            incarnations::WordStanding::EarlierStart
+            | incarnations::WordStanding::Ended
+            | incarnations::WordStanding::UnknownService => self.ignore_word(word, standing),
         }
     }
 
+    fn ignore_word(
+        &mut self,
+        word: &event::TargetIncarnation,
+        standing: incarnations::WordStanding,
+    ) {
+        self.counters.words_ignored += 1;
+        self.report(effect::StateChange::WordIgnored {
+            incarnation: word.id.clone(),
+            born: word.born,
+            sequence: word.sequence,
+            standing,
+        });
+    }
+
     /// Takes in that another start of a target answered at the address.
     ///
     /// Failure: a late word of a start that crashed arrives after its successor registered, and the
@@ -92,7 +146,7 @@
         if holder == Some(&present.id) {
             return;
         }
-        self.incarnations.end(&present.id);
+        self.incarnations.replace(self.now, &present);
         let former = self.former_target.take().filter(|former| {
             let id = former.announcement.incarnation_id();
             id.is_some() && id == holder && !former.leaving
@@ -103,9 +157,11 @@
         }
     }
 
-    fn is_present(&self, id: &ident::IncarnationId) -> bool {
+    /// Whether the local target goes by the id of `word`. A word of a later start under that id is
+    /// meant as well: where that one leaves, nothing of the former one is there any more.
+    fn is_present(&self, word: &event::TargetIncarnation) -> bool {
         let target = self.target.as_ref();
-        target.is_some_and(|target| target.announcement.incarnation_id() == Some(id))
+        target.is_some_and(|target| target.announcement.incarnation_id() == Some(&word.id))
     }
 
     pub(crate) fn target_lapsed(&mut self) {
--- a/crates/anvil_core/tests/platform_hardships.rs
+++ b/crates/anvil_core/tests/platform_hardships.rs
@@ -15,6 +15,7 @@
 fn word(id: &str, sequence: u64) -> event::TargetIncarnation {
     event::TargetIncarnation {
         id: ident::IncarnationId::new(id),
+        born: None,
         sequence,
     }
 }
--- a/crates/anvil_rules/src/destination.rs
+++ b/crates/anvil_rules/src/destination.rs
@@ -32,6 +32,14 @@
 }
 
 impl RuleDestination {
+    /// Whether requests may be sent to `service`.
+    pub fn names(&self, service: &name::ServiceName) -> bool {
+        match self {
+            Self::Service(own) => own == service,
+            Self::Split(parts) => parts.iter().any(|part| part.service == *service),
+        }
+    }
+
     /// The service of a request whose random draw is `draw`.
     ///
     /// Each request draws for itself, and a service that is short of room keeps its share: moving
