--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -52,16 +52,16 @@
             (
                 asking::AskPurpose::GrantContact { slot },
                 store::StoreOutcome::Done(store::StoreReply::Granted { lease }),
-            ) => self.take_contact(now, slot, lease, out),
+            ) => self.take_contact(now, slot, lease, store::SwapBase::Absent, out),
             (
                 asking::AskPurpose::TakeContact { slot, lease },
                 store::StoreOutcome::Done(store::StoreReply::Swapped { version }),
             ) => self.contact_taken(now, slot, lease, version, out),
             (
-                asking::AskPurpose::TakeContact { slot, .. },
+                asking::AskPurpose::TakeContact { slot, lease },
                 store::StoreOutcome::Conflict { current },
             ) => {
-                self.contact_denied(slot, current.as_ref(), out);
+                self.contact_denied(now, (slot, lease), current.as_ref(), out);
             }
             (
                 asking::AskPurpose::RenewContact,
@@ -213,6 +213,7 @@
         now: time::NodeTime,
         slot: u8,
         lease: store::LeaseId,
+        base: store::SwapBase,
         out: &mut Vec<effect::FleetEffect>,
     ) {
         let entry = gossip::ContactEntry {
@@ -224,7 +225,7 @@
         };
         let ask = store::StoreAsk::Swap {
             key: keys::contact(&self.zone, slot),
-            base: store::SwapBase::Absent,
+            base,
             value,
             lease: Some(lease),
         };
@@ -260,16 +261,28 @@
     }
 
     /// Meets the holder that this node didn't know of; it may stand for a part of the fleet.
+    ///
+    /// Failure: something else wrote at the keys of contacts, under no lease. Symptom: every slot
+    /// looks taken for good, so no newcomer finds the fleet. What can't be read names no node, and is
+    /// replaced under the condition that it still stands there as it was seen.
     fn contact_denied(
         &mut self,
-        slot: u8,
+        now: time::NodeTime,
+        (slot, lease): (u8, store::LeaseId),
         current: Option<&store::StoreEntry>,
         out: &mut Vec<effect::FleetEffect>,
     ) {
         self.contacts.vacant[usize::from(slot)] = None;
-        let entry = current.and_then(|entry| gossip::ContactEntry::from_value(&entry.value));
-        if let Some(entry) = entry.filter(|entry| entry.node != self.local) {
-            self.join_through(entry.udp, out);
+        let Some(current) = current else {
+            return;
+        };
+        match gossip::ContactEntry::from_value(&current.value) {
+            Some(entry) if entry.node != self.local => self.join_through(entry.udp, out),
+            Some(_) => {}
+            None => {
+                let base = store::SwapBase::At(current.version);
+                self.take_contact(now, slot, lease, base, out);
+            }
         }
     }
 
--- a/crates/anvil_membership/tests/store_contacts.rs
+++ b/crates/anvil_membership/tests/store_contacts.rs
@@ -1,7 +1,12 @@
 //! Joining through the store, its outages, and how much it is asked.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
+use anvil_membership::keys;
+use anvil_types::{name, store};
+
 mod harness;
 
 use harness::Net;
@@ -65,6 +70,35 @@
     assert_eq!(net.nodes[late].document, [77]);
 }
 
+#[test]
+fn what_others_wrote_at_the_contacts_keys_keeps_no_newcomer_out() {
+    // Another program has written at the keys of all contacts, for good and in a form that no node
+    // reads. Nodes that start then find each other all the same: what names no node is replaced.
+    let mut net = Net::new(16);
+    let zone = name::ZoneName::new("zone-0").unwrap();
+    let junk: [&[u8]; 3] = [b"", b"\xff\xfe", b"{\"address\":\"10.0.0.9\"}"];
+    for (slot, value) in junk.into_iter().enumerate() {
+        let ask = store::StoreAsk::Swap {
+            key: keys::contact(&zone, u8::try_from(slot).unwrap()),
+            base: store::SwapBase::Absent,
+            value: bytes::Bytes::copy_from_slice(value),
+            lease: None,
+        };
+        let id = store::StoreId {
+            part: store::StorePart::Fleet,
+            sequence: 1,
+        };
+        let outcome = net.store.carry_out(net.now, (usize::MAX, id), &ask);
+        assert!(matches!(outcome, Some(store::StoreOutcome::Done(_))));
+    }
+    for _ in 0..6 {
+        net.add(0, &harness::with_store());
+    }
+    let whole = |net: &Net| net.nodes.iter().all(|node| node.state.table().live() == 6);
+    net.run_until(Duration::from_secs(90), whole);
+    assert!(whole(&net), "the fleet joined through the store");
+}
+
 #[test]
 fn a_vanished_watcher_is_replaced() {
     // A change accepted through any node must still be seen by watchers after some crashed.
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -6,7 +6,9 @@
 
 use derive_more::Display;
 use prometheus::core::Collector;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 
 /// Everything that the edges count; each is a value of the label `cause`.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -128,6 +130,9 @@
     /// An announcement of a target was refused; answered with 422.
     #[display("announcement_refused")]
     AnnouncementRefused,
+    /// An item of the store could not be read and was passed over.
+    #[display("store_item_unreadable")]
+    StoreItemUnreadable,
     /// An operator's request was malformed or not authorised.
     #[display("operator_refused")]
     OperatorRefused,
@@ -213,12 +218,17 @@
 
     /// Counts one event.
     pub fn count(&self, cause: EdgeCause) {
-        self.events.with_label_values(&[&cause.to_string()]).inc();
+        self.counter(cause).inc();
+    }
+
+    /// The counter of `cause`, for a part that counts nothing else.
+    pub fn counter(&self, cause: EdgeCause) -> IntCounter {
+        self.events.with_label_values(&[&cause.to_string()])
     }
 
     /// Events of `cause` since the start.
     pub fn total(&self, cause: EdgeCause) -> u64 {
-        self.events.with_label_values(&[&cause.to_string()]).get()
+        self.counter(cause).get()
     }
 
     /// Notes the time from a whole request to its reply.
--- a/crates/anvil_node/src/dialect.rs
+++ b/crates/anvil_node/src/dialect.rs
@@ -12,8 +12,8 @@
 use anvil_types::store;
 
 use crate::caller::native as native_callers;
-use crate::settings;
 use crate::target::{native as native_targets, parent};
+use crate::{counters, settings};
 
 /// What a node speaks, edge by edge.
 #[derive(Clone, Debug)]
@@ -35,9 +35,13 @@
 
 impl NodeDialects {
     /// The dialects that the settings call for.
-    pub fn of(settings: &settings::NodeSettings, mint: &parent::ParentMint) -> Self {
+    pub fn of(
+        settings: &settings::NodeSettings,
+        mint: &parent::ParentMint,
+        counters: &counters::EdgeCounters,
+    ) -> Self {
         match &settings.hosted {
-            Some(hosted) => Self::of_platform(settings, hosted),
+            Some(hosted) => Self::of_platform(settings, hosted, counters),
             None => Self::native(settings, mint),
         }
     }
@@ -53,9 +57,14 @@
         }
     }
 
-    fn of_platform(settings: &settings::NodeSettings, hosted: &hosted::HostedSettings) -> Self {
+    fn of_platform(
+        settings: &settings::NodeSettings,
+        hosted: &hosted::HostedSettings,
+        counters: &counters::EdgeCounters,
+    ) -> Self {
+        let unreadable = counters.counter(counters::EdgeCause::StoreItemUnreadable);
         let store = settings.platform.first().copied();
-        let store = store.map(platform_store::PlatformStore::new);
+        let store = store.map(|address| platform_store::PlatformStore::new(address, unreadable));
         let control = platform_control::PlatformControl {
             lease: hosted.announcement_lease(),
         };
@@ -87,5 +96,6 @@
     reducer
         .with_rule_document(store::StoreKey::new(names::DESIRED_STATE_KEY))
         .with_stop(plan)
+        .with_home(hosted.service.clone())
         .with_fleet_burst(hosted.retry_burst())
 }
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -132,7 +132,7 @@
     };
     let mint = parent::ParentMint::new(random_key());
     let parts = NodeParts {
-        dialects: dialect::NodeDialects::of(settings, &mint),
+        dialects: dialect::NodeDialects::of(settings, &mint, &counters),
         settings,
         bound,
         engine: engine.clone(),
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -299,9 +299,10 @@
         postcard::to_stdvec(self).ok().map(Bytes::from)
     }
 
-    /// Reads an entry's value; none where it is none of this version.
+    /// Reads an entry's value; none where it is none of this version, or bytes stand behind it.
     pub fn from_value(value: &[u8]) -> Option<Self> {
-        postcard::from_bytes(value).ok()
+        let (entry, rest) = postcard::take_from_bytes(value).ok()?;
+        rest.is_empty().then_some(entry)
     }
 }
 
