Blame a target for its own failures only

Hypothesis: claims leave their availability zone for failures that no target of their service is to blame for.

Change: an answer tells whether a call of its run failed; such a failure counts for nothing against the target.

Ruled out: a share of failures relative to the best target, which after eight samples is noise.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -9,7 +9,7 @@
 use anvil_wire::{call, frame};
 use xxhash_rust::xxh3;
 
-use crate::{calls, effect, event, notes, reducer, rulebook, timers};
+use crate::{calls, effect, event, notes, reducer, rulebook, settling, timers};
 
 /// Part of the objective, in percent, for which a request waits for a target of its service to come.
 /// Runs take a quarter of their objective or so, and the way there and back some milliseconds.
@@ -425,7 +425,8 @@
             return;
         };
         let verdict = open.overall(verdict);
-        self.return_allowance(sequence, &open);
+        let served = answer.as_ref().is_some_and(settling::is_served);
+        self.return_allowance(sequence, &open, served);
         self.note_call_refusal(&open, verdict);
         self.close_key(sequence, &open, verdict, answer.as_ref());
         let retry_after = self.retry_after(&open, verdict);
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -104,6 +104,7 @@
             verdict,
             answer,
             retries_spent: ended.allowance.spent(),
+            failed_below: ended.waits.has_failed(),
             load,
         };
         let frame = frame::PeerFrame::Answer(Box::new(reply));
@@ -223,6 +224,7 @@
             verdict: verdict::CallVerdict::NotRun(reason),
             answer: None,
             retries_spent: 0,
+            failed_below: false,
             load,
         };
         let frame = frame::PeerFrame::Answer(Box::new(reply));
--- a/crates/anvil_core/src/settling.rs
+++ b/crates/anvil_core/src/settling.rs
@@ -113,11 +113,13 @@
     }
 
     /// Gives back what the call left: to the run that made it, or to later copies of the root.
-    pub(crate) fn return_allowance(&mut self, sequence: u64, open: &calls::OpenCall) {
+    ///
+    /// A call that was not `served` fails its run, as far as that can be known from outside.
+    pub(crate) fn return_allowance(&mut self, sequence: u64, open: &calls::OpenCall, served: bool) {
         let now = self.now;
         if !self.overload.policy.chain_allowance {
             if let Some(parent) = open.parent.and_then(|run| self.runs.get_mut(run)) {
-                parent.waits.end(now);
+                parent.waits.end(now, !served);
             }
             return;
         }
@@ -133,18 +135,28 @@
         };
         if let Some(parent) = self.runs.get_mut(run) {
             parent.allowance.settle(sequence, open.allowance.spent());
-            parent.waits.end(now);
+            parent.waits.end(now, !served);
         }
     }
 }
 
+/// Whether an answer is of use to whoever asked.
+pub(crate) fn is_served(answer: &call::CallAnswer) -> bool {
+    answer.status < retrying::SERVER_ERROR
+}
+
+/// What the end of an attempt says of its target.
+///
+/// Failure: a deep service refuses a part of its calls, and every request that needs it fails.
+/// Symptom: each target above looks bad for some seconds after each such failure, so that requests
+/// leave their availability zone for one that fails no less; three of four claims did, with their
+/// bodies. A failure for that of a call below therefore counts for nothing.
 fn attempt_end(answer: &call::PeerAnswer) -> routing::AttemptEnd {
-    let status = answer.answer.as_ref().map_or(0, |answer| answer.status);
     match answer.verdict {
-        verdict::CallVerdict::Answered if status >= retrying::SERVER_ERROR => {
-            routing::AttemptEnd::Failed
-        }
-        verdict::CallVerdict::Answered => routing::AttemptEnd::Fine,
+        verdict::CallVerdict::Answered => match &answer.answer {
+            Some(whole) if is_served(whole) || answer.failed_below => routing::AttemptEnd::Fine,
+            _ => routing::AttemptEnd::Failed,
+        },
         verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable) => {
             routing::AttemptEnd::Lost
         }
@@ -152,6 +164,7 @@
         verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::Cancelled) => {
             routing::AttemptEnd::Fine
         }
+        verdict::CallVerdict::MayHaveRun(_) if answer.failed_below => routing::AttemptEnd::Fine,
         verdict::CallVerdict::MayHaveRun(_) => routing::AttemptEnd::Failed,
     }
 }
--- a/crates/anvil_core/src/waits.rs
+++ b/crates/anvil_core/src/waits.rs
@@ -14,6 +14,7 @@
     since: time::NodeTime,
     total: Duration,
     called: Vec<dependency::NeededCall>,
+    failed: bool,
 }
 
 impl CallWaits {
@@ -28,8 +29,9 @@
         }
     }
 
-    /// Notes that one of the open calls ended.
-    pub fn end(&mut self, now: time::NodeTime) {
+    /// Notes that one of the open calls ended, and whether it `failed` its run.
+    pub fn end(&mut self, now: time::NodeTime, failed: bool) {
+        self.failed |= failed;
         self.open = self.open.saturating_sub(1);
         if self.open == 0 {
             self.total += now.since(self.since);
@@ -46,6 +48,11 @@
         self.total + current
     }
 
+    /// Whether one of the calls failed.
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     /// The calls made, each once.
     pub fn called(&self) -> &[dependency::NeededCall] {
         &self.called
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -182,6 +182,7 @@
         verdict,
         answer: answered.then_some(whole),
         retries_spent: 0,
+        failed_below: false,
         load: call::LoadReport::default(),
     };
     event::NodeEvent::FrameArrived {
--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -173,6 +173,7 @@
                 body: Bytes::from(body.to_owned()),
             }),
             retries_spent: 0,
+            failed_below: false,
             load: call::LoadReport::default(),
         };
         self.send(&frame::PeerFrame::Answer(Box::new(answer)));
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -114,6 +114,9 @@
     pub answer: Option<CallAnswer>,
     /// Retries spent below this call, so that the root's sum stays exact.
     pub retries_spent: u16,
+    /// Whether a call that the target made for this request failed: its own failure is then no sign
+    /// that others of its service do better.
+    pub failed_below: bool,
     /// Load of the answering node's target.
     pub load: LoadReport,
 }
--- a/crates/anvil_wire/tests/decoders.rs
+++ b/crates/anvil_wire/tests/decoders.rs
@@ -130,6 +130,7 @@
             body: body.to_vec().into(),
         }),
         retries_spent: 0,
+        failed_below: false,
         load: call::LoadReport::default(),
     }))
 }
