--- /dev/null
+++ b/crates/anvil_core/src/contexts.rs
@@ -0,0 +1,88 @@
+//! The context that a call carries down its chain: set at the root, narrowed at each hop.
+
+use anvil_overload::{dependency, kind};
+use anvil_types::{context, ident, treatment};
+use anvil_wire::call;
+use xxhash_rust::xxh3;
+
+use crate::{entry, event, reducer};
+
+impl reducer::NodeReducer {
+    pub(crate) fn root_context(
+        &mut self,
+        request: &call::CallRequest,
+        treatment: &treatment::RuleTreatment,
+        hints: &event::CallerHints,
+    ) -> context::CallContext {
+        let minted = u128::from(self.random()) << 64 | u128::from(self.random());
+        let id = hints.request.unwrap_or(ident::RequestId(minted));
+        let lane = xxh3::xxh3_64(&id.0.to_le_bytes()).to_le_bytes()[0];
+        let wait = hints.timeout.unwrap_or(treatment.deadline);
+        context::CallContext {
+            request: id,
+            class: treatment.class,
+            lane: context::LaneHash(lane),
+            remaining_micros: entry::micros(wait.min(treatment.deadline)),
+            retries_left: treatment.chain_retries,
+            depth: 0,
+            idempotent: treatment.idempotent,
+            repeat: false,
+            key: key_of(request, hints),
+            print: print_of(request),
+        }
+    }
+
+    /// The context of a call that the local target makes on behalf of `run`; none where that run
+    /// has ended.
+    pub(crate) fn child_context(
+        &mut self,
+        run: event::RunId,
+        sequence: u64,
+        request: &call::CallRequest,
+        treatment: &treatment::RuleTreatment,
+        hints: &event::CallerHints,
+    ) -> Option<context::CallContext> {
+        let now = self.now;
+        let parent = self.runs.get_mut(run)?;
+        // The grant leaves the parent's allowance until the child's answer brings back what it
+        // did not spend; so parallel children can't spend the same retry twice.
+        let granted = parent
+            .allowance
+            .lend_child(sequence, treatment.chain_retries);
+        let needed = dependency::NeededCall {
+            service: request.service.clone(),
+            kind: kind::CallKind::of(request),
+        };
+        parent.waits.begin(now, needed);
+        let left = parent.deadline.since(now);
+        let wait = hints.timeout.unwrap_or(treatment.deadline);
+        let wait = wait.min(treatment.deadline).min(left);
+        Some(context::CallContext {
+            request: parent.context.request,
+            class: parent.context.class,
+            lane: parent.context.lane,
+            remaining_micros: entry::micros(wait),
+            retries_left: granted,
+            depth: parent.context.depth.saturating_add(1),
+            idempotent: treatment.idempotent,
+            repeat: parent.context.repeat,
+            key: key_of(request, hints),
+            print: print_of(request),
+        })
+    }
+}
+
+fn key_of(request: &call::CallRequest, hints: &event::CallerHints) -> Option<ident::RequestKey> {
+    let key = hints.key.as_ref()?;
+    Some(ident::RequestKey::of(request.service.as_str(), key))
+}
+
+pub(crate) fn print_of(request: &call::CallRequest) -> ident::PrintHash {
+    let mut hasher = xxh3::Xxh3::new();
+    for part in [request.service.as_str(), &request.method, &request.path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(&request.body);
+    ident::PrintHash(hasher.digest())
+}
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -8,6 +8,7 @@
 mod applying;
 pub mod calls;
 pub mod config;
+mod contexts;
 pub mod counters;
 pub mod directory;
 pub mod effect;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -4,7 +4,7 @@
 use anvil_wire::call;
 use serde_json::json;
 
-use crate::{answer, applying, calls, effect, entry, event, reducer, runs};
+use crate::{answer, applying, calls, contexts, effect, event, reducer, runs};
 
 impl reducer::NodeReducer {
     pub(crate) fn operator_asked(
@@ -117,7 +117,7 @@
     }
 
     fn explain(&self, request: &call::CallRequest) -> serde_json::Value {
-        let print = entry::print_of(request);
+        let print = contexts::print_of(request);
         let kind = kind::CallKind::of(request);
         let line = self.directory.line(self.now, &request.service, kind);
         let refusals: Vec<_> = self
--- a/crates/anvil_core/tests/blame.rs
+++ b/crates/anvil_core/tests/blame.rs
@@ -73,14 +73,7 @@
     let run = support::started(&effects)[0];
     support::learn(&mut node, support::PEER);
     node.step(at(2), event::NodeEvent::TargetLeaving);
-    let lookup = event::NodeEvent::CallArrived {
-        handle: event::CallerHandle(1),
-        request: Box::new(support::request("GET")),
-        hints: event::CallerHints {
-            parent: Some(event::ParentToken(run)),
-            ..event::CallerHints::default()
-        },
-    };
+    let lookup = support::call_of(run);
     let effects = node.step(at(3), lookup);
     let (peer, sent) = support::sent_calls(&effects).remove(0);
     node.step(at(4), support::answer(peer, &sent, below));
--- a/crates/anvil_core/tests/inheriting.rs
+++ b/crates/anvil_core/tests/inheriting.rs
@@ -30,14 +30,7 @@
         event::NodeEvent::FrameArrived { peer, frame: claim },
     );
     let run = support::started(&effects)[0];
-    let lookup = event::NodeEvent::CallArrived {
-        handle: event::CallerHandle(1),
-        request: Box::new(support::request("GET")),
-        hints: event::CallerHints {
-            parent: Some(event::ParentToken(run)),
-            ..event::CallerHints::default()
-        },
-    };
+    let lookup = support::call_of(run);
     // The node may choose its own target, too; only a call that leaves can be looked at here.
     node.step(support::at(2), event::NodeEvent::TargetLeaving);
     let effects = node.step(support::at(3), lookup);
--- a/crates/anvil_core/tests/restarts.rs
+++ b/crates/anvil_core/tests/restarts.rs
@@ -43,14 +43,7 @@
     let run = support::started(&effects)[0];
     node.step(support::at(2), event::NodeEvent::StopRequested);
     support::run_until(&mut node, support::at(2_000));
-    let lookup = event::NodeEvent::CallArrived {
-        handle: event::CallerHandle(1),
-        request: Box::new(support::request("GET")),
-        hints: event::CallerHints {
-            parent: Some(event::ParentToken(run)),
-            ..event::CallerHints::default()
-        },
-    };
+    let lookup = support::call_of(run);
     let effects = node.step(support::at(2_001), lookup);
     assert!(support::replies(&effects).is_empty());
     assert_eq!(support::sent_calls(&effects).len(), 1);
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -142,6 +142,18 @@
     }
 }
 
+/// A call that the local target makes on behalf of `run`.
+pub fn call_of(run: event::RunId) -> event::NodeEvent {
+    event::NodeEvent::CallArrived {
+        handle: event::CallerHandle(1),
+        request: Box::new(request("GET")),
+        hints: event::CallerHints {
+            parent: Some(event::ParentToken(run)),
+            ..event::CallerHints::default()
+        },
+    }
+}
+
 /// The calls among the frames that leave.
 pub fn sent_calls(effects: &[effect::NodeEffect]) -> Vec<(ident::NodeId, call::PeerCall)> {
     let calls = effects.iter().filter_map(|effect| match effect {
