Keep the port that nobody listens on from being given to another test

a_target_nobody_listens_for_is_not_run failed once, in a run of all tests of the package: its reply was not 503. It freed a port and took it for vacant, while tests beside it bind free ports. With a listener put on the freed port on purpose, the same assertion fails with 504. The port is now bound and never listened on, so that it refuses and nobody else gets it; the assertions are as they were.

--- a/crates/anvil_node/tests/target_faults.rs
+++ b/crates/anvil_node/tests/target_faults.rs
@@ -10,6 +10,7 @@
 
 use anvil_node::counters;
 use anvil_testkit::test_cases;
+use tokio::net::TcpSocket;
 
 fn fails(path: &str, status: u16, outcome: &str, cause: counters::EdgeCause) {
     let pair = common::Pair::start("");
@@ -87,11 +88,11 @@
 #[test]
 fn a_target_nobody_listens_for_is_not_run() {
     let pair = common::Pair::start("");
-    let vacant = {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.local_addr().unwrap()
-    };
-    common::announce(pair.node.bound().admin, vacant, common::SERVICE);
+    // Bound and never listened on: connections are refused, and no other test is given the port.
+    let vacant = TcpSocket::new_v4().unwrap();
+    vacant.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = vacant.local_addr().unwrap();
+    common::announce(pair.node.bound().admin, address, common::SERVICE);
     let response = pair.request("POST", "/bids").text("a bid").send().unwrap();
     assert_eq!(response.status(), 503);
     assert_eq!(response.headers()["anvil-outcome"], "not-run");
