Read what heads have in common in one place, and early requests once

The look ahead on callers' connections had written again what the reader of answers had: header lines to a map, the word that closes a connection, and a stated length. Both call crate::head now. A request that began early is handed over by the length that was found then, in place of a second parse, and requests are told apart by their URI, which spares each request an allocation.

--- a/crates/anvil_node/src/caller/framing.rs
+++ b/crates/anvil_node/src/caller/framing.rs
@@ -5,7 +5,9 @@
 //! left to the library alone, in its turn.
 
 use anvil_wire::codec;
-use http::{HeaderName, HeaderValue, Method, Request, Uri, header, request};
+use http::{Method, Request, Uri, header, request};
+
+use crate::head;
 
 /// Most header lines that are looked at; the settings may allow fewer.
 const HEAD_LINES: usize = 128;
@@ -71,7 +73,7 @@
         return None;
     }
     let body_bytes = body_bytes(&parts)?;
-    let closes = headers.get_all(header::CONNECTION).iter().any(closes);
+    let closes = head::says_close(headers);
     let expects = headers.contains_key(header::EXPECT);
     Some(KnownRequest {
         head_bytes,
@@ -88,11 +90,7 @@
     let (mut parts, ()) = Request::new(()).into_parts();
     parts.method = method;
     parts.uri = uri;
-    for line in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(line.name.as_bytes()).ok()?;
-        let value = HeaderValue::from_bytes(line.value).ok()?;
-        parts.headers.append(name, value);
-    }
+    parts.headers = head::header_map(parsed.headers)?;
     Some(parts)
 }
 
@@ -102,15 +100,9 @@
     let Some(length) = lengths.next() else {
         return Some(0);
     };
-    if lengths.next().is_some() || !length.as_bytes().iter().all(u8::is_ascii_digit) {
+    if lengths.next().is_some() {
         return None;
     }
-    let length = length.to_str().ok()?.parse().ok()?;
+    let length = head::body_length(length)?;
     (length <= codec::BODY_LIMIT).then_some(length)
 }
-
-fn closes(value: &HeaderValue) -> bool {
-    let value = value.to_str().unwrap_or_default();
-    let mut words = value.split(',');
-    words.any(|word| word.trim().eq_ignore_ascii_case("close"))
-}
--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -17,6 +17,7 @@
 use std::task::{Context, Poll};
 
 use bytes::{Buf, Bytes, BytesMut};
+use http::Uri;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -63,7 +64,9 @@
 #[derive(Debug)]
 struct EarlyRequest {
     started: exchange::StartedCall,
-    path: String,
+    uri: Uri,
+    /// Length of the whole request, in bytes.
+    bytes: usize,
 }
 
 #[derive(Debug)]
@@ -140,11 +143,11 @@
         }
     }
 
-    /// The call that began early for the request whose turn has come, if it is the one at `path`.
-    pub fn take_early(&self, path: &str) -> Option<exchange::StartedCall> {
+    /// The call that began early for the request whose turn has come, if it is the one for `uri`.
+    pub fn take_early(&self, uri: &Uri) -> Option<exchange::StartedCall> {
         let early = self.lock().turned.take();
         early
-            .filter(|early| early.path == path)
+            .filter(|early| early.uri == *uri)
             .map(|early| early.started)
     }
 
@@ -181,9 +184,14 @@
         }
         let body = Bytes::copy_from_slice(&rest[known.head_bytes..known.bytes()]);
         let started = exchange::start_early(&self.edge, &known.parts, body)?;
-        state.looked += known.bytes();
-        let path = path_of(&known.parts.uri);
-        Some(EarlyRequest { started, path })
+        let bytes = known.bytes();
+        let uri = known.parts.uri;
+        state.looked += bytes;
+        Some(EarlyRequest {
+            started,
+            uri,
+            bytes,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, PipelineState> {
@@ -191,24 +199,23 @@
     }
 }
 
-/// What tells a request at its turn from another one.
-pub fn path_of(uri: &http::Uri) -> String {
-    uri.to_string()
-}
-
 impl PipelineState {
     /// Hands the library what it may have; false where more has to be read first.
     fn hand_over(&mut self, limit: usize, buffer: &mut ReadBuf<'_>) -> bool {
         if self.turn == ConnectionTurn::Reading && !self.behind.is_empty() {
-            match framing::front(&self.behind, limit) {
-                framing::RequestFrame::Partial => return false,
-                framing::RequestFrame::Unclear => self.turn = ConnectionTurn::Unclear,
-                framing::RequestFrame::Known(known) => {
-                    let due = known.bytes();
-                    self.last = known.closes;
-                    self.turn = ConnectionTurn::Handed { due };
-                    if self.looked > 0 {
-                        self.turned = self.early.pop_front();
+            if let Some(early) = self.early.pop_front() {
+                // It was read when it began, and was not the last of its connection.
+                self.last = false;
+                self.turn = ConnectionTurn::Handed { due: early.bytes };
+                self.turned = Some(early);
+            } else {
+                match framing::front(&self.behind, limit) {
+                    framing::RequestFrame::Partial => return false,
+                    framing::RequestFrame::Unclear => self.turn = ConnectionTurn::Unclear,
+                    framing::RequestFrame::Known(known) => {
+                        self.last = known.closes;
+                        let due = known.bytes();
+                        self.turn = ConnectionTurn::Handed { due };
                     }
                 }
             }
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -238,7 +238,7 @@
     let mut call = edge.dialect.read_head(&head)?;
     call.request.body = intake::read_body(body, edge.limits.body_wait).await?;
     pipeline.begin_serving();
-    if let Some(early) = pipeline.take_early(&pipeline::path_of(&head.uri)) {
+    if let Some(early) = pipeline.take_early(&head.uri) {
         let reply = early.reply(edge).await;
         if !exchange::is_out_of_turn(&reply) {
             return Ok(edge.dialect.reply(reply));
--- /dev/null
+++ b/crates/anvil_node/src/head.rs
@@ -0,0 +1,31 @@
+//! What the heads of requests and of answers have in common, as `httparse` gives them.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// The header lines of a parsed head; none where one is malformed.
+pub fn header_map(lines: &[httparse::Header<'_>]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(lines.len());
+    for line in lines {
+        let name = HeaderName::from_bytes(line.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(line.value).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
+
+/// Whether the head says that its connection ends with this message.
+pub fn says_close(headers: &HeaderMap) -> bool {
+    headers.get_all(header::CONNECTION).iter().any(|value| {
+        let value = value.to_str().unwrap_or_default();
+        let mut words = value.split(',');
+        words.any(|word| word.trim().eq_ignore_ascii_case("close"))
+    })
+}
+
+/// A stated length of a body; none where it is no plain number, which two readers could read in two
+/// ways.
+pub fn body_length(stated: &HeaderValue) -> Option<usize> {
+    let digits = stated.as_bytes().iter().all(u8::is_ascii_digit);
+    let text = stated.to_str().ok().filter(|_| digits)?;
+    text.parse().ok()
+}
--- a/crates/anvil_node/src/lib.rs
+++ b/crates/anvil_node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod datagram;
 pub mod dialect;
 pub mod engine;
+pub mod head;
 pub mod listen;
 pub mod logs;
 pub mod node;
--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -5,9 +5,11 @@
 use anvil_edge::target;
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, response};
+use http::{HeaderMap, StatusCode, header, response};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+use crate::head;
+
 /// Largest head of an answer, in bytes; the same as what the common servers send at most.
 const HEAD_BYTES: usize = 64 * 1024;
 
@@ -241,15 +243,7 @@
 fn read_head(parsed: &httparse::Response<'_, '_>, method: &str) -> Result<AnswerHead, AnswerFault> {
     let code = parsed.code.unwrap_or_default();
     let status = StatusCode::from_u16(code).map_err(|_| malformed("the status"))?;
-    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
-    for line in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(line.name.as_bytes());
-        let value = HeaderValue::from_bytes(line.value);
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(malformed("a header"));
-        };
-        headers.append(name, value);
-    }
+    let headers = head::header_map(parsed.headers).ok_or_else(|| malformed("a header"))?;
     let framing = framing(status, &headers, method)?;
     let keeping = keeping(parsed.version == Some(1), &headers, framing);
     let (mut parts, ()) = http::Response::new(()).into_parts();
@@ -288,10 +282,7 @@
             if lengths.any(|other| other != length) {
                 return Err(malformed("two lengths"));
             }
-            let digits = length.as_bytes().iter().all(u8::is_ascii_digit);
-            let text = length.to_str().ok().filter(|_| digits);
-            let length = text.and_then(|text| text.parse().ok());
-            length
+            head::body_length(length)
                 .map(BodyFraming::Length)
                 .ok_or_else(|| malformed("the length"))
         }
@@ -300,13 +291,7 @@
 }
 
 fn keeping(current: bool, headers: &HeaderMap, framing: BodyFraming) -> KeepOpen {
-    let closes = headers.get_all(header::CONNECTION).iter().any(|value| {
-        let value = value.to_str().unwrap_or_default();
-        value
-            .split(',')
-            .any(|word| word.trim().eq_ignore_ascii_case("close"))
-    });
-    if closes || !current || framing == BodyFraming::UntilClose {
+    if head::says_close(headers) || !current || framing == BodyFraming::UntilClose {
         return KeepOpen::No;
     }
     let stated = headers.get("keep-alive").and_then(|value| {
