Keep experiments apart, and tell of each run of a key which process ran it

Symptom: the rolling restarts counted two runs of one key once.

Change: each experiment and each soak claims a block of loopback addresses of its own, nodes restart at fixed ports outside of those that systems hand out, and ids of root requests begin with seed and block, so a target knows a run of a stranger and the table counts it. A run is recorded from its beginning, with target, parent token and times, each send with its entry node and what it was told, and a second run of a key stops the experiment within two seconds. Each start of a node has a log of its own, and nodes write a line for each step of a keyed call: asked, granted, sent, started, settled.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -243,10 +243,14 @@
             timeout: told,
         };
         let (print, rule) = (run.context.print, overload::crash_rule(&run.treatment));
+        let keyed = run.guarded_note(id);
         self.overload.poison.started(id.0, print, rule);
         self.counters.runs_started += 1;
         self.effects
             .push(effect::NodeEffect::RunTarget(Box::new(order)));
+        if let Some(note) = keyed.filter(|_| self.guards_keys()) {
+            self.tell(effect::StateChange::KeyedCall(Box::new(note)));
+        }
     }
 
     fn refuse_run(&mut self, id: event::RunId, cause: overload::RefusalCause) {
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -118,6 +118,9 @@
     /// A request came to its end at the target's node.
     #[display("run ended")]
     RunEnded(Box<notes::RunNote>),
+    /// A call whose idempotency key is guarded went a step on.
+    #[display("keyed call")]
+    KeyedCall(Box<notes::KeyedNote>),
     /// Lines about single requests were held back, to bound the log.
     #[display("lines held back: {count}")]
     HeldBack {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -231,6 +231,7 @@
             }
         }
         self.directory.sent(&service, peer, context.class);
+        self.tell_keyed(sequence, notes::KeyedStep::Sent { attempt, to: peer });
         self.send_frame(peer, address, frame::PeerFrame::Call(Box::new(call)));
     }
 
--- a/crates/anvil_core/src/keys.rs
+++ b/crates/anvil_core/src/keys.rs
@@ -10,7 +10,7 @@
 use anvil_wire::{call, frame, key};
 use bytes::Bytes;
 
-use crate::{calls, config, effect, reducer};
+use crate::{calls, config, effect, notes, reducer};
 
 /// Longest wait for an owner of a key.
 ///
@@ -116,10 +116,31 @@
             print: open.context.print,
             wait: open.deadline.since(self.now).min(KEY_WAIT),
         };
+        self.tell_keyed(sequence, notes::KeyedStep::Asked);
         self.step_keys(ask);
         true
     }
 
+    /// Tells the log of a step of an open call, where its key is guarded.
+    pub(crate) fn tell_keyed(&mut self, sequence: u64, step: notes::KeyedStep) {
+        let open = self.calls.get(sequence).filter(|_| self.keys.guarded);
+        let Some((root, key)) =
+            open.and_then(|open| Some((open.context.request, open.guarded_key()?)))
+        else {
+            return;
+        };
+        let call = ident::CallId {
+            node: self.config.node,
+            sequence,
+        };
+        self.tell(effect::StateChange::KeyedCall(Box::new(notes::KeyedNote {
+            root,
+            key,
+            call,
+            step,
+        })));
+    }
+
     /// Tells the owner of a call's key how the call ended.
     pub(crate) fn close_key(
         &mut self,
@@ -139,6 +160,17 @@
             self.step_keys(moment::KeyEvent::Abandon { call });
             return;
         }
+        if let Some(key) = open.guarded_key() {
+            let root = open.context.request;
+            let step = notes::KeyedStep::Settled { verdict };
+            let note = notes::KeyedNote {
+                root,
+                key,
+                call,
+                step,
+            };
+            self.tell(effect::StateChange::KeyedCall(Box::new(note)));
+        }
         let end = call_end(verdict, answer);
         self.step_keys(moment::KeyEvent::Ended { call, end });
     }
@@ -261,6 +293,7 @@
     fn key_granted(&mut self, sequence: u64) {
         if let Some(open) = self.calls.get_mut(sequence) {
             open.stage = calls::CallStage::Pausing;
+            self.tell_keyed(sequence, notes::KeyedStep::Granted);
             self.dispatch_attempt(sequence);
         }
     }
--- a/crates/anvil_core/src/notes.rs
+++ b/crates/anvil_core/src/notes.rs
@@ -87,12 +87,63 @@
     pub queued: usize,
 }
 
+/// A step of a call whose idempotency key is guarded.
+///
+/// Nothing else tells, after a key has run twice, which grant, call, attempt and process each run had;
+/// so these are written for every such call, and not for one lane in sixteen.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct KeyedNote {
+    /// The root request that it serves.
+    pub root: ident::RequestId,
+    /// The key.
+    #[serde(serialize_with = "in_hex")]
+    pub key: ident::RequestKey,
+    /// The call that wants to run it.
+    #[serde(serialize_with = "in_hex")]
+    pub call: ident::CallId,
+    /// The step.
+    #[serde(flatten)]
+    pub step: KeyedStep,
+}
+
+/// What happened to a keyed call.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "step", rename_all = "kebab-case")]
+pub enum KeyedStep {
+    /// Its entry node asked the owner of the key.
+    Asked,
+    /// The owner granted the key to this call.
+    Granted,
+    /// An attempt went out.
+    Sent {
+        /// Which attempt.
+        attempt: u16,
+        /// The node that it went to.
+        #[serde(serialize_with = "in_hex")]
+        to: ident::NodeId,
+    },
+    /// The target's node handed it to the target.
+    Started {
+        /// Which attempt.
+        attempt: u16,
+        /// The run, as the parent token names it.
+        run: u64,
+    },
+    /// It ended at its entry node, which told the owner so.
+    Settled {
+        /// Whether it ran.
+        #[serde(serialize_with = "in_words")]
+        verdict: verdict::CallVerdict,
+    },
+}
+
 /// Identities of nodes as text: they are wider than the numbers that readers of JSON keep whole.
-fn in_hex<S>(node: &ident::NodeId, serializer: S) -> Result<S::Ok, S::Error>
+fn in_hex<T, S>(id: &T, serializer: S) -> Result<S::Ok, S::Error>
 where
+    T: std::fmt::Display,
     S: Serializer,
 {
-    serializer.collect_str(node)
+    serializer.collect_str(id)
 }
 
 fn as_text<S>(node: &Option<ident::NodeId>, serializer: S) -> Result<S::Ok, S::Error>
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -4,7 +4,7 @@
 use anvil_types::{context, ident, name, sorted, time, treatment};
 use anvil_wire::call;
 
-use crate::{event, waits};
+use crate::{event, notes, waits};
 
 /// The local target as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,6 +69,22 @@
     pub stage: RunStage,
 }
 
+impl TargetRun {
+    /// The line that tells of its start, where it must not run without the grant of its key.
+    pub fn guarded_note(&self, run: event::RunId) -> Option<notes::KeyedNote> {
+        let key = self.context.key.filter(|_| !self.treatment.idempotent)?;
+        Some(notes::KeyedNote {
+            root: self.context.request,
+            key,
+            call: self.call,
+            step: notes::KeyedStep::Started {
+                attempt: self.attempt,
+                run: run.0,
+            },
+        })
+    }
+}
+
 /// All calls accepted for the local target.
 #[derive(Clone, Debug, Default)]
 pub struct RunTable {
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -1,16 +1,17 @@
 //! A few whole reducers, the fake store and counted runs, joined by a queue of events.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, dead_code)]
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_core::{config, effect, event, reducer};
+use anvil_core::{config, effect, event, notes, reducer};
 use anvil_standins::store::fake;
 use anvil_types::{ident, name, store, time, verdict};
 use anvil_wire::call;
 use bytes::Bytes;
+use rand_core::Rng;
 
 /// One way between two nodes, and to the store.
 const HOP: Duration = Duration::from_micros(1_500);
@@ -51,7 +52,15 @@
     pub(crate) told: Vec<Told>,
     /// The key of each run, as the path of its request.
     pub(crate) runs: Vec<String>,
+    /// Steps of keyed calls, as nodes told their logs of them.
+    pub(crate) steps: Vec<(time::NodeTime, ident::NodeId, notes::KeyedNote)>,
+    /// Draws the time of each way, instead of [`HOP`].
+    pub(crate) ways: Option<rand_pcg::Pcg64Mcg>,
+    /// When the last frame from one node to another arrives; a connection keeps their order.
+    frames: BTreeMap<(ident::NodeId, ident::NodeId), time::NodeTime>,
     nodes: Vec<FleetNode>,
+    /// Nodes that were asked to stop.
+    stopping: Vec<ident::NodeId>,
     stored: bool,
     queue: BTreeMap<(time::NodeTime, u64), Moment>,
     pushed: u64,
@@ -76,7 +85,11 @@
             store: fake::FakeStore::new(1),
             told: Vec::new(),
             runs: Vec::new(),
+            steps: Vec::new(),
+            ways: None,
+            frames: BTreeMap::new(),
             nodes: Vec::new(),
+            stopping: Vec::new(),
             stored,
             queue: BTreeMap::new(),
             pushed: 0,
@@ -169,6 +182,7 @@
     }
 
     pub(crate) fn stop(&mut self, node: ident::NodeId) {
+        self.stopping.push(node);
         self.push_event(node, Duration::ZERO, event::NodeEvent::StopRequested);
     }
 
@@ -180,6 +194,35 @@
         }
     }
 
+    /// Breaks the connections between two nodes that both live on; what is under way is lost.
+    pub(crate) fn cut(&mut self, one: ident::NodeId, other: ident::NodeId) {
+        let under_way = |moment: &Moment| match moment {
+            Moment::Node(to, event) => match **event {
+                event::NodeEvent::FrameArrived { peer, .. } => {
+                    (*to, peer) == (one, other) || (*to, peer) == (other, one)
+                }
+                _ => false,
+            },
+            _ => false,
+        };
+        self.queue.retain(|_, moment| !under_way(moment));
+        for (node, peer) in [(one, other), (other, one)] {
+            self.push_event(node, HOP, event::NodeEvent::PeerLost { peer });
+        }
+    }
+
+    /// The living nodes that nobody asked to stop.
+    pub(crate) fn staying(&self) -> Vec<ident::NodeId> {
+        let mut nodes = self.nodes();
+        nodes.retain(|node| !self.stopping.contains(node));
+        nodes
+    }
+
+    /// Whether a node lives.
+    pub(crate) fn lives(&self, node: ident::NodeId) -> bool {
+        self.nodes.iter().any(|held| held.node == node)
+    }
+
     pub(crate) fn run(&mut self, span: Duration) {
         let until = self.now + span;
         while let Some(entry) = self.queue.first_entry() {
@@ -204,6 +247,16 @@
         self.runs.iter().map(count).max().unwrap_or(0)
     }
 
+    /// Keys that ran more than once, as nodes name them.
+    pub(crate) fn doubled_keys(&self) -> Vec<ident::RequestKey> {
+        let count = |key: &String| self.runs.iter().filter(|run| *run == key).count();
+        let doubled = self.runs.iter().filter(|run| count(run) > 1);
+        let named = doubled.filter_map(|path| path.rsplit('/').next());
+        named
+            .map(|key| ident::RequestKey::of(SERVICE, key.as_bytes()))
+            .collect()
+    }
+
     fn handle(&mut self, moment: Moment) {
         match moment {
             Moment::Node(node, event) => self.step(node, *event),
@@ -211,7 +264,8 @@
                 let outcome = self.store.carry_out(self.now, (node, id), &ask);
                 if let Some(outcome) = outcome {
                     let answered = event::NodeEvent::StoreAnswered { id, outcome };
-                    self.push_event(node, HOP, answered);
+                    let way = self.way();
+                    self.push_event(node, way, answered);
                 }
             }
             Moment::Watches => {
@@ -252,7 +306,8 @@
                     let unsent = vec![frame];
                     (node, event::NodeEvent::PeerUnreachable { peer, unsent })
                 };
-                self.push_event(to, HOP, event);
+                let arrives = self.frame_way(node, peer);
+                self.push_event(to, arrives, event);
             }
             effect::NodeEffect::SendDatagram { to, message } => {
                 let from = self.address(node);
@@ -274,7 +329,8 @@
                 self.push_event(node, WORK, event::NodeEvent::RunEnded { run, outcome });
             }
             effect::NodeEffect::AskStore { id, ask } => {
-                self.push(HOP, Moment::Store(node, id, Box::new(ask)));
+                let way = self.way();
+                self.push(way, Moment::Store(node, id, Box::new(ask)));
             }
             effect::NodeEffect::ReplyCaller { handle, reply } => self.told.push(Told {
                 handle: handle.0,
@@ -282,6 +338,9 @@
                 verdict: reply.verdict,
                 body: reply.answer.map(|answer| answer.body),
             }),
+            effect::NodeEffect::Report(effect::StateChange::KeyedCall(note)) => {
+                self.steps.push((self.now, node, *note));
+            }
             effect::NodeEffect::Exit => self.nodes.retain(|held| held.node != node),
             effect::NodeEffect::CancelRun(_)
             | effect::NodeEffect::AnswerOperator { .. }
@@ -290,6 +349,31 @@
         }
     }
 
+    /// The time of one way.
+    fn way(&mut self) -> Duration {
+        match &mut self.ways {
+            None => HOP,
+            Some(source) => {
+                // Mostly quick, now and then as late as on a busy machine.
+                let draw = source.next_u64();
+                let longest = if draw.is_multiple_of(16) {
+                    200_000
+                } else {
+                    5_000
+                };
+                Duration::from_micros(100 + (draw >> 8) % longest)
+            }
+        }
+    }
+
+    /// Time until a frame arrives, behind all that its sender sent there before.
+    fn frame_way(&mut self, from: ident::NodeId, to: ident::NodeId) -> Duration {
+        let arrives = self.now + self.way();
+        let last = self.frames.entry((from, to)).or_insert(arrives);
+        *last = arrives.max(*last);
+        last.since(self.now)
+    }
+
     fn address(&self, node: ident::NodeId) -> Option<SocketAddr> {
         let held = self.nodes.iter().find(|held| held.node == node);
         held.map(|held| held.address)
--- a/crates/anvil_node/examples/experiment.rs
+++ b/crates/anvil_node/examples/experiment.rs
@@ -115,9 +115,9 @@
 async fn print_table(plan: &TablePlan) -> eyre::Result<()> {
     print(
         "| scenario | version | critical % | high % | normal % | low % | goodput /s | wasted % \
-         | runs per root | recovery s | most runs per key | foreign | silent | cut | whole of all \
+         | runs per root | recovery s | most runs per key | foreign | strangers | silent | cut | whole of all \
          | node CPU µs per run | most MB |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for name in &plan.scenarios {
         for variant in &plan.variants {
@@ -146,16 +146,39 @@
     let store = server::StoreServer::start(seed)?;
     let run_folder = plan.folder.join(format!("{name}-{variant}-{seed}"));
     fs::create_dir_all(&run_folder)?;
-    experiment::run(experiment::ExperimentPlan {
-        starter: starter(node_binary()?, run_folder),
+    let scenario = Arc::new(scenario);
+    let ledger = experiment::run_recorded(experiment::ExperimentPlan {
+        starter: starter(node_binary()?, run_folder.clone()),
         mesh: Arc::new(mesh),
-        scenario: Arc::new(scenario),
+        scenario: Arc::clone(&scenario),
         rules: Some(fs::read_to_string(folder.join("rules.yaml"))?),
         store: store.address(),
         extra_settings: variant_settings(variant)?,
         seed,
     })
-    .await
+    .await?;
+    let findings = report::findings(&ledger);
+    if !findings.is_empty() {
+        let file = run_folder.join("findings.txt");
+        fs::write(&file, findings.join("\n") + "\n")?;
+        warn(&format!(
+            "{} findings in {}\n",
+            findings.len(),
+            file.display()
+        ));
+    }
+    let report = report::RunReport::of(&ledger, &scenario);
+    if report.strangers > 0 {
+        // Another program's requests came to these targets, so no figure of the run means anything.
+        warn(&format!("{} RUNS OF STRANGERS\n", report.strangers));
+    }
+    Ok(report)
+}
+
+fn warn(text: &str) {
+    use std::io::Write;
+    // Nobody reads the warnings; the table is still wanted.
+    let _ = std::io::stderr().write_all(text.as_bytes());
 }
 
 fn starter(binary: PathBuf, folder: PathBuf) -> Arc<process::NodeStarter> {
@@ -214,11 +237,12 @@
         cells.push(spread(reports.iter().map(figure).collect(), 1));
     }
     cells.push(recovery(reports));
-    let counts: [fn(&report::RunReport) -> usize; 4] = [
+    let counts: [fn(&report::RunReport) -> usize; 5] = [
         |report| report.most_runs_per_key,
         |report| report.foreign,
+        |report| report.strangers,
         |report| report.silent,
-        |report| report.cut as usize,
+        |report| report.cut,
     ];
     for count in counts {
         let most = reports.iter().map(count).max().unwrap_or(0);
--- a/crates/anvil_node/tests/process.rs
+++ b/crates/anvil_node/tests/process.rs
@@ -106,8 +106,7 @@
     assert_eq!(target.abandoned(), 0);
     // Whoever reads the log later sees both the request to stop and the end that followed it; a
     // process that was killed meanwhile has written the first alone.
-    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join("planned_stop/node.log");
-    let log = fs::read_to_string(log).unwrap();
+    let log = fs::read_to_string(node.log()).unwrap();
     let place = |event: &str| log.find(&format!("\"event\":\"{event}\"")).unwrap();
     assert!(place("stopping") < place("stopped"), "{log}");
     assert!(log.contains("\"clean\":true"), "{log}");
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -1,6 +1,6 @@
 //! Runs one scenario on one version of the system: real node processes, stand-in targets.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,15 +8,20 @@
 use bytes::Bytes;
 use eyre::{WrapErr, ensure};
 
-use crate::{client, ledger, load, mesh, mesh_target, process, report, scenario};
+use crate::{client, ground, ledger, load, mesh, mesh_target, process, report, scenario};
 
 mod faults;
 
 /// The key of every node in an experiment; it guards nothing.
 const PEER_SECRET: &str = "5ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e75ec2e70000";
 
-/// The address that everything binds.
-const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+/// Ports of each member on its own address, below those that systems hand out by themselves: a node
+/// that restarts finds its own free, and what callers and its target know of it stays true.
+const CALLER_PORT: u16 = 8_080;
+const ADMIN_PORT: u16 = 8_081;
+const PEER_PORT: u16 = 8_082;
+const GOSSIP_PORT: u16 = 8_083;
+const TARGET_PORT: u16 = 8_084;
 
 /// How often targets renew their announcements, and how long those last.
 const RENEW_PERIOD: Duration = Duration::from_millis(500);
@@ -28,6 +33,9 @@
 /// Pause between two looks at a node's status.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a run that is ended early goes on, so that nodes write out what they know.
+const LAST_WORDS: Duration = Duration::from_secs(2);
+
 /// How long a target that crashed stays away.
 const CRASH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -58,6 +66,8 @@
 
 /// One node and the target beside it.
 struct MeshMember {
+    /// Its place on the ground.
+    place: u8,
     zone: name::ZoneName,
     name: String,
     node: Box<dyn process::NodeHandle>,
@@ -67,6 +77,9 @@
 /// A mesh that runs.
 struct RunningMesh {
     plan: ExperimentPlan,
+    ground: ground::LoopbackGround,
+    /// What the ids of this experiment's root requests begin with.
+    tag: String,
     members: Vec<MeshMember>,
     ledger: Arc<ledger::RunLedger>,
     client: client::KeptClient,
@@ -88,8 +101,13 @@
     let start = Instant::now();
     let load = mesh.load_plan();
     let callers = tokio::spawn(load::run_load(load, start));
-    mesh.play_faults(start).await?;
-    callers.await.wrap_err("the callers panicked")?;
+    let mut doubled = mesh.ledger.doubled();
+    tokio::select! {
+        played = mesh.play(start, callers) => played?,
+        // What the processes know of the key is in their logs and memory now, and is lost when they
+        // go on; a run that went wrong has nothing more to show.
+        Ok(_) = doubled.wait_for(|doubled| *doubled) => tokio::time::sleep(LAST_WORDS).await,
+    }
     keeper.abort();
     for member in &mesh.members {
         if let Some(usage) = member.node.usage() {
@@ -100,10 +118,23 @@
 }
 
 impl RunningMesh {
+    async fn play(
+        &mut self,
+        start: Instant,
+        callers: tokio::task::JoinHandle<()>,
+    ) -> eyre::Result<()> {
+        self.play_faults(start).await?;
+        callers.await.wrap_err("the callers panicked")
+    }
+
     async fn start(plan: ExperimentPlan) -> eyre::Result<Self> {
+        let ground = ground::LoopbackGround::claim().wrap_err("no loopback addresses are free")?;
+        let tag = load::root_tag(plan.seed, ground.block());
         let mut mesh = Self {
+            ground,
             members: Vec::new(),
-            ledger: Arc::default(),
+            ledger: Arc::new(ledger::RunLedger::tagged(tag.clone())),
+            tag,
             client: client::KeptClient::default(),
             plan,
         };
@@ -123,22 +154,26 @@
         &mut self,
         service: &mesh::ServicePlan,
         zone: name::ZoneName,
-        place: usize,
+        dealt: usize,
     ) -> eyre::Result<()> {
+        let place = u8::try_from(dealt).wrap_err("a mesh has 254 instances at most")?;
+        let name = format!("{}-{place}", service.name);
         let target_plan = mesh_target::TargetPlan {
+            name: name.clone(),
             service: service.clone(),
-            seed: self.plan.seed.wrapping_mul(1_000) + place as u64,
+            seed: self.plan.seed.wrapping_mul(1_000) + u64::from(place),
             cold: COLD,
         };
         let ledger = Arc::clone(&self.ledger);
-        let target = mesh_target::MeshTarget::start(target_plan, LOOPBACK, ledger).await?;
+        let address = self.ground.port(place, TARGET_PORT);
+        let target = mesh_target::MeshTarget::start(target_plan, address, ledger).await?;
         // A target that serves long before the scenario starts is warm.
         target.warm_up();
-        let name = format!("{}-{place}", service.name);
-        let node = self.start_node(&name, &zone, 0)?;
+        let node = self.start_node(&name, &zone, place)?;
         target.set_node(node.addresses().caller);
         announce(&self.client, node.addresses().admin, &target).await?;
         self.members.push(MeshMember {
+            place,
             zone,
             name,
             node,
@@ -147,31 +182,32 @@
         Ok(())
     }
 
-    /// Starts a node; `caller_port` zero takes any.
+    /// Starts the node of one place.
     fn start_node(
         &self,
         name: &str,
         zone: &name::ZoneName,
-        caller_port: u16,
+        place: u8,
     ) -> eyre::Result<Box<dyn process::NodeHandle>> {
         let seeds: Vec<String> = self
             .members
             .iter()
             .take(3)
-            .map(|member| member.node.addresses().gossip.to_string())
+            .map(|member| format!("'{}'", member.node.addresses().gossip))
             .collect();
+        let port = |port| self.ground.port(place, port);
         let settings = format!(
-            "zone: {zone}\nregion: {region}\nadvertise: {LOOPBACK}\n\
-             listen: {{caller: '{LOOPBACK}:{caller_port}', admin: '{LOOPBACK}:0', \
-             peer: '{LOOPBACK}:0', gossip: '{LOOPBACK}:0'}}\n\
+            "zone: {zone}\nregion: {region}\nadvertise: {address}\n\
+             listen: {{caller: '{caller}', admin: '{admin}', peer: '{peer}', gossip: '{gossip}'}}\n\
              peer_keys: [{{id: 1, secret: '{PEER_SECRET}'}}]\n\
              seeds: [{seeds}]\nplatform: ['{store}']\nlimits: {{caller_connections: 16384}}\n{extra}",
             region = self.plan.mesh.region,
-            seeds = seeds
-                .iter()
-                .map(|seed| format!("'{seed}'"))
-                .collect::<Vec<_>>()
-                .join(", "),
+            address = self.ground.address(place),
+            caller = port(CALLER_PORT),
+            admin = port(ADMIN_PORT),
+            peer = port(PEER_PORT),
+            gossip = port(GOSSIP_PORT),
+            seeds = seeds.join(", "),
             store = self.plan.store,
             extra = self.plan.extra_settings,
         );
@@ -256,6 +292,7 @@
             entries: Arc::new(entries.collect()),
             ledger: Arc::clone(&self.ledger),
             seed: self.plan.seed,
+            tag: self.tag.clone(),
         }
     }
 
@@ -284,7 +321,7 @@
                 });
             }
             if !target.is_down() {
-                // A node that is gone takes no announcement; its successor gets its own keeper.
+                // A node that is gone takes no announcement; its successor stands at the same address.
                 let _ = announce(&client, *admin, target).await;
             }
         }
--- a/crates/anvil_standins/src/experiment/faults.rs
+++ b/crates/anvil_standins/src/experiment/faults.rs
@@ -132,22 +132,18 @@
         Ok(())
     }
 
-    /// A new node process takes the place of a killed one, at the same address for callers.
-    async fn revive(&mut self, place: usize) -> eyre::Result<()> {
-        let member = &self.members[place];
-        let port = member.node.addresses().caller.port();
-        let node = self.start_node(&member.name, &member.zone, port)?;
-        let member = &mut self.members[place];
+    /// A new node process takes the place of one that ended, at the same addresses.
+    async fn revive(&mut self, index: usize) -> eyre::Result<()> {
+        let member = &self.members[index];
+        let node = self.start_node(&member.name, &member.zone, member.place)?;
+        let member = &mut self.members[index];
         member.node = node;
         if member.target.is_down() {
             member.target.restart();
         }
+        // The keeper's next announcement may be half a second away, in which the target is idle.
         let admin = member.node.addresses().admin;
-        tokio::spawn(experiment::keep_targets(vec![(
-            Arc::clone(&member.target),
-            admin,
-        )]));
-        Ok(())
+        experiment::announce(&self.client, admin, &member.target).await
     }
 
     fn targets_of(&self, service: &name::ServiceName) -> Vec<Arc<mesh_target::MeshTarget>> {
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod experiment;
+pub mod ground;
 pub mod http_target;
 pub mod ledger;
 pub mod load;
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -30,6 +30,20 @@
     pub ledger: Arc<ledger::RunLedger>,
     /// Feeds arrivals, kinds and entry nodes.
     pub seed: u64,
+    /// What the ids of root requests begin with, in hexadecimal digits; see [`root_tag`].
+    pub tag: String,
+}
+
+/// What the ids of an experiment's root requests begin with: its seed, and its block of addresses.
+///
+/// Failure: two experiments of one seed give their requests the same ids. Symptom: a run that strayed
+/// from one to the other is taken for a second run of a key. Experiments at one time hold different
+/// blocks, so a stray request is known by its id.
+pub fn root_tag(seed: u64, block: u16) -> String {
+    format!(
+        "{:012x}{block:04x}",
+        seed.wrapping_add(1) & 0xffff_ffff_ffff
+    )
 }
 
 /// Sends requests until the scenario's end and waits for the last one.
@@ -43,7 +57,7 @@
     let mut open = tokio::task::JoinSet::new();
     while next < end {
         tokio::time::sleep_until((start + next).into()).await;
-        let root = root_id(plan.seed, sequence);
+        let root = root_id(&plan.tag, sequence);
         let draws = CallerDraws {
             kind: rng.next_u64(),
             entry: rng.next_u64(),
@@ -75,12 +89,17 @@
     let times = plan.scenario.times();
     let mut next = times.pressure;
     let mut turn = 0_usize;
+    let path = format!(
+        "/{}/{}",
+        mesh_target::POISON_STEP,
+        root_id(&plan.tag, u64::MAX)
+    );
     while next < times.relief {
         tokio::time::sleep_until((start + next).into()).await;
         let request = client::ClientRequest {
             address: plan.entries[turn % plan.entries.len()],
             method: "GET",
-            path: "/poison/0",
+            path: &path,
             headers: &[(client::SERVICE_HEADER, service.clone())],
             body: Bytes::new(),
             timeout: Duration::from_secs(2),
@@ -99,9 +118,9 @@
     Duration::from_secs_f64(-(1.0 - draw).ln() / rate)
 }
 
-fn root_id(seed: u64, sequence: u64) -> String {
+fn root_id(tag: &str, sequence: u64) -> String {
     let spread = sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    format!("{:016x}{spread:016x}", seed.wrapping_add(1))
+    format!("{tag}{spread:016x}")
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -123,13 +142,20 @@
         let sent = self.start.elapsed();
         let habits = self.plan.scenario.callers;
         let request = self.plan.mesh.pick(self.draws.kind).clone();
-        let mut sends = 0;
-        let mut cut = 0;
+        let mut sends = Vec::new();
         let ending = loop {
-            let ending = self.send(&request, sends, habits).await;
-            sends += 1;
-            cut += u32::from(ending.is_cut());
-            if ending.outcome == ledger::CallerOutcome::Whole || sends > habits.resends {
+            let turn = u32::try_from(sends.len()).unwrap_or(u32::MAX);
+            let began = self.plan.ledger.now();
+            let ending = self.send(&request, turn, habits).await;
+            sends.push(ledger::SendRecord {
+                entry: ending.entry,
+                sent: began,
+                ended: self.plan.ledger.now(),
+                outcome: ending.outcome,
+                attempts: ending.attempts,
+                reason: ending.reason.clone(),
+            });
+            if ending.outcome == ledger::CallerOutcome::Whole || turn >= habits.resends {
                 break ending;
             }
             tokio::time::sleep(Duration::from_millis(habits.pause_ms)).await;
@@ -144,7 +170,6 @@
             ended: self.start.elapsed(),
             outcome: ending.outcome,
             sends,
-            cut,
             attempts: ending.attempts,
             rule: ending.rule,
             reason: ending.reason,
@@ -177,14 +202,14 @@
         };
         for refused in 1..=ADDRESS_TRIES {
             match self.client.send(sent.clone()).await {
-                Ok(answer) => return self.judge(&answer),
+                Ok(answer) => return self.judge(sent.address, &answer),
                 Err(error) if error.is_refused() => {
                     sent.address = self.entry(sends as usize + refused);
                 }
-                Err(_) => return SendEnding::silent(),
+                Err(error) => return SendEnding::silent(sent.address, error.to_string()),
             }
         }
-        SendEnding::silent()
+        SendEnding::silent(sent.address, "no address takes connections".to_owned())
     }
 
     /// Each further try goes to another entry node, as a caller behind a list of addresses does.
@@ -193,9 +218,10 @@
         entries[(self.draws.entry as usize).wrapping_add(tries) % entries.len()]
     }
 
-    fn judge(&self, answer: &client::ClientAnswer) -> SendEnding {
+    fn judge(&self, entry: SocketAddr, answer: &client::ClientAnswer) -> SendEnding {
         let attempts = answer.header(client::ATTEMPTS_HEADER);
         SendEnding {
+            entry,
             outcome: self.outcome_of(answer),
             attempts: attempts.and_then(|text| text.parse().ok()).unwrap_or(0),
             rule: answer.header(client::RULE_HEADER).map(str::to_owned),
@@ -222,6 +248,7 @@
 
 /// How one send ended.
 struct SendEnding {
+    entry: SocketAddr,
     outcome: ledger::CallerOutcome,
     attempts: u32,
     rule: Option<String>,
@@ -229,20 +256,13 @@
 }
 
 impl SendEnding {
-    /// Whether the caller got neither its answer nor a proof that nothing ran.
-    fn is_cut(&self) -> bool {
-        !matches!(
-            self.outcome,
-            ledger::CallerOutcome::Whole | ledger::CallerOutcome::NotRun
-        )
-    }
-
-    fn silent() -> Self {
+    fn silent(entry: SocketAddr, reason: String) -> Self {
         Self {
+            entry,
             outcome: ledger::CallerOutcome::Silent,
             attempts: 0,
             rule: None,
-            reason: None,
+            reason: Some(reason),
         }
     }
 }
--- a/crates/anvil_standins/src/mesh_target.rs
+++ b/crates/anvil_standins/src/mesh_target.rs
@@ -31,6 +31,8 @@
 /// What a stand-in target is asked to be.
 #[derive(Clone, Debug)]
 pub struct TargetPlan {
+    /// Names it in the ledger.
+    pub name: String,
     /// The service, its slots, work and calls.
     pub service: mesh::ServicePlan,
     /// Feeds the spread of work times.
@@ -83,15 +85,15 @@
 }
 
 impl MeshTarget {
-    /// Binds a free port of `ip` and starts to serve on the current runtime.
+    /// Binds `address` and starts to serve on the current runtime.
     ///
-    /// Fails where no port can be bound.
+    /// Fails where it can't be bound.
     pub async fn start(
         plan: TargetPlan,
-        ip: std::net::IpAddr,
+        address: SocketAddr,
         ledger: Arc<ledger::RunLedger>,
     ) -> std::io::Result<Arc<Self>> {
-        let listener = TcpListener::bind((ip, 0)).await?;
+        let listener = TcpListener::bind(address).await?;
         let slots = plan.service.slots as usize;
         let target = Arc::new(Self {
             address: listener.local_addr()?,
@@ -219,7 +221,7 @@
         let Ok(_slot) = self.gate.acquire().await else {
             return Ok(answer(503, "shutting down".to_owned()));
         };
-        let mut guard = RunGuard::start(&self.ledger, &order, self.service());
+        let mut guard = RunGuard::start(&self.ledger, &order, &self.plan);
         tokio::time::sleep(self.work()).await;
         if let Err(status) = self.call_on(&order).await {
             return Ok(answer(status, "a call further down failed".to_owned()));
@@ -296,24 +298,26 @@
 /// Records the run when it ends, also where its connection is cut in the middle.
 struct RunGuard<'run> {
     ledger: &'run ledger::RunLedger,
-    root: String,
-    key: Option<ident::RequestKey>,
-    started: Instant,
+    place: Option<ledger::RunPlace>,
     whole: bool,
 }
 
 impl<'run> RunGuard<'run> {
-    fn start(
-        ledger: &'run ledger::RunLedger,
-        order: &RunOrder,
-        service: &name::ServiceName,
-    ) -> Self {
+    fn start(ledger: &'run ledger::RunLedger, order: &RunOrder, plan: &TargetPlan) -> Self {
         let action = order.key.as_ref().filter(|_| order.method == "POST");
+        let service = plan.service.name.as_str();
+        let place = ledger.begin(ledger::RunRecord {
+            root: order.root.clone(),
+            key: action.map(|key| ident::RequestKey::of(service, key.as_bytes())),
+            target: plan.name.clone(),
+            parent: order.parent.clone(),
+            began: ledger.now(),
+            ended: None,
+            whole: false,
+        });
         Self {
             ledger,
-            root: order.root.clone(),
-            key: action.map(|key| ident::RequestKey::of(service.as_str(), key.as_bytes())),
-            started: Instant::now(),
+            place,
             whole: false,
         }
     }
@@ -321,12 +325,9 @@
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        self.ledger.run(ledger::RunRecord {
-            root: std::mem::take(&mut self.root),
-            key: self.key,
-            held: self.started.elapsed(),
-            whole: self.whole,
-        });
+        if let Some(place) = self.place {
+            self.ledger.end(place, self.whole);
+        }
     }
 }
 
--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -25,6 +25,9 @@
 /// Longest wait for a process to stop where it stands.
 const PAUSE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Logs kept for one name in one folder; far more than the starts of any run.
+const MOST_STARTS: u32 = 100_000;
+
 /// Pause between two looks at a process.
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
@@ -88,6 +91,7 @@
 pub struct NodeProcess {
     child: Child,
     addresses: NodeAddresses,
+    log: PathBuf,
 }
 
 /// What a node process is started from.
@@ -97,7 +101,7 @@
     pub binary: &'plan Path,
     /// Where its files go.
     pub folder: &'plan Path,
-    /// Names its files.
+    /// Names its files. Each start has a log of its own, `NAME.1.log` and on.
     pub name: &'plan str,
     /// Its settings, as YAML.
     pub settings: &'plan str,
@@ -116,7 +120,7 @@
             Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
             _ => {}
         }
-        let log = fs::File::create(file("log"))?;
+        let (log, path) = new_log(plan)?;
         let mut child = Command::new(plan.binary)
             .arg("--settings")
             .arg(&settings)
@@ -134,7 +138,16 @@
                 return Err(error.wrap_err(format!("node {}", plan.name)));
             }
         };
-        Ok(Self { child, addresses })
+        Ok(Self {
+            child,
+            addresses,
+            log: path,
+        })
+    }
+
+    /// The log of this process alone.
+    pub fn log(&self) -> &Path {
+        &self.log
     }
 
     /// Where it listens.
@@ -242,6 +255,19 @@
     }
 }
 
+/// A log file that no start before had: what a process knew is looked for after its successor began.
+fn new_log(plan: &ProcessPlan<'_>) -> eyre::Result<(fs::File, PathBuf)> {
+    for start in 1..=MOST_STARTS {
+        let path = plan.folder.join(format!("{}.{start}.log", plan.name));
+        match fs::File::create_new(&path) {
+            Ok(log) => return Ok((log, path)),
+            Err(error) if error.kind() == io::ErrorKind::AlreadyExists => {}
+            Err(error) => return Err(error).wrap_err_with(|| path.display().to_string()),
+        }
+    }
+    bail!("{} has {MOST_STARTS} logs already", plan.name)
+}
+
 fn end(child: &mut Child) {
     // Both fail only where the process is gone already.
     let _ = child.kill();
--- a/crates/anvil_standins/src/report.rs
+++ b/crates/anvil_standins/src/report.rs
@@ -55,7 +55,9 @@
     /// Requests that ended without any answer.
     pub silent: usize,
     /// Sends that ended without a whole answer and not as not run.
-    pub cut: u32,
+    pub cut: usize,
+    /// Runs of requests that no caller of this experiment sent; any makes the run worthless.
+    pub strangers: usize,
     /// Processor time of all nodes for one call that ran, in microseconds; it includes what the
     /// nodes spend idle and on calls that they refuse.
     pub cpu_micros_per_run: f64,
@@ -82,7 +84,8 @@
             recovery: recovery(&callers, &quiet, times),
             most_runs_per_key: ledger.most_runs_per_key(),
             foreign: count(&callers, ledger::CallerOutcome::Foreign),
-            cut: callers.iter().map(|record| record.cut).sum(),
+            cut: cut_sends(&callers),
+            strangers: ledger.strangers().len(),
             cpu_micros_per_run: cpu_micros(&ledger.usage(), runs.len()),
             most_megabytes: most_megabytes(&ledger.usage()),
             all: ClassCount {
@@ -99,6 +102,55 @@
     }
 }
 
+/// What to look at in the logs first, a line each: runs of keys that ran more than once, runs of
+/// strangers, and sends that were cut.
+///
+/// Times are those of the Unix clock, as node logs have them.
+pub fn findings(ledger: &ledger::RunLedger) -> Vec<String> {
+    let run_line = |kind: &str, run: &ledger::RunRecord| {
+        format!(
+            "{kind}: root={} key={:?} target={} parent={} began={:.6} held_ms={} whole={}",
+            run.root,
+            run.key,
+            run.target,
+            run.parent,
+            ledger.clock(run.began),
+            run.held().as_millis(),
+            run.whole,
+        )
+    };
+    let doubled = ledger.doubled_runs();
+    let mut lines: Vec<String> = doubled
+        .iter()
+        .map(|run| run_line("run of a doubled key", run))
+        .collect();
+    let strangers = ledger.strangers();
+    lines.extend(strangers.iter().map(|run| run_line("stranger", run)));
+    for record in ledger.callers() {
+        // The sends of a doubled key tell which of its runs had a caller, so they are told whole.
+        let told = doubled.iter().any(|run| run.root == record.root);
+        for send in record.sends.iter().filter(|send| told || send.is_cut()) {
+            lines.push(format!(
+                "send: root={} kind={} entry={} sent={:.6} took_ms={} outcome={} attempts={} reason={:?}",
+                record.root,
+                record.kind,
+                send.entry,
+                ledger.clock(send.sent),
+                send.ended.saturating_sub(send.sent).as_millis(),
+                send.outcome,
+                send.attempts,
+                send.reason,
+            ));
+        }
+    }
+    lines
+}
+
+fn cut_sends(callers: &[ledger::CallerRecord]) -> usize {
+    let sends = callers.iter().flat_map(|record| &record.sends);
+    sends.filter(|send| send.is_cut()).count()
+}
+
 fn cpu_micros(usage: &[ledger::UsageRecord], runs: usize) -> f64 {
     let all: Duration = usage.iter().map(|used| used.cpu).sum();
     all.as_secs_f64() * 1e6 / runs.max(1) as f64
@@ -150,7 +202,7 @@
         .filter(|record| record.outcome == ledger::CallerOutcome::Whole)
         .map(|record| record.root.as_str())
         .collect();
-    let held = |run: &ledger::RunRecord| run.held.as_secs_f64();
+    let held = |run: &ledger::RunRecord| run.held().as_secs_f64();
     let all: f64 = runs.iter().map(held).sum();
     let lost: f64 = runs
         .iter()
