--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -31,6 +31,11 @@
     reducer::NodeReducer::new(config(), 1)
 }
 
+/// The same under another identity.
+pub fn node_of(node: ident::NodeId) -> reducer::NodeReducer {
+    reducer::NodeReducer::new(config::NodeConfig { node, ..config() }, 1)
+}
+
 /// A node that knows of others and has not heard from them yet.
 pub fn fresh_node() -> reducer::NodeReducer {
     let mut config = config();
