Ask what became of a call whose connection ended, instead of giving it up

The end of a connection was taken for the end of a process at both ends: the entry node ended each call on it, and the target's node cancelled the runs. Ruled out: the other side's end (no link-ended of that cause with calls out in the stops looked at), and kills.

Change: the entry node asks the target's node over a new connection; that one tells what it holds, answers again what it answered within three seconds, and bars what never came and tells it as not run, so it goes elsewhere. The target's node tells what it holds when a connection ends, and a lost cancellation is made good. A process that is gone refuses the connection, so its calls end at once. With that the end of one of two connections need not end the other.

--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -67,6 +67,19 @@
     pub stage: CallStage,
     /// The run of the local target that made the call, where one did.
     pub parent: Option<event::RunId>,
+    /// When the current attempt was sent.
+    pub sent: time::NodeTime,
+    /// The question about the fate of the current attempt that is not answered yet.
+    pub quest: Option<FateQuest>,
+}
+
+/// A question to the node of an attempt, whose connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FateQuest {
+    /// When it was asked first.
+    pub since: time::NodeTime,
+    /// Times that it was asked.
+    pub asks: u8,
 }
 
 impl OpenCall {
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -38,6 +38,16 @@
     pub retries_over_ratio: u64,
     /// Runs cancelled because their caller or parent was gone.
     pub runs_cancelled: u64,
+    /// Attempts asked about, since the connection that they were on had ended.
+    pub fates_asked: u64,
+    /// Attempts told as still queued or running, to entry nodes that had lost a connection.
+    pub fates_held: u64,
+    /// Answers given once more, since the first may have been lost with its connection.
+    pub fates_answered: u64,
+    /// Attempts told as never arrived, or as forgotten.
+    pub fates_unknown: u64,
+    /// Attempts given up, since their node is gone or said nothing of them.
+    pub fates_lost: u64,
 }
 
 impl NodeCounters {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -80,6 +80,8 @@
             doubt: None,
             stage: calls::CallStage::Pausing,
             parent,
+            sent: self.now,
+            quest: None,
         };
         self.calls.open(sequence, Box::new(call));
         self.timers
@@ -200,6 +202,8 @@
         };
         open.attempts += 1;
         open.stage = calls::CallStage::Out { peer, address };
+        open.sent = self.now;
+        open.quest = None;
         let mut context = open.context;
         context.remaining_micros = micros(remaining);
         context.repeat |= open.reached > 0;
@@ -315,22 +319,34 @@
         self.send_frame(peer, address, frame::PeerFrame::Cancel { call, attempt });
     }
 
+    /// Ends what was out at a node whose process is gone, and what it had asked for.
     pub(crate) fn peer_lost(&mut self, peer: ident::NodeId) {
         let lost = self.calls.out_at(peer);
-        self.suspect_lost(peer, &lost);
+        self.lose_calls(peer, &lost);
+        self.drop_runs_of(peer);
+        self.key_unreachable(peer);
+    }
+
+    /// Ends attempts whose node is gone, or says nothing of them.
+    pub(crate) fn lose_calls(&mut self, peer: ident::NodeId, lost: &[u64]) {
+        self.suspect_lost(peer, lost);
         for sequence in lost {
-            self.lose_attempt(sequence, peer);
+            self.lose_attempt(*sequence, peer);
             let verdict = verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::NodeLost);
-            self.attempt_ended(sequence, verdict, None);
+            self.attempt_ended(*sequence, verdict, None);
         }
-        self.drop_runs_of(peer);
-        self.key_unreachable(peer);
     }
 
     pub(crate) fn peer_unreachable(&mut self, peer: ident::NodeId, unsent: Vec<frame::PeerFrame>) {
         for frame in unsent {
-            let frame::PeerFrame::Call(call) = frame else {
-                continue;
+            let call = match frame {
+                frame::PeerFrame::Call(call) => call,
+                frame::PeerFrame::Fate(message) => {
+                    self.fate_unsent(peer, *message);
+                    continue;
+                }
+                // An answer is kept and asked for; the rest is sent again by those who need it.
+                _ => continue,
             };
             let sequence = call.call.sequence;
             let current = self
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -186,8 +186,9 @@
         /// The frame.
         frame: frame::PeerFrame,
     },
-    /// A connection to another node broke, with everything that was out on it.
-    PeerLost {
+    /// A connection to another node ended, and what was out on it is of unknown fate. The other process
+    /// may live on.
+    ConnectionLost {
         /// The other node.
         peer: ident::NodeId,
     },
--- /dev/null
+++ b/crates/anvil_core/src/fates.rs
@@ -0,0 +1,307 @@
+//! What becomes of calls and runs when the connection that they were on ends; see "When a connection
+//! ends" in `docs/design/edges.md`.
+//!
+//! Failure: a connection is reset, or was silenced while nothing crossed it, and both its nodes live on.
+//! Symptom: calls on it end as "may have run" although their targets work on or have answered, their
+//! runs are cancelled, and at a node that stops the planned work has cost requests. A connection is no
+//! process: the entry node asks over a new one, to which only that process can answer, and only a
+//! process that is gone or says nothing ends the call in doubt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_overload::kind;
+use anvil_types::{ident, time, verdict};
+use anvil_wire::{call, fate, frame};
+
+use crate::{calls, effect, entry, event, reducer, repeats, timers};
+
+/// Times that the fate of an attempt is asked for, and that a target's node tries to tell what it holds.
+///
+/// A process that is gone refuses at once. Where nothing answers, one try takes half a second, and the
+/// first packet of a connection may be lost once, so three keep a caller in doubt for 1.5 s at most.
+const TRIES: u8 = 3;
+
+/// Longest wait for the fate of a request that may run again.
+///
+/// Another target can take it meanwhile, and its objective passes. A node that lives answers within a
+/// few milliseconds, a busy one within some tens more.
+const LOOKUP_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Longest wait for the fate of a request that must not run again: the time of all tries, twice.
+///
+/// Whoever answers relies on it: what was asked longer ago, nobody waits for.
+pub(crate) const CLAIM_PATIENCE: Duration = Duration::from_secs(3);
+
+/// The kind of a request that this node never saw; nothing is known of what such requests need below.
+const NO_KIND: kind::CallKind = kind::CallKind(0);
+
+/// Names this part in log lines.
+const PART: &str = "fates";
+
+impl reducer::NodeReducer {
+    /// A connection to `peer` ended, with calls or answers on it whose fate is unknown.
+    pub(crate) fn connection_lost(&mut self, peer: ident::NodeId) {
+        let out = self.calls.out_at(peer);
+        let held = self.held_for(peer);
+        if !out.is_empty() || !held.is_empty() {
+            let text = format!(
+                "a connection ended: peer={peer} calls_out={} runs_held={}",
+                out.len(),
+                held.len()
+            );
+            self.report(effect::StateChange::Part { part: PART, text });
+        }
+        self.ask_fates(peer, &out);
+        if let Some((_, reply_to)) = held.first().copied() {
+            let held: Vec<fate::AttemptId> = held.into_iter().map(|(id, _)| id).collect();
+            self.tell_held(peer, reply_to, &held);
+        }
+        self.key_unreachable(peer);
+    }
+
+    pub(crate) fn fate_arrived(&mut self, peer: ident::NodeId, message: fate::FateMessage) {
+        match message {
+            fate::FateMessage::Ask { reply_to, attempts } => {
+                self.fates_asked(peer, reply_to, &attempts);
+            }
+            fate::FateMessage::Held { reply_to, attempts } => {
+                self.runs_held(peer, reply_to, &attempts);
+            }
+        }
+    }
+
+    /// No connection to `peer` came about for a message of this module.
+    pub(crate) fn fate_unsent(&mut self, peer: ident::NodeId, message: fate::FateMessage) {
+        match message {
+            fate::FateMessage::Ask { attempts, .. } => {
+                let asked = attempts.iter().map(|asked| asked.id);
+                let still = asked.filter(|id| self.waits_for(peer, *id));
+                let out: Vec<u64> = still.map(|id| id.call.sequence).collect();
+                self.ask_fates(peer, &out);
+            }
+            fate::FateMessage::Held { attempts, .. } => self.held_unsent(&attempts),
+        }
+    }
+
+    /// Asks the node of these calls what became of them; ends those that were asked for too often.
+    fn ask_fates(&mut self, peer: ident::NodeId, out: &[u64]) {
+        let (own, reply_to, now) = (self.config.node, self.config.peer_address, self.now);
+        let mut asked = Vec::new();
+        let mut lost = Vec::new();
+        let mut to = None;
+        for sequence in out.iter().copied() {
+            let Some(open) = self.calls.get_mut(sequence) else {
+                continue;
+            };
+            let calls::CallStage::Out { address, .. } = open.stage else {
+                continue;
+            };
+            let id = fate::AttemptId {
+                call: ident::CallId {
+                    node: own,
+                    sequence,
+                },
+                attempt: open.attempts,
+            };
+            match begin_quest(open, now) {
+                Some(due) => {
+                    self.timers.set(due, timers::TimerKind::CallFate(sequence));
+                    to = Some(address);
+                    asked.push(fate::AskedAttempt {
+                        id,
+                        age_micros: entry::micros(now.since(open.sent)),
+                        idempotent: open.treatment.idempotent,
+                    });
+                }
+                None => lost.push(sequence),
+            }
+        }
+        self.counters.fates_asked += asked.len() as u64;
+        for attempts in asked.chunks(fate::MOST_ATTEMPTS) {
+            let attempts = attempts.to_vec();
+            let message = fate::FateMessage::Ask { reply_to, attempts };
+            if let Some(to) = to {
+                self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+            }
+        }
+        self.give_up(peer, &lost);
+    }
+
+    /// The node of an attempt should have said what became of it.
+    pub(crate) fn fate_overdue(&mut self, sequence: u64) {
+        let Some(calls::CallStage::Out { peer, .. }) =
+            self.calls.get(sequence).map(|open| open.stage)
+        else {
+            return;
+        };
+        // All that were asked for at once are given up at once, since together they tell less about any
+        // one of them than each would alone.
+        let now = self.now;
+        let mut overdue = self.calls.out_at(peer);
+        overdue.retain(|sequence| {
+            let open = self.calls.get(*sequence);
+            open.and_then(quest_due).is_some_and(|due| due <= now)
+        });
+        self.give_up(peer, &overdue);
+    }
+
+    fn give_up(&mut self, peer: ident::NodeId, lost: &[u64]) {
+        self.counters.fates_lost += lost.len() as u64;
+        self.lose_calls(peer, lost);
+    }
+
+    /// Whether the entry node's own call is still out at `peer` with this attempt.
+    fn waits_for(&self, peer: ident::NodeId, id: fate::AttemptId) -> bool {
+        let open = self.calls.get(id.call.sequence);
+        id.call.node == self.config.node
+            && open.is_some_and(|open| open.attempts == id.attempt && open.is_out_at(peer))
+    }
+
+    /// The target's node holds these attempts of calls of this node.
+    fn runs_held(&mut self, peer: ident::NodeId, reply_to: SocketAddr, held: &[fate::AttemptId]) {
+        for id in held {
+            if self.waits_for(peer, *id) {
+                if let Some(open) = self.calls.get_mut(id.call.sequence) {
+                    open.quest = None;
+                }
+                continue;
+            }
+            // The word that nobody waits any more was lost with the connection.
+            let (call, attempt) = (id.call, id.attempt);
+            self.send_frame(peer, reply_to, frame::PeerFrame::Cancel { call, attempt });
+        }
+    }
+
+    /// The attempts that this node holds for `peer`, and where that one accepts connections.
+    fn held_for(&self, peer: ident::NodeId) -> Vec<(fate::AttemptId, SocketAddr)> {
+        let runs = self.runs.iter().filter(|(_, run)| run.peer == peer);
+        runs.map(|(_, run)| (run.attempt_id(), run.reply_to))
+            .collect()
+    }
+
+    fn tell_held(&mut self, peer: ident::NodeId, to: SocketAddr, held: &[fate::AttemptId]) {
+        let reply_to = self.config.peer_address;
+        for attempts in held.chunks(fate::MOST_ATTEMPTS) {
+            let attempts = attempts.to_vec();
+            let message = fate::FateMessage::Held { reply_to, attempts };
+            self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+        }
+    }
+
+    /// An entry node could not be told what is held for it: tries again, and cancels what it asked for
+    /// once it is taken for gone, since no answer can reach it.
+    fn held_unsent(&mut self, held: &[fate::AttemptId]) {
+        let mut again = Vec::new();
+        let mut to = None;
+        for id in held {
+            let Some(run) = self.runs.of_attempt(*id) else {
+                continue;
+            };
+            let Some(found) = self.runs.get_mut(run) else {
+                continue;
+            };
+            found.untold += 1;
+            if found.untold >= TRIES {
+                self.cancel_run(run);
+                continue;
+            }
+            to = Some((found.peer, found.reply_to));
+            again.push(*id);
+        }
+        if let Some((peer, reply_to)) = to {
+            self.tell_held(peer, reply_to, &again);
+        }
+    }
+
+    /// Tells an entry node what became of its attempts.
+    fn fates_asked(
+        &mut self,
+        peer: ident::NodeId,
+        reply_to: SocketAddr,
+        asked: &[fate::AskedAttempt],
+    ) {
+        let mut held = Vec::new();
+        for attempt in asked.iter().filter(|asked| asked.id.call.node == peer) {
+            if let Some(run) = self.runs.of_attempt(attempt.id) {
+                self.heard_of(run);
+                held.push(attempt.id);
+                continue;
+            }
+            if let Some(kept) = self.kept.get(attempt.id) {
+                let frame = frame::PeerFrame::Answer(Box::new(kept.clone()));
+                self.counters.fates_answered += 1;
+                self.send_frame(peer, reply_to, frame);
+                continue;
+            }
+            let answer = self.unknown_fate(attempt);
+            // Asked once more, the attempt would be found barred and told as "may have run".
+            self.send_answer(peer, reply_to, answer);
+        }
+        self.counters.fates_held += held.len() as u64;
+        if !held.is_empty() {
+            self.tell_held(peer, reply_to, &held);
+        }
+    }
+
+    fn heard_of(&mut self, run: event::RunId) {
+        if let Some(found) = self.runs.get_mut(run) {
+            found.untold = 0;
+        }
+    }
+
+    /// The answer to an attempt that this node neither has nor keeps an answer to.
+    ///
+    /// One that never came is barred before it is told as not run: its frame may still stand unread in
+    /// the connection that ended, and would run after the request went elsewhere.
+    fn unknown_fate(&mut self, asked: &fate::AskedAttempt) -> call::PeerAnswer {
+        self.counters.fates_unknown += 1;
+        let age = Duration::from_micros(asked.age_micros) + CLAIM_PATIENCE;
+        let sent = time::NodeTime(self.now.0.saturating_sub(entry::micros(age)));
+        let guard = match asked.idempotent {
+            true => &mut self.lookups,
+            false => &mut self.repeats,
+        };
+        let standing = guard.standing(asked.id, sent);
+        guard.admit(self.now, asked.id);
+        let verdict = match standing {
+            repeats::AttemptStanding::New => {
+                verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
+            }
+            repeats::AttemptStanding::Seen | repeats::AttemptStanding::Unsure => {
+                verdict::CallVerdict::MayHaveRun(verdict::DoubtReason::ConnectionLost)
+            }
+        };
+        call::PeerAnswer {
+            call: asked.id.call,
+            attempt: asked.id.attempt,
+            verdict,
+            answer: None,
+            retries_spent: 0,
+            failed_below: false,
+            load: self.load_report(NO_KIND),
+        }
+    }
+}
+
+/// Counts one more question about a call; none where it was asked for too often.
+fn begin_quest(open: &mut calls::OpenCall, now: time::NodeTime) -> Option<time::NodeTime> {
+    let quest = open.quest.get_or_insert(calls::FateQuest {
+        since: now,
+        asks: 0,
+    });
+    if quest.asks >= TRIES {
+        return None;
+    }
+    quest.asks += 1;
+    quest_due(open)
+}
+
+/// When a call's node should have said what became of it.
+fn quest_due(open: &calls::OpenCall) -> Option<time::NodeTime> {
+    let patience = match open.treatment.idempotent {
+        true => LOOKUP_PATIENCE,
+        false => CLAIM_PATIENCE,
+    };
+    Some(open.quest?.since + patience)
+}
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -6,11 +6,11 @@
 use anvil_overload::policy;
 use anvil_rules::document;
 use anvil_types::{ident, name, store, time};
-use anvil_wire::frame;
+use anvil_wire::{fate, frame};
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, incarnations, keys, notes,
+    applying, calls, config, counters, directory, effect, event, incarnations, kept, keys, notes,
     overload, repeats, rulebook, runs, stopping, timers,
 };
 
@@ -27,7 +27,12 @@
     pub(crate) directory: directory::PeerDirectory,
     pub(crate) calls: calls::CallTable,
     pub(crate) runs: runs::RunTable,
+    /// Attempts that must not run again.
     pub(crate) repeats: repeats::RepeatGuard,
+    /// The other attempts that came.
+    pub(crate) lookups: repeats::RepeatGuard,
+    /// Answers that may not have reached their entry nodes.
+    pub(crate) kept: kept::AnswerKeep,
     pub(crate) target: Option<runs::LocalTarget>,
     /// The start of the target before the present one, in case that one's word came late.
     pub(crate) former_target: Option<runs::LocalTarget>,
@@ -74,6 +79,8 @@
             calls: calls::CallTable::default(),
             runs: runs::RunTable::default(),
             repeats: repeats::RepeatGuard::default(),
+            lookups: repeats::RepeatGuard::lasting(repeats::LOOKUP_MEMORY),
+            kept: kept::AnswerKeep::default(),
             home: None,
             target: None,
             former_target: None,
@@ -202,7 +209,7 @@
             } => self.call_arrived(handle, *request, &hints),
             event::NodeEvent::CallerGone { handle } => self.caller_gone(handle),
             event::NodeEvent::FrameArrived { peer, frame } => self.frame_arrived(peer, frame),
-            event::NodeEvent::PeerLost { peer } => self.peer_lost(peer),
+            event::NodeEvent::ConnectionLost { peer } => self.connection_lost(peer),
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
             }
@@ -235,7 +242,10 @@
         match frame {
             frame::PeerFrame::Call(call) => self.peer_called(peer, *call),
             frame::PeerFrame::Answer(answer) => self.peer_answered(peer, *answer),
-            frame::PeerFrame::Cancel { call, attempt } => self.attempt_cancelled(call, attempt),
+            frame::PeerFrame::Cancel { call, attempt } => {
+                self.attempt_cancelled(fate::AttemptId { call, attempt });
+            }
+            frame::PeerFrame::Fate(message) => self.fate_arrived(peer, *message),
             frame::PeerFrame::Suspicion(notice) => {
                 self.overload.poison.learn(self.now, &notice);
             }
@@ -251,6 +261,7 @@
             match kind {
                 timers::TimerKind::CallDeadline(sequence) => self.call_expired(sequence),
                 timers::TimerKind::CallRetry(sequence) => self.call_resumes(sequence),
+                timers::TimerKind::CallFate(sequence) => self.fate_overdue(sequence),
                 timers::TimerKind::RunDeadline(run) => self.run_expired(event::RunId(run)),
                 timers::TimerKind::Admission => self.admission_woke(),
                 timers::TimerKind::TargetLease => self.target_lapsed(),
--- a/crates/anvil_core/src/repeats.rs
+++ b/crates/anvil_core/src/repeats.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use anvil_types::{ident, sorted, time};
+use anvil_types::{sorted, time};
+use anvil_wire::fate;
 
 /// How long an attempt is remembered; no frame is under way for longer, since connections that
 /// deliver nothing for a minute are closed.
@@ -13,34 +14,84 @@
 /// two minutes fill less than half of it.
 pub const MEMORY_LIMIT: usize = 16_384;
 
-/// One attempt of one call.
-type AttemptId = (ident::CallId, u16);
+/// How long attempts of requests that may run again are remembered. Nothing runs twice for want of it: it
+/// tells the entry nodes that ask, three seconds at most after a connection ended, what never came.
+pub const LOOKUP_MEMORY: Duration = Duration::from_secs(15);
 
-/// Non-idempotent attempts accepted within [`MEMORY`].
+/// Time without any attempt after which a memory that has just forgotten is not relied on.
+///
+/// Failure: the process is suspended, wakes, and forgets by its clock what came just before. Symptom: it
+/// says of a claim that ran that it never came. Usual pauses between two attempts are far shorter; after
+/// a longer one it says "may have run", which is true of anything.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// What is remembered of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptStanding {
+    /// It came.
+    Seen,
+    /// It never came.
+    New,
+    /// It may have come and been forgotten.
+    Unsure,
+}
+
+/// Attempts accepted within the time that they are remembered.
 ///
 /// Failure: a frame comes twice, the second time after the run has ended, when the table of runs
 /// has forgotten it. Symptom: the action runs twice although its caller sent it once. An entry
 /// node never uses a call and attempt again, so refusing what was seen within the life of any
 /// frame is enough.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RepeatGuard {
-    seen: sorted::SortedTable<AttemptId, ()>,
-    order: VecDeque<(time::NodeTime, AttemptId)>,
+    memory: Duration,
+    seen: sorted::SortedTable<fate::AttemptId, ()>,
+    order: VecDeque<(time::NodeTime, fate::AttemptId)>,
+    /// Whatever came at this time or before it may be forgotten.
+    forgotten: Option<time::NodeTime>,
+    /// When the guard was last asked.
+    last: time::NodeTime,
+}
+
+impl Default for RepeatGuard {
+    /// A guard that remembers for [`MEMORY`].
+    fn default() -> Self {
+        Self::lasting(MEMORY)
+    }
 }
 
 impl RepeatGuard {
+    /// A guard that remembers for `memory`.
+    pub fn lasting(memory: Duration) -> Self {
+        Self {
+            memory,
+            seen: sorted::SortedTable::default(),
+            order: VecDeque::new(),
+            forgotten: None,
+            last: time::NodeTime::START,
+        }
+    }
+
     /// Notes an attempt; tells whether it is new.
-    pub fn admit(&mut self, now: time::NodeTime, call: ident::CallId, attempt: u16) -> bool {
+    pub fn admit(&mut self, now: time::NodeTime, id: fate::AttemptId) -> bool {
         self.forget(now);
-        let id = (call, attempt);
         if self.seen.get(id).is_some() {
             return false;
         }
         self.seen.insert(id, ());
-        self.order.push_back((now + MEMORY, id));
+        self.order.push_back((now, id));
         true
     }
 
+    /// Whether an attempt that was sent at `sent` or later has come.
+    pub fn standing(&self, id: fate::AttemptId, sent: time::NodeTime) -> AttemptStanding {
+        match self.seen.get(id) {
+            Some(()) => AttemptStanding::Seen,
+            None if self.forgotten.is_some_and(|until| sent <= until) => AttemptStanding::Unsure,
+            None => AttemptStanding::New,
+        }
+    }
+
     /// Number of attempts remembered.
     pub fn len(&self) -> usize {
         self.order.len()
@@ -52,12 +103,15 @@
     }
 
     fn forget(&mut self, now: time::NodeTime) {
-        while let Some((until, id)) = self.order.front().copied() {
-            if until > now && self.order.len() < MEMORY_LIMIT {
+        let paused = now.since(self.last) > PAUSE_LIMIT;
+        self.last = now;
+        while let Some((came, id)) = self.order.front().copied() {
+            if now.since(came) < self.memory && self.order.len() < MEMORY_LIMIT {
                 return;
             }
             self.order.pop_front();
             self.seen.remove(id);
+            self.forgotten = Some(if paused { now } else { came });
         }
     }
 }
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -2,7 +2,7 @@
 
 use anvil_overload::{allowance, kind};
 use anvil_types::{context, ident, name, sorted, time, treatment};
-use anvil_wire::call;
+use anvil_wire::{call, fate};
 
 use crate::{event, notes, waits};
 
@@ -67,9 +67,19 @@
     pub waits: waits::CallWaits,
     /// Whether it is queued or running.
     pub stage: RunStage,
+    /// Times that its entry node could not be told that it is held, since it was last heard of.
+    pub untold: u8,
 }
 
 impl TargetRun {
+    /// Which attempt it is.
+    pub fn attempt_id(&self) -> fate::AttemptId {
+        fate::AttemptId {
+            call: self.call,
+            attempt: self.attempt,
+        }
+    }
+
     /// The line that tells of its start, where it must not run without the grant of its key.
     pub fn guarded_note(&self, run: event::RunId) -> Option<notes::KeyedNote> {
         let key = self.context.key.filter(|_| !self.treatment.idempotent)?;
@@ -141,9 +151,9 @@
     }
 
     /// The run of one attempt.
-    pub fn of_attempt(&self, call: ident::CallId, attempt: u16) -> Option<event::RunId> {
+    pub fn of_attempt(&self, id: fate::AttemptId) -> Option<event::RunId> {
         let mut entries = self.runs.iter();
-        let found = entries.find(|(_, run)| run.call == call && run.attempt == attempt);
+        let found = entries.find(|(_, run)| run.attempt_id() == id);
         found.map(|(id, _)| event::RunId(*id))
     }
 
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -1,10 +1,11 @@
 //! The target's node: from another node's call to the answer of the local target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anvil_overload::{allowance, kind};
 use anvil_types::{ident, verdict};
-use anvil_wire::{call, frame};
+use anvil_wire::{call, fate, frame};
 
 use crate::{effect, event, notes, reducer, runs, stopping, timers, waits};
 
@@ -37,6 +38,7 @@
             mark: call.mark,
             deadline,
             stage: runs::RunStage::Queued,
+            untold: 0,
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
             started: None,
             expired: false,
@@ -51,9 +53,15 @@
 
     /// Whether the frame repeats an attempt, which is answered, once, by the first frame's run.
     fn is_repeat(&mut self, call: &call::PeerCall) -> bool {
-        let running = self.runs.of_attempt(call.call, call.attempt).is_some();
-        running
-            || (!call.context.idempotent && !self.repeats.admit(self.now, call.call, call.attempt))
+        let id = fate::AttemptId {
+            call: call.call,
+            attempt: call.attempt,
+        };
+        let guard = match call.context.idempotent {
+            true => &mut self.lookups,
+            false => &mut self.repeats,
+        };
+        !guard.admit(self.now, id)
     }
 
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
@@ -107,11 +115,24 @@
             failed_below: ended.waits.has_failed(),
             load,
         };
-        let frame = frame::PeerFrame::Answer(Box::new(reply));
-        self.send_frame(ended.peer, ended.reply_to, frame);
+        self.send_answer(ended.peer, ended.reply_to, reply);
         self.apply_decisions(decisions);
     }
 
+    /// Answers an attempt of another node, and keeps the answer in case that it does not arrive.
+    pub(crate) fn send_answer(
+        &mut self,
+        peer: ident::NodeId,
+        reply_to: SocketAddr,
+        answer: call::PeerAnswer,
+    ) {
+        if peer != self.config.node {
+            self.kept.keep(self.now, &answer);
+        }
+        let frame = frame::PeerFrame::Answer(Box::new(answer));
+        self.send_frame(peer, reply_to, frame);
+    }
+
     /// Ends the calls that a run left open, since nobody uses their answers any more.
     ///
     /// A stopping node lets them come to their end: a call that is broken off then looks to its
@@ -175,13 +196,13 @@
         }
     }
 
-    pub(crate) fn attempt_cancelled(&mut self, call: ident::CallId, attempt: u16) {
-        if let Some(run) = self.runs.of_attempt(call, attempt) {
+    pub(crate) fn attempt_cancelled(&mut self, id: fate::AttemptId) {
+        if let Some(run) = self.runs.of_attempt(id) {
             self.cancel_run(run);
         }
     }
 
-    fn cancel_run(&mut self, run: event::RunId) {
+    pub(crate) fn cancel_run(&mut self, run: event::RunId) {
         let Some(found) = self.runs.get(run) else {
             return;
         };
@@ -227,8 +248,7 @@
             failed_below: false,
             load,
         };
-        let frame = frame::PeerFrame::Answer(Box::new(reply));
-        self.send_frame(peer, call.reply_to, frame);
+        self.send_answer(peer, call.reply_to, reply);
     }
 }
 
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -8,11 +8,11 @@
 use anvil_core::event;
 use anvil_types::ident;
 use anvil_wire::seal::{ring, stream as sealing};
-use anvil_wire::{codec, frame, pack};
+use anvil_wire::{codec, fate, frame, pack};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use super::{handshake, pulse, stream};
 use crate::{caller, counters, engine};
@@ -48,17 +48,6 @@
     pub frames: mpsc::Sender<frame::PeerFrame>,
     /// When anything last came on it.
     pub pulse: Arc<pulse::LinkPulse>,
-    close: Option<oneshot::Sender<()>>,
-}
-
-impl PeerLink {
-    /// Ends the connection without flushing; what waits is handed back.
-    pub fn close(&mut self) {
-        if let Some(close) = self.close.take() {
-            // A connection that ended by itself needs no telling.
-            let _ = close.send(());
-        }
-    }
 }
 
 /// The connection's side of a [`PeerLink`].
@@ -68,26 +57,22 @@
     pub link: LinkId,
     frames: mpsc::Receiver<frame::PeerFrame>,
     pulse: Arc<pulse::LinkPulse>,
-    close: oneshot::Receiver<()>,
 }
 
 /// Both sides of a new connection to `peer`.
 pub fn pair(peer: ident::NodeId, link: LinkId) -> (PeerLink, LinkParts) {
     let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
-    let (close, closed) = oneshot::channel();
     let pulse = Arc::new(pulse::LinkPulse::default());
     let opened = PeerLink {
         peer,
         link,
         pulse: pulse.clone(),
         frames: sender,
-        close: Some(close),
     };
     let parts = LinkParts {
         link,
         pulse,
         frames: receiver,
-        close: closed,
     };
     (opened, parts)
 }
@@ -244,7 +229,7 @@
     Ok(OpenedStream { stream, sealed })
 }
 
-/// Serves a connection until it breaks, is told to close, or nobody has frames any more.
+/// Serves a connection until it breaks, or nobody has frames any more.
 async fn exchange(
     context: &LinkContext,
     mut writer: FrameWriter,
@@ -255,13 +240,10 @@
         link,
         mut frames,
         pulse,
-        mut close,
     } = parts;
     let end = tokio::select! {
         end = writer.write_until_end(context, &mut frames) => Ok(end),
         received = &mut reading => Err(received),
-        // A node that stopped reading would hold the write, and so the end, up.
-        Ok(()) = &mut close => Ok(WriteEnd::Flushed),
     };
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
@@ -376,7 +358,7 @@
     }
 
     fn append(&mut self, context: &LinkContext, frame: &frame::PeerFrame) {
-        if matches!(frame, frame::PeerFrame::Call(_)) {
+        for _ in 0..answers_due(frame) {
             self.pulse.call_sent();
         }
         let Ok(encoded) = codec::encode_frame(frame) else {
@@ -396,6 +378,18 @@
     }
 }
 
+/// Answers that a frame asks for; the connection is probed while they are due.
+fn answers_due(frame: &frame::PeerFrame) -> usize {
+    match frame {
+        frame::PeerFrame::Call(_) => 1,
+        frame::PeerFrame::Fate(message) => match &**message {
+            fate::FateMessage::Ask { attempts, .. } => attempts.len(),
+            fate::FateMessage::Held { .. } => 0,
+        },
+        _ => 0,
+    }
+}
+
 /// Hands frames to the engine; says at the end whether any came.
 async fn read(
     context: LinkContext,
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -11,13 +11,12 @@
 use super::link;
 use crate::counters;
 
-/// All connections to one node, and what is known of their frames.
+/// All connections to one node.
 ///
-/// Mostly there is one; two arise where both nodes dial at the same moment. The reducer knows
-/// nodes and no connections, so the end of a connection on which answers are due ends the others
-/// too, and only then it is told of the loss. Otherwise a call sent after the first end would count
-/// as lost at the second one, and its caller would be told "may have run" of a request that never
-/// left. The end of one on which nothing is due concerns no call.
+/// Mostly there is one; two arise where both nodes dial at the same moment. The reducer knows nodes and
+/// no connections: where one ends on which answers are due, it asks the other node what became of all
+/// its calls there, over whichever connection is left. The end of one on which nothing is due concerns
+/// no call.
 #[derive(Debug, Default)]
 struct PeerSession {
     /// The one last heard from is sent on, all are read.
@@ -26,8 +25,6 @@
     /// Symptom: callers wait for their deadlines, since only calls are known to be due an answer. A
     /// call's answer goes back on a connection that was alive when the call came.
     links: Vec<link::PeerLink>,
-    /// Whether the remaining connections are being ended.
-    closing: bool,
     /// Frames of which no byte was handed to a socket.
     unsent: Vec<frame::PeerFrame>,
 }
@@ -93,22 +90,19 @@
         };
         session.links.retain(|kept| kept.link != closed.link);
         session.unsent.extend(closed.unsent);
-        let concerned = closed.used && closed.owed;
-        if !concerned && !session.links.is_empty() && !session.closing {
-            let unsent = std::mem::take(&mut session.unsent);
-            return self.reroute(peer, unsent);
+        let unsent = std::mem::take(&mut session.unsent);
+        if session.links.is_empty() {
+            self.sessions.remove(peer);
+            return closing_events(peer, unsent, closed.used);
         }
-        if !session.links.is_empty() {
-            session.close();
-            return Vec::new();
+        let mut events = self.reroute(peer, unsent);
+        if closed.used && closed.owed {
+            events.push(event::NodeEvent::ConnectionLost { peer });
         }
-        let lost = closed.used || session.closing;
-        let unsent = std::mem::take(&mut session.unsent);
-        self.sessions.remove(peer);
-        closing_events(peer, unsent, lost)
+        events
     }
 
-    /// Sends what a connection that never came about held on the one that did.
+    /// Sends what a connection that ended still held on one that is left.
     fn reroute(
         &mut self,
         peer: ident::NodeId,
@@ -144,10 +138,7 @@
 }
 
 impl PeerSession {
-    fn add(&mut self, mut opened: link::PeerLink) {
-        if self.closing {
-            opened.close();
-        }
+    fn add(&mut self, opened: link::PeerLink) {
         self.links.push(opened);
     }
 
@@ -158,8 +149,7 @@
             .iter()
             .rev()
             .max_by_key(|link| link.pulse.last_heard());
-        let current = alive.filter(|_| !self.closing);
-        let Some(current) = current else {
+        let Some(current) = alive else {
             self.unsent.push(frame);
             return Ok(());
         };
@@ -173,29 +163,27 @@
             }
         }
     }
-
-    fn close(&mut self) {
-        self.closing = true;
-        for link in &mut self.links {
-            link.close();
-        }
-    }
 }
 
 /// What the reducer is told when the connections to a node have ended.
 ///
 /// Frames that never left are handed back first: after the loss they would count as possibly run.
+/// Questions about fates are left out there, since a connection that came about and ended is no sign that
+/// the node is gone, and they are asked anew behind the loss.
 fn closing_events(
     peer: ident::NodeId,
-    unsent: Vec<frame::PeerFrame>,
+    mut unsent: Vec<frame::PeerFrame>,
     lost: bool,
 ) -> Vec<event::NodeEvent> {
     let mut events = Vec::new();
+    if lost {
+        unsent.retain(|frame| !matches!(frame, frame::PeerFrame::Fate(_)));
+    }
     if !lost || !unsent.is_empty() {
         events.push(event::NodeEvent::PeerUnreachable { peer, unsent });
     }
     if lost {
-        events.push(event::NodeEvent::PeerLost { peer });
+        events.push(event::NodeEvent::ConnectionLost { peer });
     }
     events
 }
--- /dev/null
+++ b/crates/anvil_node/tests/broken_connections.rs
@@ -0,0 +1,165 @@
+//! Connections between two real nodes that are reset or fall silent, with bids out on them.
+//!
+//! A connection falls silent without a sign, or is reset, and both processes live on: the network forgot
+//! it, a proxy between them restarted. The caller waits at one node for a target at the other. A node
+//! that takes the end of a connection for the end of a process gives up bids that are being filed.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use anvil_node::{node, settings};
+use anvil_standins::{ground, http_target, proxy};
+
+const CALLER: u16 = 8_080;
+const ADMIN: u16 = 8_081;
+const PEER: u16 = 8_082;
+const GOSSIP: u16 = 8_083;
+
+/// Places on the ground: each node has a hidden side that the proxy in front of it leads to.
+const ENTRY: u8 = 0;
+const SERVING: u8 = 1;
+const HIDDEN: u8 = 100;
+
+/// A node whose port for other nodes lies behind a proxy.
+struct ProxiedNode {
+    node: node::RunningNode,
+    link: proxy::HarmProxy,
+}
+
+/// Two nodes, a target beside the second, and everything between them in the hands of the test.
+struct ProxiedPair {
+    entry: ProxiedNode,
+    serving: ProxiedNode,
+    target: http_target::StandInTarget,
+    _runtime: tokio::runtime::Runtime,
+    _ground: ground::LoopbackGround,
+}
+
+fn start(
+    ground: &ground::LoopbackGround,
+    runtime: &tokio::runtime::Handle,
+    place: u8,
+    seed: SocketAddr,
+) -> ProxiedNode {
+    let hidden = ground.port(HIDDEN + place, PEER);
+    let link = proxy::HarmProxy::start(runtime, ground.port(place, PEER), hidden).unwrap();
+    let yaml = format!(
+        "zone: ar-centro-a\nregion: ar-centro\nadvertise: {}\nlisten: {{caller: '{}', admin: '{}', \
+         peer: '{hidden}', gossip: '{}'}}\npeer_keys: [{{id: 1, secret: {}}}]\nseeds: ['{seed}']\n",
+        ground.address(place),
+        ground.port(place, CALLER),
+        ground.port(place, ADMIN),
+        ground.port(place, GOSSIP),
+        common::SECRET,
+    );
+    let settings = settings::parse(&yaml, Path::new("proxied.yaml")).unwrap();
+    let node = node::start(&settings).unwrap();
+    ProxiedNode { node, link }
+}
+
+impl ProxiedPair {
+    fn start() -> Self {
+        let ground = ground::LoopbackGround::claim().unwrap();
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        let entry = start(
+            &ground,
+            runtime.handle(),
+            ENTRY,
+            ground.port(SERVING, GOSSIP),
+        );
+        let serving = start(
+            &ground,
+            runtime.handle(),
+            SERVING,
+            ground.port(ENTRY, GOSSIP),
+        );
+        let target = http_target::StandInTarget::start().unwrap();
+        common::announce(
+            serving.node.bound().admin,
+            target.address(),
+            common::SERVICE,
+        );
+        let pair = Self {
+            entry,
+            serving,
+            target,
+            _runtime: runtime,
+            _ground: ground,
+        };
+        common::await_true("the entry node hears of the target", || {
+            pair.ask("/joined").send().unwrap().status() == 200
+        });
+        pair
+    }
+
+    fn ask(&self, path: &str) -> attohttpc::RequestBuilder {
+        common::request(self.entry.node.bound().caller, "POST", path)
+    }
+
+    fn runs_of(&self, path: &str) -> usize {
+        let seen = self.target.seen();
+        seen.iter().filter(|seen| seen.head.uri == path).count()
+    }
+
+    /// Does `harm` to all connections between the two nodes; new ones work.
+    fn harm(&self, harm: proxy::LinkHarm) {
+        self.entry.link.set(harm);
+        self.serving.link.set(harm);
+    }
+}
+
+/// When the connection breaks, by what the target has done.
+#[derive(Clone, Copy, Debug)]
+enum BreakMoment {
+    /// It is at work.
+    Running,
+    /// Nothing was sent since the connection broke.
+    Idle,
+}
+
+// A bid is out, or comes, on a connection that breaks. The caller gets the answer of the one run, also
+// where its node was asked to stop before: planned work cuts nothing.
+fn check_break(harm: proxy::LinkHarm, moment: BreakMoment, stopping: bool) {
+    const BID: &str = "/slow/1200";
+    let pair = ProxiedPair::start();
+    if matches!(moment, BreakMoment::Idle) {
+        pair.harm(harm);
+    }
+    let request = pair.ask(BID).text("a bid");
+    let asking = thread::spawn(move || {
+        let response = request.send().unwrap();
+        (response.status().as_u16(), response.text().unwrap())
+    });
+    if matches!(moment, BreakMoment::Running) {
+        common::await_true("it runs", || pair.runs_of(BID) == 1);
+    } else {
+        // It is out on the broken connection, where nobody reads it, before the node stops.
+        thread::sleep(Duration::from_millis(100));
+    }
+    if stopping {
+        pair.entry.node.stop();
+    }
+    if matches!(moment, BreakMoment::Running) {
+        pair.harm(harm);
+    }
+    assert_eq!(asking.join().unwrap(), (200, "a bid".to_owned()));
+    assert_eq!(pair.runs_of(BID), 1);
+    assert_eq!(pair.target.abandoned(), 0);
+    pair.serving.node.stop();
+}
+
+anvil_testkit::test_cases! {
+    check_break:
+    reset_while_running => (proxy::LinkHarm::Reset, BreakMoment::Running, false),
+    silenced_while_running => (proxy::LinkHarm::Silenced, BreakMoment::Running, false),
+    silenced_while_idle => (proxy::LinkHarm::Silenced, BreakMoment::Idle, false),
+    reset_while_running_at_a_stop => (proxy::LinkHarm::Reset, BreakMoment::Running, true),
+    silenced_while_running_at_a_stop => (proxy::LinkHarm::Silenced, BreakMoment::Running, true),
+    silenced_while_idle_at_a_stop => (proxy::LinkHarm::Silenced, BreakMoment::Idle, true),
+}
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod mesh;
 pub mod mesh_target;
 pub mod process;
+pub mod proxy;
 pub mod report;
 pub mod scenario;
 pub mod store;
--- a/platform/tests/soak/proxy.rs
+++ b/crates/anvil_standins/src/proxy.rs
@@ -12,7 +12,8 @@
 
 /// What happens to connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum LinkHarm {
+pub enum LinkHarm {
+    /// None.
     #[default]
     None,
     /// Bytes wait for this long.
@@ -32,18 +33,21 @@
 
 /// A proxy in front of one server.
 #[derive(Clone, Debug)]
-pub(crate) struct HarmProxy {
-    pub(crate) address: SocketAddr,
+pub struct HarmProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
     harm: Arc<watch::Sender<HarmState>>,
 }
 
 impl HarmProxy {
     /// Listens at `address` and passes on to `server`, which gets the same port where it has none.
-    pub(crate) fn start(runtime: &Handle, address: SocketAddr, server: SocketAddr) -> Self {
+    ///
+    /// Fails where the address can't be bound.
+    pub fn start(runtime: &Handle, address: SocketAddr, server: SocketAddr) -> io::Result<Self> {
         let _entered = runtime.enter();
-        let listener = std::net::TcpListener::bind(address).unwrap();
-        listener.set_nonblocking(true).unwrap();
-        let address = listener.local_addr().unwrap();
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
         let port = if server.port() == 0 {
             address.port()
         } else {
@@ -52,16 +56,17 @@
         let server = SocketAddr::new(server.ip(), port);
         let harm = Arc::new(watch::Sender::new((0, LinkHarm::None)));
         let told = harm.clone();
-        let listener = TcpListener::from_std(listener).unwrap();
+        let listener = TcpListener::from_std(listener)?;
         runtime.spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 tokio::spawn(join(client, server, told.subscribe()));
             }
         });
-        Self { address, harm }
+        Ok(Self { address, harm })
     }
 
-    pub(crate) fn set(&self, harm: LinkHarm) {
+    /// Does `harm` from now on.
+    pub fn set(&self, harm: LinkHarm) {
         self.harm.send_modify(|state| *state = (state.0 + 1, harm));
     }
 }
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -3,10 +3,10 @@
 use anvil_types::ident;
 use serde::{Deserialize, Serialize};
 
-use crate::{call, gossip, key, suspicion};
+use crate::{call, fate, gossip, key, suspicion};
 
 /// The version of the protocol; nodes of different versions refuse each other's handshake.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// The first frame in each direction of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +39,8 @@
     Suspicion(Box<suspicion::SuspicionNotice>),
     /// Membership and rules in bulk.
     Sync(Box<gossip::SyncMessage>),
+    /// What became of attempts whose connection ended.
+    Fate(Box<fate::FateMessage>),
     /// Asks for a [`PeerFrame::Pong`], since answers are due and nothing came for a while.
     Ping,
     /// Answers a [`PeerFrame::Ping`].
