Ask those that called before a planned stop ends

Change: a node that is done tells the nodes that called within five seconds that it ends; they ask for what they have out there, and get answers once more, or the truth that a call never came. It waits 1.5 s for them at most, where connections work one way there and back.

--- /dev/null
+++ b/crates/anvil_core/src/farewell.rs
@@ -0,0 +1,101 @@
+//! The last word with the nodes that called, before this one ends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::{ident, sorted, time};
+
+/// How long a node that called is remembered. A call that never came, or whose answer was lost, is
+/// noticed by its entry node within a second; older ones have been asked about.
+const CALLED_LATELY: Duration = Duration::from_secs(5);
+
+/// Longest wait for the last word of the others: a connection that is silent shows within a second, and
+/// a new one takes half a second at most. Where connections work it is one way there and back.
+pub const FAREWELL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Most nodes remembered; more than call one target within [`CALLED_LATELY`] at 61 calls a second.
+const CALLERS_LIMIT: usize = 512;
+
+/// A node that called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CallerNode {
+    reply_to: SocketAddr,
+    at: time::NodeTime,
+}
+
+/// Which nodes called lately, and which of them have not said yet that they wait for nothing.
+///
+/// Failure: a connection to an entry node was silenced, and this node answers on it, or a call never came,
+/// and then it ends as planned. Symptom: the entry node notices a moment later and finds nobody to ask, so
+/// that a planned stop costs a request which was answered, or never ran. So those that called are asked
+/// before the end, and are answered once more.
+#[derive(Clone, Debug, Default)]
+pub struct FarewellList {
+    callers: sorted::SortedTable<ident::NodeId, CallerNode>,
+    /// When to end all the same; set once the others have been told.
+    until: Option<time::NodeTime>,
+}
+
+impl FarewellList {
+    /// Takes note of a call.
+    pub fn called(&mut self, now: time::NodeTime, peer: ident::NodeId, reply_to: SocketAddr) {
+        if self.until.is_some() {
+            return;
+        }
+        let known = self.callers.get(peer).is_some();
+        if !known && self.callers.len() >= CALLERS_LIMIT {
+            self.forget(now);
+        }
+        if known || self.callers.len() < CALLERS_LIMIT {
+            self.callers.insert(peer, CallerNode { reply_to, at: now });
+        }
+    }
+
+    /// Begins the farewell; tells when it ends at the latest, and whom to tell, and where.
+    pub fn begin(
+        &mut self,
+        now: time::NodeTime,
+    ) -> (time::NodeTime, Vec<(ident::NodeId, SocketAddr)>) {
+        self.forget(now);
+        let until = now + FAREWELL_LIMIT;
+        self.until = Some(until);
+        let told = self.callers.iter();
+        (
+            until,
+            told.map(|(peer, caller)| (*peer, caller.reply_to))
+                .collect(),
+        )
+    }
+
+    /// Takes note that a node knows, or is gone.
+    pub fn heard(&mut self, peer: ident::NodeId) {
+        if self.until.is_some() {
+            self.callers.remove(peer);
+        }
+    }
+
+    /// Where a node is to be told again, if it is still to answer.
+    pub fn awaited(&self, peer: ident::NodeId) -> Option<SocketAddr> {
+        self.until?;
+        self.callers.get(peer).map(|caller| caller.reply_to)
+    }
+
+    /// Whether the others have been told.
+    pub fn has_begun(&self) -> bool {
+        self.until.is_some()
+    }
+
+    /// Whether nobody is left to answer.
+    pub fn is_over(&self, now: time::NodeTime) -> bool {
+        self.callers.is_empty() || self.until.is_some_and(|until| now >= until)
+    }
+
+    fn forget(&mut self, now: time::NodeTime) {
+        let old = self
+            .callers
+            .keys_where(|caller| now.since(caller.at) >= CALLED_LATELY);
+        for peer in old {
+            self.callers.remove(peer);
+        }
+    }
+}
--- a/crates/anvil_core/src/fates.rs
+++ b/crates/anvil_core/src/fates.rs
@@ -57,6 +57,9 @@
             let held: Vec<fate::AttemptId> = held.into_iter().map(|(id, _)| id).collect();
             self.tell_held(peer, reply_to, &held);
         }
+        if let Some(to) = self.farewell.awaited(peer) {
+            self.tell_leaving(peer, to);
+        }
         self.key_unreachable(peer);
     }
 
@@ -68,6 +71,7 @@
             fate::FateMessage::Held { reply_to, attempts } => {
                 self.runs_held(peer, reply_to, &attempts);
             }
+            fate::FateMessage::Leaving { reply_to } => self.peer_leaving(peer, reply_to),
         }
     }
 
@@ -81,7 +85,30 @@
                 self.ask_fates(peer, &out);
             }
             fate::FateMessage::Held { attempts, .. } => self.held_unsent(&attempts),
+            // Whoever is gone waits for nothing.
+            fate::FateMessage::Leaving { .. } => self.farewell.heard(peer),
+        }
+    }
+
+    /// A node is about to end: asks it for what is out there, while it can still answer.
+    fn peer_leaving(&mut self, peer: ident::NodeId, to: SocketAddr) {
+        let out = self.calls.out_at(peer);
+        if !out.is_empty() {
+            self.ask_fates(peer, &out);
+            return;
         }
+        let message = fate::FateMessage::Ask {
+            reply_to: self.config.peer_address,
+            attempts: Vec::new(),
+        };
+        self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+    }
+
+    /// Tells `peer` that this node is about to end.
+    pub(crate) fn tell_leaving(&mut self, peer: ident::NodeId, to: SocketAddr) {
+        let reply_to = self.config.peer_address;
+        let message = fate::FateMessage::Leaving { reply_to };
+        self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
     }
 
     /// Asks the node of these calls what became of them; ends those that were asked for too often.
@@ -221,6 +248,7 @@
         reply_to: SocketAddr,
         asked: &[fate::AskedAttempt],
     ) {
+        self.farewell.heard(peer);
         let mut held = Vec::new();
         for attempt in asked.iter().filter(|asked| asked.id.call.node == peer) {
             if let Some(run) = self.runs.of_attempt(attempt.id) {
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod effect;
 mod entry;
 pub mod event;
+pub mod farewell;
 mod fates;
 mod fleet;
 pub mod incarnations;
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -10,8 +10,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, incarnations, kept, keys, notes,
-    overload, repeats, rulebook, runs, stopping, timers,
+    applying, calls, config, counters, directory, effect, event, farewell, incarnations, kept,
+    keys, notes, overload, repeats, rulebook, runs, stopping, timers,
 };
 
 /// The whole state of a node and its transition function.
@@ -42,6 +42,8 @@
     pub(crate) lines: notes::NoteBudget,
     pub(crate) phase: stopping::NodePhase,
     pub(crate) stop: stopping::StopPlan,
+    /// The nodes that called lately, and what they are told before this one ends.
+    pub(crate) farewell: farewell::FarewellList,
     pub(crate) incarnations: incarnations::IncarnationBook,
     /// The service that the instance's target should offer, where the settings say so.
     pub(crate) home: Option<name::ServiceName>,
@@ -89,6 +91,7 @@
             lines: notes::NoteBudget::default(),
             phase: stopping::NodePhase::Serving,
             stop: stopping::StopPlan::default(),
+            farewell: farewell::FarewellList::default(),
             incarnations: incarnations::IncarnationBook::default(),
             ready: false,
             effects: Vec::new(),
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -11,6 +11,9 @@
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
+        if peer != self.config.node {
+            self.farewell.called(self.now, peer, call.reply_to);
+        }
         if self.is_repeat(&call) {
             self.counters.calls_repeated += 1;
             return;
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -105,13 +105,26 @@
         };
         let handed_over = self.keys_released() || self.now >= callers_until + keys::HANDOVER_LIMIT;
         let done = self.calls.is_empty() && self.runs.is_empty();
-        if self.now >= callers_until && done && handed_over {
+        if self.now >= callers_until && done && handed_over && self.all_know() {
             self.phase = NodePhase::Gone;
             self.leave_fleet();
             self.effects.push(effect::NodeEffect::Exit);
         }
     }
 
+    /// Whether no node that called lately may still wait for this one; asks them where that is open.
+    fn all_know(&mut self) -> bool {
+        if self.farewell.has_begun() {
+            return self.farewell.is_over(self.now);
+        }
+        let (until, told) = self.farewell.begin(self.now);
+        for (peer, to) in told {
+            self.tell_leaving(peer, to);
+        }
+        self.timers.set(until, timers::TimerKind::Leave);
+        self.farewell.is_over(self.now)
+    }
+
     /// Tells the fleet that this node takes no more runs.
     pub(crate) fn stop_runs(&mut self) {
         if matches!(self.phase, NodePhase::Leaving { .. }) {
--- a/crates/anvil_core/tests/broken_links.rs
+++ b/crates/anvil_core/tests/broken_links.rs
@@ -71,6 +71,7 @@
             }
             effect::NodeEffect::SendFrame { peer, frame, .. } => self.way.push_back((peer, frame)),
             effect::NodeEffect::RunTarget(order) => self.runs.started.push(order.run),
+            effect::NodeEffect::Exit => self.gone.push(node),
             effect::NodeEffect::CancelRun(run) => self.runs.cancelled.push(run),
             effect::NodeEffect::ReplyCaller { handle, reply } => {
                 self.told.push((handle.0, reply.verdict));
@@ -79,6 +80,23 @@
         }
     }
 
+    /// Lets a node act whenever it asks to, up to `span` milliseconds from now, and delivers its frames.
+    fn wait(&mut self, node: ident::NodeId, span: u64) {
+        let until = support::at(self.now + span);
+        loop {
+            let reducer = match node {
+                support::NODE => &self.entry,
+                _ => &self.serving,
+            };
+            let Some(wake) = reducer.next_wake().filter(|wake| *wake <= until) else {
+                break;
+            };
+            self.now = self.now.max(wake.0 / 1_000);
+            self.step(node, event::NodeEvent::Woke);
+            self.deliver();
+        }
+    }
+
     fn call(&mut self, handle: u64, method: &str) {
         self.step(support::NODE, support::arrival(handle, method));
     }
@@ -298,3 +316,61 @@
     pair.deliver();
     assert_eq!(pair.runs.cancelled, pair.runs.started);
 }
+
+/// What was lost in a connection that nobody knows to be silent.
+#[derive(Clone, Copy, Debug)]
+enum SilentLoss {
+    Call,
+    Answer,
+}
+
+// A connection has gone silent without a sign, and took a claim, or the answer to it, along. The
+// target's node is then stopped as planned, and has nothing to do any more. Before it ends it asks those
+// that called; the clerk hears the answer, or the claim goes to another target, as it never ran.
+fn check_leaving(loss: SilentLoss) {
+    let mut pair = LinkedPair::new(8);
+    pair.call(9, "POST");
+    pair.deliver();
+    pair.end_run(0);
+    pair.deliver();
+    pair.call(1, "POST");
+    if matches!(loss, SilentLoss::Answer) {
+        pair.deliver();
+        pair.end_run(1);
+    }
+    pair.way.clear();
+    pair.step(support::PEER, event::NodeEvent::StopRequested);
+    pair.wait(support::PEER, 4_000);
+    assert_eq!(pair.gone, [support::PEER]);
+    match (loss, pair.verdict(1)) {
+        (SilentLoss::Answer, told) => assert_eq!(told, Some(verdict::CallVerdict::Answered)),
+        (SilentLoss::Call, told) => {
+            assert!(
+                matches!(told, Some(verdict::CallVerdict::NotRun(_))),
+                "{told:?}"
+            );
+            assert_eq!(pair.runs.started.len(), 1);
+        }
+    }
+}
+
+anvil_testkit::test_cases! {
+    check_leaving:
+    with_a_claim_lost => (SilentLoss::Call),
+    with_an_answer_lost => (SilentLoss::Answer),
+}
+
+// Its caller's node is gone, and nobody answers the last word. The stop takes no longer for that than
+// its limit.
+#[test]
+fn a_leaving_node_waits_for_no_lost_process() {
+    let mut pair = LinkedPair::new(8);
+    pair.call(1, "POST");
+    pair.deliver();
+    pair.end_run(0);
+    pair.deliver();
+    pair.gone.push(support::NODE);
+    pair.step(support::PEER, event::NodeEvent::StopRequested);
+    pair.wait(support::PEER, 2_000);
+    assert_eq!(pair.gone, [support::NODE, support::PEER]);
+}
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -384,6 +384,7 @@
         frame::PeerFrame::Call(_) => 1,
         frame::PeerFrame::Fate(message) => match &**message {
             fate::FateMessage::Ask { attempts, .. } => attempts.len(),
+            fate::FateMessage::Leaving { .. } => 1,
             fate::FateMessage::Held { .. } => 0,
         },
         _ => 0,
--- a/crates/anvil_wire/src/fate.rs
+++ b/crates/anvil_wire/src/fate.rs
@@ -49,6 +49,12 @@
         #[serde(deserialize_with = "bounded::list::<_, _, MOST_ATTEMPTS>")]
         attempts: Vec<AskedAttempt>,
     },
+    /// The sender is about to end. The receiver asks at once for what it has out there, if only to say
+    /// that it is nothing.
+    Leaving {
+        /// Where the sender accepts the question.
+        reply_to: SocketAddr,
+    },
     /// The target's node tells which attempts of the receiver it still has, queued or running; the
     /// receiver cancels those that it does not wait for.
     Held {
