Ask in one place whether a call still waits for an attempt

Cause: the check that an answer must pass (node, call, attempt and sender agree) stood in peer_answered, was written again for questions about fates, and stood a third time, without the node, for frames that never left. Call ids, attempt ids and the frame around a message about fates were put together by hand in a dozen places, and close_key looked for the same key twice. experiment::run had no caller left, and a session's add was one line.

Change: waits_for serves all three; call_id, attempt_id and send_fate build the rest; the dead function and the one-line method are gone. For frames that never left the node is compared as well, which changes nothing, since a node sends calls of its own only.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -6,7 +6,7 @@
 use anvil_overload::{kind, refusal, routing};
 use anvil_rules::destination;
 use anvil_types::{ident, name, treatment, verdict};
-use anvil_wire::{call, frame};
+use anvil_wire::{call, fate, frame};
 
 use crate::{calls, effect, event, notes, reducer, rulebook, settling, timers};
 
@@ -241,14 +241,9 @@
 
     pub(crate) fn peer_answered(&mut self, peer: ident::NodeId, answer: call::PeerAnswer) {
         let sequence = answer.call.sequence;
-        let open = self.calls.get(sequence).filter(|open| {
-            // An answer late by an attempt, repeated, or sent to another incarnation of this
-            // node would reach the wrong caller; call, attempt and sender must all agree.
-            answer.call.node == self.config.node
-                && open.attempts == answer.attempt
-                && open.is_out_at(peer)
-        });
-        if open.is_none() {
+        // An answer late by an attempt, repeated, or sent to another incarnation of this node would
+        // reach the wrong caller.
+        if !self.waits_for(peer, answer.attempt_id()) {
             self.counters.answers_stale += 1;
             return;
         }
@@ -306,10 +301,7 @@
         let calls::CallStage::Out { peer, address } = open.stage else {
             return;
         };
-        let call = ident::CallId {
-            node: self.config.node,
-            sequence,
-        };
+        let call = self.call_id(sequence);
         let attempt = open.attempts;
         let expired = open.deadline <= self.now;
         self.attempt_given_up(sequence, peer, expired);
@@ -319,6 +311,22 @@
         self.send_frame(peer, address, frame::PeerFrame::Cancel { call, attempt });
     }
 
+    /// The identity of a call of this node.
+    pub(crate) fn call_id(&self, sequence: u64) -> ident::CallId {
+        ident::CallId {
+            node: self.config.node,
+            sequence,
+        }
+    }
+
+    /// Whether a call of this node is still out at `peer` with this attempt: node, call, attempt and
+    /// sender must all agree.
+    pub(crate) fn waits_for(&self, peer: ident::NodeId, id: fate::AttemptId) -> bool {
+        let open = self.calls.get(id.call.sequence);
+        id.call.node == self.config.node
+            && open.is_some_and(|open| open.attempts == id.attempt && open.is_out_at(peer))
+    }
+
     /// Ends what was out at a node whose process is gone, and what it had asked for.
     pub(crate) fn peer_lost(&mut self, peer: ident::NodeId) {
         let lost = self.calls.out_at(peer);
@@ -349,11 +357,7 @@
                 _ => continue,
             };
             let sequence = call.call.sequence;
-            let current = self
-                .calls
-                .get(sequence)
-                .is_some_and(|open| open.attempts == call.attempt && open.is_out_at(peer));
-            if current {
+            if self.waits_for(peer, call.attempt_id()) {
                 self.attempt_unsent(sequence, peer);
                 self.attempt_ended(sequence, not_run(verdict::RefusalReason::Unreachable), None);
             }
--- a/crates/anvil_core/src/fates.rs
+++ b/crates/anvil_core/src/fates.rs
@@ -101,6 +101,10 @@
             reply_to: self.config.peer_address,
             attempts: Vec::new(),
         };
+        self.send_fate(peer, to, message);
+    }
+
+    fn send_fate(&mut self, peer: ident::NodeId, to: SocketAddr, message: fate::FateMessage) {
         self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
     }
 
@@ -108,35 +112,30 @@
     pub(crate) fn tell_leaving(&mut self, peer: ident::NodeId, to: SocketAddr) {
         let reply_to = self.config.peer_address;
         let message = fate::FateMessage::Leaving { reply_to };
-        self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+        self.send_fate(peer, to, message);
     }
 
     /// Asks the node of these calls what became of them; ends those that were asked for too often.
     fn ask_fates(&mut self, peer: ident::NodeId, out: &[u64]) {
-        let (own, reply_to, now) = (self.config.node, self.config.peer_address, self.now);
+        let (reply_to, now) = (self.config.peer_address, self.now);
         let mut asked = Vec::new();
         let mut lost = Vec::new();
         let mut to = None;
         for sequence in out.iter().copied() {
+            let call = self.call_id(sequence);
             let Some(open) = self.calls.get_mut(sequence) else {
                 continue;
             };
             let calls::CallStage::Out { address, .. } = open.stage else {
                 continue;
             };
-            let id = fate::AttemptId {
-                call: ident::CallId {
-                    node: own,
-                    sequence,
-                },
-                attempt: open.attempts,
-            };
+            let attempt = open.attempts;
             match begin_quest(open, now) {
                 Some(due) => {
                     self.timers.set(due, timers::TimerKind::CallFate(sequence));
                     to = Some(address);
                     asked.push(fate::AskedAttempt {
-                        id,
+                        id: fate::AttemptId { call, attempt },
                         age_micros: entry::micros(now.since(open.sent)),
                         idempotent: open.treatment.idempotent,
                     });
@@ -149,7 +148,7 @@
             let attempts = attempts.to_vec();
             let message = fate::FateMessage::Ask { reply_to, attempts };
             if let Some(to) = to {
-                self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+                self.send_fate(peer, to, message);
             }
         }
         self.give_up(peer, &lost);
@@ -178,13 +177,6 @@
         self.lose_calls(peer, lost);
     }
 
-    /// Whether the entry node's own call is still out at `peer` with this attempt.
-    fn waits_for(&self, peer: ident::NodeId, id: fate::AttemptId) -> bool {
-        let open = self.calls.get(id.call.sequence);
-        id.call.node == self.config.node
-            && open.is_some_and(|open| open.attempts == id.attempt && open.is_out_at(peer))
-    }
-
     /// The target's node holds these attempts of calls of this node.
     fn runs_held(&mut self, peer: ident::NodeId, reply_to: SocketAddr, held: &[fate::AttemptId]) {
         for id in held {
@@ -212,7 +204,7 @@
         for attempts in held.chunks(fate::MOST_ATTEMPTS) {
             let attempts = attempts.to_vec();
             let message = fate::FateMessage::Held { reply_to, attempts };
-            self.send_frame(peer, to, frame::PeerFrame::Fate(Box::new(message)));
+            self.send_fate(peer, to, message);
         }
     }
 
--- a/crates/anvil_core/src/kept.rs
+++ b/crates/anvil_core/src/kept.rs
@@ -78,10 +78,7 @@
         }
         self.bytes += bytes;
         self.forget(now);
-        let id = fate::AttemptId {
-            call: answer.call,
-            attempt: answer.attempt,
-        };
+        let id = answer.attempt_id();
         let until = now + self.bounds.span;
         self.order.push_back(KeptPlace { until, id, bytes });
         self.answers.insert(id, answer.clone());
--- a/crates/anvil_core/src/keys.rs
+++ b/crates/anvil_core/src/keys.rs
@@ -100,6 +100,7 @@
 
     /// Asks for the key of a call that needs one; returns whether the call waits for it.
     pub(crate) fn ask_key(&mut self, sequence: u64) -> bool {
+        let call = self.call_id(sequence);
         let Some(open) = self.calls.get_mut(sequence) else {
             return false;
         };
@@ -108,10 +109,7 @@
         };
         open.stage = calls::CallStage::Asking;
         let ask = moment::KeyEvent::Ask {
-            call: ident::CallId {
-                node: self.config.node,
-                sequence,
-            },
+            call,
             key,
             print: open.context.print,
             wait: open.deadline.since(self.now).min(KEY_WAIT),
@@ -129,10 +127,7 @@
         else {
             return;
         };
-        let call = ident::CallId {
-            node: self.config.node,
-            sequence,
-        };
+        let call = self.call_id(sequence);
         self.tell(effect::StateChange::KeyedCall(Box::new(notes::KeyedNote {
             root,
             key,
@@ -149,28 +144,20 @@
         verdict: verdict::CallVerdict,
         answer: Option<&call::CallAnswer>,
     ) {
-        if !self.keys.guarded || open.guarded_key().is_none() {
+        let Some(key) = open.guarded_key().filter(|_| self.keys.guarded) else {
             return;
-        }
-        let call = ident::CallId {
-            node: self.config.node,
-            sequence,
         };
+        let call = self.call_id(sequence);
         if open.stage == calls::CallStage::Asking {
             self.step_keys(moment::KeyEvent::Abandon { call });
             return;
         }
-        if let Some(key) = open.guarded_key() {
-            let root = open.context.request;
-            let step = notes::KeyedStep::Settled { verdict };
-            let note = notes::KeyedNote {
-                root,
-                key,
-                call,
-                step,
-            };
-            self.tell(effect::StateChange::KeyedCall(Box::new(note)));
-        }
+        self.tell(effect::StateChange::KeyedCall(Box::new(notes::KeyedNote {
+            root: open.context.request,
+            key,
+            call,
+            step: notes::KeyedStep::Settled { verdict },
+        })));
         let end = call_end(verdict, answer);
         self.step_keys(moment::KeyEvent::Ended { call, end });
     }
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -56,12 +56,8 @@
 
     /// Whether the frame repeats an attempt, which is answered, once, by the first frame's run.
     fn is_repeat(&mut self, call: &call::PeerCall) -> bool {
-        let id = fate::AttemptId {
-            call: call.call,
-            attempt: call.attempt,
-        };
         let record = self.memory.of(call.context.idempotent);
-        !record.came.admit(self.now, id)
+        !record.came.admit(self.now, call.attempt_id())
     }
 
     pub(crate) fn run_ended(&mut self, run: event::RunId, outcome: event::RunOutcome) {
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -17,7 +17,7 @@
 /// no connections: where one ends on which answers are due, it asks the other node what became of all
 /// its calls there, over whichever connection is left. The end of one on which nothing is due concerns
 /// no call.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PeerSession {
     /// The one last heard from is sent on, all are read.
     ///
@@ -74,11 +74,13 @@
     pub fn adopt(&mut self, opened: link::PeerLink) {
         let peer = opened.peer;
         if let Some(session) = self.sessions.get_mut(peer) {
-            session.add(opened);
+            session.links.push(opened);
             return;
         }
-        let mut session = PeerSession::default();
-        session.add(opened);
+        let session = PeerSession {
+            links: vec![opened],
+            unsent: Vec::new(),
+        };
         self.sessions.insert(peer, session);
     }
 
@@ -138,10 +140,6 @@
 }
 
 impl PeerSession {
-    fn add(&mut self, opened: link::PeerLink) {
-        self.links.push(opened);
-    }
-
     /// Hands the frame back where the queue is full.
     fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
         let alive = self
--- a/crates/anvil_standins/src/experiment.rs
+++ b/crates/anvil_standins/src/experiment.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eyre::{WrapErr, ensure};
 
-use crate::{client, ground, ledger, load, mesh, mesh_target, process, report, scenario};
+use crate::{client, ground, ledger, load, mesh, mesh_target, process, scenario};
 
 mod faults;
 
@@ -85,13 +85,6 @@
     client: client::KeptClient,
 }
 
-/// Runs the scenario and sums up what it showed.
-pub async fn run(plan: ExperimentPlan) -> eyre::Result<report::RunReport> {
-    let scenario = Arc::clone(&plan.scenario);
-    let ledger = run_recorded(plan).await?;
-    Ok(report::RunReport::of(&ledger, &scenario))
-}
-
 /// Runs the scenario and returns everything recorded.
 pub async fn run_recorded(plan: ExperimentPlan) -> eyre::Result<Arc<ledger::RunLedger>> {
     let mut mesh = RunningMesh::start(plan).await?;
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::bounded;
+use crate::{bounded, fate};
 
 /// Most header lines of one request or answer that a node takes from another.
 pub const HEADER_LINES: usize = 1_024;
@@ -101,6 +101,16 @@
     pub request: CallRequest,
 }
 
+impl PeerCall {
+    /// Which attempt it is.
+    pub fn attempt_id(&self) -> fate::AttemptId {
+        fate::AttemptId {
+            call: self.call,
+            attempt: self.attempt,
+        }
+    }
+}
+
 /// The end of one attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerAnswer {
@@ -120,3 +130,13 @@
     /// Load of the answering node's target.
     pub load: LoadReport,
 }
+
+impl PeerAnswer {
+    /// The attempt that it answers.
+    pub fn attempt_id(&self) -> fate::AttemptId {
+        fate::AttemptId {
+            call: self.call,
+            attempt: self.attempt,
+        }
+    }
+}
