Compare members with a peer that serves before serving

Symptom: during rolling restarts a claim fails for good, since its run calls a service that the node beside it does not know (not-run: unknown-service). Log: "joined: members=7" of 16, ready 4 ms later.

Cause: a newborn joined by another newborn and was ready as soon as it had compared its rules. Its first digest went to a member that had not heard of it, which had no address to answer to, so the rest of the fleet came with the next digest, seconds later.

Change: readiness also waits for one comparison of members with a peer that serves. A newcomer's digest carries its own claim, and is answered also where nothing differs. Three fresh peers, or two seconds, end the wait.

Test: anvil_membership, newcomers: six runs of 48 restarts in a fleet of 16. After it all six hold. Two tests of two nodes with a played peer waited for a service only; the peer now also answers the comparison, as every node does.

Ruled out: asking those first that let the newcomer in: the seed of 100 joiners then sends 123 bulk messages, more than the bound of 60 in many_joiners_at_once_all_learn_the_fleet.

--- a/crates/anvil_membership/examples/capacity/fed.rs
+++ b/crates/anvil_membership/examples/capacity/fed.rs
@@ -355,7 +355,11 @@
         let other = self.living();
         let sums = theirs;
         let head = self.head(other);
-        let digest = gossip::SyncMessage::Digest { head, sums };
+        let digest = gossip::SyncMessage::Digest {
+            head,
+            sums,
+            sender: Vec::new(),
+        };
         self.later(9_000, Inbound::Sync(other, digest));
     }
 
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -11,13 +11,14 @@
 
 use crate::{
     asking, census, config, contact, counters, effect, health, member, probe, pushing, random,
-    relay, snapshot, spread, suspicion, table,
+    relay, roster, snapshot, spread, suspicion, table,
 };
 
 mod asks;
 mod claims;
 mod contacts;
 mod counting;
+mod newcomer;
 mod probing;
 mod proposing;
 mod rules;
@@ -101,6 +102,7 @@
     asks: asking::OpenAsks,
     contacts: contact::ContactState,
     rules: spread::RuleSpread,
+    roster: roster::RosterCheck,
     snapshot: snapshot::SnapshotState,
     census: census::CensusState,
     table: table::MemberTable,
@@ -139,6 +141,10 @@
         let first_snapshot = choice.below(spread::SNAPSHOT_EVERY as usize) as u64;
         let first_snapshot = ident::RuleRevision(spread::SNAPSHOT_EVERY + first_snapshot);
         let rules = spread::RuleSpread::new(now, config.store, !config.seeds.is_empty());
+        let mut roster = roster::RosterCheck::new(!config.store && config.seeds.is_empty());
+        if !config.seeds.is_empty() {
+            roster.expect_others(now);
+        }
         let mut state = Self {
             pushing: pushing::PushState::new(&config, now),
             config,
@@ -154,6 +160,7 @@
             asks: asking::OpenAsks::default(),
             contacts: contact::ContactState::new(first_find, first_look),
             rules,
+            roster,
             snapshot: snapshot::SnapshotState::new(first_snapshot),
             census: census::CensusState::default(),
             table: table::MemberTable::default(),
@@ -175,6 +182,7 @@
     pub fn use_store(&mut self, now: time::NodeTime) {
         self.config.store = true;
         self.rules = spread::RuleSpread::new(now, true, !self.config.seeds.is_empty());
+        self.roster = roster::RosterCheck::new(false);
     }
 
     /// Lets the node take its rules from one key of the store, which the operators write; to be
@@ -315,6 +323,7 @@
         }
         self.note_pause(now, &mut out);
         self.woke = now;
+        self.compare_when_due(now);
         self.join_when_due(now, &mut out);
         self.probe_when_due(now, &mut out);
         self.judge_suspects(now, &mut out);
@@ -351,7 +360,8 @@
         let rules = self.rules_next();
         let census = self.census.next_wake();
         let storm = timers.storm_sync;
-        let others = [suspect, push, asks, rules, census, storm];
+        let compare = self.roster.next_wake();
+        let others = [suspect, push, asks, rules, census, storm, compare];
         let others = others.into_iter().flatten();
         // A due time that nothing moves on would make the reducer spin; it costs a thousand wakes
         // a second at most.
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -134,7 +134,10 @@
             self.contacts.find_at = time::NodeTime(u64::MAX);
         }
         if strangers.is_empty() && !self.joined {
+            self.roster.finish();
             self.read_log_soon(now);
+        } else {
+            self.roster.expect_others(now);
         }
     }
 
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -77,6 +77,7 @@
         if !self.joined {
             self.joined = true;
             self.timers.sync = now;
+            self.roster.expect_others(now);
             let members = self.table.live();
             let report = crate::effect::FleetReport::Joined { members };
             out.push(effect::FleetEffect::Report(report));
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -12,10 +12,11 @@
 const DATAGRAM_BYTES: usize = 900;
 
 impl fleet::FleetState {
-    /// Whether work may be served: the revision held was compared with peers or with the store.
+    /// Whether work may be served: the revision held was compared with peers or with the store, and
+    /// the members known with a peer's.
     ///
     /// A newcomer that served at once would treat requests by rules that its peers have left
-    /// behind, seconds or days ago.
+    /// behind, seconds or days ago, and refuse services of whose targets it has not heard.
     pub fn is_ready(&self) -> bool {
         self.rules.ready
     }
@@ -385,8 +386,9 @@
         self.ask(now, asking::AskPurpose::WatchLog, ask, out);
     }
 
-    fn become_ready(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        if self.rules.ready || !self.has_compared(now) {
+    pub(super) fn become_ready(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
+        let compared = self.roster.is_compared() && self.has_compared(now);
+        if self.rules.ready || !compared {
             return;
         }
         self.rules.ready = true;
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, time};
 use anvil_wire::gossip;
 
-use crate::{digest, effect, fleet, member};
+use crate::{digest, effect, fleet, member, roster};
 
 /// Time between two attempts to join.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,16 +46,26 @@
             self.hear_revision(now, from, message.head(), &mut out);
         }
         match message {
-            gossip::SyncMessage::Digest { sums, .. } => self.on_digest(peer, sums, &mut out),
+            gossip::SyncMessage::Digest { head, sums, sender } => {
+                for update in sender {
+                    self.apply(now, update, &mut out);
+                }
+                self.on_digest(*head, sums, &mut out);
+            }
             gossip::SyncMessage::Headers {
+                head,
                 buckets,
                 differing,
                 headers,
-                ..
-            } => self.on_headers(peer, *buckets, differing, headers, &mut out),
+            } => {
+                let headers = (*buckets, &differing[..], &headers[..]);
+                self.on_headers(now, *head, headers, &mut out);
+            }
             gossip::SyncMessage::Members {
-                updates, wanted, ..
-            } => self.on_members(now, peer, updates, wanted, &mut out),
+                head,
+                updates,
+                wanted,
+            } => self.on_members(now, *head, updates, wanted, &mut out),
             gossip::SyncMessage::Changes {
                 snapshot, changes, ..
             } => {
@@ -114,23 +124,33 @@
         let newcomer = self.table.live() <= NEWCOMER_MEMBERS;
         // A node that starts among many that start has only the part that its first peer knew.
         let hasty = newcomer || self.early_syncs > 0;
-        let interval = if hasty {
-            self.config.sync_interval / 10
-        } else {
-            self.config.sync_interval
+        let compared = self.roster.is_compared();
+        let interval = match (compared, hasty) {
+            (false, _) => roster::ASK_AGAIN,
+            (true, true) => self.config.sync_interval / 10,
+            (true, false) => self.config.sync_interval,
         };
         self.timers.sync = now + interval + self.choice.span(interval / 4);
-        let Some(peer) = self.sync_partner() else {
+        let partner = if compared {
+            self.sync_partner()
+        } else {
+            self.compared_partner()
+        };
+        let Some(peer) = partner else {
             return;
         };
-        self.early_syncs = self.early_syncs.saturating_sub(1);
+        if compared {
+            self.early_syncs = self.early_syncs.saturating_sub(1);
+        }
         let sums = if newcomer {
             Vec::new()
         } else {
             digest::sums(&self.table, digest::bucket_count(self.table.live()))
         };
         let head = self.head();
-        self.send_sync(peer, gossip::SyncMessage::Digest { head, sums }, out);
+        let sender = self.introduction();
+        let digest = gossip::SyncMessage::Digest { head, sums, sender };
+        self.send_sync(peer, digest, out);
     }
 
     /// With whom digests are compared next: a random member at first, then one of a few.
@@ -180,7 +200,13 @@
         self.table.trim(before, self.config.tombstone_limit);
     }
 
-    fn on_digest(&mut self, peer: ident::NodeId, sums: &[u32], out: &mut Vec<effect::FleetEffect>) {
+    fn on_digest(
+        &mut self,
+        head: gossip::GossipHead,
+        sums: &[u32],
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        let peer = head.from;
         if sums.is_empty() {
             self.send_everything(peer, out);
             return;
@@ -192,7 +218,8 @@
         let pairs = own.iter().zip(sums).enumerate();
         let differing = pairs.filter(|(_, (own, theirs))| own != theirs);
         let differing: Vec<u32> = differing.map(|(place, _)| place as u32).collect();
-        if differing.is_empty() {
+        // A newcomer waits to hear that it knows all.
+        if differing.is_empty() && head.ready {
             return;
         }
         let headers = digest::headers(&self.table, sums.len(), &differing);
@@ -213,10 +240,9 @@
 
     fn on_headers(
         &mut self,
-        peer: ident::NodeId,
-        buckets: u32,
-        differing: &[u32],
-        headers: &[gossip::MemberHeader],
+        now: time::NodeTime,
+        head: gossip::GossipHead,
+        (buckets, differing, headers): (u32, &[u32], &[gossip::MemberHeader]),
         out: &mut Vec<effect::FleetEffect>,
     ) {
         if !digest::is_bucket_count(buckets as usize) {
@@ -243,16 +269,19 @@
                 Some(_) => {}
             }
         }
+        if wanted.is_empty() {
+            self.members_compared(now, head, out);
+        }
         if telling.is_empty() && wanted.is_empty() {
             return;
         }
-        self.send_claims(peer, &telling, wanted, out);
+        self.send_claims(head.from, &telling, wanted, out);
     }
 
     fn on_members(
         &mut self,
         now: time::NodeTime,
-        peer: ident::NodeId,
+        head: gossip::GossipHead,
         updates: &[gossip::MemberUpdate],
         wanted: &[ident::NodeId],
         out: &mut Vec<effect::FleetEffect>,
@@ -262,10 +291,14 @@
             self.apply(now, update, out);
         }
         self.repeating = true;
+        // A part that is full has another one behind it.
+        if updates.len() < gossip::BULK_LIMIT {
+            self.members_compared(now, head, out);
+        }
         let mut telling = self.ended_since(updates);
         telling.extend(wanted);
         if !telling.is_empty() {
-            self.send_claims(peer, &telling, Vec::new(), out);
+            self.send_claims(head.from, &telling, Vec::new(), out);
         }
     }
 
--- a/crates/anvil_membership/src/lib.rs
+++ b/crates/anvil_membership/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pushing;
 pub mod random;
 pub mod relay;
+pub mod roster;
 pub mod rule_log;
 pub mod snapshot;
 pub mod spread;
--- /dev/null
+++ b/crates/anvil_membership/src/roster.rs
@@ -0,0 +1,73 @@
+//! Whether the members that a fresh node knows were compared with a peer that knows the fleet.
+
+use std::time::Duration;
+
+use anvil_types::{ident, time};
+
+/// Peers that are as fresh as this node and that it compares with before it takes their common
+/// knowledge for all there is; whole fleets start together too.
+pub const NEWCOMERS_COMPARED: usize = 3;
+
+/// Time after which a fresh node asks another peer for its members.
+pub const ASK_AGAIN: Duration = Duration::from_millis(200);
+
+/// Longest wait for a comparison, from the first sign of others on.
+pub const COMPARE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Whether the members that a fresh node knows were compared.
+///
+/// Failure: a node joins through another one that has just started, which knows a part of the fleet.
+/// Symptom: callers are refused services that dozens of targets offer, until the next exchange of
+/// digests seconds later. A peer that serves has compared its own members, so one exchange with it is
+/// enough.
+#[derive(Clone, Debug)]
+pub struct RosterCheck {
+    compared: bool,
+    newcomers: Vec<ident::NodeId>,
+    begin_at: Option<time::NodeTime>,
+}
+
+impl RosterCheck {
+    /// Waits for a comparison; a node that is `alone` has none to wait for.
+    pub fn new(alone: bool) -> Self {
+        Self {
+            compared: alone,
+            newcomers: Vec::new(),
+            begin_at: None,
+        }
+    }
+
+    /// Whether the members known are those of the fleet, as far as this node can find out.
+    pub fn is_compared(&self) -> bool {
+        self.compared
+    }
+
+    /// Peers that answered and do not know the fleet either.
+    pub fn newcomers(&self) -> &[ident::NodeId] {
+        &self.newcomers
+    }
+
+    /// Notes the first sign of others, from which the wait for them is counted.
+    pub fn expect_others(&mut self, now: time::NodeTime) {
+        self.begin_at.get_or_insert(now + COMPARE_LIMIT);
+    }
+
+    /// Notes that nothing is missing, or that nobody is there to tell.
+    pub fn finish(&mut self) {
+        self.compared = true;
+        self.newcomers.clear();
+        self.begin_at = None;
+    }
+
+    /// Notes a comparison with a peer that does not know the fleet either.
+    pub fn note_newcomer(&mut self, peer: ident::NodeId) {
+        if !self.newcomers.contains(&peer) {
+            self.newcomers.push(peer);
+        }
+    }
+
+    /// When the wait is over.
+    pub fn next_wake(&self) -> Option<time::NodeTime> {
+        self.begin_at.filter(|_| !self.compared)
+    }
+}
--- /dev/null
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -0,0 +1,126 @@
+//! What a node that has just started knows of the fleet when it begins to serve.
+
+use std::time::Duration;
+
+use anvil_membership::fleet;
+use anvil_testkit::test_cases;
+use anvil_types::{ident, store};
+use anvil_wire::gossip;
+
+mod harness;
+
+use harness::Net;
+
+/// Nodes of the fleet.
+const SIZE: usize = 16;
+
+/// Restarts of one run.
+const RESTARTS: usize = 48;
+
+/// Within this the fleet knows a newcomer; younger members may be missed.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Longest time from the start of a process to its first request, with all peers and the store well.
+const START_LIMIT: Duration = Duration::from_secs(2);
+
+const KEY: &str = "rules-of-the-operator";
+
+/// How the nodes of a fleet learn their rules.
+#[derive(Clone, Copy)]
+enum RuleSource {
+    /// From the log that the nodes keep in the store.
+    Log,
+    /// From one key of the store, which the operators write.
+    Document,
+}
+
+fn write_rules(net: &mut Net) {
+    let rules = gossip::LoggedChange {
+        revision: ident::RuleRevision(1),
+        change: 0,
+        body: 1_u128.to_le_bytes().to_vec().into(),
+    };
+    let ask = store::StoreAsk::Swap {
+        key: store::StoreKey::new(KEY),
+        base: store::SwapBase::Absent,
+        value: rules.to_value().expect("it can be encoded"),
+        lease: None,
+    };
+    let nobody = store::StoreId {
+        part: store::StorePart::Keys,
+        sequence: 1,
+    };
+    let now = net.now;
+    net.store.carry_out(now, (0, nobody), &ask);
+}
+
+fn add(net: &mut Net, slot: usize, rules: RuleSource) -> usize {
+    let index = net.add_at(slot, slot % 4, &harness::with_store());
+    if let RuleSource::Document = rules {
+        let now = net.now;
+        let key = store::StoreKey::new(KEY);
+        net.nodes[index].state.use_document(now, key);
+    }
+    index
+}
+
+/// A fleet whose nodes know each other, and when each of them started.
+fn fleet(seed: u64, rules: RuleSource) -> Net {
+    let mut net = Net::new(seed);
+    write_rules(&mut net);
+    for slot in 0..SIZE {
+        add(&mut net, slot, rules);
+    }
+    let whole = |net: &Net| {
+        let joined = |n: &harness::Node| n.state.is_ready() && n.state.table().live() == SIZE;
+        net.nodes.iter().all(joined)
+    };
+    net.run_until(Duration::from_secs(90), whole);
+    assert!(whole(&net), "the fleet met");
+    net
+}
+
+// A claim calls a service through a node that was started milliseconds ago, and is refused as if the
+// service did not exist. Nodes restart in turn, a few at a time; one of them joined by another that
+// had just started and knew seven of sixteen members, and it served as soon as it had read its rules.
+// Whoever serves must know all that have been up for a while.
+fn knows_the_fleet_before_it_serves(seed: u64, rules: RuleSource) {
+    let mut net = fleet(seed, rules);
+    let mut standing: Vec<usize> = (0..SIZE).collect();
+    let mut since = vec![net.now; SIZE];
+    for restart in 0..RESTARTS {
+        let slot = restart * 5 % SIZE;
+        let leaving = standing[slot];
+        net.act(leaving, fleet::FleetState::leave);
+        net.crash(leaving);
+        net.run(Duration::from_millis(50));
+        let index = add(&mut net, slot, rules);
+        let started = net.now;
+        standing[slot] = index;
+        since.push(started);
+        let ready = |net: &Net| net.nodes[index].state.is_ready();
+        let took = net.run_until(START_LIMIT, ready);
+        assert!(ready(&net), "restart {restart}: not ready after {took:?}");
+        let now = net.now;
+        let settled = standing
+            .iter()
+            .filter(|node| now.since(since[**node]) >= SETTLED);
+        let known = |node: &&usize| {
+            let record = net.nodes[index].state.table().get(harness::id(**node));
+            record.is_some_and(|record| record.state.is_live())
+        };
+        let (settled, known): (Vec<_>, Vec<_>) =
+            (settled.clone().collect(), settled.filter(known).collect());
+        assert_eq!(known, settled, "restart {restart}, ready after {took:?}");
+    }
+}
+
+test_cases! {
+    knows_the_fleet_before_it_serves:
+    rules_from_the_log_first => (1, RuleSource::Log),
+    rules_from_the_log_second => (2, RuleSource::Log),
+    rules_from_the_log_third => (3, RuleSource::Log),
+    rules_from_one_key_first => (1, RuleSource::Document),
+    rules_from_one_key_second => (2, RuleSource::Document),
+    rules_from_one_key_third => (3, RuleSource::Document),
+}
--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -60,12 +60,7 @@
         contact: None,
     };
     let message = gossip::GossipMessage {
-        head: gossip::GossipHead {
-            from: NODE,
-            incarnation: 1,
-            revision: ident::RuleRevision(0),
-            ready: true,
-        },
+        head: head(),
         kind: gossip::GossipKind::Rumour,
         updates: vec![gossip::MemberUpdate {
             node: NODE,
@@ -79,6 +74,16 @@
     socket.send_to(&sealed, gossip).unwrap();
 }
 
+/// The head of a node that serves.
+fn head() -> gossip::GossipHead {
+    gossip::GossipHead {
+        from: NODE,
+        incarnation: 1,
+        revision: ident::RuleRevision(0),
+        ready: true,
+    }
+}
+
 impl Impostor {
     /// Opens a connection to the node at `address`.
     pub fn connect(address: SocketAddr) -> Self {
@@ -143,6 +148,23 @@
         codec::decode_frame(&plain).unwrap()
     }
 
+    /// Tells a fresh node that it knows all members, once it asks.
+    pub fn tell_members(&mut self) {
+        loop {
+            if let frame::PeerFrame::Sync(message) = self.receive()
+                && let gossip::SyncMessage::Digest { .. } = *message
+            {
+                break;
+            }
+        }
+        let members = gossip::SyncMessage::Members {
+            head: head(),
+            updates: Vec::new(),
+            wanted: Vec::new(),
+        };
+        self.send(&frame::PeerFrame::Sync(Box::new(members)));
+    }
+
     /// The next answer; frames of membership are skipped.
     pub fn receive_answer(&mut self) -> call::PeerAnswer {
         loop {
--- a/crates/anvil_node/tests/two_nodes.rs
+++ b/crates/anvil_node/tests/two_nodes.rs
@@ -95,24 +95,17 @@
     let entry = entry("127.0.0.1:9".parse().unwrap());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     impostor::introduce(entry.bound().gossip, listener.local_addr().unwrap());
+    let mut peer = impostor::Impostor::accept(&listener);
+    peer.tell_members();
+    await_service(&entry);
     let caller = entry.bound().caller;
     let ask = move |path: &'static str| {
-        common::await_true("the entry node knows the service", || {
-            let status = attohttpc::get(format!("http://{}/status", entry.bound().admin));
-            status
-                .send()
-                .unwrap()
-                .text()
-                .unwrap()
-                .contains("audiencias")
-        });
         thread::spawn(move || {
             let response = common::request(caller, "GET", path).send().unwrap();
             response.text().unwrap()
         })
     };
     let first = ask("/first");
-    let mut peer = impostor::Impostor::accept(&listener);
     let one = peer.receive_call();
     peer.answer(one.call, one.attempt, "first");
     peer.answer(one.call, one.attempt, "first again");
@@ -130,6 +123,17 @@
     assert_eq!(second.join().unwrap(), "second");
 }
 
+/// Waits until the entry node knows the played target and serves, which a fresh node does only once it
+/// has asked its peers for the members that they know.
+fn await_service(entry: &node::RunningNode) {
+    let status = format!("http://{}/status", entry.bound().admin);
+    common::await_true("the entry node knows the service and serves", || {
+        let response = attohttpc::get(&status).send().unwrap();
+        let told = response.text().unwrap();
+        told.contains("audiencias") && told.contains("\"rules_compared\":true")
+    });
+}
+
 /// An entry node and a played node with two connections between them, of which a call is out on the
 /// first and the second was last heard from.
 struct TwoConnections {
@@ -152,13 +156,10 @@
     let entry = entry("127.0.0.1:9".parse().unwrap());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     impostor::introduce(entry.bound().gossip, listener.local_addr().unwrap());
-    let status = format!("http://{}/status", entry.bound().admin);
-    common::await_true("the entry node knows the service", || {
-        let response = attohttpc::get(&status).send().unwrap();
-        response.text().unwrap().contains("audiencias")
-    });
-    let asking = ask(&entry);
     let mut first = impostor::Impostor::accept(&listener);
+    first.tell_members();
+    await_service(&entry);
+    let asking = ask(&entry);
     let call = first.receive_call();
     let mut second = impostor::Impostor::connect(entry.bound().peer);
     // The entry node has no target and refuses; its answer shows that it has heard the second one.
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -222,6 +222,10 @@
         /// One sum for each bucket; their number is a power of two, or zero.
         #[serde(deserialize_with = "bounded::list::<_, _, BUCKETS_LIMIT>")]
         sums: Vec<u32>,
+        /// What a sender that has just started says of itself, since the receiver may not have
+        /// heard of it; else empty.
+        #[serde(deserialize_with = "bounded::list::<_, _, UPDATES_LIMIT>")]
+        sender: Vec<MemberUpdate>,
     },
     /// The members alive in the buckets whose sums differed.
     Headers {
