Answer questions for keys where they came from

Symptom: a claim through a node that started a moment ago is never granted, and its caller gives up after four seconds.

Cause: the owner sends its grant to the address that membership told of. It had not heard of the newborn, so the grant counted as unreachable and was dropped, each time the question was repeated.

Change: a frame about keys names the address to answer at, as a call does; it is used until membership tells of the sender. Wire version 5.

--- a/crates/anvil_core/src/keys.rs
+++ b/crates/anvil_core/src/keys.rs
@@ -27,6 +27,10 @@
 /// When a caller whose key is running does well to ask for its answer.
 pub(crate) const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 
+/// Senders remembered that membership has not told of; more are nodes that come and go, whose
+/// questions are repeated once membership has told of them.
+const STRANGERS_LIMIT: usize = 1_024;
+
 /// Names this part in log lines.
 const PART: &str = "keys";
 
@@ -60,6 +64,8 @@
 pub(crate) struct KeyDesk {
     owner: owner::KeyOwner,
     peers: sorted::SortedTable<ident::NodeId, KeyPeer>,
+    /// Where nodes can be reached that asked before membership told of them.
+    strangers: sorted::SortedTable<ident::NodeId, SocketAddr>,
     /// Whether keys are guarded: only where there is a store to agree on owners.
     guarded: bool,
 }
@@ -75,6 +81,7 @@
         Self {
             owner: owner::KeyOwner::new(start, config.node, config.zone.clone(), policy),
             peers: sorted::SortedTable::default(),
+            strangers: sorted::SortedTable::default(),
             guarded: false,
         }
     }
@@ -83,6 +90,21 @@
         self.owner.next_wake()
     }
 
+    /// Notes where a sender is to be answered, as long as membership has not told of it.
+    ///
+    /// Failure: an owner grants a key to a node that it has not heard of. Symptom: the grant goes
+    /// nowhere, and claims through a node that started a second ago wait until their callers give up.
+    fn note_sender(&mut self, node: ident::NodeId, address: SocketAddr) {
+        if self.peers.get(node).is_none() && self.strangers.len() < STRANGERS_LIMIT {
+            self.strangers.insert(node, address);
+        }
+    }
+
+    fn address(&self, node: ident::NodeId) -> Option<SocketAddr> {
+        let known = self.peers.get(node).map(|peer| peer.address);
+        known.or_else(|| self.strangers.get(node).copied())
+    }
+
     /// Lets keys be owned by nodes that agree through the platform's store.
     ///
     /// Without it a key protects only against the retries of one entry node; a node without a
@@ -162,7 +184,9 @@
         self.step_keys(moment::KeyEvent::Ended { call, end });
     }
 
-    pub(crate) fn key_arrived(&mut self, from: ident::NodeId, message: key::KeyMessage) {
+    pub(crate) fn key_arrived(&mut self, from: ident::NodeId, frame: key::KeyFrame) {
+        self.keys.note_sender(from, frame.reply_to);
+        let message = frame.message;
         self.step_keys(moment::KeyEvent::Message { from, message });
     }
 
@@ -181,6 +205,7 @@
             peer.broken = true;
             self.judge_key_peer(node);
         }
+        self.keys.strangers.remove(node);
         self.step_keys(moment::KeyEvent::Unreachable { node });
     }
 
@@ -188,6 +213,7 @@
     pub(crate) fn key_peer(&mut self, node: ident::NodeId, peer: KeyPeer) {
         let broken = self.keys.peers.get(node).is_some_and(|known| known.broken);
         self.keys.peers.insert(node, KeyPeer { broken, ..peer });
+        self.keys.strangers.remove(node);
         self.judge_key_peer(node);
     }
 
@@ -269,9 +295,11 @@
     }
 
     fn send_key(&mut self, to: ident::NodeId, message: key::KeyMessage) {
-        match self.keys.peers.get(to).map(|peer| peer.address) {
+        match self.keys.address(to) {
             Some(address) => {
-                self.send_frame(to, address, frame::PeerFrame::Key(Box::new(message)));
+                let reply_to = self.config.peer_address;
+                let frame = key::KeyFrame { reply_to, message };
+                self.send_frame(to, address, frame::PeerFrame::Key(Box::new(frame)));
             }
             None => self.step_keys(moment::KeyEvent::Unreachable { node: to }),
         }
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -245,7 +245,7 @@
             frame::PeerFrame::Suspicion(notice) => {
                 self.overload.poison.learn(self.now, &notice);
             }
-            frame::PeerFrame::Key(message) => self.key_arrived(peer, *message),
+            frame::PeerFrame::Key(frame) => self.key_arrived(peer, *frame),
             frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
             // The connection itself answers these.
             frame::PeerFrame::Ping | frame::PeerFrame::Pong => {}
--- a/crates/anvil_core/tests/keyed.rs
+++ b/crates/anvil_core/tests/keyed.rs
@@ -159,6 +159,29 @@
     assert_eq!(fleet.most_runs(), 1);
 }
 
+// A node has just started, and no owner of keys has heard of it yet: rumours take a second or two to
+// reach everybody. Citizens file claims through it. Its questions reach the owners, which answer
+// where the questions came from; an owner that waited to hear of the node would let claims wait until
+// their callers give up.
+#[test]
+fn claims_through_a_node_that_no_owner_has_heard_of_are_filed() {
+    let mut fleet = KeyedFleet::start(4);
+    fleet.add(4);
+    let newborn = *fleet.nodes().last().unwrap();
+    fleet.unheard = Some(newborn);
+    fleet.run(Duration::from_secs(5));
+    let sent: Vec<_> = (0..40)
+        .map(|claim| fleet.submit(newborn, &format!("claim-{claim}")))
+        .collect();
+    fleet.run(Duration::from_secs(2));
+    let answered = |handle: &&u64| {
+        let mut told = fleet.told.iter().filter(|told| told.handle == **handle);
+        told.any(|told| told.verdict == verdict::CallVerdict::Answered)
+    };
+    assert_eq!(sent.iter().filter(answered).count(), sent.len());
+    assert_eq!(fleet.most_runs(), 1);
+}
+
 // Nodes are restarted one after the other, 200 times, while claims go on. No claim is cut, none is
 // refused and none runs twice, because a stopping node hands its slots to their backups first. A
 // second copy sent a moment later gets the answer, or hears that the first copy is in progress.
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -9,7 +9,7 @@
 use anvil_core::{config, effect, event, notes, reducer};
 use anvil_standins::store::fake;
 use anvil_types::{ident, name, store, time, verdict};
-use anvil_wire::call;
+use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
 use rand_core::Rng;
 
@@ -58,6 +58,8 @@
     pub(crate) ways: Option<rand_pcg::Pcg64Mcg>,
     /// When the last frame from one node to another arrives; a connection keeps their order.
     frames: BTreeMap<(ident::NodeId, ident::NodeId), time::NodeTime>,
+    /// A node of which no other one hears by membership.
+    pub(crate) unheard: Option<ident::NodeId>,
     nodes: Vec<FleetNode>,
     /// Nodes that were asked to stop.
     stopping: Vec<ident::NodeId>,
@@ -88,6 +90,7 @@
             steps: Vec::new(),
             ways: None,
             frames: BTreeMap::new(),
+            unheard: None,
             nodes: Vec::new(),
             stopping: Vec::new(),
             stored,
@@ -299,6 +302,7 @@
     fn carry_out(&mut self, node: ident::NodeId, effect: effect::NodeEffect) {
         match effect {
             effect::NodeEffect::SendFrame { peer, frame, .. } => {
+                let frame = self.without_unheard(frame);
                 let reached = self.nodes.iter().any(|held| held.node == peer);
                 let (to, event) = if reached {
                     (peer, event::NodeEvent::FrameArrived { peer: node, frame })
@@ -309,7 +313,10 @@
                 let arrives = self.frame_way(node, peer);
                 self.push_event(to, arrives, event);
             }
-            effect::NodeEffect::SendDatagram { to, message } => {
+            effect::NodeEffect::SendDatagram { to, mut message } => {
+                message
+                    .updates
+                    .retain(|claim| Some(claim.node) != self.unheard);
                 let from = self.address(node);
                 let receiver = self.nodes.iter().find(|held| held.address == to);
                 if let (Some(from), Some(receiver)) = (from, receiver.map(|held| held.node)) {
@@ -374,6 +381,20 @@
         last.since(self.now)
     }
 
+    /// The frame without what membership would learn of the unheard node from it.
+    fn without_unheard(&self, mut frame: frame::PeerFrame) -> frame::PeerFrame {
+        if let frame::PeerFrame::Sync(message) = &mut frame {
+            match &mut **message {
+                gossip::SyncMessage::Digest { sender: claims, .. }
+                | gossip::SyncMessage::Members {
+                    updates: claims, ..
+                } => claims.retain(|claim| Some(claim.node) != self.unheard),
+                gossip::SyncMessage::Headers { .. } | gossip::SyncMessage::Changes { .. } => {}
+            }
+        }
+        frame
+    }
+
     fn address(&self, node: ident::NodeId) -> Option<SocketAddr> {
         let held = self.nodes.iter().find(|held| held.node == node);
         held.map(|held| held.address)
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -6,7 +6,7 @@
 use crate::{call, fate, gossip, key, suspicion};
 
 /// The version of the protocol; nodes of different versions refuse each other's handshake.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// The first frame in each direction of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +34,7 @@
         attempt: u16,
     },
     /// Between the owners of idempotency keys.
-    Key(Box<key::KeyMessage>),
+    Key(Box<key::KeyFrame>),
     /// A target crashed, and these requests were running.
     Suspicion(Box<suspicion::SuspicionNotice>),
     /// Membership and rules in bulk.
--- a/crates/anvil_wire/src/key.rs
+++ b/crates/anvil_wire/src/key.rs
@@ -1,5 +1,7 @@
 //! Messages between the owners of idempotency keys; see `docs/design/at-most-once.md`.
 
+use std::net::SocketAddr;
+
 use anvil_types::{ident, store, verdict};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -198,6 +200,18 @@
     View(SlotView),
 }
 
+/// A message with the address to answer at.
+///
+/// A node that has just started asks owners that have not heard of it yet; their answers would have
+/// nowhere to go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyFrame {
+    /// Where the sender accepts peer connections.
+    pub reply_to: SocketAddr,
+    /// The message.
+    pub message: KeyMessage,
+}
+
 /// Where the record of a slot stands in the platform's store.
 pub fn slot_key(slot: SlotId) -> store::StoreKey {
     store::StoreKey::new(&format!("once/{:04}", slot.0))
