Say that a call was given up until its key's owner knows

Symptom: copies of a claim that never ran hear "in progress", for as long as a call may last.

Cause: a call that waited too long told the owner once that its key is free, at the node that it had asked last. Where that word was lost, or that node was the backup, the owner held the key for ten minutes for a call that was over.

Change: the word is repeated, also to other nodes, until the owner has confirmed it, as outcomes are.

--- a/crates/anvil_once/src/entry.rs
+++ b/crates/anvil_once/src/entry.rs
@@ -24,7 +24,10 @@
     /// The owner has not decided.
     Asking,
     /// The call is over and will never run; kept for a late grant.
-    Abandoned,
+    Abandoned {
+        /// Whether an owner may hold the key for it still.
+        held: bool,
+    },
     /// The call runs.
     Granted,
     /// The call is over and the owner has not confirmed that it knows how.
@@ -52,6 +55,15 @@
     pub(crate) const fn holds_node(&self) -> bool {
         matches!(self.state, AskState::Granted | AskState::Ended(_))
     }
+
+    /// How the call ended, as far as its owner has not confirmed to know.
+    fn untold_outcome(&self) -> Option<key::KeyOutcome> {
+        match &self.state {
+            AskState::Ended(outcome) => Some(outcome.clone()),
+            AskState::Abandoned { held: true } => Some(key::KeyOutcome::NotRun),
+            AskState::Asking | AskState::Granted | AskState::Abandoned { held: false } => None,
+        }
+    }
 }
 
 impl owner::KeyOwner {
@@ -118,10 +130,12 @@
             AskState::Asking => self.dispatch(at),
             // A grant repeated on the way, or by the next primary, would run the call again: the
             // target would count two runs. One call has one run, whoever grants it.
-            AskState::Abandoned | AskState::Granted if !self.policy.guards.one_run_per_call => {
+            AskState::Abandoned { .. } | AskState::Granted
+                if !self.policy.guards.one_run_per_call =>
+            {
                 self.dispatch(at);
             }
-            AskState::Abandoned => self.return_grant(from, call, key),
+            AskState::Abandoned { .. } => self.return_grant(from, call, key),
             AskState::Granted => {}
             AskState::Ended(_) => self.send_outcome(now, at),
         }
@@ -152,15 +166,20 @@
                 effect::KeyVerdict::NotRun(verdict::RefusalReason::KeyUnavailable)
             }
         };
-        self.shelve(now, at);
+        self.shelve(now, at, false);
         self.decide(call, verdict);
     }
 
     pub(crate) fn forget_outcome(&mut self, call: ident::CallId) {
-        if let Ok(at) = self.ask_place(call)
-            && matches!(self.asks[at].state, AskState::Ended(_))
-        {
-            self.asks.remove(at);
+        let Ok(at) = self.ask_place(call) else { return };
+        match self.asks[at].state {
+            AskState::Ended(_) => {
+                self.asks.remove(at);
+            }
+            AskState::Abandoned { .. } => {
+                self.asks[at].state = AskState::Abandoned { held: false };
+            }
+            AskState::Asking | AskState::Granted => {}
         }
     }
 
@@ -170,7 +189,7 @@
         for at in 0..self.asks.len() {
             let ask = &mut self.asks[at];
             let concerned = slots::slot_of(ask.question.key) == slot;
-            if !concerned || !matches!(ask.state, AskState::Ended(_)) {
+            if !concerned || ask.untold_outcome().is_none() {
                 continue;
             }
             ask.next = ask.next.min(soon);
@@ -206,7 +225,7 @@
                     self.turn_from_silent(at);
                     self.send_ask(now, at);
                 }
-                AskState::Ended(_) if ask.next <= now => {
+                AskState::Ended(_) | AskState::Abandoned { held: true } if ask.next <= now => {
                     self.turn_from_silent(at);
                     self.send_outcome(now, at);
                 }
@@ -214,11 +233,11 @@
             }
         }
         let forgotten = |ask: &KeyAsk| {
-            let over = matches!(ask.state, AskState::Abandoned | AskState::Ended(_));
+            let over = matches!(ask.state, AskState::Abandoned { .. } | AskState::Ended(_));
             over && ask.until <= now
         };
         self.asks.retain(|ask| !forgotten(ask));
-        let waits = |ask: &&KeyAsk| !matches!(ask.state, AskState::Abandoned | AskState::Granted);
+        let waits = |ask: &&KeyAsk| ask.state == AskState::Asking || ask.untold_outcome().is_some();
         let next = self
             .asks
             .iter()
@@ -251,17 +270,21 @@
     }
 
     /// Ends a call that waited too long, and frees its key where the owner has recorded it.
+    ///
+    /// Failure: the owner granted the key and the grant was lost, or the word that the call is over
+    /// went to a node that is not the owner. Symptom: every later copy hears that the first one is in
+    /// progress, for as long as a call may last, though it never ran. The word is repeated, also to
+    /// other nodes, until the owner has confirmed it.
     fn give_up(&mut self, now: time::NodeTime, at: usize) {
-        let KeyQuestion { call, key, .. } = self.asks[at].question;
-        let target = self.asks[at].target;
-        self.shelve(now, at);
-        self.return_grant(target, call, key);
+        let call = self.asks[at].question.call;
+        self.shelve(now, at, true);
+        self.send_outcome(now, at);
         let reason = verdict::RefusalReason::KeyUnavailable;
         self.decide(call, effect::KeyVerdict::NotRun(reason));
     }
 
-    fn shelve(&mut self, now: time::NodeTime, at: usize) {
-        self.asks[at].state = AskState::Abandoned;
+    fn shelve(&mut self, now: time::NodeTime, at: usize, held: bool) {
+        self.asks[at].state = AskState::Abandoned { held };
         self.asks[at].until = now + self.policy.abandon_keep;
     }
 
@@ -323,7 +346,7 @@
     }
 
     fn send_outcome(&mut self, now: time::NodeTime, at: usize) {
-        let AskState::Ended(outcome) = self.asks[at].state.clone() else {
+        let Some(outcome) = self.asks[at].untold_outcome() else {
             return;
         };
         let KeyQuestion { call, key, .. } = self.asks[at].question;
--- a/crates/anvil_once/tests/pair.rs
+++ b/crates/anvil_once/tests/pair.rs
@@ -1,4 +1,4 @@
-//! A primary and its backup in injected time.
+//! A primary, its backup and an entry node in injected time.
 
 #![allow(clippy::unwrap_used)]
 
@@ -10,8 +10,10 @@
 
 const PRIMARY: ident::NodeId = ident::NodeId(1);
 const BACKUP: ident::NodeId = ident::NodeId(2);
+/// Asks for the calls of its callers, and has just started: the other two have not heard of it.
+const ENTRY: ident::NodeId = ident::NodeId(3);
 
-/// Two nodes and a store, whose messages arrive at once and in order.
+/// Three nodes and a store, whose messages arrive at once and in order.
 struct Pair {
     now: time::NodeTime,
     nodes: Vec<(ident::NodeId, owner::KeyOwner)>,
@@ -19,6 +21,9 @@
     store_down: bool,
     calls: u64,
     dispatched: Vec<ident::CallId>,
+    /// Whether what the entry node hears and says is lost.
+    deaf: bool,
+    mute: bool,
     told: Vec<effect::KeyVerdict>,
 }
 
@@ -34,14 +39,22 @@
         };
         let mut pair = Self {
             now: time::NodeTime::START,
-            nodes: [PRIMARY, BACKUP].map(build).into(),
+            nodes: [PRIMARY, BACKUP, ENTRY].map(build).into(),
             records: Vec::new(),
             store_down: false,
             calls: 0,
             dispatched: Vec::new(),
+            deaf: false,
+            mute: false,
             told: Vec::new(),
         };
-        for (node, other) in [(PRIMARY, BACKUP), (BACKUP, PRIMARY)] {
+        let known = [
+            (PRIMARY, BACKUP),
+            (BACKUP, PRIMARY),
+            (ENTRY, PRIMARY),
+            (ENTRY, BACKUP),
+        ];
+        for (node, other) in known {
             pair.step(node, health(other, peers::PeerHealth::Alive));
         }
         pair
@@ -74,7 +87,7 @@
         let until = self.now + span;
         while self.now < until {
             self.now = until.min(self.now + Duration::from_millis(100));
-            for node in [PRIMARY, BACKUP] {
+            for node in [PRIMARY, BACKUP, ENTRY] {
                 self.step(node, event::KeyEvent::Tick);
             }
         }
@@ -86,6 +99,8 @@
         };
         for effect in self.nodes[at].1.step(self.now, event) {
             match effect {
+                effect::KeyEffect::Send { to, .. }
+                    if (self.deaf && to == ENTRY) || (self.mute && node == ENTRY) => {}
                 effect::KeyEffect::Send { to, message } => {
                     let from = node;
                     self.step(to, event::KeyEvent::Message { from, message });
@@ -129,6 +144,15 @@
         &self.nodes.iter().find(|held| held.0 == node).unwrap().1
     }
 
+    /// The node that grants the keys of the one slot in use.
+    fn primary(&self) -> ident::NodeId {
+        let grants = |node: &ident::NodeId| {
+            let dump = self.owner(*node).dump();
+            dump.owned.iter().any(|slot| slot.role == "primary")
+        };
+        [PRIMARY, BACKUP].into_iter().find(grants).unwrap()
+    }
+
     /// The records of `node` over all its slots.
     fn records_of(&self, node: ident::NodeId) -> usize {
         self.owner(node)
@@ -173,6 +197,10 @@
     Some(effect::KeyVerdict::Answered(Box::new(answer())))
 }
 
+fn other_than(node: ident::NodeId) -> ident::NodeId {
+    if node == PRIMARY { BACKUP } else { PRIMARY }
+}
+
 /// The `count`-th key of slot 0.
 fn key_of_slot(count: u128) -> u128 {
     count * u128::from(slots::SLOT_COUNT)
@@ -231,23 +259,47 @@
     for count in 0..25 {
         assert_eq!(pair.submit(PRIMARY, key_of_slot(count), 1), None);
     }
-    for (node, other) in [(PRIMARY, BACKUP), (BACKUP, PRIMARY)] {
-        let held = pair
-            .owner(node)
-            .dump()
-            .owned
-            .iter()
-            .any(|slot| slot.role == "primary");
-        if held {
-            pair.step(other, health(node, peers::PeerHealth::Leaving));
-            pair.step(node, event::KeyEvent::Leave);
-            pair.pass(Duration::from_secs(1));
-            assert!(pair.owner(node).is_released());
-            for count in 0..25 {
-                assert_eq!(pair.submit(other, key_of_slot(count), 1), answered());
-            }
-            return;
-        }
+    let node = pair.primary();
+    let other = other_than(node);
+    pair.step(other, health(node, peers::PeerHealth::Leaving));
+    pair.step(node, event::KeyEvent::Leave);
+    pair.pass(Duration::from_secs(1));
+    assert!(pair.owner(node).is_released());
+    for count in 0..25 {
+        assert_eq!(pair.submit(other, key_of_slot(count), 1), answered());
     }
-    panic!("nobody owns the slot");
+}
+
+// A bidder's node hears nothing of the grant of its bid, gives the bid up as not run, and the word
+// that the key is free is lost on the way. The bidder sends the bid again, to the other node. It is
+// filed: the entry node says that the key is free until the owner has confirmed it. Otherwise every
+// copy would hear for ten minutes that the first one is in progress, though it never ran.
+#[test]
+fn key_of_a_call_that_was_given_up_is_freed_though_words_are_lost() {
+    let mut pair = Pair::start(on_demand());
+    assert_eq!(pair.submit(PRIMARY, key_of_slot(0), 1), None);
+    pair.deaf = true;
+    pair.calls += 1;
+    let call = ident::CallId {
+        node: ENTRY,
+        sequence: pair.calls,
+    };
+    let ask = event::KeyEvent::Ask {
+        call,
+        key: ident::RequestKey(key_of_slot(1)),
+        print: ident::PrintHash(1),
+        wait: Duration::from_secs(2),
+    };
+    pair.step(ENTRY, ask);
+    pair.pass(Duration::from_millis(1_500));
+    pair.mute = true;
+    pair.pass(Duration::from_secs(1));
+    assert_eq!(
+        pair.told.last().cloned(),
+        not_run(verdict::RefusalReason::KeyUnavailable)
+    );
+    (pair.deaf, pair.mute) = (false, false);
+    pair.pass(Duration::from_secs(1));
+    assert_eq!(pair.submit(PRIMARY, key_of_slot(1), 1), None);
+    assert_eq!(pair.dispatched.len(), 2);
 }
