--- a/crates/anvil_membership/src/asking.rs
+++ b/crates/anvil_membership/src/asking.rs
@@ -44,6 +44,39 @@
     Snapshot,
 }
 
+impl AskPurpose {
+    /// Purposes that are counted apart.
+    pub const COUNTED: usize = 7;
+
+    /// One for each counter.
+    pub const EACH: [Self; Self::COUNTED] = [
+        Self::FindContacts,
+        Self::ReleaseContact,
+        Self::RenewContact,
+        Self::WatchLog,
+        Self::ReadLog,
+        Self::Snapshot,
+        Self::Propose,
+    ];
+
+    /// Where the purpose is counted, and the name of its counter.
+    pub const fn counter(self) -> (usize, &'static str) {
+        match self {
+            Self::FindContacts => (0, "fleet_store_asked_contacts"),
+            Self::GrantContact { .. } | Self::TakeContact { .. } | Self::ReleaseContact => {
+                (1, "fleet_store_asked_slots")
+            }
+            Self::RenewContact => (2, "fleet_store_asked_renewals"),
+            Self::WatchLog => (3, "fleet_store_asked_watches"),
+            Self::ReadLog => (4, "fleet_store_asked_rules"),
+            Self::ReadManifest | Self::ReadChunk | Self::Snapshot => {
+                (5, "fleet_store_asked_snapshots")
+            }
+            Self::Propose | Self::Resolve => (6, "fleet_store_asked_changes"),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OpenAsk {
     sequence: u64,
--- a/crates/anvil_membership/src/config.rs
+++ b/crates/anvil_membership/src/config.rs
@@ -6,6 +6,8 @@
 
 use anvil_types::store;
 
+use crate::contact;
+
 /// Time between two pings of members believed gone in a fleet of hundreds of nodes at most: each
 /// node sends one datagram, so an address that came back is met within a second or so.
 pub const SMALL_RECONNECT_INTERVAL: Duration = Duration::from_millis(700);
@@ -60,6 +62,9 @@
     /// for it, since the node that it was has left; it refuses everything until the store is back.
     /// Its peers know the address, and whoever answers there is met.
     pub revisit_left: bool,
+    /// Age of a list of contacts beyond which a node that met nobody reads it again before it tries
+    /// for a slot.
+    pub list_fresh: Duration,
     /// How long a member that is gone is remembered.
     pub tombstone_span: Duration,
     /// Lateness of a wake that counts as a pause of this process.
@@ -95,6 +100,7 @@
             sync_interval: Duration::from_secs(30),
             reconnect_interval: Duration::from_secs(10),
             revisit_left: false,
+            list_fresh: contact::LIST_FRESH,
             tombstone_span: Duration::from_secs(3_600),
             pause_margin: Duration::from_millis(500),
             lifeguard: true,
--- a/crates/anvil_membership/src/contact.rs
+++ b/crates/anvil_membership/src/contact.rs
@@ -44,6 +44,10 @@
 /// Age of a list of contacts beyond which a node that met nobody reads it again before it acts.
 pub const LIST_FRESH: Duration = Duration::from_secs(1);
 
+/// The same for a fleet of hundreds of nodes at most, whose first tries follow one another within
+/// [`SMALL_FIRST_LOOK`]: a list costs a tenth of a try for a slot that is taken.
+pub const SMALL_LIST_FRESH: Duration = Duration::from_millis(100);
+
 /// Doublings after which the time between two lists has its full length.
 const FIND_DOUBLINGS: u32 = 5;
 
--- a/crates/anvil_membership/src/counters.rs
+++ b/crates/anvil_membership/src/counters.rs
@@ -1,5 +1,7 @@
 //! Counts of what membership did, by cause.
 
+use crate::asking;
+
 /// Counts since the start of the node.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetCounters {
@@ -37,13 +39,27 @@
     pub rule_pulls: u64,
     /// Questions to the platform's store.
     pub store_asked: u64,
+    /// The same by purpose.
+    pub asked_by_purpose: [u64; asking::AskPurpose::COUNTED],
     /// Questions whose answers were lost, or that were not made.
     pub store_failed: u64,
 }
 
 impl FleetCounters {
+    /// Counts a question to the store.
+    pub fn count_ask(&mut self, purpose: asking::AskPurpose) {
+        self.store_asked += 1;
+        self.asked_by_purpose[purpose.counter().0] += 1;
+    }
+
     /// Names and values, for the metrics and the dump.
-    pub fn pairs(&self) -> [(&'static str, u64); 18] {
+    pub fn pairs(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let counted = asking::AskPurpose::EACH.map(asking::AskPurpose::counter);
+        let asked = counted.map(|(place, name)| (name, self.asked_by_purpose[place]));
+        self.totals().into_iter().chain(asked)
+    }
+
+    fn totals(&self) -> [(&'static str, u64); 18] {
         [
             ("fleet_datagrams_sent", self.datagrams_sent),
             ("fleet_datagrams_received", self.datagrams_received),
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -196,6 +196,7 @@
         self.config.reconnect_interval = config::SMALL_RECONNECT_INTERVAL;
         self.config.tombstone_span = config::SMALL_TOMBSTONE_SPAN;
         self.config.revisit_left = true;
+        self.config.list_fresh = contact::SMALL_LIST_FRESH;
         self.timers.reconnect = now + self.choice.span(self.config.reconnect_interval);
         self.rules.read_at = Some(now);
         self.rules.backoff = spread::document_backoff();
--- a/crates/anvil_membership/src/fleet/asks.rs
+++ b/crates/anvil_membership/src/fleet/asks.rs
@@ -35,7 +35,7 @@
         if self.asks.is_open(purpose) {
             return;
         }
-        self.counters.store_asked += 1;
+        self.counters.count_ask(purpose);
         let id = self.asks.open(purpose, now);
         out.push(effect::FleetEffect::AskStore { id, ask });
     }
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -163,9 +163,9 @@
         };
         // Of many nodes that start on an empty store, the first ones take the slots and the others
         // see them when they read the list once more; otherwise each would cost a grant.
-        if !self.joined && now.since(listed) > contact::LIST_FRESH {
+        if !self.joined && now.since(listed) > self.config.list_fresh {
             self.find_contacts(now, out);
-            self.contacts.look_at = now + contact::LIST_FRESH / 2;
+            self.contacts.look_at = now + self.config.list_fresh / 2;
             return;
         }
         // Where contacts stand in the list, the fleet exists and is joined first.
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -6,7 +6,7 @@
 use anvil_wire::gossip;
 use bytes::Bytes;
 
-use crate::{asking, effect, fleet, keys, rule_log, spread};
+use crate::{asking, effect, fleet, keys, member, rule_log, spread};
 
 /// Bytes of changes that go on a datagram; more go over TCP.
 const DATAGRAM_BYTES: usize = 900;
@@ -77,7 +77,7 @@
         let pull = rules.pull.map(|pull| pull.retry_at);
         let waits = !rules.ready && !self.config.store && rules.log.held() >= rules.highest;
         let alone = waits.then_some(rules.alone_at);
-        let watch = self.may_watch().then_some(rules.watch_at);
+        let watch = self.may_watch().then(|| self.watch_due());
         let read = rules.read_at.filter(|_| !self.reads_rules());
         let proposal = rules.proposal.as_ref().and_then(|p| p.next.map(|n| n.0));
         let snapshot = self.snapshot.next_wake();
@@ -177,6 +177,10 @@
 
     /// Reads the log in the store at the next chance.
     pub(super) fn read_log_soon(&mut self, now: time::NodeTime) {
+        // Where one key holds the whole rules, what comes after the first read is watched for.
+        if self.config.document.is_some() && self.rules.compared {
+            return;
+        }
         if self.config.store && (!self.rules.store_failed || self.rules.read_at.is_none()) {
             self.rules.read_at = Some(now);
         }
@@ -214,6 +218,7 @@
             self.take_changes(&changes, out)
         };
         self.rules.watch_at = now;
+        self.look_later(now);
         if purpose == asking::AskPurpose::WatchLog {
             self.rules.seen = self.rules.seen.max(*seen);
             if gap {
@@ -247,6 +252,49 @@
         purposes.iter().any(|purpose| self.asks.is_open(*purpose))
     }
 
+    /// Whether this node waits at the store for the next change of the rules.
+    pub fn watches_rules(&self) -> bool {
+        self.asks.is_open(asking::AskPurpose::WatchLog) && self.rules.watches
+    }
+
+    /// When the store is next asked for a change.
+    fn watch_due(&self) -> time::NodeTime {
+        let rules = &self.rules;
+        if rules.watches {
+            rules.watch_at
+        } else {
+            let others = u32::try_from(self.table.live()).unwrap_or(u32::MAX);
+            let look_at = rules.looked + rules.look_after.saturating_mul(others);
+            rules.watch_at.max(look_at).max(rules.chosen_at)
+        }
+    }
+
+    /// Decides whether this node is one of those of its zone that watch the key: every node computes the
+    /// same order, so nothing has to be agreed, and the next one takes over from one that is accused.
+    ///
+    /// A fresh node that knows nobody yet would take itself for one.
+    fn choose_watchers(&mut self, now: time::NodeTime) {
+        if !self.roster.is_compared() && now < self.rules.chosen_at {
+            return;
+        }
+        let before = self.table.all().iter().filter(|m| {
+            m.state == member::MemberState::Alive
+                && m.node < self.local
+                && m.facts.zone == self.zone
+                && !m.facts.leaving
+        });
+        self.rules.watches = before.take(spread::DOCUMENT_WATCHERS).count()
+            < spread::DOCUMENT_WATCHERS
+            && !self.is_leaving();
+    }
+
+    /// Draws when a node that does not watch looks at the key next.
+    fn look_later(&mut self, now: time::NodeTime) {
+        self.rules.looked = now;
+        self.rules.look_after =
+            spread::DOCUMENT_LOOK_INTERVAL / 2 + self.choice.span(spread::DOCUMENT_LOOK_INTERVAL);
+    }
+
     fn may_watch(&self) -> bool {
         self.config.store
             && self.rules.compared
@@ -281,7 +329,13 @@
 
     fn after_adoption(&mut self) {
         self.counters.rules_adopted += 1;
-        self.pushing.request();
+        // With one rumour of each, a node in fifty hears with the probes, seconds later, and more
+        // where some of those told have just vanished.
+        if self.config.document.is_some() {
+            self.pushing.request_change();
+        } else {
+            self.pushing.request();
+        }
         let held = self.revision();
         let rules = &mut self.rules;
         rules.highest = rules.highest.max(held);
@@ -322,7 +376,7 @@
             return;
         }
         let held = self.revision();
-        let ahead = |m: &crate::member::MemberRecord| m.state.is_live() && m.revision > held;
+        let ahead = |m: &member::MemberRecord| m.state.is_live() && m.revision > held;
         let other = self
             .table
             .draw(&mut self.choice, ahead)
@@ -371,11 +425,15 @@
     }
 
     fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        if !self.may_watch() || self.rules.watch_at > now {
+        if self.config.document.is_some() {
+            self.choose_watchers(now);
+        }
+        if !self.may_watch() || self.watch_due() > now {
             return;
         }
         let (prefix, wait) = match &self.config.document {
-            Some(key) => (key.clone(), spread::DOCUMENT_WATCH_WAIT),
+            Some(key) if self.rules.watches => (key.clone(), spread::DOCUMENT_WATCH_WAIT),
+            Some(key) => (key.clone(), spread::DOCUMENT_LOOK_WAIT),
             None => (store::StoreKey::new(keys::LOG), spread::WATCH_WAIT),
         };
         let ask = store::StoreAsk::Watch {
--- a/crates/anvil_membership/src/pushing.rs
+++ b/crates/anvil_membership/src/pushing.rs
@@ -1,9 +1,14 @@
 //! The budget of rumours.
 
+use std::time::Duration;
+
 use anvil_types::time;
 
 use crate::config;
 
+/// Shortest time between two rumours of changed rules that go beside the budget.
+const CHANGE_GAP: Duration = Duration::from_millis(250);
+
 /// Rumours kept for ends and leavings; a storm of joins may not use them up.
 const URGENT_TOKENS: u32 = 2;
 
@@ -16,6 +21,8 @@
 pub struct PushState {
     wanted: u8,
     urgent: bool,
+    change: bool,
+    change_next: time::NodeTime,
     tokens: u32,
     earned: time::NodeTime,
     next: time::NodeTime,
@@ -27,6 +34,8 @@
         Self {
             wanted: 0,
             urgent: false,
+            change: false,
+            change_next: now,
             tokens: config.rumour_burst,
             earned: now,
             next: now,
@@ -48,9 +57,23 @@
         self.urgent = true;
     }
 
+    /// Wants two rumours of changed rules, of which the first waits for no budget.
+    ///
+    /// Failure: members vanish, and the news of it uses the budget up while operators change a rule.
+    /// Symptom: requests are treated by the old rules for a second longer at each node on the way.
+    pub fn request_change(&mut self) {
+        self.change = true;
+        self.request();
+    }
+
     /// Whether a rumour goes now.
     pub fn take(&mut self, config: &config::FleetConfig, now: time::NodeTime) -> bool {
         self.earn(config, now);
+        if self.change && now >= self.change_next {
+            self.change = false;
+            self.change_next = now + CHANGE_GAP;
+            return true;
+        }
         let kept = if self.urgent { 0 } else { URGENT_TOKENS };
         if self.wanted == 0 || self.tokens <= kept {
             return false;
@@ -63,7 +86,9 @@
 
     /// When a wanted rumour may go that found no budget.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
-        (self.wanted > 0).then_some(self.next)
+        let change = self.change.then_some(self.change_next);
+        let others = (self.wanted > 0).then_some(self.next);
+        change.into_iter().chain(others).min()
     }
 
     fn earn(&mut self, config: &config::FleetConfig, now: time::NodeTime) {
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -45,6 +45,20 @@
 /// noticed after it and one more second, and until then a change comes from the peers.
 pub const DOCUMENT_WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Nodes of each zone that watch such a key; the others hear of a change from them. Two, so that the
+/// loss of one goes unnoticed; each costs a call in two and a half seconds.
+pub const DOCUMENT_WATCHERS: usize = 2;
+
+/// Time between two looks at the key by nodes that do not watch it, over the whole fleet.
+///
+/// Failure: all that watch vanish at once, or the store turns just these away. Symptom: a change waits
+/// until membership has found them gone, some seconds later. The others look now and then, the more
+/// seldom the more they are, so the calls do not grow with the fleet.
+pub const DOCUMENT_LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The wait of such a look: it only asks whether something is newer.
+pub const DOCUMENT_LOOK_WAIT: Duration = Duration::from_millis(1);
+
 /// First and longest pause after a failed read of such a key; the longest is below the two seconds
 /// within which operators expect a change to be in force.
 const DOCUMENT_PAUSES: (Duration, Duration) =
@@ -101,6 +115,14 @@
     pub alone_at: time::NodeTime,
     /// When to watch the log next.
     pub watch_at: time::NodeTime,
+    /// Whether this node is one of those that watch the key which holds the whole rules.
+    pub watches: bool,
+    /// When a node that has not compared its members decides whether it watches.
+    pub chosen_at: time::NodeTime,
+    /// When this node last had an answer about the key.
+    pub looked: time::NodeTime,
+    /// Time for each member after which a node that does not watch the key looks at it.
+    pub look_after: Duration,
     /// The point in the store's order up to which the log is known.
     pub seen: store::StoreVersion,
     /// Pauses after failures of the store.
@@ -126,6 +148,10 @@
             compared: false,
             alone_at: now + ALONE_AFTER,
             watch_at: now,
+            watches: false,
+            chosen_at: now + PEERS_FIRST,
+            looked: now,
+            look_after: DOCUMENT_LOOK_INTERVAL,
             seen: store::StoreVersion::default(),
             backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
             load: None,
