--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -199,6 +199,7 @@
         self.config.list_fresh = contact::SMALL_LIST_FRESH;
         self.timers.reconnect = now + self.choice.span(self.config.reconnect_interval);
         self.rules.read_at = Some(now);
+        self.rules.watches = false;
         self.rules.backoff = spread::document_backoff();
         let find_at = now + self.choice.span(contact::SMALL_FIRST_FIND);
         let look_at = find_at + self.choice.span(contact::SMALL_FIRST_LOOK);
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -115,7 +115,8 @@
     pub alone_at: time::NodeTime,
     /// When to watch the log next.
     pub watch_at: time::NodeTime,
-    /// Whether this node is one of those that watch the key which holds the whole rules.
+    /// Whether this node watches rather than looks now and then. Where one key holds the whole rules,
+    /// two nodes of each zone do; the log is watched by all that may.
     pub watches: bool,
     /// When a node that has not compared its members decides whether it watches.
     pub chosen_at: time::NodeTime,
@@ -148,7 +149,7 @@
             compared: false,
             alone_at: now + ALONE_AFTER,
             watch_at: now,
-            watches: false,
+            watches: true,
             chosen_at: now + PEERS_FIRST,
             looked: now,
             look_after: DOCUMENT_LOOK_INTERVAL,
