Take the common knowledge of newborns for the fleet only where it grows no more

Logs: "joined: members=2" and "joined: members=1", ready 180 and 150 ms later.

Cause: two nodes that had started at the same moment knew only each other, and one answer of a peer that is as fresh ended the comparison where nobody else was known. Besides, a message that tells of ended members counted as a comparison.

A message says itself whether the receiver then knows all that its sender knows alive.

Test: newcomers, two_newborns_that_know_only_each_other_wait_for_the_fleet.

--- a/crates/anvil_membership/examples/capacity/fed.rs
+++ b/crates/anvil_membership/examples/capacity/fed.rs
@@ -139,6 +139,7 @@
                 head: node.head(1),
                 updates,
                 wanted: Vec::new(),
+                last: false,
             };
             node.state.on_sync(now, harness::id(1), &message);
         }
--- a/crates/anvil_membership/src/fleet/newcomer.rs
+++ b/crates/anvil_membership/src/fleet/newcomer.rs
@@ -58,11 +58,9 @@
 
     /// Goes on to the next peer, or begins where all that answer are fresh themselves.
     fn compared_with_newcomer(&mut self, now: time::NodeTime, peer: ident::NodeId) {
-        self.roster.note_newcomer(peer);
-        let others = self.table.live().saturating_sub(1);
-        let wanted = others.min(roster::NEWCOMERS_COMPARED);
+        self.roster.note_newcomer(peer, self.table.live());
         let others_serve = !self.rules.heard.is_empty();
-        if !others_serve && self.roster.newcomers().len() >= wanted {
+        if !others_serve && self.roster.newcomers().len() >= roster::NEWCOMERS_COMPARED {
             self.roster.finish();
         } else {
             self.timers.sync = now;
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -65,7 +65,13 @@
                 head,
                 updates,
                 wanted,
-            } => self.on_members(now, *head, updates, wanted, &mut out),
+                last,
+            } => {
+                self.on_members(now, *head, (updates, wanted), &mut out);
+                if *last {
+                    self.members_compared(now, *head, &mut out);
+                }
+            }
             gossip::SyncMessage::Changes {
                 snapshot, changes, ..
             } => {
@@ -235,7 +241,7 @@
     fn send_everything(&mut self, peer: ident::NodeId, out: &mut Vec<effect::FleetEffect>) {
         let live = self.table.all().iter().filter(|m| m.state.is_live());
         let live: Vec<_> = live.map(|m| m.node).collect();
-        self.send_claims(peer, &live, Vec::new(), out);
+        self.send_claims(peer, &live, Vec::new(), true, out);
     }
 
     fn on_headers(
@@ -275,15 +281,14 @@
         if telling.is_empty() && wanted.is_empty() {
             return;
         }
-        self.send_claims(head.from, &telling, wanted, out);
+        self.send_claims(head.from, &telling, wanted, true, out);
     }
 
     fn on_members(
         &mut self,
         now: time::NodeTime,
         head: gossip::GossipHead,
-        updates: &[gossip::MemberUpdate],
-        wanted: &[ident::NodeId],
+        (updates, wanted): (&[gossip::MemberUpdate], &[ident::NodeId]),
         out: &mut Vec<effect::FleetEffect>,
     ) {
         self.repeating = updates.len() <= REPEAT_LIMIT;
@@ -291,14 +296,11 @@
             self.apply(now, update, out);
         }
         self.repeating = true;
-        // A part that is full has another one behind it.
-        if updates.len() < gossip::BULK_LIMIT {
-            self.members_compared(now, head, out);
-        }
         let mut telling = self.ended_since(updates);
         telling.extend(wanted);
         if !telling.is_empty() {
-            self.send_claims(head.from, &telling, Vec::new(), out);
+            let last = !wanted.is_empty();
+            self.send_claims(head.from, &telling, Vec::new(), last, out);
         }
     }
 
@@ -317,45 +319,37 @@
         claimed_alive.map(|update| update.node).collect()
     }
 
-    /// Sends the claims about `nodes`, in as many messages as they need, and asks for `wanted`.
+    /// Sends the claims about `nodes`, in as many messages as they need, and asks for `wanted`; `last` says
+    /// that the receiver then knows all members that this node knows alive.
     fn send_claims(
         &mut self,
         peer: ident::NodeId,
         nodes: &[ident::NodeId],
         wanted: Vec<ident::NodeId>,
+        last: bool,
         out: &mut Vec<effect::FleetEffect>,
     ) {
         let nodes = &nodes[..nodes.len().min(gossip::MEMBERS_LIMIT)];
-        let mut wanted = Some(wanted).filter(|wanted| !wanted.is_empty());
-        for part in nodes.chunks(gossip::BULK_LIMIT) {
-            let updates = part
-                .iter()
-                .filter_map(|node| self.whole_claim(*node))
-                .collect();
-            let wanted = wanted.take().unwrap_or_default();
-            self.send_members(peer, updates, wanted, out);
-        }
-        if let Some(wanted) = wanted {
-            self.send_members(peer, Vec::new(), wanted, out);
+        let mut wanted = Some(wanted);
+        let mut parts = nodes.chunks(gossip::BULK_LIMIT).peekable();
+        loop {
+            let part = parts.next().unwrap_or_default();
+            let message = gossip::SyncMessage::Members {
+                head: self.head(),
+                updates: part
+                    .iter()
+                    .filter_map(|node| self.whole_claim(*node))
+                    .collect(),
+                wanted: wanted.take().unwrap_or_default(),
+                last: last && parts.peek().is_none(),
+            };
+            self.send_sync(peer, message, out);
+            if parts.peek().is_none() {
+                return;
+            }
         }
     }
 
-    fn send_members(
-        &mut self,
-        peer: ident::NodeId,
-        updates: Vec<gossip::MemberUpdate>,
-        wanted: Vec<ident::NodeId>,
-        out: &mut Vec<effect::FleetEffect>,
-    ) {
-        let head = self.head();
-        let message = gossip::SyncMessage::Members {
-            head,
-            updates,
-            wanted,
-        };
-        self.send_sync(peer, message, out);
-    }
-
     pub(super) fn send_sync(
         &mut self,
         peer: ident::NodeId,
--- a/crates/anvil_membership/src/roster.rs
+++ b/crates/anvil_membership/src/roster.rs
@@ -5,7 +5,7 @@
 use anvil_types::{ident, time};
 
 /// Peers that are as fresh as this node and that it compares with before it takes their common
-/// knowledge for all there is; whole fleets start together too.
+/// knowledge for all there is, if none of them knew of anybody more; whole fleets start together too.
 pub const NEWCOMERS_COMPARED: usize = 3;
 
 /// Time after which a fresh node asks another peer for its members.
@@ -24,6 +24,8 @@
 pub struct RosterCheck {
     compared: bool,
     newcomers: Vec<ident::NodeId>,
+    /// Members known at the last comparison with one of these.
+    known: usize,
     begin_at: Option<time::NodeTime>,
 }
 
@@ -33,6 +35,7 @@
         Self {
             compared: alone,
             newcomers: Vec::new(),
+            known: 0,
             begin_at: None,
         }
     }
@@ -59,8 +62,16 @@
         self.begin_at = None;
     }
 
-    /// Notes a comparison with a peer that does not know the fleet either.
-    pub fn note_newcomer(&mut self, peer: ident::NodeId) {
+    /// Notes a comparison with a peer that does not know the fleet either, after which `known` members
+    /// are known.
+    ///
+    /// Failure: two nodes that started a moment ago know only each other. Symptom: both take that for the
+    /// fleet, and refuse what all others offer.
+    pub fn note_newcomer(&mut self, peer: ident::NodeId, known: usize) {
+        if known > self.known {
+            self.newcomers.clear();
+        }
+        self.known = known;
         if !self.newcomers.contains(&peer) {
             self.newcomers.push(peer);
         }
--- a/crates/anvil_membership/tests/bounds.rs
+++ b/crates/anvil_membership/tests/bounds.rs
@@ -51,6 +51,7 @@
         head: head(2),
         updates,
         wanted: Vec::new(),
+        last: false,
     }
 }
 
--- a/crates/anvil_membership/tests/newcomers.rs
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -124,3 +124,37 @@
     rules_from_one_key_second => (2, RuleSource::Document),
     rules_from_one_key_third => (3, RuleSource::Document),
 }
+
+// Two nodes start at the same moment and meet each other first, while the network is slow to bring the
+// others. Each is all that the other one knows, so what they have in common is not the fleet: serving with
+// it, they would refuse what fourteen others offer.
+#[test]
+fn two_newborns_that_know_only_each_other_wait_for_the_fleet() {
+    let mut net = fleet(4, RuleSource::Document);
+    let region = SIZE;
+    net.cut = vec![region];
+    let pair: Vec<usize> = (0..2)
+        .map(|place| {
+            let index = net.add_at(SIZE + place, region, &harness::with_store());
+            let now = net.now;
+            let key = store::StoreKey::new(KEY);
+            net.nodes[index].state.use_document(now, key);
+            index
+        })
+        .collect();
+    let other = net.nodes[pair[1]].udp;
+    net.act(pair[0], |state, _| state.join(other));
+    net.run(Duration::from_secs(1));
+    for node in &pair {
+        let state = &net.nodes[*node].state;
+        assert_eq!(state.table().live(), 2, "they have met");
+        assert!(!state.is_ready(), "one began with the other alone");
+    }
+    net.cut.clear();
+    let ready = |net: &Net| pair.iter().all(|node| net.nodes[*node].state.is_ready());
+    let took = net.run_until(START_LIMIT, ready);
+    assert!(ready(&net), "not ready after {took:?}");
+    for node in &pair {
+        assert_eq!(net.nodes[*node].state.table().live(), SIZE + 2);
+    }
+}
--- a/crates/anvil_membership/tests/thousand.rs
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -59,6 +59,7 @@
             head: head(1),
             updates: part.to_vec(),
             wanted: Vec::new(),
+            last: false,
         };
         state.on_sync(now, harness::id(1), &message);
     }
--- a/crates/anvil_node/tests/common/impostor.rs
+++ b/crates/anvil_node/tests/common/impostor.rs
@@ -161,6 +161,7 @@
             head: head(),
             updates: Vec::new(),
             wanted: Vec::new(),
+            last: true,
         };
         self.send(&frame::PeerFrame::Sync(Box::new(members)));
     }
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -250,6 +250,8 @@
         /// The identities.
         #[serde(deserialize_with = "bounded::list::<_, _, MEMBERS_LIMIT>")]
         wanted: Vec<ident::NodeId>,
+        /// Whether the receiver knows with it all members that the sender knows alive.
+        last: bool,
     },
     /// Accepted changes too large for a datagram, in order, or a snapshot where the log that the
     /// receiver needs has been trimmed.
