Let deep lines last for some requests, and take silent targets to be as the others

Cause, from the logs of all nodes, 2 to 8 s: requests of lanes up to 226 of 256 were begun where lines stood at 24 to 141. A node of 194 sends five requests of a kind a second and less often hears an answer; a line fades after 200 ms. And the line that half of the targets draw was taken over all targets, of which one node has heard a few; the others' silence counted as room.

Where two targets or more have told, the usual line is that of those that told.

Ruled out: time between answers as the measure: the line holds itself up, and claims_survive_a_slow_deep_service does not recover.

Test: anvil_overload, routing: line_lasts_for_some_requests (three cases), targets_never_heard_are_taken_to_be_as_the_others.

--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -8,11 +8,26 @@
 
 use crate::{kind, rank};
 
-/// How long a reported line counts in full.
+/// How long a reported line counts in full where requests follow one another quickly.
 pub const CUT_FRESH: Duration = Duration::from_millis(200);
 
-/// When a line that no answer renewed is gone.
-pub const CUT_GONE: Duration = Duration::from_millis(600);
+/// When a line that no answer renewed is gone, as a multiple of the time for which it counts in full.
+pub const GONE_FACTOR: u32 = 3;
+
+/// When such a line is gone.
+pub const CUT_GONE: Duration = CUT_FRESH.saturating_mul(GONE_FACTOR);
+
+/// Longest time for which a reported line counts in full.
+pub const CUT_FRESH_LIMIT: Duration = Duration::from_secs(1);
+
+/// When any line is gone.
+pub const CUT_GONE_LIMIT: Duration = CUT_FRESH_LIMIT.saturating_mul(GONE_FACTOR);
+
+/// Usual times between two requests for which a line counts in full.
+const FRESH_GAPS: u32 = 2;
+
+/// Weight of one request in the usual time between two, as its divisor.
+const GAP_DIVISOR: u32 = 4;
 
 /// Kinds of request remembered for each service; the one heard of longest ago gives way.
 pub const KINDS_KEPT: usize = 64;
@@ -22,10 +37,20 @@
 /// Failure: a line refuses everything, so no answer comes that could lower it. Symptom: the service
 /// stands idle long after the pressure. Fading lets ever lower requests through as probes, and
 /// whatever they meet renews or clears the line.
+///
+/// Failure: many nodes share the requests, so that each sends one a few times a second, and a line has
+/// faded before the next one asks for it. Symptom: half of the requests that a deep service will refuse
+/// are begun. A line therefore lasts for some requests; the fleet as a whole probes as often as a small
+/// one, since each of its nodes does. What counts is how often requests ask and not how often answers
+/// tell: a line that refuses nearly all has few answers, and would hold itself up.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct FadingCut {
     level: u16,
     at: time::NodeTime,
+    /// When a request last asked for it.
+    asked: time::NodeTime,
+    /// Usual time between two such requests.
+    gap: Duration,
 }
 
 impl FadingCut {
@@ -35,14 +60,33 @@
         self.at = now;
     }
 
+    /// Notes that a request asks for the line.
+    fn note_request(&mut self, now: time::NodeTime) {
+        let gap = now.since(self.asked).min(CUT_FRESH_LIMIT);
+        self.gap = self.gap - self.gap / GAP_DIVISOR + gap / GAP_DIVISOR;
+        self.asked = now;
+    }
+
+    /// Whether an answer told of the line lately, or that there is none.
+    pub fn is_known(&self, now: time::NodeTime) -> bool {
+        self.at > time::NodeTime::START && now.since(self.at) <= self.fresh() * GONE_FACTOR
+    }
+
+    /// How long the line counts in full.
+    fn fresh(&self) -> Duration {
+        (self.gap * FRESH_GAPS).clamp(CUT_FRESH, CUT_FRESH_LIMIT)
+    }
+
     /// The lowest level admitted at present.
     pub fn level(&self, now: time::NodeTime) -> u16 {
         let age = now.since(self.at);
-        if age <= CUT_FRESH {
+        let fresh = self.fresh();
+        if age <= fresh {
             return self.level;
         }
-        let left = CUT_GONE.saturating_sub(age).as_micros();
-        let span = (CUT_GONE - CUT_FRESH).as_micros();
+        let gone = fresh * GONE_FACTOR;
+        let left = gone.saturating_sub(age).as_micros();
+        let span = (gone - fresh).as_micros();
         let level = u128::from(self.level) * left / span;
         u16::try_from(level).unwrap_or(self.level)
     }
@@ -76,6 +120,13 @@
         }
     }
 
+    /// Notes that a request of `kind` asks for its line.
+    pub fn note_request(&mut self, now: time::NodeTime, kind: kind::CallKind) {
+        if let Ok(place) = self.place(kind) {
+            self.kinds[place].1.note_request(now);
+        }
+    }
+
     /// The lowest level that is admitted below for requests of `kind`.
     pub fn level(&self, now: time::NodeTime, kind: kind::CallKind) -> u16 {
         let place = self.place(kind);
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -30,10 +30,7 @@
 ///
 /// One factor for all requests is the wrong measure: a claim of 10 KB and a call of 700 bytes pay
 /// the same, and claims left for a run that was some milliseconds faster. By bytes, a call waits
-/// for 150 ms before it leaves its zone and a claim for two seconds. Mean worth of five days with
-/// trouble of Brazos Prairie, three seeds each, without processor time: 0.712 with a factor of 3,
-/// 0.706 at 40 µs a byte, 0.719 at 100, 0.726 at 200, 0.725 at 400; bytes between zones 39.7 MB a
-/// day with the factor, 32.0 MB at 200.
+/// for 150 ms before it leaves its zone and a claim for two seconds.
 pub const FAR_BYTE_MICROS: f64 = 200.0;
 
 /// What membership knows of a target.
@@ -207,7 +204,7 @@
         }
         if let Some(load) = attempt.load {
             if load.cut.is_some() {
-                routes.lines_until = now + cut::CUT_GONE;
+                routes.lines_until = now + cut::CUT_GONE_LIMIT;
             }
             routes.deep.learn(now, attempt.kind, load.deep.as_ref());
         }
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -8,6 +8,9 @@
 use crate::routing::{sizes, target};
 use crate::{cut, kind, policy, rank, routing};
 
+/// Targets that have told of their lines lately, from which the others are taken to be as they are.
+const LINES_KNOWN: usize = 2;
+
 /// The targets of one service, as one caller's node knows them.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct ServiceRoutes {
@@ -76,6 +79,7 @@
         policy: policy::OverloadPolicy,
         source: &mut Pcg32,
     ) -> routing::RouteChoice {
+        self.deep.note_request(now, query.kind);
         if !policy.better_of_two {
             return self.next_in_turn(now, query, policy);
         }
@@ -181,7 +185,9 @@
     /// The level that half of the targets admit.
     ///
     /// With the lowest of all, whatever one target lets in would come from everywhere at once;
-    /// with the highest, a sick target would refuse what the others could take.
+    /// with the highest, a sick target would refuse what the others could take. Where enough of them
+    /// have told, the rest is taken to be as they are: a node that hears of a tenth of a large service
+    /// would otherwise refuse nothing, and its requests would be refused one target after the other.
     fn usual_level(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> u16 {
         if now >= self.lines_until {
             return 0;
@@ -190,7 +196,18 @@
             .targets
             .iter()
             .filter(|target| target.serves(now, exclude));
-        let mut levels: Vec<u16> = serving.map(|target| target.cut.level(now)).collect();
+        let mut levels = Vec::with_capacity(self.targets.len());
+        let mut known = Vec::new();
+        for target in serving {
+            let level = target.cut.level(now);
+            levels.push(level);
+            if target.cut.is_known(now) {
+                known.push(level);
+            }
+        }
+        if known.len() >= LINES_KNOWN {
+            levels = known;
+        }
         if levels.is_empty() {
             return 0;
         }
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -379,6 +379,66 @@
     assert!(node_of(choose(&mut self::table(spared, &targets), at(9_000), 255)).is_some());
 }
 
+// A service has forty targets, of which a node hears five; all five refuse what is low. A low request is
+// refused at once: the others are as full, and trying them one by one would only take time. A target that
+// alone tells of a line says nothing of the others.
+#[test]
+fn targets_never_heard_are_taken_to_be_as_the_others() {
+    let targets: Vec<_> = (1..=40).map(|node| (node, 'a', 8)).collect();
+    let mut table = table(policy::OverloadPolicy::FULL, &targets);
+    let line = call::CutLine {
+        class: NORMAL,
+        lane: context::LaneHash(100),
+    };
+    let load = call::LoadReport {
+        limit: 8,
+        cut: Some(line),
+        ..call::LoadReport::default()
+    };
+    let told = |table: &mut routing::RouteTable, node| {
+        let fine = routing::AttemptEnd::Fine;
+        end(table, at(9_000), node, fine, Some(&load));
+    };
+    told(&mut table, 1);
+    assert!(node_of(choose(&mut table, at(9_000), 200)).is_some());
+    (2..=5).for_each(|node| told(&mut table, node));
+    let shed = routing::RouteChoice::Shed(line);
+    assert_eq!(choose(&mut table, at(9_000), 200), shed);
+    assert!(node_of(choose(&mut table, at(9_000), 50)).is_some());
+}
+
+// A node of a large fleet sends a request of one kind three times a second. What an answer tells of the
+// services below holds for the next ones, so that those below the line are not begun in between; a node that
+// sends often lets it fade soon, and no line outlives its last answer by more than some seconds.
+fn line_lasts_for_some_requests(gap: u64, holds: u64, gone: u64) {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8)]);
+    let line = call::CutLine {
+        class: NORMAL,
+        lane: context::LaneHash(100),
+    };
+    let load = call::LoadReport {
+        limit: 8,
+        deep: Some(line),
+        ..call::LoadReport::default()
+    };
+    let last = 9_000 + 20 * gap;
+    for request in 0..=20 {
+        let now = at(9_000 + request * gap);
+        choose(&mut table, now, 50);
+        end(&mut table, now, 1, routing::AttemptEnd::Fine, Some(&load));
+    }
+    let shed = routing::RouteChoice::Shed(line);
+    assert_eq!(choose(&mut table.clone(), at(last + holds), 156), shed);
+    assert!(node_of(choose(&mut table, at(last + gone), 255)).is_some());
+}
+
+test_cases! {
+    line_lasts_for_some_requests:
+    sent_fifty_times_a_second => (20, 200, 900),
+    sent_three_times_a_second => (333, 600, 2_500),
+    sent_every_other_second => (2_000, 1_000, 3_000),
+}
+
 // A target comes new among old ones and gets a part of its share first.
 #[test]
 fn new_target_starts_slowly() {
