Let lines give way to calls of requests that have begun

Symptom: requests that their entry node let in fail at the deep service with most of their work done.

Cause: each target there draws its own line, thirty lanes up and down from moment to moment, and a request that ends in eight calls meets the highest of eight.

Change: at lines, calls of begun requests stand 64 of 256 lanes higher, within their class.

Test: anvil_overload, routing: line_gives_way_to_begun_requests, four cases.

--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -218,7 +218,7 @@
         if self.free_slot() && self.queue.is_empty() {
             return None;
         }
-        if !self.cut.admits(&call.rank) {
+        if self.cut.refuses(&call.rank) {
             return Some((Reason::Shed, Limit::Cut(self.cut.line())));
         }
         let wait = self.expected_wait(&call.rank);
--- a/crates/anvil_overload/src/rank.rs
+++ b/crates/anvil_overload/src/rank.rs
@@ -10,6 +10,14 @@
 /// Levels of all classes together; the level of a request says how late it is shed.
 pub const LEVELS: u16 = LANES * 4;
 
+/// Lanes by which a line gives way to calls of requests that have begun.
+///
+/// Failure: each target of a deep service draws its own line, and these differ by some lanes from moment to
+/// moment. Symptom: a request that its entry node let in makes eight calls there and fails by the highest of
+/// eight lines, after most of its work is done. An entry node that follows the line refuses what lies below
+/// it within the next answers, so what is let in beyond it stays short.
+pub const BEGUN_LANES: u16 = 64;
+
 /// Where a request stands among others.
 ///
 /// The derived order is the order of service: a later one is served earlier.
@@ -38,6 +46,16 @@
     pub fn level(&self) -> u16 {
         level(self.class, self.lane.0)
     }
+
+    /// The level at which lines are asked whether they admit the request: the calls of requests that have
+    /// begun stand [`BEGUN_LANES`] higher, within their class.
+    pub fn entry_level(&self) -> u16 {
+        if self.depth == 0 {
+            return self.level();
+        }
+        let top = level(self.class, context::LaneHash(0));
+        (self.level() + BEGUN_LANES).min(top)
+    }
 }
 
 fn level(class: context::PriorityClass, lane: context::LaneHash) -> u16 {
@@ -65,5 +83,5 @@
 
 /// Whether `line` admits a request of `rank`.
 pub fn admits(line: Option<&call::CutLine>, rank: &CallRank) -> bool {
-    rank.level() >= line_level(line)
+    rank.entry_level() >= line_level(line)
 }
--- a/crates/anvil_overload/src/shedding.rs
+++ b/crates/anvil_overload/src/shedding.rs
@@ -113,11 +113,16 @@
         self.strained
     }
 
-    /// Whether the line admits `rank`.
+    /// Whether the line lies at `rank` or below it.
     pub fn admits(&self, rank: &rank::CallRank) -> bool {
         rank.level() >= self.level
     }
 
+    /// Whether a request of `rank` that comes now is refused for the line's sake.
+    pub fn refuses(&self, rank: &rank::CallRank) -> bool {
+        rank.entry_level() < self.level
+    }
+
     /// Counts a request that arrived, admitted or not.
     pub fn arrived(&mut self, rank: &rank::CallRank) {
         let level = rank.level();
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -439,6 +439,44 @@
     sent_every_other_second => (2_000, 1_000, 3_000),
 }
 
+// A lookup has been let in and makes its eight calls at a deep service whose line moves by some lanes from
+// one target to the next. Its calls pass a little below the line, else it would fail at the highest of eight
+// lines with most of its work done; what has not begun is refused, and so is what lies far below, or in a
+// class below the line's.
+fn line_gives_way_to_begun_requests(
+    line: (context::PriorityClass, u8),
+    (depth, lane): (u8, u8),
+    taken: bool,
+) {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8)]);
+    let line = call::CutLine {
+        class: line.0,
+        lane: context::LaneHash(line.1),
+    };
+    let load = call::LoadReport {
+        limit: 8,
+        cut: Some(line),
+        ..call::LoadReport::default()
+    };
+    let now = at(9_000);
+    end(&mut table, now, 1, routing::AttemptEnd::Fine, Some(&load));
+    let service = service();
+    let mut query = query(&service, lane, 130, &[]);
+    query.rank.depth = depth;
+    let chosen = node_of(table.choose(now, query)).is_some();
+    assert_eq!(chosen, taken);
+    assert_eq!(rank::admits(Some(&line), &query.rank), taken);
+}
+
+test_cases! {
+    line_gives_way_to_begun_requests:
+    a_begun_one_just_below_passes => ((NORMAL, 100), (3, 150), true),
+    one_that_has_not_begun_is_refused => ((NORMAL, 100), (0, 150), false),
+    a_begun_one_far_below_is_refused => ((NORMAL, 100), (3, 170), false),
+    a_begun_one_of_the_class_below_is_refused => (
+        (context::PriorityClass::High, 255), (3, 0), false),
+}
+
 // A target comes new among old ones and gets a part of its share first.
 #[test]
 fn new_target_starts_slowly() {
