Tell what became of a request by the logs of all nodes

At two hundred nodes nobody finds the chain of a request with grep. anvilctl story follows an id over all logs, through calls and repeats, in order of time, and names the cause in its last line.

Logs are read twice, since the deepest call ends first and most lines of a request stand before the one that ties its id to its root. Lines that can't be read are named, a clock that stepped back is said so.

Tests: anvil_ctl, story: 16 cases.

--- a/crates/anvil_ctl/src/arguments.rs
+++ b/crates/anvil_ctl/src/arguments.rs
@@ -61,6 +61,17 @@
     },
     /// Explain a request.
     Explain(Box<ExplainArguments>),
+    /// Tell what became of a request.
+    Story(StoryArguments),
+}
+
+/// Which request is followed, and through which logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoryArguments {
+    /// The caller's id of the request, or the root request's.
+    pub request: String,
+    /// Files and folders; `-` is the standard input.
+    pub logs: Vec<PathBuf>,
 }
 
 /// What of a node is shown.
@@ -161,6 +172,7 @@
             Some("status") => help::HelpTopic::Status,
             Some("dump") => help::HelpTopic::Dump,
             Some("explain") => help::HelpTopic::Explain,
+            Some("story") => help::HelpTopic::Story,
             Some(other) => bail!("there is no command {other:?}; see anvilctl --help"),
         };
         if helped {
@@ -174,15 +186,36 @@
             help::HelpTopic::Status => self.show(ShowTopic::Status),
             help::HelpTopic::Dump => self.show(ShowTopic::Dump),
             help::HelpTopic::Explain => self.explain(),
+            help::HelpTopic::Story => self.story(),
         }
     }
 
-    fn check(self) -> eyre::Result<CtlCommand> {
+    fn story(mut self) -> eyre::Result<CtlCommand> {
+        let request: Option<String> = self.arguments.opt_free_from_str()?;
+        let logs = self.files()?;
+        match request {
+            Some(request) if !request.is_empty() && !logs.is_empty() => {
+                Ok(CtlCommand::Story(StoryArguments { request, logs }))
+            }
+            _ => bail!("a request's id and its logs are needed; see anvilctl story --help"),
+        }
+    }
+
+    /// The files that the rest of the line names; a lone dash is the standard input.
+    fn files(self) -> eyre::Result<Vec<PathBuf>> {
         let files: Vec<PathBuf> = self.arguments.finish().iter().map(PathBuf::from).collect();
-        let option = |file: &&PathBuf| file.to_string_lossy().starts_with('-');
-        if let Some(option) = files.iter().find(option) {
-            bail!("there is no option {}", option.display());
+        let option = |file: &&PathBuf| {
+            let name = file.to_string_lossy();
+            name.starts_with('-') && name != "-"
+        };
+        match files.iter().find(option) {
+            Some(option) => bail!("there is no option {}", option.display()),
+            None => Ok(files),
         }
+    }
+
+    fn check(self) -> eyre::Result<CtlCommand> {
+        let files = self.files()?;
         if files.is_empty() {
             bail!("a rule file is needed; see anvilctl check --help");
         }
--- a/crates/anvil_ctl/src/command.rs
+++ b/crates/anvil_ctl/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::ffi::OsString;
 
-use crate::{apply, arguments, check, explain, outcome, show};
+use crate::{apply, arguments, check, explain, outcome, show, story};
 
 /// Does what the command line asks for; `line` comes without the program's name.
 pub fn run(line: Vec<OsString>, environment: &arguments::CtlEnvironment) -> outcome::CtlReport {
@@ -17,5 +17,6 @@
         arguments::CtlCommand::Apply(arguments) => apply::apply(&arguments),
         arguments::CtlCommand::Show { what, node } => show::show(what, &node),
         arguments::CtlCommand::Explain(arguments) => explain::explain(&arguments),
+        arguments::CtlCommand::Story(arguments) => story::story(&arguments),
     }
 }
--- a/crates/anvil_ctl/src/help.rs
+++ b/crates/anvil_ctl/src/help.rs
@@ -26,6 +26,9 @@
     /// `explain`.
     #[display("{EXPLAIN}")]
     Explain,
+    /// `story`.
+    #[display("{STORY}")]
+    Story,
 }
 
 const OVERVIEW: &str = "\
@@ -41,6 +44,7 @@
   status                Show the fleet as a node sees it
   dump                  Show the whole state of a node
   explain METHOD URL    Tell which rule decides a request, and why
+  story ID LOG...       Tell what became of a request, by the logs of the nodes
 
 Options of every command that asks a node:
   --node URL            Admin endpoint, such as http://10.0.0.5:7070; else $ANVIL_NODE
@@ -56,6 +60,7 @@
   3  unreachable: the node can't be reached, nothing was changed
   4  unknown: the answer was lost, the change may have been made
   5  lagging: accepted, but not in force everywhere when --wait ran out
+  6  absent: what was asked for isn't there
 ";
 
 const CHECK: &str = "\
@@ -112,6 +117,22 @@
 Usage: anvilctl dump --node URL [--json]
 ";
 
+const STORY: &str = "\
+anvilctl story ID FILE|DIR... - tell what became of a request, by the logs of the nodes
+
+The request is followed over all nodes through its calls and repeats, in order of time: who decided
+what, where it waited and what each try cost. The last line tells the cause in a sentence. ID is the
+id that the caller has, or the root request's.
+
+Usage: anvilctl story ID FILE|DIR...
+
+A file holds the lines of one node and is named after it, or those of many, each behind its node's
+name. Files whose names end in .gz are unpacked; - is the standard input. Lines that can't be read
+are named on the standard error, and the others hold.
+
+Exit codes: 0 told, 2 a file can't be read, 6 no line names the request.
+";
+
 const EXPLAIN: &str = "\
 anvilctl explain METHOD URL - tell which rule decides a request, and why
 
--- /dev/null
+++ b/crates/anvil_ctl/src/logs.rs
@@ -0,0 +1,4 @@
+//! The nodes' structured logs, read as the platform keeps them.
+
+pub mod line;
+pub mod source;
--- a/crates/anvil_ctl/src/outcome.rs
+++ b/crates/anvil_ctl/src/outcome.rs
@@ -23,6 +23,9 @@
     /// The change was accepted, but isn't in force everywhere yet.
     #[display("lagging")]
     Lagging,
+    /// What was asked for isn't there.
+    #[display("absent")]
+    Absent,
 }
 
 impl ExitStatus {
@@ -35,6 +38,7 @@
             Self::Unreachable => 3,
             Self::Unknown => 4,
             Self::Lagging => 5,
+            Self::Absent => 6,
         }
     }
 }
--- /dev/null
+++ b/crates/anvil_ctl/tests/story.rs
@@ -0,0 +1,325 @@
+//! The story of a request, told by logs alone.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code, reason = "other test files use the scripted node")]
+mod common;
+
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+
+use anvil_ctl::outcome;
+use anvil_testkit::test_cases;
+use serde_json::json;
+
+const ROOT: &str = "8641db262ed6cd7f7abfb0b1a8e9e56a";
+const REQUEST: &str = "fabae1d4d1230ae3";
+
+/// A line of a node's log.
+fn line(time: f64, facts: &serde_json::Value) -> String {
+    format!("{{\"time\":{time:.6},\"level\":\"INFO\",\"facts\":{facts}}}")
+}
+
+fn call(request: &str, service: &str, end: (&str, Option<u16>), took: u64) -> serde_json::Value {
+    json!({
+        "event": "call-ended", "request": request, "root": ROOT, "service": service,
+        "class": "normal", "lane": 189, "rule": { "revision": 4, "index": 2 },
+        "verdict": end.0, "status": end.1, "attempts": 1, "reached": 1, "nodes": ["000000000000000b"],
+        "refused": null, "refused_by": null, "took_ms": took, "left_ms": 495, "retry_after_ms": null,
+    })
+}
+
+fn refused(mut call: serde_json::Value) -> serde_json::Value {
+    call["refused"] = json!({ "cut": { "class": "normal", "lane": 42 } });
+    call["refused_by"] = json!("000000000000000b");
+    call
+}
+
+fn run(request: &str, end: (&str, Option<u16>), times: (u64, Option<u64>)) -> serde_json::Value {
+    json!({
+        "event": "run-ended", "request": request, "root": ROOT, "entry": "000000000000000a",
+        "attempt": 1, "incarnation": "i-1", "verdict": end.0, "status": end.1,
+        "queued_ms": times.0, "ran_ms": times.1, "running": 5, "queued": 32,
+    })
+}
+
+fn serving(identity: &str) -> serde_json::Value {
+    let text = format!("node serving: {}", json!({ "node": identity }));
+    json!({ "event": "note", "text": text })
+}
+
+/// The logs of two nodes: a lookup whose second call is refused at a deep service, and whose first one is
+/// cancelled for it.
+fn refused_deep_down() -> Vec<(&'static str, Vec<String>)> {
+    let (first, second) = (format!("{REQUEST}.1"), format!("{REQUEST}.2"));
+    let entry = vec![
+        line(0.5, &serving("000000000000000a")),
+        line(
+            10.290,
+            &refused(call(&second, "expediente", ("not-run: shed", None), 20)),
+        ),
+        line(
+            10.295,
+            &call(&first, "expediente", ("may-have-run: cancelled", None), 30),
+        ),
+        line(
+            10.300,
+            &call(REQUEST, "portal", ("answered", Some(500)), 300),
+        ),
+    ];
+    let deep = vec![
+        line(0.5, &serving("000000000000000b")),
+        line(10.289, &run(&second, ("not-run: shed", None), (0, None))),
+        line(
+            10.296,
+            &run(&first, ("may-have-run: cancelled", None), (3, Some(24))),
+        ),
+    ];
+    vec![("centro-a-1", entry), ("centro-b-2", deep)]
+}
+
+fn write(folder: &Path, logs: &[(&str, Vec<String>)]) {
+    for (node, lines) in logs {
+        fs::write(folder.join(format!("{node}.log")), lines.join("\n") + "\n").unwrap();
+    }
+}
+
+fn told(id: &str, folder: &Path) -> outcome::CtlReport {
+    common::run(&format!("story {id} {}", folder.display()))
+}
+
+// A caller got 500. Its lookup made two calls; one was refused by a full deep service, and the other was cut
+// short for it. The last line names the refusal and not what followed from it, whichever id is asked for.
+fn names_the_deepest_failure(id: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &refused_deep_down());
+    let report = told(id, folder.path());
+    assert_eq!(report.status, outcome::ExitStatus::Done, "{}", report.err);
+    let last = report.out.lines().last().unwrap();
+    assert_eq!(
+        last,
+        "cause: the call to expediente from centro-a-1 ended not-run: shed, refused by \
+         {\"cut\":{\"class\":\"normal\",\"lane\":42}} of centro-b-2 after one attempt at centro-b-2; at centro-b-2 \
+         it waited 0 ms and never started, with 5 running and 32 waiting; the calls above it passed that on, \
+         and the caller got answered 500"
+    );
+    assert_eq!(report.out.lines().count(), 7);
+    assert_eq!(report.err, "");
+}
+
+test_cases! { names_the_deepest_failure:
+    by_the_callers_id => (REQUEST),
+    by_the_root => (ROOT),
+    by_the_id_of_a_call_below => ("fabae1d4d1230ae3.1"),
+}
+
+// Lines come in order of time and not of files, with what each try cost and where it waited.
+#[test]
+fn tells_in_order_of_time() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &refused_deep_down());
+    let report = told(REQUEST, folder.path());
+    let begun: Vec<f64> = report
+        .out
+        .lines()
+        .filter_map(|line| line.split_whitespace().next()?.parse().ok())
+        .collect();
+    assert_eq!(begun.len(), 5);
+    assert!(begun.is_sorted(), "{begun:?}");
+    assert!(
+        report
+            .out
+            .contains("waited 3 ms, ran 24 ms, 5 running and 32 waiting")
+    );
+}
+
+// Where callers send no ids, all lines of a request share its root alone. What lies within a call in time was
+// made for it, and the run is found by its two nodes.
+#[test]
+fn tells_of_requests_without_ids() {
+    let without_id = |mut facts: serde_json::Value| {
+        facts["request"] = json!(null);
+        facts
+    };
+    let folder = tempfile::tempdir().unwrap();
+    let deep = refused(call("", "expediente", ("not-run: queue-full", None), 204));
+    let entry = vec![
+        line(0.5, &serving("000000000000000a")),
+        line(10.223, &without_id(deep)),
+        line(
+            10.224,
+            &without_id(call("", "portal", ("answered", Some(503)), 224)),
+        ),
+    ];
+    let target = vec![
+        line(0.5, &serving("000000000000000b")),
+        line(
+            10.222,
+            &without_id(run("", ("not-run: queue-full", None), (201, None))),
+        ),
+    ];
+    write(
+        folder.path(),
+        &[("centro-a-1", entry), ("centro-b-2", target)],
+    );
+    let report = told(ROOT, folder.path());
+    let last = report.out.lines().last().unwrap();
+    assert!(
+        last.contains("at centro-b-2 it waited 201 ms and never started"),
+        "{last}"
+    );
+    assert!(last.ends_with("the caller got answered 503"), "{last}");
+}
+
+// What the platform keeps is packed, and some nodes' lines come in one stream, each behind its node's name. The
+// story is the same.
+#[test]
+fn reads_packed_files_and_streams_with_names() {
+    let plain = tempfile::tempdir().unwrap();
+    write(plain.path(), &refused_deep_down());
+    let packed = tempfile::tempdir().unwrap();
+    let file = fs::File::create(packed.path().join("all.log.gz")).unwrap();
+    let mut writer = flate2::write::GzEncoder::new(file, flate2::Compression::fast());
+    for (node, lines) in refused_deep_down() {
+        for line in lines {
+            writeln!(writer, "  10.2900 {node} {line}").unwrap();
+        }
+    }
+    writer.finish().unwrap();
+    assert_eq!(told(REQUEST, packed.path()), told(REQUEST, plain.path()));
+}
+
+// A disk ran full in the middle of a line, and somebody's banner stands in a file. These are named with their
+// places, and the story holds.
+#[test]
+fn names_lines_that_cannot_be_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut logs = refused_deep_down();
+    logs[0]
+        .1
+        .insert(1, "{\"time\":10.1,\"level\":\"IN".to_owned());
+    logs[1].1.insert(0, "=== log begins ===".to_owned());
+    write(folder.path(), &logs);
+    let report = told(REQUEST, folder.path());
+    assert_eq!(report.status, outcome::ExitStatus::Done);
+    assert_eq!(
+        report.err,
+        "anvilctl: centro-a-1:2: no line of a node's log\nanvilctl: centro-b-2:1: no line of a node's log\n"
+    );
+    assert_eq!(report.out.lines().count(), 7);
+}
+
+// The clock of an instance was set back by three seconds. Its lines stand where its clock put them, and the
+// story says so.
+#[test]
+fn says_where_a_clock_stepped_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut logs = refused_deep_down();
+    logs[1]
+        .1
+        .insert(1, line(13.5, &json!({ "event": "note", "text": "x" })));
+    write(folder.path(), &logs);
+    let report = told(REQUEST, folder.path());
+    assert!(
+        report
+            .out
+            .contains("the clock of centro-b-2 stepped back by 3.211 s"),
+        "{}",
+        report.out
+    );
+}
+
+// A request that was answered has no cause to look for; where it waited is told.
+#[test]
+fn tells_of_an_answered_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let entry = vec![line(
+        10.3,
+        &call(REQUEST, "portal", ("answered", Some(200)), 300),
+    )];
+    let target = vec![line(
+        10.299,
+        &run(REQUEST, ("answered", Some(200)), (40, Some(250))),
+    )];
+    write(
+        folder.path(),
+        &[("centro-a-1", entry), ("centro-b-2", target)],
+    );
+    let report = told(REQUEST, folder.path());
+    let last = report.out.lines().last().unwrap();
+    assert_eq!(
+        last,
+        "cause: none; answered 200 in one attempt, in 300 ms; the longest wait for a slot was 40 ms at centro-b-2"
+    );
+}
+
+// The time of a lookup ran out while a call of its call waited for a slot. The cause names that wait, though the
+// call that the time ran out for is another one.
+#[test]
+fn names_the_wait_in_which_time_ran_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let (first, deep) = (format!("{REQUEST}.1"), format!("{REQUEST}.1.1"));
+    let late = ("may-have-run: deadline", None);
+    let entry = vec![
+        line(10.8, &call(REQUEST, "portal", late, 800)),
+        line(10.8, &call(&first, "audiencias", late, 700)),
+        line(
+            10.801,
+            &call(&deep, "expediente", ("may-have-run: cancelled", None), 632),
+        ),
+    ];
+    let target = vec![line(
+        10.802,
+        &run(&deep, ("answered", Some(504)), (593, Some(39))),
+    )];
+    write(
+        folder.path(),
+        &[("centro-a-1", entry), ("centro-b-2", target)],
+    );
+    let report = told(REQUEST, folder.path());
+    let last = report.out.lines().last().unwrap();
+    assert!(
+        last.contains("the longest wait for a slot was 593 ms at centro-b-2"),
+        "{last}"
+    );
+}
+
+// The entry node's log is missing: nobody tells how the request ended, and the story says so.
+#[test]
+fn says_that_no_entry_node_tells() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &refused_deep_down()[1..]);
+    let report = told(ROOT, folder.path());
+    let last = report.out.lines().last().unwrap();
+    assert_eq!(
+        last,
+        "cause: not in these logs; no entry node tells how the request ended"
+    );
+}
+
+#[test]
+fn an_id_that_is_not_there_has_an_exit_code_of_its_own() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &refused_deep_down());
+    let report = told("fabae1d4", folder.path());
+    assert_eq!(report.status.code(), 6);
+    assert_eq!(
+        report.err,
+        "anvilctl: no line of the 7 read names request fabae1d4\n"
+    );
+    assert_eq!(report.out, "");
+}
+
+fn refuses(line: &str, expected: &str) {
+    let report = common::run(line);
+    assert_eq!(report.status, outcome::ExitStatus::Usage);
+    assert!(report.err.contains(expected), "{}", report.err);
+}
+
+test_cases! { refuses:
+    no_id => ("story", "a request's id and its logs are needed; see anvilctl story --help"),
+    no_logs => ("story abc", "a request's id and its logs are needed"),
+    an_option_that_is_none => ("story abc --fast x.log", "there is no option --fast"),
+    a_file_that_is_not_there => ("story abc /nowhere/x.log", "/nowhere/x.log: No such file"),
+}
