--- a/crates/anvil_ctl/src/story/cause.rs
+++ b/crates/anvil_ctl/src/story/cause.rs
@@ -151,7 +151,7 @@
     ended: EndedCall<'_>,
 ) -> Option<(&'a str, &'a line::RunEnd)> {
     let runs = trail.steps.iter().filter_map(|step| match &step.facts {
-        line::LogFacts::RunEnded(run) if is_run_of(trail, (step, run), ended) => Some((step, run)),
+        line::LogFacts::RunEnded(run) if is_run_of(trail, step, run, ended) => Some((step, run)),
         _ => None,
     });
     let last = runs.max_by(|a, b| a.0.time.total_cmp(&b.0.time))?;
@@ -162,7 +162,8 @@
 /// call's node at one of those that the call was sent to.
 fn is_run_of(
     trail: &trail::RequestTrail,
-    (step, run): (&trail::TrailStep, &line::RunEnd),
+    step: &trail::TrailStep,
+    run: &line::RunEnd,
     ended: EndedCall<'_>,
 ) -> bool {
     match (&run.request, &ended.call.request) {
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -26,6 +26,21 @@
 /// Below this size a node takes the whole fleet instead of comparing digests.
 const NEWCOMER_MEMBERS: usize = 10;
 
+/// The members that a peer knows alive, in the buckets in which the two differ.
+struct PeerHeaders<'a> {
+    head: gossip::GossipHead,
+    buckets: u32,
+    differing: &'a [u32],
+    headers: &'a [gossip::MemberHeader],
+}
+
+/// Claims of a peer, and the identities whose claims it lacks.
+struct PeerClaims<'a> {
+    head: gossip::GossipHead,
+    updates: &'a [gossip::MemberUpdate],
+    wanted: &'a [ident::NodeId],
+}
+
 impl fleet::FleetState {
     /// Takes a bulk message of a peer.
     pub fn on_sync(
@@ -58,8 +73,13 @@
                 differing,
                 headers,
             } => {
-                let headers = (*buckets, &differing[..], &headers[..]);
-                self.on_headers(now, *head, headers, &mut out);
+                let told = PeerHeaders {
+                    head: *head,
+                    buckets: *buckets,
+                    differing,
+                    headers,
+                };
+                self.on_headers(now, &told, &mut out);
             }
             gossip::SyncMessage::Members {
                 head,
@@ -67,7 +87,12 @@
                 wanted,
                 last,
             } => {
-                self.on_members(now, *head, (updates, wanted), &mut out);
+                let told = PeerClaims {
+                    head: *head,
+                    updates,
+                    wanted,
+                };
+                self.on_members(now, &told, &mut out);
                 if *last {
                     self.members_compared(now, *head, &mut out);
                 }
@@ -247,16 +272,16 @@
     fn on_headers(
         &mut self,
         now: time::NodeTime,
-        head: gossip::GossipHead,
-        (buckets, differing, headers): (u32, &[u32], &[gossip::MemberHeader]),
+        told: &PeerHeaders<'_>,
         out: &mut Vec<effect::FleetEffect>,
     ) {
-        if !digest::is_bucket_count(buckets as usize) {
+        let buckets = told.buckets as usize;
+        if !digest::is_bucket_count(buckets) {
             return;
         }
-        let mut theirs = headers.to_vec();
+        let mut theirs = told.headers.to_vec();
         theirs.sort_unstable_by_key(|header| header.node);
-        let own = digest::headers(&self.table, buckets as usize, differing);
+        let own = digest::headers(&self.table, buckets, told.differing);
         let mut telling: Vec<_> = own
             .iter()
             .filter(|own| {
@@ -276,31 +301,30 @@
             }
         }
         if wanted.is_empty() {
-            self.members_compared(now, head, out);
+            self.members_compared(now, told.head, out);
         }
         if telling.is_empty() && wanted.is_empty() {
             return;
         }
-        self.send_claims(head.from, &telling, wanted, true, out);
+        self.send_claims(told.head.from, &telling, wanted, true, out);
     }
 
     fn on_members(
         &mut self,
         now: time::NodeTime,
-        head: gossip::GossipHead,
-        (updates, wanted): (&[gossip::MemberUpdate], &[ident::NodeId]),
+        told: &PeerClaims<'_>,
         out: &mut Vec<effect::FleetEffect>,
     ) {
-        self.repeating = updates.len() <= REPEAT_LIMIT;
-        for update in updates {
+        self.repeating = told.updates.len() <= REPEAT_LIMIT;
+        for update in told.updates {
             self.apply(now, update, out);
         }
         self.repeating = true;
-        let mut telling = self.ended_since(updates);
-        telling.extend(wanted);
+        let mut telling = self.ended_since(told.updates);
+        telling.extend(told.wanted);
         if !telling.is_empty() {
-            let last = !wanted.is_empty();
-            self.send_claims(head.from, &telling, Vec::new(), last, out);
+            let last = !told.wanted.is_empty();
+            self.send_claims(told.head.from, &telling, Vec::new(), last, out);
         }
     }
 
--- a/crates/anvil_overload/src/rank.rs
+++ b/crates/anvil_overload/src/rank.rs
@@ -49,7 +49,7 @@
 
     /// The level at which lines are asked whether they admit the request: the calls of requests that have
     /// begun stand [`BEGUN_LANES`] higher, within their class.
-    pub fn entry_level(&self) -> u16 {
+    pub fn admission_level(&self) -> u16 {
         if self.depth == 0 {
             return self.level();
         }
@@ -83,5 +83,5 @@
 
 /// Whether `line` admits a request of `rank`.
 pub fn admits(line: Option<&call::CutLine>, rank: &CallRank) -> bool {
-    rank.entry_level() >= line_level(line)
+    rank.admission_level() >= line_level(line)
 }
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -107,7 +107,7 @@
         source: &mut Pcg32,
     ) -> Option<usize> {
         if policy.early_refusal
-            && query.rank.entry_level() < self.line_level(now, query.kind, query.exclude)
+            && query.rank.admission_level() < self.line_level(now, query.kind, query.exclude)
         {
             return None;
         }
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -118,7 +118,7 @@
     }
 
     pub(super) fn admits(&self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
-        rank.entry_level() >= self.cut.level(now)
+        rank.admission_level() >= self.cut.level(now)
     }
 
     pub(super) fn choice(&self) -> routing::RouteChoice {
--- a/crates/anvil_overload/src/shedding.rs
+++ b/crates/anvil_overload/src/shedding.rs
@@ -120,7 +120,7 @@
 
     /// Whether a request of `rank` that comes now is refused for the line's sake.
     pub fn refuses(&self, rank: &rank::CallRank) -> bool {
-        rank.entry_level() < self.level
+        rank.admission_level() < self.level
     }
 
     /// Counts a request that arrived, admitted or not.
