Write the operators' rules in one place of the harness, and look at faded lines no longer

Three test files of anvil_membership each wrote the whole rules to the fake store; the harness does it now.

The targets of a service were looked through for lines for three seconds after the last line told, though a target's own line fades within 600 ms; only lines from below last longer, and these are kept apart. What is found afterwards is no line at all, so no decision changes.

--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -76,7 +76,37 @@
     }
 }
 
+/// The whole rules at `revision`, whose body grows with it.
+pub fn whole_rules(revision: u64) -> gossip::LoggedChange {
+    let ids = (1..=u128::from(revision)).flat_map(u128::to_le_bytes);
+    gossip::LoggedChange {
+        revision: ident::RuleRevision(revision),
+        change: 0,
+        body: ids.collect::<Vec<u8>>().into(),
+    }
+}
+
 impl Net {
+    /// Lets an operator write the whole rules under `key`; no node has any part in it.
+    pub fn write_rules(&mut self, key: &store::StoreKey, revision: u64) {
+        let standing = self.store.entries().find(|entry| entry.key == *key);
+        let base = standing.map_or(store::SwapBase::Absent, |entry| {
+            store::SwapBase::At(entry.version)
+        });
+        let ask = store::StoreAsk::Swap {
+            key: key.clone(),
+            base,
+            value: whole_rules(revision).to_value().expect("it can be encoded"),
+            lease: None,
+        };
+        let nobody = store::StoreId {
+            part: store::StorePart::Keys,
+            sequence: revision,
+        };
+        let outcome = self.store.carry_out(self.now, (0, nobody), &ask);
+        assert!(matches!(outcome, Some(store::StoreOutcome::Done(_))));
+    }
+
     pub fn new(seed: u64) -> Self {
         Self {
             now: time::NodeTime::from_millis(1),
--- a/crates/anvil_membership/tests/newcomers.rs
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -4,8 +4,7 @@
 
 use anvil_membership::fleet;
 use anvil_testkit::test_cases;
-use anvil_types::{ident, store};
-use anvil_wire::gossip;
+use anvil_types::store;
 
 mod harness;
 
@@ -34,26 +33,6 @@
     Document,
 }
 
-fn write_rules(net: &mut Net) {
-    let rules = gossip::LoggedChange {
-        revision: ident::RuleRevision(1),
-        change: 0,
-        body: 1_u128.to_le_bytes().to_vec().into(),
-    };
-    let ask = store::StoreAsk::Swap {
-        key: store::StoreKey::new(KEY),
-        base: store::SwapBase::Absent,
-        value: rules.to_value().expect("it can be encoded"),
-        lease: None,
-    };
-    let nobody = store::StoreId {
-        part: store::StorePart::Keys,
-        sequence: 1,
-    };
-    let now = net.now;
-    net.store.carry_out(now, (0, nobody), &ask);
-}
-
 fn add(net: &mut Net, slot: usize, rules: RuleSource) -> usize {
     let index = net.add_at(slot, slot % 4, &harness::with_store());
     if let RuleSource::Document = rules {
@@ -67,7 +46,7 @@
 /// A fleet whose nodes know each other, and when each of them started.
 fn fleet(seed: u64, rules: RuleSource) -> Net {
     let mut net = Net::new(seed);
-    write_rules(&mut net);
+    net.write_rules(&store::StoreKey::new(KEY), 1);
     for slot in 0..SIZE {
         add(&mut net, slot, rules);
     }
--- a/crates/anvil_membership/tests/rule_document.rs
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -22,32 +22,12 @@
 
 /// The whole rules at `revision`; the harness checks that their body grows with it.
 fn whole(revision: u64) -> gossip::LoggedChange {
-    let ids = (1..=u128::from(revision)).flat_map(u128::to_le_bytes);
-    gossip::LoggedChange {
-        revision: ident::RuleRevision(revision),
-        change: 0,
-        body: ids.collect::<Vec<u8>>().into(),
-    }
+    harness::whole_rules(revision)
 }
 
 /// The operator writes to the store, which no node has any part in.
 fn write(net: &mut Net, revision: u64) {
-    let standing = net.store.entries().find(|entry| entry.key == key());
-    let base = standing.map_or(store::SwapBase::Absent, |entry| {
-        store::SwapBase::At(entry.version)
-    });
-    let ask = store::StoreAsk::Swap {
-        key: key(),
-        base,
-        value: whole(revision).to_value().expect("it can be encoded"),
-        lease: None,
-    };
-    let nobody = store::StoreId {
-        part: store::StorePart::Keys,
-        sequence: revision,
-    };
-    let outcome = net.store.carry_out(net.now, (0, nobody), &ask);
-    assert!(matches!(outcome, Some(store::StoreOutcome::Done(_))));
+    net.write_rules(&key(), revision);
 }
 
 fn add(net: &mut Net, slot: usize, region: usize) -> usize {
--- a/crates/anvil_membership/tests/store_calls.rs
+++ b/crates/anvil_membership/tests/store_calls.rs
@@ -6,8 +6,7 @@
 
 use anvil_membership::fleet;
 use anvil_testkit::test_cases;
-use anvil_types::{ident, store};
-use anvil_wire::gossip;
+use anvil_types::store;
 
 mod harness;
 
@@ -42,29 +41,7 @@
 }
 
 fn write(net: &mut Net, revision: u64) {
-    let ids = (1..=u128::from(revision)).flat_map(u128::to_le_bytes);
-    let rules = gossip::LoggedChange {
-        revision: ident::RuleRevision(revision),
-        change: 0,
-        body: ids.collect::<Vec<u8>>().into(),
-    };
-    let standing = net.store.entries().find(|entry| entry.key == key());
-    let base = standing.map_or(store::SwapBase::Absent, |entry| {
-        store::SwapBase::At(entry.version)
-    });
-    let ask = store::StoreAsk::Swap {
-        key: key(),
-        base,
-        value: rules.to_value().unwrap(),
-        lease: None,
-    };
-    let nobody = store::StoreId {
-        part: store::StorePart::Keys,
-        sequence: revision,
-    };
-    let now = net.now;
-    let outcome = net.store.carry_out(now, (0, nobody), &ask);
-    assert!(matches!(outcome, Some(store::StoreOutcome::Done(_))));
+    net.write_rules(&key(), revision);
 }
 
 fn add(net: &mut Net, slot: usize) -> usize {
--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -20,9 +20,6 @@
 /// Longest time for which a reported line counts in full.
 pub const CUT_FRESH_LIMIT: Duration = Duration::from_secs(1);
 
-/// When any line is gone.
-pub const CUT_GONE_LIMIT: Duration = CUT_FRESH_LIMIT.saturating_mul(GONE_FACTOR);
-
 /// Usual times between two requests for which a line counts in full.
 const FRESH_GAPS: u32 = 2;
 
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -204,7 +204,7 @@
         }
         if let Some(load) = attempt.load {
             if load.cut.is_some() {
-                routes.lines_until = now + cut::CUT_GONE_LIMIT;
+                routes.lines_until = now + cut::CUT_GONE;
             }
             routes.deep.learn(now, attempt.kind, load.deep.as_ref());
         }
