Ask for fates on a new connection where another one fell silent

Cause: the question about the calls went out on whichever connection was left, the one last heard from, and that one had been dropped by the network at the same moment.

Change: where a connection gives no sign of life, all others to that node are doubted until something comes on them, and the next frame opens a new one. A reset casts no doubt.

--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -48,6 +48,20 @@
     pub frames: mpsc::Sender<frame::PeerFrame>,
     /// When anything last came on it.
     pub pulse: Arc<pulse::LinkPulse>,
+    /// The place of the last frame that had come when another connection to the node fell silent.
+    doubted_at: Option<u64>,
+}
+
+impl PeerLink {
+    /// Notes that another connection to the same node fell silent.
+    pub fn doubt(&mut self) {
+        self.doubted_at = Some(self.pulse.last_heard());
+    }
+
+    /// Whether another connection fell silent and nothing has come on this one since.
+    pub fn is_doubted(&self) -> bool {
+        self.doubted_at == Some(self.pulse.last_heard())
+    }
 }
 
 /// The connection's side of a [`PeerLink`].
@@ -59,6 +73,13 @@
     pulse: Arc<pulse::LinkPulse>,
 }
 
+impl LinkParts {
+    /// Frames that wait to be sent.
+    pub fn waiting(&self) -> usize {
+        self.frames.len()
+    }
+}
+
 /// Both sides of a new connection to `peer`.
 pub fn pair(peer: ident::NodeId, link: LinkId) -> (PeerLink, LinkParts) {
     let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
@@ -68,6 +89,7 @@
         link,
         pulse: pulse.clone(),
         frames: sender,
+        doubted_at: None,
     };
     let parts = LinkParts {
         link,
@@ -90,6 +112,8 @@
     pub used: bool,
     /// Whether calls had crossed it whose answers have not come, so that their fate is unknown now.
     pub owed: bool,
+    /// Whether it gave no sign of life, and may not be the only one to the node that does so.
+    pub silent: bool,
 }
 
 /// What every connection works with.
@@ -144,6 +168,7 @@
                 unsent: drain(parts.frames).await,
                 used: false,
                 owed: false,
+                silent: false,
             };
             report(&context, peer, end).await;
         }
@@ -213,6 +238,8 @@
     used: bool,
     /// Whether answers to calls were due.
     owed: bool,
+    /// Whether it gave no sign of life.
+    silent: bool,
 }
 
 async fn connect(
@@ -248,6 +275,7 @@
     // A connection that broke can't be shut down once more.
     let _ = writer.writer.shutdown().await;
     note_end(&writer, link, &end);
+    let silent = matches!(end, Ok(WriteEnd::Dead));
     let received = match end {
         Err(received) => received.unwrap_or(true),
         Ok(WriteEnd::Flushed) => read_rest(reading).await,
@@ -262,6 +290,7 @@
         unsent: drain(frames).await,
         used: writer.used || received,
         owed: pulse.awaits(),
+        silent,
     }
 }
 
@@ -445,6 +474,7 @@
         unsent,
         used,
         owed,
+        silent,
     } = end;
     let closed = engine::EngineInput::LinkClosed(ClosedLink {
         peer,
@@ -452,6 +482,7 @@
         unsent,
         used,
         owed,
+        silent,
     });
     // The engine is gone only when the process leaves.
     let _ = context.engine.send_async(closed).await;
--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -58,7 +58,8 @@
         address: SocketAddr,
         frame: frame::PeerFrame,
     ) -> Option<event::NodeEvent> {
-        let Some(session) = self.sessions.get_mut(peer) else {
+        let session = self.sessions.get_mut(peer);
+        let Some(session) = session.filter(|session| session.has_trusted()) else {
             let opened = self.open(peer, address, frame);
             self.adopt(opened);
             return None;
@@ -97,6 +98,9 @@
             self.sessions.remove(peer);
             return closing_events(peer, unsent, closed.used);
         }
+        if closed.silent {
+            session.doubt_all();
+        }
         let mut events = self.reroute(peer, unsent);
         if closed.used && closed.owed {
             events.push(event::NodeEvent::ConnectionLost { peer });
@@ -110,11 +114,15 @@
         peer: ident::NodeId,
         frames: Vec<frame::PeerFrame>,
     ) -> Vec<event::NodeEvent> {
-        let mut unsent = Vec::new();
-        if let Some(session) = self.sessions.get_mut(peer) {
-            let refused = frames.into_iter().map(|frame| session.send(frame));
-            unsent.extend(refused.filter_map(Result::err));
-        }
+        let session = self.sessions.get_mut(peer);
+        let unsent: Vec<_> = match session.filter(|session| session.has_trusted()) {
+            Some(session) => {
+                let refused = frames.into_iter().map(|frame| session.send(frame));
+                refused.filter_map(Result::err).collect()
+            }
+            // Whoever needs them sends them once more, on a new connection.
+            None => frames,
+        };
         if unsent.is_empty() {
             return Vec::new();
         }
@@ -140,14 +148,25 @@
 }
 
 impl PeerSession {
+    /// Stops sending on all connections until something comes on them.
+    ///
+    /// Failure: the network drops both connections of two nodes without a sign, and one is found silent.
+    /// Symptom: the question about the calls on it goes out on the other and is lost too, so calls are
+    /// given up at whose targets they run. What has to be known goes on a new connection.
+    fn doubt_all(&mut self) {
+        self.links.iter_mut().for_each(link::PeerLink::doubt);
+    }
+
+    /// Whether there is a connection to send on.
+    fn has_trusted(&self) -> bool {
+        self.links.iter().any(|link| !link.is_doubted())
+    }
+
     /// Hands the frame back where the queue is full.
     fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
-        let alive = self
-            .links
-            .iter()
-            .rev()
-            .max_by_key(|link| link.pulse.last_heard());
-        let Some(current) = alive else {
+        let trusted = self.links.iter().rev().filter(|link| !link.is_doubted());
+        let current = trusted.max_by_key(|link| link.pulse.last_heard());
+        let Some(current) = current else {
             self.unsent.push(frame);
             return Ok(());
         };
