Let a stopping node hear from every member before it ends

Callers saw: a request sent to a node that ends as planned is told as maybe run although it never came there. Its connection was silent without a sign, the entry node noticed 750 ms later, and the process was gone.

Cause: a stop asked those that had called within five seconds, so not one whose first call was lost, nor one whose call came longer ago and whose answer was lost.

Change: once it takes no more runs, a node tells each live member so by datagram, with its own claim, until it has heard back or 1.5 s have passed. A member that has calls out there says so and is asked before the end, on a connection that is known to work. An answer counts as a call for that list. PROTOCOL_VERSION is 7.

Ruled out: asking over TCP, as those that called are: a stop would open a connection to every node of the fleet.

--- a/crates/anvil_core/src/farewell.rs
+++ b/crates/anvil_core/src/farewell.rs
@@ -1,4 +1,4 @@
-//! The last word with the nodes that called, before this one ends.
+//! The last words with other nodes, before this one ends.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +9,10 @@
 /// noticed by its entry node within a second; older ones have been asked about.
 const CALLED_LATELY: Duration = Duration::from_secs(5);
 
+/// Longest wait until all members have heard of the stop. Most answer within some milliseconds; one that
+/// is gone, or cut off, never does.
+const NOTICE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Longest wait for the last word of the others: a connection that is silent shows within a second, and
 /// a new one takes half a second at most. Where connections work it is one way there and back.
 pub const FAREWELL_LIMIT: Duration = Duration::from_millis(1_500);
@@ -23,21 +27,75 @@
     at: time::NodeTime,
 }
 
-/// Which nodes called lately, and which of them have not said yet that they wait for nothing.
+/// The members that have not heard yet that this node stops.
+#[derive(Clone, Debug)]
+struct StopNotice {
+    unheard: sorted::SortedTable<ident::NodeId, SocketAddr>,
+    /// When to go on without them.
+    until: time::NodeTime,
+}
+
+/// Who has to hear of the stop, which nodes called lately, and which of them have not said yet that they
+/// wait for nothing.
 ///
 /// Failure: a connection to an entry node was silenced, and this node answers on it, or a call never came,
 /// and then it ends as planned. Symptom: the entry node notices a moment later and finds nobody to ask, so
-/// that a planned stop costs a request which was answered, or never ran. So those that called are asked
-/// before the end, and are answered once more.
+/// that a planned stop costs a request which was answered, or never ran. So every member says whether it
+/// has calls out here once it has heard that it must send no more; those that have, and those that called
+/// lately, are asked before the end, and are answered once more.
 #[derive(Clone, Debug, Default)]
 pub struct FarewellList {
+    notice: Option<StopNotice>,
     callers: sorted::SortedTable<ident::NodeId, CallerNode>,
     /// When to end all the same; set once the others have been told.
     until: Option<time::NodeTime>,
 }
 
 impl FarewellList {
-    /// Takes note of a call.
+    /// Begins to tell `members` of the stop; tells until when they are waited for.
+    pub fn begin_notice(
+        &mut self,
+        now: time::NodeTime,
+        members: Vec<(ident::NodeId, SocketAddr)>,
+    ) -> time::NodeTime {
+        let until = now + NOTICE_LIMIT;
+        let mut unheard = sorted::SortedTable::default();
+        for (node, address) in members {
+            unheard.insert(node, address);
+        }
+        self.notice = Some(StopNotice { unheard, until });
+        until
+    }
+
+    /// Where members that have not heard of the stop accept datagrams; none once they are waited for no
+    /// more.
+    pub fn unheard(&self, now: time::NodeTime) -> Vec<SocketAddr> {
+        let notice = self.notice.as_ref().filter(|notice| now < notice.until);
+        let unheard = notice.map(|notice| notice.unheard.iter());
+        let addresses = unheard.into_iter().flatten();
+        addresses.map(|(_, address)| *address).collect()
+    }
+
+    /// Takes note that a member has heard of the stop.
+    pub fn noticed(&mut self, peer: ident::NodeId) {
+        if let Some(notice) = &mut self.notice {
+            notice.unheard.remove(peer);
+        }
+    }
+
+    /// Whether all members have heard of the stop, as far as they are waited for.
+    pub fn is_noticed(&self, now: time::NodeTime) -> bool {
+        let notice = self.notice.as_ref();
+        notice.is_none_or(|notice| notice.unheard.is_empty() || now >= notice.until)
+    }
+
+    /// Takes note that a member has ended. One that is only believed to have crashed may still answer.
+    pub fn member_gone(&mut self, peer: ident::NodeId) {
+        self.noticed(peer);
+        self.heard(peer);
+    }
+
+    /// Takes note of a call, or of its answer.
     pub fn called(&mut self, now: time::NodeTime, peer: ident::NodeId, reply_to: SocketAddr) {
         if self.until.is_some() {
             return;
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -38,8 +38,12 @@
     pub(crate) fn datagram_arrived(&mut self, from: SocketAddr, message: &gossip::GossipMessage) {
         let effects = self.fleet.on_datagram(self.now, from, message);
         self.take_fleet(effects);
-        if let gossip::GossipKind::Quota(quota) = &message.kind {
-            self.quota_arrived(from, message.head, quota);
+        match &message.kind {
+            gossip::GossipKind::Quota(quota) => self.quota_arrived(from, message.head, quota),
+            gossip::GossipKind::Farewell(word) => {
+                self.farewell_arrived(from, message.head.from, *word);
+            }
+            _ => {}
         }
     }
 
@@ -181,8 +185,12 @@
         let crashed = reason == GoneReason::Crashed;
         self.quota.member_gone(self.now, node, crashed);
         match reason {
-            GoneReason::Crashed | GoneReason::Replaced => self.peer_lost(node),
-            GoneReason::Left => {}
+            GoneReason::Crashed => self.peer_lost(node),
+            GoneReason::Replaced => {
+                self.farewell.member_gone(node);
+                self.peer_lost(node);
+            }
+            GoneReason::Left => self.farewell.member_gone(node),
         }
     }
 
@@ -210,6 +218,13 @@
         })
     }
 
+    /// The other members that are alive, and where they accept datagrams.
+    pub(crate) fn fleet_peers(&self) -> Vec<(ident::NodeId, SocketAddr)> {
+        let members = self.fleet.table().all().iter();
+        let live = members.filter(|m| m.state.is_live() && m.node != self.config.node);
+        live.map(|m| (m.node, m.facts.udp)).collect()
+    }
+
     /// The members that this node knows, one by one.
     pub(crate) fn fleet_members(&self) -> Vec<serde_json::Value> {
         let members = self.fleet.table().all().iter().take(DUMP_MEMBERS);
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -285,6 +285,7 @@
                 timers::TimerKind::TargetLease => self.target_lapsed(),
                 timers::TimerKind::Leave => {}
                 timers::TimerKind::StopRuns => self.stop_runs(),
+                timers::TimerKind::StopNotice => self.send_notices(),
                 timers::TimerKind::StopLimit => self.stop_limit_reached(),
             }
         }
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -125,6 +125,7 @@
         idempotent: bool,
     ) {
         if peer != self.config.node {
+            self.farewell.called(self.now, peer, reply_to);
             self.memory.of(idempotent).answers.keep(self.now, &answer);
         }
         let frame = frame::PeerFrame::Answer(Box::new(answer));
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -1,11 +1,17 @@
 //! A planned stop: announce, refuse new work, finish what runs, leave.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{time, verdict};
+use anvil_types::{ident, time, verdict};
+use anvil_wire::{farewell, gossip};
 
 use crate::{calls, effect, event, keys, reducer, runs, timers};
 
+/// Time after which a member that has not answered is told of the stop again; datagrams are lost now and
+/// then.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How a node stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
@@ -105,7 +111,8 @@
         };
         let handed_over = self.keys_released() || self.now >= callers_until + keys::HANDOVER_LIMIT;
         let done = self.calls.is_empty() && self.runs.is_empty();
-        if self.now >= callers_until && done && handed_over && self.all_know() {
+        let noticed = self.farewell.is_noticed(self.now);
+        if self.now >= callers_until && done && handed_over && noticed && self.all_know() {
             self.phase = NodePhase::Gone;
             self.leave_fleet();
             self.effects.push(effect::NodeEffect::Exit);
@@ -129,6 +136,50 @@
     pub(crate) fn stop_runs(&mut self) {
         if matches!(self.phase, NodePhase::Leaving { .. }) {
             self.publish_target();
+            let until = self.farewell.begin_notice(self.now, self.fleet_peers());
+            self.timers.set(until, timers::TimerKind::Leave);
+            self.send_notices();
+        }
+    }
+
+    /// Tells the members that have not heard of the stop yet.
+    pub(crate) fn send_notices(&mut self) {
+        let unheard = self.farewell.unheard(self.now);
+        if unheard.is_empty() {
+            return;
+        }
+        let stopping = farewell::FarewellMessage::Stopping;
+        for to in unheard {
+            let kind = gossip::GossipKind::Farewell(stopping);
+            let sent = self.fleet.message_with_claim(to, kind);
+            self.take_fleet(vec![sent]);
+        }
+        let again = self.now + NOTICE_INTERVAL;
+        self.timers.set(again, timers::TimerKind::StopNotice);
+    }
+
+    /// Takes a word of a planned stop: of another node's, or an answer to one of this node's.
+    pub(crate) fn farewell_arrived(
+        &mut self,
+        from: SocketAddr,
+        peer: ident::NodeId,
+        word: farewell::FarewellMessage,
+    ) {
+        match word {
+            farewell::FarewellMessage::Stopping => {
+                let calls_out = !self.calls.out_at(peer).is_empty();
+                let heard = farewell::FarewellMessage::Heard { calls_out };
+                let kind = gossip::GossipKind::Farewell(heard);
+                let sent = self.fleet.message(from, kind);
+                self.take_fleet(vec![sent]);
+            }
+            farewell::FarewellMessage::Heard { calls_out } => {
+                self.farewell.noticed(peer);
+                let address = self.fleet.table().get(peer).map(|member| member.facts.tcp);
+                if let Some(address) = address.filter(|_| calls_out) {
+                    self.farewell.called(self.now, peer, address);
+                }
+            }
         }
     }
 
--- a/crates/anvil_core/src/timers.rs
+++ b/crates/anvil_core/src/timers.rs
@@ -24,6 +24,8 @@
     Leave,
     /// A stopping node takes no more runs.
     StopRuns,
+    /// A stopping node tells those members once more that have not heard of it.
+    StopNotice,
     /// A stopping node gives up what is still out.
     StopLimit,
 }
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -114,7 +114,8 @@
             gossip::GossipKind::Census(message) => self.on_census(now, from, message, out),
             gossip::GossipKind::Welcome
             | gossip::GossipKind::Rumour
-            | gossip::GossipKind::Quota(_) => {}
+            | gossip::GossipKind::Quota(_)
+            | gossip::GossipKind::Farewell(_) => {}
         }
         self.greet_stranger(from, message, out);
     }
--- a/crates/anvil_membership/src/fleet/sending.rs
+++ b/crates/anvil_membership/src/fleet/sending.rs
@@ -91,6 +91,16 @@
         self.datagram(to, kind, Vec::new())
     }
 
+    /// The same with what this node says of itself, for a receiver that may not have heard it.
+    pub fn message_with_claim(
+        &mut self,
+        to: SocketAddr,
+        kind: gossip::GossipKind,
+    ) -> effect::FleetEffect {
+        let updates = self.claim(self.local).into_iter().collect();
+        self.datagram(to, kind, updates)
+    }
+
     fn datagram(
         &mut self,
         to: SocketAddr,
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -6,7 +6,7 @@
 use crate::{call, fate, gossip, key, suspicion};
 
 /// The version of the protocol; nodes of different versions refuse each other's handshake.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// The first frame in each direction of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{bounded, quota};
+use crate::{bounded, farewell, quota};
 
 /// Most claims on a datagram.
 pub const UPDATES_LIMIT: usize = 128;
@@ -160,6 +160,8 @@
     Census(CensusMessage),
     /// Between entry nodes and homes of client accounts; membership takes only the head of it.
     Quota(quota::QuotaMessage),
+    /// Between a node that stops and the others; membership takes only the head and the claims of it.
+    Farewell(farewell::FarewellMessage),
 }
 
 /// One datagram between nodes.
--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bounded;
 pub mod call;
 pub mod codec;
+pub mod farewell;
 pub mod fate;
 pub mod frame;
 pub mod gossip;
