Tell the log when a home of an account learns of another one

The logs can't tell whether several homes let in the whole rate at once, since a grant names no home. A home that learns of another one now writes how much it let in within the last five seconds.

--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -12,7 +12,10 @@
 use anvil_wire::{gossip, quota as message};
 use serde_json::json;
 
-use crate::{calls, entry, event, reducer};
+use crate::{calls, effect, entry, event, reducer};
+
+/// Names this part in log lines.
+const PART: &str = "quota";
 
 /// Accounts shown in a dump.
 const DUMP_ACCOUNTS: usize = 256;
@@ -256,10 +259,34 @@
                 }
                 quota::QuotaEffect::Grant { call } => self.token_granted(call),
                 quota::QuotaEffect::Refuse { call, pause } => self.refuse_over_quota(call, pause),
+                quota::QuotaEffect::Report(change) => self.tell_home(change),
             }
         }
     }
 
+    /// Writes a line about a change in who counts an account.
+    fn tell_home(&mut self, change: quota::HomeChange) {
+        let quota::HomeChange::Left {
+            account,
+            home,
+            uses,
+        } = change;
+        let name = self.account_name(account);
+        let text = format!("home left: account={name} to={home} uses={uses}");
+        self.report(effect::StateChange::Part { part: PART, text });
+    }
+
+    /// The name of an account as operators know it, or its number where the rules have changed since.
+    fn account_name(&self, id: account::AccountId) -> String {
+        let accounts = self.book.document().accounts();
+        let mut records = accounts.into_iter().flat_map(|table| table.accounts());
+        let record = records.find(|record| account::AccountId::of(&record.name) == id);
+        record.map_or_else(
+            || format!("{:016x}", id.0),
+            |record| record.name.to_string(),
+        )
+    }
+
     fn token_granted(&mut self, sequence: u64) {
         let open = self.calls.get(sequence);
         if open.is_none_or(|open| open.stage != calls::CallStage::Metering) {
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -148,7 +148,7 @@
     fn member_known(&mut self, view: member::MemberView) {
         match view.facts.leaving {
             true => self.quota.member_gone(self.now, view.node, false),
-            false => self.quota.member_up(view.node, view.facts.udp),
+            false => self.quota.member_up(self.now, view.node, view.facts.udp),
         }
         let peer = keys::KeyPeer {
             address: view.facts.tcp,
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -63,7 +63,7 @@
         false => ledger::TokenWay::Ask,
     };
     let mut quota = ledger::QuotaLedger::new(config.node, way);
-    quota.member_up(config.node, config.gossip_address);
+    quota.member_up(time::NodeTime::START, config.node, config.gossip_address);
     quota
 }
 
--- a/crates/anvil_quota/benches/letting_in.rs
+++ b/crates/anvil_quota/benches/letting_in.rs
@@ -54,7 +54,11 @@
 fn token_at_hand(bencher: Bencher<'_, '_>) {
     let node = ident::NodeId(1);
     let mut ledger = ledger::QuotaLedger::new(node, ledger::TokenWay::Ahead);
-    ledger.member_up(node, SocketAddr::from(([127, 0, 0, 1], 7000)));
+    ledger.member_up(
+        time::NodeTime::START,
+        node,
+        SocketAddr::from(([127, 0, 0, 1], 7000)),
+    );
     let quota = account::AccountQuota::per_second(1_000_000_000, 1_000_000_000);
     let quotas: Vec<_> = (0..ACCOUNTS as u64)
         .map(|index| (account::AccountId(index), quota))
--- a/crates/anvil_quota/src/effect.rs
+++ b/crates/anvil_quota/src/effect.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_types::{account, ident};
 use anvil_wire::quota;
 
 /// What becomes of a request that asks for a place in its account's quota.
@@ -41,4 +42,20 @@
         /// When its caller does well to come back.
         pause: Duration,
     },
+    /// Write a log line.
+    Report(HomeChange),
+}
+
+/// A change in who counts an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HomeChange {
+    /// This node counted the account and has learned of another home.
+    Left {
+        /// The account.
+        account: account::AccountId,
+        /// The other home.
+        home: ident::NodeId,
+        /// Requests that this node let in within the last five seconds, less those given back.
+        uses: i32,
+    },
 }
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -6,7 +6,7 @@
 use anvil_types::{account, ident, sorted, time};
 use anvil_wire::quota;
 
-use crate::{bucket, meter};
+use crate::{bucket, meter, recent};
 
 /// Tokens of a home that has just become one, for the whole fleet. Its predecessor may have let in a
 /// whole burst a moment ago; these few keep an account within its quota from being refused meanwhile.
@@ -61,6 +61,10 @@
     /// Reports of other nodes.
     reports: meter::EventMeter,
     entries: sorted::SortedTable<ident::NodeId, EntryNode>,
+    /// What it let in lately.
+    recent: recent::RecentUses,
+    /// Since when its bucket has filled without a break.
+    active_since: time::NodeTime,
 }
 
 /// A verdict and where it goes.
@@ -76,12 +80,16 @@
             moved: false,
             reports: meter::EventMeter::new(now),
             entries: sorted::SortedTable::default(),
+            recent: recent::RecentUses::new(now),
+            active_since: now,
         }
     }
 
-    /// Notes that another node is the home by now.
-    pub fn move_away(&mut self) {
-        self.moved = true;
+    /// Notes that another node is the home by now; tells what it let in lately, where it was the home
+    /// until now.
+    pub fn move_away(&mut self, now: time::NodeTime) -> Option<[i32; recent::SLICES]> {
+        let moves = !std::mem::replace(&mut self.moved, true);
+        moves.then(|| self.recent.slices(now))
     }
 
     /// Fills the bucket before it is used, by a node that `is_home` or stands in for a silent one.
@@ -99,6 +107,7 @@
         let unused = now.since(self.used) > UNUSED;
         if unused && (self.moved || !is_home) {
             self.bucket.limit(fresh_tokens(size, share));
+            self.active_since = now;
         }
         self.used = now;
         self.moved = !is_home;
@@ -120,10 +129,11 @@
 
     /// Decides a request that came to the home itself.
     pub fn take(&mut self, size: bucket::BucketSize) -> Result<(), Duration> {
-        match self.bucket.take() {
-            true => Ok(()),
-            false => Err(self.bucket.pause(size)),
+        if !self.bucket.take() {
+            return Err(self.bucket.pause(size));
         }
+        self.recent.count(self.used, 1);
+        Ok(())
     }
 
     /// Follows a change of the quota.
@@ -134,6 +144,7 @@
     /// Gives back the token of a request that did not run.
     pub fn give_back(&mut self, size: bucket::BucketSize) {
         self.bucket.charge(-1, size);
+        self.recent.count(self.used, -1);
     }
 
     /// Counts what an entry node has let in, and decides what waits there.
@@ -170,14 +181,16 @@
         entry.address = address;
         // A report that was overtaken asks for less than is decided already, and says nothing new.
         if told.asked >= entry.asked {
-            self.bucket
-                .charge(told.spent.wrapping_sub(entry.spent), size);
+            let spent = told.spent.wrapping_sub(entry.spent);
+            self.bucket.charge(spent, size);
+            self.recent.count(now, spent);
             entry.spent = told.spent;
             for _ in entry.asked..told.asked {
                 if !self.bucket.take() {
                     break;
                 }
                 entry.granted += 1;
+                self.recent.count(now, 1);
             }
             entry.asked = told.asked;
         }
--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -73,6 +73,8 @@
     trim_at: time::NodeTime,
     /// Accounts that have a report to send, some perhaps twice.
     unsent: Vec<account::AccountId>,
+    /// Changes that are not told yet.
+    changes: Vec<effect::HomeChange>,
     /// No entry has anything due before.
     due_at: Option<time::NodeTime>,
     counters: QuotaCounters,
@@ -93,6 +95,7 @@
             terms: 0,
             trim_at: time::NodeTime::START,
             unsent: Vec::new(),
+            changes: Vec::new(),
             due_at: None,
             counters: QuotaCounters::default(),
         }
@@ -153,9 +156,9 @@
     }
 
     /// Takes in a member that may be a home.
-    pub fn member_up(&mut self, node: ident::NodeId, address: SocketAddr) {
+    pub fn member_up(&mut self, now: time::NodeTime, node: ident::NodeId, address: SocketAddr) {
         self.ring.insert(node, address);
-        self.note_moves();
+        self.note_moves(now);
     }
 
     /// Drops a member; one that `crashed` may live on behind a cut, and uses its part there.
@@ -166,7 +169,7 @@
                 self.ring.remove(node);
             }
         }
-        self.note_moves();
+        self.note_moves(now);
     }
 
     /// Forgets what it counted as a home, after time has passed that it did not see.
@@ -290,10 +293,11 @@
 
     /// Sends what has changed since the last call; to be called once after each event.
     pub fn flush(&mut self, now: time::NodeTime) -> Vec<effect::QuotaEffect> {
+        let changes = self.changes.drain(..);
+        let mut out: Vec<_> = changes.map(effect::QuotaEffect::Report).collect();
         if self.unsent.is_empty() {
-            return Vec::new();
+            return out;
         }
-        let mut out = Vec::new();
         let mut reports: Vec<(SocketAddr, quota::UseReport)> = Vec::new();
         for account in std::mem::take(&mut self.unsent) {
             let HomePlace::Peer(_, address) = self.follow(now, account) else {
--- a/crates/anvil_quota/src/ledger/asking.rs
+++ b/crates/anvil_quota/src/ledger/asking.rs
@@ -32,7 +32,7 @@
             match effect {
                 effect::QuotaEffect::Grant { .. } => self.counters.granted_by_home += 1,
                 effect::QuotaEffect::Refuse { .. } => self.counters.refused += 1,
-                effect::QuotaEffect::Send { .. } => {}
+                effect::QuotaEffect::Send { .. } | effect::QuotaEffect::Report(_) => {}
             }
             out.push(effect);
         }
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -6,7 +6,7 @@
 use anvil_types::{account, ident, time};
 use anvil_wire::quota;
 
-use crate::{bucket, effect, home, ledger};
+use crate::{bucket, effect, home, ledger, ring};
 
 impl ledger::QuotaLedger {
     pub(super) fn on_report(
@@ -22,7 +22,7 @@
             let Some(size) = self.size(told.account) else {
                 continue;
             };
-            if let Some(verdict) = self.other_home(*told) {
+            if let Some(verdict) = self.hint_home(*told) {
                 verdicts.push(verdict);
                 continue;
             }
@@ -37,9 +37,9 @@
     }
 
     /// Names the home of an account that this node doesn't count and need not stand in for.
-    fn other_home(&self, told: quota::UseReport) -> Option<quota::UseVerdict> {
-        let home = self.ring.homes(told.account).next();
-        let home = home.filter(|home| home.node != self.node && !told.stands_in)?;
+    fn hint_home(&self, told: quota::UseReport) -> Option<quota::UseVerdict> {
+        let home = self.other_home(told.account);
+        let home = home.filter(|_| !told.stands_in)?;
         Some(quota::UseVerdict {
             account: told.account,
             session: told.session,
@@ -90,17 +90,29 @@
     }
 
     /// Notes which accounts are counted at another node by now.
-    pub(super) fn note_moves(&mut self) {
+    pub(super) fn note_moves(&mut self, now: time::NodeTime) {
         let accounts: Vec<_> = self.homes.iter().map(|(account, _)| *account).collect();
         for account in accounts {
-            if !self.is_home(account)
-                && let Some(home) = self.homes.get_mut(account)
-            {
-                home.move_away();
+            let Some(to) = self.other_home(account) else {
+                continue;
+            };
+            let left = self.homes.get_mut(account);
+            if let Some(slices) = left.and_then(|home| home.move_away(now)) {
+                self.changes.push(effect::HomeChange::Left {
+                    account,
+                    home: to.node,
+                    uses: slices.iter().sum(),
+                });
             }
         }
     }
 
+    /// The home of an account, where it is another node.
+    fn other_home(&self, account: account::AccountId) -> Option<ring::RingNode> {
+        let home = self.ring.homes(account).next().copied();
+        home.filter(|home| home.node != self.node)
+    }
+
     /// Whether this node is the home of an account by its own view of the members.
     pub(super) fn is_home(&self, account: account::AccountId) -> bool {
         let home = self.ring.homes(account).next();
--- a/crates/anvil_quota/src/lib.rs
+++ b/crates/anvil_quota/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod home;
 pub mod ledger;
 pub mod meter;
+pub mod recent;
 pub mod ring;
--- a/crates/anvil_quota/tests/fleet/mod.rs
+++ b/crates/anvil_quota/tests/fleet/mod.rs
@@ -212,7 +212,7 @@
             for other in 0..fleet.nodes.len() {
                 let id = ident::NodeId(fleet.nodes[other].id);
                 if let Some(ledger) = &mut fleet.nodes[node].ledger {
-                    ledger.member_up(id, address(other));
+                    ledger.member_up(fleet.now, id, address(other));
                 }
             }
         }
@@ -349,6 +349,7 @@
             }
             effect::QuotaEffect::Grant { call } => self.admitted(call as usize),
             effect::QuotaEffect::Refuse { call, .. } => self.calls[call as usize].refused = true,
+            effect::QuotaEffect::Report(_) => {}
         }
     }
 
@@ -475,7 +476,7 @@
         let member = ident::NodeId(id);
         self.step(node, |ledger, now| {
             match up {
-                true => ledger.member_up(member, address(other)),
+                true => ledger.member_up(now, member, address(other)),
                 false => ledger.member_gone(now, member, true),
             }
             Vec::new()
@@ -492,10 +493,10 @@
             let id = self.nodes[other].id;
             match together && self.below(7) == 0 {
                 true => self.tell(node, other, true, id, 100..800),
-                false => fresh.member_up(ident::NodeId(id), address(other)),
+                false => fresh.member_up(self.now, ident::NodeId(id), address(other)),
             }
         }
-        fresh.member_up(ident::NodeId(id), address(node));
+        fresh.member_up(self.now, ident::NodeId(id), address(node));
         if together {
             self.nodes[node].ready_at = self.now + Duration::from_millis(self.below(900));
         }
--- a/crates/anvil_quota/tests/waiting.rs
+++ b/crates/anvil_quota/tests/waiting.rs
@@ -17,8 +17,8 @@
     for home in nodes.skip(1) {
         let own = ident::NodeId(1);
         let mut ledger = ledger::QuotaLedger::new(own, ledger::TokenWay::Ask);
-        ledger.member_up(own, address(1));
-        ledger.member_up(home, address(2));
+        ledger.member_up(time::NodeTime::START, own, address(1));
+        ledger.member_up(time::NodeTime::START, home, address(2));
         let quota = account::AccountQuota::per_second(10, 10);
         ledger.set_quotas(time::NodeTime::START, &[(ACCOUNT, quota)]);
         let now = time::NodeTime::from_millis(1);
