Hand over what a former home of an account let in

Cause: each new process finds the others bit by bit, and for a second or two an account has a home for each partial view, which lets in the whole rate until it learns of another one. The count of the home that remains knows nothing of what the others let in.

Change: a home that learns of another one tells it what it let in, by quarter seconds of the last five, until that is confirmed; the receiver counts what falls into the time in which it was the home itself. So does a node that stands in for a silent home, each half second. A takeover in which one home follows the other costs nothing, and nothing is handed over while a member is missing, since the sides of a cut share the rate already.

Tests, failing before: all_end_and_know_half, all_end_and_know_half_in_a_small_fleet.

--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -266,13 +266,20 @@
 
     /// Writes a line about a change in who counts an account.
     fn tell_home(&mut self, change: quota::HomeChange) {
-        let quota::HomeChange::Left {
-            account,
-            home,
-            uses,
-        } = change;
-        let name = self.account_name(account);
-        let text = format!("home left: account={name} to={home} uses={uses}");
+        let text = match change {
+            quota::HomeChange::Left { account, home } => {
+                let name = self.account_name(account);
+                format!("home left: account={name} to={home}")
+            }
+            quota::HomeChange::Taken {
+                account,
+                from,
+                uses,
+            } => {
+                let name = self.account_name(account);
+                format!("uses taken: account={name} from={from} uses={uses}")
+            }
+        };
         self.report(effect::StateChange::Part { part: PART, text });
     }
 
--- a/crates/anvil_quota/src/effect.rs
+++ b/crates/anvil_quota/src/effect.rs
@@ -55,7 +55,14 @@
         account: account::AccountId,
         /// The other home.
         home: ident::NodeId,
-        /// Requests that this node let in within the last five seconds, less those given back.
+    },
+    /// Another node handed over what it let in.
+    Taken {
+        /// The account.
+        account: account::AccountId,
+        /// The other node.
+        from: ident::NodeId,
+        /// Requests that it let in while this node counted the account too, less those given back.
         uses: i32,
     },
 }
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -37,6 +37,17 @@
 /// How long an entry node that says nothing is remembered.
 const NODE_KEPT: Duration = Duration::from_secs(30);
 
+/// Time between two handovers of a node that lets requests in beside the home.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A handover that was counted.
+#[derive(Clone, Copy, Debug)]
+struct TakenHandover {
+    from: ident::NodeId,
+    number: u32,
+    at: time::NodeTime,
+}
+
 /// What the home knows of one entry node.
 #[derive(Clone, Copy, Debug)]
 struct EntryNode {
@@ -65,6 +76,12 @@
     recent: recent::RecentUses,
     /// Since when its bucket has filled without a break.
     active_since: time::NodeTime,
+    /// When it last handed over what it had let in.
+    handed_over: time::NodeTime,
+    /// Handovers of other nodes that were counted.
+    taken: Vec<TakenHandover>,
+    /// Whether it uses the whole rate, as one whose node sees all members.
+    whole: bool,
 }
 
 /// A verdict and where it goes.
@@ -82,14 +99,58 @@
             entries: sorted::SortedTable::default(),
             recent: recent::RecentUses::new(now),
             active_since: now,
+            handed_over: now,
+            taken: Vec::new(),
+            whole: true,
         }
     }
 
-    /// Notes that another node is the home by now; tells what it let in lately, where it was the home
-    /// until now.
-    pub fn move_away(&mut self, now: time::NodeTime) -> Option<[i32; recent::SLICES]> {
-        let moves = !std::mem::replace(&mut self.moved, true);
-        moves.then(|| self.recent.slices(now))
+    /// Notes that another node is the home by now; tells whether this one was until now.
+    pub fn move_away(&mut self) -> bool {
+        !std::mem::replace(&mut self.moved, true)
+    }
+
+    /// Takes out what was let in lately, to be handed over; none where that is nothing.
+    pub fn take_uses(&mut self, now: time::NodeTime) -> Option<recent::RecentUses> {
+        let uses = self.recent;
+        self.recent = recent::RecentUses::new(now);
+        self.handed_over = now;
+        (!uses.is_empty()).then_some(uses)
+    }
+
+    /// Takes back what was not handed over.
+    pub fn keep_uses(&mut self, now: time::NodeTime, slices: [i32; recent::SLICES]) {
+        self.recent.merge(now, &slices);
+    }
+
+    /// Whether what is let in beside the home should be handed over again.
+    pub fn owes_handover(&self, now: time::NodeTime) -> bool {
+        now.since(self.handed_over) >= HANDOVER_INTERVAL && !self.recent.is_empty()
+    }
+
+    /// Counts what another node let in while this one was the home as well; none where it was counted
+    /// before, else how much it is.
+    pub fn take_handover(
+        &mut self,
+        now: time::NodeTime,
+        size: bucket::BucketSize,
+        from: ident::NodeId,
+        told: &quota::UseHandover,
+    ) -> Option<i32> {
+        let known = |taken: &TakenHandover| (taken.from, taken.number) == (from, told.number);
+        if self.taken.iter().any(known) {
+            return None;
+        }
+        self.taken.push(TakenHandover {
+            from,
+            number: told.number,
+            at: now,
+        });
+        let uses = recent::uses_within(&told.slices, now.since(self.active_since));
+        let uses = uses.round() as i32;
+        self.bucket.charge(uses, size);
+        self.recent.merge(now, &told.slices);
+        Some(uses)
     }
 
     /// Fills the bucket before it is used, by a node that `is_home` or stands in for a silent one.
@@ -104,6 +165,8 @@
         is_home: bool,
     ) {
         self.bucket.fill(now, size);
+        // The two sides of a cut share the rate already, so neither owes the other anything.
+        self.whole = share >= 1.0;
         let unused = now.since(self.used) > UNUSED;
         if unused && (self.moved || !is_home) {
             self.bucket.limit(fresh_tokens(size, share));
@@ -132,7 +195,7 @@
         if !self.bucket.take() {
             return Err(self.bucket.pause(size));
         }
-        self.recent.count(self.used, 1);
+        self.note_uses(self.used, 1);
         Ok(())
     }
 
@@ -144,7 +207,7 @@
     /// Gives back the token of a request that did not run.
     pub fn give_back(&mut self, size: bucket::BucketSize) {
         self.bucket.charge(-1, size);
-        self.recent.count(self.used, -1);
+        self.note_uses(self.used, -1);
     }
 
     /// Counts what an entry node has let in, and decides what waits there.
@@ -183,14 +246,14 @@
         if told.asked >= entry.asked {
             let spent = told.spent.wrapping_sub(entry.spent);
             self.bucket.charge(spent, size);
-            self.recent.count(now, spent);
+            self.note_uses(now, spent);
             entry.spent = told.spent;
             for _ in entry.asked..told.asked {
                 if !self.bucket.take() {
                     break;
                 }
                 entry.granted += 1;
-                self.recent.count(now, 1);
+                self.note_uses(now, 1);
             }
             entry.asked = told.asked;
         }
@@ -227,6 +290,13 @@
         for node in self.entries.keys_where(old) {
             self.entries.remove(node);
         }
+        self.taken.retain(|taken| now.since(taken.at) < NODE_KEPT);
+    }
+
+    fn note_uses(&mut self, now: time::NodeTime, uses: i32) {
+        if self.whole {
+            self.recent.count(now, uses);
+        }
     }
 
     /// Tokens left, for the dump.
--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -7,10 +7,11 @@
 use anvil_wire::quota;
 use serde::Serialize;
 
-use crate::{bucket, effect, entry, home, ring};
+use crate::{bucket, effect, entry, handover, home, ring};
 
 mod asking;
 mod counting;
+mod handing;
 
 /// Nodes that an account is asked for at: its home, and the next where the home is silent.
 const HOMES_TRIED: usize = 2;
@@ -75,6 +76,10 @@
     unsent: Vec<account::AccountId>,
     /// Changes that are not told yet.
     changes: Vec<effect::HomeChange>,
+    /// What is handed over and not taken yet; a few.
+    handovers: Vec<handover::PendingHandover>,
+    /// Handovers begun.
+    handed: u32,
     /// No entry has anything due before.
     due_at: Option<time::NodeTime>,
     counters: QuotaCounters,
@@ -96,6 +101,8 @@
             trim_at: time::NodeTime::START,
             unsent: Vec::new(),
             changes: Vec::new(),
+            handovers: Vec::new(),
+            handed: 0,
             due_at: None,
             counters: QuotaCounters::default(),
         }
@@ -261,6 +268,10 @@
                     self.on_verdict(now, from, *verdict, &mut out);
                 }
             }
+            quota::QuotaMessage::Handover(told) => {
+                self.on_handover(now, (from, address), told, &mut out);
+            }
+            quota::QuotaMessage::Taken { number } => self.handover_taken(*number),
         }
         out
     }
@@ -288,13 +299,16 @@
         if self.is_idle() {
             return None;
         }
-        self.due_at.into_iter().chain([self.trim_at]).min()
+        let handover = self.handovers.iter().map(|pending| pending.due).min();
+        let due = self.due_at.into_iter().chain(handover);
+        due.chain([self.trim_at]).min()
     }
 
     /// Sends what has changed since the last call; to be called once after each event.
     pub fn flush(&mut self, now: time::NodeTime) -> Vec<effect::QuotaEffect> {
         let changes = self.changes.drain(..);
         let mut out: Vec<_> = changes.map(effect::QuotaEffect::Report).collect();
+        self.send_handovers(now, &mut out);
         if self.unsent.is_empty() {
             return out;
         }
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Notes which accounts are counted at another node by now.
+    /// Notes which accounts are counted at another node by now, and hands them over.
     pub(super) fn note_moves(&mut self, now: time::NodeTime) {
         let accounts: Vec<_> = self.homes.iter().map(|(account, _)| *account).collect();
         for account in accounts {
@@ -97,18 +97,17 @@
                 continue;
             };
             let left = self.homes.get_mut(account);
-            if let Some(slices) = left.and_then(|home| home.move_away(now)) {
-                self.changes.push(effect::HomeChange::Left {
-                    account,
-                    home: to.node,
-                    uses: slices.iter().sum(),
-                });
+            if left.is_some_and(home::HomeAccount::move_away) {
+                let home = to.node;
+                self.changes
+                    .push(effect::HomeChange::Left { account, home });
+                self.hand_over(now, account, now);
             }
         }
     }
 
     /// The home of an account, where it is another node.
-    fn other_home(&self, account: account::AccountId) -> Option<ring::RingNode> {
+    pub(super) fn other_home(&self, account: account::AccountId) -> Option<ring::RingNode> {
         let home = self.ring.homes(account).next().copied();
         home.filter(|home| home.node != self.node)
     }
@@ -148,7 +147,12 @@
             .homes
             .get_or_insert_with(account, || home::HomeAccount::new(now, tokens, term));
         home.touch(now, size, share, is_home);
-        home
+        let beside = !is_home && home.owes_handover(now);
+        if beside {
+            self.hand_over(now, account, now);
+        }
+        self.homes
+            .get_or_insert_with(account, || home::HomeAccount::new(now, tokens, term))
     }
 
     pub(super) fn trim(&mut self, now: time::NodeTime) {
--- a/crates/anvil_quota/src/lib.rs
+++ b/crates/anvil_quota/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bucket;
 pub mod effect;
 pub mod entry;
+pub mod handover;
 pub mod home;
 pub mod ledger;
 pub mod meter;
--- a/crates/anvil_quota/src/recent.rs
+++ b/crates/anvil_quota/src/recent.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use anvil_types::time;
+use anvil_wire::quota;
 
 /// Length of one slice.
 pub const SLICE: Duration = Duration::from_millis(250);
 
-/// Slices kept: five seconds, as long as the longest window over which quotas are judged.
-pub const SLICES: usize = 20;
+/// Slices kept: five seconds, as long as the windows over which quotas are judged.
+pub const SLICES: usize = quota::SLICES_LIMIT;
 
 /// Requests let in, less those given back, by the slice of time in which they were.
 #[derive(Clone, Copy, Debug)]
@@ -48,8 +49,13 @@
         self.slices
     }
 
+    /// Whether nothing was let in.
+    pub fn is_empty(&self) -> bool {
+        self.slices.iter().all(|uses| *uses == 0)
+    }
+
     /// Forgets everything.
-    pub fn clear(&mut self) {
+    fn clear(&mut self) {
         self.slices = [0; SLICES];
     }
 
--- a/crates/anvil_quota/tests/fleet/mod.rs
+++ b/crates/anvil_quota/tests/fleet/mod.rs
@@ -40,6 +40,8 @@
     /// All processes end at once; others start in their places a second later and find each other bit by
     /// bit.
     KillAll,
+    /// The same, and each knows half of the others at first and the rest within 2.5 s.
+    KillAllBlind,
     /// A node can't be reached, and reaches nobody, for a while.
     Cut(usize, Duration),
     /// A node sees no time pass for a while.
@@ -94,10 +96,32 @@
     },
     Restart {
         node: usize,
-        together: bool,
+        view: FreshView,
     },
 }
 
+/// Which others a process knows when it starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FreshView {
+    /// All, as it joins a fleet that lives.
+    Whole,
+    /// Six of seven, as all start together.
+    Wide,
+    /// Half of them.
+    Half,
+}
+
+impl FreshView {
+    /// When it hears of the others that it doesn't know, in milliseconds.
+    fn learns(self) -> Range<u64> {
+        match self {
+            Self::Whole => 100..500,
+            Self::Wide => 100..800,
+            Self::Half => 100..2_500,
+        }
+    }
+}
+
 struct FleetNode {
     id: u64,
     ledger: Option<ledger::QuotaLedger>,
@@ -301,7 +325,7 @@
                 up,
                 id,
             } => self.learn(node, other, up, id),
-            FleetEvent::Restart { node, together } => self.restart(node, together),
+            FleetEvent::Restart { node, view } => self.restart(node, view),
         }
     }
 
@@ -407,17 +431,11 @@
                 self.nodes[node].ledger = None;
                 self.tell_others(node, false, id, 1_000..2_000);
                 let at = self.now + Duration::from_secs(2);
-                let together = false;
-                self.push(at, FleetEvent::Restart { node, together });
-            }
-            FleetFault::KillAll => {
-                for node in 0..self.nodes.len() {
-                    self.nodes[node].ledger = None;
-                    let at = self.now + Duration::from_millis(1_000 + self.below(300));
-                    let together = true;
-                    self.push(at, FleetEvent::Restart { node, together });
-                }
+                let view = FreshView::Whole;
+                self.push(at, FleetEvent::Restart { node, view });
             }
+            FleetFault::KillAll => self.kill_all(FreshView::Wide),
+            FleetFault::KillAllBlind => self.kill_all(FreshView::Half),
             FleetFault::Cut(node, span) => {
                 self.nodes[node].cut_until = self.now + span;
                 if span < Duration::from_secs(2) {
@@ -450,6 +468,23 @@
         }
     }
 
+    fn kill_all(&mut self, view: FreshView) {
+        for node in 0..self.nodes.len() {
+            self.nodes[node].ledger = None;
+            let at = self.now + Duration::from_millis(1_000 + self.below(300));
+            self.push(at, FleetEvent::Restart { node, view });
+        }
+    }
+
+    /// Whether a process that starts with `view` hears of another one later only.
+    fn misses_one(&mut self, view: FreshView) -> bool {
+        match view {
+            FreshView::Whole => false,
+            FreshView::Wide => self.below(7) == 0,
+            FreshView::Half => self.below(2) == 0,
+        }
+    }
+
     fn tell_others(&mut self, node: usize, up: bool, id: u64, when: Range<u64>) {
         for other in 0..self.nodes.len() {
             if other != node {
@@ -483,7 +518,8 @@
         });
     }
 
-    fn restart(&mut self, node: usize, together: bool) {
+    fn restart(&mut self, node: usize, view: FreshView) {
+        let together = view != FreshView::Whole;
         let id = self.mint();
         let mut fresh = self.fresh_ledger(id);
         for other in 0..self.nodes.len() {
@@ -491,8 +527,8 @@
                 continue;
             }
             let id = self.nodes[other].id;
-            match together && self.below(7) == 0 {
-                true => self.tell(node, other, true, id, 100..800),
+            match self.misses_one(view) {
+                true => self.tell(node, other, true, id, view.learns()),
                 false => fresh.member_up(self.now, ident::NodeId(id), address(other)),
             }
         }
@@ -502,8 +538,7 @@
         }
         self.nodes[node].id = id;
         self.nodes[node].ledger = Some(fresh);
-        let known = if together { 100..800 } else { 100..500 };
-        self.tell_others(node, true, id, known);
+        self.tell_others(node, true, id, view.learns());
     }
 
     fn into_tally(mut self) -> FleetTally {
--- a/crates/anvil_quota/tests/sums.rs
+++ b/crates/anvil_quota/tests/sums.rs
@@ -101,6 +101,9 @@
         65, 10, &[(secs(7), FleetFault::KillAll), (secs(10), FleetFault::KillAll)],
     ),
     all_end_in_a_small_fleet => (14, 20, &[(secs(9), FleetFault::KillAll)]),
+    all_end_and_know_half => (65, 20, &[(secs(9), FleetFault::KillAllBlind)]),
+    all_end_and_know_half_in_a_small_fleet => (14, 20, &[(secs(9), FleetFault::KillAllBlind)]),
+    all_end_and_know_half_of_300 => (300, 2, &[(secs(9), FleetFault::KillAllBlind)]),
     frozen_homes => (65, 10, &freezes(65)),
 }
 
--- a/crates/anvil_wire/src/quota.rs
+++ b/crates/anvil_wire/src/quota.rs
@@ -62,6 +62,21 @@
     pub instead: Option<HomeHint>,
 }
 
+/// Most slices of time in a handover.
+pub const SLICES_LIMIT: usize = 20;
+
+/// What a node let in for an account that another node counts too, or counts now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseHandover {
+    /// The account.
+    pub account: account::AccountId,
+    /// Counts the sender's handovers, so that one which comes twice is taken once.
+    pub number: u32,
+    /// Requests let in, less those given back, by slices of a quarter of a second, the newest first.
+    #[serde(deserialize_with = "bounded::list::<_, _, SLICES_LIMIT>")]
+    pub slices: Vec<i32>,
+}
+
 /// One message between an entry node and homes of accounts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuotaMessage {
@@ -77,4 +92,11 @@
         #[serde(deserialize_with = "bounded::list::<_, _, ACCOUNTS_LIMIT>")]
         verdicts: Vec<UseVerdict>,
     },
+    /// From a node that counted an account to its home.
+    Handover(UseHandover),
+    /// From a home that has taken a handover.
+    Taken {
+        /// The handover's number.
+        number: u32,
+    },
 }
