Let a newborn wait for the fleet beside a store that lost its contacts

Callers saw: a fresh node treats requests by rules that the fleet has left behind: moved routes, dropped keys.

Cause: the store came back from an older copy, and leases are gone with it, so the contacts' entries are too. A node that starts before a contact renews its lease, up to five seconds later, finds nobody, takes that for a fleet of its own, and serves by the older rules that stand in the store. Without a joined node nothing brings the parts together at once: a node born three seconds after the return still served by revision 2.

Change: a node that finds nobody goes on looking each half second and serves alone only after three seconds. Whoever sees on its watch that the store's history was cut lets all contacts look at their leases, and one whose lease is gone asks for its slot again at once.

A node that starts alone beside a store serves three seconds later than before.

--- a/crates/anvil_membership/src/contact.rs
+++ b/crates/anvil_membership/src/contact.rs
@@ -15,6 +15,9 @@
 /// Span of a contact's lease.
 pub const CONTACT_LEASE: Duration = Duration::from_secs(15);
 
+/// Time between two lists of a fresh node that has found nobody yet.
+pub const ALONE_FIND_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time between two renewals.
 pub const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 
--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -124,17 +124,18 @@
         }
         // Only contacts look on, so the reads grow with the zones and not with the nodes.
         self.contacts.finds += 1;
-        let interval = if self.joined || strangers.is_empty() {
-            self.contacts.find_interval()
-        } else {
-            contact::LOOK_INTERVAL
+        let interval = match (self.joined, strangers.is_empty()) {
+            (true, _) => self.contacts.find_interval(),
+            (false, true) if !self.roster.is_compared() => contact::ALONE_FIND_INTERVAL,
+            (false, true) => self.contacts.find_interval(),
+            (false, false) => contact::LOOK_INTERVAL,
         };
         self.contacts.find_at = now + interval + self.choice.span(interval / 4);
         if self.joined && self.contacts.held.is_none() {
             self.contacts.find_at = time::NodeTime(u64::MAX);
         }
         if strangers.is_empty() && !self.joined {
-            self.roster.finish();
+            self.roster.expect_nobody(now);
             self.read_log_soon(now);
         } else {
             self.roster.expect_others(now);
@@ -289,13 +290,45 @@
         }
     }
 
-    /// Stops acting as a contact; a paused holder learns here that its lease ran out.
+    /// Stops acting as a contact and asks for the slot again: a paused holder learns here that its lease
+    /// ran out and another node has the slot; where the store lost the lease, the slot is vacant.
     fn contact_lapsed(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        self.contacts.held = None;
+        let lost = self.contacts.held.take();
         self.set_contact(now, None);
         out.push(effect::FleetEffect::Report(
             effect::FleetReport::ContactLapsed,
         ));
+        if let Some(slot) = lost.map(|held| held.slot).filter(|_| !self.is_leaving()) {
+            let lease = contact::CONTACT_LEASE;
+            let ask = store::StoreAsk::Grant { lease };
+            self.ask(now, asking::AskPurpose::GrantContact { slot }, ask, out);
+        }
+    }
+
+    /// Looks at once whether the lease of a contact slot still runs; the store may have lost it.
+    pub(super) fn check_contact(&mut self, now: time::NodeTime) {
+        if let Some(held) = &mut self.contacts.held {
+            held.renew_at = now;
+        }
+    }
+
+    /// Lets all contacts look whether their leases still run, after the store's history was cut.
+    ///
+    /// Failure: the store comes back from an older copy, without leases. Symptom: until the contacts renew
+    /// theirs, seconds later, whoever starts finds nobody. Those that watch see it at once.
+    pub(super) fn check_all_contacts(
+        &mut self,
+        now: time::NodeTime,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        self.check_contact(now);
+        let members = self.table.all().iter();
+        let holders = members
+            .filter(|m| m.state.is_live() && m.node != self.local && m.facts.contact.is_some());
+        let holders: Vec<_> = holders.map(|m| m.facts.udp).collect();
+        for to in holders {
+            self.send(to, gossip::GossipKind::CheckContact, Vec::new(), out);
+        }
     }
 
     fn set_contact(&mut self, now: time::NodeTime, slot: Option<u8>) {
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -111,6 +111,7 @@
             gossip::GossipKind::Changes { changes } => {
                 self.take_changes(changes, out);
             }
+            gossip::GossipKind::CheckContact => self.check_contact(now),
             gossip::GossipKind::Census(message) => self.on_census(now, from, message, out),
             gossip::GossipKind::Welcome
             | gossip::GossipKind::Rumour
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -317,6 +317,7 @@
             self.rules.read_at = Some(now);
             // The store may have come back from an older copy, whose order of writes begins anew.
             self.rules.seen = store::StoreVersion(0);
+            self.check_all_contacts(now, out);
             return;
         }
         let pause = self.rules.backoff.next_pause(self.choice.any());
--- a/crates/anvil_membership/src/roster.rs
+++ b/crates/anvil_membership/src/roster.rs
@@ -14,6 +14,12 @@
 /// Longest wait for a comparison, from the first sign of others on.
 pub const COMPARE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a first sign of others where the store names nobody.
+///
+/// A store that came back from an older copy has lost the entries of all contacts. Their nodes learn of
+/// it within two seconds and enter themselves again.
+pub const NOBODY_LIMIT: Duration = Duration::from_secs(3);
+
 /// Whether the members that a fresh node knows were compared.
 ///
 /// Failure: a node joins through another one that has just started, which knows a part of the fleet.
@@ -55,6 +61,14 @@
         self.begin_at.get_or_insert(now + COMPARE_LIMIT);
     }
 
+    /// Notes that the store names nobody, which it also does for a moment when it has lost the entries.
+    ///
+    /// Failure: the store comes back from an older copy and a node starts. Symptom: it finds nobody and
+    /// serves by the older rules that stand there, which its peers have left behind.
+    pub fn expect_nobody(&mut self, now: time::NodeTime) {
+        self.begin_at.get_or_insert(now + NOBODY_LIMIT);
+    }
+
     /// Notes that nothing is missing, or that nobody is there to tell.
     pub fn finish(&mut self) {
         self.compared = true;
--- a/crates/anvil_membership/tests/rule_document.rs
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -39,7 +39,11 @@
 
 /// Sixteen nodes, of which the last four stand in another region, with the first rules in force.
 fn fleet() -> Net {
-    let mut net = Net::new(5);
+    fleet_of(5)
+}
+
+fn fleet_of(seed: u64) -> Net {
+    let mut net = Net::new(seed);
     write(&mut net, 2);
     for slot in 0..16 {
         add(&mut net, slot, usize::from(slot >= 12));
@@ -256,3 +260,40 @@
     assert!(ready(&net));
     assert_eq!(net.nodes[newborn].state.revision().0, 7);
 }
+
+// Guards against newborns that serve by rules which the fleet has left behind, at any moment before or
+// after the store came back from an older copy.
+fn newborns_beside_an_older_copy(born_before: Duration, born_after: Duration) {
+    for seed in 0..20 {
+        let mut net = fleet_of(seed);
+        let copy = net.store.clone();
+        write(&mut net, 7);
+        net.run_until(Duration::from_secs(10), |net| holding(net, 7) == 16);
+        net.store.faults.down = true;
+        net.run(Duration::from_millis(500) - born_before);
+        let early = (!born_before.is_zero()).then(|| add(&mut net, 16, 0));
+        net.run(born_before);
+        net.store.put_back(&copy);
+        net.store.faults.down = false;
+        net.run(born_after);
+        let newborn = early.unwrap_or_else(|| add(&mut net, 16, 0));
+        let ready = |net: &Net| net.nodes[newborn].state.is_ready();
+        let took = net.run_until(Duration::from_secs(8), ready);
+        assert!(ready(&net), "seed {seed}");
+        let revision = net.nodes[newborn].state.revision().0;
+        assert_eq!(revision, 7, "seed {seed}, ready after {took:?}");
+    }
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+test_cases! {
+    newborns_beside_an_older_copy:
+    born_while_the_store_is_away => (millis(250), millis(0)),
+    born_as_the_store_is_back => (millis(0), millis(0)),
+    born_a_moment_later => (millis(0), millis(300)),
+    born_a_second_later => (millis(0), millis(1_000)),
+    born_seconds_later => (millis(0), millis(3_000)),
+}
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -156,6 +156,9 @@
         #[serde(deserialize_with = "bounded::list::<_, _, CHANGES_LIMIT>")]
         changes: Vec<LoggedChange>,
     },
+    /// The store's history was cut, as the sender's watch shows; a receiver that holds a contact slot looks
+    /// whether its lease still runs.
+    CheckContact,
     /// A question or reply about who has a revision in force.
     Census(CensusMessage),
     /// Between entry nodes and homes of client accounts; membership takes only the head of it.
