Let neighbours on the ring of accounts know each other

Change: whoever counts an account by mistake stands behind its home on the ring. Each node makes itself known to the next one, at each change of it and for its first five seconds, and hears of one that stands between. A node that stands in for a silent home and has heard from it since sends the askers back, once in two seconds, instead of letting requests in beside it.

Tests, failing before: all_end_and_know_a_few, all_end_and_know_a_few_in_a_small_fleet.

--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -38,7 +38,7 @@
 const NODE_KEPT: Duration = Duration::from_secs(30);
 
 /// Time between two handovers of a node that lets requests in beside the home.
-const HANDOVER_INTERVAL: Duration = Duration::from_millis(500);
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A handover that was counted.
 #[derive(Clone, Copy, Debug)]
--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -12,6 +12,7 @@
 mod asking;
 mod counting;
 mod handing;
+mod introducing;
 
 /// Nodes that an account is asked for at: its home, and the next where the home is silent.
 const HOMES_TRIED: usize = 2;
@@ -69,6 +70,10 @@
     entries: sorted::SortedTable<account::AccountId, entry::EntryAccount>,
     /// Nodes that did not answer, and until when they are passed over; a few.
     silent: Vec<(ident::NodeId, time::NodeTime)>,
+    /// Nodes that are asked again though they did not answer, and until when they are not so once more.
+    pardoned: Vec<(ident::NodeId, time::NodeTime)>,
+    /// Homes that confirmed a handover, and when.
+    heard: Vec<(ident::NodeId, time::NodeTime)>,
     sessions: u32,
     terms: u32,
     trim_at: time::NodeTime,
@@ -80,6 +85,7 @@
     handovers: Vec<handover::PendingHandover>,
     /// Handovers begun.
     handed: u32,
+    introduction: introducing::RingIntroduction,
     /// No entry has anything due before.
     due_at: Option<time::NodeTime>,
     counters: QuotaCounters,
@@ -96,6 +102,8 @@
             homes: sorted::SortedTable::default(),
             entries: sorted::SortedTable::default(),
             silent: Vec::new(),
+            pardoned: Vec::new(),
+            heard: Vec::new(),
             sessions: 0,
             terms: 0,
             trim_at: time::NodeTime::START,
@@ -103,6 +111,7 @@
             changes: Vec::new(),
             handovers: Vec::new(),
             handed: 0,
+            introduction: introducing::RingIntroduction::default(),
             due_at: None,
             counters: QuotaCounters::default(),
         }
@@ -165,7 +174,7 @@
     /// Takes in a member that may be a home.
     pub fn member_up(&mut self, now: time::NodeTime, node: ident::NodeId, address: SocketAddr) {
         self.ring.insert(node, address);
-        self.note_moves(now);
+        self.ring_changed(now);
     }
 
     /// Drops a member; one that `crashed` may live on behind a cut, and uses its part there.
@@ -176,7 +185,7 @@
                 self.ring.remove(node);
             }
         }
-        self.note_moves(now);
+        self.ring_changed(now);
     }
 
     /// Forgets what it counted as a home, after time has passed that it did not see.
@@ -268,10 +277,14 @@
                     self.on_verdict(now, from, *verdict, &mut out);
                 }
             }
+            quota::QuotaMessage::Behind => self.on_behind(now, (from, address), &mut out),
+            quota::QuotaMessage::Between(hint) => {
+                self.on_hint(now, *hint);
+            }
             quota::QuotaMessage::Handover(told) => {
                 self.on_handover(now, (from, address), told, &mut out);
             }
-            quota::QuotaMessage::Taken { number } => self.handover_taken(*number),
+            quota::QuotaMessage::Taken { number } => self.handover_taken(now, from, *number),
         }
         out
     }
@@ -301,6 +314,7 @@
         }
         let handover = self.handovers.iter().map(|pending| pending.due).min();
         let due = self.due_at.into_iter().chain(handover);
+        let due = due.chain(self.introduction.due);
         due.chain([self.trim_at]).min()
     }
 
@@ -308,7 +322,10 @@
     pub fn flush(&mut self, now: time::NodeTime) -> Vec<effect::QuotaEffect> {
         let changes = self.changes.drain(..);
         let mut out: Vec<_> = changes.map(effect::QuotaEffect::Report).collect();
-        self.send_handovers(now, &mut out);
+        if !self.is_idle() {
+            self.send_handovers(now, &mut out);
+            self.introduce(now, &mut out);
+        }
         if self.unsent.is_empty() {
             return out;
         }
--- a/crates/anvil_quota/src/ledger/asking.rs
+++ b/crates/anvil_quota/src/ledger/asking.rs
@@ -143,12 +143,30 @@
         hint: quota::HomeHint,
     ) {
         self.unsent.push(account);
-        if !self.ring.hint(now, hint.node, hint.address) {
-            // Known already, and passed over for a reason.
+        if self.on_hint(now, hint) {
+            return;
+        }
+        // Known already, and passed over for a reason.
+        if !(hint.alive && self.pardon(now, hint.node)) {
             self.entry(now, account).insist();
         }
     }
 
+    /// Asks a home again that did not answer, since another node has heard from it; tells whether it does.
+    ///
+    /// Failure: a home was silent for a moment. Symptom: for seconds some entry nodes ask the next one while
+    /// others ask the home, and both let in the whole rate. A home that only some can reach is asked again
+    /// once in that time.
+    fn pardon(&mut self, now: time::NodeTime, home: ident::NodeId) -> bool {
+        self.pardoned.retain(|(_, until)| now < *until);
+        if self.pardoned.iter().any(|(node, _)| *node == home) {
+            return false;
+        }
+        self.pardoned.push((home, now + ledger::SILENT_SPAN));
+        self.silent.retain(|(node, _)| *node != home);
+        true
+    }
+
     pub(super) fn begin_session(
         &mut self,
         now: time::NodeTime,
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -22,7 +22,7 @@
             let Some(size) = self.size(told.account) else {
                 continue;
             };
-            if let Some(verdict) = self.hint_home(*told) {
+            if let Some(verdict) = self.hint_home(now, *told) {
                 verdicts.push(verdict);
                 continue;
             }
@@ -37,9 +37,12 @@
     }
 
     /// Names the home of an account that this node doesn't count and need not stand in for.
-    fn hint_home(&self, told: quota::UseReport) -> Option<quota::UseVerdict> {
-        let home = self.other_home(told.account);
-        let home = home.filter(|_| !told.stands_in)?;
+    fn hint_home(&self, now: time::NodeTime, told: quota::UseReport) -> Option<quota::UseVerdict> {
+        let home = self.other_home(told.account)?;
+        let alive = self.is_heard(now, home.node);
+        if told.stands_in && !alive {
+            return None;
+        }
         Some(quota::UseVerdict {
             account: told.account,
             session: told.session,
@@ -52,6 +55,7 @@
             instead: Some(quota::HomeHint {
                 node: home.node,
                 address: home.address,
+                alive,
             }),
         })
     }
--- a/crates/anvil_quota/src/ledger/handing.rs
+++ b/crates/anvil_quota/src/ledger/handing.rs
@@ -12,6 +12,9 @@
 /// send it to and fro as fast as the network is.
 const FORWARD_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a confirmed handover shows that a home lives.
+const HEARD_SPAN: Duration = Duration::from_secs(1);
+
 impl ledger::QuotaLedger {
     /// Hands over what this node let in for an account, from `due` on.
     pub(super) fn hand_over(
@@ -95,8 +98,19 @@
         self.send(from.1, quota::QuotaMessage::Taken { number }, out);
     }
 
-    /// Forgets a handover that was taken.
-    pub(super) fn handover_taken(&mut self, number: u32) {
+    /// Forgets a handover that was taken, and notes that its home lives.
+    pub(super) fn handover_taken(&mut self, now: time::NodeTime, from: ident::NodeId, number: u32) {
         self.handovers.retain(|pending| pending.number != number);
+        self.heard
+            .retain(|(node, at)| *node != from && now.since(*at) < HEARD_SPAN);
+        self.heard.push((from, now));
+    }
+
+    /// Whether a home confirmed a handover a moment ago.
+    pub(super) fn is_heard(&self, now: time::NodeTime, home: ident::NodeId) -> bool {
+        let fresh = |(node, at): &(ident::NodeId, time::NodeTime)| {
+            *node == home && now.since(*at) < HEARD_SPAN
+        };
+        self.heard.iter().any(fresh)
     }
 }
--- a/crates/anvil_quota/src/ring.rs
+++ b/crates/anvil_quota/src/ring.rs
@@ -133,6 +133,13 @@
         tail.iter().chain(head)
     }
 
+    /// The next node on the ring; none where `node` stands on it alone, or not at all.
+    pub fn successor(&self, node: ident::NodeId) -> Option<RingNode> {
+        let place = self.place((point_of(node), node)).ok()?;
+        let next = self.nodes[(place + 1) % self.nodes.len()];
+        (next.node != node).then_some(next)
+    }
+
     /// The share of the fleet that this node sees.
     pub fn share(&self) -> f64 {
         let seen = self.nodes.len().max(1) as f64;
--- a/crates/anvil_quota/tests/fleet/mod.rs
+++ b/crates/anvil_quota/tests/fleet/mod.rs
@@ -42,6 +42,8 @@
     KillAll,
     /// The same, and each knows half of the others at first and the rest within 2.5 s.
     KillAllBlind,
+    /// The same, and each knows a few of the others at first and the rest within 5 s.
+    KillAllScattered,
     /// A node can't be reached, and reaches nobody, for a while.
     Cut(usize, Duration),
     /// A node sees no time pass for a while.
@@ -109,6 +111,8 @@
     Wide,
     /// Half of them.
     Half,
+    /// One of six.
+    Few,
 }
 
 impl FreshView {
@@ -118,6 +122,7 @@
             Self::Whole => 100..500,
             Self::Wide => 100..800,
             Self::Half => 100..2_500,
+            Self::Few => 100..5_000,
         }
     }
 }
@@ -436,6 +441,7 @@
             }
             FleetFault::KillAll => self.kill_all(FreshView::Wide),
             FleetFault::KillAllBlind => self.kill_all(FreshView::Half),
+            FleetFault::KillAllScattered => self.kill_all(FreshView::Few),
             FleetFault::Cut(node, span) => {
                 self.nodes[node].cut_until = self.now + span;
                 if span < Duration::from_secs(2) {
@@ -482,6 +488,7 @@
             FreshView::Whole => false,
             FreshView::Wide => self.below(7) == 0,
             FreshView::Half => self.below(2) == 0,
+            FreshView::Few => self.below(6) != 0,
         }
     }
 
--- a/crates/anvil_quota/tests/sums.rs
+++ b/crates/anvil_quota/tests/sums.rs
@@ -104,6 +104,10 @@
     all_end_and_know_half => (65, 20, &[(secs(9), FleetFault::KillAllBlind)]),
     all_end_and_know_half_in_a_small_fleet => (14, 20, &[(secs(9), FleetFault::KillAllBlind)]),
     all_end_and_know_half_of_300 => (300, 2, &[(secs(9), FleetFault::KillAllBlind)]),
+    all_end_and_know_a_few => (65, 20, &[(secs(9), FleetFault::KillAllScattered)]),
+    all_end_and_know_a_few_in_a_small_fleet => (
+        14, 20, &[(secs(9), FleetFault::KillAllScattered)],
+    ),
     frozen_homes => (65, 10, &freezes(65)),
 }
 
--- a/crates/anvil_wire/src/quota.rs
+++ b/crates/anvil_wire/src/quota.rs
@@ -37,6 +37,8 @@
     pub node: ident::NodeId,
     /// Where it accepts datagrams.
     pub address: SocketAddr,
+    /// Whether the sender has heard from it a moment ago.
+    pub alive: bool,
 }
 
 /// What an account's home decides for one entry node.
@@ -92,6 +94,10 @@
         #[serde(deserialize_with = "bounded::list::<_, _, ACCOUNTS_LIMIT>")]
         verdicts: Vec<UseVerdict>,
     },
+    /// From a node to the next one on its ring, which may not have heard of it yet.
+    Behind,
+    /// The answer, where the receiver of [`QuotaMessage::Behind`] knows a node that stands nearer.
+    Between(HomeHint),
     /// From a node that counted an account to its home.
     Handover(UseHandover),
     /// From a home that has taken a handover.
