Give each start of a node process files of its own

Looked for: 12,000 starts of the node, 96 side by side, take 0.04 s in the median and 0.30 s at most; 3,000 starts beside six writers that sync 600 MB each, 0.25 s at most. So no start hangs by itself.

Provoked: eight copies of the test side by side in one tree, 14 runs each: 13 of 112 fail, and 5 of 32 with four copies. They share a folder, so a test reads the addresses of another copy's process, or that copy takes the ready file away between its writing and its reading, after which the test waits 10 s for a node that serves. The same runs with this change and the test as it was: 112 of 112 pass.

The sighting's logs are gone, so that a second run in the same tree was its cause is suspected, not shown. A start that fails now tells its log and what each thread waits for, and a node says starting in its first line, so the next sighting can be told.

--- a/crates/anvil_node/src/main.rs
+++ b/crates/anvil_node/src/main.rs
@@ -67,6 +67,12 @@
     level: log::LevelFilter,
 ) -> eyre::Result<()> {
     let queue = logs::start(level)?;
+    let facts = serde_json::json!({
+        "event": "starting",
+        "version": env!("CARGO_PKG_VERSION"),
+        "settings": file.display().to_string(),
+    });
+    log::info!("{facts}");
     let running = node::start(settings)?;
     stop::watch(running.engine().clone(), file.to_owned())?;
     let bound = serde_json::to_string(running.bound()).wrap_err("addresses as JSON")?;
--- a/crates/anvil_node/tests/process.rs
+++ b/crates/anvil_node/tests/process.rs
@@ -18,9 +18,10 @@
     Command::new(BINARY).args(arguments).output().unwrap()
 }
 
-/// A folder of its own for each test, so that tests can run side by side.
+/// A folder of its own for each test and run, so that tests and whole runs can be side by side.
 fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let own = format!("{name}-{}", std::process::id());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(own);
     fs::create_dir_all(&folder).unwrap();
     folder
 }
--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -101,7 +101,7 @@
     pub binary: &'plan Path,
     /// Where its files go.
     pub folder: &'plan Path,
-    /// Names its files. Each start has a log of its own, `NAME.1.log` and on.
+    /// Names its files. Each start has files of its own, `NAME.1.log` and on.
     pub name: &'plan str,
     /// Its settings, as YAML.
     pub settings: &'plan str,
@@ -112,36 +112,32 @@
     ///
     /// Fails where the process ends or doesn't serve in time; its log stands in `folder`.
     pub fn start(plan: &ProcessPlan<'_>) -> eyre::Result<Self> {
-        let file = |suffix: &str| plan.folder.join(format!("{}.{suffix}", plan.name));
-        let settings = file("yaml");
-        let ready = file("ready");
-        fs::write(&settings, plan.settings).wrap_err("the settings can't be written")?;
-        match fs::remove_file(&ready) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
-            _ => {}
-        }
-        let (log, path) = new_log(plan)?;
+        let files = StartFiles::claim(plan)?;
+        fs::write(&files.settings, plan.settings).wrap_err("the settings can't be written")?;
         let mut child = Command::new(plan.binary)
             .arg("--settings")
-            .arg(&settings)
+            .arg(&files.settings)
             .arg("--ready-file")
-            .arg(&ready)
+            .arg(&files.ready)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(files.output.try_clone()?)
+            .stderr(files.output)
             .spawn()
             .wrap_err_with(|| format!("{} can't be started", plan.binary.display()))?;
-        let addresses = match wait_ready(&mut child, &ready) {
+        let addresses = match wait_ready(&mut child, &files.ready) {
             Ok(addresses) => addresses,
             Err(error) => {
+                let standing = standing(child.id());
                 end(&mut child);
-                return Err(error.wrap_err(format!("node {}", plan.name)));
+                let log = fs::read_to_string(&files.log).unwrap_or_else(|error| error.to_string());
+                let name = plan.name;
+                return Err(error.wrap_err(format!("node {name}: {standing}; its log: {log}")));
             }
         };
         Ok(Self {
             child,
             addresses,
-            log: path,
+            log: files.log,
         })
     }
 
@@ -255,17 +251,59 @@
     }
 }
 
-/// A log file that no start before had: what a process knew is looked for after its successor began.
-fn new_log(plan: &ProcessPlan<'_>) -> eyre::Result<(fs::File, PathBuf)> {
-    for start in 1..=MOST_STARTS {
-        let path = plan.folder.join(format!("{}.{start}.log", plan.name));
-        match fs::File::create_new(&path) {
-            Ok(log) => return Ok((log, path)),
-            Err(error) if error.kind() == io::ErrorKind::AlreadyExists => {}
-            Err(error) => return Err(error).wrap_err_with(|| path.display().to_string()),
+/// The files of one start, which no other start has.
+///
+/// Failure: two runs of one test share a folder. Symptom: each reads the addresses of the other's process
+/// or takes its ready file away, and waits for a node that serves.
+struct StartFiles {
+    settings: PathBuf,
+    ready: PathBuf,
+    log: PathBuf,
+    /// The log, open.
+    output: fs::File,
+}
+
+impl StartFiles {
+    /// Takes the first number whose log nobody has made; what a process knew is looked for after its
+    /// successor began.
+    fn claim(plan: &ProcessPlan<'_>) -> eyre::Result<Self> {
+        for start in 1..=MOST_STARTS {
+            let file = |suffix: &str| plan.folder.join(format!("{}.{start}.{suffix}", plan.name));
+            let log = file("log");
+            let output = match fs::File::create_new(&log) {
+                Ok(output) => output,
+                Err(error) if error.kind() == io::ErrorKind::AlreadyExists => continue,
+                Err(error) => return Err(error).wrap_err_with(|| log.display().to_string()),
+            };
+            let ready = file("ready");
+            match fs::remove_file(&ready) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+                _ => {}
+            }
+            return Ok(Self {
+                settings: file("yaml"),
+                ready,
+                log,
+                output,
+            });
         }
+        bail!("{} has {MOST_STARTS} logs already", plan.name)
     }
-    bail!("{} has {MOST_STARTS} logs already", plan.name)
+}
+
+/// What the threads of a process do, as proc(5) tells it: each one's name, state and where it waits.
+fn standing(process: u32) -> String {
+    let Ok(tasks) = fs::read_dir(format!("/proc/{process}/task")) else {
+        return "no process".to_owned();
+    };
+    let threads = tasks.flatten().map(|task| {
+        let read = |file| fs::read_to_string(task.path().join(file)).unwrap_or_default();
+        let stat = read("stat");
+        let state = stat.rsplit(')').next().unwrap_or_default().trim_start();
+        let state = state.chars().next().unwrap_or('?');
+        format!("{}:{state}:{}", read("comm").trim(), read("wchan"))
+    });
+    threads.collect::<Vec<_>>().join(" ")
 }
 
 fn end(child: &mut Child) {
