End no call for a belief that its node has crashed

Callers would see: a request told as maybe run, at a stopping node too, while its target works on it, as the target's node was believed gone by a word of membership; the runs of an entry node that is believed gone were cancelled.

Change: belief ends at once only the calls whose connection was found silent too. The others are asked for like those on a connection that ended, and so is the entry node of the runs held here.

--- a/crates/anvil_core/src/fates.rs
+++ b/crates/anvil_core/src/fates.rs
@@ -53,16 +53,42 @@
             self.report(effect::StateChange::Part { part: PART, text });
         }
         self.ask_fates(peer, &out);
-        if let Some((_, reply_to)) = held.first().copied() {
-            let held: Vec<fate::AttemptId> = held.into_iter().map(|(id, _)| id).collect();
-            self.tell_held(peer, reply_to, &held);
-        }
+        self.ask_for_runs_of(peer);
         if let Some(to) = self.farewell.awaited(peer) {
             self.tell_leaving(peer, to);
         }
         self.key_unreachable(peer);
     }
 
+    /// Membership believes that `peer` has crashed.
+    ///
+    /// Failure: the datagrams of a busy node are late, and it is believed gone while its connections work
+    /// and its target is at work. Symptom: its calls end as "may have run", at a node that stops too, and
+    /// the runs that it asked for are cancelled. So belief ends only the calls whose connection was found
+    /// silent as well; the others are asked for, and so are those who asked for the runs here. An instance
+    /// that lost its power closes no connection, and answers no question either.
+    pub(crate) fn peer_believed_gone(&mut self, peer: ident::NodeId) {
+        let out = self.calls.out_at(peer);
+        let is_asked = |sequence: &u64| {
+            let open = self.calls.get(*sequence);
+            open.is_some_and(|open| open.quest.is_some())
+        };
+        let (silent, unasked): (Vec<u64>, Vec<u64>) = out.into_iter().partition(is_asked);
+        self.lose_calls(peer, &silent);
+        self.ask_fates(peer, &unasked);
+        self.ask_for_runs_of(peer);
+        self.key_unreachable(peer);
+    }
+
+    /// Tells `peer` what this node holds for it, so that it cancels what it does not wait for.
+    fn ask_for_runs_of(&mut self, peer: ident::NodeId) {
+        let held = self.held_for(peer);
+        if let Some((_, reply_to)) = held.first().copied() {
+            let held: Vec<fate::AttemptId> = held.into_iter().map(|(id, _)| id).collect();
+            self.tell_held(peer, reply_to, &held);
+        }
+    }
+
     pub(crate) fn fate_arrived(&mut self, peer: ident::NodeId, message: fate::FateMessage) {
         match message {
             fate::FateMessage::Ask { reply_to, attempts } => {
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -174,18 +174,14 @@
         }
     }
 
-    /// Forgets a member; what was out at one that crashed is ended.
-    ///
-    /// An instance that loses its power closes no connection, so the calls out at it would wait
-    /// for their deadlines. They end as "may have run", which stays true even if the member was
-    /// believed gone by mistake.
+    /// Forgets a member, and finds out what became of the calls out at one that is believed to have crashed.
     fn member_gone(&mut self, node: ident::NodeId, reason: GoneReason) {
         self.directory.remove(node);
         self.key_peer_gone(node);
         let crashed = reason == GoneReason::Crashed;
         self.quota.member_gone(self.now, node, crashed);
         match reason {
-            GoneReason::Crashed => self.peer_lost(node),
+            GoneReason::Crashed => self.peer_believed_gone(node),
             GoneReason::Replaced => {
                 self.farewell.member_gone(node);
                 self.peer_lost(node);
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -14,7 +14,7 @@
 
 use anvil_core::{config, effect, event, reducer, stopping};
 use anvil_types::{ident, name, time, verdict};
-use anvil_wire::{fate, frame};
+use anvil_wire::{fate, frame, gossip};
 
 /// One way between the two nodes.
 const HOP: Duration = Duration::from_micros(1_500);
@@ -42,6 +42,7 @@
     runs: Vec<event::RunId>,
     told: Vec<verdict::CallVerdict>,
     gone: Option<time::NodeTime>,
+    cancelled: usize,
 }
 
 fn node(
@@ -81,6 +82,7 @@
             runs: Vec::new(),
             told: Vec::new(),
             gone: None,
+            cancelled: 0,
         };
         pair.push(support::NODE, Duration::ZERO, event::NodeEvent::Woke);
         pair.push(support::PEER, Duration::ZERO, support::announcement(8));
@@ -143,6 +145,7 @@
             }
             effect::NodeEffect::RunTarget(order) => self.runs.push(order.run),
             effect::NodeEffect::ReplyCaller { reply, .. } => self.told.push(reply.verdict),
+            effect::NodeEffect::CancelRun(_) => self.cancelled += 1,
             effect::NodeEffect::Exit if node == support::PEER => self.gone = Some(self.now),
             _ => {}
         }
@@ -265,3 +268,59 @@
     let took = pair.gone.unwrap().since(asked);
     assert!(took < Duration::from_millis(2_500), "{took:?}");
 }
+
+/// Tells `to`, as a third node would, that `gone` has crashed.
+fn accuse(pair: &mut SilentPair, to: ident::NodeId, gone: ident::NodeId) {
+    let message = gossip::GossipMessage {
+        head: gossip::GossipHead {
+            from: ident::NodeId(3),
+            incarnation: 1,
+            revision: ident::RuleRevision(0),
+            ready: false,
+        },
+        kind: gossip::GossipKind::Rumour,
+        updates: vec![gossip::MemberUpdate {
+            node: gone,
+            incarnation: 1_000,
+            standing: gossip::MemberStanding::Gone,
+        }],
+    };
+    let from = support::address(7_003);
+    let arrived = event::NodeEvent::DatagramArrived { from, message };
+    pair.push(to, Duration::ZERO, arrived);
+}
+
+// Guards against calls that are given up as their target's node is believed gone, while the connection
+// there works and the target is at work; and against runs that are cancelled as their entry node is.
+fn check_wrong_belief(method: &str, believer: ident::NodeId, stopping: bool) {
+    let mut pair = SilentPair::start();
+    pair.call(method);
+    pair.run(millis(100));
+    if stopping {
+        pair.push(
+            support::NODE,
+            Duration::ZERO,
+            event::NodeEvent::StopRequested,
+        );
+    }
+    let other = match believer {
+        support::NODE => support::PEER,
+        _ => support::NODE,
+    };
+    accuse(&mut pair, believer, other);
+    pair.run(millis(100));
+    assert!(pair.told.is_empty(), "{:?}", pair.told);
+    assert_eq!(pair.cancelled, 0);
+    pair.end_run();
+    pair.run(millis(500));
+    assert_eq!(pair.told, [verdict::CallVerdict::Answered]);
+}
+
+anvil_testkit::test_cases! {
+    check_wrong_belief:
+    of_the_entry_node_claim => ("POST", support::NODE, false),
+    of_the_entry_node_lookup => ("GET", support::NODE, false),
+    of_the_entry_node_at_a_stop => ("POST", support::NODE, true),
+    of_the_targets_node_claim => ("POST", support::PEER, false),
+    of_the_targets_node_lookup => ("GET", support::PEER, false),
+}
