--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -71,7 +71,7 @@
     /// Nodes that did not answer, and until when they are passed over; a few.
     silent: Vec<(ident::NodeId, time::NodeTime)>,
     /// Nodes that are asked again though they did not answer, and until when they are not so once more.
-    pardoned: Vec<(ident::NodeId, time::NodeTime)>,
+    retried: Vec<(ident::NodeId, time::NodeTime)>,
     /// Homes that confirmed a handover, and when.
     heard: Vec<(ident::NodeId, time::NodeTime)>,
     sessions: u32,
@@ -102,7 +102,7 @@
             homes: sorted::SortedTable::default(),
             entries: sorted::SortedTable::default(),
             silent: Vec::new(),
-            pardoned: Vec::new(),
+            retried: Vec::new(),
             heard: Vec::new(),
             sessions: 0,
             terms: 0,
--- a/crates/anvil_quota/src/ledger/asking.rs
+++ b/crates/anvil_quota/src/ledger/asking.rs
@@ -147,7 +147,7 @@
             return;
         }
         // Known already, and passed over for a reason.
-        if !(hint.alive && self.pardon(now, hint.node)) {
+        if !(hint.alive && self.retry_home(now, hint.node)) {
             self.entry(now, account).insist();
         }
     }
@@ -157,12 +157,12 @@
     /// Failure: a home was silent for a moment. Symptom: for seconds some entry nodes ask the next one while
     /// others ask the home, and both let in the whole rate. A home that only some can reach is asked again
     /// once in that time.
-    fn pardon(&mut self, now: time::NodeTime, home: ident::NodeId) -> bool {
-        self.pardoned.retain(|(_, until)| now < *until);
-        if self.pardoned.iter().any(|(node, _)| *node == home) {
+    fn retry_home(&mut self, now: time::NodeTime, home: ident::NodeId) -> bool {
+        self.retried.retain(|(_, until)| now < *until);
+        if self.retried.iter().any(|(node, _)| *node == home) {
             return false;
         }
-        self.pardoned.push((home, now + ledger::SILENT_SPAN));
+        self.retried.push((home, now + ledger::SILENT_SPAN));
         self.silent.retain(|(node, _)| *node != home);
         true
     }
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -118,8 +118,7 @@
 
     /// Whether this node is the home of an account by its own view of the members.
     pub(super) fn is_home(&self, account: account::AccountId) -> bool {
-        let home = self.ring.homes(account).next();
-        home.is_none_or(|home| home.node == self.node)
+        self.other_home(account).is_none()
     }
 
     /// Whether the others may be asking another home, so that this one must not use the whole quota.
