--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod runs;
 mod serving;
 mod settling;
+mod stop_notices;
 pub mod stopping;
 mod target;
 pub mod timers;
--- /dev/null
+++ b/crates/anvil_core/src/stop_notices.rs
@@ -0,0 +1,57 @@
+//! Notices of a planned stop: every member hears that this node takes no more runs; see "When a connection
+//! ends" in `docs/design/edges.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_types::ident;
+use anvil_wire::{farewell, gossip};
+
+use crate::{reducer, timers};
+
+/// Time after which a member that has not answered is told of the stop again; datagrams are lost now and
+/// then.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(200);
+
+impl reducer::NodeReducer {
+    /// Tells the members that have not heard of the stop yet.
+    pub(crate) fn send_notices(&mut self) {
+        let unheard = self.farewell.unheard(self.now);
+        if unheard.is_empty() {
+            return;
+        }
+        let stopping = farewell::FarewellMessage::Stopping;
+        for to in unheard {
+            let kind = gossip::GossipKind::Farewell(stopping);
+            let sent = self.fleet.message_with_claim(to, kind);
+            self.take_fleet(vec![sent]);
+        }
+        let again = self.now + NOTICE_INTERVAL;
+        self.timers.set(again, timers::TimerKind::StopNotice);
+    }
+
+    /// Takes a word of a planned stop: of another node's, or an answer to one of this node's.
+    pub(crate) fn farewell_arrived(
+        &mut self,
+        from: SocketAddr,
+        peer: ident::NodeId,
+        word: farewell::FarewellMessage,
+    ) {
+        match word {
+            farewell::FarewellMessage::Stopping => {
+                let calls_out = !self.calls.out_at(peer).is_empty();
+                let heard = farewell::FarewellMessage::Heard { calls_out };
+                let kind = gossip::GossipKind::Farewell(heard);
+                let sent = self.fleet.message(from, kind);
+                self.take_fleet(vec![sent]);
+            }
+            farewell::FarewellMessage::Heard { calls_out } => {
+                self.farewell.noticed(peer);
+                let address = self.fleet.table().get(peer).map(|member| member.facts.tcp);
+                if let Some(address) = address.filter(|_| calls_out) {
+                    self.farewell.called(self.now, peer, address);
+                }
+            }
+        }
+    }
+}
