Take no node for a home that was only named

One cause, from reading: a node that is told of one between it and its neighbour took it into its ring for ten seconds. It may have ended a moment ago, so requests wait 150 ms for it, and the next one stands in with a few tokens. It is told of this node now, and counts as a home once it has said something itself.

Test, failing before: a_node_that_is_only_named_is_no_home.

--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -278,9 +278,7 @@
                 }
             }
             quota::QuotaMessage::Behind => self.on_behind(now, (from, address), &mut out),
-            quota::QuotaMessage::Between(hint) => {
-                self.on_hint(now, *hint);
-            }
+            quota::QuotaMessage::Between(hint) => self.on_between(*hint, &mut out),
             quota::QuotaMessage::Handover(told) => {
                 self.on_handover(now, (from, address), told, &mut out);
             }
--- a/crates/anvil_quota/src/ledger/introducing.rs
+++ b/crates/anvil_quota/src/ledger/introducing.rs
@@ -90,6 +90,15 @@
         }
     }
 
+    /// Makes itself known to a node that stands between this one and the next that it knows.
+    ///
+    /// The node named may have ended, so it is not taken for a home before it has said something itself.
+    pub(super) fn on_between(&mut self, hint: quota::HomeHint, out: &mut Vec<effect::QuotaEffect>) {
+        if hint.node != self.node {
+            self.send(hint.address, quota::QuotaMessage::Behind, out);
+        }
+    }
+
     /// Takes in a node that another one named; false where it is known.
     pub(super) fn on_hint(&mut self, now: time::NodeTime, hint: quota::HomeHint) -> bool {
         let added = self.ring.hint(now, hint.node, hint.address);
--- /dev/null
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -0,0 +1,73 @@
+//! Nodes that make themselves known to the next one on the ring of accounts.
+
+use std::net::SocketAddr;
+
+use anvil_quota::{effect, ledger};
+use anvil_types::{account, ident, time};
+use anvil_wire::quota;
+
+const ACCOUNT: account::AccountId = account::AccountId(0);
+
+fn address(node: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + node))
+}
+
+fn at(millis: u64) -> time::NodeTime {
+    time::NodeTime::from_millis(millis)
+}
+
+fn named(node: u16, alive: bool) -> quota::HomeHint {
+    quota::HomeHint {
+        node: ident::NodeId(u64::from(node)),
+        address: address(node),
+        alive,
+    }
+}
+
+/// A node that knows no other one.
+fn alone() -> ledger::QuotaLedger {
+    let own = ident::NodeId(1);
+    let mut ledger = ledger::QuotaLedger::new(own, ledger::TokenWay::Ahead);
+    ledger.member_up(at(0), own, address(1));
+    let quota = account::AccountQuota::per_second(100, 20);
+    ledger.set_quotas(at(0), &[(ACCOUNT, quota)]);
+    ledger
+}
+
+/// Whether any of the nodes 2 to 60 is the home of the account once `told` has told of it.
+fn is_moved<Tell>(tell: Tell) -> bool
+where
+    Tell: Fn(&mut ledger::QuotaLedger, u16),
+{
+    (2..60).any(|node| {
+        let mut ledger = alone();
+        tell(&mut ledger, node);
+        ledger.admit(at(20), ACCOUNT, 7) == effect::QuotaDecision::Waits
+    })
+}
+
+// Guards against requests that wait for homes which have ended: a node that is only named may be gone, and
+// stays unasked until it has said something itself.
+#[test]
+fn a_node_that_is_only_named_is_no_home() {
+    let moved = is_moved(|ledger, node| {
+        let between = quota::QuotaMessage::Between(named(node, false));
+        let effects = ledger.on_message(at(10), ident::NodeId(99), address(99), &between);
+        let told = effects.iter().any(|effect| {
+            matches!(effect, effect::QuotaEffect::Send { to, message: quota::QuotaMessage::Behind }
+                if *to == address(node))
+        });
+        assert!(told, "it is told of this one");
+    });
+    assert!(!moved);
+}
+
+#[test]
+fn a_node_that_makes_itself_known_is_a_home() {
+    let moved = is_moved(|ledger, node| {
+        let from = ident::NodeId(u64::from(node));
+        let behind = quota::QuotaMessage::Behind;
+        ledger.on_message(at(10), from, address(node), &behind);
+    });
+    assert!(moved);
+}
