Pay for handovers from what ran over before the account's tokens

Had the requests come one by one, less would have run over. What ran over within five seconds pays first now.

Test, failing before: a_handover_of_modest_use_costs_nothing; a_handover_of_use_beyond_the_quota_is_paid_for holds in both.

--- a/crates/anvil_quota/src/bucket.rs
+++ b/crates/anvil_quota/src/bucket.rs
@@ -12,6 +12,10 @@
 /// The most requests that a home may have let in beyond its tokens and still have to earn.
 const DEBT_SECONDS: f64 = 1.0;
 
+/// Seconds of the rate that may have run over and still pay for requests told late: as long as they are
+/// remembered.
+const SPILL_SECONDS: f64 = 5.0;
+
 /// Shortest pause told to a refused caller.
 const PAUSE_LEAST: Duration = Duration::from_millis(100);
 
@@ -43,19 +47,39 @@
 pub struct TokenBucket {
     level: f64,
     filled: time::NodeTime,
+    /// Tokens that found the bucket full lately.
+    spilled: f64,
 }
 
 impl TokenBucket {
     /// A bucket with `level` tokens.
     pub const fn new(now: time::NodeTime, level: f64) -> Self {
-        Self { level, filled: now }
+        Self {
+            level,
+            filled: now,
+            spilled: 0.0,
+        }
     }
 
     /// Adds what the time since the last look has brought.
     pub fn fill(&mut self, now: time::NodeTime, size: BucketSize) {
         let seconds = now.since(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        self.level = (self.level + seconds * size.rate).min(size.capacity);
+        let level = self.level + seconds * size.rate;
+        self.level = level.min(size.capacity);
+        let spilled = self.spilled + (level - self.level);
+        self.spilled = spilled.min(size.rate * SPILL_SECONDS);
+    }
+
+    /// Takes tokens for requests that were let in elsewhere while this bucket filled.
+    ///
+    /// Failure: such requests are told late and all at once, and the bucket has run over meanwhile. Symptom:
+    /// an account within its quota is in debt and refused. Had they come here one by one, less would have
+    /// run over, so what ran over pays for them first.
+    pub fn charge_late(&mut self, count: i32, size: BucketSize) {
+        let paid = f64::from(count).min(self.spilled).max(0.0);
+        self.spilled -= paid;
+        self.charge(count - paid.floor() as i32, size);
     }
 
     /// Takes one token where there is one.
@@ -76,6 +100,7 @@
     /// Drops tokens beyond `most`.
     pub fn limit(&mut self, most: f64) {
         self.level = self.level.min(most);
+        self.spilled = 0.0;
     }
 
     /// Tokens left; below zero where more was let in than there were.
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -148,7 +148,7 @@
         });
         let uses = recent::uses_within(&told.slices, now.since(self.active_since));
         let uses = uses.round() as i32;
-        self.bucket.charge(uses, size);
+        self.bucket.charge_late(uses, size);
         self.recent.merge(now, &told.slices);
         Some(uses)
     }
--- a/crates/anvil_quota/tests/neighbours.rs
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -71,3 +71,33 @@
     });
     assert!(moved);
 }
+
+/// A home of the account since 10 ms, which lets in `own` requests a second, and hears after two seconds that
+/// another node let in 75 a second meanwhile; tells what becomes of the next request.
+fn after_a_handover(own: u64) -> effect::QuotaDecision {
+    let mut ledger = alone();
+    for turn in 0..own * 2 {
+        ledger.admit(at(10 + turn * 2_000 / (own * 2)), ACCOUNT, turn);
+    }
+    let told = quota::UseHandover {
+        account: ACCOUNT,
+        number: 1,
+        slices: vec![19; 8],
+    };
+    let from = ident::NodeId(99);
+    let handover = quota::QuotaMessage::Handover(told);
+    ledger.on_message(at(2_010), from, address(99), &handover);
+    ledger.admit(at(2_015), ACCOUNT, 1_000)
+}
+
+// Guards against refusals of an account within its quota of 100 a second, whose requests came to two homes.
+#[test]
+fn a_handover_of_modest_use_costs_nothing() {
+    assert_eq!(after_a_handover(20), effect::QuotaDecision::Granted);
+}
+
+#[test]
+fn a_handover_of_use_beyond_the_quota_is_paid_for() {
+    let refused = matches!(after_a_handover(100), effect::QuotaDecision::Refused { .. });
+    assert!(refused);
+}
