Bound what neighbours on the ring answer each other

Cause, from reading: a process that has ended leaves its address to another one. Whoever is told of the former writes to the latter, which names the former again, and so on as fast as the network is. Two answers to each word are followed now.

Test: answers_that_name_nodes_again_and_again_come_to_an_end.

--- a/crates/anvil_quota/src/ledger/introducing.rs
+++ b/crates/anvil_quota/src/ledger/introducing.rs
@@ -18,6 +18,12 @@
 /// Words to a node that has become the next one; datagrams are lost now and then.
 const WORDS: u8 = 3;
 
+/// Nodes named in answer to a word that are told too.
+///
+/// Where a process has ended and another one stands at its address, each answer may name the same address
+/// again; without a bound the two would go on as fast as the network is.
+const NAMED: u8 = 2;
+
 /// How long a fresh node goes on to tell of itself, since it finds the others bit by bit.
 const YOUTH: Duration = Duration::from_secs(5);
 
@@ -28,6 +34,8 @@
     /// When the next word is due.
     pub(super) due: Option<time::NodeTime>,
     words_left: u8,
+    /// Nodes named in answer to the last word that were told too.
+    named_told: u8,
     /// When the node is no longer fresh; none before it knows another one.
     fresh_until: Option<time::NodeTime>,
 }
@@ -57,6 +65,7 @@
         let fresh = told.fresh_until.is_some_and(|until| now < until);
         let goes_on = fresh || told.words_left > 0;
         told.due = goes_on.then_some(now + INTERVAL);
+        told.named_told = 0;
         if let Some(next) = self.ring.successor(self.node) {
             self.send(next.address, quota::QuotaMessage::Behind, out);
         }
@@ -94,7 +103,9 @@
     ///
     /// The node named may have ended, so it is not taken for a home before it has said something itself.
     pub(super) fn on_between(&mut self, hint: quota::HomeHint, out: &mut Vec<effect::QuotaEffect>) {
-        if hint.node != self.node {
+        let told = &mut self.introduction;
+        if hint.node != self.node && told.named_told < NAMED {
+            told.named_told += 1;
             self.send(hint.address, quota::QuotaMessage::Behind, out);
         }
     }
--- a/crates/anvil_quota/tests/neighbours.rs
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -62,6 +62,19 @@
     assert!(!moved);
 }
 
+// Guards against two processes at one address that name each other for ever.
+#[test]
+fn answers_that_name_nodes_again_and_again_come_to_an_end() {
+    let mut ledger = alone();
+    let between = quota::QuotaMessage::Between(named(2, false));
+    let told = (0..100).map(|_| {
+        ledger
+            .on_message(at(10), ident::NodeId(99), address(99), &between)
+            .len()
+    });
+    assert_eq!(told.sum::<usize>(), 2);
+}
+
 #[test]
 fn a_node_that_makes_itself_known_is_a_home() {
     let moved = is_moved(|ledger, node| {
