Let withheld tokens pay for handovers

Cause: a fresh home begins with eight tokens in place of the whole burst, for what its predecessors may have let in. With handovers it hears what they did let in and pays for it out of the eight. The withheld tokens pay now, so that all homes together let in the burst and the rate, as one would.

Test, failing before: withheld_tokens_pay_for_a_handover.

--- a/crates/anvil_quota/src/bucket.rs
+++ b/crates/anvil_quota/src/bucket.rs
@@ -47,7 +47,7 @@
 pub struct TokenBucket {
     level: f64,
     filled: time::NodeTime,
-    /// Tokens that found the bucket full lately.
+    /// Tokens that found the bucket full lately, or were withheld from it.
     spilled: f64,
 }
 
@@ -97,10 +97,10 @@
         self.level = (self.level - f64::from(count)).clamp(-debt, size.capacity);
     }
 
-    /// Drops tokens beyond `most`.
+    /// Withholds tokens beyond `most`; they pay for requests that are told late.
     pub fn limit(&mut self, most: f64) {
+        self.spilled = (self.level - most).max(0.0);
         self.level = self.level.min(most);
-        self.spilled = 0.0;
     }
 
     /// Tokens left; below zero where more was let in than there were.
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -88,11 +88,13 @@
 pub type AddressedVerdict = (SocketAddr, quota::UseVerdict);
 
 impl HomeAccount {
-    /// A home that has just become one.
-    pub fn new(now: time::NodeTime, tokens: f64, term: u32) -> Self {
+    /// A home that has just become one, with `tokens` of its bucket.
+    pub fn new(now: time::NodeTime, size: bucket::BucketSize, tokens: f64, term: u32) -> Self {
+        let mut bucket = bucket::TokenBucket::new(now, size.capacity);
+        bucket.limit(tokens);
         Self {
             term,
-            bucket: bucket::TokenBucket::new(now, tokens),
+            bucket,
             used: now,
             moved: false,
             reports: meter::EventMeter::new(now),
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -148,14 +148,14 @@
         let tokens = home::fresh_tokens(size, share);
         let home = self
             .homes
-            .get_or_insert_with(account, || home::HomeAccount::new(now, tokens, term));
+            .get_or_insert_with(account, || home::HomeAccount::new(now, size, tokens, term));
         home.touch(now, size, share, is_home);
         let beside = !is_home && home.owes_handover(now);
         if beside {
             self.hand_over(now, account, now);
         }
         self.homes
-            .get_or_insert_with(account, || home::HomeAccount::new(now, tokens, term))
+            .get_or_insert_with(account, || home::HomeAccount::new(now, size, tokens, term))
     }
 
     pub(super) fn trim(&mut self, now: time::NodeTime) {
--- a/crates/anvil_quota/tests/neighbours.rs
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -114,3 +114,20 @@
     let refused = matches!(after_a_handover(100), effect::QuotaDecision::Refused { .. });
     assert!(refused);
 }
+
+// Guards against refusals after all processes were killed, of requests that the burst would have borne: a
+// fresh home withholds most of it, for what others may have let in, and then hears what they did.
+#[test]
+fn withheld_tokens_pay_for_a_handover() {
+    let mut ledger = alone();
+    ledger.admit(at(10), ACCOUNT, 1);
+    let told = quota::UseHandover {
+        account: ACCOUNT,
+        number: 1,
+        slices: vec![40],
+    };
+    let handover = quota::QuotaMessage::Handover(told);
+    ledger.on_message(at(260), ident::NodeId(99), address(99), &handover);
+    let decided = ledger.admit(at(265), ACCOUNT, 2);
+    assert_eq!(decided, effect::QuotaDecision::Granted);
+}
