Ask for a contact's slot in one place, and look a home up once

Two callers built the same request for a slot. A home was looked up a second time for each report, and an entry node's record put back twice, since what it may let in ahead depends on how many ask.

--- a/crates/anvil_membership/src/fleet/contacts.rs
+++ b/crates/anvil_membership/src/fleet/contacts.rs
@@ -181,9 +181,7 @@
             let since = *self.contacts.vacant[usize::from(slot)].get_or_insert(now);
             let wait = contact::CANDIDATE_WAIT * self.candidates_before(slot);
             if now.since(since) >= wait {
-                let lease = contact::CONTACT_LEASE;
-                let ask = store::StoreAsk::Grant { lease };
-                self.ask(now, asking::AskPurpose::GrantContact { slot }, ask, out);
+                self.ask_for_slot(now, slot, out);
                 return;
             }
         }
@@ -212,6 +210,13 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
+    /// Begins to take a slot: its entry stands under a lease of its own.
+    fn ask_for_slot(&mut self, now: time::NodeTime, slot: u8, out: &mut Vec<effect::FleetEffect>) {
+        let lease = contact::CONTACT_LEASE;
+        let ask = store::StoreAsk::Grant { lease };
+        self.ask(now, asking::AskPurpose::GrantContact { slot }, ask, out);
+    }
+
     fn take_contact(
         &mut self,
         now: time::NodeTime,
@@ -299,9 +304,7 @@
             effect::FleetReport::ContactLapsed,
         ));
         if let Some(slot) = lost.map(|held| held.slot).filter(|_| !self.is_leaving()) {
-            let lease = contact::CONTACT_LEASE;
-            let ask = store::StoreAsk::Grant { lease };
-            self.ask(now, asking::AskPurpose::GrantContact { slot }, ask, out);
+            self.ask_for_slot(now, slot, out);
         }
     }
 
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -259,8 +259,8 @@
             }
             entry.asked = told.asked;
         }
-        self.entries.insert(node, entry);
-        entry.ahead = self.ahead(size);
+        let askers = self.entries.len() + usize::from(known.is_none());
+        entry.ahead = self.ahead(size, askers);
         self.entries.insert(node, entry);
         Some(self.verdict(size, told.account, &entry))
     }
@@ -271,7 +271,7 @@
         size: bucket::BucketSize,
         account: account::AccountId,
     ) -> Vec<AddressedVerdict> {
-        if self.ahead(size) > 0 {
+        if self.ahead(size, self.entries.len()) > 0 {
             return Vec::new();
         }
         let free = self.entries.keys_where(|entry| entry.ahead > 0);
@@ -306,14 +306,14 @@
         self.bucket.level()
     }
 
-    /// What each entry node may let in ahead.
-    fn ahead(&self, size: bucket::BucketSize) -> u16 {
+    /// What each of so many entry nodes may let in ahead.
+    fn ahead(&self, size: bucket::BucketSize, askers: usize) -> u16 {
         let spare = self.bucket.level() - size.capacity * RESERVE;
         // A bucket of a few tokens has none to spare.
         if spare < 1.0 {
             return 0;
         }
-        let each = spare * AHEAD_PART / self.entries.len().max(1) as f64;
+        let each = spare * AHEAD_PART / askers.max(1) as f64;
         each.clamp(1.0, AHEAD_LIMIT) as u16
     }
 
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -141,6 +141,10 @@
     ) -> &mut home::HomeAccount {
         let share = self.ring.share();
         let is_home = self.is_home(account);
+        let known = self.homes.get(account);
+        if !is_home && known.is_some_and(|home| home.owes_handover(now)) {
+            self.hand_over(now, account, now);
+        }
         let term = self.terms + 1;
         if self.homes.get(account).is_none() {
             self.terms = term;
@@ -150,12 +154,7 @@
             .homes
             .get_or_insert_with(account, || home::HomeAccount::new(now, size, tokens, term));
         home.touch(now, size, share, is_home);
-        let beside = !is_home && home.owes_handover(now);
-        if beside {
-            self.hand_over(now, account, now);
-        }
-        self.homes
-            .get_or_insert_with(account, || home::HomeAccount::new(now, size, tokens, term))
+        home
     }
 
     pub(super) fn trim(&mut self, now: time::NodeTime) {
