--- a/crates/anvil_core/src/fates.rs
+++ b/crates/anvil_core/src/fates.rs
@@ -53,7 +53,7 @@
             self.report(effect::StateChange::Part { part: PART, text });
         }
         self.ask_fates(peer, &out);
-        self.ask_for_runs_of(peer);
+        self.offer_runs(peer, &held);
         if let Some(to) = self.farewell.awaited(peer) {
             self.tell_leaving(peer, to);
         }
@@ -76,15 +76,15 @@
         let (silent, unasked): (Vec<u64>, Vec<u64>) = out.into_iter().partition(is_asked);
         self.lose_calls(peer, &silent);
         self.ask_fates(peer, &unasked);
-        self.ask_for_runs_of(peer);
+        let held = self.held_for(peer);
+        self.offer_runs(peer, &held);
         self.key_unreachable(peer);
     }
 
     /// Tells `peer` what this node holds for it, so that it cancels what it does not wait for.
-    fn ask_for_runs_of(&mut self, peer: ident::NodeId) {
-        let held = self.held_for(peer);
+    fn offer_runs(&mut self, peer: ident::NodeId, held: &[(fate::AttemptId, SocketAddr)]) {
         if let Some((_, reply_to)) = held.first().copied() {
-            let held: Vec<fate::AttemptId> = held.into_iter().map(|(id, _)| id).collect();
+            let held: Vec<fate::AttemptId> = held.iter().map(|(id, _)| *id).collect();
             self.tell_held(peer, reply_to, &held);
         }
     }
