Keep nodes that are marked for a while in one type

Nodes passed over, asked again and heard from were three lists of pairs, each with its own filters, one by the time of the mark and two by its end. One type holds them.

--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -7,7 +7,7 @@
 use anvil_wire::quota;
 use serde::Serialize;
 
-use crate::{bucket, effect, entry, handover, home, ring};
+use crate::{bucket, effect, entry, handover, home, marks, ring};
 
 mod asking;
 mod counting;
@@ -68,12 +68,12 @@
     quotas: sorted::SortedTable<account::AccountId, account::AccountQuota>,
     homes: sorted::SortedTable<account::AccountId, home::HomeAccount>,
     entries: sorted::SortedTable<account::AccountId, entry::EntryAccount>,
-    /// Nodes that did not answer, and until when they are passed over; a few.
-    silent: Vec<(ident::NodeId, time::NodeTime)>,
-    /// Nodes that are asked again though they did not answer, and until when they are not so once more.
-    retried: Vec<(ident::NodeId, time::NodeTime)>,
-    /// Homes that confirmed a handover, and when.
-    heard: Vec<(ident::NodeId, time::NodeTime)>,
+    /// Nodes that did not answer and are passed over.
+    silent: marks::NodeMarks,
+    /// Nodes that were asked again though they did not answer, and are not so once more.
+    retried: marks::NodeMarks,
+    /// Homes that confirmed a handover a moment ago.
+    heard: marks::NodeMarks,
     sessions: u32,
     terms: u32,
     trim_at: time::NodeTime,
@@ -101,9 +101,9 @@
             quotas: sorted::SortedTable::default(),
             homes: sorted::SortedTable::default(),
             entries: sorted::SortedTable::default(),
-            silent: Vec::new(),
-            retried: Vec::new(),
-            heard: Vec::new(),
+            silent: marks::NodeMarks::default(),
+            retried: marks::NodeMarks::default(),
+            heard: marks::NodeMarks::default(),
             sessions: 0,
             terms: 0,
             trim_at: time::NodeTime::START,
@@ -272,7 +272,7 @@
                 self.on_report(now, (from, address), uses, &mut out);
             }
             quota::QuotaMessage::Verdict { verdicts } => {
-                self.silent.retain(|(node, _)| *node != from);
+                self.silent.remove(from);
                 for verdict in verdicts {
                     self.on_verdict(now, from, *verdict, &mut out);
                 }
@@ -290,7 +290,9 @@
     /// Does what is due.
     pub fn on_wake(&mut self, now: time::NodeTime) -> Vec<effect::QuotaEffect> {
         let mut out = Vec::new();
-        self.silent.retain(|(_, until)| now < *until);
+        self.silent.forget(now);
+        self.retried.forget(now);
+        self.heard.forget(now);
         if self.due_at.is_some_and(|due| due <= now) {
             let due = |entry: &entry::EntryAccount| entry.next_wake().is_some_and(|due| due <= now);
             for account in self.entries.keys_where(due) {
--- a/crates/anvil_quota/src/ledger/asking.rs
+++ b/crates/anvil_quota/src/ledger/asking.rs
@@ -55,7 +55,7 @@
         let home = self.entries.get(account).and_then(|entry| entry.home);
         if let Some(home) = home {
             self.counters.homes_silent += 1;
-            self.silent.push((home, now + ledger::SILENT_SPAN));
+            self.silent.mark(now, home, ledger::SILENT_SPAN);
         }
         match self.follow(now, account) {
             ledger::HomePlace::Peer(..) => {}
@@ -105,13 +105,10 @@
         account: account::AccountId,
     ) -> ledger::HomePlace {
         let silent = &self.silent;
-        let passed = |node| {
-            silent
-                .iter()
-                .any(|(one, until)| *one == node && now < *until)
-        };
         let tried = self.ring.homes(account).take(ledger::HOMES_TRIED);
-        let found = tried.enumerate().find(|(_, known)| !passed(known.node));
+        let found = tried
+            .enumerate()
+            .find(|(_, known)| !silent.has(now, known.node));
         let stands_in = found.is_some_and(|(place, _)| place > 0);
         let found = found.map(|(_, known)| *known);
         let place = match found {
@@ -158,12 +155,11 @@
     /// others ask the home, and both let in the whole rate. A home that only some can reach is asked again
     /// once in that time.
     fn retry_home(&mut self, now: time::NodeTime, home: ident::NodeId) -> bool {
-        self.retried.retain(|(_, until)| now < *until);
-        if self.retried.iter().any(|(node, _)| *node == home) {
+        if self.retried.has(now, home) {
             return false;
         }
-        self.retried.push((home, now + ledger::SILENT_SPAN));
-        self.silent.retain(|(node, _)| *node != home);
+        self.retried.mark(now, home, ledger::SILENT_SPAN);
+        self.silent.remove(home);
         true
     }
 
--- a/crates/anvil_quota/src/ledger/counting.rs
+++ b/crates/anvil_quota/src/ledger/counting.rs
@@ -39,7 +39,7 @@
     /// Names the home of an account that this node doesn't count and need not stand in for.
     fn hint_home(&self, now: time::NodeTime, told: quota::UseReport) -> Option<quota::UseVerdict> {
         let home = self.other_home(told.account)?;
-        let alive = self.is_heard(now, home.node);
+        let alive = self.heard.has(now, home.node);
         if told.stands_in && !alive {
             return None;
         }
--- a/crates/anvil_quota/src/ledger/handing.rs
+++ b/crates/anvil_quota/src/ledger/handing.rs
@@ -101,16 +101,6 @@
     /// Forgets a handover that was taken, and notes that its home lives.
     pub(super) fn handover_taken(&mut self, now: time::NodeTime, from: ident::NodeId, number: u32) {
         self.handovers.retain(|pending| pending.number != number);
-        self.heard
-            .retain(|(node, at)| *node != from && now.since(*at) < HEARD_SPAN);
-        self.heard.push((from, now));
-    }
-
-    /// Whether a home confirmed a handover a moment ago.
-    pub(super) fn is_heard(&self, now: time::NodeTime, home: ident::NodeId) -> bool {
-        let fresh = |(node, at): &(ident::NodeId, time::NodeTime)| {
-            *node == home && now.since(*at) < HEARD_SPAN
-        };
-        self.heard.iter().any(fresh)
+        self.heard.mark(now, from, HEARD_SPAN);
     }
 }
--- a/crates/anvil_quota/src/lib.rs
+++ b/crates/anvil_quota/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod home;
 pub mod ledger;
+pub mod marks;
 pub mod meter;
 pub mod recent;
 pub mod ring;
