--- a/crates/anvil_quota/examples/quota_ways.rs
+++ b/crates/anvil_quota/examples/quota_ways.rs
@@ -105,7 +105,7 @@
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
     let rate = load.quota.rate();
     let burst = f64::from(load.quota.burst);
-    let allowed = (rate * 5.0 + burst) * (1.0 + fleet::EXCESS) + fleet::SLACK;
+    let allowed = fleet::tally::allowed(load.quota);
     // What each node has told, and what it has let in since; a bucket of the fleet as told.
     let mut untold = vec![0_u32; nodes];
     let mut level = burst;
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -114,8 +114,7 @@
 
     /// Takes out what was let in lately, to be handed over; none where that is nothing.
     pub fn take_uses(&mut self, now: time::NodeTime) -> Option<recent::RecentUses> {
-        let uses = self.recent;
-        self.recent = recent::RecentUses::new(now);
+        let uses = std::mem::replace(&mut self.recent, recent::RecentUses::new(now));
         self.handed_over = now;
         (!uses.is_empty()).then_some(uses)
     }
--- a/crates/anvil_quota/src/recent.rs
+++ b/crates/anvil_quota/src/recent.rs
@@ -54,11 +54,6 @@
         self.slices.iter().all(|uses| *uses == 0)
     }
 
-    /// Forgets everything.
-    fn clear(&mut self) {
-        self.slices = [0; SLICES];
-    }
-
     /// Begins as many new slices as time has brought.
     fn turn(&mut self, now: time::NodeTime) {
         let passed = now.since(self.begun).as_micros() / SLICE.as_micros();
@@ -67,8 +62,7 @@
         }
         let turns = usize::try_from(passed).unwrap_or(SLICES);
         if turns >= SLICES {
-            self.clear();
-            self.begun = now;
+            *self = Self::new(now);
             return;
         }
         self.slices.rotate_right(turns);
