--- a/crates/anvil_standins/src/loopback.rs
+++ b/crates/anvil_standins/src/loopback.rs
@@ -8,6 +8,7 @@
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// The port whose listener marks a block as taken. It is below the ephemeral ports of the system,
 /// so no outgoing connection uses it.
@@ -25,6 +26,12 @@
 /// Number of usable blocks, up to 127.250.255.0.
 const BLOCK_COUNT: u32 = 250 * 256;
 
+/// Blocks that this process has tried so far.
+///
+/// The servers of an experiment may outlive its claim in the same process, so a process never
+/// returns to a block that it has held.
+static TRIED: AtomicU32 = AtomicU32::new(0);
+
 /// A block of 254 loopback addresses, held until it is dropped.
 #[derive(Debug)]
 pub struct LoopbackBlock {
@@ -41,8 +48,9 @@
         // Processes with different ids begin at different blocks, so that they seldom collide.
         let first = std::process::id().wrapping_mul(31);
         let mut last_error = io::Error::from(io::ErrorKind::AddrInUse);
-        for attempt in 0..MAX_CLAIM_ATTEMPTS {
-            let offset = first.wrapping_add(attempt) % BLOCK_COUNT;
+        for _ in 0..MAX_CLAIM_ATTEMPTS {
+            let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+            let offset = first.wrapping_add(tried) % BLOCK_COUNT;
             let number = u16::try_from(FIRST_BLOCK + offset).unwrap_or(u16::MAX);
             match TcpListener::bind((address_in(number, CLAIM_INDEX), CLAIM_PORT)) {
                 Ok(claim) => {
--- a/crates/anvil_standins/tests/ground.rs
+++ b/crates/anvil_standins/tests/ground.rs
@@ -12,6 +12,14 @@
 const SEED: u64 = 1;
 const TARGET_PORT: u16 = 8_084;
 
+#[test]
+fn a_process_returns_to_no_block_that_it_has_held() {
+    // Servers of an experiment may still listen in a block whose claim has been dropped.
+    let held = loopback::LoopbackBlock::claim().unwrap().number();
+    let next = loopback::LoopbackBlock::claim().unwrap();
+    assert_ne!(next.number(), held);
+}
+
 #[test]
 fn blocks_held_at_once_share_no_address() {
     let first = loopback::LoopbackBlock::claim().unwrap();
