Record and log the rates that targets name, and who knows them

The logs named no limit in any case, so three explanations of targets that get more than they named could not be told apart. Now: - each dialect reads the rate and the leaving that a valid answer states (platform: server-limit, server-leaving), and the node beside the target records the rate of the present incarnation, and since when it is named - rate-named, rate-malformed lines there; target-noticed at each node that passed on such an answer; run-ended tells the rate that was known when a run started, at the target's node and at the entry node - counters runs_under_rate, rates_changed, rates_malformed, statements_outdated, notices_changed, gauges named_rate_per_second and named_rate_since_micros; the dump lists what is remembered about other targets

No request is treated differently.

--- a/crates/anvil_core/benches/reducer.rs
+++ b/crates/anvil_core/benches/reducer.rs
@@ -46,6 +46,7 @@
         let ended = event::NodeEvent::RunEnded {
             run,
             outcome: support::answered(),
+            statement: None,
         };
         node.step(clock.next(), ended)
     });
--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -227,9 +227,18 @@
             let incarnation = target.announcement.incarnation.as_ref();
             incarnation.map(|incarnation| incarnation.id.clone())
         });
+        let digest = self.target_digest();
+        let named_rate = self
+            .overload
+            .admission
+            .as_ref()
+            .and_then(|queue| queue.rate().named());
         let (Some(address), Some(run)) = (address, self.runs.start(id, now)) else {
             return;
         };
+        run.incarnation = digest;
+        run.named_rate = named_rate;
+        self.counters.runs_under_rate += u64::from(named_rate.is_some());
         let Some(request) = run.request.take() else {
             return;
         };
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -55,6 +55,16 @@
     /// Queried attempts that never arrived or are no longer remembered.
     #[serde(rename = "fates_unknown")]
     pub outcomes_unknown: u64,
+    /// Changes of the rate that the local target names.
+    pub rates_changed: u64,
+    /// Answers of the local target that named something that is not a rate.
+    pub rates_malformed: u64,
+    /// Statements of earlier incarnations of the local target, which were ignored.
+    pub statements_outdated: u64,
+    /// Runs handed to the local target while it named a rate.
+    pub runs_under_rate: u64,
+    /// Changes of what this node knows about the targets of other nodes.
+    pub notices_changed: u64,
     /// Attempts given up because their node has ended or did not answer the query.
     #[serde(rename = "fates_lost")]
     pub outcomes_lost: u64,
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_types::{ident, name, store, treatment, verdict};
+use anvil_types::{ident, name, rate, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip};
 use derive_more::Display;
 use serde::Serialize;
@@ -111,6 +111,36 @@
         #[serde(rename = "standing")]
         status: incarnations::AnnouncementStatus,
     },
+    /// The local target named another rate, or none any more.
+    #[display("rate named: {named:?}")]
+    RateNamed {
+        /// The incarnation of the target.
+        incarnation: Option<ident::IncarnationId>,
+        /// Requests a second; none if it has no limit any more.
+        named: Option<rate::RequestRate>,
+    },
+    /// The local target named something that is not a rate, for the first time.
+    #[display("rate malformed; still in force: {named:?}")]
+    RateMalformed {
+        /// The incarnation of the target.
+        incarnation: Option<ident::IncarnationId>,
+        /// The rate that it named before.
+        named: Option<rate::RequestRate>,
+    },
+    /// This node learned from an answer what another node's target states about itself.
+    #[display("target noticed: node={node} rate={rate:?} leaving={leaving}")]
+    TargetNoticed {
+        /// The target's node.
+        node: String,
+        /// The address of that node.
+        address: SocketAddr,
+        /// The hash of the target's incarnation.
+        incarnation: String,
+        /// Requests a second that the target accepts; none if it has no limit.
+        rate: Option<rate::RequestRate>,
+        /// Whether the target is leaving.
+        leaving: bool,
+    },
     /// A free-form message of one part of the node.
     #[display("{part}: {text}")]
     Part {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -219,6 +219,7 @@
             return;
         };
         let chained = self.overload.policy.chain_allowance;
+        let notice = self.notices.get(address);
         let Some(open) = self.calls.get_mut(sequence) else {
             return;
         };
@@ -243,6 +244,7 @@
             account: open.account.name.clone(),
             label: open.label.clone(),
             request: open.request.clone(),
+            notice,
         };
         let service = open.request.service.clone();
         let (attempt, inherited) = (open.attempts, open.context.repeat);
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvil_rules::document;
-use anvil_types::{account, ident, name, store};
+use anvil_types::{account, ident, name, rate, store};
 use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
 
@@ -74,6 +74,27 @@
     Cancelled,
 }
 
+/// What a valid answer of a target states about the target itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetStatement {
+    /// The requests that it accepts from all nodes together.
+    pub rate: StatedRate,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// The rate that a target's answer names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedRate {
+    /// The answer names none, so the target has no limit.
+    #[default]
+    Unlimited,
+    /// The target accepts this many requests a second.
+    Limited(rate::RequestRate),
+    /// The answer names something that is not a rate; what the target named before still holds.
+    Malformed,
+}
+
 /// An announcement in which the local target describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetAnnouncement {
@@ -135,6 +156,11 @@
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.started_at_ms == other.started_at_ms
     }
+
+    /// The hash by which other nodes refer to the incarnation.
+    pub fn digest(&self) -> ident::IncarnationDigest {
+        ident::IncarnationDigest::of(&self.id, self.started_at_ms)
+    }
 }
 
 /// A request of an operator to this node.
@@ -219,6 +245,8 @@
         run: RunId,
         /// Its outcome.
         outcome: RunOutcome,
+        /// What the target's answer stated about it, if a valid one came.
+        statement: Option<TargetStatement>,
     },
     /// The local target announced itself or renewed its announcement.
     TargetAnnounced(TargetAnnouncement),
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -77,6 +77,7 @@
             "routes": self.directory.routes(),
             "keys": self.key_dump(),
             "accounts": self.accounts_dump(),
+            "notices": self.notices_dump(),
         })
     }
 
@@ -85,6 +86,7 @@
         let mut counters = json!(self.counters);
         counters["keys"] = self.key_counters();
         counters["quota"] = json!(self.quota_counters());
+        counters["named_rate"] = self.rate_gauges();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -94,6 +94,7 @@
         load.leaving |= leaving;
         load.deep = deep;
         load.announced = announced;
+        load.notice = self.target_notice();
         load
     }
 
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     applying, calls, config, counters, directory, effect, event, incarnations, keys, memory,
-    overload, request_log, rulebook, runs, shutdown, stopping, timers,
+    notices, overload, request_log, rulebook, runs, shutdown, stopping, timers,
 };
 
 /// The complete state of a node and its transition function.
@@ -42,6 +42,8 @@
     /// The recent callers, and the handshake with them before this node exits.
     pub(crate) shutdown: shutdown::ShutdownHandshake,
     pub(crate) incarnations: incarnations::IncarnationHistory,
+    /// What answers told about the targets beside other nodes.
+    pub(crate) notices: notices::NoticeTable,
     /// The service that the instance's target should offer, if the settings name one.
     pub(crate) expected_service: Option<name::ServiceName>,
     pub(crate) fleet: fleet::FleetState,
@@ -104,6 +106,7 @@
             stop: stopping::StopPlan::default(),
             shutdown: shutdown::ShutdownHandshake::default(),
             incarnations: incarnations::IncarnationHistory::default(),
+            notices: notices::NoticeTable::default(),
             ready: false,
             effects: Vec::new(),
             loopback: VecDeque::new(),
@@ -234,7 +237,16 @@
             event::NodeEvent::DatagramArrived { from, message } => {
                 self.datagram_arrived(from, &message);
             }
-            event::NodeEvent::RunEnded { run, outcome } => self.run_ended(run, outcome),
+            event::NodeEvent::RunEnded {
+                run,
+                outcome,
+                statement,
+            } => {
+                if let Some(statement) = statement {
+                    self.target_stated(run, &statement);
+                }
+                self.run_ended(run, outcome);
+            }
             event::NodeEvent::TargetAnnounced(announcement) => {
                 self.target_announced(announcement);
             }
--- a/crates/anvil_core/src/request_log.rs
+++ b/crates/anvil_core/src/request_log.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use anvil_overload::refusal;
-use anvil_types::{context, ident, name, time, treatment, verdict};
+use anvil_types::{context, ident, name, rate, time, treatment, verdict};
 use serde::{Serialize, Serializer};
 
 /// Number of lanes, out of 256, whose successes are logged.
@@ -87,6 +87,12 @@
     pub running: u32,
     /// Requests that were queued when this one ended.
     pub queued: usize,
+    /// The rate, in requests a second, that the target named when the run was handed to it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub named_rate: Option<rate::RequestRate>,
+    /// The rate, in requests a second, that the entry node knew from earlier answers of the target.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub entry_rate: Option<rate::RequestRate>,
 }
 
 /// A step of a call whose idempotency key is guarded.
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -1,7 +1,7 @@
 //! The runs of the local target: calls that this node has accepted for it.
 
 use anvil_overload::{allowance, kind};
-use anvil_types::{context, ident, name, sorted, time, treatment};
+use anvil_types::{context, ident, name, rate, sorted, time, treatment};
 use anvil_wire::{call, outcome};
 
 use crate::{event, request_log, waits};
@@ -61,6 +61,12 @@
     pub accepted: time::NodeTime,
     /// When it was handed to the target.
     pub started: Option<time::NodeTime>,
+    /// The incarnation of the target that it was handed to, if the target announces incarnations.
+    pub incarnation: Option<ident::IncarnationDigest>,
+    /// The rate that the entry node knew from earlier answers of the target.
+    pub entry_rate: Option<rate::RequestRate>,
+    /// The rate that the target named when the run was handed to it.
+    pub named_rate: Option<rate::RequestRate>,
     /// Whether its deadline passed while it was running.
     pub expired: bool,
     /// Whether the incarnation of the target that it was handed to has ended.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -45,6 +45,9 @@
             failed_notices: 0,
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
             started: None,
+            incarnation: None,
+            entry_rate: call.notice.and_then(|notice| notice.rate),
+            named_rate: None,
             expired: false,
             target_lost: false,
             waits: waits::CallWaits::default(),
@@ -175,6 +178,8 @@
                 .map(|at| request_log::millis(self.now.since(at))),
             running: self.runs.running(),
             queued: self.runs.queued(),
+            named_rate: ended.named_rate,
+            entry_rate: ended.entry_rate,
         };
         self.log_request(effect::StateChange::RunEnded(Box::new(summary)));
     }
--- a/crates/anvil_core/src/settling.rs
+++ b/crates/anvil_core/src/settling.rs
@@ -52,7 +52,7 @@
         let Some(open) = self.calls.get_mut(sequence) else {
             return;
         };
-        let calls::CallStage::Out { peer, .. } = open.stage else {
+        let calls::CallStage::Out { peer, address } = open.stage else {
             return;
         };
         open.allowance
@@ -73,6 +73,9 @@
         };
         let service = open.request.service.clone();
         self.directory.attempt_ended(now, &service, peer, report);
+        if let Some(notice) = answer.load.notice {
+            self.notice_arrived(peer, address, notice);
+        }
     }
 
     /// Writes off the retries lent to an attempt whose node was lost.
--- /dev/null
+++ b/crates/anvil_core/src/statements.rs
@@ -0,0 +1,139 @@
+//! What the local target states about itself in its answers, and what other nodes are told of it;
+//! see `docs/design/named-rates.md`.
+
+use std::net::SocketAddr;
+
+use anvil_overload::rate;
+use anvil_types::ident;
+use anvil_wire::call;
+use serde_json::json;
+
+use crate::{effect, event, reducer};
+
+/// Maximum number of remembered targets that are listed in the dump.
+const MAX_DUMP_NOTICES: usize = 1_000;
+
+impl reducer::NodeReducer {
+    /// Records what the answer to `run` stated about the target.
+    ///
+    /// An answer of an earlier incarnation says nothing about the present one.
+    pub(crate) fn target_stated(&mut self, run: event::RunId, statement: &event::TargetStatement) {
+        let sent_to = self.runs.get(run).and_then(|run| run.incarnation);
+        if sent_to != self.target_digest() {
+            self.counters.statements_outdated += 1;
+            return;
+        }
+        let stated = match statement.rate {
+            event::StatedRate::Unlimited => None,
+            event::StatedRate::Limited(rate) => Some(rate),
+            event::StatedRate::Malformed => {
+                self.rate_malformed();
+                return;
+            }
+        };
+        let now = self.now;
+        let Some(admission) = &mut self.overload.admission else {
+            return;
+        };
+        let change = admission.rate_mut().record(now, stated);
+        self.log_rate_change(change);
+    }
+
+    /// The hash of the incarnation of the local target, if it announces incarnations.
+    pub(crate) fn target_digest(&self) -> Option<ident::IncarnationDigest> {
+        let target = self.target.as_ref()?;
+        let incarnation = target.announcement.incarnation.as_ref()?;
+        Some(incarnation.digest())
+    }
+
+    /// What other nodes are told about the local target: nothing unless it ever named a rate.
+    pub(crate) fn target_notice(&self) -> Option<call::TargetNotice> {
+        let rate = self.overload.admission.as_ref()?.rate();
+        if !rate.was_named() {
+            return None;
+        }
+        Some(call::TargetNotice {
+            incarnation: self.target_digest()?,
+            rate: rate.named(),
+            leaving: false,
+        })
+    }
+
+    /// Remembers what the node at `address` told about its target together with an answer.
+    pub(crate) fn notice_arrived(
+        &mut self,
+        node: ident::NodeId,
+        address: SocketAddr,
+        notice: call::TargetNotice,
+    ) {
+        if self.notices.record(address, notice) {
+            self.counters.notices_changed += 1;
+            self.log_request(effect::StateChange::TargetNoticed {
+                node: node.to_string(),
+                address,
+                incarnation: notice.incarnation.to_string(),
+                rate: notice.rate,
+                leaving: notice.leaving,
+            });
+        }
+    }
+
+    fn rate_malformed(&mut self) {
+        self.counters.rates_malformed += 1;
+        let Some(admission) = &mut self.overload.admission else {
+            return;
+        };
+        if admission.rate_mut().record_malformed() {
+            let named = admission.rate().named();
+            let incarnation = self.target_name();
+            self.report(effect::StateChange::RateMalformed { incarnation, named });
+        }
+    }
+
+    /// Logs each begin and end of a limit, and its changes in between within the budget for lines.
+    fn log_rate_change(&mut self, change: rate::RateChange) {
+        if change == rate::RateChange::None {
+            return;
+        }
+        self.counters.rates_changed += 1;
+        let rate = self.overload.admission.as_ref().map(|queue| queue.rate());
+        let named = rate.and_then(rate::RateLimit::named);
+        let incarnation = self.target_name();
+        let line = effect::StateChange::RateNamed { incarnation, named };
+        match change {
+            rate::RateChange::Changed => self.log_request(line),
+            _ => self.report(line),
+        }
+    }
+
+    fn target_name(&self) -> Option<ident::IncarnationId> {
+        let target = self.target.as_ref()?;
+        target.announcement.incarnation_id().cloned()
+    }
+
+    /// The rate that the local target names and what is remembered about other targets.
+    pub(crate) fn notices_dump(&self) -> serde_json::Value {
+        let notices = self.notices.iter().take(MAX_DUMP_NOTICES);
+        let notices = notices.map(|(address, notice)| {
+            json!({
+                "address": address,
+                "incarnation": notice.incarnation.to_string(),
+                "rate": notice.rate,
+                "leaving": notice.leaving,
+            })
+        });
+        notices.collect()
+    }
+
+    /// The rate that the local target names, in requests a second, and since when it names one, in
+    /// microseconds on the node's clock; zeros if it names none.
+    pub(crate) fn rate_gauges(&self) -> serde_json::Value {
+        let rate = self.overload.admission.as_ref().map(|queue| queue.rate());
+        let named = rate.and_then(rate::RateLimit::named);
+        let since = rate.filter(|_| named.is_some()).map(rate::RateLimit::since);
+        json!({
+            "per_second": named.unwrap_or_default(),
+            "since_micros": since.unwrap_or_default(),
+        })
+    }
+}
--- a/crates/anvil_core/tests/accounts.rs
+++ b/crates/anvil_core/tests/accounts.rs
@@ -166,6 +166,7 @@
     let refused = event::NodeEvent::RunEnded {
         run: event::RunId(1),
         outcome: event::RunOutcome::Refused,
+        statement: None,
     };
     let effects = node.step(support::at(2), refused);
     assert_eq!(support::replies(&effects).len(), 1);
--- a/crates/anvil_core/tests/births.rs
+++ b/crates/anvil_core/tests/births.rs
@@ -118,7 +118,14 @@
         .any(|effect| matches!(effect, effect::NodeEffect::CancelRun(id) if *id == run));
     assert!(cancelled);
     let outcome = event::RunOutcome::Cancelled;
-    let effects = node.step(at(2_001), event::NodeEvent::RunEnded { run, outcome });
+    let effects = node.step(
+        at(2_001),
+        event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        },
+    );
     let may_have_run = verdict::CallVerdict::MayHaveRun(verdict::UncertaintyReason::ConnectionLost);
     assert_eq!(replies(&effects), [(1, may_have_run)]);
     let calls = (10..14).map(|call| node.step(at(2_002), support::peer_call(call, true)));
@@ -141,7 +148,14 @@
         .any(|effect| matches!(effect, effect::NodeEffect::CancelRun(_)));
     assert!(!cancelled);
     let outcome = support::answered();
-    let effects = node.step(at(90), event::NodeEvent::RunEnded { run, outcome });
+    let effects = node.step(
+        at(90),
+        event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        },
+    );
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
 }
 
--- a/crates/anvil_core/tests/blame.rs
+++ b/crates/anvil_core/tests/blame.rs
@@ -79,7 +79,14 @@
     let (peer, sent) = support::sent_calls(&effects).remove(0);
     node.step(at(4), support::answer(peer, &sent, below));
     let outcome = event::RunOutcome::Answered(failure());
-    let effects = node.step(at(9), event::NodeEvent::RunEnded { run, outcome });
+    let effects = node.step(
+        at(9),
+        event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        },
+    );
     let reported = effects.iter().find_map(|effect| match effect {
         effect::NodeEffect::SendFrame {
             frame: frame::PeerFrame::Answer(answer),
--- a/crates/anvil_core/tests/broken_links.rs
+++ b/crates/anvil_core/tests/broken_links.rs
@@ -137,7 +137,14 @@
     fn end_run(&mut self, index: usize) {
         let run = self.runs.started[index];
         let outcome = support::answered();
-        self.step(support::PEER, event::NodeEvent::RunEnded { run, outcome });
+        self.step(
+            support::PEER,
+            event::NodeEvent::RunEnded {
+                run,
+                outcome,
+                statement: None,
+            },
+        );
     }
 
     fn verdict(&self, handle: u64) -> Option<verdict::CallVerdict> {
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -337,7 +337,15 @@
                     body: Bytes::from(body),
                 });
                 let run = order.run;
-                self.push_event(node, RUN_TIME, event::NodeEvent::RunEnded { run, outcome });
+                self.push_event(
+                    node,
+                    RUN_TIME,
+                    event::NodeEvent::RunEnded {
+                        run,
+                        outcome,
+                        statement: None,
+                    },
+                );
             }
             effect::NodeEffect::SendStoreRequest { id, request } => {
                 let delay = self.delay();
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -493,7 +493,11 @@
     }
 
     fn end_run(&mut self, node: usize, run: event::RunId, outcome: event::RunOutcome) {
-        let event = event::NodeEvent::RunEnded { run, outcome };
+        let event = event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        };
         self.schedule(self.now, MeshEvent::Step(node, event));
     }
 
--- a/crates/anvil_core/tests/platform_hardships.rs
+++ b/crates/anvil_core/tests/platform_hardships.rs
@@ -90,7 +90,14 @@
     let run = started(&effects)[0];
     let holder = Some(ident::IncarnationId::new("b"));
     let outcome = event::RunOutcome::Misdirected { holder };
-    node.step(at(4), event::NodeEvent::RunEnded { run, outcome });
+    node.step(
+        at(4),
+        event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        },
+    );
     node.step(at(5), announced("a", 41));
     let effects = node.step(at(6), support::peer_call(8, true));
     assert_eq!(run_incarnations(&effects), ["b"]);
@@ -158,7 +165,14 @@
     let effects = node.step(at(1_000), event::NodeEvent::StopRequested);
     assert_eq!(replies(&effects), []);
     let outcome = support::answered();
-    let effects = node.step(at(2_900), event::NodeEvent::RunEnded { run, outcome });
+    let effects = node.step(
+        at(2_900),
+        event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        },
+    );
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
     let effects = support::run_until(&mut node, at(3_100));
     let exited = effects
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -203,7 +203,11 @@
     fn end_run(&mut self) {
         let run = self.runs[0];
         let outcome = support::answered();
-        let ended = event::NodeEvent::RunEnded { run, outcome };
+        let ended = event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement: None,
+        };
         self.push(support::PEER, Duration::ZERO, ended);
     }
 }
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -142,6 +142,7 @@
         rule: treatment::RuleReference::default(),
         label: None,
         request: request(if idempotent { "GET" } else { "POST" }),
+        notice: None,
     };
     event::NodeEvent::FrameArrived {
         peer: PEER,
--- a/crates/anvil_core/tests/whole_path.rs
+++ b/crates/anvil_core/tests/whole_path.rs
@@ -84,6 +84,7 @@
     let ended = event::NodeEvent::RunEnded {
         run: runs[0],
         outcome: answered(),
+        statement: None,
     };
     let effects = node.step(at(2), ended);
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -1,12 +1,15 @@
 //! The interface for dialects between a node and its local target.
 
-use anvil_core::effect;
+use anvil_core::{effect, event};
 use anvil_types::ident;
 use bytes::Bytes;
-use http::response;
+use http::{HeaderMap, HeaderValue, response};
 
 use crate::hops;
 
+/// The value by which a target states that it is leaving.
+const LEAVING_VALUE: &[u8] = b"1";
+
 /// The meaning of an answer, as determined from its head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerMeaning {
@@ -45,6 +48,9 @@
     /// Determines what an answer with this head means for `order`.
     fn classify(&self, order: &effect::RunOrder, head: &response::Parts) -> AnswerMeaning;
 
+    /// Reads what the head of a valid answer states about the target itself.
+    fn statement(&self, head: &response::Parts) -> event::TargetStatement;
+
     /// The meaning of the end of the connection for a body without a stated length.
     fn close_meaning(&self) -> CloseMeaning;
 
@@ -53,6 +59,33 @@
     fn is_internal_header(&self, header: &str) -> bool;
 }
 
+/// Reads a target's statements from the headers with the names that a dialect gives them.
+///
+/// A rate that is named twice is malformed unless both headers agree.
+pub fn statement_of(
+    headers: &HeaderMap,
+    rate_name: &str,
+    leaving_name: &str,
+) -> event::TargetStatement {
+    let mut rates = headers.get_all(rate_name).iter();
+    let rate = match rates.next() {
+        None => event::StatedRate::Unlimited,
+        Some(first) if rates.all(|other| other == first) => rate_of(first),
+        Some(_) => event::StatedRate::Malformed,
+    };
+    let mut leaving = headers.get_all(leaving_name).iter();
+    event::TargetStatement {
+        rate,
+        leaving: leaving.any(|value| value.as_bytes() == LEAVING_VALUE),
+    }
+}
+
+fn rate_of(value: &HeaderValue) -> event::StatedRate {
+    let text = value.to_str().ok();
+    let parsed = text.and_then(|text| text.trim().parse().ok());
+    parsed.map_or(event::StatedRate::Malformed, event::StatedRate::Limited)
+}
+
 /// Builds the request of `order` with its end-to-end headers, to which a dialect adds its own.
 ///
 /// Returns `None` if the method, the path or a header is malformed.
--- a/crates/anvil_node/src/caller/header.rs
+++ b/crates/anvil_node/src/caller/header.rs
@@ -27,6 +27,13 @@
 /// Set to `1` by a target on a 503 with which it refuses a request without running it.
 pub const NOT_RUN: &str = "anvil-not-run";
 
+/// The requests a second that a target accepts from all nodes together, in each of its answers for
+/// as long as that holds.
+pub const TARGET_RATE: &str = "anvil-target-rate";
+
+/// Set to `1` by a target in each answer while it is leaving.
+pub const TARGET_LEAVING: &str = "anvil-target-leaving";
+
 /// The outcome: `answered`, `not-run` or `may-have-run`.
 pub const OUTCOME: &str = "anvil-outcome";
 
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -33,6 +33,24 @@
     pub counters: counters::EdgeCounters,
 }
 
+/// How a run ended, and what its answer stated about the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunReport {
+    /// How it ended.
+    pub outcome: event::RunOutcome,
+    /// What a valid answer of the expected incarnation stated; none without one.
+    pub statement: Option<event::TargetStatement>,
+}
+
+impl From<event::RunOutcome> for RunReport {
+    fn from(outcome: event::RunOutcome) -> Self {
+        Self {
+            outcome,
+            statement: None,
+        }
+    }
+}
+
 /// An answer as received, before its meaning is acted on.
 struct ReadAnswer {
     parts: response::Parts,
@@ -71,25 +89,25 @@
 
 impl TargetExchange {
     /// Runs one request; dropping the future closes its connection.
-    pub async fn run(&self, run: effect::RunOrder) -> event::RunOutcome {
+    pub async fn run(&self, run: effect::RunOrder) -> RunReport {
         let deadline = time::Instant::now() + run.timeout;
         let Some(request) = self.dialect.build(&run) else {
             // Not expected, since nodes check requests before they forward them; nothing was sent.
-            return event::RunOutcome::Unreachable;
+            return event::RunOutcome::Unreachable.into();
         };
         let bytes = encode(&request);
         let started_at = time::Instant::now();
-        let outcome = match time::timeout_at(deadline, self.send(&run, &bytes)).await {
-            Ok(outcome) => outcome,
-            Err(_) => event::RunOutcome::TimedOut,
+        let report = match time::timeout_at(deadline, self.send(&run, &bytes)).await {
+            Ok(report) => report,
+            Err(_) => event::RunOutcome::TimedOut.into(),
         };
-        self.count(&outcome);
+        self.count(&report.outcome);
         self.counters
-            .observe_run(latency_outcome(&outcome), started_at.elapsed());
-        outcome
+            .observe_run(latency_outcome(&report.outcome), started_at.elapsed());
+        report
     }
 
-    async fn send(&self, run: &effect::RunOrder, bytes: &[u8]) -> event::RunOutcome {
+    async fn send(&self, run: &effect::RunOrder, bytes: &[u8]) -> RunReport {
         loop {
             let pooled = self.pool.take(run.address, !run.idempotent);
             let is_new = pooled.is_none();
@@ -97,7 +115,7 @@
                 Some(pooled) => pooled,
                 None => match self.pool.open(run.address).await {
                     Ok(opened) => opened,
-                    Err(pool::ConnectFailed) => return event::RunOutcome::Unreachable,
+                    Err(pool::ConnectFailed) => return event::RunOutcome::Unreachable.into(),
                 },
             };
             match self.exchange(run, &mut connection, bytes).await {
@@ -105,9 +123,9 @@
                 // The target had closed the pooled connection. No byte was sent, so another try
                 // can't run the request twice.
                 Err(ExchangeFault::Unsent) if !is_new => {}
-                Err(ExchangeFault::Unsent) => return event::RunOutcome::Unreachable,
+                Err(ExchangeFault::Unsent) => return event::RunOutcome::Unreachable.into(),
                 Err(ExchangeFault::Lost { in_answer }) => {
-                    return event::RunOutcome::Broken { in_answer };
+                    return event::RunOutcome::Broken { in_answer }.into();
                 }
             }
         }
@@ -219,18 +237,20 @@
         run: &effect::RunOrder,
         connection: pool::TargetConnection,
         answer: ReadAnswer,
-    ) -> event::RunOutcome {
+    ) -> RunReport {
+        let statement = Some(self.dialect.statement(&answer.parts));
         match answer.meaning {
             target::AnswerMeaning::Answer => {}
             target::AnswerMeaning::Refused => {
                 self.pool.release(connection, answer.keep_alive);
-                return event::RunOutcome::Refused;
+                let outcome = event::RunOutcome::Refused;
+                return RunReport { outcome, statement };
             }
             target::AnswerMeaning::Misdirected { holder } => {
-                return event::RunOutcome::Misdirected { holder };
+                return event::RunOutcome::Misdirected { holder }.into();
             }
             target::AnswerMeaning::Unrelated | target::AnswerMeaning::Invalid => {
-                return event::RunOutcome::Broken { in_answer: true };
+                return event::RunOutcome::Broken { in_answer: true }.into();
             }
         }
         self.pool.release(connection, answer.keep_alive);
@@ -238,11 +258,12 @@
         let not_modified = head.status == http::StatusCode::NOT_MODIFIED;
         let bodiless = run.request.method == "HEAD" || not_modified;
         let is_internal = |name: &str| self.dialect.is_internal_header(name);
-        event::RunOutcome::Answered(call::CallAnswer {
+        let outcome = event::RunOutcome::Answered(call::CallAnswer {
             status: head.status.as_u16(),
             headers: hops::answer_lines(&head.headers, bodiless, is_internal),
             body: answer.body,
-        })
+        });
+        RunReport { outcome, statement }
     }
 
     fn count(&self, outcome: &event::RunOutcome) {
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_core::effect;
+use anvil_core::{effect, event};
 use anvil_edge::target;
 use bytes::Bytes;
 use http::response;
@@ -48,6 +48,10 @@
         }
     }
 
+    fn statement(&self, head: &response::Parts) -> event::TargetStatement {
+        target::statement_of(&head.headers, header::TARGET_RATE, header::TARGET_LEAVING)
+    }
+
     fn close_meaning(&self) -> target::CloseMeaning {
         target::CloseMeaning::Truncated
     }
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -41,11 +41,15 @@
         let exchange = self.exchange.clone();
         let engine = self.engine.clone();
         self.runtime.spawn(async move {
-            let outcome = tokio::select! {
-                outcome = exchange.run(run) => outcome,
-                _ = cancelled => event::RunOutcome::Cancelled,
+            let report = tokio::select! {
+                report = exchange.run(run) => report,
+                _ = cancelled => event::RunOutcome::Cancelled.into(),
+            };
+            let ended = event::NodeEvent::RunEnded {
+                run: id,
+                outcome: report.outcome,
+                statement: report.statement,
             };
-            let ended = event::NodeEvent::RunEnded { run: id, outcome };
             // Sending fails only if the process is exiting.
             let _ = engine.send_async(engine::EngineInput::Event(ended)).await;
         });
--- a/crates/anvil_node/tests/peer_faults.rs
+++ b/crates/anvil_node/tests/peer_faults.rs
@@ -48,6 +48,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
         },
+        notice: None,
     };
     frame::PeerFrame::Call(Box::new(call))
 }
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -7,7 +7,7 @@
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::{estimate, limit, policy, rank, refusal, shedding};
+use crate::{estimate, limit, policy, rank, rate, refusal, shedding};
 
 /// Queue capacity for each announced slot; the expected wait bounds the queue further.
 pub const QUEUE_PLACES_PER_SLOT: usize = 8;
@@ -66,6 +66,8 @@
     cut: shedding::CutControl,
     estimate: estimate::ServiceEstimate,
     leaving: bool,
+    /// The rate that the target names.
+    rate: rate::RateLimit,
     /// Sorted by id.
     running: Vec<RunningCall>,
     /// Sorted by rank, the next to run last; requests of equal rank are in order of arrival.
@@ -82,6 +84,7 @@
             cut: shedding::CutControl::new(now, policy),
             estimate: estimate::ServiceEstimate::default(),
             leaving: false,
+            rate: rate::RateLimit::default(),
             running: Vec::new(),
             queue: Vec::new(),
             policy,
@@ -198,9 +201,20 @@
             deep: None,
             leaving: self.leaving,
             announced: 0,
+            notice: None,
         }
     }
 
+    /// The rate that the target names.
+    pub fn rate(&self) -> &rate::RateLimit {
+        &self.rate
+    }
+
+    /// The rate that the target names, to be updated.
+    pub fn rate_mut(&mut self) -> &mut rate::RateLimit {
+        &mut self.rate
+    }
+
     fn check_refusal(
         &self,
         now: time::NodeTime,
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod policy;
 pub mod quarantine;
 pub mod rank;
+pub mod rate;
 pub mod ratio;
 pub mod refusal;
 pub mod resend;
--- a/crates/anvil_types/src/ident.rs
+++ b/crates/anvil_types/src/ident.rs
@@ -89,6 +89,26 @@
     IncarnationId
 }
 
+/// A hash of an incarnation's id and start, small enough to accompany each call.
+///
+/// It only tells apart the incarnations that follow one another at one address.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:08x}")]
+pub struct IncarnationDigest(pub u32);
+
+impl IncarnationDigest {
+    /// Hashes `id` and the start time in Unix milliseconds, if the target announced one.
+    pub fn of(id: &IncarnationId, started_at_ms: Option<u64>) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        hasher.update(id.as_str().as_bytes());
+        hasher.update(&started_at_ms.unwrap_or(0).to_le_bytes());
+        let [a, b, c, d, ..] = hasher.digest().to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
 /// A hash of a request's content, equal for its resends; see `docs/design/quarantine.md`.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests and answers between nodes; bodies are complete, never streamed.
 
-use anvil_types::{context, ident, name, treatment, verdict};
+use anvil_types::{context, ident, name, rate, treatment, verdict};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +57,17 @@
     pub lane: context::LaneHash,
 }
 
+/// What a target's node tells other nodes about an incarnation of its target that is in need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetNotice {
+    /// The incarnation.
+    pub incarnation: ident::IncarnationDigest,
+    /// The requests a second that it accepts from all nodes together; none if it has no limit.
+    pub rate: Option<rate::RequestRate>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// Load information that a target's node attaches to each answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -78,6 +89,8 @@
     /// Number of the node's latest announcement to the fleet when the report was made, so that a
     /// report that arrives after a later announcement is recognised as stale.
     pub announced: u32,
+    /// What the target stated about itself; none if it has never stated anything.
+    pub notice: Option<TargetNotice>,
 }
 
 /// A call from one node to the node beside the chosen target.
@@ -101,6 +114,8 @@
     pub label: Option<ident::RequestLabel>,
     /// The request.
     pub request: CallRequest,
+    /// What the sender knows about the target from answers that it passed on.
+    pub notice: Option<TargetNotice>,
 }
 
 impl PeerCall {
--- a/crates/anvil_wire/tests/compression.rs
+++ b/crates/anvil_wire/tests/compression.rs
@@ -55,6 +55,7 @@
             "{mixed:016x}.{mixed:016x}"
         ))),
         request,
+        notice: None,
     }))
 }
 
