Hold the rate that a target names at the node beside it

Targets in need got two to fifteen times what they had named, from nodes that had passed the naming on: the header went to the caller unread, and the only bounds at a target were its slots and its refusals. A rate is another bound than concurrency: 48 free slots look like room whatever the target names.

The queue of the target's node holds a token bucket with the named rate, empty when the naming begins: at most 4 L + 1 + L / 4 requests start in four seconds. Only this node sends to the target, so it counts each request, repeat and call. A lower rate holds at once, a higher one or none when the window of four seconds has passed, which also outlasts answers that arrive late. Waiting is priced by tokens as well as by slots; the cut line takes a target that is bound by its rate for one with a single slot, since its free slots would count as room. A refusal names the rate.

--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -266,6 +266,7 @@
             verdict::RefusalReason::Shed
             | verdict::RefusalReason::TargetRefused
             | verdict::RefusalReason::QueueFull
+            | verdict::RefusalReason::RateLimited
             | verdict::RefusalReason::Deadline
             | verdict::RefusalReason::NoTarget
             | verdict::RefusalReason::Leaving
@@ -305,6 +306,7 @@
             verdict::RefusalReason::Shed
             | verdict::RefusalReason::TargetRefused
             | verdict::RefusalReason::QueueFull
+            | verdict::RefusalReason::RateLimited
             | verdict::RefusalReason::Deadline
             | verdict::RefusalReason::AttemptsSpent => {
                 let elapsed = self.now.since(open.arrived);
@@ -371,6 +373,7 @@
         verdict,
         verdict::CallVerdict::NotRun(
             verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::RateLimited
                 | verdict::RefusalReason::Shed
                 | verdict::RefusalReason::TargetRefused
         )
@@ -385,6 +388,7 @@
         verdict::CallVerdict::NotRun(reason) => matches!(
             reason,
             verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::RateLimited
                 | verdict::RefusalReason::Shed
                 | verdict::RefusalReason::TargetRefused
                 | verdict::RefusalReason::Leaving
--- a/crates/anvil_core/tests/named_rates.rs
+++ b/crates/anvil_core/tests/named_rates.rs
@@ -68,6 +68,11 @@
     }).collect())),
     a_rate_is_held_through_malformed_answers => (&scripted(vec![name(2.0, 5.0), (6.0, 0, Script::Garble)])),
     a_rate_is_held_over_a_restart_of_its_node => (&scripted(vec![name(2.0, 5.0), kill(6.0)])),
+    a_rate_is_held_over_a_restart_before_the_first_answer => (&FleetPlan {
+        demand: 90.0,
+        work: Duration::from_secs(2),
+        ..scripted(vec![name(2.0, 2.0), kill(8.0)])
+    }),
     a_rate_is_held_over_restarts_in_series => (&FleetPlan {
         demand: 150.0,
         ..scripted(vec![name(2.0, 2.0), kill(5.0), kill(7.5), kill(10.0)])
--- a/crates/anvil_node/src/caller/problem.rs
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -90,6 +90,7 @@
         Reason::Shed => (busy(), "the service is under pressure"),
         Reason::TargetRefused => (busy(), "the target refused the request"),
         Reason::QueueFull => (busy(), "the queue of the target is full"),
+        Reason::RateLimited => (busy(), "the target accepts no more requests at present"),
         Reason::Deadline => (late(), "the deadline passed before the request was sent"),
         Reason::Leaving => (busy(), "the node or its target is leaving"),
         Reason::AttemptsSpent => (busy(), "the retries of the whole chain are spent"),
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -181,7 +181,13 @@
 
     /// Time at which [`Self::wake`] must be called; `None` if no request waits.
     pub fn next_wake(&self) -> Option<time::NodeTime> {
-        self.queue.iter().map(|queued| queued.expiry).min()
+        let expiry = self.queue.iter().map(|queued| queued.expiry).min()?;
+        // Without a free slot, the end of a run is awaited and not the next token.
+        let next_token = self.rate.next_token().filter(|_| self.has_free_slot());
+        Some(match next_token {
+            Some(next_token) if self.policy.named_rate => expiry.min(next_token),
+            _ => expiry,
+        })
     }
 
     /// Number of running requests.
@@ -230,7 +236,7 @@
         }
         // A slot is never left free because of an estimate or a cut line: the run that uses it
         // provides the samples that correct them once the pressure has ended.
-        if self.free_slot() && self.queue.is_empty() {
+        if self.can_start() && self.queue.is_empty() {
             return None;
         }
         if self.cut.refuses(&call.rank) {
@@ -238,8 +244,7 @@
         }
         let wait = self.expected_wait(&call.rank);
         if self.policy.bounded_queue && wait > call.queue_wait {
-            let allowed = call.queue_wait;
-            return Some((Reason::QueueFull, Limit::QueueWait { wait, allowed }));
+            return Some(self.wait_refusal(now, wait, call.queue_wait));
         }
         let needed = wait + self.estimate.lower_bound();
         if self.policy.deadline_drop && now + needed > call.deadline {
@@ -248,7 +253,30 @@
         None
     }
 
-    /// Expected wait behind the requests that are served earlier.
+    /// The refusal of a request that would wait, or has waited, longer than `allowed`.
+    fn wait_refusal(
+        &self,
+        now: time::NodeTime,
+        wait: Duration,
+        allowed: Duration,
+    ) -> (verdict::RefusalReason, refusal::RefusalLimit) {
+        match self.rate.in_force(now) {
+            Some(named) if self.is_rate_bound() => (
+                verdict::RefusalReason::RateLimited,
+                refusal::RefusalLimit::Rate {
+                    named,
+                    wait,
+                    allowed,
+                },
+            ),
+            _ => (
+                verdict::RefusalReason::QueueFull,
+                refusal::RefusalLimit::QueueWait { wait, allowed },
+            ),
+        }
+    }
+
+    /// Expected wait behind the requests that are served earlier, for a slot and for a token.
     fn expected_wait(&self, rank: &rank::CallRank) -> Duration {
         let ahead = if self.policy.ranked_queue {
             let index = self.queue.partition_point(|other| other.call.rank < *rank);
@@ -257,7 +285,11 @@
             self.queue.len()
         };
         let rounds = self.estimate.mean().saturating_mul(count(ahead));
-        rounds / self.limit.current()
+        let for_slot = rounds / self.limit.current();
+        match self.policy.named_rate {
+            true => for_slot.max(self.rate.wait(ahead)),
+            false => for_slot,
+        }
     }
 
     fn insert(&mut self, now: time::NodeTime, call: WaitingCall) {
@@ -296,8 +328,9 @@
         now: time::NodeTime,
         mut decisions: Vec<AdmissionDecision>,
     ) -> Vec<AdmissionDecision> {
+        self.add_tokens(now);
         self.drop_expired(now, &mut decisions);
-        while self.free_slot() {
+        while self.can_start() {
             let Some(index) = self.next_index() else {
                 break;
             };
@@ -319,27 +352,20 @@
     }
 
     fn drop_expired(&mut self, now: time::NodeTime, decisions: &mut Vec<AdmissionDecision>) {
-        let expired = |queued: &QueuedCall| queued.expiry <= now;
-        for queued in self.queue.extract_if(.., |queued| expired(queued)) {
+        let expired = |queued: &mut QueuedCall| queued.expiry <= now;
+        let expired: Vec<QueuedCall> = self.queue.extract_if(.., expired).collect();
+        for queued in expired {
             let call = queued.call;
             self.cut.count_overflow(&call.rank);
-            decisions.push(if call.deadline <= now {
-                refuse(
-                    call.id,
+            let (reason, limit) = if call.deadline <= now {
+                (
                     verdict::RefusalReason::Deadline,
                     refusal::RefusalLimit::Deadline,
                 )
             } else {
-                let allowed = call.queue_wait;
-                refuse(
-                    call.id,
-                    verdict::RefusalReason::QueueFull,
-                    refusal::RefusalLimit::QueueWait {
-                        wait: allowed,
-                        allowed,
-                    },
-                )
-            });
+                self.wait_refusal(now, call.queue_wait, call.queue_wait)
+            };
+            decisions.push(refuse(call.id, reason, limit));
         }
     }
 
@@ -377,16 +403,27 @@
         let index = self.running.partition_point(|other| other.id < run.id);
         self.running.insert(index, run);
         self.limit.run_started(count(self.running.len()));
+        self.rate.take();
     }
 
-    fn free_slot(&self) -> bool {
+    /// Whether a slot and a token are free, as of the last time that tokens were added.
+    fn can_start(&self) -> bool {
+        let has_token = !self.policy.named_rate || self.rate.wait(0).is_zero();
+        has_token && self.has_free_slot()
+    }
+
+    fn has_free_slot(&self) -> bool {
         self.running.len() < self.limit.current() as usize
     }
 
     /// Counts a refusal that indicates pressure.
     fn count_queue_refusal(&mut self, rank: &rank::CallRank, reason: verdict::RefusalReason) {
-        if reason == verdict::RefusalReason::QueueFull || reason == verdict::RefusalReason::Deadline
-        {
+        if matches!(
+            reason,
+            verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::RateLimited
+                | verdict::RefusalReason::Deadline
+        ) {
             self.cut.count_overflow(rank);
         }
     }
@@ -407,15 +444,50 @@
         self.queue.iter().filter(admitted).count()
     }
 
+    /// Whether the named rate and not the number of slots bounds what the target runs.
+    fn is_rate_bound(&self) -> bool {
+        let by_slots = self.estimate.mean() / self.limit.current();
+        self.rate_interval()
+            .is_some_and(|interval| interval > by_slots)
+    }
+
+    /// The time between two tokens, if the target names a rate.
+    fn rate_interval(&self) -> Option<Duration> {
+        let interval = self.rate.interval()?;
+        self.policy.named_rate.then_some(interval)
+    }
+
+    fn add_tokens(&mut self, now: time::NodeTime) {
+        if let Some(filled_up) = self.rate.fill(now) {
+            let snapshot = self.snapshot();
+            self.cut.observe(filled_up, snapshot);
+        }
+    }
+
     /// Passes the current state of the queue on to the cut line.
     fn update_cut(&mut self, now: time::NodeTime) {
-        let snapshot = shedding::QueueSnapshot {
+        self.add_tokens(now);
+        let snapshot = self.snapshot();
+        self.cut.observe(now, snapshot);
+    }
+
+    /// The state of the queue.
+    ///
+    /// A target that is bound by its rate is like one with a single slot that each request holds
+    /// for the time between two tokens. Its free slots would otherwise look like room.
+    fn snapshot(&self) -> shedding::QueueSnapshot {
+        let mut snapshot = shedding::QueueSnapshot {
             service_time: self.estimate.mean(),
             limit: self.limit.current(),
             running: count(self.running.len()),
             standing: self.standing_len(),
         };
-        self.cut.observe(now, snapshot);
+        if let Some(interval) = self.rate_interval().filter(|_| self.is_rate_bound()) {
+            snapshot.service_time = interval;
+            snapshot.limit = 1;
+            snapshot.running = u32::from(!self.rate.is_full());
+        }
+        snapshot
     }
 }
 
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -61,6 +61,8 @@
     /// Downstream calls of a request that has ended are cancelled, and the remaining time is
     /// reduced at each hop.
     pub cancellation: bool,
+    /// A target gets no more than the rate that it names.
+    pub named_rate: bool,
     /// Requests that crash their targets are quarantined.
     pub quarantine: bool,
     /// Entry nodes admit requests ahead of the home's count while an account is far below its
@@ -92,6 +94,7 @@
         slow_start: true,
         ejection: true,
         cancellation: true,
+        named_rate: true,
         quarantine: true,
         tokens_ahead: true,
     };
@@ -117,6 +120,7 @@
         slow_start: false,
         ejection: false,
         cancellation: false,
+        named_rate: false,
         quarantine: false,
         tokens_ahead: false,
     };
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use anvil_types::{context, ident, name, time, treatment, verdict};
+use anvil_types::{context, ident, name, rate, time, treatment, verdict};
 use anvil_wire::call;
 use serde::Serialize;
 
@@ -41,6 +41,15 @@
         /// The bound.
         allowed: Duration,
     },
+    /// The rate that the target named, in requests a second.
+    Rate {
+        /// The rate.
+        named: rate::RequestRate,
+        /// The expected or elapsed wait for a token.
+        wait: Duration,
+        /// The longest wait.
+        allowed: Duration,
+    },
     /// The time left before the deadline.
     Deadline,
     /// The target is leaving.
--- a/crates/anvil_types/src/verdict.rs
+++ b/crates/anvil_types/src/verdict.rs
@@ -90,6 +90,9 @@
     /// The client account that the local target calls for is unknown.
     #[display("account-unknown")]
     AccountUnknown,
+    /// The target would get more than the rate that it named.
+    #[display("rate-limited")]
+    RateLimited,
 }
 
 /// Why it is unknown whether a request ran.
