Tell a restarted node the rate of its target

A node that restarts beside a living target knew no rate until the first answer, while the nodes that had passed on earlier answers stayed bound: with runs of two seconds, a rate of 2 a second and a demand of 90, the target got 29 requests in 4 s, 17 allowed.

A hash tells the incarnations at one address apart. The rate also outlives a lease that lapses and a late announcement, which replace the queue.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -148,6 +148,14 @@
         let now = self.now;
         let crashed = std::mem::take(&mut self.overload.crashed);
         let policy = self.overload.policy;
+        let digest_of = |target: &runs::LocalTarget| target.announcement.incarnation_digest();
+        let (incarnation, previous) = (
+            self.target.as_ref().and_then(digest_of),
+            self.previous_target.as_ref().and_then(digest_of),
+        );
+        if let Some(previous) = previous.filter(|_| !renewed) {
+            self.overload.keep_rate(previous);
+        }
         let decisions = match &mut self.overload.admission {
             Some(admission) if renewed => {
                 if crashed {
@@ -165,6 +173,9 @@
                 refusals.unwrap_or_default()
             }
         };
+        if let Some(incarnation) = incarnation.filter(|_| !renewed) {
+            self.overload.restore_rate(incarnation);
+        }
         self.apply_decisions(decisions);
     }
 
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -118,6 +118,8 @@
         incarnation: Option<ident::IncarnationId>,
         /// Requests a second; none if it has no limit any more.
         named: Option<rate::RequestRate>,
+        /// The node that knew the rate, if no answer of the target has arrived here yet.
+        told_by: Option<String>,
     },
     /// The local target named something that is not a rate, for the first time.
     #[display("rate malformed; still in force: {named:?}")]
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -120,6 +120,11 @@
         self.incarnation.as_ref().map(|incarnation| &incarnation.id)
     }
 
+    /// The hash of the incarnation that sent the announcement, if it identified itself.
+    pub fn incarnation_digest(&self) -> Option<ident::IncarnationDigest> {
+        self.incarnation.as_ref().map(TargetIncarnation::digest)
+    }
+
     /// Whether `next` was sent by the same incarnation.
     pub fn is_same_incarnation(&self, next: &Self) -> bool {
         match (&self.incarnation, &next.incarnation) {
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -1,7 +1,9 @@
 //! The overload state of one node, composed of the modules of `anvil_overload`.
 
+use std::collections::VecDeque;
+
 use anvil_overload::{
-    admission, dependency, kind, policy, quarantine, rank, ratio, refusal, resend,
+    admission, dependency, kind, policy, quarantine, rank, rate, ratio, refusal, resend,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -15,6 +17,10 @@
     pub(crate) policy: policy::OverloadPolicy,
     /// The queue of the local target, once that has announced itself.
     pub(crate) admission: Option<admission::AdmissionQueue>,
+    /// The rates of the target's other incarnations. An announcement that arrives late, or a lease
+    /// that lapses, replaces the queue of an incarnation that returns.
+    #[serde(skip)]
+    pub(crate) former_rates: VecDeque<(ident::IncarnationDigest, rate::RateLimit)>,
     /// The time of the earliest pending timer for the queue.
     #[serde(skip)]
     pub(crate) wake: Option<time::NodeTime>,
@@ -35,6 +41,7 @@
         Self {
             policy,
             admission: None,
+            former_rates: VecDeque::new(),
             wake: None,
             crashed: false,
             dependencies: dependency::DependencyTable::default(),
@@ -47,6 +54,9 @@
     }
 }
 
+/// Maximum number of earlier incarnations of the target whose rate is remembered.
+const MAX_FORMER_RATES: usize = 8;
+
 /// Why a request was refused, by which limit and at which node.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RefusalCause {
@@ -55,6 +65,30 @@
     pub(crate) by: ident::NodeId,
 }
 
+impl OverloadState {
+    /// Remembers the rate of an incarnation whose queue is replaced.
+    pub(crate) fn keep_rate(&mut self, incarnation: ident::IncarnationDigest) {
+        let Some(admission) = self.admission.as_ref() else {
+            return;
+        };
+        if self.former_rates.len() == MAX_FORMER_RATES {
+            self.former_rates.pop_front();
+        }
+        let rate = admission.rate().clone();
+        self.former_rates.push_back((incarnation, rate));
+    }
+
+    /// Gives the queue of an incarnation that has returned the rate that it had.
+    pub(crate) fn restore_rate(&mut self, incarnation: ident::IncarnationDigest) {
+        let is_same = |known: &(ident::IncarnationDigest, _)| known.0 == incarnation;
+        let position = self.former_rates.iter().rposition(is_same);
+        let former = position.and_then(|position| self.former_rates.remove(position));
+        if let Some((admission, (_, rate))) = self.admission.as_mut().zip(former) {
+            *admission.rate_mut() = rate;
+        }
+    }
+}
+
 impl reducer::NodeReducer {
     /// The retry budget for `service`.
     pub(crate) fn retry_budget(&mut self, service: &name::ServiceName) -> &mut ratio::RetryBudget {
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -18,6 +18,9 @@
             self.counters.calls_repeated += 1;
             return;
         }
+        if let Some(notice) = call.notice {
+            self.told_of_target(peer, notice);
+        }
         if let Some(cause) = self.refusal_at_target(&call) {
             self.counters.runs_refused += 1;
             let service = call.request.service.clone();
--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -36,14 +36,25 @@
             return;
         };
         let change = admission.rate_mut().record(now, stated);
-        self.log_rate_change(change);
+        self.log_rate_change(change, None);
+    }
+
+    /// Adopts what another node knows of the local target from answers that it passed on, until an
+    /// answer arrives here.
+    pub(crate) fn told_of_target(&mut self, node: ident::NodeId, notice: call::TargetNotice) {
+        if self.target_digest() != Some(notice.incarnation) || !self.overload.policy.told_rate {
+            return;
+        }
+        let now = self.now;
+        if let Some((admission, rate)) = self.overload.admission.as_mut().zip(notice.rate) {
+            let change = admission.rate_mut().learn(now, rate);
+            self.log_rate_change(change, Some(node));
+        }
     }
 
     /// The hash of the incarnation of the local target, if it announces incarnations.
     pub(crate) fn target_digest(&self) -> Option<ident::IncarnationDigest> {
-        let target = self.target.as_ref()?;
-        let incarnation = target.announcement.incarnation.as_ref()?;
-        Some(incarnation.digest())
+        self.target.as_ref()?.announcement.incarnation_digest()
     }
 
     /// What other nodes are told about the local target: nothing unless it ever named a rate.
@@ -91,7 +102,7 @@
     }
 
     /// Logs each begin and end of a limit, and its changes in between within the budget for lines.
-    fn log_rate_change(&mut self, change: rate::RateChange) {
+    fn log_rate_change(&mut self, change: rate::RateChange, told_by: Option<ident::NodeId>) {
         if change == rate::RateChange::None {
             return;
         }
@@ -99,7 +110,12 @@
         let rate = self.overload.admission.as_ref().map(|queue| queue.rate());
         let named = rate.and_then(rate::RateLimit::named);
         let incarnation = self.target_name();
-        let line = effect::StateChange::RateNamed { incarnation, named };
+        let told_by = told_by.map(|node| node.to_string());
+        let line = effect::StateChange::RateNamed {
+            incarnation,
+            named,
+            told_by,
+        };
         match change {
             rate::RateChange::Changed => self.log_request(line),
             _ => self.report(line),
--- /dev/null
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -0,0 +1,157 @@
+//! Whose statements about the local target count, and for which of its incarnations.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use anvil_core::{answer, effect, event, reducer};
+use anvil_testkit::test_cases;
+use anvil_types::ident;
+use anvil_wire::{call, frame};
+use support::{at, started};
+
+fn announced(id: &str, sequence: u64) -> event::NodeEvent {
+    let event::NodeEvent::TargetAnnounced(announcement) = support::announcement(48) else {
+        unreachable!("announcement() returns an announcement");
+    };
+    event::NodeEvent::TargetAnnounced(event::TargetAnnouncement {
+        lease: Duration::from_secs(1),
+        warm: true,
+        incarnation: Some(event::TargetIncarnation {
+            id: ident::IncarnationId::new(id),
+            started_at_ms: None,
+            sequence,
+        }),
+        ..announcement
+    })
+}
+
+fn digest(id: &str) -> ident::IncarnationDigest {
+    ident::IncarnationDigest::of(&ident::IncarnationId::new(id), None)
+}
+
+/// A call of the peer, which knows this about the target.
+fn call_with(sequence: u64, notice: Option<call::TargetNotice>) -> event::NodeEvent {
+    let event::NodeEvent::FrameArrived {
+        peer,
+        frame: frame::PeerFrame::Call(mut call),
+    } = support::peer_call(sequence, true)
+    else {
+        unreachable!("peer_call() returns a call");
+    };
+    call.notice = notice;
+    let frame = frame::PeerFrame::Call(call);
+    event::NodeEvent::FrameArrived { peer, frame }
+}
+
+fn known(id: &str, rate: Option<&str>, leaving: bool) -> call::TargetNotice {
+    call::TargetNotice {
+        incarnation: digest(id),
+        rate: rate.map(|rate| rate.parse().unwrap()),
+        leaving,
+    }
+}
+
+fn answered(run: event::RunId, rate: event::StatedRate, leaving: bool) -> event::NodeEvent {
+    event::NodeEvent::RunEnded {
+        run,
+        outcome: support::answered(),
+        statement: Some(event::TargetStatement { rate, leaving }),
+    }
+}
+
+fn limited(rate: &str) -> event::StatedRate {
+    event::StatedRate::Limited(rate.parse().unwrap())
+}
+
+/// The rate that the node knows of its target, in requests a second; zero if it knows none.
+fn named_rate(node: &mut reducer::NodeReducer, millis: u64) -> f64 {
+    let request = event::NodeEvent::OperatorRequestArrived {
+        handle: event::OperatorHandle(0),
+        request: event::OperatorRequest::Counters,
+    };
+    let effects = node.step(at(millis), request);
+    let text = effects.into_iter().find_map(|effect| match effect {
+        effect::NodeEffect::AnswerOperator { answer, .. } => {
+            answer.ok().map(answer::OperatorAnswer::text)
+        }
+        _ => None,
+    });
+    let counters: serde_json::Value = serde_json::from_str(&text.unwrap()).unwrap();
+    counters["named_rate"]["per_second"].as_f64().unwrap()
+}
+
+/// A node whose target has answered one request with `rate`.
+fn limited_node(rate: event::StatedRate) -> reducer::NodeReducer {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    let run = started(&node.step(at(2), support::peer_call(1, true)))[0];
+    node.step(at(10), answered(run, rate, false));
+    node
+}
+
+// Guards against a rate that is forgotten, or held against another incarnation.
+fn a_rate_belongs_to_one_incarnation(events: &[(u64, event::NodeEvent)], expected: f64) {
+    let mut node = limited_node(limited("7.9"));
+    for (millis, event) in events {
+        support::run_until(&mut node, at(*millis));
+        node.step(at(*millis), event.clone());
+    }
+    assert_eq!(named_rate(&mut node, 9_000), expected);
+}
+
+test_cases! {
+    a_rate_belongs_to_one_incarnation:
+    it_outlives_a_renewal => (&[(500, announced("a", 2))], 7.9),
+    it_outlives_a_lapsed_lease => (&[(3_000, announced("a", 2))], 7.9),
+    it_ends_with_its_incarnation => (&[(500, announced("b", 1))], 0.0),
+    it_returns_with_its_incarnation => (&[(500, announced("b", 1)), (600, announced("a", 2))], 7.9),
+}
+
+// Guards against statements of others that are taken for those of the target.
+fn a_rate_is_learned_from(notices: &[call::TargetNotice], expected: f64) {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    for (sequence, notice) in (10..).zip(notices) {
+        node.step(at(2), call_with(sequence, Some(*notice)));
+    }
+    assert_eq!(named_rate(&mut node, 1_001), expected);
+}
+
+test_cases! {
+    a_rate_is_learned_from:
+    nobody => (&[], 0.0),
+    a_node_that_passed_it_on => (&[known("a", Some("5"), false)], 5.0),
+    the_node_with_the_lowest => (&[known("a", Some("5"), false), known("a", Some("3"), false), known("a", Some("9"), false)], 3.0),
+    no_node_that_knew_another_incarnation => (&[known("b", Some("5"), false)], 0.0),
+}
+
+#[test]
+fn the_first_answer_goes_before_what_other_nodes_know() {
+    let mut node = limited_node(limited("7.9"));
+    node.step(at(20), call_with(20, Some(known("a", Some("3"), false))));
+    assert_eq!(named_rate(&mut node, 21), 7.9);
+}
+
+#[test]
+fn a_malformed_rate_leaves_the_last_one_in_force() {
+    let mut node = limited_node(limited("7.9"));
+    let run = started(&node.step(at(1_000), support::peer_call(2, true)))[0];
+    node.step(
+        at(1_100),
+        answered(run, event::StatedRate::Malformed, false),
+    );
+    assert_eq!(named_rate(&mut node, 1_101), 7.9);
+}
+
+#[test]
+fn an_answer_of_the_earlier_incarnation_states_nothing() {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    let run = started(&node.step(at(2), support::peer_call(1, true)))[0];
+    node.step(at(3), announced("b", 1));
+    node.step(at(4), answered(run, limited("7.9"), false));
+    assert_eq!(named_rate(&mut node, 5), 0.0);
+}
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -63,6 +63,8 @@
     pub cancellation: bool,
     /// A target gets no more than the rate that it names.
     pub named_rate: bool,
+    /// A restarted node adopts the rate that other nodes know of its target.
+    pub told_rate: bool,
     /// Requests that crash their targets are quarantined.
     pub quarantine: bool,
     /// Entry nodes admit requests ahead of the home's count while an account is far below its
@@ -95,6 +97,7 @@
         ejection: true,
         cancellation: true,
         named_rate: true,
+        told_rate: true,
         quarantine: true,
         tokens_ahead: true,
     };
@@ -121,6 +124,7 @@
         ejection: false,
         cancellation: false,
         named_rate: false,
+        told_rate: false,
         quarantine: false,
         tokens_ahead: false,
     };
--- a/crates/anvil_overload/src/rate.rs
+++ b/crates/anvil_overload/src/rate.rs
@@ -53,6 +53,8 @@
     was_named: bool,
     /// Whether it has ever named something that is not a rate.
     was_malformed: bool,
+    /// Whether an answer of the target itself has arrived here.
+    is_first_hand: bool,
     /// Sorted by rate and by time: a later one is higher than those before it.
     held: Vec<HeldRate>,
     bucket: bucket::TokenBucket,
@@ -67,6 +69,7 @@
             since: time::NodeTime::START,
             was_named: false,
             was_malformed: false,
+            is_first_hand: false,
             held: Vec::new(),
             bucket: bucket::TokenBucket::new(time::NodeTime::START, 0.0),
             filled_at: time::NodeTime::START,
@@ -81,6 +84,23 @@
     /// then some requests of the window were allowed by the lower rate, and answers from before it
     /// may arrive late.
     pub fn record(&mut self, now: time::NodeTime, stated: Option<rate::RequestRate>) -> RateChange {
+        self.is_first_hand = true;
+        self.change_to(now, stated)
+    }
+
+    /// Records the rate that another node knows from earlier answers of the target.
+    ///
+    /// A node that has restarted beside a target knows no rate until the first answer, while the
+    /// nodes that passed on earlier answers do. Of what they know the lowest rate holds, and the
+    /// first answer decides.
+    pub fn learn(&mut self, now: time::NodeTime, known: rate::RequestRate) -> RateChange {
+        if self.is_first_hand || self.named.is_some_and(|named| named <= known) {
+            return RateChange::None;
+        }
+        self.change_to(now, Some(known))
+    }
+
+    fn change_to(&mut self, now: time::NodeTime, stated: Option<rate::RequestRate>) -> RateChange {
         let change = match (self.named, stated) {
             (before, after) if before == after => return RateChange::None,
             (None, Some(_)) => RateChange::Named,
