Send nothing more to a target that states in an answer that it is leaving

The leaving of an incarnation is one fact with several sources: its status report, its answers, refusals included, and other nodes that passed on such an answer. Whichever comes first retires the incarnation for good: what waits for it is refused as not run, later announcements of it are ignored, also after a status report that says that it drains. Nodes remember by the address of the target's node that it leaves, and tell it with each call, so a node that restarts beside the target refuses it again with the first call of a bound node. Another incarnation at the address is not affected. A last call without a start time may belong to an earlier incarnation and ends the present one only for a while, as before.

--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -94,6 +94,14 @@
         /// Why the target is not used any more.
         reason: String,
     },
+    /// An incarnation of the local target stated that it is leaving.
+    #[display("target retired")]
+    TargetRetired {
+        /// The incarnation, if the target announces incarnations.
+        incarnation: Option<ident::IncarnationId>,
+        /// The node that had passed on such an answer, if this node learned of it from there.
+        told_by: Option<String>,
+    },
     /// A message of the target was ignored because it was outdated or named an unknown service.
     #[display(
         "announcement ignored: incarnation={incarnation} sequence={sequence} standing={status}"
--- a/crates/anvil_core/src/incarnations.rs
+++ b/crates/anvil_core/src/incarnations.rs
@@ -177,14 +177,15 @@
         AnnouncementStatus::Newest
     }
 
-    /// Records that `replaced` has ended because another incarnation took its place.
-    pub fn supersede(&mut self, now: time::NodeTime, replaced: &event::TargetIncarnation) {
+    /// Records that `retired` doesn't return: another incarnation took its place, or it stated that
+    /// it is leaving.
+    pub fn retire(&mut self, now: time::NodeTime, retired: &event::TargetIncarnation) {
         let ended = Some(IncarnationEnd::Certain);
-        match self.find(&replaced.id) {
-            Some(known) if known.started_at_ms == replaced.started_at_ms => known.ended = ended,
+        match self.find(&retired.id) {
+            Some(known) if known.started_at_ms == retired.started_at_ms => known.ended = ended,
             Some(_) => {}
             None => {
-                let known = KnownIncarnation::new(now, replaced);
+                let known = KnownIncarnation::new(now, retired);
                 self.push(KnownIncarnation { ended, ..known });
             }
         }
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -13,8 +13,10 @@
     pub announcement: event::TargetAnnouncement,
     /// When the announcement expires.
     pub until: time::NodeTime,
-    /// Whether it is leaving.
+    /// Whether it is leaving, or its lease has expired.
     pub leaving: bool,
+    /// Whether its incarnation has said that it is leaving, so that it never returns.
+    pub retired: bool,
 }
 
 /// Whether a run has been handed to the target.
--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -21,8 +21,14 @@
         let sent_to = self.runs.get(run).and_then(|run| run.incarnation);
         if sent_to != self.target_digest() {
             self.counters.statements_outdated += 1;
+            if statement.leaving {
+                self.retire_previous(sent_to);
+            }
             return;
         }
+        if statement.leaving && self.overload.policy.stated_leaving {
+            self.retire_target(None);
+        }
         let stated = match statement.rate {
             event::StatedRate::Unlimited => None,
             event::StatedRate::Limited(rate) => Some(rate),
@@ -42,9 +48,12 @@
     /// Adopts what another node knows of the local target from answers that it passed on, until an
     /// answer arrives here.
     pub(crate) fn told_of_target(&mut self, node: ident::NodeId, notice: call::TargetNotice) {
-        if self.target_digest() != Some(notice.incarnation) || !self.overload.policy.told_rate {
+        if self.target_digest() != Some(notice.incarnation) || !self.overload.policy.told_notices {
             return;
         }
+        if notice.leaving {
+            self.retire_target(Some(node));
+        }
         let now = self.now;
         if let Some((admission, rate)) = self.overload.admission.as_mut().zip(notice.rate) {
             let change = admission.rate_mut().learn(now, rate);
@@ -52,21 +61,36 @@
         }
     }
 
+    /// Retires the previous incarnation, whose announcement may still arrive late.
+    fn retire_previous(&mut self, stated: Option<ident::IncarnationDigest>) {
+        let Some(previous) = &self.previous_target else {
+            return;
+        };
+        let announcement = &previous.announcement;
+        if announcement.incarnation_digest() == stated
+            && let Some(incarnation) = &announcement.incarnation
+        {
+            self.incarnations.retire(self.now, incarnation);
+        }
+    }
+
     /// The hash of the incarnation of the local target, if it announces incarnations.
     pub(crate) fn target_digest(&self) -> Option<ident::IncarnationDigest> {
         self.target.as_ref()?.announcement.incarnation_digest()
     }
 
-    /// What other nodes are told about the local target: nothing unless it ever named a rate.
+    /// What other nodes are told about the local target: nothing unless it named a rate or is
+    /// leaving.
     pub(crate) fn target_notice(&self) -> Option<call::TargetNotice> {
+        let target = self.target.as_ref()?;
         let rate = self.overload.admission.as_ref()?.rate();
-        if !rate.was_named() {
+        if !rate.was_named() && !target.retired {
             return None;
         }
         Some(call::TargetNotice {
-            incarnation: self.target_digest()?,
+            incarnation: target.announcement.incarnation_digest()?,
             rate: rate.named(),
-            leaving: false,
+            leaving: target.retired,
         })
     }
 
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -62,6 +62,7 @@
             announcement,
             until,
             leaving: false,
+            retired: false,
         });
         self.update_admission(slots, renewed);
         self.publish_target();
@@ -97,12 +98,38 @@
         }
     }
 
+    /// Handles the fact that the present incarnation of the target is leaving.
+    ///
+    /// Its status report, its answers and other nodes that passed on such an answer all state the
+    /// same fact. Whichever comes first holds for good: a target that has stated it in an answer may
+    /// announce itself as ready until it ends.
+    pub(crate) fn retire_target(&mut self, told_by: Option<ident::NodeId>) {
+        let Some(target) = self.target.as_mut().filter(|target| !target.retired) else {
+            return;
+        };
+        target.retired = true;
+        let incarnation = target.announcement.incarnation.clone();
+        if let Some(incarnation) = &incarnation {
+            self.incarnations.retire(self.now, incarnation);
+        }
+        self.report(effect::StateChange::TargetRetired {
+            incarnation: incarnation.map(|incarnation| incarnation.id),
+            told_by: told_by.map(|node| node.to_string()),
+        });
+        self.target_leaving();
+    }
+
     /// Handles the message that one incarnation of the target is leaving or has terminated.
     pub(crate) fn target_withdrawn(
         &mut self,
         message: &event::TargetIncarnation,
         terminated: bool,
     ) {
+        // A target that is leaving repeats its status report until it ends.
+        let known = self.target.as_ref().filter(|target| target.retired);
+        if !terminated && known.is_some() && self.is_current(message) {
+            return;
+        }
         let status = match terminated {
             true => self.incarnations.end(self.now, message),
             false => self.incarnations.receive(self.now, message),
@@ -112,7 +139,12 @@
             // one of the same incarnation overtook it.
             incarnations::AnnouncementStatus::Newest | incarnations::AnnouncementStatus::Late => {
                 if self.is_current(message) {
-                    self.target_leaving();
+                    // A message without a start time may be the last call of an earlier
+                    // incarnation with the same id, so that one ends what is here only for a while.
+                    match terminated {
+                        true => self.target_leaving(),
+                        false => self.retire_target(None),
+                    }
                 }
             }
             incarnations::AnnouncementStatus::EarlierStart
@@ -152,7 +184,7 @@
         if holder == Some(&present.id) {
             return;
         }
-        self.incarnations.supersede(self.now, &present);
+        self.incarnations.retire(self.now, &present);
         let previous = self.previous_target.take().filter(|previous| {
             let id = previous.announcement.incarnation_id();
             id.is_some() && id == holder && !previous.leaving
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -8,7 +8,7 @@
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_testkit::test_cases;
-use anvil_types::ident;
+use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
 use support::{at, started};
 
@@ -155,3 +155,94 @@
     node.step(at(4), answered(run, limited("7.9"), false));
     assert_eq!(named_rate(&mut node, 5), 0.0);
 }
+
+// Guards against a target that is used again although it has stated that it is leaving, and against
+// one that is not used for what another incarnation stated.
+fn leaving_holds_for_one_incarnation(events: &[event::NodeEvent], serving: Option<&str>) {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    let run = started(&node.step(at(2), support::peer_call(1, true)))[0];
+    for event in events {
+        let event = match event {
+            event::NodeEvent::RunEnded {
+                outcome, statement, ..
+            } => event::NodeEvent::RunEnded {
+                run,
+                outcome: outcome.clone(),
+                statement: *statement,
+            },
+            event => event.clone(),
+        };
+        node.step(at(3), event);
+    }
+    let effects = node.step(at(4), support::peer_call(2, true));
+    let used = effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::RunTarget(order) => order.incarnation.clone(),
+        _ => None,
+    });
+    assert_eq!(used.as_ref().map(ident::IncarnationId::as_str), serving);
+}
+
+fn states_leaving() -> event::NodeEvent {
+    answered(event::RunId(1), event::StatedRate::Unlimited, true)
+}
+
+fn refused_while_leaving() -> event::NodeEvent {
+    event::NodeEvent::RunEnded {
+        run: event::RunId(1),
+        outcome: event::RunOutcome::Refused,
+        statement: Some(event::TargetStatement {
+            rate: event::StatedRate::Unlimited,
+            leaving: true,
+        }),
+    }
+}
+
+fn draining(id: &str, sequence: u64) -> event::NodeEvent {
+    event::NodeEvent::TargetWithdrawn {
+        incarnation: event::TargetIncarnation {
+            id: ident::IncarnationId::new(id),
+            started_at_ms: None,
+            sequence,
+        },
+        terminated: false,
+    }
+}
+
+test_cases! {
+    leaving_holds_for_one_incarnation:
+    stated_in_an_answer => (&[states_leaving()], None),
+    stated_in_a_refusal => (&[refused_while_leaving()], None),
+    stated_before_it_announces_itself_again => (&[states_leaving(), announced("a", 2)], None),
+    stated_before_its_successor_comes => (&[states_leaving(), announced("b", 1)], Some("b")),
+    stated_after_its_successor_came => (&[announced("b", 1), states_leaving()], Some("b")),
+    stated_after_its_successor_came_and_announced_late => (
+        &[announced("b", 1), states_leaving(), announced("a", 2)], Some("b")),
+    reported_before_it_announces_itself_again => (&[draining("a", 2), announced("a", 3)], None),
+    known_to_another_node => (&[call_with(9, Some(known("a", None, true)))], None),
+    known_to_another_node_before_it_announces_itself_again => (
+        &[call_with(9, Some(known("a", None, true))), announced("a", 2)], None),
+    known_of_another_incarnation => (&[call_with(9, Some(known("b", None, true)))], Some("a")),
+}
+
+#[test]
+fn what_waits_at_a_target_that_leaves_is_refused_as_not_run() {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    let mut runs = Vec::new();
+    for sequence in 1..=60 {
+        runs.extend(started(
+            &node.step(at(2), support::peer_call(sequence, true)),
+        ));
+    }
+    let effects = node.step(at(3), answered(runs[0], event::StatedRate::Unlimited, true));
+    let refused = effects.iter().filter(|effect| match effect {
+        effect::NodeEffect::SendFrame {
+            frame: frame::PeerFrame::Answer(answer),
+            ..
+        } => answer.verdict == verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving),
+        _ => false,
+    });
+    assert!(runs.len() < 60);
+    assert_eq!(refused.count(), 60 - runs.len());
+}
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -63,8 +63,10 @@
     pub cancellation: bool,
     /// A target gets no more than the rate that it names.
     pub named_rate: bool,
-    /// A restarted node adopts the rate that other nodes know of its target.
-    pub told_rate: bool,
+    /// A target that states in an answer that it is leaving gets no more requests.
+    pub stated_leaving: bool,
+    /// A restarted node adopts what other nodes know of its target.
+    pub told_notices: bool,
     /// Requests that crash their targets are quarantined.
     pub quarantine: bool,
     /// Entry nodes admit requests ahead of the home's count while an account is far below its
@@ -97,7 +99,8 @@
         ejection: true,
         cancellation: true,
         named_rate: true,
-        told_rate: true,
+        stated_leaving: true,
+        told_notices: true,
         quarantine: true,
         tokens_ahead: true,
     };
@@ -124,7 +127,8 @@
         ejection: false,
         cancellation: false,
         named_rate: false,
-        told_rate: false,
+        stated_leaving: false,
+        told_notices: false,
         quarantine: false,
         tokens_ahead: false,
     };
