Share a target's rate among the nodes of callers

With its rate held at one node only, requests that a limited target could not take were refused there one after the other: 0.4 to 1.6 refusals by nodes a request in a simulated fleet of 14 to 300 nodes where half of the targets are limited, each a hop and an attempt, and a part of them refused for good though the other half had room.

The target's node counts who sends to it and tells each, with the load report, how long to pause: its turn among them, less while tokens are left over. Entry nodes place by the pause, repeat it for what they send without an answer, and send a call that a rate refused to another target without spending a retry. The lines of limited targets no longer count for the line of their service while others are unlimited. A wait for tokens is bounded to half of the objective, and Retry-After follows the shortest pause.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -1,11 +1,16 @@
 //! Connects the reducer with the admission queue of the local target.
 
+use std::time::Duration;
+
 use anvil_overload::{admission, kind, limit, policy, quarantine, rank, refusal};
-use anvil_types::{ident, verdict};
+use anvil_types::{ident, treatment, verdict};
 use anvil_wire::{call, frame, suspicion};
 
 use crate::{effect, event, overload, reducer, retrying, runs, stopping, timers};
 
+/// The part of the objective for which a request may wait for a token, as a divisor.
+const TOKEN_WAIT_DIVISOR: u32 = 2;
+
 impl reducer::NodeReducer {
     /// Why this node refuses a call before it is queued.
     pub(crate) fn refusal_at_target(
@@ -77,7 +82,7 @@
             id: id.0,
             rank: rank::CallRank::of(&run.context),
             deadline: run.deadline,
-            queue_wait: run.treatment.queue_wait,
+            queue_wait: self.longest_wait(&run.treatment),
             suspect: status == quarantine::QuarantineStatus::Suspect,
         };
         let Some(admission) = &mut self.overload.admission else {
@@ -87,6 +92,20 @@
         self.apply_decisions(decisions);
     }
 
+    /// The longest wait of a request in the queue of the local target.
+    ///
+    /// Other targets of the service may have room while this one is bound by its rate, so a request
+    /// waits for a token only as long as it can still be served elsewhere within its objective.
+    fn longest_wait(&self, treatment: &treatment::RuleTreatment) -> Duration {
+        let admission = self.overload.admission.as_ref();
+        match treatment.objective {
+            Some(objective) if admission.is_some_and(|queue| queue.is_rate_bound()) => {
+                treatment.queue_wait.min(objective / TOKEN_WAIT_DIVISOR)
+            }
+            _ => treatment.queue_wait,
+        }
+    }
+
     pub(crate) fn apply_decisions(&mut self, decisions: Vec<admission::AdmissionDecision>) {
         for decision in decisions {
             match decision {
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -1,6 +1,7 @@
 //! The known targets of each service.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_overload::{kind, policy, routing};
 use anvil_types::{context, ident, name, sorted, time};
@@ -84,6 +85,12 @@
             .choose(now, routing::RouteQuery { exclude, ..query })
     }
 
+    /// Whether a target that `query` does not exclude would be chosen.
+    pub fn has_other(&mut self, now: time::NodeTime, query: routing::RouteQuery<'_>) -> bool {
+        let choice = self.routes.choose(now, query);
+        matches!(choice, routing::RouteChoice::Target { .. })
+    }
+
     /// Counts a request of `class` that was sent to `node`.
     pub fn attempt_sent(
         &mut self,
@@ -105,6 +112,11 @@
         self.routes.attempt_ended(now, service, node, attempt);
     }
 
+    /// The shortest time until a target of `service` may be used within the rates that they name.
+    pub fn pause_left(&self, now: time::NodeTime, service: &name::ServiceName) -> Duration {
+        self.routes.pause_left(now, service)
+    }
+
     /// The cut line below which no target of `service` accepts a request of `kind`.
     pub fn line(
         &self,
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -135,8 +135,10 @@
             self.end_call(sequence, verdict, answer);
             return;
         }
-        if is_redirect(verdict) && open.redirects < MAX_REDIRECTS {
-            open.redirects += 1;
+        if open.redirects < MAX_REDIRECTS && self.is_redirected(sequence, verdict) {
+            if let Some(open) = self.calls.get_mut(sequence) {
+                open.redirects += 1;
+            }
             self.dispatch_attempt(sequence);
             return;
         }
@@ -151,6 +153,22 @@
         }
     }
 
+    /// Whether an attempt is sent elsewhere at once, without spending a retry.
+    ///
+    /// A target that would get more than its rate says nothing about the others, unless the request
+    /// has waited for its tokens.
+    fn is_redirected(&mut self, sequence: u64, verdict: verdict::CallVerdict) -> bool {
+        if verdict != verdict::CallVerdict::NotRun(verdict::RefusalReason::RateLimited) {
+            return is_redirect(verdict);
+        }
+        let now = self.now;
+        let Some(open) = self.calls.get(sequence) else {
+            return false;
+        };
+        let waited = now.since(open.arrived) >= open.treatment.queue_wait;
+        !waited && self.directory.has_other(now, open.route_query())
+    }
+
     /// The pause before a retry, which also spends the retry; none if there is no retry, so that
     /// the caller gets its reply immediately.
     ///
@@ -306,12 +324,17 @@
             verdict::RefusalReason::Shed
             | verdict::RefusalReason::TargetRefused
             | verdict::RefusalReason::QueueFull
-            | verdict::RefusalReason::RateLimited
             | verdict::RefusalReason::Deadline
             | verdict::RefusalReason::AttemptsSpent => {
                 let elapsed = self.now.since(open.arrived);
                 Some(refusal::retry_within(objective, elapsed, lane))
             }
+            verdict::RefusalReason::RateLimited => {
+                let elapsed = self.now.since(open.arrived);
+                let within = refusal::retry_within(objective, elapsed, lane);
+                let service = &open.request.service;
+                Some(within.max(self.directory.pause_left(self.now, service)))
+            }
             verdict::RefusalReason::NoTarget
             | verdict::RefusalReason::UnknownService
             | verdict::RefusalReason::Leaving
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -21,6 +21,9 @@
         if let Some(notice) = call.notice {
             self.told_of_target(peer, notice);
         }
+        if let Some(admission) = &mut self.overload.admission {
+            admission.count_sender(self.now, peer);
+        }
         if let Some(cause) = self.refusal_at_target(&call) {
             self.counters.runs_refused += 1;
             let service = call.request.service.clone();
--- a/crates/anvil_core/tests/named_rates.rs
+++ b/crates/anvil_core/tests/named_rates.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use anvil_overload::policy::OverloadPolicy;
 use anvil_testkit::test_cases;
 use rate_fleet::{FleetPlan, FleetReport, RateFleet, Script};
 
@@ -143,3 +144,75 @@
         );
     }
 }
+
+/// Prints what targets and callers get with and without each mechanism.
+#[test]
+#[ignore = "a measurement; takes a minute with --release"]
+fn table_of_mechanisms() {
+    let full = FleetPlan::default().policy;
+    let policies = [
+        (
+            "none",
+            OverloadPolicy {
+                named_rate: false,
+                told_notices: false,
+                rate_pacing: false,
+                ..full
+            },
+        ),
+        (
+            "rate alone",
+            OverloadPolicy {
+                told_notices: false,
+                rate_pacing: false,
+                ..full
+            },
+        ),
+        (
+            "rate, told",
+            OverloadPolicy {
+                rate_pacing: false,
+                ..full
+            },
+        ),
+        ("all", full),
+    ];
+    let all_of_three = (0..3).map(|target| (2.0, target, Script::Name(Some(8.0))));
+    let plans = [
+        (
+            "12 nodes, 8 a second at one of 3",
+            scripted(vec![name(2.0, 8.0), kill(8.0)]),
+        ),
+        (
+            "12 nodes, 8 a second at all of 3",
+            scripted(all_of_three.collect()),
+        ),
+        ("14 nodes, 2 a second at half of 4", large(14, 4, 2.0)),
+        ("65 nodes, 2.5 a second at half of 20", large(65, 20, 2.5)),
+        (
+            "300 nodes, 2.5 a second at half of 100",
+            large(300, 100, 2.5),
+        ),
+        (
+            "300 nodes, 0.2 a second at half of 100",
+            large(300, 100, 0.2),
+        ),
+    ];
+    for (title, plan) in plans {
+        for (label, policy) in policies {
+            let report = RateFleet::play(FleetPlan {
+                policy,
+                ..plan.clone()
+            });
+            println!(
+                "{title} | {label} | in time {:.4} | refused {:.4} | refusals by nodes a request {:.3} | \
+                 promises broken {} | a limited target in the last 4 s {}",
+                report.share_in_time(),
+                report.refused as f64 / report.requests as f64,
+                report.rate_refusals as f64 / report.requests as f64,
+                report.violations.len(),
+                report.last_arrivals[0],
+            );
+        }
+    }
+}
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -508,7 +508,7 @@
 
     fn deliver(&mut self, from: usize, peer: ident::NodeId, to: usize, frame: frame::PeerFrame) {
         if let frame::PeerFrame::Answer(answer) = &frame
-            && answer.verdict == verdict::CallVerdict::NotRun(verdict::RefusalReason::QueueFull)
+            && is_capacity_refusal(answer.verdict)
         {
             self.rate_refusals += 1;
         }
@@ -773,6 +773,18 @@
     }
 }
 
+/// Whether a target's node refused a call for want of room or tokens.
+fn is_capacity_refusal(verdict: verdict::CallVerdict) -> bool {
+    matches!(
+        verdict,
+        verdict::CallVerdict::NotRun(
+            verdict::RefusalReason::QueueFull
+                | verdict::RefusalReason::RateLimited
+                | verdict::RefusalReason::Shed
+        )
+    )
+}
+
 fn seconds(at: time::NodeTime) -> f64 {
     at.since(time::NodeTime::START).as_secs_f64() - TRAFFIC_START.as_secs_f64()
 }
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use anvil_types::{context, time, verdict};
+use anvil_types::{context, ident, time, verdict};
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::{estimate, limit, policy, rank, rate, refusal, shedding};
+use crate::{estimate, limit, pacing, policy, rank, rate, refusal, shedding};
 
 /// Queue capacity for each announced slot; the expected wait bounds the queue further.
 pub const QUEUE_PLACES_PER_SLOT: usize = 8;
@@ -68,6 +68,8 @@
     leaving: bool,
     /// The rate that the target names.
     rate: rate::RateLimit,
+    /// The nodes that share it.
+    senders: pacing::SenderCount,
     /// Sorted by id.
     running: Vec<RunningCall>,
     /// Sorted by rank, the next to run last; requests of equal rank are in order of arrival.
@@ -85,6 +87,7 @@
             estimate: estimate::ServiceEstimate::default(),
             leaving: false,
             rate: rate::RateLimit::default(),
+            senders: pacing::SenderCount::default(),
             running: Vec::new(),
             queue: Vec::new(),
             policy,
@@ -208,6 +211,25 @@
             leaving: self.leaving,
             announced: 0,
             notice: None,
+            pause_micros: u32::try_from(self.pause().as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Counts a call from `node` to the target, which shares the rate among such nodes.
+    pub fn count_sender(&mut self, now: time::NodeTime, node: ident::NodeId) {
+        match self.rate.in_force(now) {
+            Some(_) => self.senders.record(now, node),
+            None => self.senders.clear(),
+        }
+    }
+
+    /// How long the node that gets a load report should send nothing more.
+    fn pause(&self) -> Duration {
+        match self.rate_interval() {
+            Some(interval) if self.policy.rate_pacing => {
+                self.senders.pause(interval, self.rate.used_share())
+            }
+            _ => Duration::ZERO,
         }
     }
 
@@ -445,7 +467,7 @@
     }
 
     /// Whether the named rate and not the number of slots bounds what the target runs.
-    fn is_rate_bound(&self) -> bool {
+    pub fn is_rate_bound(&self) -> bool {
         let by_slots = self.estimate.mean() / self.limit.current();
         self.rate_interval()
             .is_some_and(|interval| interval > by_slots)
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -67,6 +67,8 @@
     pub stated_leaving: bool,
     /// A restarted node adopts what other nodes know of its target.
     pub told_notices: bool,
+    /// The nodes of callers share the rate of a target among them.
+    pub rate_pacing: bool,
     /// Requests that crash their targets are quarantined.
     pub quarantine: bool,
     /// Entry nodes admit requests ahead of the home's count while an account is far below its
@@ -99,6 +101,7 @@
         ejection: true,
         cancellation: true,
         named_rate: true,
+        rate_pacing: true,
         stated_leaving: true,
         told_notices: true,
         quarantine: true,
@@ -127,6 +130,7 @@
         ejection: false,
         cancellation: false,
         named_rate: false,
+        rate_pacing: false,
         stated_leaving: false,
         told_notices: false,
         quarantine: false,
--- a/crates/anvil_overload/src/rate.rs
+++ b/crates/anvil_overload/src/rate.rs
@@ -209,6 +209,12 @@
         (!wait.is_zero()).then(|| self.filled_at + wait)
     }
 
+    /// Share of the bucket that was empty at the last [`Self::fill`].
+    pub fn used_share(&self) -> f64 {
+        let size = self.size(self.filled_at);
+        size.map_or(0.0, |size| 1.0 - self.bucket.level() / size.capacity)
+    }
+
     /// Whether the bucket was full at the last [`Self::fill`]: the target gets less than its rate.
     pub fn is_full(&self) -> bool {
         let size = self.size(self.filled_at);
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -1,6 +1,7 @@
 //! Routing table: chooses the target of each request; see `docs/design/routing.md`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_types::{context, ident, name, time};
 use anvil_wire::call;
@@ -226,6 +227,15 @@
         rank::line_for_level(self.services[index].line_level(now, kind, &[]))
     }
 
+    /// The shortest time until a target of `service` may be used without exceeding the rates that
+    /// targets name.
+    pub fn pause_left(&self, now: time::NodeTime, service: &name::ServiceName) -> Duration {
+        let index = self.find(service).ok();
+        let targets = index.map_or(&[][..], |index| &self.services[index].targets[..]);
+        let pauses = targets.iter().map(|target| target.pause_left(now));
+        pauses.min().unwrap_or_default()
+    }
+
     /// The nodes beside the targets of `service`, with their addresses.
     pub fn nodes<'a>(
         &'a self,
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -205,7 +205,9 @@
             .filter(|target| target.is_available(now, exclude));
         let mut levels = Vec::with_capacity(self.targets.len());
         let mut known = Vec::new();
-        for target in serving {
+        // The line of a target that is bound by its rate says nothing about the room at others.
+        let has_unlimited = serving.clone().any(|target| !target.is_rate_limited());
+        for target in serving.filter(|target| !(has_unlimited && target.is_rate_limited())) {
             let level = target.cut.level(now);
             levels.push(level);
             if target.cut.is_known(now) {
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -61,6 +61,8 @@
     load: call::LoadReport,
     #[serde(rename = "heard")]
     reported_at: Option<time::NodeTime>,
+    /// Requests sent since the latest report.
+    sent_since: u32,
     pub(super) cut: cut::DecayingCut,
     #[serde(rename = "failures_in_a_row")]
     pub(super) consecutive_failures: u32,
@@ -88,6 +90,7 @@
             in_flight: [0; context::PriorityClass::ALL.len()],
             load: call::LoadReport::default(),
             reported_at: None,
+            sent_since: 0,
             cut: cut::DecayingCut::default(),
             consecutive_failures: 0,
             failure_rate: 0.0,
@@ -139,6 +142,7 @@
 
     pub(super) fn request_sent(&mut self, class: context::PriorityClass) {
         self.in_flight[class as usize] += 1;
+        self.sent_since = self.sent_since.saturating_add(1);
     }
 
     pub(super) fn attempt_ended(
@@ -154,6 +158,7 @@
         };
         self.load = *load;
         self.reported_at = Some(now);
+        self.sent_since = 0;
         self.cut.update(now, load.cut.as_ref());
         if load.leaving {
             let announced = load.announced;
@@ -164,6 +169,8 @@
     /// Expected wait of a new request of `class` in microseconds, increased for targets in other
     /// zones and for failing targets.
     ///
+    /// A target whose rate is used up is as far away as the pause that it gave this node.
+    ///
     /// Requests of lower classes do not count, because they are served later, and the mean service
     /// time does count. Otherwise a target with many requests of low classes would look worse than
     /// one with a queue of equals, and a slow target as good as a fast one with the same number of
@@ -201,7 +208,9 @@
         } else {
             1.0
         };
-        wait * distance * failures + crossing
+        #[expect(clippy::cast_precision_loss, reason = "at most minutes")]
+        let pause = self.pause_left(now).as_micros() as f64;
+        (wait + pause) * distance * failures + crossing
     }
 
     /// Failure rate, which fades if no new failures occur so that the target is tried again.
@@ -211,6 +220,24 @@
         self.failure_rate * (1.0 - age / span).max(0.0)
     }
 
+    /// Whether the target named a rate in its latest report.
+    pub(super) fn is_rate_limited(&self) -> bool {
+        self.load.notice.is_some_and(|notice| notice.rate.is_some())
+    }
+
+    /// Time until this node may use its share of the target's rate again.
+    ///
+    /// The pause is repeated for each request sent since the latest report, so that a node without
+    /// answers keeps to its share as well.
+    pub(super) fn pause_left(&self, now: time::NodeTime) -> Duration {
+        let Some(reported_at) = self.reported_at else {
+            return Duration::ZERO;
+        };
+        let pause = Duration::from_micros(u64::from(self.load.pause_micros));
+        let turns = self.sent_since.saturating_add(1);
+        (reported_at + pause.saturating_mul(turns)).since(now)
+    }
+
     fn service_micros(&self) -> f64 {
         f64::from(self.load.usual_micros.max(MIN_SERVICE_MICROS))
     }
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -91,6 +91,9 @@
     pub announced: u32,
     /// What the target stated about itself; none if it has never stated anything.
     pub notice: Option<TargetNotice>,
+    /// How long the node that gets this should send nothing more to the target, in microseconds, so
+    /// that all nodes together keep to the rate that the target names.
+    pub pause_micros: u32,
 }
 
 /// A call from one node to the node beside the chosen target.
