Pass over paused targets, and take unheard ones to be as limited as the others

A target that gave a pause is used only if all others did as well, and one that has never answered counts with the mean pause of those that have.

--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -112,13 +112,19 @@
         {
             return None;
         }
+        let is_eligible = |target: &&target::TargetRoute| {
+            target.is_available(now, query.exclude)
+                && (allow_ejected || !target.ejected(now))
+                && (!policy.early_refusal || target.admits(now, &query.rank))
+        };
+        // A target that gave this node a pause is used only if all others did as well.
+        let mut eligible = self.targets.iter().filter(is_eligible);
+        let skip_paused = eligible.any(|target| target.pause_left(now).is_zero());
         let mut preferred = PairDraw::default();
         let mut other_zone = PairDraw::default();
         for (index, target) in self.targets.iter().enumerate() {
-            let eligible = target.is_available(now, query.exclude)
-                && (allow_ejected || !target.ejected(now))
-                && (!policy.early_refusal || target.admits(now, &query.rank));
-            if !eligible {
+            let paused = skip_paused && !target.pause_left(now).is_zero();
+            if paused || !is_eligible(&target) {
                 continue;
             }
             if target.same_zone || !policy.zone_preference {
@@ -137,13 +143,32 @@
         };
         let drawn = preferred_pair.iter().chain(candidates).copied();
         let bytes = query.bytes.saturating_add(self.sizes.expected(query.kind));
+        let usual_pause = self.usual_pause();
         let cost = |index: &usize| {
             let target = &self.targets[*index];
-            target.cost(now, query.rank.class, bytes, policy)
+            // A target that has not answered yet is taken to be as limited as the others. A node
+            // would otherwise be refused by each limited target of a large service once.
+            let unknown = if target.has_reported() {
+                0.0
+            } else {
+                usual_pause
+            };
+            target.cost(now, query.rank.class, bytes, policy) + unknown
         };
         drawn.flatten().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// The mean pause in the latest reports of the targets, in microseconds.
+    fn usual_pause(&self) -> f64 {
+        let reported = self.targets.iter().filter(|target| target.has_reported());
+        let (mut sum, mut count) = (0.0, 0.0);
+        for target in reported {
+            sum += target.pause().as_secs_f64() * 1e6;
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     fn next_in_turn(
         &mut self,
         now: time::NodeTime,
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -233,9 +233,18 @@
         let Some(reported_at) = self.reported_at else {
             return Duration::ZERO;
         };
-        let pause = Duration::from_micros(u64::from(self.load.pause_micros));
         let turns = self.sent_since.saturating_add(1);
-        (reported_at + pause.saturating_mul(turns)).since(now)
+        (reported_at + self.pause().saturating_mul(turns)).since(now)
+    }
+
+    /// The pause in the target's latest report.
+    pub(super) fn pause(&self) -> Duration {
+        Duration::from_micros(u64::from(self.load.pause_micros))
+    }
+
+    /// Whether an answer has reported the target's load.
+    pub(super) fn has_reported(&self) -> bool {
+        self.reported_at.is_some()
     }
 
     fn service_micros(&self) -> f64 {
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -5,7 +5,7 @@
 
 use anvil_overload::{cut, kind, policy, rank, routing};
 use anvil_testkit::test_cases;
-use anvil_types::{context, ident, name, time};
+use anvil_types::{context, ident, name, rate, time};
 use anvil_wire::call;
 
 const NORMAL: context::PriorityClass = context::PriorityClass::Normal;
@@ -539,3 +539,70 @@
     let sent = send(&mut table, later, 60);
     assert!(count_of(&sent, 3) >= 20, "{sent:?}");
 }
+
+/// The node's answer tells that its target names a rate and gives a pause.
+fn report_pause(table: &mut routing::RouteTable, now: time::NodeTime, node: u64, pause: Duration) {
+    let notice = call::TargetNotice {
+        incarnation: ident::IncarnationDigest(7),
+        rate: Some(rate::RequestRate::from_millionths(2_000_000)),
+        leaving: false,
+    };
+    let load = call::LoadReport {
+        limit: 8,
+        notice: (!pause.is_zero()).then_some(notice),
+        pause_micros: u32::try_from(pause.as_micros()).expect("a short pause"),
+        cut: (!pause.is_zero()).then_some(call::CutLine {
+            class: context::PriorityClass::Critical,
+            lane: context::LaneHash(0),
+        }),
+        ..call::LoadReport::default()
+    };
+    end(
+        table,
+        now,
+        node,
+        routing::AttemptEnd::Succeeded,
+        Some(&load),
+    );
+}
+
+// Guards against requests that are refused at a limited target, or for its sake at all of them.
+#[test]
+fn a_limited_target_is_passed_over_for_its_pause() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8), (2, 'b', 8)]);
+    report_pause(&mut table, at(9_000), 1, Duration::from_millis(500));
+    report_pause(&mut table, at(9_000), 2, Duration::ZERO);
+    let sent = send(&mut table, at(9_100), 40);
+    assert_eq!(sent, [(2, 40)]);
+    assert_eq!(table.pause_left(at(9_100), &service()), Duration::ZERO);
+}
+
+// Guards against a service that refuses everything because each of its targets gave a pause.
+#[test]
+fn the_shortest_pause_is_used_where_all_targets_are_limited() {
+    let policy = policy::OverloadPolicy {
+        early_refusal: false,
+        ..policy::OverloadPolicy::FULL
+    };
+    let mut table = table(policy, &[(1, 'a', 8), (2, 'a', 8)]);
+    report_pause(&mut table, at(9_000), 1, Duration::from_millis(2_000));
+    report_pause(&mut table, at(9_000), 2, Duration::from_millis(500));
+    assert_eq!(
+        table.pause_left(at(9_100), &service()),
+        Duration::from_millis(400)
+    );
+    assert_eq!(node_of(choose(&mut table, at(9_100), 7)), Some(2));
+}
+
+// Guards against a node that exceeds its share while no answer arrives.
+#[test]
+fn the_pause_is_repeated_for_each_request_without_an_answer() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8)]);
+    report_pause(&mut table, at(9_000), 1, Duration::from_millis(500));
+    table.request_sent(&service(), ident::NodeId(1), NORMAL);
+    table.request_sent(&service(), ident::NodeId(1), NORMAL);
+    assert_eq!(
+        table.pause_left(at(9_000), &service()),
+        Duration::from_millis(1_500)
+    );
+}
