Wake a waiting request when a held rate ends

A request that waited for a token of a rate that was lifted meanwhile waited on for the time that the old rate asked for, up to ten seconds, though the rate is held for four. The queue now wakes at the end of the held rate too (the_end_of_a_held_rate_wakes_the_queue fails without it). The mean pause of a service is computed only where a target is limited.

--- a/crates/anvil_overload/src/rate.rs
+++ b/crates/anvil_overload/src/rate.rs
@@ -203,10 +203,13 @@
         Duration::from_micros(micros)
     }
 
-    /// When a request may start that is the first to wait; none if it may start at once.
+    /// When the request that is the first to wait may start, or may learn that it need not wait so
+    /// long because a held rate ends; none if it may start at once.
     pub fn next_token(&self) -> Option<time::NodeTime> {
         let wait = self.wait(0);
-        (!wait.is_zero()).then(|| self.filled_at + wait)
+        let held_until = self.held.iter().map(|held| held.until).min();
+        let token = self.filled_at + wait;
+        (!wait.is_zero()).then(|| held_until.map_or(token, |until| until.min(token)))
     }
 
     /// Share of the bucket that was empty at the last [`Self::fill`].
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -120,9 +120,11 @@
         // A target that gave this node a pause is used only if all others did as well.
         let mut eligible = self.targets.iter().filter(is_eligible);
         let skip_paused = eligible.any(|target| target.pause_left(now).is_zero());
+        let mut has_limited = false;
         let mut preferred = PairDraw::default();
         let mut other_zone = PairDraw::default();
         for (index, target) in self.targets.iter().enumerate() {
+            has_limited |= target.is_rate_limited();
             let paused = skip_paused && !target.pause_left(now).is_zero();
             if paused || !is_eligible(&target) {
                 continue;
@@ -143,7 +145,7 @@
         };
         let drawn = preferred_pair.iter().chain(candidates).copied();
         let bytes = query.bytes.saturating_add(self.sizes.expected(query.kind));
-        let usual_pause = self.usual_pause();
+        let usual_pause = if has_limited { self.usual_pause() } else { 0.0 };
         let cost = |index: &usize| {
             let target = &self.targets[*index];
             // A target that has not answered yet is taken to be as limited as the others. A node
--- a/crates/anvil_overload/tests/rate.rs
+++ b/crates/anvil_overload/tests/rate.rs
@@ -153,3 +153,19 @@
     };
     assert_eq!(named, per_second(0.2));
 }
+
+// Guards against a request that waits for a token of a rate that no longer holds.
+#[test]
+fn the_end_of_a_held_rate_wakes_the_queue() {
+    let mut queue = admission::AdmissionQueue::warm(at(0), 48, policy::OverloadPolicy::FULL);
+    queue.rate_mut().record(at(0), Some(per_second(0.1)));
+    queue.rate_mut().record(at(1), None);
+    let waiting = admission::WaitingCall {
+        queue_wait: Duration::from_secs(10),
+        deadline: at(20_000),
+        ..call(1, at(1_000))
+    };
+    assert_eq!(queue.offer(at(1_000), waiting), []);
+    let wake = queue.next_wake().unwrap();
+    assert!(wake <= at(1) + rate::RATE_WINDOW, "{wake:?}");
+}
