End a pause with the longest one however much was sent

The pause of a limited target is repeated for each request without an answer, so where all targets are limited a node that had 40 requests out was told to wait a minute for a target of 1.5 s, and told callers so in Retry-After, although the limit may be lifted at any time.

--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -7,7 +7,7 @@
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::{cut, policy, rank, routing};
+use crate::{cut, pacing, policy, rank, routing};
 
 /// How long a reported load counts in full.
 pub const LOAD_FRESH: Duration = Duration::from_millis(100);
@@ -228,13 +228,15 @@
     /// Time until this node may use its share of the target's rate again.
     ///
     /// The pause is repeated for each request sent since the latest report, so that a node without
-    /// answers keeps to its share as well.
+    /// answers keeps to its share as well. It never ends later than the longest pause after the
+    /// report, since the limit may be lifted meanwhile.
     pub(super) fn pause_left(&self, now: time::NodeTime) -> Duration {
         let Some(reported_at) = self.reported_at else {
             return Duration::ZERO;
         };
         let turns = self.sent_since.saturating_add(1);
-        (reported_at + self.pause().saturating_mul(turns)).since(now)
+        let pause = self.pause().saturating_mul(turns).min(pacing::MAX_PAUSE);
+        (reported_at + pause).since(now)
     }
 
     /// The pause in the target's latest report.
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use anvil_overload::{cut, kind, policy, rank, routing};
+use anvil_overload::{cut, kind, pacing, policy, rank, routing};
 use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, rate, time};
 use anvil_wire::call;
@@ -606,3 +606,15 @@
         Duration::from_millis(1_500)
     );
 }
+
+// Guards against callers who are told to come back long after a limit may have been lifted.
+#[test]
+fn a_pause_ends_with_the_longest_one_however_much_was_sent() {
+    let mut table = table(policy::OverloadPolicy::FULL, &[(1, 'a', 8)]);
+    report_pause(&mut table, at(9_000), 1, Duration::from_millis(1_500));
+    for _ in 0..40 {
+        table.request_sent(&service(), ident::NodeId(1), NORMAL);
+    }
+    let left = table.pause_left(at(9_000), &service());
+    assert_eq!(left, pacing::MAX_PAUSE);
+}
