Count status lines in the test of an expired idle connection

It now requires exactly one status line, that of the 200: a 408, and any other second response, still fails it, so it is stricter than before. The 23 tests of the file pass.

--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -198,7 +198,8 @@
     let request = "GET / HTTP/1.1\r\nhost: audiencias\r\n\r\n";
     let answer = common::read_to_close(common::raw(pair.caller(), request.as_bytes()));
     assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
-    assert!(!answer.contains("408"), "{answer}");
+    // The answer's random request id may contain any digits, so the status lines are counted.
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
     assert_eq!(
         pair.node
             .counters()
