--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -151,7 +151,7 @@
         target.announcement.incarnation_id().cloned()
     }
 
-    /// The rate that the local target names and what is remembered about other targets.
+    /// What this node remembers about the targets of other nodes, up to a limit.
     pub(crate) fn notices_dump(&self) -> serde_json::Value {
         let notices = self.notices.iter().take(MAX_DUMP_NOTICES);
         let notices = notices.map(|(address, notice)| {
--- a/crates/anvil_overload/src/rate.rs
+++ b/crates/anvil_overload/src/rate.rs
@@ -100,6 +100,7 @@
         self.change_to(now, Some(known))
     }
 
+    /// Puts `stated` in force and holds the rate before it, if that is lower, for its window.
     fn change_to(&mut self, now: time::NodeTime, stated: Option<rate::RequestRate>) -> RateChange {
         let change = match (self.named, stated) {
             (before, after) if before == after => return RateChange::None,
@@ -108,6 +109,7 @@
             (_, None) => RateChange::Lifted,
         };
         let is_free = self.in_force(now).is_none();
+        // Only the tokens count here; when the bucket became full concerns the queue alone.
         let _ = self.fill(now);
         if let Some(before) = self.named
             && stated.is_none_or(|stated| stated > before)
@@ -127,6 +129,7 @@
         change
     }
 
+    /// Holds `rate` until a later time than any rate held before, so equal and higher ones end.
     fn hold(&mut self, rate: rate::RequestRate, until: time::NodeTime) {
         self.held.retain(|held| held.rate < rate);
         self.held.push(HeldRate { rate, until });
