--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -212,6 +212,7 @@
             announced: 0,
             notice: None,
             pause_micros: u32::try_from(self.pause().as_micros()).unwrap_or(u32::MAX),
+            pace_percent: 0,
         }
     }
 
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -74,10 +74,26 @@
     /// Entry nodes admit requests ahead of the home's count while an account is far below its
     /// quota; without it, each request waits for the decision of the account's home.
     pub tokens_ahead: bool,
+    /// Targets are chosen by when they are expected to complete a request, from their queue and
+    /// from the pace that they state; see `docs/design/placement.md`.
+    pub expected_completion: bool,
+    /// A node refuses requests whose downstream calls would be refused, by the share of its own
+    /// runs that ended so; see `docs/design/whole-requests.md`.
+    pub completion_lines: bool,
+    /// A call that a target refused is sent to that target again once all others were tried; see
+    /// `docs/design/refused-calls.md`.
+    pub refusal_retries: bool,
+    /// Lanes follow the use of an account's quota, so that accounts share a scarce service fairly;
+    /// see `docs/design/fair-lanes.md`.
+    pub fair_lanes: bool,
+    /// A refused caller that returns at the time it was told goes before new ones of its class; see
+    /// `docs/design/return-order.md`.
+    pub return_order: bool,
 }
 
 impl OverloadPolicy {
-    /// All safeguards that help every fleet. `spare_slots` costs a twentieth of the capacity of
+    /// All safeguards that help every fleet. Those for scarce services are switched on by settings.
+    /// `spare_slots` costs a twentieth of the capacity of
     /// targets that can run at full load, and `stay_in_zone` sends more requests to a slow target
     /// in the same zone.
     pub const FULL: Self = Self {
@@ -106,6 +122,11 @@
         told_notices: true,
         quarantine: true,
         tokens_ahead: true,
+        expected_completion: false,
+        completion_lines: false,
+        refusal_retries: false,
+        fair_lanes: false,
+        return_order: false,
     };
 
     /// No safeguards: targets in turn, fixed retries at each hop, no shedding by class.
@@ -135,6 +156,11 @@
         told_notices: false,
         quarantine: false,
         tokens_ahead: false,
+        expected_completion: false,
+        completion_lines: false,
+        refusal_retries: false,
+        fair_lanes: false,
+        return_order: false,
     };
 }
 
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -336,6 +336,7 @@
             granted: 0,
             ahead: 0,
             retry_after_millis: 0,
+            demand_percent: 0,
             redirect: None,
         }
     }
@@ -356,6 +357,7 @@
             granted: entry.granted,
             ahead: entry.ahead,
             retry_after_millis: u32::try_from(pause).unwrap_or(u32::MAX),
+            demand_percent: 0,
             redirect: None,
         }
     }
--- a/crates/anvil_quota/src/ledger/home_role.rs
+++ b/crates/anvil_quota/src/ledger/home_role.rs
@@ -57,6 +57,7 @@
             granted: 0,
             ahead: 0,
             retry_after_millis: 0,
+            demand_percent: 0,
             redirect: Some(quota::HomeHint {
                 node: home.node,
                 address: home.address,
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -94,6 +94,9 @@
     /// How long the node that gets this should send nothing more to the target, in microseconds, so
     /// that all nodes together keep to the rate that the target names.
     pub pause_micros: u32,
+    /// How long work takes at the target now, in percent of its usual time; zero if the target
+    /// does not state it or stated it too long ago.
+    pub pace_percent: u16,
 }
 
 /// A call from one node to the node beside the chosen target.
@@ -147,6 +150,9 @@
     /// Whether a call that the target made for this request failed. The target's own failure then
     /// doesn't suggest that another target of the service would succeed.
     pub failed_below: bool,
+    /// Whether a call that the target made for this request, or one further down, was refused
+    /// without being run. Such a request could not be completed for lack of room.
+    pub refused_below: bool,
     /// Load of the node that ran the attempt and of its target.
     pub load: LoadReport,
 }
--- a/crates/anvil_wire/src/quota.rs
+++ b/crates/anvil_wire/src/quota.rs
@@ -61,6 +61,9 @@
     pub ahead: u16,
     /// Suggested delay before a refused caller retries, in milliseconds.
     pub retry_after_millis: u32,
+    /// Requests of the account at all nodes together in recent seconds, admitted or not, in percent
+    /// of its quota's rate; zero if the home does not know it.
+    pub demand_percent: u16,
     /// The home that the entry node should use instead; the report was then not counted here.
     pub redirect: Option<HomeHint>,
 }
