Choose targets by expected completion

Cause: with bytes between zones weighed against the wait, the calls of a zone stayed in the queue of its only target although other zones had free slots. The queue is ordered by rank, so the lowest ranks waited until they were refused, for as long as the load lasted.

Change: with the switch expected_completion, a target with a free slot in any zone goes before a zone without one, and the bytes count only while the own zone has a free slot. Requests leave a full zone in proportion to its queue. A target is drawn by its free slots and the fourth power of the expected completion time, so that nodes with the same reports spread. Without the switch routing is as it was.

--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -5,6 +5,7 @@
 
 use anvil_overload::{admission, kind, limit, policy, rank, routing};
 use anvil_types::{context, ident, name, time};
+use anvil_wire::call;
 
 /// Number of services in the routing table of a large fleet.
 const SERVICES: u64 = 730;
@@ -30,8 +31,34 @@
 /// the attempt.
 #[divan::bench(args = [4, 19, 200])]
 fn route(bencher: divan::Bencher<'_, '_>, per_service: u64) {
+    bench_route(bencher, per_service, policy::OverloadPolicy::FULL, 0);
+}
+
+/// As [`route`], by expected completion.
+#[divan::bench(args = [4, 19, 200])]
+fn route_by_completion(bencher: divan::Bencher<'_, '_>, per_service: u64) {
+    bench_route(bencher, per_service, COMPLETION, 12);
+}
+
+/// As [`route_by_completion`], with full targets only.
+#[divan::bench(args = [4, 19, 200])]
+fn route_when_saturated(bencher: divan::Bencher<'_, '_>, per_service: u64) {
+    bench_route(bencher, per_service, COMPLETION, 60);
+}
+
+const COMPLETION: policy::OverloadPolicy = policy::OverloadPolicy {
+    expected_completion: true,
+    stay_in_zone: true,
+    ..policy::OverloadPolicy::FULL
+};
+
+fn bench_route(
+    bencher: divan::Bencher<'_, '_>,
+    per_service: u64,
+    policy: policy::OverloadPolicy,
+    running: u32,
+) {
     let zones = ["a", "b", "c", "d"].map(|zone| name::ZoneName::new(zone).expect("a name"));
-    let policy = policy::OverloadPolicy::FULL;
     let mut table = routing::RouteTable::new(zones[0].clone(), 1, policy);
     for number in 0..SERVICES {
         for target in 0..per_service {
@@ -48,6 +75,26 @@
     }
     let wanted = service(365);
     let now = time::NodeTime::from_millis(10_000);
+    let load = call::LoadReport {
+        running,
+        limit: 40,
+        usual_micros: 60_000,
+        pace_percent: 150,
+        ..call::LoadReport::default()
+    };
+    for node in (0..per_service).filter(|_| running > 0) {
+        let report = routing::AttemptReport {
+            class: context::PriorityClass::Normal,
+            kind: kind::CallKind(1),
+            end: routing::AttemptEnd::Succeeded,
+            load: Some(&load),
+            answer_bytes: Some(600),
+        };
+        let node = ident::NodeId(365 * per_service + node);
+        table.attempt_ended(now, &wanted, node, report);
+    }
+    // Reports are 300 ms old, so that their age is part of the cost.
+    let now = now + Duration::from_millis(300);
     bencher.bench_local(|| {
         let query = routing::RouteQuery {
             service: &wanted,
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -12,6 +12,7 @@
 use crate::{cut, kind, policy, rank};
 
 mod choice;
+mod completion;
 mod health;
 mod sizes;
 mod target;
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -1,11 +1,13 @@
 //! Chooses among the targets of one service.
 
+use std::time::Duration;
+
 use anvil_types::{ident, name, time};
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 use serde::Serialize;
 
-use crate::routing::{sizes, target};
+use crate::routing::{completion, sizes, target};
 use crate::{cut, kind, policy, rank, routing};
 
 /// Number of targets with known lines from which the lines of the other targets are inferred.
@@ -81,7 +83,7 @@
         source: &mut Pcg32,
     ) -> routing::RouteChoice {
         self.deep.record_request(now, query.kind);
-        if !policy.better_of_two {
+        if !policy.better_of_two && !policy.expected_completion {
             return self.next_in_turn(now, query, policy);
         }
         let picked = self.pick(now, query, policy, false, source);
@@ -117,6 +119,10 @@
                 && (allow_ejected || !target.ejected(now))
                 && (!policy.early_refusal || target.admits(now, &query.rank))
         };
+        if policy.expected_completion {
+            let eligible = self.targets.iter().map(|target| is_eligible(&target));
+            return self.pick_by_completion(now, query, policy, eligible, source);
+        }
         // A target that gave this node a pause is used only if all others did as well.
         let mut eligible = self.targets.iter().filter(is_eligible);
         let skip_paused = eligible.any(|target| target.pause_left(now).is_zero());
@@ -160,6 +166,79 @@
         drawn.flatten().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Chooses among the targets that are `eligible`, in the order of the table.
+    fn pick_by_completion<I>(
+        &self,
+        now: time::NodeTime,
+        query: &routing::RouteQuery<'_>,
+        policy: policy::OverloadPolicy,
+        eligible: I,
+        source: &mut Pcg32,
+    ) -> Option<usize>
+    where
+        I: Iterator<Item = bool>,
+    {
+        let has_limited = self
+            .targets
+            .iter()
+            .any(target::TargetRoute::is_rate_limited);
+        let usual_pause = if has_limited { self.usual_pause() } else { 0.0 };
+        let usual_pause = Duration::from_secs_f64(usual_pause / 1e6);
+        let usual_micros = self.usual_micros();
+        let mut candidates = Vec::with_capacity(self.targets.len());
+        let mut paused = Vec::new();
+        for ((index, target), eligible) in self.targets.iter().enumerate().zip(eligible) {
+            if !eligible {
+                continue;
+            }
+            let mut outlook = target.outlook(now, query.rank.class, policy, usual_micros);
+            // A target that gave this node a pause is used only if all others did as well.
+            let is_paused = !outlook.pause.is_zero();
+            if !target.has_reported() {
+                outlook.pause += usual_pause;
+            }
+            let same_zone = target.same_zone || !policy.zone_preference;
+            let candidate = completion::Candidate::new(index, same_zone, outlook);
+            if is_paused {
+                paused.push(candidate);
+            } else {
+                candidates.push(candidate);
+            }
+        }
+        if candidates.is_empty() {
+            candidates = paused;
+        }
+        let bytes = query.bytes.saturating_add(self.sizes.expected(query.kind));
+        let charge = match policy.stay_in_zone {
+            true => completion::CrossingCharge {
+                factor: 1.0,
+                micros: f64::from(bytes) * routing::CROSS_ZONE_MICROS_PER_BYTE,
+            },
+            false => completion::CrossingCharge {
+                factor: routing::CROSS_ZONE_FACTOR,
+                micros: 0.0,
+            },
+        };
+        completion::choose(&candidates, charge, source)
+    }
+
+    /// The mean of the usual run times that targets reported, in microseconds; zero if none did.
+    ///
+    /// A target without a report is taken to be as fast as the others. It would otherwise look like
+    /// the fastest of all and get every request until its first answer.
+    fn usual_micros(&self) -> f64 {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for micros in self
+            .targets
+            .iter()
+            .filter_map(target::TargetRoute::usual_micros)
+        {
+            sum += micros;
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     /// The mean pause in the latest reports of the targets, in microseconds.
     fn usual_pause(&self) -> f64 {
         let reported = self.targets.iter().filter(|target| target.has_reported());
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -7,6 +7,7 @@
 use anvil_wire::call;
 use serde::Serialize;
 
+use crate::routing::completion;
 use crate::{cut, pacing, policy, rank, routing};
 
 /// How long a reported load counts in full.
@@ -15,6 +16,17 @@
 /// Age at which a reported load no longer counts.
 pub const LOAD_EXPIRY: Duration = Duration::from_secs(1);
 
+/// How long the load of a target in another zone counts in full in the choice by expected
+/// completion.
+///
+/// A node that knows its own zone to be full sends few requests to each target elsewhere. If their
+/// reports aged as fast as those of its own zone, it would try full targets again and again, and the
+/// bytes would gain nothing.
+const OTHER_ZONE_FRESH: Duration = Duration::from_millis(500);
+
+/// Age at which that load no longer counts.
+const OTHER_ZONE_EXPIRY: Duration = Duration::from_secs(2);
+
 /// How long a newly known target gets less than its full share.
 pub const SLOW_START: Duration = Duration::from_secs(3);
 
@@ -213,6 +225,65 @@
         (wait + pause) * distance * failures + crossing
     }
 
+    /// What a new request of `class` can expect at this target. `usual_micros` is the run time of a
+    /// target that has not reported one.
+    ///
+    /// Requests that this node sent since the latest report count as waiting, because the report
+    /// does not include them.
+    pub(super) fn outlook(
+        &self,
+        now: time::NodeTime,
+        class: context::PriorityClass,
+        policy: policy::OverloadPolicy,
+        usual_micros: f64,
+    ) -> completion::TargetOutlook {
+        let from = class as usize;
+        let sum = |queued: &[u16]| queued.iter().copied().map(u32::from).sum::<u32>();
+        let queued_all = sum(&self.load.queued);
+        let queued_ahead = sum(&self.load.queued[from..]);
+        let sent_all: u32 = self.in_flight.iter().sum();
+        let sent_ahead: u32 = self.in_flight[from..].iter().sum();
+        let freshness = match self.same_zone {
+            true => self.freshness(now),
+            false => self.aged(now, OTHER_ZONE_FRESH, OTHER_ZONE_EXPIRY),
+        };
+        let (capacity, share) = self.started_capacity(now, policy);
+        let since = |sent: u32| f64::from(self.sent_since.min(sent));
+        let reported = f64::from(self.load.running + queued_all) * freshness;
+        let busy = (reported + since(sent_all)).max(f64::from(sent_all));
+        let ahead = f64::from(queued_ahead) * freshness + since(sent_ahead);
+        let ahead = ahead.max(f64::from(sent_ahead) - capacity);
+        let usual = self.usual_micros().unwrap_or(usual_micros);
+        completion::TargetOutlook {
+            capacity,
+            share,
+            busy,
+            ahead: ahead.min(busy - capacity).max(0.0),
+            run: usual.max(f64::from(MIN_SERVICE_MICROS)) * self.pace(now),
+            pause: self.pause_left(now),
+            failures: if policy.ejection {
+                self.recent_failures(now)
+            } else {
+                0.0
+            },
+        }
+    }
+
+    /// How long work takes at the target, as a multiple of its usual time. What the target stated
+    /// fades to the usual time as the report ages.
+    fn pace(&self, now: time::NodeTime) -> f64 {
+        match self.load.pace_percent {
+            0 => 1.0,
+            percent => 1.0 + (f64::from(percent) / 100.0 - 1.0) * self.freshness(now),
+        }
+    }
+
+    /// The usual run time that the target reported, in microseconds.
+    pub(super) fn usual_micros(&self) -> Option<f64> {
+        let reported = self.load.usual_micros;
+        (reported > 0).then(|| f64::from(reported))
+    }
+
     /// Failure rate, which fades if no new failures occur so that the target is tried again.
     fn recent_failures(&self, now: time::NodeTime) -> f64 {
         let age = now.since(self.failed_at).as_secs_f64();
@@ -254,25 +325,50 @@
     }
 
     fn capacity(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> f64 {
+        self.full_capacity() * self.slow_start_share(now, policy)
+    }
+
+    /// The slots that count, and the share of the free ones that this node may use.
+    ///
+    /// Once a target has reported its load, the slow start applies to its free slots only. A node
+    /// that restarts knows all targets for a moment only, and would otherwise take the target of its
+    /// own zone for full and send everything to other zones for three seconds.
+    fn started_capacity(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> (f64, f64) {
+        let share = self.slow_start_share(now, policy);
+        match self.has_reported() {
+            true => (self.full_capacity(), share),
+            false => (self.full_capacity() * share, 1.0),
+        }
+    }
+
+    fn full_capacity(&self) -> f64 {
         let known = if self.reported_at.is_some() && self.load.limit > 0 {
             self.load.limit
         } else {
             self.slots
         };
-        let capacity = f64::from(known.max(1));
+        f64::from(known.max(1))
+    }
+
+    fn slow_start_share(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> f64 {
         if !policy.slow_start {
-            return capacity;
+            return 1.0;
         }
         let age = now.since(self.since).as_secs_f64() / SLOW_START.as_secs_f64();
-        capacity * age.clamp(SLOW_START_SHARE, 1.0)
+        age.clamp(SLOW_START_SHARE, 1.0)
     }
 
     fn freshness(&self, now: time::NodeTime) -> f64 {
+        self.aged(now, LOAD_FRESH, LOAD_EXPIRY)
+    }
+
+    /// One up to the first age of the latest report, and falling to zero at the second.
+    fn aged(&self, now: time::NodeTime, fresh: Duration, expiry: Duration) -> f64 {
         let Some(reported_at) = self.reported_at else {
             return 0.0;
         };
         let age = now.since(reported_at).as_secs_f64();
-        let (fresh, expiry) = (LOAD_FRESH.as_secs_f64(), LOAD_EXPIRY.as_secs_f64());
+        let (fresh, expiry) = (fresh.as_secs_f64(), expiry.as_secs_f64());
         ((expiry - age) / (expiry - fresh)).clamp(0.0, 1.0)
     }
 
