Let an unreadable row affect its own requests only

Cause: one row of the desired state that could not be read made every node reject the whole document, so that corrections of other routes and accounts had no effect either.

An account with any fault is left out, and the table is marked partial, so that unknown keys get 503 and not 401. Documents without a fault keep their encoding.

--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -113,7 +113,7 @@
         match holder {
             Some(record) => CallerIdentity::Account(Arc::clone(record)),
             None if treatment.public => CallerIdentity::Anonymous,
-            None => CallerIdentity::Refused(refusal_without_key(hints)),
+            None => CallerIdentity::Refused(self.refusal_without_key(hints)),
         }
     }
 
@@ -138,6 +138,34 @@
         holder != open.account.name.as_ref()
     }
 
+    /// The reason to refuse a key that no account in force holds. While accounts are left out because
+    /// they could not be read, the key may belong to one of them, and a refusal as unauthenticated
+    /// would be final and false.
+    pub(crate) fn unknown_key_reason(&self) -> verdict::RefusalReason {
+        match self.book.has_partial_accounts() {
+            true => verdict::RefusalReason::AccountsUnreadable,
+            false => verdict::RefusalReason::Unauthenticated,
+        }
+    }
+
+    /// The reason to refuse a caller without a known key.
+    ///
+    /// Targets send no key on their own calls. A call that refers to an unknown run was most likely
+    /// made for a request that the previous process of this node accepted. Its account can't be
+    /// determined, and a refusal as unauthenticated would be final, so the caller gets a reason that
+    /// allows a retry.
+    fn refusal_without_key(&self, hints: &event::CallerHints) -> verdict::RefusalReason {
+        match hints.credential {
+            account::CallerCredential::Key(_) => self.unknown_key_reason(),
+            account::CallerCredential::None if hints.parent_label.is_some() => {
+                verdict::RefusalReason::AccountUnknown
+            }
+            account::CallerCredential::None | account::CallerCredential::Malformed => {
+                verdict::RefusalReason::Unauthenticated
+            }
+        }
+    }
+
     /// Takes a token of the quota for a call; returns false if the call has to wait for one or was
     /// refused.
     pub(crate) fn take_token(&mut self, sequence: u64) -> bool {
@@ -336,17 +364,3 @@
         self.calls.get(sequence)?.account.metered_account()
     }
 }
-
-/// The reason to refuse a caller without a known key.
-///
-/// Targets send no key on their own calls. A call that refers to an unknown run was most likely
-/// made for a request that the previous process of this node accepted. Its account can't be
-/// determined, and a refusal as unauthenticated would be final, so the caller gets a reason that
-/// allows a retry.
-fn refusal_without_key(hints: &event::CallerHints) -> verdict::RefusalReason {
-    let keyless = hints.credential == account::CallerCredential::None;
-    match keyless && hints.parent_label.is_some() {
-        true => verdict::RefusalReason::AccountUnknown,
-        false => verdict::RefusalReason::Unauthenticated,
-    }
-}
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -10,6 +10,8 @@
     pub calls_arrived: u64,
     /// Requests refused because they carry no key of a known account.
     pub calls_unauthenticated: u64,
+    /// Requests refused because their rule, or some client account, could not be read.
+    pub calls_unreadable: u64,
     /// Requests refused because their account has used up its quota.
     pub calls_over_quota: u64,
     /// Replies with a complete answer.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -153,7 +153,7 @@
             return;
         }
         if self.is_key_revoked(sequence) {
-            let reason = verdict::RefusalReason::Unauthenticated;
+            let reason = self.unknown_key_reason();
             self.end_call(sequence, not_run(reason), None);
             return;
         }
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -77,6 +77,10 @@
             "routes": self.directory.routes(),
             "keys": self.key_dump(),
             "accounts": self.accounts_dump(),
+            "unreadable": {
+                "rules": self.book.unreadable_rules(),
+                "accounts": self.book.has_partial_accounts(),
+            },
             "notices": self.notices_dump(),
         })
     }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -39,8 +39,15 @@
         if open.treatment.action == treatment::RuleAction::NotFound {
             return Some(verdict::RefusalReason::NotFound);
         }
+        if open.treatment.action == treatment::RuleAction::Unreadable {
+            self.counters.calls_unreadable += 1;
+            return Some(verdict::RefusalReason::RuleUnreadable);
+        }
         if let Some(reason) = open.account.refusal {
-            self.counters.calls_unauthenticated += 1;
+            match reason {
+                verdict::RefusalReason::AccountsUnreadable => self.counters.calls_unreadable += 1,
+                _ => self.counters.calls_unauthenticated += 1,
+            }
             return Some(reason);
         }
         if let Some(limit) = self.quarantine_of(open.context.fingerprint) {
@@ -299,6 +306,9 @@
             }
             verdict::RefusalReason::Quarantined => self.quarantine_remaining(open),
             verdict::RefusalReason::OverQuota => quota_pause(open),
+            verdict::RefusalReason::RuleUnreadable | verdict::RefusalReason::AccountsUnreadable => {
+                Some(refusal::retry_after_correction(open.context.lane))
+            }
             verdict::RefusalReason::UnknownService
             | verdict::RefusalReason::BodyTooLarge
             | verdict::RefusalReason::KeyMismatch
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -43,6 +43,19 @@
         self.keys.as_ref()
     }
 
+    /// The number of rules whose requests are refused because their configuration can't be read.
+    pub fn unreadable_rules(&self) -> usize {
+        let unreadable = Some(treatment::RuleAction::Unreadable);
+        let rules = self.document.rules().iter();
+        rules.filter(|rule| rule.then.action == unreadable).count()
+    }
+
+    /// Whether accounts are left out because they could not be read.
+    pub fn has_partial_accounts(&self) -> bool {
+        let accounts = self.document.accounts();
+        accounts.is_some_and(|table| table.is_partial())
+    }
+
     /// Whether a rule sends requests to `service`.
     pub fn names_service(&self, service: &name::ServiceName) -> bool {
         let mut destinations = self.document.rules().iter();
--- a/crates/anvil_core/tests/accounts.rs
+++ b/crates/anvil_core/tests/accounts.rs
@@ -123,6 +123,30 @@
     assert_eq!(support::replies(&effects), [(1, UNAUTHENTICATED)]);
 }
 
+// A new version has a row that can't be read, and the account of a waiting request is missing. Its key
+// may be in that row, so its caller must not be told that the key is unknown, which is final.
+#[test]
+fn a_key_of_a_left_out_account_is_not_unauthenticated() {
+    let mut node = with_rules(support::entry_node(), None);
+    support::add_peer(&mut node, support::PEER);
+    let effects = node.step(support::at(1), arrival(1, Some(KEY), "9c41", None));
+    let (peer, call) = support::sent_calls(&effects).remove(0);
+    let full = verdict::CallVerdict::NotRun(verdict::RefusalReason::QueueFull);
+    node.step(support::at(2), support::answer(peer, &call, full));
+    let partial = rules(&[b"new"], None, 3);
+    let accounts = table::AccountTable::clone(partial.accounts().unwrap()).with_partial(true);
+    let partial = partial.with_accounts(Some(Arc::new(accounts)));
+    assert!(node.adopt_rules(ident::RuleRevision(2), partial));
+    let mut effects = support::run_until(&mut node, support::at(500));
+    assert!(support::sent_calls(&effects).is_empty());
+    effects.extend(node.step(support::at(501), arrival(2, Some(KEY), "9c42", None)));
+    effects.extend(node.step(support::at(502), arrival(3, None, "9c43", None)));
+    let reason = verdict::RefusalReason::AccountsUnreadable;
+    let unreadable = verdict::CallVerdict::NotRun(reason);
+    let expected = [(1, unreadable), (2, unreadable), (3, UNAUTHENTICATED)];
+    assert_eq!(support::replies(&effects), expected);
+}
+
 // The account's class takes precedence; the rule's class orders requests within it.
 #[test]
 fn the_account_sets_the_class_and_the_rule_sets_the_lane_band() {
--- a/crates/anvil_core/tests/rules.rs
+++ b/crates/anvil_core/tests/rules.rs
@@ -117,6 +117,30 @@
     assert_eq!(reply, Some((refused, rule)));
 }
 
+// A route whose destination can't be read must neither run nor be answered as final.
+#[test]
+fn an_unreadable_rule_runs_nothing_and_says_when_to_return() {
+    let mut node = node();
+    let text = "rules: [{name: broken, then: {action: unreadable}}]";
+    assert!(node.adopt_rules(ident::RuleRevision(4), document(text)));
+    let effects = arrive(&mut node, "GET", "/bids");
+    let replies = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::RunTarget(_) => Some(None),
+        effect::NodeEffect::ReplyCaller { reply, .. } => Some(Some(reply)),
+        _ => None,
+    });
+    let replies: Vec<_> = replies.flatten().collect();
+    let [reply] = replies.as_slice() else {
+        unreachable!("{effects:?}");
+    };
+    let refused = verdict::CallVerdict::NotRun(verdict::RefusalReason::RuleUnreadable);
+    assert_eq!(reply.verdict, refused);
+    assert!(reply.retry_after.is_some());
+    let (dump, _) = query(&mut node, event::OperatorRequest::Dump);
+    assert_eq!(dump["unreadable"]["rules"], 1);
+    assert_eq!(dump["counters"]["calls_unreadable"], 1);
+}
+
 fn check_adoption(revision: u64, adopted: bool) {
     // Rules arrive by gossip, by pull and from the store, late and in any order. An older document
     // that arrives after a newer one must not revert an accepted change.
--- a/crates/anvil_node/src/caller/problem.rs
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -113,6 +113,8 @@
             "the quota of the client account is used up",
         ),
         Reason::AccountUnknown => (busy(), "nobody knows for which account the target calls"),
+        Reason::RuleUnreadable => (busy(), "the rules for the request can't be read"),
+        Reason::AccountsUnreadable => (busy(), "some client accounts can't be read"),
         Reason::OutOfTurn => (busy(), "requests in front of it are not answered yet"),
     }
 }
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -171,6 +171,7 @@
     caller_connections: IntGauge,
     target_connections: IntGauge,
     peer_connections: IntGauge,
+    unreadable_rows: IntGauge,
 }
 
 impl EdgeCounters {
@@ -208,6 +209,11 @@
             "anvil_peer_connections",
             "Connections to other nodes open at present, in connections.",
         )?;
+        let unreadable_rows = gauge(
+            &registry,
+            "anvil_unreadable_rows",
+            "Rows of the desired state with a fault, in rows of the newest version read.",
+        )?;
         Ok(Self {
             registry,
             events,
@@ -216,6 +222,7 @@
             caller_connections,
             target_connections,
             peer_connections,
+            unreadable_rows,
         })
     }
 
@@ -259,6 +266,11 @@
         &self.peer_connections
     }
 
+    /// Rows with a fault in the newest desired state that was accepted from the store.
+    pub fn unreadable_rows(&self) -> &IntGauge {
+        &self.unreadable_rows
+    }
+
     /// The registry, for the metrics endpoint.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/anvil_node/src/dialect.rs
+++ b/crates/anvil_node/src/dialect.rs
@@ -66,13 +66,16 @@
         hosted: &hosted::HostedSettings,
         counters: &counters::EdgeCounters,
     ) -> Self {
+        let unreadable_rows = counters.unreadable_rows();
         let counters = platform_store::StoreCounters {
             unreadable_items: counters.counter(counters::EdgeCause::StoreItemUnreadable),
             era_changes: counters.counter(counters::EdgeCause::StoreEraChanged),
         };
         let store = settings.platform.first().copied();
-        let store =
-            store.map(|address| platform_store::PlatformStore::new(address, counters.clone()));
+        let store = store.map(|address| {
+            platform_store::PlatformStore::new(address, counters)
+                .with_unreadable_rows(unreadable_rows.clone())
+        });
         let control = platform_control::PlatformControl {
             lease: hosted.announcement_lease(),
         };
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -26,6 +26,10 @@
 /// Shortest pause of a caller of a service that no node offers.
 const MIN_RESTART_PAUSE: Duration = Duration::from_millis(700);
 
+/// Shortest pause of a caller whose rule or account can't be read. Nodes know a corrected version
+/// within seconds, but an operator takes longer to write it.
+const MIN_CORRECTION_PAUSE: Duration = Duration::from_secs(10);
+
 /// The limit that refused a request, with its value at that moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -148,6 +152,12 @@
     MIN_RESTART_PAUSE + spread
 }
 
+/// Pause after which a caller should retry if its rule or account can't be read. The lane spreads
+/// callers over as long again, so that they do not return together.
+pub fn retry_after_correction(lane: context::LaneHash) -> Duration {
+    MIN_CORRECTION_PAUSE + MIN_CORRECTION_PAUSE * u32::from(lane.0) / 256
+}
+
 /// Pause after which a refused caller should retry; it grows with the distance below the cut line.
 ///
 /// The lane spreads callers that were refused at the same moment over a second, so that they do not
--- a/crates/anvil_rules/src/account.rs
+++ b/crates/anvil_rules/src/account.rs
@@ -30,6 +30,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountTable {
     accounts: Vec<Arc<AccountRecord>>,
+    /// Encoded by [`encoding`], so that the bytes of a complete table stay what they were.
+    #[serde(skip)]
+    partial: bool,
 }
 
 impl AccountTable {
@@ -37,11 +40,26 @@
     pub fn new(accounts: Vec<AccountRecord>) -> Result<Self, change::ChangeConflict> {
         let mut accounts: Vec<_> = accounts.into_iter().map(Arc::new).collect();
         accounts.sort_by(|a, b| a.name.cmp(&b.name));
-        let table = Self { accounts };
+        let table = Self {
+            accounts,
+            partial: false,
+        };
         table.check()?;
         Ok(table)
     }
 
+    /// Marks whether accounts are left out because they could not be read.
+    #[must_use]
+    pub fn with_partial(self, partial: bool) -> Self {
+        Self { partial, ..self }
+    }
+
+    /// Whether accounts are left out because they could not be read. A key that no account holds
+    /// may then belong to one of them.
+    pub const fn is_partial(&self) -> bool {
+        self.partial
+    }
+
     /// The accounts in order of their names.
     pub fn accounts(&self) -> &[Arc<AccountRecord>] {
         &self.accounts
@@ -104,3 +122,51 @@
         (known == digest).then_some(record)
     }
 }
+
+/// The encoding of the accounts of a document.
+///
+/// A table without left-out accounts, and a missing one, have the bytes of an [`Option`], so that
+/// logs and peers from before partial tables can be read and can read them.
+pub(crate) mod encoding {
+    use std::sync::Arc;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use super::AccountTable;
+
+    #[derive(Serialize, Deserialize)]
+    enum EncodedAccounts<Table> {
+        Missing,
+        Complete(Table),
+        Partial(Table),
+    }
+
+    pub(crate) fn serialize<S>(
+        accounts: &Option<Arc<AccountTable>>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let encoded = match accounts.as_deref() {
+            None => EncodedAccounts::Missing,
+            Some(table) if table.partial => EncodedAccounts::Partial(table),
+            Some(table) => EncodedAccounts::Complete(table),
+        };
+        encoded.serialize(serializer)
+    }
+
+    pub(crate) fn deserialize<'de, D>(
+        deserializer: D,
+    ) -> Result<Option<Arc<AccountTable>>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let encoded = EncodedAccounts::<AccountTable>::deserialize(deserializer)?;
+        Ok(match encoded {
+            EncodedAccounts::Missing => None,
+            EncodedAccounts::Complete(table) => Some(Arc::new(table)),
+            EncodedAccounts::Partial(table) => Some(Arc::new(table.with_partial(true))),
+        })
+    }
+}
--- a/crates/anvil_rules/src/change.rs
+++ b/crates/anvil_rules/src/change.rs
@@ -57,6 +57,7 @@
     )]
     Accounts {
         /// The accounts; `None` if requests need no key.
+        #[serde(with = "account::encoding")]
         accounts: Option<Arc<account::AccountTable>>,
     },
 }
--- a/crates/anvil_rules/src/document.rs
+++ b/crates/anvil_rules/src/document.rs
@@ -30,6 +30,7 @@
 pub struct RuleDocument {
     rules: Vec<Arc<NamedRule>>,
     /// The accounts whose requests are served; `None` if requests need no key.
+    #[serde(with = "account::encoding")]
     accounts: Option<Arc<account::AccountTable>>,
 }
 
--- a/crates/anvil_rules/src/explain.rs
+++ b/crates/anvil_rules/src/explain.rs
@@ -109,6 +109,7 @@
         treatment::RuleAction::Serve => "serve",
         treatment::RuleAction::Refuse => "refuse",
         treatment::RuleAction::NotFound => "not-found",
+        treatment::RuleAction::Unreadable => "unreadable",
     };
     let ratio = format!("{}%", decided.retry_ratio_percent);
     let retries = decided.chain_retries.to_string();
--- a/crates/anvil_rules/src/outcome.rs
+++ b/crates/anvil_rules/src/outcome.rs
@@ -37,7 +37,7 @@
     pub objective: Option<Duration>,
     /// The services that matching requests are sent to; if unset, the caller names the service.
     pub send_to: Option<destination::RuleDestination>,
-    /// Whether matching requests are served, refused or answered as not found.
+    /// Whether matching requests are served, refused, or answered as not found or not readable.
     pub action: Option<treatment::RuleAction>,
     /// Whether matching requests are served without the key of a client account.
     pub public: Option<bool>,
--- a/crates/anvil_rules/src/parse_then.rs
+++ b/crates/anvil_rules/src/parse_then.rs
@@ -28,13 +28,14 @@
 pub(crate) const CLASS_KEYWORDS: [&str; 4] = ["low", "normal", "high", "critical"];
 
 /// Keywords for [`ACTIONS`], in the same order.
-const ACTION_KEYWORDS: [&str; 3] = ["serve", "refuse", "not-found"];
+const ACTION_KEYWORDS: [&str; 4] = ["serve", "refuse", "not-found", "unreadable"];
 
 /// All actions.
-const ACTIONS: [treatment::RuleAction; 3] = [
+const ACTIONS: [treatment::RuleAction; 4] = [
     treatment::RuleAction::Serve,
     treatment::RuleAction::Refuse,
     treatment::RuleAction::NotFound,
+    treatment::RuleAction::Unreadable,
 ];
 
 /// Fields of one part of a traffic split.
--- a/crates/anvil_rules/tests/accounts.rs
+++ b/crates/anvil_rules/tests/accounts.rs
@@ -119,6 +119,25 @@
     assert_eq!(changed, new);
 }
 
+// Nodes exchange documents and logs outlive them. The mark of a partial table must survive both, and a
+// complete table must keep the bytes of an option, which earlier versions read.
+#[test]
+fn a_partial_table_is_encoded_beside_an_option() {
+    let accounts = table(vec![record("a", "1")]).expect("a table");
+    let partial = account::AccountTable::clone(&accounts).with_partial(true);
+    let plain = parsed("rules: [{name: all, then: {}}]");
+    for (accounts, tag) in [(None, 0), (Some(accounts), 1), (Some(Arc::new(partial)), 2)] {
+        let document = plain.clone().with_accounts(accounts);
+        let bytes = codec::encode_document(&document).expect("encoding succeeds");
+        let rules = codec::encode_document(&plain).expect("encoding succeeds");
+        assert_eq!(bytes[rules.len() - 1], tag);
+        let decoded = codec::decode_document(&bytes).expect("encoded above");
+        assert_eq!(decoded, document);
+        let edits = change::diff(&plain, &document);
+        assert_eq!(edits.len(), usize::from(tag > 0));
+    }
+}
+
 #[test]
 fn an_account_table_with_a_duplicate_is_refused() {
     let duplicate = account::AccountTable::new(vec![record("a", "1"), record("b", "1")]);
--- a/crates/anvil_types/src/treatment.rs
+++ b/crates/anvil_types/src/treatment.rs
@@ -51,6 +51,8 @@
     /// Answer that nothing exists at its host and path.
     #[serde(rename = "not-found")]
     NotFound,
+    /// Answer that the configuration of the matching requests could not be read, as not run.
+    Unreadable,
 }
 
 impl Default for RuleTreatment {
--- a/crates/anvil_types/src/verdict.rs
+++ b/crates/anvil_types/src/verdict.rs
@@ -93,6 +93,12 @@
     /// The target would get more than the rate that it named.
     #[display("rate-limited")]
     RateLimited,
+    /// The configuration of the request's route could not be read.
+    #[display("rule-unreadable")]
+    RuleUnreadable,
+    /// No readable client account holds the request's key, but some account could not be read.
+    #[display("accounts-unreadable")]
+    AccountsUnreadable,
 }
 
 /// Why it is unknown whether a request ran.
