Spend retries of refused calls on the requests that they complete

Cause: where targets refuse half of their requests for reasons of their own, retries are spread over all requests of a class, and each needs several of them. The pauses double up to the deadline of the calls, and each window of the concurrency limit with a refusal takes a fifth of it, down to one slot.

`RetryBudget::claim` grants retries by the demand of the higher classes, by whether the refill covers the lane, and by what the request still needs; a covered request may wait for the refill. The burst is divided exactly among the nodes. `refusal_trial` tells refusals at any concurrency from those for lack of slots. `run_calls` learns how many calls a run makes, and loans of retries can be extended. All of it needs `refusal_retries`.

--- a/crates/anvil_overload/src/allowance.rs
+++ b/crates/anvil_overload/src/allowance.rs
@@ -60,6 +60,31 @@
         self.lend(id, self.pool.div_ceil(2).min(max))
     }
 
+    /// Lends a downstream call an equal part of the pool, if `sharers` calls including this one are
+    /// expected to draw on it, but at most `max`.
+    pub fn lend_share(&mut self, id: u64, sharers: u16, max: u16) -> u16 {
+        self.lend(id, self.pool.div_ceil(sharers.max(1)).min(max))
+    }
+
+    /// Adds one retry to the loan of call `id`, which has used up its own; returns false if none is
+    /// left or the call has no loan.
+    pub fn extend(&mut self, id: u64) -> bool {
+        let index = self.loans.binary_search_by_key(&id, |loan| loan.id);
+        match index {
+            Ok(index) if self.pool > 0 => {
+                self.pool -= 1;
+                self.loans[index].amount += 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes over one retry by which the lender has extended the loan of this call.
+    pub fn add_extension(&mut self) {
+        self.pool += 1;
+    }
+
     /// Returns the unspent part of the loan of call `id`. Repeated and late answers have no effect,
     /// and a call that reports more than its loan is charged only the loan.
     pub fn settle(&mut self, id: u64, spent: u16) {
--- a/crates/anvil_overload/src/limit.rs
+++ b/crates/anvil_overload/src/limit.rs
@@ -5,7 +5,7 @@
 use anvil_types::time;
 use serde::Serialize;
 
-use crate::policy;
+use crate::{policy, refusal_trial};
 
 /// Shortest evaluation window.
 pub const LIMIT_WINDOW: Duration = Duration::from_millis(100);
@@ -110,6 +110,10 @@
     running_sum: u64,
     starts: u32,
     refused: u32,
+    /// Runs that ended in the current window with an answer or a refusal.
+    #[serde(skip)]
+    ended: u32,
+    refusal_trial: refusal_trial::RefusalTrial,
     #[serde(skip)]
     samples: Vec<u64>,
     #[serde(skip)]
@@ -135,6 +139,8 @@
             opened: now,
             peak: 0,
             refused: 0,
+            ended: 0,
+            refusal_trial: refusal_trial::RefusalTrial::default(),
             samples: Vec::new(),
             policy,
         }
@@ -184,6 +190,7 @@
         if !self.policy.adaptive_limit {
             return;
         }
+        self.ended += u32::from(sample.end != RunEnd::Cancelled);
         match sample.end {
             RunEnd::Refused => self.refused += 1,
             RunEnd::Completed | RunEnd::TimedOut => self.record_sample(now, sample),
@@ -212,8 +219,21 @@
         if now.since(self.opened) < LIMIT_WINDOW {
             return;
         }
-        if self.refused > 0 {
-            self.cut_for_refusals();
+        let window = refusal_trial::RefusalWindow {
+            refused: self.refused,
+            ended: self.ended,
+            saturated: f64::from(self.peak) >= self.limit.floor(),
+        };
+        let (finding, limit) = (self.judge_refusals(window), self.limit);
+        if finding == refusal_trial::RefusalFinding::Unclear {
+            return;
+        }
+        if let refusal_trial::RefusalFinding::Reduce(part) = finding {
+            self.cut_for_refusals(part);
+        } else if let refusal_trial::RefusalFinding::Restore(limit) = finding {
+            self.limit = limit.min(f64::from(self.slots)).max(self.limit);
+        } else if finding == refusal_trial::RefusalFinding::Settling {
+            // Runs from before the reduction say nothing about it.
         } else if self.samples.len() < self.needed_samples() {
             return;
         } else if self.settling {
@@ -221,23 +241,37 @@
         } else {
             self.evaluate();
         }
+        self.refusal_trial.close(window, finding, limit);
         self.opened = now;
         self.peak = 0;
         self.running_sum = 0;
         self.starts = 0;
         self.refused = 0;
+        self.ended = 0;
         self.samples.clear();
     }
 
+    /// What the refusals of the window mean for the limit.
+    fn judge_refusals(
+        &self,
+        window: refusal_trial::RefusalWindow,
+    ) -> refusal_trial::RefusalFinding {
+        match (self.policy.refusal_retries, self.refused) {
+            (true, _) => self.refusal_trial.judge(window),
+            (false, 0) => refusal_trial::RefusalFinding::Independent,
+            (false, _) => refusal_trial::RefusalFinding::Reduce(REFUSAL_LIMIT_SHARE),
+        }
+    }
+
     fn needed_samples(&self) -> usize {
         let (min, max) = WINDOW_SAMPLE_BOUNDS;
         let rounds = if self.ramping { 1 } else { 2 };
         (rounds * self.current() as usize).clamp(min, max)
     }
 
-    fn cut_for_refusals(&mut self) {
+    fn cut_for_refusals(&mut self, part: f64) {
         let used = f64::from(self.peak).min(self.limit);
-        self.limit = (used * REFUSAL_LIMIT_SHARE).max(1.0);
+        self.limit = (used * part).max(1.0);
         self.ramping = false;
         self.trial = None;
     }
--- a/crates/anvil_overload/src/ratio.rs
+++ b/crates/anvil_overload/src/ratio.rs
@@ -7,6 +7,10 @@
 
 use crate::rank;
 
+mod claim;
+
+pub use claim::{RetryClaim, RetryGrant};
+
 /// Capacity of the retry budget of a single node, in retries.
 pub const RATIO_BURST: u64 = 20;
 
@@ -53,6 +57,8 @@
     burst: u64,
     /// Refill that does not depend on traffic, in micro-retries a second.
     floor_per_second: u64,
+    /// Refill that may accumulate beyond the burst, in percent of the mean of a window.
+    saved_percent: u64,
 }
 
 impl RatioLimits {
@@ -60,6 +66,7 @@
     pub const NODE: Self = Self {
         burst: RATIO_BURST * MICROS_PER_RETRY,
         floor_per_second: RATIO_FLOOR_PER_SECOND * MICROS_PER_RETRY,
+        saved_percent: 100,
     };
 
     /// Limits of one node if `nodes` share a burst of `fleet_burst` retries.
@@ -68,6 +75,19 @@
         Self {
             burst: (u64::from(fleet_burst) * MICROS_PER_RETRY / nodes).max(MICROS_PER_RETRY),
             floor_per_second: 0,
+            saved_percent: 100,
+        }
+    }
+
+    /// The same limits for claims of retries: the burst is divided exactly, so that the parts of
+    /// many nodes never add up to more than the whole, and more refill may accumulate.
+    #[must_use]
+    pub fn for_claims(self, fleet_burst: u32, nodes: usize) -> Self {
+        let nodes = u64::try_from(nodes.max(1)).unwrap_or(u64::MAX);
+        Self {
+            burst: u64::from(fleet_burst) * MICROS_PER_RETRY / nodes,
+            saved_percent: claim::SAVED_PERCENT,
+            ..self
         }
     }
 }
@@ -105,6 +125,10 @@
     requested: DemandSums,
     #[serde(rename = "former_asked")]
     previous_requested: DemandSums,
+    /// Moving mean of the micro-retries requested in a window, at each priority step.
+    mean_requested: DemandSums,
+    /// The highest number of recent windows, which decays.
+    peak_requested: DemandSums,
 }
 
 /// Priority steps: within each class, one step for each class that the rules assign.
@@ -130,6 +154,8 @@
             ended: 0,
             requested: [0; PRIORITY_STEPS],
             previous_requested: [0; PRIORITY_STEPS],
+            mean_requested: [0; PRIORITY_STEPS],
+            peak_requested: [0; PRIORITY_STEPS],
         }
     }
 
@@ -143,6 +169,7 @@
             self.next = (self.next + 1) % SHARE_WINDOWS;
             self.ended = (self.ended + 1).min(SHARE_WINDOWS);
             self.previous_requested = std::mem::take(&mut self.requested);
+            self.update_demand();
         }
         self.began = self.began + SHARE_WINDOW * over;
     }
@@ -206,11 +233,7 @@
     pub fn spend(&mut self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
         self.fill(now);
         let reserve = self.reserve_above(rank);
-        let allowed = self.tokens >= signed(MICROS_PER_RETRY.max(reserve));
-        if allowed {
-            self.tokens -= signed(MICROS_PER_RETRY);
-        }
-        allowed
+        self.take(now, reserve)
     }
 
     /// Micro-retries that a request of `rank` must leave to higher ranks; counts its demand as
@@ -231,7 +254,7 @@
 
     /// Maximum level of the bucket: the burst, and the refill of one window.
     fn capacity(&self) -> u64 {
-        self.limits.burst + self.share.mean()
+        self.limits.burst + self.share.mean() * self.limits.saved_percent / 100
     }
 
     /// Adds the refill that has accrued since the last call.
--- a/crates/anvil_overload/tests/allowance.rs
+++ b/crates/anvil_overload/tests/allowance.rs
@@ -179,3 +179,27 @@
     let forgotten = resend::ResendGrant::Granted(3);
     assert_eq!(ledger.begin(now, ident::RequestId(0), 3), forgotten);
 }
+
+// Two concurrent calls are lent half of the retries each, and one of them is refused more often
+// than its loan covers. It may draw on what the other returned, but never on more than the root has.
+#[test]
+fn extended_loans_stay_within_the_root() {
+    let mut run = allowance::ChainAllowance::new(6);
+    let loans = [run.lend_share(1, 2, 24), run.lend_share(2, 1, 24)];
+    assert_eq!(loans, [3, 3]);
+    let mut call = allowance::ChainAllowance::new(loans[0]);
+    assert!(!run.extend(1));
+    run.settle(2, 1);
+    let mut retries = 0;
+    loop {
+        if call.available() == 0 && run.extend(1) {
+            call.add_extension();
+        }
+        if !call.spend() {
+            break;
+        }
+        retries += 1;
+    }
+    run.settle(1, call.spent());
+    assert_eq!((retries, run.spent(), run.available()), (5, 6, 0));
+}
