Retry calls at targets that refused them, and count these calls

Cause: a refused call goes to the next target after a pause that doubles, and after the fourth refusal to any target, the one that failed and the one just asked among them.

Change: `refused_calls` continues calls that a target with free slots refused. The call returns to such targets once the others were tried, to the one just asked last, after 2.5 to 5 ms by default. Each retry is judged and claimed first; one that the refill covers may wait. A call may draw on retries that its run has left. Counters, gauges, a log line for a service that begins or ceases to refuse, and the dump show the calls. All of it needs `refusal_retries`.

Measured: a call with eight refusals is answered within 100 ms (`tests/refused_calls.rs`). On the scarce mesh with targets that refuse half, certifications are served more than 1.2 times as often as without the switch.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -149,6 +149,15 @@
         self.overload
             .dependencies
             .record_run(run.kind, run.waits.called());
+        if self.overload.policy.refusal_retries
+            && verdict == verdict::CallVerdict::Answered
+            && status < retrying::SERVER_ERROR
+        {
+            let waits = &run.waits;
+            self.overload
+                .run_calls
+                .record(run.kind, waits.overlap(), waits.counts());
+        }
         let sample = limit::RunSample {
             latency: now.since(started),
             downstream: run.waits.total(now),
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -65,6 +65,10 @@
     pub redirects: u8,
     /// Nodes that refused or failed an attempt.
     pub tried: Vec<ident::NodeId>,
+    /// Nodes whose target refused the latest attempt there although it had free slots.
+    pub refusers: Vec<ident::NodeId>,
+    /// Whether the call waits for a retry that the budget could not pay yet.
+    pub awaits_retry: bool,
     /// Why an attempt may have run, if the outcome of one is uncertain.
     pub uncertainty: Option<verdict::UncertaintyReason>,
     /// What the call waits for.
--- a/crates/anvil_core/src/contexts.rs
+++ b/crates/anvil_core/src/contexts.rs
@@ -50,9 +50,15 @@
         let parent = self.runs.get_mut(run)?;
         // The retries are taken out of the parent's allowance until the child's answer returns the
         // unspent ones, so parallel children can't spend the same retry twice.
-        let granted = parent
-            .allowance
-            .lend_child(sequence, treatment.chain_retries);
+        let overlap = self.overload.call_overlap(parent.kind);
+        let max = treatment.chain_retries;
+        let granted = match overlap {
+            Some(overlap) => {
+                let sharers = overlap.saturating_sub(parent.waits.open());
+                parent.allowance.lend_share(sequence, sharers, max)
+            }
+            None => parent.allowance.lend_child(sequence, max),
+        };
         let needed = dependency::NeededCall {
             service: request.service.clone(),
             kind: kind::CallKind::of(request),
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -41,6 +41,11 @@
     pub targets_crashed: u64,
     /// Retries that the retry ratio did not allow.
     pub retries_over_ratio: u64,
+    /// Retries after a target's refusal that were not made because their request would probably
+    /// not have been completed.
+    pub retries_hopeless: u64,
+    /// Retries that had to wait until the retry ratio allowed them.
+    pub retries_delayed: u64,
     /// Runs cancelled because their caller or parent was gone.
     pub runs_cancelled: u64,
     /// Attempts whose outcome was queried because their connection had ended.
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -85,6 +85,15 @@
             .choose(now, routing::RouteQuery { exclude, ..query })
     }
 
+    /// Chooses a node that is not excluded.
+    pub fn choose_other(
+        &mut self,
+        now: time::NodeTime,
+        query: routing::RouteQuery<'_>,
+    ) -> routing::RouteChoice {
+        self.routes.choose(now, query)
+    }
+
     /// Whether a target that `query` does not exclude would be chosen.
     pub fn has_other(&mut self, now: time::NodeTime, query: routing::RouteQuery<'_>) -> bool {
         let choice = self.routes.choose(now, query);
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -151,6 +151,16 @@
         /// Whether the target is leaving.
         leaving: bool,
     },
+    /// Targets of a service began to refuse calls although they have free slots, or ceased to.
+    #[display("service refuses: service={service} share={share_percent}%")]
+    ServiceRefuses {
+        /// The service.
+        service: name::ServiceName,
+        /// Share of the attempts that are refused, in percent.
+        share_percent: u16,
+        /// Whether it is high enough that retries depend on it.
+        refusing: bool,
+    },
     /// A free-form message of one part of the node.
     #[display("{part}: {text}")]
     Part {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -85,6 +85,8 @@
             possible_runs: 0,
             redirects: 0,
             tried: Vec::new(),
+            refusers: Vec::new(),
+            awaits_retry: false,
             uncertainty: None,
             stage: calls::CallStage::Pausing,
             parent,
@@ -157,7 +159,7 @@
             self.end_call(sequence, not_run(reason), None);
             return;
         }
-        match self.directory.choose(self.now, open.route_query()) {
+        match self.choose_target(sequence) {
             routing::RouteChoice::Target {
                 node,
                 address,
@@ -404,6 +406,7 @@
         };
         let verdict = open.final_verdict(verdict);
         let served = answer.as_ref().is_some_and(settling::is_served);
+        self.count_refused_call(&open, verdict);
         self.return_allowance(sequence, &open, served);
         self.record_call_refusal(&open, verdict);
         self.finish_key(sequence, &open, verdict, answer.as_ref());
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -26,6 +26,7 @@
 mod outcome_queries;
 mod overload;
 pub mod reducer;
+mod refused_calls;
 pub mod request_log;
 mod retrying;
 mod rollout;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -87,6 +87,7 @@
         counters["keys"] = self.key_counters();
         counters["quota"] = json!(self.quota_counters());
         counters["named_rate"] = self.rate_gauges();
+        counters["refused_calls"] = self.refused_call_gauges();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use anvil_overload::{
-    admission, dependency, kind, policy, quarantine, rank, rate, ratio, refusal, resend,
+    admission, dependency, kind, policy, quarantine, rank, rate, ratio, refusal, refusals, resend,
+    run_calls,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -32,6 +33,10 @@
     pub(crate) budgets: ratio::ServiceBudgets,
     /// The burst of retries per service that all nodes share; none if each node has its own.
     pub(crate) fleet_burst: Option<u32>,
+    /// Refusals by targets with free slots, for each service that this node calls.
+    pub(crate) refusal_shares: refusals::RefusalShares,
+    /// Usual calls of the runs of the local target.
+    pub(crate) run_calls: run_calls::RunCalls,
     pub(crate) poison: quarantine::PoisonList,
     pub(crate) refusals: refusal::RefusalLog,
 }
@@ -48,6 +53,8 @@
             resends: resend::ResendLedger::default(),
             budgets: ratio::ServiceBudgets::default(),
             fleet_burst: None,
+            refusal_shares: refusals::RefusalShares::default(),
+            run_calls: run_calls::RunCalls::default(),
             poison: quarantine::PoisonList::new(node, policy),
             refusals: refusal::RefusalLog::default(),
         }
@@ -92,8 +99,16 @@
 impl reducer::NodeReducer {
     /// The retry budget for `service`.
     pub(crate) fn retry_budget(&mut self, service: &name::ServiceName) -> &mut ratio::RetryBudget {
+        let claims = self.overload.policy.refusal_retries;
         let limits = match self.overload.fleet_burst {
-            Some(burst) => ratio::RatioLimits::shared(burst, self.fleet.table().live()),
+            Some(burst) => {
+                let nodes = self.fleet.table().live();
+                let limits = ratio::RatioLimits::shared(burst, nodes);
+                match claims {
+                    true => limits.for_claims(burst, nodes),
+                    false => limits,
+                }
+            }
             None => ratio::RatioLimits::NODE,
         };
         self.overload
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -142,6 +142,10 @@
             self.dispatch_attempt(sequence);
             return;
         }
+        if self.is_free_refusal(sequence, verdict) {
+            self.retry_refused(sequence, false);
+            return;
+        }
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         match self.retry_pause(sequence, verdict, status >= SERVER_ERROR) {
             Some(pause) => {
@@ -232,21 +236,22 @@
 
     /// Whether a known target may accept the request. Otherwise the caller would wait for the pause
     /// only to be refused.
-    fn has_available_target(&mut self, sequence: u64) -> bool {
+    pub(crate) fn has_available_target(&mut self, sequence: u64) -> bool {
         if !self.overload.policy.early_refusal {
             return true;
         }
-        let Some(open) = self.calls.get(sequence) else {
-            return false;
-        };
-        let choice = self.directory.choose(self.now, open.route_query());
+        let choice = self.choose_target(sequence);
         matches!(choice, routing::RouteChoice::Target { .. })
     }
 
     pub(crate) fn call_resumes(&mut self, sequence: u64) {
-        let open = self.calls.get(sequence);
-        if open.is_some_and(|open| open.stage == calls::CallStage::Pausing) {
-            self.dispatch_attempt(sequence);
+        let Some(open) = self.calls.get(sequence) else {
+            return;
+        };
+        match (open.stage, open.awaits_retry) {
+            (calls::CallStage::Pausing, true) => self.retry_refused(sequence, true),
+            (calls::CallStage::Pausing, false) => self.dispatch_attempt(sequence),
+            _ => {}
         }
     }
 
--- a/crates/anvil_core/src/settling.rs
+++ b/crates/anvil_core/src/settling.rs
@@ -61,6 +61,7 @@
             let line = answer.load.cut.max(answer.load.deep);
             open.refused = Some((refusal::RefusalLimit::Cut(line), peer));
         }
+        let took = now.since(open.sent_at);
         let report = routing::AttemptReport {
             class: open.context.class,
             kind: open.kind,
@@ -73,6 +74,7 @@
         };
         let service = open.request.service.clone();
         self.directory.attempt_ended(now, &service, peer, report);
+        self.record_target_reply(sequence, peer, answer, took);
         if let Some(notice) = answer.load.notice {
             self.notice_arrived(peer, address, notice);
         }
--- a/crates/anvil_core/src/waits.rs
+++ b/crates/anvil_core/src/waits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anvil_overload::dependency;
-use anvil_types::time;
+use anvil_types::{name, time};
 
 /// The calls that the local target made on behalf of one run.
 ///
@@ -14,6 +14,10 @@
     since: time::NodeTime,
     total: Duration,
     called: Vec<dependency::NeededCall>,
+    /// Number of calls to each service, in the order of their first call.
+    counts: Vec<(name::ServiceName, u16)>,
+    /// The highest number of calls that were open at the same time.
+    overlap: u32,
     failed: bool,
 }
 
@@ -24,6 +28,15 @@
             self.since = now;
         }
         self.open += 1;
+        self.overlap = self.overlap.max(self.open);
+        match self
+            .counts
+            .iter_mut()
+            .find(|(known, _)| *known == call.service)
+        {
+            Some((_, count)) => *count = count.saturating_add(1),
+            None => self.counts.push((call.service.clone(), 1)),
+        }
         if !self.called.contains(&call) {
             self.called.push(call);
         }
@@ -48,6 +61,21 @@
         self.total + current
     }
 
+    /// Number of calls that are open.
+    pub fn open(&self) -> u16 {
+        u16::try_from(self.open).unwrap_or(u16::MAX)
+    }
+
+    /// The highest number of calls that were open at the same time.
+    pub fn overlap(&self) -> u16 {
+        u16::try_from(self.overlap).unwrap_or(u16::MAX)
+    }
+
+    /// Number of calls made to each service.
+    pub fn counts(&self) -> &[(name::ServiceName, u16)] {
+        &self.counts
+    }
+
     /// Whether one of the calls failed.
     pub fn has_failed(&self) -> bool {
         self.failed
--- /dev/null
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -0,0 +1,164 @@
+//! Calls that targets refuse although they have free slots.
+
+#![allow(clippy::unwrap_used)]
+
+mod mesh;
+mod support;
+
+use anvil_core::{answer, config, effect, event, reducer};
+use anvil_overload::policy;
+use anvil_rules::parse;
+use anvil_testkit::test_cases;
+use anvil_types::{ident, name, verdict};
+use anvil_wire::{call, frame};
+
+const RULES: &str = "rules:
+  - {name: other, when: {}, then: {class: critical, idempotent: true, retries: 24, deadline: 2s}}
+";
+const REFUSED: verdict::CallVerdict =
+    verdict::CallVerdict::NotRun(verdict::RefusalReason::TargetRefused);
+const LOST: verdict::CallVerdict =
+    verdict::CallVerdict::MayHaveRun(verdict::UncertaintyReason::ConnectionLost);
+
+/// A node that knows four targets, with the switch `refusal_retries` as given.
+fn caller_node(refusal_retries: bool) -> reducer::NodeReducer {
+    let policy = policy::OverloadPolicy {
+        refusal_retries,
+        ..policy::OverloadPolicy::FULL
+    };
+    let config = config::NodeConfig {
+        node: support::NODE,
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        region: name::RegionName::new("ar-centro").unwrap(),
+        peer_address: support::address(7000),
+        gossip_address: support::address(7000),
+        seeds: Vec::new(),
+    };
+    let mut node = reducer::NodeReducer::with_policy(config, 1, policy);
+    let document = parse::parse_rules("rules.yaml", RULES).unwrap();
+    node.adopt_rules(ident::RuleRevision(1), document);
+    for peer in 2..6 {
+        support::add_peer(&mut node, ident::NodeId(peer));
+    }
+    node
+}
+
+/// An answer of a target that has free slots.
+fn free_answer(
+    peer: ident::NodeId,
+    call: &call::PeerCall,
+    verdict: verdict::CallVerdict,
+) -> event::NodeEvent {
+    let mut event = support::answer(peer, call, verdict);
+    if let event::NodeEvent::FrameArrived {
+        frame: frame::PeerFrame::Answer(answer),
+        ..
+    } = &mut event
+    {
+        (answer.load.running, answer.load.limit) = (3, 8);
+    }
+    event
+}
+
+/// Sends one request at `millis` whose attempts get `verdicts` in turn, and an answer after these;
+/// returns the nodes asked, the effects, and the time that passed in milliseconds.
+fn send_request(
+    node: &mut reducer::NodeReducer,
+    millis: u64,
+    verdicts: &[verdict::CallVerdict],
+) -> (Vec<ident::NodeId>, Vec<effect::NodeEffect>, u64) {
+    let start = support::at(millis);
+    let mut now = start;
+    let mut effects = node.step(now, support::arrival(millis, "GET"));
+    let mut asked = Vec::new();
+    while support::replies(&effects).is_empty() {
+        let mut calls = support::sent_calls(&effects);
+        if let Some((peer, call)) = calls.pop() {
+            let verdict = verdicts.get(asked.len());
+            asked.push(peer);
+            let verdict = verdict.copied().unwrap_or(verdict::CallVerdict::Answered);
+            effects = node.step(now, free_answer(peer, &call, verdict));
+        } else {
+            now = node.next_wake().unwrap();
+            effects = node.step(now, event::NodeEvent::TimerFired);
+        }
+    }
+    let took = now.since(start).as_millis();
+    (asked, effects, u64::try_from(took).unwrap())
+}
+
+// Each of four targets refuses half of its requests, whatever its load, so one request in 256 is
+// refused eight times. With pauses that double, it runs out of the time that it may wait.
+fn refused_call_ends(refusal_retries: bool, refusals: usize, last: verdict::CallVerdict, ms: u64) {
+    let mut node = caller_node(refusal_retries);
+    let (_, effects, took) = send_request(&mut node, 1_000, &vec![REFUSED; refusals]);
+    assert_eq!(support::replies(&effects), [(1_000, last)]);
+    assert!(took <= ms, "{took} ms");
+}
+
+test_cases! {
+    refused_call_ends:
+    once_at_each_target => (true, 4, verdict::CallVerdict::Answered, 50),
+    twice_at_each_target => (true, 8, verdict::CallVerdict::Answered, 100),
+    without_the_switch_it_fails => (false, 8, REFUSED, 2_000),
+}
+
+// The first target fails, and the others refuse. The request returns to those that refused, not to
+// the one that failed, and not to the one just asked while another is known.
+#[test]
+fn refused_call_returns_to_targets_that_refused() {
+    let mut node = caller_node(true);
+    let verdicts = [LOST, REFUSED, REFUSED, REFUSED, REFUSED, REFUSED, REFUSED];
+    let (asked, effects, _) = send_request(&mut node, 1_000, &verdicts);
+    assert_eq!(support::replies(&effects).len(), 1);
+    assert_eq!(asked.len(), verdicts.len() + 1);
+    assert!(!asked[1..].contains(&asked[0]), "{asked:?}");
+    assert!(asked.windows(2).all(|pair| pair[0] != pair[1]), "{asked:?}");
+}
+
+// Operators must see that targets refuse calls and how many of these fail nevertheless.
+#[test]
+fn refused_calls_are_counted() {
+    let mut node = caller_node(true);
+    for request in 1..=12 {
+        send_request(&mut node, request * 1_000, &[REFUSED, REFUSED]);
+    }
+    let request = event::OperatorRequest::Counters;
+    let handle = event::OperatorHandle(0);
+    let event = event::NodeEvent::OperatorRequestArrived { handle, request };
+    let effects = node.step(support::at(13_000), event);
+    let text = effects.into_iter().find_map(|effect| match effect {
+        effect::NodeEffect::AnswerOperator { answer, .. } => {
+            answer.ok().map(answer::OperatorAnswer::text)
+        }
+        _ => None,
+    });
+    let counters: serde_json::Value = serde_json::from_str(&text.unwrap()).unwrap();
+    let refused = &counters["refused_calls"];
+    assert_eq!(refused["refusals"], 24);
+    assert_eq!(refused["recovered"], 12);
+    assert_eq!(refused["failed"], 0);
+    let attempts = refused["expected_attempts_percent"].as_u64().unwrap();
+    assert!((200..=320).contains(&attempts), "{attempts}");
+}
+
+// The targets of a scarce service refuse half of their requests. A certification needs four answers
+// in a row; retries spent in order of arrival go to reads, which need eight and rarely get them.
+// Nodes with the switch complete more certifications, and their targets keep their slots, so that
+// the nodes refuse nothing for load that is not there.
+#[test]
+fn certifications_get_the_retries_of_a_refusing_service() {
+    let served = |refusal_retries| {
+        let policy = policy::OverloadPolicy {
+            refusal_retries,
+            ..policy::OverloadPolicy::FULL
+        };
+        let mut plan = mesh::Plan::scarce(policy, 0.6);
+        plan.until = 8.0;
+        plan.fault = (mesh::Fault::HalfRefusing, 2.0, 8.0);
+        let mesh = mesh::Mesh::new(plan, mesh::scarce_mesh()).run();
+        mesh.shares("certify", 3.0, 7.5).served
+    };
+    let (with, without) = (served(true), served(false));
+    assert!(with > 1.2 * without, "{with} and {without}");
+}
--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use anvil_overload::{admission, kind, limit, policy, rank, routing};
+use anvil_overload::{admission, kind, limit, policy, rank, ratio, refusals, routing};
 use anvil_types::{context, ident, name, time};
 
 /// Number of services in the routing table of a large fleet.
@@ -117,3 +117,39 @@
         admission::AdmissionDecision::Refuse { .. } => None,
     })
 }
+
+/// Judges and claims the retry of a refused call of a request that needs eight.
+#[divan::bench]
+fn retry_of_refused_call(bencher: divan::Bencher<'_, '_>) {
+    let limits = ratio::RatioLimits::shared(66, 78).for_claims(66, 78);
+    let mut now = time::NodeTime::START;
+    let mut budget = ratio::RetryBudget::with_limits(now, limits);
+    let mut shares = refusals::RefusalShares::default();
+    let service = service(1);
+    let case = refusals::RetryCase {
+        calls_left: 8,
+        allowance: 24,
+        time_left: Duration::from_millis(700),
+        pause: Duration::from_millis(5),
+    };
+    bencher.bench_local(|| {
+        now = now + Duration::from_millis(5);
+        budget.count_first_attempt(now, 17);
+        let known = shares.get_or_insert(&service);
+        known.record(now, refusals::TargetReply::Ran, Duration::from_millis(40));
+        known.record(
+            now,
+            refusals::TargetReply::RefusedFree,
+            Duration::from_millis(2),
+        );
+        let refusals::RetryWorth::Worthwhile { needed } = known.judge(now, &case) else {
+            return;
+        };
+        let claim = ratio::RetryClaim {
+            rank: rank(7),
+            needed,
+            repeated: false,
+        };
+        divan::black_box(budget.claim(now, &claim));
+    });
+}
