Describe refused calls, and show the share of calls that fail

Cause: operators must see how many calls fail in spite of their retries, and how many attempts a call needs. Requests of a rank that the refill hardly covers waited for it all the same.

Change: the dump and the metrics hold the expected attempts and the moving share of failed calls. A claim waits only if the refill covers a tenth of the demand of its rank or more.

--- a/crates/anvil_core/src/refused_calls.rs
+++ b/crates/anvil_core/src/refused_calls.rs
@@ -251,24 +251,27 @@
         backoff::pause(longest, 1, &mut self.rng)
     }
 
-    /// Counts the end of a call that a target with free slots has refused.
+    /// Counts the end of a call for the share of those that fail after refusals.
     pub(crate) fn count_refused_call(
         &mut self,
         open: &calls::OpenCall,
         verdict: verdict::CallVerdict,
     ) {
-        if open.refusers.is_empty() {
-            return;
+        let is_answered = verdict == verdict::CallVerdict::Answered;
+        let end = match (open.refusers.is_empty(), is_answered) {
+            (true, true) => refusals::CallEnd::Answered,
+            (true, false) => return,
+            (false, true) => refusals::CallEnd::Recovered,
+            (false, false) => refusals::CallEnd::Failed,
+        };
+        let shares = &mut self.overload.refusal_shares;
+        if let Some(known) = shares.get_mut(&open.request.service) {
+            known.call_ended(end);
         }
-        let known = self
-            .overload
-            .refusal_shares
-            .get_or_insert(&open.request.service);
-        known.call_ended(verdict == verdict::CallVerdict::Answered);
     }
 
-    /// Totals of the refused calls, and the highest number of attempts that a call to any service
-    /// needs, in percent.
+    /// Totals of the refused calls, and the highest values of any service: the attempts that a call
+    /// needs, and the share of calls that fail, in percent.
     pub(crate) fn refused_call_gauges(&self) -> serde_json::Value {
         let totals = self.overload.refusal_shares.totals(self.now);
         json!({
@@ -276,6 +279,7 @@
             "recovered": totals.calls_recovered,
             "failed": totals.calls_failed,
             "expected_attempts_percent": percent(totals.expected_attempts),
+            "failed_percent": percent(totals.failed_share),
         })
     }
 }
--- a/crates/anvil_overload/src/ratio/claim.rs
+++ b/crates/anvil_overload/src/ratio/claim.rs
@@ -39,8 +39,8 @@
 const LANE_RESERVE: f64 = 0.9;
 const LANE_RANGE: f64 = 0.2;
 
-/// How far beyond the lanes that the refill covers requests may wait for it. The demand is known
-/// from a few requests only.
+/// How far beyond the lanes that the refill covers requests may wait for it, and the part of the
+/// demand that it must cover for that. The demand is known from a few requests only.
 const WAIT_RANGE: f64 = 0.1;
 
 /// A request for one retry of a call that a target refused.
@@ -114,7 +114,7 @@
         if self.take(now, reserve) {
             return RetryGrant::Granted;
         }
-        if covered > 0.0 && beyond <= WAIT_RANGE {
+        if covered >= WAIT_RANGE && beyond <= WAIT_RANGE {
             return RetryGrant::Later;
         }
         if !claim.repeated {
--- a/crates/anvil_overload/src/refusals.rs
+++ b/crates/anvil_overload/src/refusals.rs
@@ -69,12 +69,27 @@
     refusing: bool,
     /// Refusals by targets with free slots.
     refused: u64,
+    /// Expected number of attempts of a call.
+    expected_attempts: f64,
+    /// Moving share of the calls that fail after refusals, in spite of their retries.
+    failed_share: f64,
     /// Calls that such a target refused at least once and that were answered in the end.
     calls_recovered: u64,
-    /// Calls that ended with such a refusal.
+    /// Calls that such a target refused and that were not answered.
     calls_failed: u64,
 }
 
+/// The end of a call, after all its attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// It was answered, and no target with free slots had refused it.
+    Answered,
+    /// It was answered after such a refusal.
+    Recovered,
+    /// It was not answered after such a refusal.
+    Failed,
+}
+
 /// A refused call that could be retried.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryCase {
@@ -99,6 +114,8 @@
     pub calls_failed: u64,
     /// The highest expected number of attempts of a call.
     pub expected_attempts: f64,
+    /// The highest share of calls that fail after refusals.
+    pub failed_share: f64,
 }
 
 /// Whether a retry is worth its cost.
@@ -139,6 +156,7 @@
         let weight = if *mean == 0.0 { 1.0 } else { 1.0 / 8.0 };
         *mean += (micros - *mean) * weight;
         self.refused += u64::from(refused);
+        self.expected_attempts = self.expected_attempts(now);
         let (from, until) = REFUSING_SHARES;
         let refusing = match self.refusing {
             true => self.share >= until,
@@ -148,13 +166,12 @@
         changed.then_some(refusing)
     }
 
-    /// Counts the end of a call that a target with free slots refused at least once.
-    pub fn call_ended(&mut self, answered: bool) {
-        let count = match answered {
-            true => &mut self.calls_recovered,
-            false => &mut self.calls_failed,
-        };
-        *count += 1;
+    /// Counts the end of a call.
+    pub fn call_ended(&mut self, end: CallEnd) {
+        self.calls_recovered += u64::from(end == CallEnd::Recovered);
+        self.calls_failed += u64::from(end == CallEnd::Failed);
+        let failed = f64::from(u8::from(end == CallEnd::Failed));
+        self.failed_share += (failed - self.failed_share) / f64::from(SHARE_ANSWERS);
     }
 
     /// Share of the attempts that targets with free slots refuse.
@@ -233,6 +250,12 @@
     }
 
     /// What is known of `service`, to be updated.
+    pub fn get_mut(&mut self, service: &name::ServiceName) -> Option<&mut ServiceRefusals> {
+        let index = self.search(service).ok()?;
+        Some(&mut self.services[index].1)
+    }
+
+    /// The same, after adding `service` if it is new.
     pub fn get_or_insert(&mut self, service: &name::ServiceName) -> &mut ServiceRefusals {
         if self.search(service).is_err() && self.services.len() == MAX_SERVICES {
             self.evict_oldest();
@@ -256,6 +279,7 @@
             totals.calls_recovered += known.calls_recovered;
             totals.calls_failed += known.calls_failed;
             let attempts = known.expected_attempts(now);
+            totals.failed_share = totals.failed_share.max(known.failed_share);
             totals.expected_attempts = totals.expected_attempts.max(attempts);
         }
         totals
