Count only attempts at full targets for the growing pause

Cause: after five refusals by targets with free slots, one by a full target paused the call for up to 640 ms, since the pause doubled for each attempt.

Change: the pause doubles for the other attempts only. Tests drive a run whose four calls need more retries than it has left, which must not retry, and one that has enough.

Measured: five such refusals and one of a full queue end within 50 ms.

--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -67,6 +67,8 @@
     pub tried: Vec<ident::NodeId>,
     /// Nodes whose target refused the latest attempt there although it had free slots.
     pub refusers: Vec<ident::NodeId>,
+    /// Attempts that such targets refused.
+    pub free_refusals: u16,
     /// Whether the call waits for a retry that the budget could not pay yet.
     pub awaits_retry: bool,
     /// Why an attempt may have run, if the outcome of one is uncertain.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -86,6 +86,7 @@
             redirects: 0,
             tried: Vec::new(),
             refusers: Vec::new(),
+            free_refusals: 0,
             awaits_retry: false,
             uncertainty: None,
             stage: calls::CallStage::Pausing,
--- a/crates/anvil_core/src/refused_calls.rs
+++ b/crates/anvil_core/src/refused_calls.rs
@@ -83,6 +83,7 @@
                 if has_free_slots(&answer.load) =>
             {
                 open.refusers.push(peer);
+                open.free_refusals += 1;
                 refusals::TargetReply::RefusedFree
             }
             // A refusal by a full target or by a node, and an attempt without an outcome, say
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -230,7 +230,9 @@
             return Some(Duration::ZERO);
         }
         let open = self.calls.get(sequence)?;
-        let (first, retry) = (open.treatment.backoff, open.attempts);
+        // The pause grows with the attempts that say something about the load.
+        let retry = open.attempts.saturating_sub(open.free_refusals);
+        let first = open.treatment.backoff;
         Some(backoff::pause(first, retry, &mut self.rng))
     }
 
--- a/crates/anvil_core/tests/refused_calls.rs
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -5,11 +5,11 @@
 mod mesh;
 mod support;
 
-use anvil_core::{answer, config, effect, event, reducer};
+use anvil_core::{answer, config, directory, effect, event, reducer};
 use anvil_overload::policy;
 use anvil_rules::parse;
 use anvil_testkit::test_cases;
-use anvil_types::{ident, name, verdict};
+use anvil_types::{context, ident, name, verdict};
 use anvil_wire::{call, frame};
 
 const RULES: &str = "rules:
@@ -60,16 +60,26 @@
     event
 }
 
-/// Sends one request at `millis` whose attempts get `verdicts` in turn, and an answer after these;
-/// returns the nodes asked, the effects, and the time that passed in milliseconds.
+/// Sends a request of an external caller at `millis`, as [`send_call`] does.
 fn send_request(
     node: &mut reducer::NodeReducer,
     millis: u64,
     verdicts: &[verdict::CallVerdict],
+) -> (Vec<ident::NodeId>, Vec<effect::NodeEffect>, u64) {
+    send_call(node, millis, support::arrival(millis, "GET"), verdicts)
+}
+
+/// Sends a call whose attempts get `verdicts` in turn, and an answer after these; returns the nodes
+/// asked, the effects, and the time that passed in milliseconds.
+fn send_call(
+    node: &mut reducer::NodeReducer,
+    millis: u64,
+    arrival: event::NodeEvent,
+    verdicts: &[verdict::CallVerdict],
 ) -> (Vec<ident::NodeId>, Vec<effect::NodeEffect>, u64) {
     let start = support::at(millis);
     let mut now = start;
-    let mut effects = node.step(now, support::arrival(millis, "GET"));
+    let mut effects = node.step(now, arrival);
     let mut asked = Vec::new();
     while support::replies(&effects).is_empty() {
         let mut calls = support::sent_calls(&effects);
@@ -116,6 +126,20 @@
     assert!(asked.windows(2).all(|pair| pair[0] != pair[1]), "{asked:?}");
 }
 
+// Targets refuse five attempts, and the sixth reaches a target that is full. The pause after that one
+// is the first of its kind; doubled for each attempt, it would be up to 640 ms.
+#[test]
+fn free_refusals_do_not_lengthen_other_pauses() {
+    let mut node = caller_node(true);
+    let queue_full = verdict::CallVerdict::NotRun(verdict::RefusalReason::QueueFull);
+    let mut verdicts = [REFUSED; 6];
+    verdicts[5] = queue_full;
+    let (_, effects, took) = send_request(&mut node, 1_000, &verdicts);
+    let answered = [(1_000, verdict::CallVerdict::Answered)];
+    assert_eq!(support::replies(&effects), answered);
+    assert!(took <= 50, "{took} ms");
+}
+
 // Operators must see that targets refuse calls and how many of these fail nevertheless.
 #[test]
 fn refused_calls_are_counted() {
@@ -142,6 +166,83 @@
     assert!((200..=320).contains(&attempts), "{attempts}");
 }
 
+/// The service that the local target calls.
+fn archive() -> name::ServiceName {
+    name::ServiceName::new("archive").unwrap()
+}
+
+/// A call of `run` to the archive.
+fn archive_call(run: event::RunId) -> event::NodeEvent {
+    let mut call = support::child_call(run);
+    if let event::NodeEvent::CallArrived { request, .. } = &mut call {
+        request.service = archive();
+    }
+    call
+}
+
+/// Starts a run at the local target that came with `retries`.
+fn start_run(node: &mut reducer::NodeReducer, millis: u64, retries: u16) -> event::RunId {
+    let mut call = support::peer_call(millis, true);
+    if let event::NodeEvent::FrameArrived {
+        frame: frame::PeerFrame::Call(call),
+        ..
+    } = &mut call
+    {
+        call.context.retries_left = retries;
+        call.context.class = context::PriorityClass::Critical;
+    }
+    let effects = node.step(support::at(millis), call);
+    support::started(&effects)[0]
+}
+
+// A run makes four calls. With a single retry left, a refused call can hardly lead to a complete
+// run, so the retry is left to others; with twelve it is made.
+fn first_refused_call_of_a_run(retries: u16, is_retried: bool) {
+    let mut node = support::with_target(caller_node(true), 8);
+    for peer in 12..16 {
+        let record = directory::PeerRecord {
+            address: support::address(7_200 + peer),
+            service: archive(),
+            zone: name::ZoneName::new("ar-centro-a").unwrap(),
+            slots: 8,
+            leaving: false,
+            announced: 0,
+        };
+        node.add_peer(support::at(0), ident::NodeId(u64::from(peer)), record);
+    }
+    let mut millis = 0;
+    for _ in 0..3 {
+        millis += 1_000;
+        let run = start_run(&mut node, millis, 24);
+        for _ in 0..4 {
+            millis += 100;
+            let (_, effects, _) = send_call(&mut node, millis, archive_call(run), &[REFUSED]);
+            assert_eq!(
+                support::replies(&effects)[0].1,
+                verdict::CallVerdict::Answered
+            );
+        }
+        let outcome = support::answered();
+        let statement = None;
+        let ended = event::NodeEvent::RunEnded {
+            run,
+            outcome,
+            statement,
+        };
+        node.step(support::at(millis + 50), ended);
+    }
+    let run = start_run(&mut node, millis + 1_000, retries);
+    let call = archive_call(run);
+    let (asked, _, _) = send_call(&mut node, millis + 1_000, call, &[REFUSED]);
+    assert_eq!(asked.len() > 1, is_retried);
+}
+
+test_cases! {
+    first_refused_call_of_a_run:
+    with_one_retry_is_final => (1, false),
+    with_twelve_retries_is_retried => (12, true),
+}
+
 // The targets of a scarce service refuse half of their requests. A certification needs four answers
 // in a row; retries spent in order of arrival go to reads, which need eight and rarely get them.
 // Nodes with the switch complete more certifications, and their targets keep their slots, so that
