--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -59,6 +59,8 @@
     pub rates_changed: u64,
     /// Answers of the local target that named something that is not a rate.
     pub rates_malformed: u64,
+    /// Answers of the local target that stated something that is not a load.
+    pub loads_malformed: u64,
     /// Statements of earlier incarnations of the local target, which were ignored.
     pub statements_outdated: u64,
     /// Runs handed to the local target while it named a rate.
--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -91,6 +91,12 @@
         matches!(choice, routing::RouteChoice::Target { .. })
     }
 
+    /// Whether requests to `service` leave the own zone because it is full, if that has changed since
+    /// the last call.
+    pub fn overflow_change(&mut self, service: &name::ServiceName) -> Option<bool> {
+        self.routes.overflow_change(service)
+    }
+
     /// Counts a request of `class` that was sent to `node`.
     pub fn attempt_sent(
         &mut self,
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -137,6 +137,31 @@
         /// The rate that it named before.
         named: Option<rate::RequestRate>,
     },
+    /// The local target became slow by the pace that it states, or usual again.
+    #[display("pace changed: slow={slow} percent={percent:?}")]
+    PaceChanged {
+        /// The incarnation of the target.
+        incarnation: Option<ident::IncarnationId>,
+        /// Whether it counts as slow now.
+        slow: bool,
+        /// The pace in percent; none if the answer states none.
+        percent: Option<u16>,
+    },
+    /// Requests to a service began to leave this node's zone because its targets there are full, or
+    /// none has left for some seconds.
+    #[display("zone overflow: service={service} begins={begins}")]
+    ZoneOverflow {
+        /// The service.
+        service: String,
+        /// Whether it begins.
+        begins: bool,
+    },
+    /// The local target stated something that is not a load, for the first time.
+    #[display("load malformed")]
+    LoadMalformed {
+        /// The incarnation of the target.
+        incarnation: Option<ident::IncarnationId>,
+    },
     /// This node learned from an answer what another node's target states about itself.
     #[display("target noticed: node={node} rate={rate:?} leaving={leaving}")]
     TargetNoticed {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -157,7 +157,12 @@
             self.end_call(sequence, not_run(reason), None);
             return;
         }
-        match self.directory.choose(self.now, open.route_query()) {
+        let choice = self.directory.choose(self.now, open.route_query());
+        if let Some(begins) = self.directory.overflow_change(&open.request.service) {
+            let service = open.request.service.to_string();
+            self.log_request(effect::StateChange::ZoneOverflow { service, begins });
+        }
+        match choice {
             routing::RouteChoice::Target {
                 node,
                 address,
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_overload::pace;
 use anvil_rules::document;
 use anvil_types::{account, ident, name, rate, store};
 use anvil_wire::{call, frame, gossip};
@@ -81,6 +82,20 @@
     pub rate: StatedRate,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Its load and its pace.
+    pub load: LoadStatement,
+}
+
+/// The load that a target's answer states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadStatement {
+    /// The answer states none.
+    #[default]
+    Absent,
+    /// The target states this load.
+    Valid(pace::StatedLoad),
+    /// The answer states something that is not a load; it changes nothing.
+    Malformed,
 }
 
 /// The rate that a target's answer names.
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -87,6 +87,8 @@
         counters["keys"] = self.key_counters();
         counters["quota"] = json!(self.quota_counters());
         counters["named_rate"] = self.rate_gauges();
+        counters["pace"] = self.pace_gauges();
+        counters["placement"] = json!(self.directory.routes().placement_counts());
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use anvil_overload::{
-    admission, dependency, kind, policy, quarantine, rank, rate, ratio, refusal, resend,
+    admission, dependency, kind, pace, policy, quarantine, rank, rate, ratio, refusal, resend,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -17,10 +17,11 @@
     pub(crate) policy: policy::OverloadPolicy,
     /// The queue of the local target, once that has announced itself.
     pub(crate) admission: Option<admission::AdmissionQueue>,
-    /// The rates of the target's other incarnations. An announcement that arrives late, or a lease
+    /// The rates and paces of the target's other incarnations. An announcement that arrives late, or a lease
     /// that lapses, replaces the queue of an incarnation that returns.
     #[serde(skip)]
-    pub(crate) former_rates: VecDeque<(ident::IncarnationDigest, rate::RateLimit)>,
+    pub(crate) former_rates:
+        VecDeque<(ident::IncarnationDigest, rate::RateLimit, pace::TargetPace)>,
     /// The time of the earliest pending timer for the queue.
     #[serde(skip)]
     pub(crate) wake: Option<time::NodeTime>,
@@ -66,7 +67,7 @@
 }
 
 impl OverloadState {
-    /// Remembers the rate of an incarnation whose queue is replaced.
+    /// Remembers the rate and the pace of an incarnation whose queue is replaced.
     pub(crate) fn keep_rate(&mut self, incarnation: ident::IncarnationDigest) {
         let Some(admission) = self.admission.as_ref() else {
             return;
@@ -75,16 +76,18 @@
             self.former_rates.pop_front();
         }
         let rate = admission.rate().clone();
-        self.former_rates.push_back((incarnation, rate));
+        let pace = admission.pace().clone();
+        self.former_rates.push_back((incarnation, rate, pace));
     }
 
-    /// Gives the queue of an incarnation that has returned the rate that it had.
+    /// Gives the queue of an incarnation that has returned the rate and the pace that it had.
     pub(crate) fn restore_rate(&mut self, incarnation: ident::IncarnationDigest) {
-        let is_same = |known: &(ident::IncarnationDigest, _)| known.0 == incarnation;
+        let is_same = |known: &(ident::IncarnationDigest, _, _)| known.0 == incarnation;
         let position = self.former_rates.iter().rposition(is_same);
         let former = position.and_then(|position| self.former_rates.remove(position));
-        if let Some((admission, (_, rate))) = self.admission.as_mut().zip(former) {
+        if let Some((admission, (_, rate, pace))) = self.admission.as_mut().zip(former) {
             *admission.rate_mut() = rate;
+            *admission.pace_mut() = pace;
         }
     }
 }
--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use anvil_overload::rate;
+use anvil_overload::{pace, rate};
 use anvil_types::ident;
 use anvil_wire::call;
 use serde_json::json;
@@ -29,6 +29,7 @@
         if statement.leaving && self.overload.policy.stated_leaving {
             self.retire_target(None);
         }
+        self.load_stated(statement.load);
         let stated = match statement.rate {
             event::StatedRate::Unlimited => None,
             event::StatedRate::Limited(rate) => Some(rate),
@@ -45,6 +46,38 @@
         self.log_rate_change(change, None);
     }
 
+    /// Records the load that the present incarnation of the target states.
+    fn load_stated(&mut self, statement: event::LoadStatement) {
+        if !self.overload.policy.expected_completion {
+            return;
+        }
+        let now = self.now;
+        let incarnation = self.target_name();
+        let Some(admission) = &mut self.overload.admission else {
+            return;
+        };
+        match statement {
+            event::LoadStatement::Absent => {}
+            event::LoadStatement::Valid(load) => {
+                let change = admission.pace_mut().record(now, load);
+                if change != pace::PaceChange::None {
+                    self.log_request(effect::StateChange::PaceChanged {
+                        incarnation,
+                        slow: change == pace::PaceChange::Slowed,
+                        percent: load.pace_percent,
+                    });
+                }
+            }
+            event::LoadStatement::Malformed => {
+                let is_first = admission.pace_mut().record_malformed();
+                self.counters.loads_malformed += 1;
+                if is_first {
+                    self.report(effect::StateChange::LoadMalformed { incarnation });
+                }
+            }
+        }
+    }
+
     /// Adopts what another node knows of the local target from answers that it passed on, until an
     /// answer arrives here.
     pub(crate) fn told_of_target(&mut self, node: ident::NodeId, notice: call::TargetNotice) {
@@ -165,6 +198,18 @@
         notices.collect()
     }
 
+    /// The pace that the local target states, in percent and zero if it states none, and its usual
+    /// run time in microseconds.
+    pub(crate) fn pace_gauges(&self) -> serde_json::Value {
+        let queue = self.overload.admission.as_ref();
+        let percent = queue.and_then(|queue| queue.pace().percent_at(self.now));
+        let usual = queue.map(|queue| queue.usual_time()).unwrap_or_default();
+        json!({
+            "percent": percent.unwrap_or_default(),
+            "usual_micros": u64::try_from(usual.as_micros()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// The rate that the local target names, in requests a second, and since when it names one, in
     /// microseconds on the node's clock; zeros if it names none.
     pub(crate) fn rate_gauges(&self) -> serde_json::Value {
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -611,7 +611,11 @@
         let ended = event::NodeEvent::RunEnded {
             run,
             outcome: event::RunOutcome::Answered(answer),
-            statement: Some(event::TargetStatement { rate, leaving }),
+            statement: Some(event::TargetStatement {
+                rate,
+                leaving,
+                ..event::TargetStatement::default()
+            }),
         };
         self.step(index, ended);
     }
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -58,7 +58,11 @@
     event::NodeEvent::RunEnded {
         run,
         outcome: support::answered(),
-        statement: Some(event::TargetStatement { rate, leaving }),
+        statement: Some(event::TargetStatement {
+            rate,
+            leaving,
+            ..event::TargetStatement::default()
+        }),
     }
 }
 
@@ -192,8 +196,8 @@
         run: event::RunId(1),
         outcome: event::RunOutcome::Refused,
         statement: Some(event::TargetStatement {
-            rate: event::StatedRate::Unlimited,
             leaving: true,
+            ..event::TargetStatement::default()
         }),
     }
 }
--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -61,11 +61,12 @@
 
 /// Reads a target's statements from the headers with the names that a dialect gives them.
 ///
-/// A rate that is named twice is malformed unless both headers agree.
+/// A rate or a load that is stated twice is malformed unless both headers agree.
 pub fn statement_of(
     headers: &HeaderMap,
     rate_name: &str,
     leaving_name: &str,
+    load_name: &str,
 ) -> event::TargetStatement {
     let mut rates = headers.get_all(rate_name).iter();
     let rate = match rates.next() {
@@ -73,10 +74,17 @@
         Some(first) if rates.all(|other| other == first) => rate_of(first),
         Some(_) => event::StatedRate::Malformed,
     };
+    let mut loads = headers.get_all(load_name).iter();
+    let load = match loads.next() {
+        None => event::LoadStatement::Absent,
+        Some(first) if loads.all(|other| other == first) => load_of(first),
+        Some(_) => event::LoadStatement::Malformed,
+    };
     let mut leaving = headers.get_all(leaving_name).iter();
     event::TargetStatement {
         rate,
         leaving: leaving.any(|value| value.as_bytes() == LEAVING_VALUE),
+        load,
     }
 }
 
@@ -86,6 +94,12 @@
     parsed.map_or(event::StatedRate::Malformed, event::StatedRate::Limited)
 }
 
+fn load_of(value: &HeaderValue) -> event::LoadStatement {
+    let text = value.to_str().ok();
+    let parsed = text.and_then(|text| text.parse().ok());
+    parsed.map_or(event::LoadStatement::Malformed, event::LoadStatement::Valid)
+}
+
 /// Builds the request of `order` with its end-to-end headers, to which a dialect adds its own.
 ///
 /// Returns `None` if the method, the path or a header is malformed.
--- a/crates/anvil_node/src/caller/header.rs
+++ b/crates/anvil_node/src/caller/header.rs
@@ -34,6 +34,10 @@
 /// Set to `1` by a target in each answer while it is leaving.
 pub const TARGET_LEAVING: &str = "anvil-target-leaving";
 
+/// A target's load: `running,waiting,slots`, and optionally the time that work takes at present in
+/// percent of the usual time.
+pub const TARGET_LOAD: &str = "anvil-target-load";
+
 /// The outcome: `answered`, `not-run` or `may-have-run`.
 pub const OUTCOME: &str = "anvil-outcome";
 
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -49,7 +49,12 @@
     }
 
     fn statement(&self, head: &response::Parts) -> event::TargetStatement {
-        target::statement_of(&head.headers, header::TARGET_RATE, header::TARGET_LEAVING)
+        target::statement_of(
+            &head.headers,
+            header::TARGET_RATE,
+            header::TARGET_LEAVING,
+            header::TARGET_LOAD,
+        )
     }
 
     fn close_meaning(&self) -> target::CloseMeaning {
--- a/crates/anvil_overload/src/admission.rs
+++ b/crates/anvil_overload/src/admission.rs
@@ -7,7 +7,7 @@
 use anvil_wire::call;
 use serde::Serialize;
 
-use crate::{estimate, limit, pacing, policy, rank, rate, refusal, shedding};
+use crate::{estimate, limit, pace, pacing, policy, rank, rate, refusal, shedding};
 
 /// Queue capacity for each announced slot; the expected wait bounds the queue further.
 pub const QUEUE_PLACES_PER_SLOT: usize = 8;
@@ -64,7 +64,10 @@
     slots: u32,
     limit: limit::ConcurrencyLimit,
     cut: shedding::CutControl,
+    /// The usual service time: each sample is divided by the pace that the target stated.
     estimate: estimate::ServiceEstimate,
+    /// What the target states about its load.
+    pace: pace::TargetPace,
     leaving: bool,
     /// The rate that the target names.
     rate: rate::RateLimit,
@@ -85,6 +88,7 @@
             limit: limit::ConcurrencyLimit::new(now, slots, policy),
             cut: shedding::CutControl::new(now, policy),
             estimate: estimate::ServiceEstimate::default(),
+            pace: pace::TargetPace::default(),
             leaving: false,
             rate: rate::RateLimit::default(),
             senders: pacing::SenderCount::default(),
@@ -121,6 +125,7 @@
     pub fn restart(&mut self, now: time::NodeTime) {
         self.limit = limit::ConcurrencyLimit::new(now, self.slots, self.policy);
         self.estimate = estimate::ServiceEstimate::default();
+        self.pace = pace::TargetPace::default();
     }
 
     /// Refuses all waiting and future requests; running requests continue.
@@ -163,7 +168,8 @@
         };
         self.running.remove(index);
         if sample.end == limit::RunEnd::Completed || sample.end == limit::RunEnd::TimedOut {
-            self.estimate.observe(sample.latency);
+            self.pace.age(now);
+            self.estimate.observe(self.pace.usual_time(sample.latency));
         }
         self.limit.observe(now, sample);
         self.start_waiting(now, Vec::new())
@@ -212,7 +218,7 @@
             announced: 0,
             notice: None,
             pause_micros: u32::try_from(self.pause().as_micros()).unwrap_or(u32::MAX),
-            pace_percent: 0,
+            pace_percent: self.pace.percent(),
         }
     }
 
@@ -239,6 +245,21 @@
         &self.rate
     }
 
+    /// Usual time of a run, without the pace; zero before the first.
+    pub fn usual_time(&self) -> Duration {
+        self.estimate.mean()
+    }
+
+    /// What the target states about its load.
+    pub fn pace(&self) -> &pace::TargetPace {
+        &self.pace
+    }
+
+    /// What the target states about its load, to be updated.
+    pub fn pace_mut(&mut self) -> &mut pace::TargetPace {
+        &mut self.pace
+    }
+
     /// The rate that the target names, to be updated.
     pub fn rate_mut(&mut self) -> &mut rate::RateLimit {
         &mut self.rate
@@ -269,7 +290,7 @@
         if self.policy.bounded_queue && wait > call.queue_wait {
             return Some(self.wait_refusal(now, wait, call.queue_wait));
         }
-        let needed = wait + self.estimate.lower_bound();
+        let needed = wait + self.shortest_run();
         if self.policy.deadline_drop && now + needed > call.deadline {
             return Some((Reason::Deadline, Limit::Deadline));
         }
@@ -299,6 +320,16 @@
         }
     }
 
+    /// Mean time of a run at the present pace.
+    fn run_time(&self) -> Duration {
+        self.pace.present_time(self.estimate.mean())
+    }
+
+    /// Time at the present pace that few runs stay below.
+    fn shortest_run(&self) -> Duration {
+        self.pace.present_time(self.estimate.lower_bound())
+    }
+
     /// Expected wait behind the requests that are served earlier, for a slot and for a token.
     fn expected_wait(&self, rank: &rank::CallRank) -> Duration {
         let ahead = if self.policy.ranked_queue {
@@ -307,7 +338,7 @@
         } else {
             self.queue.len()
         };
-        let rounds = self.estimate.mean().saturating_mul(count(ahead));
+        let rounds = self.run_time().saturating_mul(count(ahead));
         let for_slot = rounds / self.limit.current();
         match self.policy.named_rate {
             true => for_slot.max(self.rate.wait(ahead)),
@@ -397,9 +428,7 @@
     /// starts.
     fn misses_deadline(&self, now: time::NodeTime, call: &WaitingCall) -> bool {
         let others_wait = !self.queue.is_empty();
-        self.policy.deadline_drop
-            && others_wait
-            && now + self.estimate.lower_bound() > call.deadline
+        self.policy.deadline_drop && others_wait && now + self.shortest_run() > call.deadline
     }
 
     /// Index of the request to run next: the one with the highest rank. Among equal ranks it is the
@@ -469,7 +498,7 @@
 
     /// Whether the named rate and not the number of slots bounds what the target runs.
     pub fn is_rate_bound(&self) -> bool {
-        let by_slots = self.estimate.mean() / self.limit.current();
+        let by_slots = self.run_time() / self.limit.current();
         self.rate_interval()
             .is_some_and(|interval| interval > by_slots)
     }
@@ -481,6 +510,7 @@
     }
 
     fn add_tokens(&mut self, now: time::NodeTime) {
+        self.pace.age(now);
         if let Some(filled_up) = self.rate.fill(now) {
             let snapshot = self.snapshot();
             self.cut.observe(filled_up, snapshot);
@@ -500,7 +530,7 @@
     /// for the time between two tokens. Its free slots would otherwise look like room.
     fn snapshot(&self) -> shedding::QueueSnapshot {
         let mut snapshot = shedding::QueueSnapshot {
-            service_time: self.estimate.mean(),
+            service_time: self.run_time(),
             limit: self.limit.current(),
             running: count(self.running.len()),
             standing: self.standing_len(),
--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -82,6 +82,10 @@
 
     /// The lowest level that is admitted now.
     pub fn level(&self, now: time::NodeTime) -> u16 {
+        // A routing decision asks each target of a service, and most have no line.
+        if self.level == 0 {
+            return 0;
+        }
         let age = now.since(self.at);
         let fresh = self.fresh();
         if age <= fresh {
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod estimate;
 pub mod kind;
 pub mod limit;
+pub mod pace;
 pub mod pacing;
 pub mod policy;
 pub mod quarantine;
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -14,13 +14,16 @@
 mod choice;
 mod completion;
 mod health;
+mod placement;
 mod sizes;
 mod target;
+mod window;
 
 pub use health::{
     FAILURE_DECAY, FAILURE_FACTOR, FIRST_EJECTION, MAX_CONSECUTIVE_FAILURES, MAX_EJECTED_SHARE,
     MAX_EJECTION, OUTLIER_RATE,
 };
+pub use placement::{OVERFLOW_END, PlacementCounts};
 pub use target::{LOAD_EXPIRY, LOAD_FRESH, SLOW_START, SLOW_START_SHARE};
 
 /// Factor by which the expected wait at a target in another availability zone is increased; the own
@@ -174,6 +177,21 @@
         self.services[index].choose(now, &query, policy, &mut self.source)
     }
 
+    /// Whether requests to `service` leave the own zone because it is full, if that has changed since
+    /// the last call.
+    pub fn overflow_change(&mut self, service: &name::ServiceName) -> Option<bool> {
+        self.routes_mut(service)?.placement.take_change()
+    }
+
+    /// Choices by expected completion for all services, by their reason.
+    pub fn placement_counts(&self) -> PlacementCounts {
+        let mut counts = PlacementCounts::default();
+        for routes in &self.services {
+            counts.add(&routes.placement.counts);
+        }
+        counts
+    }
+
     /// Counts a request of `class` that was sent to `node`.
     pub fn request_sent(
         &mut self,
--- a/crates/anvil_overload/src/routing/choice.rs
+++ b/crates/anvil_overload/src/routing/choice.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 use serde::Serialize;
 
-use crate::routing::{completion, sizes, target};
+use crate::routing::{completion, placement, sizes, target, window};
 use crate::{cut, kind, policy, rank, routing};
 
 /// Number of targets with known lines from which the lines of the other targets are inferred.
@@ -24,10 +24,36 @@
     pub(super) deep: cut::CutTable,
     /// Mean sizes of the answers.
     pub(super) sizes: sizes::AnswerSizes,
+    /// The choices by expected completion.
+    pub(super) placement: placement::PlacementRecord,
     /// Sorted by node.
     pub(super) targets: Vec<target::TargetRoute>,
 }
 
+/// What is known of the targets of a service that have reported.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownMeans {
+    sum_micros: f64,
+    count: f64,
+    /// Whether any of them names a rate.
+    has_limited: bool,
+}
+
+impl KnownMeans {
+    fn add(&mut self, target: &target::TargetRoute, usual_micros: Option<f64>) {
+        self.has_limited |= target.is_rate_limited();
+        if let Some(micros) = usual_micros {
+            self.sum_micros += micros;
+            self.count += 1.0;
+        }
+    }
+
+    /// The mean of the usual run times in microseconds; zero if none is known.
+    fn run_micros(&self) -> f64 {
+        self.sum_micros / self.count.max(1.0)
+    }
+}
+
 /// Reservoir sample of two items of a stream.
 #[derive(Clone, Copy, Debug, Default)]
 struct PairDraw {
@@ -71,6 +97,7 @@
             lines_until: time::NodeTime::START,
             deep: cut::CutTable::default(),
             sizes: sizes::AnswerSizes::default(),
+            placement: placement::PlacementRecord::default(),
             targets: Vec::new(),
         }
     }
@@ -102,7 +129,7 @@
     }
 
     fn pick(
-        &self,
+        &mut self,
         now: time::NodeTime,
         query: &routing::RouteQuery<'_>,
         policy: policy::OverloadPolicy,
@@ -120,8 +147,10 @@
                 && (!policy.early_refusal || target.admits(now, &query.rank))
         };
         if policy.expected_completion {
-            let eligible = self.targets.iter().map(|target| is_eligible(&target));
-            return self.pick_by_completion(now, query, policy, eligible, source);
+            let (index, reason) =
+                self.pick_by_completion(now, query, policy, is_eligible, source)?;
+            self.placement.count(now, reason);
+            return Some(index);
         }
         // A target that gave this node a pause is used only if all others did as well.
         let mut eligible = self.targets.iter().filter(is_eligible);
@@ -166,47 +195,32 @@
         drawn.flatten().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// Chooses among the targets that are `eligible`, in the order of the table.
-    fn pick_by_completion<I>(
+    /// Chooses among the targets that are eligible.
+    fn pick_by_completion<E>(
         &self,
         now: time::NodeTime,
         query: &routing::RouteQuery<'_>,
         policy: policy::OverloadPolicy,
-        eligible: I,
+        is_eligible: E,
         source: &mut Pcg32,
-    ) -> Option<usize>
+    ) -> Option<(usize, placement::PlacementReason)>
     where
-        I: Iterator<Item = bool>,
+        E: Fn(&&target::TargetRoute) -> bool,
     {
-        let has_limited = self
-            .targets
-            .iter()
-            .any(target::TargetRoute::is_rate_limited);
-        let usual_pause = if has_limited { self.usual_pause() } else { 0.0 };
-        let usual_pause = Duration::from_secs_f64(usual_pause / 1e6);
-        let usual_micros = self.usual_micros();
-        let mut candidates = Vec::with_capacity(self.targets.len());
-        let mut paused = Vec::new();
-        for ((index, target), eligible) in self.targets.iter().enumerate().zip(eligible) {
-            if !eligible {
-                continue;
-            }
-            let mut outlook = target.outlook(now, query.rank.class, policy, usual_micros);
-            // A target that gave this node a pause is used only if all others did as well.
-            let is_paused = !outlook.pause.is_zero();
-            if !target.has_reported() {
-                outlook.pause += usual_pause;
-            }
-            let same_zone = target.same_zone || !policy.zone_preference;
-            let candidate = completion::Candidate::new(index, same_zone, outlook);
-            if is_paused {
-                paused.push(candidate);
-            } else {
-                candidates.push(candidate);
-            }
-        }
-        if candidates.is_empty() {
-            candidates = paused;
+        let is_own_zone =
+            |target: &target::TargetRoute| target.same_zone || !policy.zone_preference;
+        let own = self.targets.iter().filter(|target| is_own_zone(target));
+        let own = u32::try_from(own.count()).unwrap_or(u32::MAX);
+        let all = u32::try_from(self.targets.len()).unwrap_or(u32::MAX);
+        let mut window = window::TargetWindow::draw(own, all - own, source);
+        let takes_next = |target: &&target::TargetRoute| {
+            window.takes_next(is_own_zone(target)) && is_eligible(target)
+        };
+        let mut candidates = self.candidates(now, query, policy, takes_next);
+        // The targets that were left out may be the only ones that take the request.
+        let lacks_own = window.is_own_partial() && !candidates.has_own_zone();
+        if lacks_own || (window.is_partial() && candidates.is_empty()) {
+            candidates = self.candidates(now, query, policy, is_eligible);
         }
         let bytes = query.bytes.saturating_add(self.sizes.expected(query.kind));
         let charge = match policy.stay_in_zone {
@@ -219,24 +233,68 @@
                 micros: 0.0,
             },
         };
-        completion::choose(&candidates, charge, source)
+        candidates.choose(charge, source)
     }
 
-    /// The mean of the usual run times that targets reported, in microseconds; zero if none did.
-    ///
-    /// A target without a report is taken to be as fast as the others. It would otherwise look like
-    /// the fastest of all and get every request until its first answer.
-    fn usual_micros(&self) -> f64 {
-        let (mut sum, mut count) = (0.0, 0.0);
-        for micros in self
-            .targets
-            .iter()
-            .filter_map(target::TargetRoute::usual_micros)
-        {
-            sum += micros;
-            count += 1.0;
+    /// The targets that `is_eligible` accepts, with what a request can expect there.
+    fn candidates<E>(
+        &self,
+        now: time::NodeTime,
+        query: &routing::RouteQuery<'_>,
+        policy: policy::OverloadPolicy,
+        mut is_eligible: E,
+    ) -> completion::CandidateSet
+    where
+        E: FnMut(&&target::TargetRoute) -> bool,
+    {
+        let class = query.rank.class;
+        let count = self.targets.len().min(window::MAX_CANDIDATES);
+        let mut candidates = completion::CandidateSet::with_capacity(count);
+        let mut paused = completion::CandidateSet::default();
+        let mut unknown = Vec::new();
+        let mut known = KnownMeans::default();
+        // A target that gave this node a pause is used only if all others did as well.
+        let mut push = |index: usize, is_paused: bool, outlook: &completion::TargetOutlook| {
+            let target = &self.targets[index];
+            let set = match is_paused {
+                true => &mut paused,
+                false => &mut candidates,
+            };
+            set.push(index, target.same_zone || !policy.zone_preference, outlook);
+        };
+        for (index, target) in self.targets.iter().enumerate() {
+            if !is_eligible(&target) {
+                continue;
+            }
+            let usual = target.usual_micros();
+            known.add(target, usual);
+            match usual {
+                Some(usual) => {
+                    let outlook = target.outlook(now, class, policy, usual);
+                    push(index, !outlook.pause.is_zero(), &outlook);
+                }
+                None => unknown.push(index),
+            }
+        }
+        // A target without a report is taken to be like the others. It would otherwise look like the
+        // fastest of all and get every request until its first answer.
+        let usual_pause = match known.has_limited && !unknown.is_empty() {
+            true => Duration::from_secs_f64(self.usual_pause() / 1e6),
+            false => Duration::ZERO,
+        };
+        for index in unknown {
+            let target = &self.targets[index];
+            let mut outlook = target.outlook(now, class, policy, known.run_micros());
+            let is_paused = !outlook.pause.is_zero();
+            if !target.has_reported() {
+                outlook.pause += usual_pause;
+            }
+            push(index, is_paused, &outlook);
+        }
+        match candidates.is_empty() {
+            true => paused,
+            false => candidates,
         }
-        if count > 0.0 { sum / count } else { 0.0 }
     }
 
     /// The mean pause in the latest reports of the targets, in microseconds.
--- a/crates/anvil_overload/src/routing/completion.rs
+++ b/crates/anvil_overload/src/routing/completion.rs
@@ -7,21 +7,24 @@
 use rand_pcg::Pcg32;
 
 use crate::routing;
+use crate::routing::placement;
 
-/// Exponent of the expected completion time in the weight of a target.
+/// Exponent of the inverse of the expected completion time in the weight of a target.
 ///
 /// A target that takes twice as long is drawn a sixteenth as often per free slot. With a plain
 /// minimum, all nodes that hold the same report would choose the same target.
-const COST_EXPONENT: i32 = 4;
+const SPEED_EXPONENT: i32 = 4;
 
-/// Queue of a zone without free slots, as a share of its slots, at which all requests leave it for
-/// free slots elsewhere; a shorter queue makes a part of them leave in proportion.
+/// Queue of a zone without free slots at which all requests leave it for free slots elsewhere, as a
+/// multiple of the square root of the slots. A shorter queue makes a part of them leave in
+/// proportion.
 ///
 /// All nodes of a zone notice at nearly the same time that its last slot is taken or free again.
-/// With a threshold they would leave the zone and return to it together. The requests that keep
-/// standing in the queue are those of the lowest ranks, so it must stay short: with a range of 0.2
-/// some of them wait until they are refused at 2.5 times the capacity of a zone, with 0.1 none.
-const LEAVING_RANGE: f64 = 0.1;
+/// With a threshold they would leave the zone and return to it together. The number of requests at a
+/// target varies by the square root of its mean, so a shorter queue is no sign of overflow: a bound
+/// of a tenth of the slots moves 23% instead of 14% between zones at 0.97 of the capacity of four
+/// equal targets of 40 slots. A longer one holds back the lowest ranks until they are refused.
+const FULL_QUEUE: f64 = 1.25;
 
 /// Free slots of the other zones, as a share of their slots, up to which only a part of the requests
 /// that could use them does. A single free slot is seen by all nodes at once.
@@ -63,48 +66,38 @@
         }
     }
 
-    /// Time until the request is expected to be complete, in microseconds, increased for a failing
-    /// target.
-    fn cost(&self) -> f64 {
-        let rounds = if self.busy < self.capacity {
+    /// The inverse of the time until the request is expected to be complete, which is increased for
+    /// a failing target; in microseconds. A single division for each target keeps the choice fast.
+    fn speed(&self) -> f64 {
+        let waiting = if self.busy < self.capacity {
             0.0
         } else {
-            (self.ahead + 1.0) / self.capacity
+            self.ahead + 1.0
+        };
+        let pause = match self.pause.is_zero() {
+            true => 0.0,
+            false => self.pause.as_secs_f64() * 1e6,
         };
-        let pause = self.pause.as_secs_f64() * 1e6;
         let failures = 1.0 + self.failures * routing::health::FAILURE_FACTOR;
-        (pause + (rounds + 1.0) * self.run) * failures
+        let slot_time = pause * self.capacity + (self.capacity + waiting) * self.run;
+        self.capacity / (slot_time * failures)
     }
 }
 
 /// A target that may be chosen.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Candidate {
+struct Candidate {
     index: usize,
     same_zone: bool,
-    outlook: TargetOutlook,
-    free: f64,
-    cost: f64,
+    has_free_slot: bool,
+    speed: f64,
+    weight: f64,
 }
 
 impl Candidate {
-    pub(super) fn new(index: usize, same_zone: bool, outlook: TargetOutlook) -> Self {
-        Self {
-            index,
-            same_zone,
-            outlook,
-            free: outlook.free_slots(),
-            cost: outlook.cost(),
-        }
-    }
-
-    /// The weight in the draw among targets with free slots, or among those without.
-    fn weight(&self) -> f64 {
-        let slots = match self.free > 0.0 {
-            true => self.free * self.outlook.share,
-            false => self.outlook.capacity,
-        };
-        slots * self.cost.powi(-COST_EXPONENT)
+    /// Time until the request is expected to be complete, in microseconds.
+    fn cost(&self) -> f64 {
+        self.speed.recip()
     }
 }
 
@@ -120,46 +113,36 @@
 /// The candidates of the own zone, or those of all others.
 #[derive(Clone, Copy, Debug)]
 struct ZoneSum {
-    same_zone: bool,
     capacity: f64,
     free: f64,
-    /// Sum of the weights of the targets with free slots, or of all if none has a free slot.
-    weight: f64,
-    /// The shortest queue with the new request, as a share of the slots of its target.
+    /// Sum of the weights of the targets with free slots.
+    free_weight: f64,
+    /// Sum of the weights of the other targets.
+    full_weight: f64,
+    /// The shortest queue with the new request, as a multiple of the queue at which all leave.
     queue: f64,
 }
 
-impl ZoneSum {
-    fn of(candidates: &[Candidate], same_zone: bool) -> Self {
-        let (mut capacity, mut free, mut queue) = (0.0, 0.0, f64::INFINITY);
-        let (mut free_weight, mut full_weight) = (0.0, 0.0);
-        for candidate in candidates.iter().filter(|one| one.same_zone == same_zone) {
-            let outlook = &candidate.outlook;
-            capacity += outlook.capacity;
-            free += candidate.free;
-            queue = ((outlook.busy + 1.0) / outlook.capacity - 1.0).min(queue);
-            if candidate.free > 0.0 {
-                free_weight += candidate.weight();
-            } else {
-                full_weight += candidate.weight();
-            }
-        }
+impl Default for ZoneSum {
+    fn default() -> Self {
         Self {
-            same_zone,
-            capacity,
-            free,
-            weight: if free > 0.0 { free_weight } else { full_weight },
-            queue,
+            capacity: 0.0,
+            free: 0.0,
+            free_weight: 0.0,
+            full_weight: 0.0,
+            queue: f64::INFINITY,
         }
     }
+}
 
+impl ZoneSum {
     fn has_free_slot(&self) -> bool {
         self.free > 0.0
     }
 
     /// Decides whether this request takes the zone for full.
     fn is_full(&self, source: &mut Pcg32) -> bool {
-        !self.has_free_slot() && self.queue / LEAVING_RANGE > unit_random(source)
+        !self.has_free_slot() && self.queue > unit_random(source)
     }
 
     /// Decides whether the free slots of the zone count for this request: with a probability in
@@ -167,53 +150,133 @@
     fn has_room(&self, source: &mut Pcg32) -> bool {
         self.free > self.capacity * ROOM_RANGE * unit_random(source)
     }
+}
 
-    /// Draws a target of the zone, one with a free slot if there is one, with a probability in
-    /// proportion to its weight.
-    fn draw<'a>(&self, candidates: &'a [Candidate], source: &mut Pcg32) -> Option<&'a Candidate> {
-        let mut left = self.weight * unit_random(source);
-        let mut last = None;
-        for candidate in candidates {
-            let is_drawn_from = candidate.same_zone == self.same_zone
-                && (candidate.free > 0.0) == self.has_free_slot();
-            if !is_drawn_from {
-                continue;
+/// The targets among which one is chosen.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CandidateSet {
+    candidates: Vec<Candidate>,
+    own: ZoneSum,
+    others: ZoneSum,
+}
+
+impl CandidateSet {
+    /// An empty set with memory for `count` targets.
+    pub(super) fn with_capacity(count: usize) -> Self {
+        Self {
+            candidates: Vec::with_capacity(count),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.candidates.is_empty()
+    }
+
+    pub(super) fn has_own_zone(&self) -> bool {
+        self.own.capacity > 0.0
+    }
+
+    /// Adds the target at `index` of the table.
+    #[inline]
+    pub(super) fn push(&mut self, index: usize, same_zone: bool, outlook: &TargetOutlook) {
+        let free = outlook.free_slots();
+        let has_free_slot = free > 0.0;
+        let speed = outlook.speed();
+        let slots = match has_free_slot {
+            true => free * outlook.share,
+            false => outlook.capacity,
+        };
+        let weight = slots * speed.powi(SPEED_EXPONENT);
+        let sum = match same_zone {
+            true => &mut self.own,
+            false => &mut self.others,
+        };
+        sum.capacity += outlook.capacity;
+        if has_free_slot {
+            sum.free += free;
+            sum.free_weight += weight;
+        } else {
+            sum.full_weight += weight;
+            let queue =
+                (outlook.busy + 1.0 - outlook.capacity) / (FULL_QUEUE * outlook.capacity.sqrt());
+            sum.queue = sum.queue.min(queue);
+        }
+        self.candidates.push(Candidate {
+            index,
+            same_zone,
+            has_free_slot,
+            speed,
+            weight,
+        });
+    }
+
+    /// Chooses a target; returns its index in the table, and why it was chosen.
+    ///
+    /// A target with a free slot in any zone goes before a full zone. The queue of a target is
+    /// ordered by rank, so the wait of a low rank is not known from its length, and a request that
+    /// stays for the sake of its bytes may wait until it is refused.
+    pub(super) fn choose(
+        &self,
+        charge: CrossingCharge,
+        source: &mut Pcg32,
+    ) -> Option<(usize, placement::PlacementReason)> {
+        use placement::PlacementReason as Reason;
+        let (own, others) = (&self.own, &self.others);
+        let saturated = !own.has_free_slot() && !others.has_free_slot();
+        let reason_of = |reason| match saturated {
+            true => Reason::Saturated,
+            false => reason,
+        };
+        let (near, far) = match (self.draw(true, source), self.draw(false, source)) {
+            (Some(near), Some(far)) => (near, far),
+            (Some(near), None) => return Some((near.index, reason_of(Reason::OwnZone))),
+            (None, far) => return Some((far?.index, reason_of(Reason::Overflow))),
+        };
+        let leaves = match (own.is_full(source), others.has_room(source)) {
+            (true, true) => Some(Reason::Overflow),
+            (true, false) => {
+                let is_earlier = far.cost() * SATURATED_ZONE_FACTOR < near.cost();
+                is_earlier.then_some(Reason::Saturated)
             }
-            last = Some(candidate);
-            left -= candidate.weight();
-            if left < 0.0 {
-                break;
+            (false, _) => {
+                let is_faster = far.cost() * charge.factor + charge.micros < near.cost();
+                is_faster.then_some(Reason::Faster)
+            }
+        };
+        Some(match leaves {
+            Some(reason) => (far.index, reason_of(reason)),
+            None => (near.index, reason_of(Reason::OwnZone)),
+        })
+    }
+
+    /// Draws a target of the own zone or of the others, one with a free slot if there is one, with a
+    /// probability in proportion to its weight.
+    fn draw(&self, same_zone: bool, source: &mut Pcg32) -> Option<&Candidate> {
+        let sum = match same_zone {
+            true => &self.own,
+            false => &self.others,
+        };
+        let has_free_slot = sum.has_free_slot();
+        let weight = match has_free_slot {
+            true => sum.free_weight,
+            false => sum.full_weight,
+        };
+        let mut left = weight * unit_random(source);
+        let mut last = None;
+        for candidate in &self.candidates {
+            if candidate.same_zone == same_zone && candidate.has_free_slot == has_free_slot {
+                last = Some(candidate);
+                left -= candidate.weight;
+                if left < 0.0 {
+                    break;
+                }
             }
         }
         last
     }
 }
 
-/// Chooses one of `candidates`; returns its index in the table of targets.
-///
-/// A target with a free slot in any zone goes before a full zone. The queue of a target is ordered
-/// by rank, so the wait of a low rank is not known from its length, and a request that stays for the
-/// sake of its bytes may wait until it is refused.
-pub(super) fn choose(
-    candidates: &[Candidate],
-    charge: CrossingCharge,
-    source: &mut Pcg32,
-) -> Option<usize> {
-    let own = ZoneSum::of(candidates, true);
-    let others = ZoneSum::of(candidates, false);
-    let near = own.draw(candidates, source);
-    let far = others.draw(candidates, source);
-    let (Some(near), Some(far)) = (near, far) else {
-        return near.or(far).map(|candidate| candidate.index);
-    };
-    let leaves = match (own.is_full(source), others.has_room(source)) {
-        (true, true) => true,
-        (true, false) => far.cost * SATURATED_ZONE_FACTOR < near.cost,
-        (false, _) => far.cost * charge.factor + charge.micros < near.cost,
-    };
-    Some(if leaves { far.index } else { near.index })
-}
-
 /// A random number from zero to below one.
 fn unit_random(source: &mut Pcg32) -> f64 {
     f64::from(source.next_u32()) / (f64::from(u32::MAX) + 1.0)
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -5,7 +5,7 @@
 
 use anvil_types::{context, ident, time};
 use anvil_wire::call;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use crate::routing::completion;
 use crate::{cut, pacing, policy, rank, routing};
@@ -27,6 +27,19 @@
 /// Age at which that load no longer counts.
 const OTHER_ZONE_EXPIRY: Duration = Duration::from_secs(2);
 
+/// How the load of a target in the own zone ages.
+const OWN_ZONE_FADE: ReportFade = ReportFade::new(LOAD_FRESH, LOAD_EXPIRY);
+
+/// How the load of a target in another zone ages.
+const OTHER_ZONE_FADE: ReportFade = ReportFade::new(OTHER_ZONE_FRESH, OTHER_ZONE_EXPIRY);
+
+/// Age up to which a report counts in full while a request that was sent after it is unanswered.
+///
+/// Otherwise a target that slowed down would look fast again once its report is outdated, and each
+/// node would send requests to it until the first of them is answered, which takes longest at a slow
+/// target. With this a node sends one request and keeps to what it knew until the answer arrives.
+const PROBE_EXPIRY: Duration = Duration::from_secs(5);
+
 /// How long a newly known target gets less than its full share.
 pub const SLOW_START: Duration = Duration::from_secs(3);
 
@@ -45,6 +58,28 @@
 /// How long a leaving that an answer reported counts if membership does not confirm it.
 const LEAVING_REPORT_TTL: Duration = Duration::from_secs(10);
 
+/// Falls from one at the age at which a report is no longer fresh to zero at its expiry. The inverse
+/// of the range saves a division for each target of a service.
+#[derive(Clone, Copy, Debug)]
+struct ReportFade {
+    expiry_micros: f64,
+    per_micro: f64,
+}
+
+impl ReportFade {
+    const fn new(fresh: Duration, expiry: Duration) -> Self {
+        let expiry_micros = expiry.as_secs_f64() * 1e6;
+        Self {
+            expiry_micros,
+            per_micro: 1.0 / (expiry_micros - fresh.as_secs_f64() * 1e6),
+        }
+    }
+
+    fn at(&self, age_micros: f64) -> f64 {
+        ((self.expiry_micros - age_micros) * self.per_micro).clamp(0.0, 1.0)
+    }
+}
+
 /// An answer's report that its target is leaving.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct LeavingReport {
@@ -69,7 +104,8 @@
     leaving_report: Option<LeavingReport>,
     since: time::NodeTime,
     in_flight: [u32; context::PriorityClass::ALL.len()],
-    #[serde(skip)]
+    /// The latest report, of which the dump shows the pace.
+    #[serde(rename = "pace_percent", serialize_with = "serialize_pace")]
     load: call::LoadReport,
     #[serde(rename = "heard")]
     reported_at: Option<time::NodeTime>,
@@ -120,6 +156,7 @@
         self.announced = record.announced;
     }
 
+    #[inline]
     pub(super) fn is_available(&self, now: time::NodeTime, exclude: &[ident::NodeId]) -> bool {
         !self.leaving && !self.has_reported_leaving(now) && !exclude.contains(&self.node)
     }
@@ -136,10 +173,12 @@
         })
     }
 
+    #[inline]
     pub(super) fn ejected(&self, now: time::NodeTime) -> bool {
         now < self.ejected_until
     }
 
+    #[inline]
     pub(super) fn admits(&self, now: time::NodeTime, rank: &rank::CallRank) -> bool {
         rank.admission_level() >= self.cut.level(now)
     }
@@ -225,11 +264,12 @@
         (wait + pause) * distance * failures + crossing
     }
 
-    /// What a new request of `class` can expect at this target. `usual_micros` is the run time of a
-    /// target that has not reported one.
+    /// What a new request of `class` can expect at this target. `usual_micros` is its usual
+    /// run time, or that of the others if it has not reported one.
     ///
     /// Requests that this node sent since the latest report count as waiting, because the report
     /// does not include them.
+    #[inline]
     pub(super) fn outlook(
         &self,
         now: time::NodeTime,
@@ -243,9 +283,11 @@
         let queued_ahead = sum(&self.load.queued[from..]);
         let sent_all: u32 = self.in_flight.iter().sum();
         let sent_ahead: u32 = self.in_flight[from..].iter().sum();
-        let freshness = match self.same_zone {
-            true => self.freshness(now),
-            false => self.aged(now, OTHER_ZONE_FRESH, OTHER_ZONE_EXPIRY),
+        let age = self.report_age(now);
+        let fresh = age.map_or(0.0, |age| OWN_ZONE_FADE.at(age));
+        let freshness = match (self.same_zone, age) {
+            (false, Some(age)) => OTHER_ZONE_FADE.at(age),
+            _ => fresh,
         };
         let (capacity, share) = self.started_capacity(now, policy);
         let since = |sent: u32| f64::from(self.sent_since.min(sent));
@@ -253,32 +295,36 @@
         let busy = (reported + since(sent_all)).max(f64::from(sent_all));
         let ahead = f64::from(queued_ahead) * freshness + since(sent_ahead);
         let ahead = ahead.max(f64::from(sent_ahead) - capacity);
-        let usual = self.usual_micros().unwrap_or(usual_micros);
         completion::TargetOutlook {
             capacity,
             share,
             busy,
             ahead: ahead.min(busy - capacity).max(0.0),
-            run: usual.max(f64::from(MIN_SERVICE_MICROS)) * self.pace(now),
-            pause: self.pause_left(now),
-            failures: if policy.ejection {
-                self.recent_failures(now)
-            } else {
-                0.0
+            run: usual_micros.max(f64::from(MIN_SERVICE_MICROS)) * self.pace(fresh),
+            pause: match self.load.pause_micros {
+                0 => Duration::ZERO,
+                _ => self.pause_left(now),
+            },
+            failures: match policy.ejection && self.failure_rate > 0.0 {
+                true => self.recent_failures(now),
+                false => 0.0,
             },
         }
     }
 
     /// How long work takes at the target, as a multiple of its usual time. What the target stated
-    /// fades to the usual time as the report ages.
-    fn pace(&self, now: time::NodeTime) -> f64 {
+    /// fades to the usual time as the report ages. A report from before the node's latest
+    /// announcement may be about the incarnation before, and its pace does not count.
+    fn pace(&self, freshness: f64) -> f64 {
         match self.load.pace_percent {
             0 => 1.0,
-            percent => 1.0 + (f64::from(percent) / 100.0 - 1.0) * self.freshness(now),
+            _ if self.load.announced < self.announced => 1.0,
+            percent => 1.0 + (f64::from(percent) * 0.01 - 1.0) * freshness,
         }
     }
 
     /// The usual run time that the target reported, in microseconds.
+    #[inline]
     pub(super) fn usual_micros(&self) -> Option<f64> {
         let reported = self.load.usual_micros;
         (reported > 0).then(|| f64::from(reported))
@@ -292,6 +338,7 @@
     }
 
     /// Whether the target named a rate in its latest report.
+    #[inline]
     pub(super) fn is_rate_limited(&self) -> bool {
         self.load.notice.is_some_and(|notice| notice.rate.is_some())
     }
@@ -351,27 +398,35 @@
     }
 
     fn slow_start_share(&self, now: time::NodeTime, policy: policy::OverloadPolicy) -> f64 {
-        if !policy.slow_start {
+        let age = now.since(self.since);
+        if !policy.slow_start || age >= SLOW_START {
             return 1.0;
         }
-        let age = now.since(self.since).as_secs_f64() / SLOW_START.as_secs_f64();
-        age.clamp(SLOW_START_SHARE, 1.0)
+        let share = age.as_secs_f64() / SLOW_START.as_secs_f64();
+        share.max(SLOW_START_SHARE)
     }
 
     fn freshness(&self, now: time::NodeTime) -> f64 {
-        self.aged(now, LOAD_FRESH, LOAD_EXPIRY)
-    }
-
-    /// One up to the first age of the latest report, and falling to zero at the second.
-    fn aged(&self, now: time::NodeTime, fresh: Duration, expiry: Duration) -> f64 {
         let Some(reported_at) = self.reported_at else {
             return 0.0;
         };
         let age = now.since(reported_at).as_secs_f64();
-        let (fresh, expiry) = (fresh.as_secs_f64(), expiry.as_secs_f64());
+        let (fresh, expiry) = (LOAD_FRESH.as_secs_f64(), LOAD_EXPIRY.as_secs_f64());
         ((expiry - age) / (expiry - fresh)).clamp(0.0, 1.0)
     }
 
+    /// Age of the latest report in microseconds, zero while it counts in full because a request that was
+    /// sent after it is unanswered; none without a report.
+    #[inline]
+    fn report_age(&self, now: time::NodeTime) -> Option<f64> {
+        let age = now.since(self.reported_at?);
+        let has_probe = self.sent_since > 0 && self.in_flight.iter().any(|count| *count > 0);
+        Some(match has_probe && age <= PROBE_EXPIRY {
+            true => 0.0,
+            false => micros(age),
+        })
+    }
+
     fn count_result(&mut self, now: time::NodeTime, end: routing::AttemptEnd) {
         let failed = end != routing::AttemptEnd::Succeeded;
         if failed {
@@ -386,3 +441,15 @@
         };
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "at most hours")]
+fn micros(duration: Duration) -> f64 {
+    duration.as_micros() as f64
+}
+
+fn serialize_pace<S>(load: &call::LoadReport, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.serialize_u16(load.pace_percent)
+}
--- a/crates/anvil_overload/tests/placement.rs
+++ b/crates/anvil_overload/tests/placement.rs
@@ -3,8 +3,9 @@
 mod placement_fleet;
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
-use anvil_overload::{kind, policy, rank, routing};
+use anvil_overload::{admission, kind, limit, pace, policy, rank, routing};
 use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, time};
 use anvil_wire::call;
@@ -27,6 +28,30 @@
     name::ServiceName::new("padron").expect("a name")
 }
 
+fn zone(letter: char) -> name::ZoneName {
+    name::ZoneName::new(&letter.to_string()).expect("a name")
+}
+
+fn record(node: u64, letter: char, slots: u32) -> routing::TargetRecord {
+    routing::TargetRecord {
+        node: ident::NodeId(node),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        zone: zone(letter),
+        slots,
+        leaving: false,
+        announced: 0,
+    }
+}
+
+fn rank_of(lane: u8) -> rank::CallRank {
+    rank::CallRank {
+        class: NORMAL,
+        by_rule: None,
+        depth: 0,
+        lane: Reverse(context::LaneHash(lane)),
+    }
+}
+
 /// A load report of a target with eight slots and a usual run time of 60 ms.
 fn load(running: u32, queued: u16, pace_percent: u16) -> call::LoadReport {
     call::LoadReport {
@@ -45,17 +70,9 @@
     seed: u64,
     targets: &[(char, Option<call::LoadReport>)],
 ) -> routing::RouteTable {
-    let zone = |letter: char| name::ZoneName::new(&letter.to_string()).expect("a name");
     let mut table = routing::RouteTable::new(zone('a'), seed, policy);
     for (node, (letter, load)) in (1..).zip(targets) {
-        let record = routing::TargetRecord {
-            node: ident::NodeId(node),
-            address: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
-            zone: zone(*letter),
-            slots: load.map_or(8, |load| load.limit),
-            leaving: false,
-            announced: 0,
-        };
+        let record = record(node, *letter, load.map_or(8, |load| load.limit));
         table.upsert(at(0), &service(), &record);
         if load.is_some() {
             end(
@@ -89,12 +106,7 @@
     let service = service();
     let query = routing::RouteQuery {
         service: &service,
-        rank: rank::CallRank {
-            class: NORMAL,
-            by_rule: None,
-            depth: 0,
-            lane: Reverse(context::LaneHash(7)),
-        },
+        rank: rank_of(7),
         kind: kind::CallKind(1),
         bytes,
         exclude: &[],
@@ -227,3 +239,198 @@
     of_few_slots => (20, 8, 1.3, (0.40, 0.5)),
     of_much_load => (20, 159, 2.5, (0.65, 0.2)),
 }
+
+// Guards against a target that gets as much as the others although its machine is slow, and against
+// one that is avoided for a pace that it no longer states. A pace that is wrong costs only the target
+// that states it.
+fn a_pace_moves_requests(pace_percent: u16, age: u64, (min, max): (u32, u32)) {
+    let targets = [pace_percent, 100, 100, 100].map(|pace| ('a', seen(2, 0, pace)));
+    let shares = shares(ON, 9_000 + age, 130, &targets);
+    assert!((min..=max).contains(&shares[0]), "{shares:?}");
+    assert!(shares[1..].iter().all(|share| *share >= 40), "{shares:?}");
+}
+
+test_cases! {
+    a_pace_moves_requests:
+    a_fifth_of_the_speed => (500, 50, (0, 5)),
+    two_fifths_of_the_speed => (250, 50, (0, 20)),
+    a_pace_far_from_the_truth => (10_000, 50, (0, 0)),
+    a_faster_machine => (80, 50, (130, 260)),
+    half_outdated => (250, 700, (20, 70)),
+    outdated => (250, 1_000, (70, 130)),
+    no_longer_stated => (0, 50, (70, 130)),
+}
+
+// A target slows, crashes and returns under the id of its node. Guards against a successor that is
+// avoided for the pace of the incarnation before, also if the last report of that one arrives late.
+fn a_successor_starts_with_the_usual_pace(report_is_late: bool) {
+    let slow = call::LoadReport {
+        announced: 7,
+        ..load(2, 0, 500)
+    };
+    let mut chosen = 0;
+    for seed in 0..200 {
+        let mut table = table(ON, seed, &[('a', seen(2, 0, 100)), ('a', Some(slow))]);
+        let successor = routing::TargetRecord {
+            announced: 8,
+            ..record(2, 'a', 8)
+        };
+        table.upsert(at(9_010), &service(), &successor);
+        if report_is_late {
+            end(&mut table, 2, routing::AttemptEnd::Succeeded, Some(&slow));
+        }
+        chosen += u32::from(choose(&mut table, 9_050, 130) == Some(2));
+    }
+    assert!((70..=130).contains(&chosen), "{chosen}");
+}
+
+test_cases! {
+    a_successor_starts_with_the_usual_pace:
+    announced_after_the_last_report => (false),
+    announced_before_the_last_report => (true),
+}
+
+// A node that restarts knows all targets for a moment only. Guards against a slow start that makes
+// the busy target of its zone look full, so that everything leaves the zone for three seconds.
+#[test]
+fn a_restarted_node_stays_in_its_zone() {
+    let targets = [('a', idle()), ('b', None)];
+    for seed in 0..100 {
+        let mut table = routing::RouteTable::new(zone('a'), seed, ON);
+        for (node, (letter, load)) in (1..).zip(targets) {
+            let record = record(node, letter, 159);
+            table.upsert(at(8_900), &service(), &record);
+            end(
+                &mut table,
+                node,
+                routing::AttemptEnd::Succeeded,
+                load.as_ref(),
+            );
+        }
+        assert_eq!(choose(&mut table, 9_050, 130), Some(1));
+    }
+}
+
+fn a_load_is_read(text: &str, expected: Option<(u32, u32, u32, Option<u16>)>) {
+    let expected = expected.map(|(running, waiting, slots, pace_percent)| pace::StatedLoad {
+        running,
+        waiting,
+        slots,
+        pace_percent,
+    });
+    assert_eq!(text.parse().ok(), expected);
+}
+
+// Guards against numbers that are taken for a load although they are none.
+test_cases! {
+    a_load_is_read:
+    with_a_pace => ("7,0,8,250", Some((7, 0, 8, Some(250)))),
+    without_a_pace => ("7,0,8", Some((7, 0, 8, None))),
+    with_spaces => (" 7, 0,8 ,100", Some((7, 0, 8, Some(100)))),
+    at_the_highest_pace => ("0,0,1,10000", Some((0, 0, 1, Some(10_000)))),
+    not_above_it => ("0,0,1,10001", None),
+    not_without_time => ("0,0,1,0", None),
+    not_without_slots => ("0,0,0,100", None),
+    not_with_two_fields => ("0,1", None),
+    not_with_five_fields => ("0,0,8,100,1", None),
+    not_with_an_empty_field => ("0,,8,100", None),
+    not_with_an_empty_pace => ("0,0,8,", None),
+    not_with_a_sign => ("+1,0,8,100", None),
+    not_with_a_fraction => ("1,0,8,1.5", None),
+    not_beyond_its_type => ("4294967296,0,8,100", None),
+    not_of_letters => ("fast", None),
+}
+
+// A run takes 60 ms at the usual pace. Guards against a change of pace that counts twice, in the
+// usual time and in the pace, and against a pace that counts although it is outdated.
+#[test]
+fn the_usual_time_does_not_follow_the_pace() {
+    let mut queue = admission::AdmissionQueue::warm(at(0), 8, ON);
+    let mut now = at(0);
+    for run in 0..40 {
+        let pace = if run < 20 { 100 } else { 250 };
+        let call = admission::WaitingCall {
+            id: run,
+            rank: rank_of(7),
+            deadline: now + Duration::from_secs(9),
+            queue_wait: Duration::from_secs(1),
+            suspect: false,
+        };
+        assert_eq!(
+            queue.offer(now, call),
+            [admission::AdmissionDecision::Start(run)]
+        );
+        let latency = Duration::from_micros(600 * u64::from(pace));
+        now = now + latency;
+        let load = format!("1,0,8,{pace}").parse().expect("a load");
+        queue.pace_mut().record(now, load);
+        let sample = limit::RunSample {
+            latency,
+            downstream: Duration::ZERO,
+            end: limit::RunEnd::Completed,
+        };
+        queue.finish(now, run, sample);
+        let load = queue.load(now);
+        assert_eq!((load.usual_micros, load.pace_percent), (60_000, pace));
+    }
+    assert_eq!(queue.load(now + pace::PACE_EXPIRY).pace_percent, 250);
+    let later = now + pace::PACE_EXPIRY + Duration::from_millis(1);
+    assert_eq!(queue.load(later).pace_percent, 0);
+}
+
+// Four targets of unequal speed serve the zones of 78 nodes, and the fastest slows to a fifth after
+// two seconds. Guards against calls that wait behind it while others have free slots.
+#[test]
+fn the_fastest_target_slows_to_a_fifth() {
+    let targets = [('a', 40, 60), ('b', 40, 80), ('c', 40, 120), ('d', 40, 150)];
+    let left: f64 = [300.0, 80.0, 120.0, 150.0]
+        .iter()
+        .map(|run| 38e3 / run)
+        .sum();
+    let mut fleet = Fleet::new(ON, 78, &targets);
+    fleet.slow_down(2_000, 0, 5);
+    let result = fleet.play(5_000, &[0.95 * left / 4.0; 4]);
+    assert!(result.refused * 100 <= result.sent, "{result:?}");
+}
+
+// The mean load of 200 targets of unequal speed is nine tenths of their capacity. Guards against a
+// choice that looks at a part of a large service and misses free slots or leaves the own zone.
+#[test]
+fn two_hundred_targets_serve_nine_tenths_of_their_capacity() {
+    let targets: Vec<_> = (0..200_u8)
+        .map(|index| {
+            (
+                char::from(b'a' + index / 50),
+                8,
+                60 + u64::from(index % 3) * 30,
+            )
+        })
+        .collect();
+    let capacity: f64 = targets
+        .iter()
+        .map(|(_, _, run)| 7e3 / f64::from(u32::try_from(*run).expect("a time")))
+        .sum();
+    let mut fleet = Fleet::new(ON, 78, &targets);
+    let result = fleet.play(2_500, &[0.9 * capacity / 4.0; 4]);
+    assert!(result.refused * 1_000 <= result.sent, "{result:?}");
+    assert!(result.crossed * 20 <= result.sent, "{result:?}");
+}
+
+// One target of 200 stands in the own zone, or is the only one with a free slot there. Guards against
+// a choice that does not look at it.
+fn the_own_zone_is_found(own: usize, free: usize) {
+    let mut targets = vec![('b', idle()); 200];
+    for target in &mut targets[..own] {
+        *target = ('a', crowded());
+    }
+    targets[free] = ('a', idle());
+    let share = shares(ON, 9_050, 130, &targets)[free];
+    assert_eq!(share, 400);
+}
+
+test_cases! {
+    the_own_zone_is_found:
+    with_one_target => (0, 150),
+    with_two_targets => (1, 199),
+    with_all_that_a_choice_looks_at => (23, 23),
+}
--- a/crates/anvil_overload/tests/placement_fleet/mod.rs
+++ b/crates/anvil_overload/tests/placement_fleet/mod.rs
@@ -23,6 +23,8 @@
     Arrive(u64),
     /// The run of a call ends.
     End(u64),
+    /// The runs of a target take longer by this factor from now on.
+    Slow(usize, u64),
     /// The answer to a call arrives at its node.
     Answer(u64),
 }
@@ -41,6 +43,8 @@
     queue: admission::AdmissionQueue,
     zone: usize,
     run_micros: u64,
+    /// Factor by which its runs take longer at present.
+    pace: u64,
 }
 
 /// What was counted after the first second.
@@ -61,6 +65,7 @@
 pub(crate) struct Fleet {
     tables: Vec<routing::RouteTable>,
     zone_count: usize,
+    states_pace: bool,
     targets: Vec<FleetTarget>,
     calls: Vec<FleetCall>,
     events: BinaryHeap<Reverse<(u64, FleetEvent)>>,
@@ -105,10 +110,12 @@
             queue: admission::AdmissionQueue::warm(start, *slots, policy),
             zone: zones.iter().position(|one| one == zone).expect("a zone"),
             run_micros: run_millis * 1_000,
+            pace: 1,
         };
         Self {
             tables: (0..nodes).map(table).collect(),
             zone_count: zones.len(),
+            states_pace: policy.expected_completion,
             targets: targets.iter().map(target).collect(),
             calls: Vec::new(),
             events: BinaryHeap::new(),
@@ -144,12 +151,19 @@
                 }
                 FleetEvent::Arrive(id) => self.arrive(now, id),
                 FleetEvent::End(id) => self.end(now, id),
+                FleetEvent::Slow(target, factor) => self.targets[target].pace = factor,
                 FleetEvent::Answer(id) => self.answer(now, id),
             }
         }
         &self.result
     }
 
+    /// Makes the runs of `target` take longer by `factor` from `millis` on. Where the policy selects
+    /// by expected completion, the target states its pace.
+    pub(crate) fn slow_down(&mut self, millis: u64, target: usize, factor: u64) {
+        self.push(millis * 1_000, FleetEvent::Slow(target, factor));
+    }
+
     fn push(&mut self, at: u64, event: FleetEvent) {
         self.events.push(Reverse((at, event)));
     }
@@ -228,7 +242,11 @@
             downstream: Duration::ZERO,
             end: limit::RunEnd::Completed,
         };
-        let queue = &mut self.targets[target].queue;
+        let FleetTarget { queue, pace, .. } = &mut self.targets[target];
+        if self.states_pace {
+            let load = format!("1,0,40,{}", *pace * 100).parse().expect("a load");
+            queue.pace_mut().record(time::NodeTime(now), load);
+        }
         let decisions = queue.finish(time::NodeTime(now), id, sample);
         self.report(now, id);
         self.apply(now, target, &decisions);
@@ -239,7 +257,7 @@
             match *decision {
                 admission::AdmissionDecision::Start(id) => {
                     self.call(id).started = now;
-                    let run = self.targets[target].run_micros;
+                    let run = self.targets[target].run_micros * self.targets[target].pace;
                     let run = run / 2 + u64::from(self.source.next_u32()) % run;
                     self.push(now + run, FleetEvent::End(id));
                 }
