--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -160,7 +160,13 @@
             self.end_call(sequence, not_run(reason), None);
             return;
         }
-        match self.choose_target(sequence) {
+        let service = open.request.service.clone();
+        let choice = self.choose_target(sequence);
+        if let Some(begins) = self.directory.overflow_change(&service) {
+            let service = service.to_string();
+            self.log_request(effect::StateChange::ZoneOverflow { service, begins });
+        }
+        match choice {
             routing::RouteChoice::Target {
                 node,
                 address,
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -92,6 +92,8 @@
         counters["quota"] = json!(self.quota_counters());
         counters["named_rate"] = self.rate_gauges();
         counters["refused_calls"] = self.refused_call_gauges();
+        counters["pace"] = self.pace_gauges();
+        counters["placement"] = json!(self.directory.routes().placement_counts());
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
