Count the demand of accounts at their homes

Fair lanes need to know how many requests an account sends over all nodes, in relation to its quota. Homes counted only net uses: the token of a request that is shed is returned, so an account whose requests are all shed appeared to send none.

Entry nodes now report the requests that arrived in a session (`UsageReport::arrived`). Homes keep the rates of all requests and of those that the quota granted, with a time constant of 2 s, and state both in their decisions (`demand_percent`, `granted_percent`), if the ledger is made with `with_stated_demand`. Entry nodes use the last ratio for 5 s, then an estimate from their own requests. A request of an account without a recent ratio waits for the home's decision, which is sent in any case. A home logs when an account begins to demand more than its quota.

The tests of anvil_quota pass.

--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -267,7 +267,7 @@
         }
     }
 
-    /// Logs a change of the home node that counts an account's requests.
+    /// Logs a change of the home node that counts an account's requests, or of their demand.
     fn report_home_change(&mut self, change: quota_effect::HomeChange) {
         let text = match change {
             quota_effect::HomeChange::Left { account, home } => {
@@ -282,6 +282,15 @@
                 let name = self.account_name(account);
                 format!("uses taken: account={name} from={from} uses={uses}")
             }
+            quota_effect::HomeChange::Demand {
+                account,
+                percent,
+                is_above,
+            } => {
+                let name = self.account_name(account);
+                let change = if is_above { "above" } else { "within" };
+                format!("demand {change} quota: account={name} percent={percent}")
+            }
         };
         self.report(effect::StateChange::Part { part: PART, text });
     }
--- a/crates/anvil_quota/examples/quota_ways.rs
+++ b/crates/anvil_quota/examples/quota_ways.rs
@@ -56,6 +56,8 @@
         nodes,
         seed,
         mode,
+        states_demand: false,
+        sheds: false,
         delay_micros: 3_000,
         lost_per_mille: 10,
         length: Duration::from_secs(20),
--- a/crates/anvil_quota/src/effect.rs
+++ b/crates/anvil_quota/src/effect.rs
@@ -65,4 +65,13 @@
         /// Requests that it admitted while this node was the home as well, minus those given back.
         uses: i32,
     },
+    /// An account began to send more requests than its quota allows, or ceased to.
+    Demand {
+        /// The account.
+        account: account::AccountId,
+        /// Its requests in percent of the rate of its quota.
+        percent: u16,
+        /// Whether they are more than the quota allows.
+        is_above: bool,
+    },
 }
--- a/crates/anvil_quota/src/entry.rs
+++ b/crates/anvil_quota/src/entry.rs
@@ -7,7 +7,7 @@
 use anvil_types::{account, ident, time};
 use anvil_wire::quota;
 
-use crate::{bucket, effect, meter};
+use crate::{bucket, demand, effect, meter};
 
 /// Time after which an unanswered report is sent again, multiplied by the number of times it was
 /// sent.
@@ -44,6 +44,8 @@
     /// Decisions requested in this session, and those of them that were granted.
     requested: u32,
     granted: u32,
+    /// Requests that arrived in this session.
+    arrived: u32,
     ahead: u16,
     waiting: VecDeque<WaitingCall>,
     /// When the last report is sent again if no answer arrives.
@@ -56,6 +58,8 @@
     /// Whether the home was queried again although it named another node.
     queries_again: bool,
     recent: meter::EventMeter,
+    /// Demand of the account over all nodes, as far as it is known here.
+    pub demand: demand::EntryDemand,
     /// Bucket used while no home answers.
     standalone: Option<bucket::TokenBucket>,
 }
@@ -71,6 +75,7 @@
             acknowledged: 0,
             requested: 0,
             granted: 0,
+            arrived: 0,
             ahead: 0,
             waiting: VecDeque::new(),
             resend_at: None,
@@ -79,6 +84,7 @@
             stands_in: false,
             queries_again: false,
             recent: meter::EventMeter::new(now),
+            demand: demand::EntryDemand::new(now),
             standalone: None,
         }
     }
@@ -99,6 +105,8 @@
             self.requested += 1;
             waiting.sequence = self.requested;
         }
+        let uncounted = u32::try_from(self.spent).unwrap_or(0);
+        self.arrived = self.requested.wrapping_add(uncounted);
         self.sends = 0;
         self.resend_at = None;
         self.unsent = home.is_some() && (self.spent != 0 || self.requested > 0);
@@ -124,6 +132,7 @@
         let allowed = uncounted < i32::from(self.ahead);
         if allowed {
             self.spent = self.spent.wrapping_add(1);
+            self.arrived = self.arrived.wrapping_add(1);
             self.unsent = true;
             self.recent.count(now);
         }
@@ -133,6 +142,7 @@
     /// Queues a request for the home's decision.
     pub fn enqueue(&mut self, call: u64) {
         self.requested += 1;
+        self.arrived = self.arrived.wrapping_add(1);
         self.unsent = true;
         self.waiting.push_back(WaitingCall {
             call: Some(call),
@@ -210,6 +220,8 @@
         }
         self.term = decision.term;
         self.acknowledged = decision.spent;
+        self.demand
+            .store(now, demand::DemandRatio::of_decision(&decision));
         self.ahead = decision.ahead;
         self.sends = 0;
         let mut new_grants = decision.granted - self.granted;
@@ -258,6 +270,7 @@
             term: self.term,
             spent: self.spent,
             asked: self.requested,
+            arrived: self.arrived,
             failover: self.stands_in,
         })
     }
--- a/crates/anvil_quota/src/home.rs
+++ b/crates/anvil_quota/src/home.rs
@@ -6,7 +6,7 @@
 use anvil_types::{account, ident, sorted, time};
 use anvil_wire::quota;
 
-use crate::{bucket, meter, recent};
+use crate::{bucket, demand, meter, recent};
 
 /// Initial tokens of a new home, for the whole fleet. The previous home may have admitted a whole
 /// burst just before; these few tokens keep an account within its quota from being refused
@@ -41,6 +41,13 @@
 /// Interval between the handovers of a node that admits requests beside the home.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Demand ratio above which an account counts as demanding more than its quota.
+const ABOVE_QUOTA: f64 = 1.0;
+
+/// Demand ratio below which it no longer does; the distance keeps a demand that varies around the
+/// quota from being logged again and again.
+const WITHIN_QUOTA: f64 = 0.7;
+
 /// A handover that was counted.
 #[derive(Clone, Copy, Debug)]
 struct CountedHandover {
@@ -58,6 +65,7 @@
     spent: i32,
     requested: u32,
     granted: u32,
+    arrived: u32,
     /// Number of requests that it may admit ahead of the count.
     ahead: u16,
 }
@@ -83,6 +91,11 @@
     counted_handovers: Vec<CountedHandover>,
     /// Whether it uses the full rate, because this node sees all members.
     has_full_rate: bool,
+    /// All requests of the account, granted or not.
+    demand: demand::HomeDemand,
+    /// The ratio that decisions carry; `None` if it is unknown, or if fair lanes are off.
+    stated_ratio: Option<demand::DemandRatio>,
+    is_above_quota: bool,
 }
 
 /// A decision and its destination.
@@ -105,6 +118,9 @@
             last_handover: now,
             counted_handovers: Vec::new(),
             has_full_rate: true,
+            demand: demand::HomeDemand::new(now),
+            stated_ratio: None,
+            is_above_quota: false,
         }
     }
 
@@ -149,6 +165,8 @@
             number: handover.number,
             at: now,
         });
+        // The other node has counted requests that this one has not.
+        self.demand = demand::HomeDemand::new(now);
         let uses = recent::uses_within(&handover.slices, now.since(self.active_since));
         let uses = uses.round() as i32;
         self.bucket.charge_late(uses, size);
@@ -176,11 +194,37 @@
         if idle && (self.has_moved || !is_home) {
             self.bucket.cap(initial_tokens(size, share));
             self.active_since = now;
+            // Another home counted the requests meanwhile.
+            self.demand = demand::HomeDemand::new(now);
         }
         self.last_used = now;
         self.has_moved = !is_home;
     }
 
+    /// Demand of the account, as a ratio to the rate of this home.
+    pub fn demand(
+        &self,
+        now: time::NodeTime,
+        size: bucket::BucketSize,
+    ) -> Option<demand::DemandRatio> {
+        self.demand.ratio(now, size.rate)
+    }
+
+    /// Sets the ratio that decisions carry. Returns it if the account began to demand more than its
+    /// quota, or ceased to, with whether it does now.
+    pub fn state_demand(
+        &mut self,
+        now: time::NodeTime,
+        size: bucket::BucketSize,
+    ) -> Option<(demand::DemandRatio, bool)> {
+        self.stated_ratio = self.demand(now, size);
+        let ratio = self.stated_ratio?;
+        let was_above = self.is_above_quota;
+        let bound = if was_above { WITHIN_QUOTA } else { ABOVE_QUOTA };
+        self.is_above_quota = ratio.requested > bound;
+        (self.is_above_quota != was_above).then_some((ratio, self.is_above_quota))
+    }
+
     /// Whether the reports of all other nodes have stopped, which shows long before membership
     /// detects it.
     ///
@@ -198,7 +242,9 @@
 
     /// Decides a request that arrived at the home itself.
     pub fn take(&mut self, size: bucket::BucketSize) -> Result<(), Duration> {
-        if !self.bucket.take() {
+        let granted = self.bucket.take();
+        self.demand.count(self.last_used, 1, u32::from(granted));
+        if !granted {
             return Err(self.bucket.time_until_token(size));
         }
         self.count_uses(self.last_used, 1);
@@ -244,6 +290,7 @@
                 spent: 0,
                 requested: 0,
                 granted: 0,
+                arrived: 0,
                 ahead: 0,
             },
         };
@@ -256,6 +303,8 @@
             self.bucket.charge(spent, size);
             self.count_uses(now, spent);
             entry.spent = report.spent;
+            let arrived = report.arrived.wrapping_sub(entry.arrived);
+            let decided_earlier = entry.granted;
             for _ in entry.requested..report.asked {
                 if !self.bucket.take() {
                     break;
@@ -263,7 +312,16 @@
                 entry.granted += 1;
                 self.count_uses(now, 1);
             }
+            // Those that did not wait were granted ahead of the count.
+            let waited = report.asked - entry.requested;
+            let ahead = arrived.saturating_sub(waited);
+            let granted = ahead + (entry.granted - decided_earlier);
             entry.requested = report.asked;
+            // An overtaken report contains fewer arrivals than were counted.
+            if arrived <= u32::MAX / 2 {
+                self.demand.count(now, arrived, granted);
+                entry.arrived = report.arrived;
+            }
         }
         let entry_nodes = self.entries.len() + usize::from(known.is_none());
         entry.ahead = self.ahead(size, entry_nodes);
@@ -337,6 +395,7 @@
             ahead: 0,
             retry_after_millis: 0,
             demand_percent: 0,
+            granted_percent: 0,
             redirect: None,
         }
     }
@@ -348,6 +407,8 @@
         entry: &EntryNode,
     ) -> quota::UsageDecision {
         let pause = self.bucket.time_until_token(size).as_millis();
+        let stated = self.stated_ratio.map(|ratio| ratio.percents());
+        let (demand_percent, granted_percent) = stated.unwrap_or((0, 0));
         quota::UsageDecision {
             account,
             session: entry.session,
@@ -357,7 +418,8 @@
             granted: entry.granted,
             ahead: entry.ahead,
             retry_after_millis: u32::try_from(pause).unwrap_or(u32::MAX),
-            demand_percent: 0,
+            demand_percent,
+            granted_percent,
             redirect: None,
         }
     }
--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -7,7 +7,7 @@
 use anvil_wire::quota;
 use serde::Serialize;
 
-use crate::{bucket, effect, entry, expiring, handover, home, ring};
+use crate::{bucket, demand, effect, entry, expiring, handover, home, ring};
 
 mod entry_role;
 mod handover_role;
@@ -66,6 +66,8 @@
 pub struct QuotaLedger {
     node: ident::NodeId,
     mode: TokenMode,
+    /// Whether decisions carry the demand of their account.
+    states_demand: bool,
     ring: ring::QuotaRing,
     quotas: sorted::SortedTable<account::AccountId, account::AccountQuota>,
     homes: sorted::SortedTable<account::AccountId, home::HomeAccount>,
@@ -100,6 +102,7 @@
         Self {
             node,
             mode,
+            states_demand: false,
             ring: ring::QuotaRing::default(),
             quotas: sorted::SortedTable::default(),
             homes: sorted::SortedTable::default(),
@@ -120,6 +123,13 @@
         }
     }
 
+    /// Makes the ledger state the demand of accounts in its decisions.
+    #[must_use]
+    pub fn with_stated_demand(mut self) -> Self {
+        self.states_demand = true;
+        self
+    }
+
     /// Counters since the start.
     pub fn counters(&self) -> &QuotaCounters {
         &self.counters
@@ -206,6 +216,19 @@
         now: time::NodeTime,
         account: account::AccountId,
         call: u64,
+    ) -> effect::QuotaDecision {
+        if self.quotas.get(account).is_some() {
+            self.entry(now, account).demand.count(now);
+        }
+        self.decide(now, account, call)
+    }
+
+    /// Decides a request that was counted already.
+    fn decide(
+        &mut self,
+        now: time::NodeTime,
+        account: account::AccountId,
+        call: u64,
     ) -> effect::QuotaDecision {
         let Some(quota) = self.quotas.get(account).copied() else {
             return effect::QuotaDecision::Granted;
@@ -219,8 +242,11 @@
             HomeLocation::Local => self.admit_at_home(now, account),
             HomeLocation::Peer(..) => {
                 self.unsent.push(account);
+                let states_demand = self.states_demand;
                 let entry = self.entry(now, account);
-                if mode == TokenMode::PerRequest || !entry.spend_ahead(now) {
+                let waits = mode == TokenMode::PerRequest
+                    || (states_demand && entry.demand.is_outdated(now));
+                if waits || !entry.spend_ahead(now) {
                     entry.enqueue(call);
                     return effect::QuotaDecision::Pending;
                 }
@@ -372,6 +398,59 @@
         }
     }
 
+    /// Demand of an account over all nodes, as far as this node knows it.
+    pub fn demand(
+        &self,
+        now: time::NodeTime,
+        account: account::AccountId,
+    ) -> demand::AccountDemand {
+        let Some(quota) = self.quotas.get(account) else {
+            return demand::AccountDemand::NO_QUOTA;
+        };
+        let entry = self.entries.get(account);
+        let is_home = entry.is_some_and(|entry| entry.home == Some(self.node));
+        if let Some(ratio) = self.home_demand(now, account).filter(|_| is_home) {
+            let source = demand::DemandSource::Home;
+            return demand::AccountDemand { ratio, source };
+        }
+        if let Some(ratio) = entry.and_then(|entry| entry.demand.recent(now)) {
+            let source = demand::DemandSource::Decision;
+            return demand::AccountDemand { ratio, source };
+        }
+        let own = entry.map_or_else(|| demand::EntryDemand::new(now), |entry| entry.demand);
+        let estimate = own.estimate(now, self.ring.live(), quota.rate());
+        let ratio = demand::DemandRatio {
+            requested: estimate,
+            granted: estimate,
+        };
+        let source = demand::DemandSource::Estimate;
+        demand::AccountDemand { ratio, source }
+    }
+
+    /// The accounts with the highest demand ratios among those whose home this node is, at most
+    /// `max`, the highest first.
+    pub fn busiest(
+        &self,
+        now: time::NodeTime,
+        max: usize,
+    ) -> Vec<(account::AccountId, demand::DemandRatio)> {
+        let homes = self.homes.iter().map(|(account, _)| *account);
+        let homes = homes.filter(|account| self.is_home(*account));
+        let known = homes.filter_map(|account| Some((account, self.home_demand(now, account)?)));
+        let mut busiest: Vec<_> = known.collect();
+        busiest.sort_by(|(_, one), (_, other)| other.requested.total_cmp(&one.requested));
+        busiest.truncate(max);
+        busiest
+    }
+
+    fn home_demand(
+        &self,
+        now: time::NodeTime,
+        account: account::AccountId,
+    ) -> Option<demand::DemandRatio> {
+        self.homes.get(account)?.demand(now, self.size(account)?)
+    }
+
     fn size(&self, account: account::AccountId) -> Option<bucket::BucketSize> {
         let quota = self.quotas.get(account)?;
         Some(bucket::BucketSize::of(*quota, self.ring.visible_share()))
--- a/crates/anvil_quota/src/ledger/entry_role.rs
+++ b/crates/anvil_quota/src/ledger/entry_role.rs
@@ -76,7 +76,7 @@
         let entry = self.entries.get_mut(account);
         let waiting = entry.map(entry::EntryAccount::take_waiting);
         for call in waiting.unwrap_or_default() {
-            match self.admit(now, account, call) {
+            match self.decide(now, account, call) {
                 effect::QuotaDecision::Granted => out.push(effect::QuotaEffect::Grant { call }),
                 effect::QuotaDecision::Refused { pause } => {
                     out.push(effect::QuotaEffect::Refuse { call, pause });
--- a/crates/anvil_quota/src/ledger/home_role.rs
+++ b/crates/anvil_quota/src/ledger/home_role.rs
@@ -58,6 +58,7 @@
             ahead: 0,
             retry_after_millis: 0,
             demand_percent: 0,
+            granted_percent: 0,
             redirect: Some(quota::HomeHint {
                 node: home.node,
                 address: home.address,
@@ -74,9 +75,14 @@
         let Some(size) = self.size(account) else {
             return Ok(());
         };
-        let result = self.prepare_home(now, account, size).take(size);
+        let home = self.prepare_home(now, account, size);
+        let ratio = home.demand(now, size);
+        let result = home.take(size);
+        let entry = self.entry(now, account);
+        // A node that stands in for a silent home still knows the demand while it retries that one.
+        entry.demand.store(now, ratio);
         if result.is_ok() {
-            self.entry(now, account).count(now);
+            entry.count(now);
         }
         result
     }
@@ -162,6 +168,15 @@
             .homes
             .get_or_insert_with(account, || home::HomeAccount::new(now, size, tokens, term));
         home.prepare(now, size, share, is_home);
+        if self.states_demand {
+            let change = home.state_demand(now, size);
+            self.changes
+                .extend(change.map(|(ratio, is_above)| effect::HomeChange::Demand {
+                    account,
+                    percent: ratio.percents().0,
+                    is_above,
+                }));
+        }
         home
     }
 
--- a/crates/anvil_quota/src/meter.rs
+++ b/crates/anvil_quota/src/meter.rs
@@ -4,32 +4,49 @@
 
 use anvil_types::time;
 
-/// Time constant of the average.
-const SPAN_SECONDS: f64 = 5.0;
+/// Time constant of the average, unless another one is given.
+const DEFAULT_SPAN: Duration = Duration::from_secs(5);
 
 /// An event rate that decays exponentially.
 #[derive(Clone, Copy, Debug)]
 pub struct EventMeter {
     rate: f64,
     at: time::NodeTime,
+    span: Duration,
 }
 
 impl EventMeter {
     /// A meter without events.
     pub fn new(now: time::NodeTime) -> Self {
-        Self { rate: 0.0, at: now }
+        Self::with_span(now, DEFAULT_SPAN)
+    }
+
+    /// A meter without events whose average has the time constant `span`.
+    pub fn with_span(now: time::NodeTime, span: Duration) -> Self {
+        Self {
+            rate: 0.0,
+            at: now,
+            span,
+        }
     }
 
     /// Counts one event.
     pub fn count(&mut self, now: time::NodeTime) {
-        self.rate = self.rate(now) + 1.0 / SPAN_SECONDS;
-        self.at = now;
+        self.count_many(now, 1);
+    }
+
+    /// Counts several events.
+    pub fn count_many(&mut self, now: time::NodeTime, events: u32) {
+        if events > 0 {
+            self.rate = self.rate(now) + f64::from(events) / self.span.as_secs_f64();
+            self.at = now;
+        }
     }
 
     /// Events a second.
     pub fn rate(&self, now: time::NodeTime) -> f64 {
         let passed = self.idle_time(now).as_secs_f64();
-        self.rate * (-passed / SPAN_SECONDS).exp()
+        self.rate * (-passed / self.span.as_secs_f64()).exp()
     }
 
     /// Time since the last event.
--- a/crates/anvil_quota/src/ring.rs
+++ b/crates/anvil_quota/src/ring.rs
@@ -153,6 +153,11 @@
         (next.node != node).then_some(next)
     }
 
+    /// Number of members, this node included.
+    pub fn live(&self) -> usize {
+        self.nodes.len().max(1)
+    }
+
     /// The share of the fleet that this node can see.
     pub fn visible_share(&self) -> f64 {
         let seen = self.nodes.len().max(1) as f64;
--- a/crates/anvil_quota/tests/fleet/mod.rs
+++ b/crates/anvil_quota/tests/fleet/mod.rs
@@ -6,14 +6,14 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use anvil_quota::{effect, ledger};
+use anvil_quota::{demand, effect, ledger};
 use anvil_types::{account, ident, time};
 use anvil_wire::quota;
 use rand_core::{Rng, SeedableRng};
 
 pub(crate) mod tally;
 
-use tally::FleetTally;
+use tally::{DemandSample, FleetTally};
 
 /// Load of one account.
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +45,12 @@
     Cut(usize, Duration),
     /// A process is paused for a while.
     Freeze(usize, Duration),
+    /// The home of an account crashes.
+    KillHome(usize),
+    /// The home of an account is partitioned from all others for a while.
+    CutHome(usize, Duration),
+    /// All quotas are halved.
+    HalveQuotas,
 }
 
 /// Plan of a simulation.
@@ -56,6 +62,10 @@
     pub(crate) seed: u64,
     /// When entry nodes take tokens.
     pub(crate) mode: ledger::TokenMode,
+    /// Whether homes state the demand of accounts.
+    pub(crate) states_demand: bool,
+    /// Whether tokens are returned at once, as those of requests that are shed.
+    pub(crate) sheds: bool,
     /// Longest delay of a datagram, in microseconds.
     pub(crate) delay_micros: u64,
     /// Lost datagrams in a thousand.
@@ -222,12 +232,30 @@
 
     fn new_ledger(&self, id: u64) -> ledger::QuotaLedger {
         let mut ledger = ledger::QuotaLedger::new(ident::NodeId(id), self.plan.mode);
+        if self.plan.states_demand {
+            ledger = ledger.with_stated_demand();
+        }
+        ledger.set_quotas(self.now, &self.quotas());
+        ledger
+    }
+
+    fn quotas(&self) -> Vec<(account::AccountId, account::AccountQuota)> {
         let quotas = self.plan.accounts.iter().enumerate();
-        let quotas: Vec<_> = quotas
+        quotas
             .map(|(index, load)| (account_id(index), load.quota))
-            .collect();
-        ledger.set_quotas(self.now, &quotas);
-        ledger
+            .collect()
+    }
+
+    /// The node that most entry nodes take for the home of an account.
+    fn home_of(&self, account: usize) -> usize {
+        let ledgers = self.nodes.iter().filter_map(|node| node.ledger.as_ref());
+        let homes = ledgers.filter_map(|ledger| ledger.view(account_id(account)).home);
+        let homes: Vec<_> = homes.collect();
+        let votes = |node: &FleetNode| homes.iter().filter(|home| home.0 == node.id).count();
+        let nodes = self.nodes.iter().enumerate();
+        nodes
+            .max_by_key(|(_, node)| votes(node))
+            .map_or(0, |(index, _)| index)
     }
 
     fn push(&mut self, at: time::NodeTime, event: FleetEvent) {
@@ -338,14 +366,30 @@
                 let from = node;
                 self.push(at, FleetEvent::Deliver { from, to, bytes });
             }
-            effect::QuotaEffect::Grant { call } => self.admitted(call as usize),
+            effect::QuotaEffect::Grant { call } => {
+                let account = account_id(self.calls[call as usize].account);
+                let mut demand = None;
+                if let Some(ledger) = &mut self.nodes[node].ledger {
+                    demand = Some(ledger.demand(self.now, account));
+                    if self.plan.sheds {
+                        ledger.give_back(account);
+                    }
+                }
+                self.admitted(call as usize, demand);
+            }
             effect::QuotaEffect::Refuse { call, .. } => self.calls[call as usize].refused = true,
             effect::QuotaEffect::Log(_) => {}
         }
     }
 
-    fn admitted(&mut self, call: usize) {
+    fn admitted(&mut self, call: usize, demand: Option<demand::AccountDemand>) {
         self.calls[call].admitted = Some(self.now);
+        let account = self.calls[call].account;
+        self.tally.demands.extend(demand.map(|demand| DemandSample {
+            account,
+            at: self.now.since(time::NodeTime::from_millis(1)),
+            demand,
+        }));
     }
 
     fn arrive(&mut self, node: usize, account: usize) {
@@ -362,12 +406,18 @@
             refused: false,
         });
         let mut decision = effect::QuotaDecision::Pending;
+        let sheds = self.plan.sheds;
+        let mut demand = None;
         self.step(node, |ledger, now| {
+            demand = Some(ledger.demand(now, account_id(account)));
             decision = ledger.admit(now, account_id(account), call as u64);
+            if sheds && decision == effect::QuotaDecision::Granted {
+                ledger.give_back(account_id(account));
+            }
             Vec::new()
         });
         match decision {
-            effect::QuotaDecision::Granted => self.admitted(call),
+            effect::QuotaDecision::Granted => self.admitted(call, demand),
             effect::QuotaDecision::Refused { .. } => self.calls[call].refused = true,
             effect::QuotaDecision::Pending => {}
         }
@@ -402,6 +452,19 @@
                 let view = InitialView::Complete;
                 self.push(at, FleetEvent::Restart { node, view });
             }
+            FleetFault::KillHome(account) => self.fault(FleetFault::Kill(self.home_of(account))),
+            FleetFault::CutHome(account, span) => {
+                self.fault(FleetFault::Cut(self.home_of(account), span));
+            }
+            FleetFault::HalveQuotas => {
+                for load in &mut self.plan.accounts {
+                    load.quota.per_kilosecond /= 2;
+                }
+                let quotas = self.quotas();
+                for node in 0..self.nodes.len() {
+                    self.step(node, |ledger, now| ledger.set_quotas(now, &quotas));
+                }
+            }
             FleetFault::KillAll => self.kill_all(InitialView::Most),
             FleetFault::KillAllBlind => self.kill_all(InitialView::Half),
             FleetFault::KillAllScattered => self.kill_all(InitialView::Few),
--- a/crates/anvil_quota/tests/fleet/tally.rs
+++ b/crates/anvil_quota/tests/fleet/tally.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anvil_quota::demand;
 use anvil_types::{account, time};
 
 use super::SimulatedFleet;
@@ -28,6 +29,15 @@
     pub(crate) over: f64,
 }
 
+/// Demand of an account as the entry node of a request knew it when the request was admitted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DemandSample {
+    pub(crate) account: usize,
+    /// Time since the start.
+    pub(crate) at: Duration,
+    pub(crate) demand: demand::AccountDemand,
+}
+
 /// Result of a fleet.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetTally {
@@ -39,6 +49,8 @@
     pub(crate) bytes: usize,
     /// Waits for a home's decision, in microseconds, sorted; zero if there was no wait.
     pub(crate) waits: Vec<u64>,
+    /// One for each admitted request.
+    pub(crate) demands: Vec<DemandSample>,
 }
 
 impl FleetTally {
--- a/crates/anvil_quota/tests/sums.rs
+++ b/crates/anvil_quota/tests/sums.rs
@@ -1,5 +1,6 @@
 //! Quotas over fleets with lost messages, failed nodes and network partitions.
 
+#[allow(dead_code, reason = "other tests use the rest of the harness")]
 mod fleet;
 
 use std::time::Duration;
@@ -38,6 +39,8 @@
         nodes,
         seed,
         mode: ledger::TokenMode::Ahead,
+        states_demand: false,
+        sheds: false,
         delay_micros: 3_000,
         lost_per_mille: 10,
         length: secs(20),
--- a/crates/anvil_wire/src/quota.rs
+++ b/crates/anvil_wire/src/quota.rs
@@ -26,6 +26,9 @@
     pub spent: i32,
     /// Number of requests that waited for a grant.
     pub asked: u32,
+    /// Number of requests that arrived in this session, including those whose token was returned;
+    /// wraps.
+    pub arrived: u32,
     /// Whether nodes before the receiver on the ring did not answer, so that it has to take over.
     pub failover: bool,
 }
@@ -64,6 +67,9 @@
     /// Requests of the account at all nodes together in recent seconds, admitted or not, in percent
     /// of its quota's rate; zero if the home does not know it.
     pub demand_percent: u16,
+    /// The part of `demand_percent` that the quota granted, whether or not the requests ran; zero
+    /// if `demand_percent` is zero.
+    pub granted_percent: u16,
     /// The home that the entry node should use instead; the report was then not counted here.
     pub redirect: Option<HomeHint>,
 }
