Know the demand of an account before its first request at the home

A home had no entry for an account whose requests arrived at other nodes only, and estimated the demand of the first request that arrived at itself, although it counts all of them. The ring now decides who the home is until there is an entry. The meters take 8 bytes less, as 10,000 accounts of an entry node have one each.

Tests: a paused home; quotas hold while homes state demand (65 nodes calm and all killed at once, 14 nodes with kills).

--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -408,7 +408,11 @@
             return demand::AccountDemand::NO_QUOTA;
         };
         let entry = self.entries.get(account);
-        let is_home = entry.is_some_and(|entry| entry.home == Some(self.node));
+        // Before its first request here, an account has no entry, and the ring decides.
+        let is_home = entry.map_or_else(
+            || self.is_home(account),
+            |entry| entry.home == Some(self.node),
+        );
         if let Some(ratio) = self.home_demand(now, account).filter(|_| is_home) {
             let source = demand::DemandSource::Home;
             return demand::AccountDemand { ratio, source };
--- a/crates/anvil_quota/src/meter.rs
+++ b/crates/anvil_quota/src/meter.rs
@@ -12,7 +12,8 @@
 pub struct EventMeter {
     rate: f64,
     at: time::NodeTime,
-    span: Duration,
+    /// In seconds.
+    span: f32,
 }
 
 impl EventMeter {
@@ -26,7 +27,7 @@
         Self {
             rate: 0.0,
             at: now,
-            span,
+            span: span.as_secs_f32(),
         }
     }
 
@@ -38,7 +39,7 @@
     /// Counts several events.
     pub fn count_many(&mut self, now: time::NodeTime, events: u32) {
         if events > 0 {
-            self.rate = self.rate(now) + f64::from(events) / self.span.as_secs_f64();
+            self.rate = self.rate(now) + f64::from(events) / f64::from(self.span);
             self.at = now;
         }
     }
@@ -46,7 +47,7 @@
     /// Events a second.
     pub fn rate(&self, now: time::NodeTime) -> f64 {
         let passed = self.idle_time(now).as_secs_f64();
-        self.rate * (-passed / self.span.as_secs_f64()).exp()
+        self.rate * (-passed / f64::from(self.span)).exp()
     }
 
     /// Time since the last event.
--- a/crates/anvil_quota/tests/demand.rs
+++ b/crates/anvil_quota/tests/demand.rs
@@ -119,6 +119,9 @@
     home_is_cut_off_for_a_moment => (
         (14, 0), 40, (24.0, 120.0), &[FleetFault::CutHome(0, Duration::from_millis(1_500))], (3.0, 1.0),
     ),
+    home_is_paused => (
+        (14, 0), 40, (24.0, 120.0), &[FleetFault::FreezeHome(0, Duration::from_millis(900))], (3.0, 1.0),
+    ),
     quota_is_halved => ((14, 0), 40, (24.0, 60.0), &[FleetFault::HalveQuotas], (3.0, 1.0)),
 }
 
--- a/crates/anvil_quota/tests/fleet/mod.rs
+++ b/crates/anvil_quota/tests/fleet/mod.rs
@@ -49,6 +49,8 @@
     KillHome(usize),
     /// The home of an account is partitioned from all others for a while.
     CutHome(usize, Duration),
+    /// The home of an account is paused for a while.
+    FreezeHome(usize, Duration),
     /// All quotas are halved.
     HalveQuotas,
 }
@@ -456,6 +458,9 @@
             FleetFault::CutHome(account, span) => {
                 self.fault(FleetFault::Cut(self.home_of(account), span));
             }
+            FleetFault::FreezeHome(account, span) => {
+                self.fault(FleetFault::Freeze(self.home_of(account), span));
+            }
             FleetFault::HalveQuotas => {
                 for load in &mut self.plan.accounts {
                     load.quota.per_kilosecond /= 2;
--- a/crates/anvil_quota/tests/sums.rs
+++ b/crates/anvil_quota/tests/sums.rs
@@ -115,6 +115,24 @@
     frozen_homes => (65, 10, &freezes(65)),
 }
 
+// The same while homes state the demand of accounts, and requests without a recent ratio wait for
+// the home's decision.
+fn quota_holds_with_stated_demand(nodes: usize, seeds: u64, faults: &[(Duration, FleetFault)]) {
+    for seed in 0..seeds {
+        holds(&FleetPlan {
+            states_demand: true,
+            ..plan(nodes, seed, faults.to_vec())
+        });
+    }
+}
+
+test_cases! {
+    quota_holds_with_stated_demand:
+    calm_65_with_stated_demand => (65, 3, &[]),
+    kills_with_stated_demand => (14, 5, &kills(14, 2_500)),
+    all_end_with_stated_demand => (65, 5, &[(secs(9), FleetFault::KillAll)]),
+}
+
 // An account well within its quota is never refused because of it, whichever other account surges.
 fn modest_accounts_are_served(nodes: usize, seeds: u64) {
     for seed in 0..seeds {
