Set lanes by the demand of accounts, so that they share a scarce service fairly

A cut line refused the same share of every account's requests in a class, so an account that sends nine times its usual rate took the service from all others.

With `policy.fair_lanes` (off by default) the lane of a root request is a logarithmic function of a random number, derived from its id, times the demand of its account that the quota granted, as a ratio to its rate. One line then gives weighted max-min shares. A request that waited for the home's decision gets its lane with it. Retry budgets, `Retry-After` and the sample of the request log use a uniform lane from the id instead. `explain` tells the share that a line admits, the dump the demand of each account, the metrics the busiest accounts and refusals by account, 16 each.

--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -84,7 +84,7 @@
     }
 
     /// The account whose quota the call draws on.
-    fn metered_account(&self) -> Option<account::AccountId> {
+    pub(crate) fn metered_account(&self) -> Option<account::AccountId> {
         let keyed = self.credential != account::CallerCredential::None;
         let name = self.name.as_ref().filter(|_| keyed)?;
         Some(account::AccountId::of(name))
@@ -240,6 +240,7 @@
                 "tokens": view.tokens,
                 "ahead": view.ahead,
                 "waiting": view.waiting,
+                "demand": self.demand_dump(account::AccountId::of(&record.name)),
             })
         });
         shown.collect()
@@ -296,7 +297,7 @@
     }
 
     /// The name of an account, or its id in hex if the rules in force don't contain it any more.
-    fn account_name(&self, id: account::AccountId) -> String {
+    pub(crate) fn account_name(&self, id: account::AccountId) -> String {
         let accounts = self.book.document().accounts();
         let mut records = accounts.into_iter().flat_map(|table| table.accounts());
         let record = records.find(|record| account::AccountId::of(&record.name) == id);
@@ -312,6 +313,7 @@
             return;
         }
         self.hold_token(sequence);
+        self.update_lane(sequence);
         self.begin_attempts(sequence);
     }
 
--- a/crates/anvil_core/src/contexts.rs
+++ b/crates/anvil_core/src/contexts.rs
@@ -5,7 +5,7 @@
 use anvil_wire::call;
 use xxhash_rust::xxh3;
 
-use crate::{entry, event, reducer};
+use crate::{accounts, entry, event, reducer};
 
 impl reducer::NodeReducer {
     pub(crate) fn root_context(
@@ -14,11 +14,11 @@
         treatment: &treatment::RuleTreatment,
         by_rule: Option<context::PriorityClass>,
         hints: &event::CallerHints,
+        identity: &accounts::CallerIdentity,
     ) -> context::CallContext {
         let random_id = u128::from(self.random()) << 64 | u128::from(self.random());
         let id = hints.request.unwrap_or(ident::RequestId(random_id));
-        let lane = xxh3::xxh3_64(&id.0.to_le_bytes()).to_le_bytes()[0];
-        let lane = context::LaneHash(lane);
+        let lane = self.root_lane(id, identity);
         let lane = by_rule.map_or(lane, |class| lane.with_class_band(class));
         let wait = hints.timeout.unwrap_or(treatment.deadline);
         context::CallContext {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -52,7 +52,7 @@
         }
         let context = match parent {
             Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
-            None => Some(self.root_context(&request, &treatment, by_rule, hints)),
+            None => Some(self.root_context(&request, &treatment, by_rule, hints, &identity)),
         };
         let Some(context) = context else {
             // The parent run has ended, so nobody waits for this call.
@@ -408,6 +408,7 @@
         self.record_call_refusal(&open, verdict);
         self.finish_key(sequence, &open, verdict, answer.as_ref());
         self.settle_token(sequence, &open, verdict);
+        self.count_account_refusal(&open, verdict);
         let retry_after = self.retry_after(&open, verdict);
         let status = answer.as_ref().map(|answer| answer.status);
         self.log_call(&open, verdict, status, retry_after);
@@ -430,7 +431,7 @@
         status: Option<u16>,
         retry_after: Option<Duration>,
     ) {
-        if !request_log::is_logged(verdict, status, open.context.lane) {
+        if !request_log::is_logged(verdict, status, self.uniform_lane(&open.context)) {
             return;
         }
         let summary = request_log::CallSummary {
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod effect;
 mod entry;
 pub mod event;
+mod fair_lanes;
 mod fleet;
 pub mod incarnations;
 mod keys;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -87,6 +87,7 @@
         counters["keys"] = self.key_counters();
         counters["quota"] = json!(self.quota_counters());
         counters["named_rate"] = self.rate_gauges();
+        counters["account"] = self.fair_lane_gauges();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
@@ -136,6 +137,7 @@
             "revision": self.book.revision(),
             "rule": self.book.explain(request),
             "cut_line": line,
+            "admitted_shares": self.admitted_shares(line.as_ref()),
             "quarantine": self.quarantine_of(fingerprint),
             "recent_refusals": refusals,
         })
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -11,8 +11,8 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, incarnations, keys, memory,
-    notices, overload, request_log, rulebook, runs, shutdown, stopping, timers,
+    applying, calls, config, counters, directory, effect, event, fair_lanes, incarnations, keys,
+    memory, notices, overload, request_log, rulebook, runs, shutdown, stopping, timers,
 };
 
 /// The complete state of a node and its transition function.
@@ -49,6 +49,7 @@
     pub(crate) fleet: fleet::FleetState,
     pub(crate) keys: keys::KeyState,
     pub(crate) quota: ledger::QuotaLedger,
+    pub(crate) refusal_table: fair_lanes::RefusalTable,
     pub(crate) proposed: Option<applying::OpenApply>,
     /// The readiness that was last reported.
     ready: bool,
@@ -66,6 +67,9 @@
         false => ledger::TokenMode::PerRequest,
     };
     let mut quota = ledger::QuotaLedger::new(config.node, mode);
+    if policy.fair_lanes {
+        quota = quota.with_stated_demand();
+    }
     quota.member_up(time::NodeTime::START, config.node, config.gossip_address);
     quota
 }
@@ -86,6 +90,7 @@
             fleet: crate::fleet::membership(&config, seed),
             keys: keys::KeyState::new(&config),
             quota: quota_ledger(&config, policy),
+            refusal_table: fair_lanes::RefusalTable::default(),
             proposed: None,
             directory: directory::PeerDirectory::new(config.zone.clone(), seed, policy),
             overload: overload::OverloadState::new(config.node, policy),
--- a/crates/anvil_core/src/request_log.rs
+++ b/crates/anvil_core/src/request_log.rs
@@ -1,8 +1,8 @@
 //! Log records of single requests, and the budget that bounds them.
 //!
 //! Logs are the only source for the analysis of a failed request, so every request that doesn't
-//! succeed is logged together with what decided its outcome. Successes are logged for one lane in
-//! sixteen: the lane is the same at every hop, so a sampled request is logged at all of its nodes.
+//! succeed is logged together with what decided its outcome. Successes are logged for one uniform
+//! lane in sixteen: it is the same at every hop, so a sampled request is logged at all of its nodes.
 //! A budget bounds both under load; the number of suppressed lines is logged.
 
 use std::time::Duration;
@@ -186,7 +186,8 @@
     }
 }
 
-/// Whether the end of a request is logged: always unless it succeeded, otherwise by its lane.
+/// Whether the end of a request is logged: always unless it succeeded, otherwise by `lane`, which is
+/// uniformly distributed.
 pub fn is_logged(
     verdict: verdict::CallVerdict,
     status: Option<u16>,
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -216,7 +216,7 @@
         let Some(open) = self.calls.get(sequence) else {
             return false;
         };
-        let rank = open.rank();
+        let rank = self.retry_rank(open);
         let (service, now) = (open.request.service.clone(), self.now);
         self.retry_budget(&service).spend(now, &rank)
     }
@@ -295,7 +295,8 @@
             | verdict::RefusalReason::AttemptsSpent => {
                 let service = &open.request.service;
                 let line = self.directory.line(self.now, service, open.kind);
-                Some(refusal::retry_after(line.as_ref(), &open.rank()))
+                let spread = self.uniform_lane(&open.context);
+                Some(refusal::retry_after(line.as_ref(), &open.rank(), spread))
             }
             verdict::RefusalReason::Quarantined => self.quarantine_remaining(open),
             verdict::RefusalReason::OverQuota => quota_pause(open),
@@ -319,7 +320,7 @@
         reason: verdict::RefusalReason,
     ) -> Option<Duration> {
         let objective = open.treatment.objective?;
-        let lane = open.context.lane;
+        let lane = self.uniform_lane(&open.context);
         match reason {
             verdict::RefusalReason::Shed
             | verdict::RefusalReason::TargetRefused
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -165,7 +165,7 @@
         verdict: verdict::CallVerdict,
         status: Option<u16>,
     ) {
-        if !request_log::is_logged(verdict, status, ended.context.lane) {
+        if !request_log::is_logged(verdict, status, self.uniform_lane(&ended.context)) {
             return;
         }
         let target = self.target.as_ref();
--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -7,6 +7,7 @@
 
 use std::path::Path;
 
+use anvil_node::admin::metrics;
 use anvil_node::{counters, node, settings};
 use anvil_testkit::test_cases;
 use serde_json::Value;
@@ -32,6 +33,22 @@
     assert!(dump["counters"].is_object(), "{dump}");
 }
 
+// Lists in the reducer's counters become one family for each field, labelled by account.
+#[test]
+fn metrics_of_accounts_are_labelled() {
+    let counters = counters::EdgeCounters::new().unwrap();
+    let reducer = r#"{"account": {"demand": [
+        {"account": "defensa", "percent": 900}, {"account": "registro", "percent": 40}]}}"#;
+    let text = metrics::encode(&counters, reducer);
+    let family = "anvil_account_demand_percent";
+    let types = format!("# TYPE {family} untyped\n");
+    assert_eq!(text.matches(&types).count(), 1, "{text}");
+    for (account, percent) in [("defensa", 900), ("registro", 40)] {
+        let sample = format!("{family}{{account=\"{account}\"}} {percent}\n");
+        assert!(text.contains(&sample), "{text}");
+    }
+}
+
 #[test]
 fn metrics_have_help_types_and_units() {
     let pair = common::Pair::start("");
--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -1,10 +1,12 @@
 //! Cost of one decision: `cargo bench -p anvil_overload`.
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{admission, kind, limit, policy, rank, routing};
-use anvil_types::{context, ident, name, time};
+use anvil_overload::{admission, fairness, kind, limit, policy, rank, routing};
+use anvil_quota::ledger;
+use anvil_types::{account, context, ident, name, time};
 
 /// Number of services in the routing table of a large fleet.
 const SERVICES: u64 = 730;
@@ -117,3 +119,30 @@
         admission::AdmissionDecision::Refuse { .. } => None,
     })
 }
+
+/// Counts a request at its account's home and sets its lane, among a thousand accounts.
+#[divan::bench]
+fn fair_lane(bencher: divan::Bencher<'_, '_>) {
+    const ACCOUNTS: u64 = 1_000;
+    let node = ident::NodeId(1);
+    let mode = ledger::TokenMode::Ahead;
+    let mut ledger = ledger::QuotaLedger::new(node, mode).with_stated_demand();
+    let address = SocketAddr::from(([127, 0, 0, 1], 7000));
+    ledger.member_up(time::NodeTime::START, node, address);
+    let quota = account::AccountQuota::per_second(1_000_000, 1_000_000);
+    let quotas: Vec<_> = (0..ACCOUNTS)
+        .map(|index| (account::AccountId(index), quota))
+        .collect();
+    ledger.set_quotas(time::NodeTime::START, &quotas);
+    let mut now = time::NodeTime::START;
+    let mut call = 0;
+    bencher.bench_local(|| {
+        now.0 += 10;
+        call += 1;
+        let account = account::AccountId(call % ACCOUNTS);
+        let demand = ledger.demand(now, account).ratio.granted;
+        let request = ident::RequestId(u128::from(call));
+        let lane = fairness::QuotaShare::of(request, demand).lane();
+        (ledger.admit(now, account, call), lane)
+    });
+}
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demand;
 pub mod dependency;
 pub mod estimate;
+pub mod fairness;
 pub mod kind;
 pub mod limit;
 pub mod pacing;
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -150,11 +150,15 @@
 
 /// Pause after which a refused caller should retry; it grows with the distance below the cut line.
 ///
-/// The lane spreads callers that were refused at the same moment over a second, so that they do not
-/// return together.
-pub fn retry_after(line: Option<&call::CutLine>, rank: &rank::CallRank) -> Duration {
+/// The lane `spread`, which is uniformly distributed, spreads callers that were refused at the same
+/// moment over a second, so that they do not return together.
+pub fn retry_after(
+    line: Option<&call::CutLine>,
+    rank: &rank::CallRank,
+    spread: context::LaneHash,
+) -> Duration {
     let below = rank::line_level(line).saturating_sub(rank.level());
     let classes = u64::from(below / rank::LANES);
-    let spread = Duration::from_millis(u64::from(rank.lane.0.0) * 1_000 / 256);
+    let spread = Duration::from_millis(u64::from(spread.0) * 1_000 / 256);
     MIN_RETRY_AFTER + Duration::from_secs(classes) + spread
 }
--- a/crates/anvil_types/src/context.rs
+++ b/crates/anvil_types/src/context.rs
@@ -77,6 +77,13 @@
         Self(band << RANDOM_BITS | self.0 >> (u8::BITS - RANDOM_BITS))
     }
 
+    /// The last of the lanes that [`Self::with_class_band`] maps to this one, whatever the band.
+    #[must_use]
+    pub fn last_of_band_lane(self) -> Self {
+        let ignored = u8::BITS - RANDOM_BITS;
+        Self(self.0 << ignored | ((1 << ignored) - 1))
+    }
+
     /// The random part of a lane with a class band, in the range 0 to 1.
     pub fn random_fraction(self) -> f64 {
         let random = self.0 & ((1 << RANDOM_BITS) - 1);
