Follow surges of an account's demand within a second

The rate of an account over 2 s contains two thirds of a surge only after 2 s.

A second rate over 0.5 s counts as soon as it differs by more than two standard deviations. The test of shares now begins 2 s after the burst instead of 5 s, and also covers the time after it.

--- a/crates/anvil_overload/tests/fairness.rs
+++ b/crates/anvil_overload/tests/fairness.rs
@@ -18,10 +18,12 @@
 /// Requests a second that the service completes.
 const CAPACITY: f64 = 400.0;
 
-/// Start and end of the burst, in seconds. The evaluation begins after five seconds, when the
-/// meters know the new rates.
+/// Start and end of the burst, in seconds.
 const BURST: (f64, f64) = (20.0, 65.0);
 
+/// Seconds after a change of the load within which shares are not evaluated.
+const ADJUSTMENT: f64 = 2.0;
+
 /// How soon a caller that retries at once is back, and how often it retries.
 const RETRY_PAUSE: f64 = 0.02;
 const RETRIES: u8 = 2;
@@ -64,8 +66,8 @@
     sequence: u64,
     /// By sequence.
     open: Vec<Option<Request>>,
-    /// By account: before the burst, and within it.
-    tallies: Vec<[Tally; 2]>,
+    /// By account: before the burst, within it, and after it.
+    tallies: Vec<[Tally; 3]>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,7 +115,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             open: Vec::new(),
-            tallies: vec![[Tally::default(); 2]; accounts.len()],
+            tallies: vec![[Tally::default(); 3]; accounts.len()],
         };
         for index in 0..accounts.len() {
             simulation.schedule_arrival(0.0, index);
@@ -142,16 +144,17 @@
     fn tally(&mut self, request: Request) -> Option<&mut Tally> {
         let phase = match request.first_at {
             at if (5.0..BURST.0 - 1.0).contains(&at) => 0,
-            at if (BURST.0 + 5.0..BURST.1 - 1.0).contains(&at) => 1,
+            at if (BURST.0 + ADJUSTMENT..BURST.1 - 1.0).contains(&at) => 1,
+            at if (BURST.1 + ADJUSTMENT..BURST.1 + 10.0).contains(&at) => 2,
             _ => return None,
         };
         Some(&mut self.tallies[request.account][phase])
     }
 
-    fn run(mut self) -> Vec<[Tally; 2]> {
+    fn run(mut self) -> Vec<[Tally; 3]> {
         while let Some(Reverse((micros, _, event))) = self.events.pop() {
             let now = micros as f64 / 1e6;
-            if now > BURST.1 {
+            if now > BURST.1 + 11.0 {
                 break;
             }
             match event {
@@ -267,15 +270,29 @@
     }
 }
 
-/// The share of its requests that each account was served, before and within the burst, and its
-/// requests served a second within the burst.
-fn simulate(accounts: &[Account], banded: bool, fair: bool) -> Vec<(f64, f64, f64)> {
+/// Result of one account.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    /// The share of its requests that was served before the burst, within it, and after it.
+    before: f64,
+    within: f64,
+    after: f64,
+    /// Requests served a second within the burst.
+    rate: f64,
+}
+
+fn simulate(accounts: &[Account], banded: bool, fair: bool) -> Vec<Served> {
     let tallies = Simulation::new(accounts, banded, fair).run();
-    let span = BURST.1 - 1.0 - (BURST.0 + 5.0);
+    let span = BURST.1 - 1.0 - (BURST.0 + ADJUSTMENT);
     let share = |tally: Tally| tally.served / tally.sent;
     let results = tallies.into_iter();
     results
-        .map(|[before, within]| (share(before), share(within), within.served / span))
+        .map(|[before, within, after]| Served {
+            before: share(before),
+            within: share(within),
+            after: share(after),
+            rate: within.served / span,
+        })
         .collect()
 }
 
@@ -338,15 +355,16 @@
 // others get the max-min share of their quotas.
 fn accounts_get_max_min_shares(accounts: &[Account], banded: bool) {
     let results = simulate(accounts, banded, true);
-    let total: f64 = results.iter().map(|result| result.2).sum();
+    let total: f64 = results.iter().map(|result| result.rate).sum();
     assert!(total > CAPACITY * 0.95, "{total} requests a second");
     let share = max_min_share(accounts, total);
-    for (account, (usual, within, served)) in accounts.iter().zip(results) {
-        let found = format!("{account:?}: {usual} before, {within} within, share {share}");
+    for (account, served) in accounts.iter().zip(results) {
+        let found = format!("{account:?}: {served:?}, share {share}");
+        assert!(served.after >= served.before * 0.95, "{found}");
         match account.burst <= share {
-            true => assert!(within >= usual * 0.95, "{found}"),
+            true => assert!(served.within >= served.before * 0.95, "{found}"),
             false => {
-                let got = served / f64::from(account.quota);
+                let got = served.rate / f64::from(account.quota);
                 assert!((0.93..1.07).contains(&(got / share)), "{found}, got {got}");
             }
         }
@@ -365,7 +383,7 @@
 #[test]
 fn uniform_lanes_serve_modest_accounts_less() {
     let results = simulate(&one_hot_account(), true, false);
-    assert!(results[1..].iter().all(|(_, within, _)| *within < 0.95));
+    assert!(results[1..].iter().all(|served| served.within < 0.95));
 }
 
 // Callers of a third of the accounts send refused requests again at once, under new ids. Their
@@ -376,22 +394,23 @@
     let accounts = immediate_retries();
     let results = simulate(&accounts, true, true);
     for (index, account) in accounts.iter().enumerate() {
-        let (usual, within, served) = results[index];
+        let served = results[index];
         if account.burst < 0.5 {
-            assert!(within >= usual * 0.95, "{account:?}: {within}");
+            assert!(
+                served.within >= served.before * 0.95,
+                "{account:?}: {served:?}"
+            );
         }
         let equal = |other: &Account| (other.burst, other.retries) == (account.burst, false);
         let others = accounts
             .iter()
             .zip(&results)
             .filter(|(other, _)| equal(other));
-        let others: Vec<_> = others.map(|(_, result)| result.2).collect();
+        let others: Vec<_> = others.map(|(_, result)| result.rate).collect();
         if account.retries && account.burst >= 1.0 && !others.is_empty() {
             let mean = others.iter().sum::<f64>() / others.len() as f64;
-            assert!(
-                served <= mean * 1.05,
-                "{account:?}: {served}, others {mean}"
-            );
+            let found = format!("{account:?}: {served:?}, others {mean}");
+            assert!(served.rate <= mean * 1.05, "{found}");
         }
     }
 }
--- a/crates/anvil_quota/src/demand.rs
+++ b/crates/anvil_quota/src/demand.rs
@@ -12,6 +12,14 @@
 /// 1 / sqrt(4 r): 16% at ten requests a second.
 pub const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
+/// Time constant of the rates that follow a surge. With [`DEMAND_SPAN`] alone, a surge to nine times
+/// the usual rate is known with two thirds after 2 s, and pushes other accounts out until then.
+pub const SURGE_SPAN: Duration = Duration::from_millis(500);
+
+/// Standard deviations by which the rate over [`SURGE_SPAN`] has to differ from that over
+/// [`DEMAND_SPAN`] before it counts. Small accounts vary by chance over a span this short.
+const SURGE_DEVIATIONS: f64 = 2.0;
+
 /// Time for which an entry node uses the last ratio of a home that does not answer.
 pub const RATIO_TTL: Duration = Duration::from_secs(5);
 
@@ -50,29 +58,61 @@
     }
 }
 
+/// Rate of requests, averaged over [`DEMAND_SPAN`] unless it changes significantly.
+#[derive(Clone, Copy, Debug)]
+struct SurgeMeter {
+    slow: meter::EventMeter,
+    fast: meter::EventMeter,
+}
+
+impl SurgeMeter {
+    fn new(now: time::NodeTime) -> Self {
+        Self {
+            slow: meter::EventMeter::with_span(now, DEMAND_SPAN),
+            fast: meter::EventMeter::with_span(now, SURGE_SPAN),
+        }
+    }
+
+    fn count(&mut self, now: time::NodeTime, events: u32) {
+        self.slow.count_many(now, events);
+        self.fast.count_many(now, events);
+    }
+
+    /// Requests a second, for a meter that has counted for `age`.
+    fn rate(&self, now: time::NodeTime, age: Duration) -> f64 {
+        // The meters start at zero and would report too little at first.
+        let filled = |span: Duration| 1.0 - (-age.as_secs_f64() / span.as_secs_f64()).exp();
+        let slow = self.slow.rate(now) / filled(DEMAND_SPAN);
+        let fast = self.fast.rate(now) / filled(SURGE_SPAN);
+        // Deviation of an exponential average of independent requests.
+        let deviation = (slow.max(fast) / (2.0 * SURGE_SPAN.as_secs_f64())).sqrt();
+        let margin = SURGE_DEVIATIONS * deviation;
+        slow.clamp(fast - margin, fast + margin)
+    }
+}
+
 /// Rates of an account's requests at its home.
 #[derive(Clone, Copy, Debug)]
 pub struct HomeDemand {
     since: time::NodeTime,
-    requested: meter::EventMeter,
-    granted: meter::EventMeter,
+    requested: SurgeMeter,
+    granted: SurgeMeter,
 }
 
 impl HomeDemand {
     /// Starts to count; the demand is unknown for [`DEMAND_SPAN`].
     pub fn new(now: time::NodeTime) -> Self {
-        let meter = meter::EventMeter::with_span(now, DEMAND_SPAN);
         Self {
             since: now,
-            requested: meter,
-            granted: meter,
+            requested: SurgeMeter::new(now),
+            granted: SurgeMeter::new(now),
         }
     }
 
     /// Counts requests, and those of them that the quota granted.
     pub fn count(&mut self, now: time::NodeTime, requested: u32, granted: u32) {
-        self.requested.count_many(now, requested);
-        self.granted.count_many(now, granted);
+        self.requested.count(now, requested);
+        self.granted.count(now, granted);
     }
 
     /// The ratio to `rate`; `None` while the counts are too recent.
@@ -84,9 +124,7 @@
         if age < DEMAND_SPAN || rate <= 0.0 {
             return None;
         }
-        // The meters start at zero and would report too little at first.
-        let filled = 1.0 - (-age.as_secs_f64() / DEMAND_SPAN.as_secs_f64()).exp();
-        let ratio = |meter: &meter::EventMeter| meter.rate(now) / filled / rate;
+        let ratio = |meter: &SurgeMeter| meter.rate(now, age) / rate;
         Some(DemandRatio {
             requested: ratio(&self.requested),
             granted: ratio(&self.granted),
