--- a/crates/anvil_overload/tests/fairness.rs
+++ b/crates/anvil_overload/tests/fairness.rs
@@ -1,31 +1,31 @@
 //! Accounts that share a scarce service by fair lanes, in simulated time.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use anvil_overload::{admission, fairness, limit, policy, rank};
 use anvil_quota::{effect, ledger};
 use anvil_testkit::test_cases;
 use anvil_types::{account, context, ident, time};
+use anvil_wire::call;
 use rand_core::{Rng, SeedableRng};
 
-/// Slots of the scarce service, and the time that each request holds one.
+/// Slots of the scarce service, the time for which a request holds one, in milliseconds, and the
+/// requests a second that it thus completes.
 const SLOTS: u32 = 40;
-const RUN: Duration = Duration::from_millis(100);
-
-/// Requests a second that the service completes.
+const RUN: u64 = 100;
 const CAPACITY: f64 = 400.0;
 
-/// Start and end of the burst, in seconds.
-const BURST: (f64, f64) = (20.0, 65.0);
-
-/// Seconds after a change of the load within which shares are not evaluated.
-const ADJUSTMENT: f64 = 2.0;
+/// The burst, and the phases that are evaluated: before it, within it and after it, from 2 s after
+/// each change of the load, in milliseconds.
+const BURST: Range<u64> = 20_000..65_000;
+const PHASES: [Range<u64>; 3] = [5_000..19_000, 22_000..64_000, 67_000..75_000];
 
-/// How soon a caller that retries at once is back, and how often it retries.
-const RETRY_PAUSE: f64 = 0.02;
+/// How soon a caller that retries at once is back, in milliseconds, and how often it retries.
+const RETRY_PAUSE: u64 = 20;
 const RETRIES: u8 = 2;
 
 #[derive(Clone, Copy, Debug)]
@@ -41,174 +41,143 @@
 #[derive(Clone, Copy, Debug)]
 struct Request {
     account: usize,
-    first_at: f64,
+    first_at: u64,
     retries: u8,
 }
 
-/// Requests of an account in one phase, and how many of them were completed.
+/// Result of one account.
 #[derive(Clone, Copy, Debug, Default)]
-struct Tally {
-    sent: f64,
-    served: f64,
+struct Served {
+    sent: [f64; 3],
+    served: [f64; 3],
+}
+
+impl Served {
+    /// The share of the requests of a phase that was served.
+    fn share(&self, phase: usize) -> f64 {
+        self.served[phase] / self.sent[phase]
+    }
+
+    /// Requests served a second within the burst.
+    fn rate(&self) -> f64 {
+        self.served[1] * 1_000.0 / (PHASES[1].end - PHASES[1].start) as f64
+    }
 }
 
 struct Simulation {
     accounts: Vec<Account>,
     banded: bool,
     fair: bool,
+    now: u64,
     rng: rand_pcg::Pcg64Mcg,
     ledger: ledger::QuotaLedger,
     queue: admission::AdmissionQueue,
     /// The line as the entry nodes know it, a tenth of a second old at most.
-    line: Option<anvil_wire::call::CutLine>,
-    line_at: f64,
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    sequence: u64,
-    /// By sequence.
-    open: Vec<Option<Request>>,
-    /// By account: before the burst, within it, and after it.
-    tallies: Vec<[Tally; 3]>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    /// A new request of an account; schedules the next one.
-    Arrive(usize),
-    /// A refused caller is back.
-    Return(u64),
-    End(u64),
-}
-
-fn at(seconds: f64) -> time::NodeTime {
-    time::NodeTime((seconds * 1e6) as u64)
+    line: Option<call::CutLine>,
+    requests: Vec<Request>,
+    /// Requests that run, and refused ones whose callers return, with their times.
+    running: VecDeque<(u64, u64)>,
+    returning: VecDeque<(u64, u64)>,
+    results: Vec<Served>,
 }
 
 fn account_id(index: usize) -> account::AccountId {
     account::AccountId(index as u64 + 1)
 }
 
-impl Simulation {
-    fn new(accounts: &[Account], banded: bool, fair: bool) -> Self {
-        let policy = policy::OverloadPolicy {
-            cold_ramp: false,
-            adaptive_limit: false,
-            ..policy::OverloadPolicy::FULL
-        };
-        let own = ident::NodeId(1);
-        let mode = ledger::TokenMode::Ahead;
-        let mut ledger = ledger::QuotaLedger::new(own, mode).with_stated_demand();
-        ledger.member_up(at(0.0), own, SocketAddr::from(([127, 0, 0, 1], 1)));
-        let quotas = accounts.iter().enumerate().map(|(index, account)| {
-            let quota = account::AccountQuota::per_second(account.quota, account.quota);
-            (account_id(index), quota)
-        });
-        ledger.set_quotas(at(0.0), &quotas.collect::<Vec<_>>());
-        let mut simulation = Self {
-            accounts: accounts.to_vec(),
-            banded,
-            fair,
-            rng: rand_pcg::Pcg64Mcg::seed_from_u64(5),
-            ledger,
-            queue: admission::AdmissionQueue::new(at(0.0), SLOTS, policy),
-            line: None,
-            line_at: 0.0,
-            events: BinaryHeap::new(),
-            sequence: 0,
-            open: Vec::new(),
-            tallies: vec![[Tally::default(); 3]; accounts.len()],
-        };
-        for index in 0..accounts.len() {
-            simulation.schedule_arrival(0.0, index);
-        }
-        simulation
-    }
-
-    fn push(&mut self, at: f64, event: Event) {
-        self.sequence += 1;
-        let micros = (at * 1e6) as u64;
-        self.events.push(Reverse((micros, self.sequence, event)));
-    }
-
-    fn schedule_arrival(&mut self, now: f64, index: usize) {
-        let account = self.accounts[index];
-        let ratio = match (BURST.0..BURST.1).contains(&now) {
-            true => account.burst,
-            false => account.usual,
-        };
-        let unit = (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
-        let gap = -(1.0 - unit).ln() / (ratio * f64::from(account.quota));
-        self.push(now + gap, Event::Arrive(index));
+/// Plays all phases with the ledger of one node and the queue of one target.
+fn simulate(accounts: &[Account], banded: bool, fair: bool) -> Vec<Served> {
+    let policy = policy::OverloadPolicy {
+        cold_ramp: false,
+        adaptive_limit: false,
+        ..policy::OverloadPolicy::FULL
+    };
+    let start = time::NodeTime::START;
+    let own = ident::NodeId(1);
+    let mode = ledger::TokenMode::Ahead;
+    let mut ledger = ledger::QuotaLedger::new(own, mode).with_stated_demand();
+    ledger.member_up(start, own, SocketAddr::from(([127, 0, 0, 1], 1)));
+    let quotas = accounts.iter().enumerate().map(|(index, account)| {
+        let quota = account::AccountQuota::per_second(account.quota, account.quota);
+        (account_id(index), quota)
+    });
+    ledger.set_quotas(start, &quotas.collect::<Vec<_>>());
+    let mut simulation = Simulation {
+        accounts: accounts.to_vec(),
+        banded,
+        fair,
+        now: 0,
+        rng: rand_pcg::Pcg64Mcg::seed_from_u64(5),
+        ledger,
+        queue: admission::AdmissionQueue::new(start, SLOTS, policy),
+        line: None,
+        requests: Vec::new(),
+        running: VecDeque::new(),
+        returning: VecDeque::new(),
+        results: vec![Served::default(); accounts.len()],
+    };
+    while simulation.now < PHASES[2].end + 1_000 {
+        simulation.step();
     }
+    simulation.results
+}
 
-    /// The tally of a request that was first sent at `first_at`.
-    fn tally(&mut self, request: Request) -> Option<&mut Tally> {
-        let phase = match request.first_at {
-            at if (5.0..BURST.0 - 1.0).contains(&at) => 0,
-            at if (BURST.0 + ADJUSTMENT..BURST.1 - 1.0).contains(&at) => 1,
-            at if (BURST.1 + ADJUSTMENT..BURST.1 + 10.0).contains(&at) => 2,
-            _ => return None,
-        };
-        Some(&mut self.tallies[request.account][phase])
+impl Simulation {
+    fn time(&self) -> time::NodeTime {
+        time::NodeTime::from_millis(self.now)
     }
 
-    fn run(mut self) -> Vec<[Tally; 3]> {
-        while let Some(Reverse((micros, _, event))) = self.events.pop() {
-            let now = micros as f64 / 1e6;
-            if now > BURST.1 + 11.0 {
-                break;
+    /// Plays one millisecond.
+    fn step(&mut self) {
+        self.now += 1;
+        while let Some((_, id)) = self.running.pop_front_if(|(at, _)| *at <= self.now) {
+            let sample = limit::RunSample {
+                latency: Duration::from_millis(RUN),
+                downstream: Duration::ZERO,
+                end: limit::RunEnd::Completed,
+            };
+            let decisions = self.queue.finish(self.time(), id, sample);
+            let request = self.requests[id as usize];
+            if let Some(phase) = phase(request) {
+                self.results[request.account].served[phase] += 1.0;
             }
-            match event {
-                Event::Arrive(account) => {
-                    self.schedule_arrival(now, account);
-                    let request = Request {
-                        account,
-                        first_at: now,
-                        retries: if self.accounts[account].retries {
-                            RETRIES
-                        } else {
-                            0
-                        },
-                    };
-                    if let Some(tally) = self.tally(request) {
-                        tally.sent += 1.0;
-                    }
-                    self.open.push(Some(request));
-                    self.send(now, self.open.len() as u64 - 1);
-                }
-                Event::Return(id) => self.send(now, id),
-                Event::End(id) => {
-                    let sample = limit::RunSample {
-                        latency: RUN,
-                        downstream: Duration::ZERO,
-                        end: limit::RunEnd::Completed,
-                    };
-                    let decisions = self.queue.finish(at(now), id, sample);
-                    if let Some(request) = self.open[id as usize].take()
-                        && let Some(tally) = self.tally(request)
-                    {
-                        tally.served += 1.0;
-                    }
-                    self.apply(now, decisions);
+            self.apply(decisions);
+        }
+        let decisions = self.queue.wake(self.time());
+        self.apply(decisions);
+        while let Some((_, id)) = self.returning.pop_front_if(|(at, _)| *at <= self.now) {
+            self.send(id);
+        }
+        for index in 0..self.accounts.len() {
+            let account = self.accounts[index];
+            let ratio = match BURST.contains(&self.now) {
+                true => account.burst,
+                false => account.usual,
+            };
+            let unit = (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+            if unit < ratio * f64::from(account.quota) / 1_000.0 {
+                let request = Request {
+                    account: index,
+                    first_at: self.now,
+                    retries: if account.retries { RETRIES } else { 0 },
+                };
+                if let Some(phase) = phase(request) {
+                    self.results[index].sent[phase] += 1.0;
                 }
+                self.requests.push(request);
+                self.send(self.requests.len() as u64 - 1);
             }
-            let decisions = self.queue.wake(at(now));
-            self.apply(now, decisions);
-            if now - self.line_at > 0.1 {
-                self.line = self.queue.load(at(now)).cut;
-                self.line_at = now;
-            }
         }
-        self.tallies
+        if self.now.is_multiple_of(100) {
+            self.line = self.queue.load(self.time()).cut;
+        }
     }
 
     /// An attempt of a caller; each has an id of its own.
-    fn send(&mut self, now: f64, id: u64) {
-        let Some(request) = self.open[id as usize] else {
-            return;
-        };
-        let account = account_id(request.account);
+    fn send(&mut self, id: u64) {
+        let account = account_id(self.requests[id as usize].account);
         let root = ident::RequestId(u128::from(self.rng.next_u64()));
-        let demand = self.ledger.demand(at(now), account).ratio.granted;
+        let demand = self.ledger.demand(self.time(), account).ratio.granted;
         let lane = match self.fair {
             true => fairness::QuotaShare::of(root, demand).lane(),
             false => fairness::uniform_lane(root),
@@ -221,79 +190,52 @@
             depth: 0,
             lane: Reverse(lane),
         };
-        if self.ledger.admit(at(now), account, id) != effect::QuotaDecision::Granted {
-            self.refused(now, id);
-            return;
-        }
-        if !rank::admits(self.line.as_ref(), &rank) {
+        if self.ledger.admit(self.time(), account, id) != effect::QuotaDecision::Granted {
+            self.refused(id);
+        } else if !rank::admits(self.line.as_ref(), &rank) {
             self.ledger.give_back(account);
-            self.refused(now, id);
-            return;
+            self.refused(id);
+        } else {
+            let call = admission::WaitingCall {
+                id,
+                rank,
+                deadline: time::NodeTime::from_millis(self.now + 1_000),
+                queue_wait: Duration::from_millis(400),
+                suspect: false,
+            };
+            let decisions = self.queue.offer(self.time(), call);
+            self.apply(decisions);
         }
-        let call = admission::WaitingCall {
-            id,
-            rank,
-            deadline: at(now + 1.0),
-            queue_wait: Duration::from_millis(400),
-            suspect: false,
-        };
-        let decisions = self.queue.offer(at(now), call);
-        self.apply(now, decisions);
     }
 
-    fn apply(&mut self, now: f64, decisions: Vec<admission::AdmissionDecision>) {
+    fn apply(&mut self, decisions: Vec<admission::AdmissionDecision>) {
         for decision in decisions {
             match decision {
                 admission::AdmissionDecision::Start(id) => {
-                    self.push(now + RUN.as_secs_f64(), Event::End(id));
+                    self.running.push_back((self.now + RUN, id));
                 }
                 admission::AdmissionDecision::Refuse { id, .. } => {
-                    if let Some(request) = self.open[id as usize] {
-                        self.ledger.give_back(account_id(request.account));
-                    }
-                    self.refused(now, id);
+                    let account = self.requests[id as usize].account;
+                    self.ledger.give_back(account_id(account));
+                    self.refused(id);
                 }
             }
         }
     }
 
-    fn refused(&mut self, now: f64, id: u64) {
-        let Some(request) = &mut self.open[id as usize] else {
-            return;
-        };
-        if request.retries == 0 {
-            self.open[id as usize] = None;
-            return;
+    fn refused(&mut self, id: u64) {
+        let request = &mut self.requests[id as usize];
+        if request.retries > 0 {
+            request.retries -= 1;
+            self.returning.push_back((self.now + RETRY_PAUSE, id));
         }
-        request.retries -= 1;
-        self.push(now + RETRY_PAUSE, Event::Return(id));
     }
 }
 
-/// Result of one account.
-#[derive(Clone, Copy, Debug)]
-struct Served {
-    /// The share of its requests that was served before the burst, within it, and after it.
-    before: f64,
-    within: f64,
-    after: f64,
-    /// Requests served a second within the burst.
-    rate: f64,
-}
-
-fn simulate(accounts: &[Account], banded: bool, fair: bool) -> Vec<Served> {
-    let tallies = Simulation::new(accounts, banded, fair).run();
-    let span = BURST.1 - 1.0 - (BURST.0 + ADJUSTMENT);
-    let share = |tally: Tally| tally.served / tally.sent;
-    let results = tallies.into_iter();
-    results
-        .map(|[before, within, after]| Served {
-            before: share(before),
-            within: share(within),
-            after: share(after),
-            rate: within.served / span,
-        })
-        .collect()
+fn phase(request: Request) -> Option<usize> {
+    PHASES
+        .iter()
+        .position(|phase| phase.contains(&request.first_at))
 }
 
 fn account(quota: u32, usual: f64, burst: f64) -> Account {
@@ -355,16 +297,16 @@
 // others get the max-min share of their quotas.
 fn accounts_get_max_min_shares(accounts: &[Account], banded: bool) {
     let results = simulate(accounts, banded, true);
-    let total: f64 = results.iter().map(|result| result.rate).sum();
+    let total: f64 = results.iter().map(Served::rate).sum();
     assert!(total > CAPACITY * 0.95, "{total} requests a second");
     let share = max_min_share(accounts, total);
     for (account, served) in accounts.iter().zip(results) {
         let found = format!("{account:?}: {served:?}, share {share}");
-        assert!(served.after >= served.before * 0.95, "{found}");
+        assert!(served.share(2) >= served.share(0) * 0.95, "{found}");
         match account.burst <= share {
-            true => assert!(served.within >= served.before * 0.95, "{found}"),
+            true => assert!(served.share(1) >= served.share(0) * 0.95, "{found}"),
             false => {
-                let got = served.rate / f64::from(account.quota);
+                let got = served.rate() / f64::from(account.quota);
                 assert!((0.93..1.07).contains(&(got / share)), "{found}, got {got}");
             }
         }
@@ -383,7 +325,7 @@
 #[test]
 fn uniform_lanes_serve_modest_accounts_less() {
     let results = simulate(&one_hot_account(), true, false);
-    assert!(results[1..].iter().all(|served| served.within < 0.95));
+    assert!(results[1..].iter().all(|served| served.share(1) < 0.95));
 }
 
 // Callers of a third of the accounts send refused requests again at once, under new ids. Their
@@ -393,24 +335,18 @@
 fn immediate_retries_gain_nothing() {
     let accounts = immediate_retries();
     let results = simulate(&accounts, true, true);
-    for (index, account) in accounts.iter().enumerate() {
-        let served = results[index];
+    for (account, served) in accounts.iter().zip(&results) {
+        let found = format!("{account:?}: {served:?}");
         if account.burst < 0.5 {
-            assert!(
-                served.within >= served.before * 0.95,
-                "{account:?}: {served:?}"
-            );
+            assert!(served.share(1) >= served.share(0) * 0.95, "{found}");
         }
-        let equal = |other: &Account| (other.burst, other.retries) == (account.burst, false);
-        let others = accounts
-            .iter()
-            .zip(&results)
-            .filter(|(other, _)| equal(other));
-        let others: Vec<_> = others.map(|(_, result)| result.rate).collect();
-        if account.retries && account.burst >= 1.0 && !others.is_empty() {
-            let mean = others.iter().sum::<f64>() / others.len() as f64;
-            let found = format!("{account:?}: {served:?}, others {mean}");
-            assert!(served.rate <= mean * 1.05, "{found}");
+        let equals = accounts.iter().zip(&results).filter(|(other, _)| {
+            (other.burst, other.retries) == (account.burst, false) && account.retries
+        });
+        let rates: Vec<_> = equals.map(|(_, served)| served.rate()).collect();
+        let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+        if account.burst >= 1.0 && !rates.is_empty() {
+            assert!(served.rate() <= mean * 1.05, "{found}, others {mean}");
         }
     }
 }
