--- a/crates/anvil_core/src/accounts.rs
+++ b/crates/anvil_core/src/accounts.rs
@@ -84,7 +84,7 @@
     }
 
     /// The account whose quota the call draws on.
-    fn metered_account(&self) -> Option<account::AccountId> {
+    pub(crate) fn metered_account(&self) -> Option<account::AccountId> {
         let keyed = self.credential != account::CallerCredential::None;
         let name = self.name.as_ref().filter(|_| keyed)?;
         Some(account::AccountId::of(name))
@@ -268,6 +268,7 @@
                 "tokens": view.tokens,
                 "ahead": view.ahead,
                 "waiting": view.waiting,
+                "demand": self.demand_dump(account::AccountId::of(&record.name)),
             })
         });
         shown.collect()
@@ -295,7 +296,7 @@
         }
     }
 
-    /// Logs a change of the home node that counts an account's requests.
+    /// Logs a change of the home node that counts an account's requests, or of their demand.
     fn report_home_change(&mut self, change: quota_effect::HomeChange) {
         let text = match change {
             quota_effect::HomeChange::Left { account, home } => {
@@ -310,12 +311,21 @@
                 let name = self.account_name(account);
                 format!("uses taken: account={name} from={from} uses={uses}")
             }
+            quota_effect::HomeChange::Demand {
+                account,
+                percent,
+                is_above,
+            } => {
+                let name = self.account_name(account);
+                let change = if is_above { "above" } else { "within" };
+                format!("demand {change} quota: account={name} percent={percent}")
+            }
         };
         self.report(effect::StateChange::Part { part: PART, text });
     }
 
     /// The name of an account, or its id in hex if the rules in force don't contain it any more.
-    fn account_name(&self, id: account::AccountId) -> String {
+    pub(crate) fn account_name(&self, id: account::AccountId) -> String {
         let accounts = self.book.document().accounts();
         let mut records = accounts.into_iter().flat_map(|table| table.accounts());
         let record = records.find(|record| account::AccountId::of(&record.name) == id);
@@ -331,6 +341,7 @@
             return;
         }
         self.hold_token(sequence);
+        self.update_lane(sequence);
         self.begin_attempts(sequence);
     }
 
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -94,6 +94,7 @@
         counters["refused_calls"] = self.refused_call_gauges();
         counters["pace"] = self.pace_gauges();
         counters["placement"] = json!(self.directory.routes().placement_counts());
+        counters["account"] = self.fair_lane_gauges();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
@@ -143,6 +144,7 @@
             "revision": self.book.revision(),
             "rule": self.book.explain(request),
             "cut_line": line,
+            "admitted_shares": self.admitted_shares(line.as_ref()),
             "quarantine": self.quarantine_of(fingerprint),
             "recent_refusals": refusals,
         })
