Serve refused callers first when they return on time

Cause: a refused caller returns under a new id and draws a new lane. After a short peak, new requests take the capacity that the refused ones were told to return for, and many of them are refused a second time.

Change: with the switch `return_order` (off by default), an entry node that refuses a request for lack of capacity remembers its content, account, class, lane and the stated time. A request that returns within a second of that time gets the first lane of its class and band, an earlier one the lane that it had. Retry-After then ends at a third of the caller's remaining time, or at half of the time left of the objective, and is spread by the id instead of the lane. At most 1,024 appointments are remembered. Counters, the dump and log lines show them.

Not run: whole nodes or the mesh with the switch on.

--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -43,6 +43,14 @@
     pub targets_crashed: u64,
     /// Retries that the retry ratio did not allow.
     pub retries_over_ratio: u64,
+    /// Refusals for lack of capacity whose callers were given a time to return.
+    pub appointments_made: u64,
+    /// Requests that returned at the time that their caller was told.
+    pub returns_on_time: u64,
+    /// Requests that returned before that time.
+    pub returns_early: u64,
+    /// Requests that returned after their appointment had lapsed.
+    pub returns_late: u64,
     /// Runs cancelled because their caller or parent was gone.
     pub runs_cancelled: u64,
     /// Attempts whose outcome was queried because their connection had ended.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -65,6 +65,7 @@
             self.reply(handle, reply);
             return;
         };
+        let context = self.with_return_lane(context, &identity);
         let deadline = self.now + Duration::from_micros(context.remaining_micros);
         let call = calls::OpenCall {
             handle,
@@ -408,7 +409,8 @@
         self.record_call_refusal(&open, verdict);
         self.finish_key(sequence, &open, verdict, answer.as_ref());
         self.settle_token(sequence, &open, verdict);
-        let retry_after = self.retry_after(&open, verdict);
+        let appointment = self.settle_return(&open, verdict);
+        let retry_after = appointment.or_else(|| self.retry_after(&open, verdict));
         let status = answer.as_ref().map(|answer| answer.status);
         self.log_call(&open, verdict, status, retry_after);
         let reply = effect::CallerReply {
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod reducer;
 pub mod request_log;
 mod retrying;
+mod returning;
 mod rollout;
 pub mod rulebook;
 pub mod runs;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -74,6 +74,7 @@
             "calls": calls,
             "runs": runs,
             "overload": self.overload,
+            "appointments": self.overload.appointments.view(),
             "routes": self.directory.routes(),
             "keys": self.key_dump(),
             "accounts": self.accounts_dump(),
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use anvil_overload::{
-    admission, dependency, kind, policy, quarantine, rank, rate, ratio, refusal, resend,
+    admission, appointments, dependency, kind, policy, quarantine, rank, rate, ratio, refusal,
+    resend,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -34,6 +35,9 @@
     pub(crate) fleet_burst: Option<u32>,
     pub(crate) poison: quarantine::PoisonList,
     pub(crate) refusals: refusal::RefusalLog,
+    /// The dump shows their number only.
+    #[serde(skip)]
+    pub(crate) appointments: appointments::AppointmentBook,
 }
 
 impl OverloadState {
@@ -50,6 +54,7 @@
             fleet_burst: None,
             poison: quarantine::PoisonList::new(node, policy),
             refusals: refusal::RefusalLog::default(),
+            appointments: appointments::AppointmentBook::default(),
         }
     }
 }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -413,6 +413,18 @@
     )
 }
 
+/// Whether the reason is a lack of capacity for the request's rank. A refusal by the target itself is
+/// not: it may refuse for other reasons, whatever the rank.
+pub(crate) const fn lacks_capacity(reason: verdict::RefusalReason) -> bool {
+    matches!(
+        reason,
+        verdict::RefusalReason::QueueFull
+            | verdict::RefusalReason::RateLimited
+            | verdict::RefusalReason::Shed
+            | verdict::RefusalReason::Deadline
+    )
+}
+
 /// Whether an attempt may be retried. A non-idempotent request is only repeated if it certainly did
 /// not run.
 fn may_retry(verdict: verdict::CallVerdict, idempotent: bool) -> bool {
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anvil_core::{config, directory, effect, event, reducer};
+use anvil_overload::policy;
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::{call, frame};
 use bytes::Bytes;
@@ -31,6 +32,11 @@
     reducer::NodeReducer::new(config(), 1)
 }
 
+/// An entry node with some safeguards switched.
+pub fn node_with_policy(policy: policy::OverloadPolicy) -> reducer::NodeReducer {
+    reducer::NodeReducer::with_policy(config(), 1, policy)
+}
+
 /// An entry node with another id.
 pub fn node_with_id(node: ident::NodeId) -> reducer::NodeReducer {
     reducer::NodeReducer::new(config::NodeConfig { node, ..config() }, 1)
--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use anvil_overload::{admission, kind, limit, policy, rank, routing};
+use anvil_overload::{admission, appointments, kind, limit, policy, rank, routing};
 use anvil_types::{context, ident, name, time};
 
 /// Number of services in the routing table of a large fleet.
@@ -117,3 +117,33 @@
         admission::AdmissionDecision::Refuse { .. } => None,
     })
 }
+
+/// Records the arrival and the refusal of a request while the space for appointments is used up.
+#[divan::bench]
+fn appointment(bencher: divan::Bencher<'_, '_>) {
+    let mut book = appointments::AppointmentBook::default();
+    let now = time::NodeTime::from_millis(10_000);
+    let pause = Duration::from_millis(400);
+    let mut content = 0_u64;
+    let mut refuse = || {
+        content += 1;
+        let key = appointments::ReturnKey {
+            // Spread over the table, as hashes are.
+            fingerprint: ident::RequestFingerprint(content.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            account: None,
+        };
+        let rank = appointments::DrawnRank {
+            request: ident::RequestId(u128::from(content)),
+            class: context::PriorityClass::Normal,
+            rule_class: None,
+            lane: context::LaneHash(200),
+        };
+        let arrival = book.arrived(now, key, &rank);
+        let told = book.ended(now, key, &rank, appointments::RequestEnd::Refused(pause));
+        (arrival, told)
+    };
+    for _ in 0..2 * appointments::MAX_APPOINTMENTS {
+        refuse();
+    }
+    bencher.bench_local(refuse);
+}
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod appointments;
 pub mod backoff;
 pub mod cut;
 pub mod deadline;
--- a/crates/anvil_overload/src/refusal.rs
+++ b/crates/anvil_overload/src/refusal.rs
@@ -7,6 +7,7 @@
 use anvil_types::{context, ident, name, rate, time, treatment, verdict};
 use anvil_wire::call;
 use serde::Serialize;
+use xxhash_rust::xxh3;
 
 use crate::rank;
 
@@ -145,6 +146,30 @@
     pause.max(MIN_RETRY_WITHIN)
 }
 
+/// Pause of a caller that has an appointment to return; `None` if it has no time to return.
+///
+/// Callers wait for a third of their remaining time at most, so a later appointment would not be
+/// kept, and must return while their request can still be served within the time `left` of the
+/// objective. The id spreads callers evenly over that range: the refused ones have the last lanes of
+/// their class, and would return together if spread by lane. The pause has whole milliseconds, since
+/// one that is rounded down on its way to the caller would make it return early.
+pub fn appointment_pause(
+    left: Duration,
+    remaining: Duration,
+    request: ident::RequestId,
+) -> Option<Duration> {
+    let (earliest, latest) = RETRY_SHARES;
+    let end = (left * latest / 100).min(remaining / 3);
+    let start = (end * earliest / latest).max(MIN_RETRY_WITHIN);
+    let spread = end.checked_sub(start)?;
+    // The lane is the first byte of this hash, so the next ones are independent of it.
+    let [_, high, low, ..] = xxh3::xxh3_64(&request.0.to_le_bytes()).to_le_bytes();
+    let draw = u32::from(u16::from_be_bytes([high, low]));
+    let pause = start + spread * draw / (u32::from(u16::MAX) + 1);
+    let millis = pause.as_micros().div_ceil(1_000);
+    Some(Duration::from_millis(u64::try_from(millis).ok()?))
+}
+
 /// Pause after which a caller should retry a service that no node offers at the moment: its targets
 /// or nodes are restarting, which takes one or two seconds.
 pub fn retry_after_restart(lane: context::LaneHash) -> Duration {
