--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -48,6 +48,14 @@
     pub retries_hopeless: u64,
     /// Retries that had to wait until the retry ratio allowed them.
     pub retries_delayed: u64,
+    /// Refusals for lack of capacity whose callers were given a time to return.
+    pub appointments_made: u64,
+    /// Requests that returned at the time that their caller was told.
+    pub returns_on_time: u64,
+    /// Requests that returned before that time.
+    pub returns_early: u64,
+    /// Requests that returned after their appointment had lapsed.
+    pub returns_late: u64,
     /// Runs cancelled because their caller or parent was gone.
     pub runs_cancelled: u64,
     /// Attempts whose outcome was queried because their connection had ended.
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -30,6 +30,7 @@
 mod refused_calls;
 pub mod request_log;
 mod retrying;
+mod returning;
 mod rollout;
 pub mod rulebook;
 pub mod runs;
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use anvil_overload::{
-    admission, dependency, kind, pace, policy, quarantine, rank, rate, ratio, refusal, refusals,
-    resend, run_calls,
+    admission, appointments, dependency, kind, pace, policy, quarantine, rank, rate, ratio,
+    refusal, refusals, resend, run_calls,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -40,6 +40,9 @@
     pub(crate) run_calls: run_calls::RunCalls,
     pub(crate) poison: quarantine::PoisonList,
     pub(crate) refusals: refusal::RefusalLog,
+    /// The dump shows their number only.
+    #[serde(skip)]
+    pub(crate) appointments: appointments::AppointmentBook,
 }
 
 impl OverloadState {
@@ -58,6 +61,7 @@
             run_calls: run_calls::RunCalls::default(),
             poison: quarantine::PoisonList::new(node, policy),
             refusals: refusal::RefusalLog::default(),
+            appointments: appointments::AppointmentBook::default(),
         }
     }
 }
--- a/crates/anvil_overload/benches/decisions.rs
+++ b/crates/anvil_overload/benches/decisions.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{admission, fairness, kind, limit, policy, rank, ratio, refusals, routing};
+use anvil_overload::{
+    admission, appointments, fairness, kind, limit, policy, rank, ratio, refusals, routing,
+};
 use anvil_quota::ledger;
 use anvil_types::{account, context, ident, name, time};
 use anvil_wire::call;
@@ -229,3 +231,33 @@
         (ledger.admit(now, account, call), lane)
     });
 }
+
+/// Records the arrival and the refusal of a request while the space for appointments is used up.
+#[divan::bench]
+fn appointment(bencher: divan::Bencher<'_, '_>) {
+    let mut book = appointments::AppointmentBook::default();
+    let now = time::NodeTime::from_millis(10_000);
+    let pause = Duration::from_millis(400);
+    let mut content = 0_u64;
+    let mut refuse = || {
+        content += 1;
+        let key = appointments::ReturnKey {
+            // Spread over the table, as hashes are.
+            fingerprint: ident::RequestFingerprint(content.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            account: None,
+        };
+        let rank = appointments::DrawnRank {
+            request: ident::RequestId(u128::from(content)),
+            class: context::PriorityClass::Normal,
+            rule_class: None,
+            lane: context::LaneHash(200),
+        };
+        let arrival = book.arrived(now, key, &rank);
+        let told = book.ended(now, key, &rank, appointments::RequestEnd::Refused(pause));
+        (arrival, told)
+    };
+    for _ in 0..2 * appointments::MAX_APPOINTMENTS {
+        refuse();
+    }
+    bencher.bench_local(refuse);
+}
