Derive the foreign protocol version in a test from the own one

Cause: the test of a handshake with another version named version 9, which is now the own version.

Change: it names the version after the own one, whatever that is.

Measured: the tests of anvil_wire pass.

--- a/crates/anvil_wire/tests/seal_stream.rs
+++ b/crates/anvil_wire/tests/seal_stream.rs
@@ -206,7 +206,10 @@
 }
 
 test_cases! { check_hello:
-    another_version => (|hello| hello.version = 9, &seal::SealError::Version { found: 9 }),
+    another_version => (
+        |hello| hello.version = frame::PROTOCOL_VERSION + 1,
+        &seal::SealError::Version { found: frame::PROTOCOL_VERSION + 1 },
+    ),
     this_node_itself => (|hello| hello.node = RESPONDER, &seal::SealError::OwnIdentity),
 }
 
