Spread requests among targets that fail alike

Cause: the factor for recent failures was raised to the fourth power in the weight of a target. Where a part of the runs breaks at all targets, requests gathered at the one that happened to fail least.

Change: the weight is divided by the factor itself.

--- a/crates/anvil_overload/src/routing/completion.rs
+++ b/crates/anvil_overload/src/routing/completion.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// The inverse of the time until the request is expected to be complete, which is increased for
-    /// a failing target; in microseconds. A single division for each target keeps the choice fast.
+    /// The inverse of the time in microseconds until the request is expected to be complete. A single
+    /// division for each target keeps the choice fast.
     fn speed(&self) -> f64 {
         let waiting = if self.busy < self.capacity {
             0.0
@@ -78,9 +78,13 @@
             true => 0.0,
             false => self.pause.as_secs_f64() * 1e6,
         };
-        let failures = 1.0 + self.failures * routing::health::FAILURE_FACTOR;
         let slot_time = pause * self.capacity + (self.capacity + waiting) * self.run;
-        self.capacity / (slot_time * failures)
+        self.capacity / slot_time
+    }
+
+    /// Factor by which the expected completion time of a failing target is increased.
+    fn failure_factor(&self) -> f64 {
+        1.0 + self.failures * routing::health::FAILURE_FACTOR
     }
 }
 
@@ -91,13 +95,15 @@
     same_zone: bool,
     has_free_slot: bool,
     speed: f64,
+    failure_factor: f64,
     weight: f64,
 }
 
 impl Candidate {
-    /// Time until the request is expected to be complete, in microseconds.
+    /// Time until the request is expected to be complete, in microseconds, increased for a failing
+    /// target.
     fn cost(&self) -> f64 {
-        self.speed.recip()
+        self.failure_factor / self.speed
     }
 }
 
@@ -187,7 +193,10 @@
             true => free * outlook.share,
             false => outlook.capacity,
         };
-        let weight = slots * speed.powi(SPEED_EXPONENT);
+        // Failures count without the exponent. Where a part of the runs fails at all targets, the
+        // requests would otherwise gather at the one that happened to fail least.
+        let failure_factor = outlook.failure_factor();
+        let weight = slots * speed.powi(SPEED_EXPONENT) / failure_factor;
         let sum = match same_zone {
             true => &mut self.own,
             false => &mut self.others,
@@ -207,6 +216,7 @@
             same_zone,
             has_free_slot,
             speed,
+            failure_factor,
             weight,
         });
     }
--- a/crates/anvil_overload/tests/placement.rs
+++ b/crates/anvil_overload/tests/placement.rs
@@ -195,6 +195,25 @@
     }
 }
 
+// A part of the runs breaks at all targets alike. Guards against requests that gather at the target
+// that happened to fail least.
+#[test]
+fn targets_that_fail_alike_share_the_requests() {
+    let targets = [('a', seen(2, 0, 0)); 4];
+    let mut shares = [0; 4];
+    for seed in 0..400 {
+        let mut table = table(ON, seed, &targets);
+        for (node, failures) in (1..).zip([3, 4, 4, 5]) {
+            for _ in 0..failures {
+                end(&mut table, node, routing::AttemptEnd::Failed, None);
+            }
+        }
+        let chosen = choose(&mut table, 9_050, 130).expect("a target");
+        shares[usize::try_from(chosen - 1).expect("an index")] += 1;
+    }
+    assert!(shares.iter().all(|share| *share >= 60), "{shares:?}");
+}
+
 // Guards against nodes with the same reports that all choose the same target, and against a target
 // with few free slots that gets none of the requests or too many.
 fn nodes_with_the_same_reports_spread(running: [u32; 4], bounds: [(u32, u32); 4]) {
