Add a scarce service to the simulated mesh

Cause: the parts for scarce services need a load on which their effect shows: a service of four targets of unequal speed at the end of a call chain, of which a request needs eight runs.

Change: `mesh::scarce_mesh` and `mesh::Plan::scarce`, with a fault in which targets refuse half of their requests and a restart of all nodes. `Mesh::shares` reports for each kind the share served, the share of the started requests that complete, and the share of runs at the scarce service that serve no complete answer. `overload_table` prints them.

--- a/crates/anvil_core/examples/overload_table.rs
+++ b/crates/anvil_core/examples/overload_table.rs
@@ -87,6 +87,44 @@
     }
 }
 
+/// A load of the scarce mesh, whose deepest service is short of capacity from second 2 to 8.
+struct ScarceScenario {
+    name: &'static str,
+    /// Demand as a multiple of [`mesh::SCARCE_SATURATION_PER_S`].
+    demand_factor: f64,
+    fault: mesh::Fault,
+    restart_at: Option<f64>,
+}
+
+const SCARCE_SCENARIOS: [ScarceScenario; 6] = [
+    scarce("scarce-1.0x", 1.0, mesh::Fault::None, None),
+    scarce("scarce-1.5x", 1.5, mesh::Fault::None, None),
+    scarce("scarce-2.5x", 2.5, mesh::Fault::None, None),
+    scarce("scarce-refusing", 0.6, mesh::Fault::HalfRefusing, None),
+    scarce("scarce-2.5x-refusing", 2.5, mesh::Fault::HalfRefusing, None),
+    scarce("scarce-2.5x-restart", 2.5, mesh::Fault::None, Some(4.0)),
+];
+
+const fn scarce(
+    name: &'static str,
+    demand_factor: f64,
+    fault: mesh::Fault,
+    restart_at: Option<f64>,
+) -> ScarceScenario {
+    ScarceScenario {
+        name,
+        demand_factor,
+        fault,
+        restart_at,
+    }
+}
+
+/// The switches for scarce services, which no full policy has on.
+const SCARCE_POLICIES: [(&str, Switch); 2] = [
+    ("full", |_| {}),
+    ("+completion_lines", |p| p.completion_lines = true),
+];
+
 type Switch = fn(&mut policy::OverloadPolicy);
 
 const POLICIES: [(&str, Switch); 20] = [
@@ -139,6 +177,63 @@
             println!("| {} | {name} | {} |", scenario.name, cells.join(" | "));
         }
     }
+    println!(
+        "\n| scenario | policy | kind | goodput/s of all kinds | served | completed of started | wasted runs | recovery s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    let is_selected = |s: &&ScarceScenario| s.name.contains(&scenario_filter);
+    for scenario in SCARCE_SCENARIOS.iter().filter(is_selected) {
+        for policy in SCARCE_POLICIES {
+            if policy.0.contains(&policy_filter) {
+                print_scarce(scenario, policy, seeds);
+            }
+        }
+    }
+}
+
+/// Prints one row for each kind of request of the scarce mesh.
+fn print_scarce(scenario: &ScarceScenario, policy: (&str, Switch), seeds: u64) {
+    let runs: Vec<mesh::Mesh> = (1..=seeds)
+        .map(|seed| run_scarce(scenario, policy.1, seed))
+        .collect();
+    for (kind, _, _) in mesh::SCARCE_KINDS {
+        let row = |mesh: &mesh::Mesh| {
+            let shares = mesh.shares(kind, SCARCE_SPAN.0, SCARCE_SPAN.1);
+            let recovery = mesh.recovery(8.0).unwrap_or(f64::INFINITY);
+            let goodput = mesh.goodput(SCARCE_SPAN.0, SCARCE_SPAN.1);
+            vec![
+                goodput,
+                shares.served,
+                shares.completed,
+                shares.wasted,
+                recovery,
+            ]
+        };
+        let rows: Vec<Vec<f64>> = runs.iter().map(row).collect();
+        let cells: Vec<String> = (0..rows[0].len())
+            .map(|column| median(&rows, column))
+            .collect();
+        println!(
+            "| {} | {} | {kind} | {} |",
+            scenario.name,
+            policy.0,
+            cells.join(" | ")
+        );
+    }
+}
+
+/// Arrivals that the rows of the scarce mesh count, in seconds; the first second of the overload is
+/// left out.
+const SCARCE_SPAN: (f64, f64) = (3.0, 8.0);
+
+fn run_scarce(scenario: &ScarceScenario, switch: Switch, seed: u64) -> mesh::Mesh {
+    let mut policy = policy::OverloadPolicy::FULL;
+    switch(&mut policy);
+    let mut plan = mesh::Plan::scarce(policy, scenario.demand_factor);
+    plan.seed = seed;
+    plan.fault = (scenario.fault, 2.0, 8.0);
+    plan.restart_at = scenario.restart_at;
+    mesh::Mesh::new(plan, mesh::scarce_mesh()).run()
 }
 
 fn measure(scenario: &Scenario, switch: Switch, seed: u64) -> Vec<f64> {
--- a/crates/anvil_core/tests/mesh/measure.rs
+++ b/crates/anvil_core/tests/mesh/measure.rs
@@ -22,6 +22,20 @@
     pub(crate) copies: u32,
     /// Runs at all services on its behalf.
     pub(crate) runs: u32,
+    /// Runs at the deepest service on its behalf.
+    pub(crate) scarce_runs: u32,
+}
+
+/// Results of the requests of one kind; shares are 1 or 0 if there is nothing to divide by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KindShares {
+    /// Share of all requests that were answered successfully.
+    pub(crate) served: f64,
+    /// Share of the started requests that were answered successfully; a request is started once it
+    /// has had a run at any service.
+    pub(crate) completed: f64,
+    /// Share of the runs at the deepest service that served requests without a successful answer.
+    pub(crate) wasted: f64,
 }
 
 impl Mesh {
@@ -49,6 +63,32 @@
         f64::from(u32::try_from(succeeded).unwrap()) / f64::from(u32::try_from(all).unwrap())
     }
 
+    /// Results of the requests of `kind` arriving between `from` and `to`; all kinds if it is empty.
+    pub(crate) fn shares(&self, kind: &str, from: f64, to: f64) -> KindShares {
+        let is_counted = |root: &&Root| {
+            (kind.is_empty() || root.kind == kind) && root.arrived >= from && root.arrived < to
+        };
+        let (mut all, mut started, mut succeeded, mut runs, mut wasted) = (0, 0, 0, 0, 0);
+        for root in self.roots.iter().filter(is_counted) {
+            let is_answered = root.answered_at.is_some();
+            all += 1;
+            started += u32::from(root.runs > 0);
+            succeeded += u32::from(is_answered);
+            runs += root.scarce_runs;
+            wasted += if is_answered { 0 } else { root.scarce_runs };
+        }
+        let share = |part: u32, whole: u32| f64::from(part) / f64::from(whole.max(1));
+        KindShares {
+            served: share(succeeded, all),
+            completed: if started == 0 {
+                1.0
+            } else {
+                share(succeeded, started)
+            },
+            wasted: share(wasted, runs),
+        }
+    }
+
     /// Successful answers a second between `from` and `to`.
     pub(crate) fn goodput(&self, from: f64, to: f64) -> f64 {
         let answers = self.roots.iter().filter_map(|root| root.answered_at);
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -16,8 +16,13 @@
 use bytes::Bytes;
 use rand_core::{Rng, SeedableRng};
 
-pub(crate) use measure::Root;
-pub(crate) use plan::{Fault, KINDS, Plan, RULES, SATURATION_PER_S, Service, claims_mesh};
+#[allow(unused_imports)]
+pub(crate) use measure::{KindShares, Root};
+#[allow(unused_imports)]
+pub(crate) use plan::{
+    Fault, Plan, SATURATION_PER_S, SCARCE_KINDS, SCARCE_SATURATION_PER_S, Service, claims_mesh,
+    scarce_mesh,
+};
 
 /// One-way latency between two availability zones, as in the users' meshes.
 const CROSS_ZONE_HOP: Duration = Duration::from_micros(1_500);
@@ -28,9 +33,6 @@
 
 /// How long a restarted target is slow, in seconds, and the factor on its working time.
 const COLD_START: (f64, f64) = (2.0, 4.0);
-/// Indices of the nodes of the deepest service.
-pub(crate) const DEEP_NODES: std::ops::Range<usize> = 12..16;
-
 /// The origin of a call that waits for its reply.
 enum CallOrigin {
     Root(usize),
@@ -50,6 +52,7 @@
     WorkDone(usize, event::RunId),
     Restart(usize),
     Crash(usize),
+    RestartNodes,
 }
 
 struct ActiveRun {
@@ -65,6 +68,8 @@
     service: usize,
     active: BTreeMap<event::RunId, ActiveRun>,
     down: bool,
+    /// Factor on the working time of the target.
+    pace: f64,
     /// When the target last restarted, in seconds.
     restarted_at: f64,
     wake: Option<time::NodeTime>,
@@ -115,20 +120,23 @@
             finished: 0,
         };
         for service in 0..mesh.services.len() {
-            for _ in 0..mesh.services[service].targets {
-                mesh.add_node(service);
+            for target in 0..mesh.services[service].targets {
+                mesh.add_node(service, target);
             }
         }
         mesh.connect_peers();
         for node in 0..mesh.nodes.len() {
-            mesh.announce(node);
+            mesh.announce(node, false);
         }
         mesh.schedule(time::NodeTime::START, MeshEvent::Arrival);
         if let (Fault::ColdHalf, from, _) = mesh.plan.fault {
-            for node in DEEP_NODES.step_by(2) {
+            for node in mesh.deep_nodes().step_by(2) {
                 mesh.schedule(seconds(from), MeshEvent::Crash(node));
             }
         }
+        if let Some(at) = mesh.plan.restart_at {
+            mesh.schedule(seconds(at), MeshEvent::RestartNodes);
+        }
         if mesh.plan.side_rate > 0.0 {
             mesh.schedule(time::NodeTime::START, MeshEvent::SideArrival);
         }
@@ -173,8 +181,21 @@
         self.nodes.iter_mut().filter_map(answer).collect()
     }
 
-    fn add_node(&mut self, service: usize) {
-        let index = self.nodes.len();
+    fn add_node(&mut self, service: usize, target: usize) {
+        let reducer = self.new_reducer(self.nodes.len());
+        let pace = self.services[service].paces.get(target);
+        self.nodes.push(Node {
+            reducer,
+            service,
+            active: BTreeMap::new(),
+            down: false,
+            pace: pace.copied().unwrap_or(1.0),
+            restarted_at: -COLD_START.0,
+            wake: None,
+        });
+    }
+
+    fn new_reducer(&self, index: usize) -> reducer::NodeReducer {
         let config = config::NodeConfig {
             node: ident::NodeId(index as u64 + 1),
             zone: zone(index),
@@ -185,16 +206,44 @@
         };
         let seed = self.plan.seed * 1_000 + index as u64;
         let mut reducer = reducer::NodeReducer::with_policy(config, seed, self.plan.policy);
-        let document = parse::parse_rules("rules.yaml", RULES).unwrap();
+        let document = parse::parse_rules("rules.yaml", self.plan.rules).unwrap();
         reducer.adopt_rules(ident::RuleRevision(1), document);
-        self.nodes.push(Node {
-            reducer,
-            service,
-            active: BTreeMap::new(),
-            down: false,
-            restarted_at: -COLD_START.0,
-            wake: None,
-        });
+        reducer
+    }
+
+    /// The nodes of the deepest service.
+    fn deep_nodes(&self) -> std::ops::Range<usize> {
+        let deepest = self.services.len() - 1;
+        let first = self.nodes.iter().position(|node| node.service == deepest);
+        first.unwrap()..self.nodes.len()
+    }
+
+    /// Replaces all nodes by new ones. Frames on the way and connections to targets and callers
+    /// are lost with them; callers whose request was open get no reply.
+    fn restart_nodes(&mut self) {
+        let survives = |event: &MeshEvent| {
+            matches!(
+                event,
+                MeshEvent::Arrival
+                    | MeshEvent::SideArrival
+                    | MeshEvent::SendRoot(_)
+                    | MeshEvent::Crash(_)
+                    | MeshEvent::Restart(_)
+            )
+        };
+        self.queue.retain(|_, event| survives(event));
+        self.waiting.clear();
+        for index in 0..self.nodes.len() {
+            let reducer = self.new_reducer(index);
+            let node = &mut self.nodes[index];
+            node.reducer = reducer;
+            node.active.clear();
+            node.wake = None;
+        }
+        self.connect_peers();
+        for node in 0..self.nodes.len() {
+            self.announce(node, true);
+        }
     }
 
     fn connect_peers(&mut self) {
@@ -215,7 +264,7 @@
         }
     }
 
-    fn announce(&mut self, node: usize) {
+    fn announce(&mut self, node: usize, warm: bool) {
         let service = &self.services[self.nodes[node].service];
         let announcement = event::TargetAnnouncement {
             service: name::ServiceName::new(service.name).unwrap(),
@@ -223,7 +272,7 @@
             slots: service.slots,
             connections: 350,
             lease: Duration::from_secs(1_000),
-            warm: false,
+            warm,
             incarnation: None,
         };
         self.step(node, event::NodeEvent::TargetAnnounced(announcement));
@@ -249,8 +298,9 @@
             MeshEvent::Restart(node) => {
                 self.nodes[node].restarted_at = self.seconds();
                 self.nodes[node].down = false;
-                self.announce(node);
+                self.announce(node, false);
             }
+            MeshEvent::RestartNodes => self.restart_nodes(),
         }
     }
 
@@ -260,7 +310,7 @@
         let rate = current.unwrap().1;
         let drawn = self.rng.next_u64() % 100;
         let mut sum = 0;
-        let kind = KINDS.iter().find(|(_, share, _)| {
+        let kind = self.plan.kinds.iter().find(|(_, share, _)| {
             sum += share;
             drawn < sum
         });
@@ -295,6 +345,7 @@
             retry_after: None,
             copies: 0,
             runs: 0,
+            scarce_runs: 0,
         });
         self.roots.len() - 1
     }
@@ -391,9 +442,14 @@
             self.end_run(node, order.run, event::RunOutcome::Unreachable);
             return;
         }
+        if self.has_fault(node, Fault::HalfRefusing) && self.rng.next_u32().is_multiple_of(2) {
+            self.end_run(node, order.run, event::RunOutcome::Refused);
+            return;
+        }
         let root = usize::try_from(order.root.0 - 1).unwrap();
-        self.roots[root].runs += 1;
         let service = self.nodes[node].service;
+        self.roots[root].runs += 1;
+        self.roots[root].scarce_runs += u32::from(service + 1 == self.services.len());
         let run = ActiveRun {
             service,
             kind: self.roots[root].kind,
@@ -411,7 +467,7 @@
         let factor = slow.find(|(from, slowed, _)| *from <= at && *slowed == name);
         let work = self.services[service].work;
         let work = work.mul_f64(factor.map_or(1.0, |(_, _, factor)| *factor));
-        let work = work.mul_f64(self.slowdown(node));
+        let work = work.mul_f64(self.slowdown(node) * self.nodes[node].pace);
         self.schedule(self.now + work, MeshEvent::WorkDone(node, order.run));
     }
 
@@ -436,7 +492,7 @@
         let calls = service.calls.iter().find(|(kind, _)| *kind == run.kind);
         let next = calls.and_then(|(_, calls)| calls.get(run.next_call).copied());
         let Some(next) = next else {
-            self.finished += u32::from(DEEP_NODES.contains(&node));
+            self.finished += u32::from(self.deep_nodes().contains(&node));
             let failing = self.has_fault(node, Fault::AllFailing);
             self.end_active(node, id, answer(if failing { 500 } else { 200 }));
             return;
@@ -460,9 +516,9 @@
         let (planned, from, to) = self.plan.fault;
         let is_single = matches!(fault, Fault::OneSlow | Fault::OneFailing);
         let applies = if is_single {
-            node == DEEP_NODES.start
+            node == self.deep_nodes().start
         } else {
-            DEEP_NODES.contains(&node)
+            self.deep_nodes().contains(&node)
         };
         planned == fault && applies && (from..to).contains(&self.seconds())
     }
