--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -43,3 +43,4 @@
 mod target;
 pub mod timers;
 pub mod waits;
+mod whole_requests;
