--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -88,6 +88,8 @@
     pub(crate) crashes: u32,
     /// Runs that targets of the deepest service completed.
     pub(crate) finished: u32,
+    /// Changes of state that the nodes logged.
+    pub(crate) reports: Vec<effect::StateChange>,
 }
 
 fn seconds(at: f64) -> time::NodeTime {
@@ -118,6 +120,7 @@
             roots: Vec::new(),
             crashes: 0,
             finished: 0,
+            reports: Vec::new(),
         };
         for service in 0..mesh.services.len() {
             for target in 0..mesh.services[service].targets {
@@ -421,6 +424,7 @@
                 self.end_active(node, run, event::RunOutcome::Cancelled);
             }
             effect::NodeEffect::ReplyCaller { handle, reply } => self.replied(handle.0, &reply),
+            effect::NodeEffect::Report(change) => self.reports.push(change),
             _ => {}
         }
     }
--- a/crates/anvil_core/tests/whole_requests.rs
+++ b/crates/anvil_core/tests/whole_requests.rs
@@ -74,6 +74,35 @@
     lines_go_after_two_and_a_half_times_the_capacity_with_another_seed => (2.5, 2),
 }
 
+// Operators must see a line in the log, in the dump and in the metrics while it is in force, and
+// nothing of it with the switch off.
+fn lines_are_shown(switch: bool) {
+    let mut mesh = run(switch, |plan| plan.until = 7.0, 2.5);
+    let appeared = mesh.reports.iter().any(|change| {
+        matches!(
+            change,
+            effect::StateChange::CompletionLine { line: Some(_), .. }
+        )
+    });
+    assert_eq!(appeared, switch);
+    let mut shown = (false, false, false);
+    for dump in mesh.dumps() {
+        let dump: serde_json::Value = serde_json::from_str(&dump).unwrap();
+        let kinds = dump["overload"]["completion"]["kinds"].as_array().unwrap();
+        let gauges = dump["counters"]["completion_line"].as_object().unwrap();
+        shown.0 |= kinds.iter().any(|kind| kind["level"] != 0);
+        shown.1 |= !gauges.is_empty();
+        shown.2 |= dump["counters"]["runs_refused_below"] != 0;
+    }
+    assert_eq!(shown, (switch, switch, switch));
+}
+
+test_cases! {
+    lines_are_shown:
+    shown_with_the_switch => (true),
+    nothing_without_the_switch => (false),
+}
+
 fn answered(status: u16) -> call::CallAnswer {
     call::CallAnswer {
         status,
