Rank retries of refused calls by a uniform lane

Cause: with fair lanes, a lane follows the demand of its account and is not uniform, but the claim of a retry takes it for a uniform number.

Change: claims use the lane that retries use elsewhere.

--- a/crates/anvil_core/src/refused_calls.rs
+++ b/crates/anvil_core/src/refused_calls.rs
@@ -145,7 +145,7 @@
         let Some(open) = self.calls.get(sequence) else {
             return RefusalStep::End(refusal::RefusalLimit::Other);
         };
-        let (rank, percent) = (open.rank(), open.treatment.retry_ratio_percent);
+        let (rank, percent) = (self.retry_rank(open), open.treatment.retry_ratio_percent);
         let may_wait = now.since(open.arrived) < open.treatment.queue_wait;
         let (case, allowed) = (self.retry_case(open), !open.attempts_exhausted());
         if case.allowance == 0 || !allowed {
