Take completion lines out again

Cause: with completion lines, fewer requests failed but more were refused than were saved.

Change: the control, its switch and its message field go. The design note stays and says what was tried; the simulated scarce service stays for the other parts.

--- a/crates/anvil_core/examples/overload_table.rs
+++ b/crates/anvil_core/examples/overload_table.rs
@@ -120,10 +120,9 @@
 }
 
 /// The switches for scarce services, which no full policy has on.
-const SCARCE_POLICIES: [(&str, Switch); 3] = [
+const SCARCE_POLICIES: [(&str, Switch); 2] = [
     ("full", |_| {}),
     ("+refusal_retries", |p| p.refusal_retries = true),
-    ("+completion_lines", |p| p.completion_lines = true),
 ];
 
 type Switch = fn(&mut policy::OverloadPolicy);
--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -158,10 +158,6 @@
                 .run_calls
                 .record(run.kind, waits.overlap(), waits.counts());
         }
-        self.record_completion(run, verdict, status);
-        let Some(admission) = &mut self.overload.admission else {
-            return Vec::new();
-        };
         let sample = limit::RunSample {
             latency: now.since(started),
             downstream: run.waits.total(now),
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -47,8 +47,6 @@
     pub holds_root: bool,
     /// The limit that refused the last attempt, and the node that it belongs to.
     pub refused: Option<(refusal::RefusalLimit, ident::NodeId)>,
-    /// Whether the last answer told that a call further down was refused for lack of capacity.
-    pub refused_below: bool,
     /// The treatment by the rules.
     pub treatment: treatment::RuleTreatment,
     /// The rule that applied.
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -34,9 +34,6 @@
     pub runs_whole: u64,
     /// Runs that ended in any other way.
     pub runs_failed: u64,
-    /// Runs that failed because a call further down was refused for lack of capacity; counted with
-    /// the switch `completion_lines`.
-    pub runs_refused_below: u64,
     /// Calls of other nodes refused before they ran.
     pub runs_refused: u64,
     /// Messages of the local target that were ignored as outdated or of an unknown service.
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -186,17 +186,6 @@
         /// Whether it is high enough that retries depend on it.
         refusing: bool,
     },
-    /// Requests of one kind got a line because their downstream calls are refused, or have none any
-    /// more.
-    #[display("completion line: service={service} kind={kind} line={line:?}")]
-    CompletionLine {
-        /// The service of the local target.
-        service: String,
-        /// The kind, as shown by `explain`.
-        kind: String,
-        /// The line; none if it has gone.
-        line: Option<call::CutLine>,
-    },
     /// A free-form message of one part of the node.
     #[display("{part}: {text}")]
     Part {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -77,7 +77,6 @@
             allowance: self.call_allowance(context.retries_left),
             holds_root: false,
             refused: None,
-            refused_below: false,
             treatment,
             rule,
             arrived: self.now,
@@ -417,7 +416,6 @@
         let served = answer.as_ref().is_some_and(settling::is_served);
         self.count_refused_call(&open, verdict);
         self.return_allowance(sequence, &open, served);
-        self.record_refused_call(&open, verdict, answer.as_ref());
         self.record_call_refusal(&open, verdict);
         self.finish_key(sequence, &open, verdict, answer.as_ref());
         self.settle_token(sequence, &open, verdict);
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -43,4 +43,3 @@
 mod target;
 pub mod timers;
 pub mod waits;
-mod whole_requests;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -96,7 +96,6 @@
         counters["pace"] = self.pace_gauges();
         counters["placement"] = json!(self.directory.routes().placement_counts());
         counters["account"] = self.fair_lane_gauges();
-        counters["completion_line"] = self.completion_gauges();
         for (name, value) in self.fleet.counters().pairs() {
             counters[name] = value.into();
         }
@@ -147,8 +146,6 @@
             "rule": self.book.explain(request),
             "cut_line": line,
             "admitted_shares": self.admitted_shares(line.as_ref()),
-            "kind": kind.to_string(),
-            "completion_line": self.completion_line(kind),
             "quarantine": self.quarantine_of(fingerprint),
             "recent_refusals": refusals,
         })
--- a/crates/anvil_core/src/outcome_queries.rs
+++ b/crates/anvil_core/src/outcome_queries.rs
@@ -368,7 +368,6 @@
             answer: None,
             retries_spent: 0,
             failed_below: false,
-            refused_below: false,
             load: self.load_report(UNKNOWN_KIND),
         }
     }
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use anvil_overload::{
-    admission, appointments, completion, dependency, kind, pace, policy, quarantine, rank, rate,
-    ratio, refusal, refusals, resend, run_calls,
+    admission, appointments, dependency, kind, pace, policy, quarantine, rank, rate, ratio,
+    refusal, refusals, resend, run_calls,
 };
 use anvil_types::{context, ident, name, time, treatment, verdict};
 use anvil_wire::call;
@@ -29,7 +29,6 @@
     /// Whether a run broke since the target's last announcement.
     pub(crate) crashed: bool,
     pub(crate) dependencies: dependency::DependencyTable,
-    pub(crate) completion: completion::CompletionControl,
     #[serde(skip)]
     pub(crate) resends: resend::ResendLedger,
     pub(crate) budgets: ratio::ServiceBudgets,
@@ -55,7 +54,6 @@
             wake: None,
             crashed: false,
             dependencies: dependency::DependencyTable::default(),
-            completion: completion::CompletionControl::new(),
             resends: resend::ResendLedger::default(),
             budgets: ratio::ServiceBudgets::default(),
             fleet_burst: None,
@@ -125,16 +123,8 @@
             .get_or_insert(self.now, service, limits)
     }
 
-    /// The highest line among the own one for runs of `kind` and those of the calls that the local
-    /// target makes for most of them.
-    pub(crate) fn downstream_line(&self, kind: kind::CallKind) -> Option<call::CutLine> {
-        let lines = [self.completion_line(kind), self.needed_line(kind)];
-        let lines = lines.into_iter().flatten();
-        lines.max_by_key(|line| rank::line_level(Some(line)))
-    }
-
     /// The highest cut line among the calls that the local target makes for most runs of `kind`.
-    pub(crate) fn needed_line(&self, kind: kind::CallKind) -> Option<call::CutLine> {
+    pub(crate) fn downstream_line(&self, kind: kind::CallKind) -> Option<call::CutLine> {
         if !self.overload.policy.deep_refusal {
             return None;
         }
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -120,7 +120,6 @@
             answer,
             retries_spent: ended.allowance.spent(),
             failed_below: ended.waits.has_failed(),
-            refused_below: ended.waits.was_refused(),
             load,
         };
         self.send_answer(ended.peer, ended.reply_to, reply, ended.context.idempotent);
@@ -263,7 +262,6 @@
             answer: None,
             retries_spent: 0,
             failed_below: false,
-            refused_below: false,
             load,
         };
         self.send_answer(peer, call.reply_to, reply, call.context.idempotent);
--- a/crates/anvil_core/src/settling.rs
+++ b/crates/anvil_core/src/settling.rs
@@ -57,7 +57,6 @@
         };
         open.allowance
             .settle(u64::from(answer.attempt), answer.retries_spent);
-        open.refused_below = answer.refused_below;
         if let verdict::CallVerdict::NotRun(_) = answer.verdict {
             let line = answer.load.cut.max(answer.load.deep);
             open.refused = Some((refusal::RefusalLimit::Cut(line), peer));
--- a/crates/anvil_core/src/waits.rs
+++ b/crates/anvil_core/src/waits.rs
@@ -19,7 +19,6 @@
     /// The highest number of calls that were open at the same time.
     overlap: u32,
     failed: bool,
-    refused: bool,
 }
 
 impl CallWaits {
@@ -52,16 +51,6 @@
         }
     }
 
-    /// Records that one of the calls, or one further down, was refused for lack of capacity.
-    pub fn refuse(&mut self) {
-        self.refused = true;
-    }
-
-    /// Whether one of the calls, or one further down, was refused for lack of capacity.
-    pub fn was_refused(&self) -> bool {
-        self.refused
-    }
-
     /// The time waited until `now`.
     pub fn total(&self, now: time::NodeTime) -> Duration {
         let current = if self.open > 0 {
--- a/crates/anvil_core/tests/memory.rs
+++ b/crates/anvil_core/tests/memory.rs
@@ -38,7 +38,6 @@
         }),
         retries_spent: 0,
         failed_below: false,
-        refused_below: false,
         load: call::LoadReport::default(),
     }
 }
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -88,8 +88,6 @@
     pub(crate) crashes: u32,
     /// Runs that targets of the deepest service completed.
     pub(crate) finished: u32,
-    /// Changes of state that the nodes logged.
-    pub(crate) reports: Vec<effect::StateChange>,
 }
 
 fn seconds(at: f64) -> time::NodeTime {
@@ -120,7 +118,6 @@
             roots: Vec::new(),
             crashes: 0,
             finished: 0,
-            reports: Vec::new(),
         };
         for service in 0..mesh.services.len() {
             for target in 0..mesh.services[service].targets {
@@ -424,7 +421,6 @@
                 self.end_active(node, run, event::RunOutcome::Cancelled);
             }
             effect::NodeEffect::ReplyCaller { handle, reply } => self.replied(handle.0, &reply),
-            effect::NodeEffect::Report(change) => self.reports.push(change),
             _ => {}
         }
     }
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -209,7 +209,6 @@
         answer: answered.then_some(content),
         retries_spent: 0,
         failed_below: false,
-        refused_below: false,
         load: call::LoadReport::default(),
     };
     event::NodeEvent::FrameArrived {
--- a/crates/anvil_node/tests/common/fake_peer.rs
+++ b/crates/anvil_node/tests/common/fake_peer.rs
@@ -197,7 +197,6 @@
             }),
             retries_spent: 0,
             failed_below: false,
-            refused_below: false,
             load: call::LoadReport::default(),
         };
         self.send(&frame::PeerFrame::Answer(Box::new(answer)));
--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -28,12 +28,6 @@
 /// Weight of one request in the mean gap, as its divisor.
 const GAP_DIVISOR: u32 = 4;
 
-/// Time after which an averaged line is replaced by the one of the next answer.
-const AVERAGE_TIME: Duration = Duration::from_millis(200);
-
-/// Smallest weight of one answer in an averaged line.
-const MIN_AVERAGE_WEIGHT: f64 = 0.25;
-
 /// Capacity of the table of request kinds of a service; the kind that was updated longest ago is
 /// evicted.
 pub const MAX_KINDS: usize = 64;
@@ -69,19 +63,6 @@
         self.at = now;
     }
 
-    /// Moves the line towards the one of the latest answer.
-    ///
-    /// Nodes of one service that derive their lines from few runs differ by many levels. The line
-    /// of the latest answer would let through, at each moment, what the lowest of them admits.
-    fn average(&mut self, now: time::NodeTime, line: Option<&call::CutLine>) {
-        let reported = f64::from(rank::line_level(line));
-        let level = f64::from(self.level(now));
-        let weight = now.since(self.at).as_secs_f64() / AVERAGE_TIME.as_secs_f64();
-        let averaged = level + (reported - level) * weight.clamp(MIN_AVERAGE_WEIGHT, 1.0);
-        self.level = averaged.round() as u16;
-        self.at = now;
-    }
-
     /// Records that a request is checked against the line.
     fn record_request(&mut self, now: time::NodeTime) {
         let gap = now.since(self.checked).min(MAX_CUT_FRESH);
@@ -126,17 +107,14 @@
 }
 
 impl CutTable {
-    /// Records the line that the answer to a request of `kind` reported, which replaces the former
-    /// one or is `averaged` with it.
+    /// Records the line that the answer to a request of `kind` reported.
     pub fn update(
         &mut self,
         now: time::NodeTime,
         kind: kind::CallKind,
         line: Option<&call::CutLine>,
-        averaged: bool,
     ) {
         match self.search(kind) {
-            Ok(index) if averaged => self.kinds[index].1.average(now, line),
             Ok(index) => self.kinds[index].1.update(now, line),
             // A kind without a line needs no entry.
             Err(_) if line.is_none() => {}
--- a/crates/anvil_overload/src/demand.rs
+++ b/crates/anvil_overload/src/demand.rs
@@ -14,63 +14,43 @@
 /// can take.
 #[derive(Clone, Debug)]
 pub struct LevelDemand {
-    /// Adjacent levels that share a counter.
-    levels_per_counter: u16,
     counts: Vec<u32>,
     rates: Vec<f64>,
 }
 
 impl Default for LevelDemand {
     fn default() -> Self {
-        Self::with_levels_per_counter(1)
-    }
-}
-
-impl LevelDemand {
-    /// Creates a table in which `levels_per_counter` adjacent levels share a counter, for owners
-    /// that hold many tables.
-    pub fn with_levels_per_counter(levels_per_counter: u16) -> Self {
-        let counters = usize::from(rank::LEVELS.div_ceil(levels_per_counter));
+        let levels = usize::from(rank::LEVELS);
         Self {
-            levels_per_counter,
-            counts: vec![0; counters],
-            rates: vec![0.0; counters],
+            counts: vec![0; levels],
+            rates: vec![0.0; levels],
         }
     }
+}
 
-    fn counter(&self, level: u16) -> usize {
-        usize::from(level / self.levels_per_counter)
-    }
-
+impl LevelDemand {
     /// Counts an arriving request.
     pub fn count_arrival(&mut self, level: u16) {
-        let counter = self.counter(level);
-        self.counts[counter] += 1;
+        self.counts[usize::from(level)] += 1;
     }
 
     /// Folds the counts of a window of length `span` into the rates; `line` is the lowest level
     /// that was admitted during the window.
     pub fn close_window(&mut self, line: u16, span: Duration) {
         let seconds = span.as_secs_f64().max(1e-6);
-        let lowest = self.counter(line);
-        for (counter, count) in self.counts.iter_mut().enumerate() {
+        for (level, count) in self.counts.iter_mut().enumerate() {
             let rate = f64::from(*count) / seconds;
-            let known = &mut self.rates[counter];
+            let known = &mut self.rates[level];
             let smoothed = *known + (rate - *known) * DEMAND_WEIGHT;
-            let seen = counter >= lowest;
+            let seen = level >= usize::from(line);
             *known = if seen { smoothed } else { smoothed.max(*known) };
             *count = 0;
         }
     }
 
-    /// Requests a second at `level` and above.
-    pub fn rate_from(&self, level: u16) -> f64 {
-        self.rates[self.counter(level)..].iter().sum()
-    }
-
     /// The level at or above `level` that excludes `share` of the requests that `level` admits.
     pub fn raised(&self, level: u16, share: f64) -> u16 {
-        let from = self.counter(level);
+        let from = usize::from(level);
         let counted = self.rates.iter().zip(&self.counts);
         let weights: Vec<f64> = counted
             .map(|(rate, count)| rate + f64::from(*count) * DEMAND_WEIGHT)
@@ -79,10 +59,10 @@
         let mut rest = total * share;
         let mut raised = level;
         while rest > 0.0 && raised < rank::LEVELS - 1 {
-            rest -= weights[self.counter(raised)];
-            raised = (raised / self.levels_per_counter + 1) * self.levels_per_counter;
+            rest -= weights[usize::from(raised)];
+            raised += 1;
         }
-        raised.min(rank::LEVELS - 1)
+        raised
     }
 
     /// The level at or below `level` that admits `room` more requests a second, at most `steps`
@@ -93,7 +73,7 @@
         let mut lowered = level;
         while lowered > lowest && rest > 0.0 {
             lowered -= 1;
-            rest -= self.rates[self.counter(lowered)] / f64::from(self.levels_per_counter);
+            rest -= self.rates[usize::from(lowered)];
         }
         lowered
     }
--- a/crates/anvil_overload/src/kind.rs
+++ b/crates/anvil_overload/src/kind.rs
@@ -1,7 +1,6 @@
 //! Groups requests of a service that need the same dependencies; see `docs/design/shedding.md`.
 
 use anvil_wire::call;
-use derive_more::Display;
 use serde::Serialize;
 use xxhash_rust::xxh3;
 
@@ -10,8 +9,7 @@
 /// Requests of one kind usually call the same downstream services, so the cut lines of these
 /// services are stored by kind: a request that does not need an overloaded service is not refused
 /// because of it.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[display("{_0:016x}")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct CallKind(pub u64);
 
 impl CallKind {
--- a/crates/anvil_overload/src/lib.rs
+++ b/crates/anvil_overload/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod allowance;
 pub mod appointments;
 pub mod backoff;
-pub mod completion;
 pub mod cut;
 pub mod deadline;
 pub mod demand;
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -77,9 +77,6 @@
     /// Targets are chosen by when they are expected to complete a request, from their queue and
     /// from the pace that they state; see `docs/design/placement.md`.
     pub expected_completion: bool,
-    /// A node refuses requests whose downstream calls would be refused, by the share of its own
-    /// runs that ended so; see `docs/design/whole-requests.md`.
-    pub completion_lines: bool,
     /// A call that a target refused is sent to that target again once all others were tried; see
     /// `docs/design/refused-calls.md`.
     pub refusal_retries: bool,
@@ -123,7 +120,6 @@
         quarantine: true,
         tokens_ahead: true,
         expected_completion: false,
-        completion_lines: false,
         refusal_retries: false,
         fair_lanes: false,
         return_order: false,
@@ -157,7 +153,6 @@
         quarantine: false,
         tokens_ahead: false,
         expected_completion: false,
-        completion_lines: false,
         refusal_retries: false,
         fair_lanes: false,
         return_order: false,
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -227,12 +227,7 @@
             if load.cut.is_some() {
                 routes.lines_until = now + cut::MIN_CUT_EXPIRY;
             }
-            routes.deep.update(
-                now,
-                attempt.kind,
-                load.deep.as_ref(),
-                policy.completion_lines,
-            );
+            routes.deep.update(now, attempt.kind, load.deep.as_ref());
         }
         if policy.ejection {
             health::update_ejection(now, &mut routes.targets, index);
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -150,9 +150,6 @@
     /// Whether a call that the target made for this request failed. The target's own failure then
     /// doesn't suggest that another target of the service would succeed.
     pub failed_below: bool,
-    /// Whether a call that the target made for this request, or one further down, was refused
-    /// without being run. Such a request could not be completed for lack of room.
-    pub refused_below: bool,
     /// Load of the node that ran the attempt and of its target.
     pub load: LoadReport,
 }
--- a/crates/anvil_wire/tests/decoders.rs
+++ b/crates/anvil_wire/tests/decoders.rs
@@ -133,7 +133,6 @@
         }),
         retries_spent: 0,
         failed_below: false,
-        refused_below: false,
         load: call::LoadReport::default(),
     }))
 }
