Spread returning requests over the first quarter of their class

Cause: all returns got the first lane of their class and band. In a long overload most requests are returns, and no cut line can admit a part of one lane; the rest was refused further down the chain after most of its work. With fair lanes, a request that waited for its home also lost the lane of an early return.

Change: a return gets its own draw, moved into the first quarter of its class and band, and a lane from an appointment is not drawn anew.

--- a/crates/anvil_core/src/fair_lanes.rs
+++ b/crates/anvil_core/src/fair_lanes.rs
@@ -103,26 +103,27 @@
     /// demand of its account.
     ///
     /// An account whose requests spread over many nodes has no recent ratio at most of them, and
-    /// its requests wait for this reason alone. A request in the first lane of its band keeps it:
-    /// it either has a small random number or was put there for another reason than its account's
-    /// demand.
+    /// its requests wait for this reason alone. A request whose caller was refused before keeps
+    /// the lane of its appointment.
     pub(crate) fn update_lane(&mut self, sequence: u64) {
         if !self.overload.policy.fair_lanes {
             return;
         }
-        let Some(open) = self.calls.get_mut(sequence) else {
+        let Some(open) = self.calls.get(sequence) else {
             return;
         };
         let Some(account) = open.account.metered_account() else {
             return;
         };
         let demand = self.quota.demand(self.now, account);
-        let first = in_band(context::LaneHash(0), open.context.rule_class);
-        if demand.source == demand::DemandSource::Estimate || open.context.lane == first {
+        if self.has_return_lane(open) || demand.source == demand::DemandSource::Estimate {
             return;
         }
         let share = fairness::QuotaShare::of(open.context.request, demand.ratio.granted);
-        open.context.lane = in_band(share.lane(), open.context.rule_class);
+        let lane = in_band(share.lane(), open.context.rule_class);
+        if let Some(open) = self.calls.get_mut(sequence) {
+            open.context.lane = lane;
+        }
     }
 
     /// The lane of a call where a uniformly distributed one is needed.
--- a/crates/anvil_core/src/returning.rs
+++ b/crates/anvil_core/src/returning.rs
@@ -33,6 +33,13 @@
         context::CallContext { lane, ..context }
     }
 
+    /// Whether a call has its lane from an appointment.
+    pub(crate) fn has_return_lane(&self, open: &calls::OpenCall) -> bool {
+        let key = return_key(&open.context, open.account.name.as_ref());
+        let rank = appointments::DrawnRank::of(&open.context);
+        self.overload.policy.return_order && self.overload.appointments.sets_lane(key, &rank)
+    }
+
     /// Settles the appointment of an ended call; returns the pause that its caller is told, if it
     /// gets or has one.
     pub(crate) fn settle_return(
--- a/crates/anvil_overload/src/appointments.rs
+++ b/crates/anvil_overload/src/appointments.rs
@@ -54,11 +54,12 @@
         }
     }
 
-    /// The first lane of the class and of the band in it.
-    fn first_lane(&self) -> context::LaneHash {
-        let first = context::LaneHash(0);
-        let class = self.rule_class;
-        class.map_or(first, |class| first.with_class_band(class))
+    /// The lane of a return, in the first quarter of the class or of the band in it.
+    ///
+    /// In a long overload most requests are returns. With one lane for all of them, no line could
+    /// admit a part of them, and those beyond the capacity would be refused further down the chain.
+    fn return_lane(&self) -> context::LaneHash {
+        self.lane.in_first_quarter(self.rule_class.is_some())
     }
 
     fn has_class_of(&self, other: &Self) -> bool {
@@ -172,13 +173,19 @@
         entry.rank.request = drawn.request;
         if entry.due <= now {
             entry.stage = AppointmentStage::Used;
-            return (drawn.first_lane(), ArrivalStatus::OnTime);
+            return (drawn.return_lane(), ArrivalStatus::OnTime);
         }
         entry.stage = AppointmentStage::HeldEarly;
         entry.matched_early |= !same_request;
         (entry.rank.lane, ArrivalStatus::Early)
     }
 
+    /// Whether a request has its lane from an appointment, at the time of which it returned or
+    /// earlier.
+    pub fn sets_lane(&self, key: ReturnKey, rank: &DrawnRank) -> bool {
+        self.find_held(key, rank).is_some()
+    }
+
     /// Records the end of a request with the rank that it had; returns the pause that its caller is
     /// told, if it gets or has an appointment.
     ///
--- a/crates/anvil_types/src/context.rs
+++ b/crates/anvil_types/src/context.rs
@@ -84,6 +84,15 @@
         Self(self.0 << ignored | ((1 << ignored) - 1))
     }
 
+    /// The lane in the first quarter of its class, or of its band if `has_band`, that keeps the order
+    /// of the lanes.
+    #[must_use]
+    pub fn in_first_quarter(self, has_band: bool) -> Self {
+        let bits = if has_band { RANDOM_BITS } else { u8::BITS };
+        let random = u8::MAX >> (u8::BITS - bits);
+        Self(self.0 & !random | (self.0 & random) >> 2)
+    }
+
     /// The random part of a lane with a class band, in the range 0 to 1.
     pub fn random_fraction(self) -> f64 {
         let random = self.0 & ((1 << RANDOM_BITS) - 1);
