--- a/crates/anvil_overload/src/ratio/claim.rs
+++ b/crates/anvil_overload/src/ratio/claim.rs
@@ -34,9 +34,11 @@
 /// a retry.
 const MAX_RESERVE: f64 = 0.95;
 
-/// Fraction of the capacity that lanes leave which the budget does not cover, and the range of
-/// lanes over which it rises to that.
+/// Fraction of the capacity that must be left by lanes which the refill does not cover at all.
 const LANE_RESERVE: f64 = 0.9;
+
+/// Range of lanes beyond the covered ones over which that fraction rises from zero, so that a small
+/// error in the known demand does not deny a lane all retries.
 const LANE_RANGE: f64 = 0.2;
 
 /// How far beyond the lanes that the refill covers requests may wait for it, and the part of the
--- a/crates/anvil_overload/src/routing/completion.rs
+++ b/crates/anvil_overload/src/routing/completion.rs
@@ -21,9 +21,8 @@
 ///
 /// All nodes of a zone notice at nearly the same time that its last slot is taken or free again.
 /// With a threshold they would leave the zone and return to it together. The number of requests at a
-/// target varies by the square root of its mean, so a shorter queue is no sign of overflow: a bound
-/// of a tenth of the slots moves 23% instead of 14% between zones at 0.97 of the capacity of four
-/// equal targets of 40 slots. A longer one holds back the lowest ranks until they are refused.
+/// target varies by the square root of its mean, so a shorter queue is no sign of overflow. A
+/// longer one holds back the lowest ranks until they are refused.
 const FULL_QUEUE: f64 = 1.25;
 
 /// Free slots of the other zones, as a share of their slots, up to which only a part of the requests
--- a/crates/anvil_rules/src/account.rs
+++ b/crates/anvil_rules/src/account.rs
@@ -30,7 +30,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountTable {
     accounts: Vec<Arc<AccountRecord>>,
-    /// Encoded by [`encoding`], so that the bytes of a complete table stay what they were.
+    /// Whether accounts were left out because they could not be read, so that an unknown key may be
+    /// valid. Encoded by [`encoding`], so that the bytes of a complete table stay what they were.
     #[serde(skip)]
     partial: bool,
 }
