Play all tests of the reducer with the parts for scarce services

Users have expected_completion, refusal_retries and fair_lanes switched on by deploy/node.yaml, and no test of the reducer played them: callers could meet any fault of theirs unseen. The policy comes from tests/variant by the name of the binary.

Two tests took the base without the parts for granted and say so now: - not_without_the_switch plays an explicit OFF instead of FULL. - fast_failing_target_gets_few_requests compares with nodes that do not eject. The comparison switches expected_completion off and keeps its bound. Besides, nodes with the played policy that do not eject must miss the 0.9 that those that do must reach.

--- a/crates/anvil_core/tests/applying.rs
+++ b/crates/anvil_core/tests/applying.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod variant;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,7 +43,7 @@
         gossip_address: address,
         seeds: Vec::new(),
     };
-    reducer::NodeReducer::new(config, index as u64).with_store()
+    reducer::NodeReducer::with_policy(config, index as u64, variant::POLICY).with_store()
 }
 
 impl StoreFleet {
--- a/crates/anvil_core/tests/fair_lanes.rs
+++ b/crates/anvil_core/tests/fair_lanes.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
+mod variant;
 
 use std::sync::Arc;
 
@@ -22,7 +23,7 @@
 fn node(fair_lanes: bool) -> reducer::NodeReducer {
     let policy = policy::OverloadPolicy {
         fair_lanes,
-        ..policy::OverloadPolicy::FULL
+        ..variant::POLICY
     };
     let mut node = support::node_with_policy(policy);
     let rule = document::NamedRule {
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -3,6 +3,9 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+#[path = "../variant/mod.rs"]
+mod variant;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -123,7 +126,8 @@
             gossip_address: address,
             seeds: seeds.filter(|seed| *seed != address).collect(),
         };
-        let mut reducer = reducer::NodeReducer::new(config, self.last_node);
+        let mut reducer =
+            reducer::NodeReducer::with_policy(config, self.last_node, variant::POLICY);
         // Sets the node's clock to the simulated time, which all nodes share.
         reducer.step(self.now, event::NodeEvent::TimerFired);
         if self.has_store {
--- a/crates/anvil_core/tests/overload.rs
+++ b/crates/anvil_core/tests/overload.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod mesh;
+mod variant;
 
 use std::time::Duration;
 
@@ -32,7 +33,7 @@
 }
 
 fn without(switch: fn(&mut policy::OverloadPolicy)) -> policy::OverloadPolicy {
-    let mut policy = policy::OverloadPolicy::FULL;
+    let mut policy = variant::POLICY;
     switch(&mut policy);
     policy
 }
@@ -45,7 +46,7 @@
         seed,
         ..surge(policy, 2.0)
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let naive = run(plan(policy::OverloadPolicy::NAIVE));
     assert!(full.share(CRITICAL, 2.0, 8.0) >= 0.99);
     assert!(naive.share(CRITICAL, 2.0, 8.0) < 0.7);
@@ -64,7 +65,7 @@
 #[test]
 fn goodput_holds_at_four_times_the_load() {
     let best = 204.0;
-    let full = run(surge(policy::OverloadPolicy::FULL, 4.0));
+    let full = run(surge(variant::POLICY, 4.0));
     let naive = run(surge(policy::OverloadPolicy::NAIVE, 4.0));
     assert!(full.goodput(4.0, 8.0) >= 0.9 * best);
     assert!(naive.goodput(4.0, 8.0) < 0.7 * best);
@@ -80,7 +81,7 @@
         resends: 5,
         ..surge(policy, 4.0)
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let naive = run(plan(policy::OverloadPolicy::NAIVE));
     assert!(full.recovery(8.0).unwrap() <= 2.0);
     assert!(naive.recovery(8.0).is_none_or(|seconds| seconds > 2.0));
@@ -95,7 +96,7 @@
         side_rate: mesh::SATURATION_PER_S,
         ..surge(policy, 4.0)
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let reduced = run(plan(without(|p| p.cut_line = false)));
     assert!(full.side_share(2.0, 8.0) > 0.6);
     assert!(reduced.side_share(2.0, 8.0) < 0.2);
@@ -111,7 +112,7 @@
         plan.slow = vec![(2.0, "expediente", 5.0), (8.0, "expediente", 1.0)];
         plan
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let naive = run(plan(policy::OverloadPolicy::NAIVE));
     assert!(full.share(CRITICAL, 2.0, 8.0) >= 0.95);
     assert!(naive.share(CRITICAL, 2.0, 8.0) < 0.5);
@@ -133,7 +134,7 @@
     };
     // A claim makes five runs; a retry repeats at most all of them.
     let bound = f64::from(5 * (1 + 3));
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let naive = run(plan(policy::OverloadPolicy::NAIVE));
     assert!(full.max_runs_per_root() <= bound);
     assert!(
@@ -153,9 +154,15 @@
         plan.fault = (mesh::Fault::OneFailing, 2.0, 8.0);
         plan
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
-    let reduced = run(plan(without(|p| p.ejection = false)));
+    let full = run(plan(variant::POLICY));
     assert!(full.goodput(3.0, 8.0) >= 0.9 * NORMAL_PER_S);
+    let not_ejecting = run(plan(without(|p| p.ejection = false)));
+    assert!(not_ejecting.goodput(3.0, 8.0) < 0.9 * NORMAL_PER_S);
+    // Placement by weight sends such a target no more than its equal part.
+    let reduced = run(plan(without(|p| {
+        p.ejection = false;
+        p.expected_completion = false;
+    })));
     assert!(
         reduced.goodput(3.0, 8.0) < 0.7 * NORMAL_PER_S,
         "{}",
@@ -167,7 +174,7 @@
 // at a load of two thirds of its capacity. Claims must be served throughout.
 #[test]
 fn claims_survive_a_cold_restart_of_half() {
-    let mut plan = mesh::Plan::new(policy::OverloadPolicy::FULL);
+    let mut plan = mesh::Plan::new(variant::POLICY);
     plan.until = 10.0;
     plan.rates = vec![(0.0, mesh::SATURATION_PER_S * 0.65)];
     plan.fault = (mesh::Fault::ColdHalf, 2.0, 8.0);
@@ -181,7 +188,7 @@
 // retried.
 #[test]
 fn broken_answers_make_no_suspects() {
-    let mut plan = mesh::Plan::new(policy::OverloadPolicy::FULL);
+    let mut plan = mesh::Plan::new(variant::POLICY);
     plan.until = 8.0;
     plan.fault = (mesh::Fault::Breaking, 2.0, 6.0);
     let full = run(plan);
@@ -206,7 +213,7 @@
         mesh.poison(2.0);
         mesh.run()
     };
-    let full = crashes(policy::OverloadPolicy::FULL);
+    let full = crashes(variant::POLICY);
     let unprotected = crashes(without(|p| p.quarantine = false));
     assert!(full.crashes <= 3, "{} crashes", full.crashes);
     assert!(
@@ -228,7 +235,7 @@
         plan.disconnect_after = Some(Duration::from_millis(100));
         plan
     };
-    let full = run(plan(policy::OverloadPolicy::FULL));
+    let full = run(plan(variant::POLICY));
     let reduced = run(plan(without(|p| p.cancellation = false)));
     assert!(full.finished <= reduced.finished / 10, "{}", full.finished);
     assert!(reduced.finished > 500, "{}", reduced.finished);
@@ -240,7 +247,7 @@
 fn refusals_are_prompt_and_explained() {
     let mut full = run(mesh::Plan {
         until: 4.0,
-        ..surge(policy::OverloadPolicy::FULL, 4.0)
+        ..surge(variant::POLICY, 4.0)
     });
     let shed = verdict::CallVerdict::NotRun(verdict::RefusalReason::Shed);
     let refused = full.roots.iter().filter(|root| root.verdict == Some(shed));
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -5,6 +5,9 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+#[path = "../variant/mod.rs"]
+mod variant;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -92,7 +95,7 @@
             seconds: 14,
             policy: policy::OverloadPolicy {
                 adaptive_limit: false,
-                ..policy::OverloadPolicy::FULL
+                ..variant::POLICY
             },
             script: Vec::new(),
         }
--- a/crates/anvil_core/tests/refused_calls.rs
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -4,6 +4,7 @@
 
 mod mesh;
 mod support;
+mod variant;
 
 use anvil_core::{answer, config, directory, effect, event, reducer};
 use anvil_overload::policy;
@@ -24,7 +25,7 @@
 fn caller_node(refusal_retries: bool) -> reducer::NodeReducer {
     let policy = policy::OverloadPolicy {
         refusal_retries,
-        ..policy::OverloadPolicy::FULL
+        ..variant::POLICY
     };
     let config = config::NodeConfig {
         node: support::NODE,
@@ -252,7 +253,7 @@
     let served = |refusal_retries| {
         let policy = policy::OverloadPolicy {
             refusal_retries,
-            ..policy::OverloadPolicy::FULL
+            ..variant::POLICY
         };
         let mut plan = mesh::Plan::scarce(policy, 0.6);
         plan.until = 8.0;
--- a/crates/anvil_core/tests/return_order.rs
+++ b/crates/anvil_core/tests/return_order.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
+mod variant;
 
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 fn entry_node(return_order: bool) -> reducer::NodeReducer {
     let policy = policy::OverloadPolicy {
         return_order,
-        ..policy::OverloadPolicy::FULL
+        ..variant::POLICY
     };
     let mut node = support::node_with_policy(policy);
     support::add_peer(&mut node, support::PEER);
--- a/crates/anvil_core/tests/rules.rs
+++ b/crates/anvil_core/tests/rules.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod variant;
+
 use std::time::Duration;
 
 use anvil_core::{config, effect, event, reducer};
@@ -35,7 +37,7 @@
         gossip_address: address,
         seeds: Vec::new(),
     };
-    let mut node = reducer::NodeReducer::new(config, 1);
+    let mut node = reducer::NodeReducer::with_policy(config, 1, variant::POLICY);
     let announcement = event::TargetAnnouncement {
         service: name::ServiceName::new("bidding").unwrap(),
         address: "127.0.0.1:8000".parse().unwrap(),
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -8,6 +8,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
+mod variant;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -64,7 +65,7 @@
     (
         node,
         address,
-        reducer::NodeReducer::new(config, node.0).with_stop(PLAN),
+        reducer::NodeReducer::with_policy(config, node.0, variant::POLICY).with_stop(PLAN),
     )
 }
 
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
+mod variant;
 
 use std::time::Duration;
 
@@ -260,7 +261,12 @@
 
 const ON: policy::OverloadPolicy = policy::OverloadPolicy {
     expected_completion: true,
-    ..policy::OverloadPolicy::FULL
+    ..variant::POLICY
+};
+
+const OFF: policy::OverloadPolicy = policy::OverloadPolicy {
+    expected_completion: false,
+    ..variant::POLICY
 };
 
 /// A node with these switches and a target.
@@ -337,7 +343,7 @@
     not_longer => (ON, "1,0,48,250", (1_071, ""), 0),
     not_if_it_is_no_longer_part_of_the_load => (ON, "1,0,48,250", (140, "1,0,48"), 0),
     through_a_malformed_answer => (ON, "1,0,48,250", (140, "1,0,48,0"), 250),
-    not_without_the_switch => (policy::OverloadPolicy::FULL, "1,0,48,250", (140, "1,0,48,250"), 0),
+    not_without_the_switch => (OFF, "1,0,48,250", (140, "1,0,48,250"), 0),
 }
 
 // Guards against a target that starts with the pace of the one before it.
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
 
+#[path = "../variant/mod.rs"]
+mod variant;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,7 +32,7 @@
 
 /// A node without a target of its own.
 pub fn entry_node() -> reducer::NodeReducer {
-    reducer::NodeReducer::new(config(), 1)
+    reducer::NodeReducer::with_policy(config(), 1, variant::POLICY)
 }
 
 /// An entry node with other switches.
@@ -39,14 +42,14 @@
 
 /// An entry node with another id.
 pub fn node_with_id(node: ident::NodeId) -> reducer::NodeReducer {
-    reducer::NodeReducer::new(config::NodeConfig { node, ..config() }, 1)
+    reducer::NodeReducer::with_policy(config::NodeConfig { node, ..config() }, 1, variant::POLICY)
 }
 
 /// A node that has a seed and has received nothing from it yet.
 pub fn fresh_node() -> reducer::NodeReducer {
     let mut config = config();
     config.seeds = vec![address(7009)];
-    reducer::NodeReducer::new(config, 1)
+    reducer::NodeReducer::with_policy(config, 1, variant::POLICY)
 }
 
 fn config() -> config::NodeConfig {
--- a/crates/anvil_overload/src/policy.rs
+++ b/crates/anvil_overload/src/policy.rs
@@ -125,6 +125,14 @@
         return_order: false,
     };
 
+    /// All safeguards, and those for scarce services that the settings in `deploy/` switch on.
+    pub const SCARCE_SERVICES: Self = Self {
+        expected_completion: true,
+        refusal_retries: true,
+        fair_lanes: true,
+        ..Self::FULL
+    };
+
     /// No safeguards: targets in turn, fixed retries at each hop, no shedding by class.
     pub const NAIVE: Self = Self {
         adaptive_limit: false,
