Let cut lines end with the overload

Cause: the node of an idle target lowered its line in doubling steps from 8 of 1,024 levels, and the rest of a line that a node still applied was applied in full again, for up to 1 s, by the node that was told of it, at each hop. Lines recorded every 250 ms: the targets' own were gone 0.75 s after the end, those of entry nodes stood until 2.25 s, told 0.1 s before.

The line of an idle target now falls by the demand that fits into its free slots, a line that is lower than the last one fades at once, and a line is gone after twice the time that it applies in full instead of three times.

--- a/crates/anvil_core/tests/overload.rs
+++ b/crates/anvil_core/tests/overload.rs
@@ -119,6 +119,30 @@
     assert!(full.recovery(8.0).unwrap() <= 2.0);
 }
 
+// Guards against lines that outlast the overload: callers are refused for seconds although the
+// targets are idle.
+fn callers_are_served_soon_after_a_slow_deep_service(seed: u64) {
+    let mut plan = mesh::Plan::new(variant::POLICY);
+    plan.seed = seed;
+    plan.until = 13.0;
+    plan.slow = vec![(2.0, "expediente", 5.0), (8.0, "expediente", 1.0)];
+    let recovery = run(plan).recovery(8.0);
+    assert!(
+        recovery.is_some_and(|seconds| seconds <= 2.0),
+        "{recovery:?}"
+    );
+}
+
+test_cases! {
+    callers_are_served_soon_after_a_slow_deep_service:
+    after_a_slow_service_with_seed_2 => (2),
+    after_a_slow_service_with_seed_3 => (3),
+    after_a_slow_service_with_seed_5 => (5),
+    after_a_slow_service_with_seed_6 => (6),
+    after_a_slow_service_with_seed_11 => (11),
+    after_a_slow_service_with_seed_16 => (16),
+}
+
 // The deepest service answers every request with a server error. Retries at each hop multiply:
 // three runs of three of three. With the chain allowance no root may cause more than its own runs
 // and three retries of them.
--- a/crates/anvil_overload/src/cut.rs
+++ b/crates/anvil_overload/src/cut.rs
@@ -14,7 +14,7 @@
 
 /// Age at which a line that no answer renewed expires, as a multiple of the time for which it
 /// applies in full.
-pub const EXPIRY_FACTOR: u32 = 3;
+pub const EXPIRY_FACTOR: u32 = 2;
 
 /// Age at which a line expires that applies in full for [`MIN_CUT_FRESH`].
 pub const MIN_CUT_EXPIRY: Duration = MIN_CUT_FRESH.saturating_mul(EXPIRY_FACTOR);
@@ -47,6 +47,9 @@
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct DecayingCut {
     level: u16,
+    /// Whether that line is lower than the one before.
+    #[serde(rename = "falling")]
+    is_falling: bool,
     /// When an answer last reported the line.
     at: time::NodeTime,
     /// When a request was last checked against the line.
@@ -58,8 +61,14 @@
 
 impl DecayingCut {
     /// Replaces the line with the one of the latest answer.
+    ///
+    /// A line that is lower than the last one decays at once. Each hop passes on what is left of a
+    /// line, and if each of them applied that in full again, requests would be refused for seconds
+    /// after the overload, longer the deeper the chain.
     pub fn update(&mut self, now: time::NodeTime, line: Option<&call::CutLine>) {
-        self.level = rank::line_level(line);
+        let level = rank::line_level(line);
+        self.is_falling = level < self.level;
+        self.level = level;
         self.at = now;
     }
 
@@ -88,12 +97,17 @@
         }
         let age = now.since(self.at);
         let fresh = self.fresh();
-        if age <= fresh {
+        let span = fresh * (EXPIRY_FACTOR - 1);
+        let in_full = if self.is_falling {
+            Duration::ZERO
+        } else {
+            fresh
+        };
+        if age <= in_full {
             return self.level;
         }
-        let expiry = fresh * EXPIRY_FACTOR;
-        let left = expiry.saturating_sub(age).as_micros();
-        let span = (expiry - fresh).as_micros();
+        let left = (in_full + span).saturating_sub(age).as_micros();
+        let span = span.as_micros();
         let level = u128::from(self.level) * left / span;
         u16::try_from(level).unwrap_or(self.level)
     }
--- a/crates/anvil_overload/src/shedding.rs
+++ b/crates/anvil_overload/src/shedding.rs
@@ -34,8 +34,8 @@
 /// Utilization below which the pressure counts as over.
 pub const IDLE_UTILIZATION: f64 = 0.7;
 
-/// Step, in levels, by which the line is lowered after a window that left slots free; each further
-/// window whose utilization is below [`IDLE_UTILIZATION`] doubles it.
+/// Smallest step, in levels, by which the line is lowered after a window that left slots free; each
+/// further window whose utilization is below [`IDLE_UTILIZATION`] doubles it.
 pub const RELEASE_STEP: u16 = 8;
 
 /// Largest release step, in levels.
@@ -168,7 +168,10 @@
         let under_pressure = self.overflowed > 0 || standing > bound;
         if utilization < IDLE_UTILIZATION && !under_pressure {
             let windows = span.as_nanos() / MIN_CUT_WINDOW.as_nanos();
+            let room = (1.0 - utilization) * self.capacity(span) / span.as_secs_f64();
+            let level = self.demand.lowered(self.level, rank::LEVELS, room);
             self.release_fast(windows.min(MAX_IDLE_WINDOWS));
+            self.level = self.level.min(level);
         } else if span < window {
             return;
         } else if under_pressure {
--- a/crates/anvil_overload/tests/routing.rs
+++ b/crates/anvil_overload/tests/routing.rs
@@ -484,6 +484,26 @@
     sent_every_other_second => (2_000, 1_000, 3_000),
 }
 
+// Guards against hops that each apply what is left of a line in full, so that requests are refused
+// for seconds after the overload.
+#[test]
+fn a_falling_line_decays_at_once() {
+    let level = |lines: &[u8]| {
+        let mut cut = cut::DecayingCut::default();
+        for lane in lines {
+            let line = call::CutLine {
+                class: NORMAL,
+                lane: context::LaneHash(*lane),
+            };
+            cut.update(at(9_000), Some(&line));
+        }
+        cut.level(at(9_100))
+    };
+    let falling = level(&[0, 100]);
+    assert_eq!(level(&[100]), level(&[100, 100]));
+    assert!(falling < level(&[100]), "{falling}");
+}
+
 // An admitted lookup makes eight calls to a downstream service whose line differs by some lanes
 // from target to target. Its calls pass slightly below the line; otherwise it would fail at the
 // highest of eight lines with most of its work done. Requests that have not begun are refused, and
