Place calls by the exact load of the local target

With expected_completion a call of a target to its own service waited in the queue beside that target, which had no free slot, and was refused after 500 ms with nine tenths of its time left, while another target had eight free slots.

Cause: the placement knew the local target by the reports in its answers and by what this node had sent. Before the first answer it took it for idle, although its node, which admits one run to a target that has just started, was running a request of another node.

a_call_inherits_from_the_request_that_its_id_names failed with the parts on ("left: None, right: Some(RequestId(7))") and passes unchanged: the node now updates the local target's load from its own queue before it places a call.

--- a/crates/anvil_core/src/directory.rs
+++ b/crates/anvil_core/src/directory.rs
@@ -127,6 +127,17 @@
         self.routes.attempt_ended(now, service, node, attempt);
     }
 
+    /// Replaces the load that is known of the target beside `node`.
+    pub fn update_load(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+        load: &call::LoadReport,
+    ) {
+        self.routes.update_load(now, service, node, load);
+    }
+
     /// The shortest time until a target of `service` may be used within the rates that they name.
     pub fn pause_left(&self, now: time::NodeTime, service: &name::ServiceName) -> Duration {
         self.routes.pause_left(now, service)
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -154,6 +154,31 @@
         load
     }
 
+    /// Updates the routing table with the exact load of the local target before a call to its
+    /// service is placed.
+    ///
+    /// The reports that come with answers do not contain requests of other nodes that have arrived
+    /// since, and before its first answer a target would count as idle. Calls would wait in its
+    /// queue and be refused there while other targets have free slots.
+    pub(crate) fn update_own_load(&mut self, sequence: u64) {
+        let (Some(open), Some(target)) = (self.calls.get(sequence), &self.target) else {
+            return;
+        };
+        let service = &target.announcement.service;
+        if !self.overload.policy.expected_completion || open.request.service != *service {
+            return;
+        }
+        let notice = self.target_notice();
+        let Some(admission) = &mut self.overload.admission else {
+            return;
+        };
+        let mut load = admission.load(self.now);
+        load.announced = self.fleet.incarnation();
+        load.notice = notice;
+        let node = self.config.node;
+        self.directory.update_load(self.now, service, node, &load);
+    }
+
     /// Records why a request was refused, for operators.
     pub(crate) fn record_refusal(
         &mut self,
--- a/crates/anvil_core/src/refused_calls.rs
+++ b/crates/anvil_core/src/refused_calls.rs
@@ -40,6 +40,7 @@
     /// used again once all others were tried; the target just asked comes last. Targets that failed
     /// otherwise remain excluded as long as there is any of these.
     pub(crate) fn choose_target(&mut self, sequence: u64) -> routing::RouteChoice {
+        self.update_own_load(sequence);
         let now = self.now;
         let Some(open) = self.calls.get(sequence) else {
             return routing::RouteChoice::NoTarget;
--- a/crates/anvil_overload/src/routing.rs
+++ b/crates/anvil_overload/src/routing.rs
@@ -234,6 +234,22 @@
         }
     }
 
+    /// Replaces the load that is known of a target, apart from its cut line.
+    ///
+    /// The line that callers apply follows from answers only, so that it decays and a target with
+    /// free slots gets requests that end it.
+    pub fn update_load(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+        node: ident::NodeId,
+        load: &call::LoadReport,
+    ) {
+        if let Some(target) = self.target_mut(service, node) {
+            target.update_load(now, load);
+        }
+    }
+
     /// The line below which requests of `kind` to `service` are refused, because of its own load or
     /// of that of a downstream service.
     pub fn cut_line(
--- a/crates/anvil_overload/src/routing/target.rs
+++ b/crates/anvil_overload/src/routing/target.rs
@@ -207,9 +207,7 @@
         let Some(load) = attempt.load else {
             return;
         };
-        self.load = *load;
-        self.reported_at = Some(now);
-        self.sent_since = 0;
+        self.update_load(now, load);
         self.cut.update(now, load.cut.as_ref());
         if load.leaving {
             let announced = load.announced;
@@ -217,6 +215,13 @@
         }
     }
 
+    /// Records the load of the target as of `now`.
+    pub(super) fn update_load(&mut self, now: time::NodeTime, load: &call::LoadReport) {
+        self.load = *load;
+        self.reported_at = Some(now);
+        self.sent_since = 0;
+    }
+
     /// Expected wait of a new request of `class` in microseconds, increased for targets in other
     /// zones and for failing targets.
     ///
