Hand requests over to living homes only, and charge them once

Cause: a node takes the dead process for the home until its end is detected, and hands what it admitted over to its address. The successor there takes the first node for the home and passes the same requests back, and so on every 50 ms, each time charging the account until it has no tokens. Evidence: the lines "uses taken" of one account alternate between two nodes from 11.8 to 17.3 s, the second being the successor of the home at its address.

A message from another process at a known address now replaces the process that was known there, also by the confirmation of a handover, and a handover is not charged if its sender is the home. The sender of such a handover counts it again, for later ones.

Tests, failing before: a_handover_does_not_return_to_its_sender, a_replaced_process_is_no_home.

--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -299,6 +299,7 @@
         message: &quota::QuotaMessage,
     ) -> Vec<effect::QuotaEffect> {
         let mut out = Vec::new();
+        self.replace_predecessors(now, from, address);
         match message {
             quota::QuotaMessage::Report { reports: uses } => {
                 self.on_report(now, (from, address), uses, &mut out);
--- a/crates/anvil_quota/src/ledger/handover_role.rs
+++ b/crates/anvil_quota/src/ledger/handover_role.rs
@@ -9,8 +9,8 @@
 
 use crate::{effect, handover, ledger};
 
-/// Delay before a handover is forwarded to the next node. Two nodes that each take the other for
-/// the home would otherwise send it back and forth at network speed.
+/// Delay before a handover is forwarded to the next node. Nodes that each take the next one for the
+/// home would otherwise send it around at network speed.
 const FORWARD_DELAY: Duration = Duration::from_millis(50);
 
 /// Time for which a confirmed handover shows that a home is alive.
@@ -81,6 +81,15 @@
         let Some(size) = self.size(account) else {
             return;
         };
+        let number = handover.number;
+        if self
+            .peer_home(account)
+            .is_some_and(|home| home.node == from.0)
+        {
+            // The sender is the home and has counted these requests.
+            self.send(from.1, quota::QuotaMessage::HandoverAck { number }, out);
+            return;
+        }
         let home = self.prepare_home(now, account, size);
         if let Some(uses) = home.take_handover(now, size, from.0, handover) {
             let from = from.0;
@@ -95,13 +104,21 @@
                 self.hand_over(now, account, now + FORWARD_DELAY);
             }
         }
-        let number = handover.number;
         self.send(from.1, quota::QuotaMessage::HandoverAck { number }, out);
     }
 
     /// Removes a confirmed handover, and records that its home is alive.
     pub(super) fn handover_taken(&mut self, now: time::NodeTime, from: ident::NodeId, number: u32) {
-        self.handovers.retain(|pending| pending.number != number);
         self.live_homes.insert(now, from, LIVE_HOME_TTL);
+        let position = |pending: &handover::PendingHandover| pending.number == number;
+        let Some(position) = self.handovers.iter().position(position) else {
+            return;
+        };
+        let mut taken = self.handovers.swap_remove(position);
+        if self.is_home(taken.account)
+            && let Some(home) = self.homes.get_mut(taken.account)
+        {
+            home.restore_uses(now, taken.uses.slices(now));
+        }
     }
 }
--- a/crates/anvil_quota/src/ledger/ring_role.rs
+++ b/crates/anvil_quota/src/ledger/ring_role.rs
@@ -108,6 +108,24 @@
         }
     }
 
+    /// Replaces the earlier processes at the address of a node that has sent a message.
+    ///
+    /// The end of such a process is detected seconds after its successor has started. Until then it
+    /// would count as a home, and the successor, which gets what is meant for it, would pass that on
+    /// to this node again and again.
+    pub(super) fn replace_predecessors(
+        &mut self,
+        now: time::NodeTime,
+        node: ident::NodeId,
+        address: SocketAddr,
+    ) {
+        if node == self.node || !self.ring.remove_predecessors(node, address) {
+            return;
+        }
+        self.ring.insert_hinted(now, node, address);
+        self.ring_changed(now);
+    }
+
     /// Announces this node to a node that is between it and its known successor.
     ///
     /// The named node may have ended, so it is not used as a home before it has sent a message
--- a/crates/anvil_quota/src/ring.rs
+++ b/crates/anvil_quota/src/ring.rs
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Removes the processes that used the address of `node` before it; returns whether there were
+    /// any.
+    pub fn remove_predecessors(&mut self, node: ident::NodeId, address: SocketAddr) -> bool {
+        let before = self.nodes.len();
+        let is_predecessor = |known: &RingNode| known.address == address && known.node != node;
+        self.nodes.retain(|known| !is_predecessor(known));
+        self.nodes.len() < before
+    }
+
     /// Removes a member that left the fleet.
     pub fn remove(&mut self, node: ident::NodeId) -> Option<RingNode> {
         let index = self.search((point_of(node), node)).ok()?;
--- a/crates/anvil_quota/tests/neighbours.rs
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -135,3 +135,71 @@
     let decision = ledger.admit(at(265), ACCOUNT, 2);
     assert_eq!(decision, effect::QuotaDecision::Granted);
 }
+
+/// The ledger of a node, and an older and a newer process at one address, of which the older one is
+/// the home of the account.
+fn node_beside_a_replaced_home() -> (ledger::QuotaLedger, ident::NodeId, ident::NodeId) {
+    let old = (2..60).find(|node| {
+        let mut ledger = single_node();
+        ledger.member_up(at(0), ident::NodeId(*node), address(2));
+        ledger.admit(at(1), ACCOUNT, 7) == effect::QuotaDecision::Pending
+    });
+    let new = (60..200).find(|node| {
+        let mut ledger = single_node();
+        ledger.member_up(at(0), ident::NodeId(*node), address(2));
+        ledger.admit(at(1), ACCOUNT, 7) == effect::QuotaDecision::Granted
+    });
+    let old = ident::NodeId(old.expect("a home"));
+    let mut ledger = single_node();
+    ledger.admit(at(1), ACCOUNT, 1);
+    ledger.member_up(at(10), old, address(2));
+    (ledger, old, ident::NodeId(new.expect("another node")))
+}
+
+// Guards against requests that two nodes hand to each other and charge each time, until the account
+// has no tokens left: one of them takes the process that the other replaced for the home.
+#[test]
+fn a_handover_does_not_return_to_its_sender() {
+    let (mut ledger, _, new) = node_beside_a_replaced_home();
+    let sent = ledger.flush(at(11));
+    let handover = sent.iter().find_map(|effect| match effect {
+        effect::QuotaEffect::Send {
+            to,
+            message: quota::QuotaMessage::Handover(uses),
+        } if *to == address(2) => Some(uses.clone()),
+        _ => None,
+    });
+    let number = handover.expect("a handover").number;
+    let ack = quota::QuotaMessage::HandoverAck { number };
+    ledger.on_message(at(12), new, address(2), &ack);
+    let returned = quota::UsageHandover {
+        account: ACCOUNT,
+        number: 1,
+        slices: vec![1],
+    };
+    let returned = quota::QuotaMessage::Handover(returned);
+    let effects = ledger.on_message(at(60), new, address(2), &returned);
+    let decision = ledger.admit(at(70), ACCOUNT, 2);
+    assert_eq!(decision, effect::QuotaDecision::Granted);
+    let later = ledger.flush(at(200));
+    let is_handover = |effect: &&effect::QuotaEffect| {
+        matches!(
+            effect,
+            effect::QuotaEffect::Send {
+                message: quota::QuotaMessage::Handover(_),
+                ..
+            }
+        )
+    };
+    assert_eq!(effects.iter().chain(&later).filter(is_handover).count(), 0);
+}
+
+// Guards against requests that wait for a process that has been replaced at its address.
+#[test]
+fn a_replaced_process_is_no_home() {
+    let (mut ledger, _, new) = node_beside_a_replaced_home();
+    let probe = quota::QuotaMessage::SuccessorProbe;
+    ledger.on_message(at(20), new, address(2), &probe);
+    let decision = ledger.admit(at(30), ACCOUNT, 2);
+    assert_eq!(decision, effect::QuotaDecision::Granted);
+}
