Play key owners beside a store from an older copy

A suspect of KNOWN-RED.txt: an epoch of key owners is given out twice after the product's own store came back from an older copy, and two owners of one slot grant the same key.

The suspect stays listed: the epoch itself is not checked, and other moments may matter.

--- a/crates/anvil_core/tests/keyed.rs
+++ b/crates/anvil_core/tests/keyed.rs
@@ -242,3 +242,57 @@
     assert_eq!(fleet.max_runs_per_key(), 1);
     assert_eq!(fleet.runs.len(), 4_000);
 }
+
+/// What happens to an owner after the store came back from an older copy.
+#[derive(Clone, Copy)]
+enum OwnerLoss {
+    /// Its process ends.
+    Crash,
+    /// The others no longer hear of it, and it keeps running.
+    Hidden,
+}
+
+// Guards against two owners of one slot with the same epoch: the store came back from a copy that
+// is older than the latest change of owners, and the next owner takes the epoch of that change.
+fn claims_run_once_beside_an_older_copy(loss: OwnerLoss, restore_after: u64, lose_after: u64) {
+    let mut fleet = KeyedFleet::start(5);
+    fleet.run(Duration::from_secs(3));
+    let nodes = fleet.nodes();
+    let copy = fleet.store.clone();
+    fleet.crash(nodes[4]);
+    fleet.run(Duration::from_secs(8));
+    for claim in 0..50 {
+        fleet.submit(nodes[claim % 4], &format!("claim-{claim}"));
+    }
+    fleet.run(Duration::from_millis(restore_after));
+    fleet.store.restore_copy(&copy);
+    fleet.run(Duration::from_millis(lose_after));
+    let callers = match loss {
+        OwnerLoss::Crash => {
+            fleet.crash(nodes[3]);
+            3
+        }
+        OwnerLoss::Hidden => {
+            fleet.hidden = Some(nodes[3]);
+            4
+        }
+    };
+    for round in 0..40 {
+        for claim in 0..100 {
+            fleet.submit(nodes[(claim + round) % callers], &format!("claim-{claim}"));
+        }
+        fleet.run(Duration::from_millis(500));
+    }
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.max_runs_per_key(), 1, "{:?}", fleet.repeated_keys());
+}
+
+anvil_testkit::test_cases! {
+    claims_run_once_beside_an_older_copy:
+    owner_lost_at_once => (OwnerLoss::Crash, 0, 0),
+    owner_lost_while_claims_run => (OwnerLoss::Crash, 8, 10),
+    owner_lost_after_seconds => (OwnerLoss::Crash, 500, 2_000),
+    owner_hidden_at_once => (OwnerLoss::Hidden, 0, 0),
+    owner_hidden_while_claims_run => (OwnerLoss::Hidden, 8, 10),
+    owner_hidden_after_seconds => (OwnerLoss::Hidden, 500, 10_000),
+}
