Ask members that have not acknowledged a stop before a node ends

A caller could be told may-have-run for a request that never ran, when its node sent it to a node that ended as planned, over a silent connection, while datagrams between the two were lost for 1.5 s.

Cause: the notice of a stop goes by datagram. The handshake before the end uses connections, but only to recent callers and to members that had acknowledged with calls out there. A member that had heard nothing was not asked.

Such members take part in the handshake now.

Tests, failing before with [MayHaveRun(NodeLost)]: claim_while_datagrams_are_lost and lookup_while_datagrams_are_lost. claim_early_while_datagrams_are_lost and a_stop_does_not_wait_for_unreachable_members held before and hold.

--- a/crates/anvil_core/src/shutdown.rs
+++ b/crates/anvil_core/src/shutdown.rs
@@ -82,6 +82,13 @@
         addresses.map(|(_, address)| *address).collect()
     }
 
+    /// The members that have not acknowledged the stop.
+    pub fn silent_members(&self) -> Vec<ident::NodeId> {
+        let notice = self.notice.iter();
+        let members = notice.flat_map(|notice| notice.unacknowledged.iter());
+        members.map(|(node, _)| *node).collect()
+    }
+
     /// Records that a member has acknowledged the stop.
     pub fn acknowledge(&mut self, peer: ident::NodeId) {
         if let Some(notice) = &mut self.notice {
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -121,6 +121,7 @@
         if self.shutdown.has_begun() {
             return self.shutdown.is_done(self.now);
         }
+        self.contact_silent_members();
         let (until, callers) = self.shutdown.begin(self.now);
         for (peer, to) in callers {
             self.send_leaving(peer, to);
@@ -129,6 +130,20 @@
         self.shutdown.is_done(self.now)
     }
 
+    /// Lets members that have not acknowledged the stop take part in the handshake.
+    ///
+    /// Their datagrams may be lost while they send calls on a silent connection. When they notice
+    /// the silence, no process would be left that could confirm that the calls never ran. The
+    /// handshake uses connections, and replaces a silent one.
+    fn contact_silent_members(&mut self) {
+        for peer in self.shutdown.silent_members() {
+            let member = self.fleet.table().get(peer);
+            if let Some(address) = member.map(|member| member.facts.tcp) {
+                self.shutdown.record_call(self.now, peer, address);
+            }
+        }
+    }
+
     /// Notifies the fleet that this node accepts no more runs.
     pub(crate) fn stop_runs(&mut self) {
         if matches!(self.phase, NodePhase::Leaving { .. }) {
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -246,6 +246,9 @@
     claim_just_before_the_end => ("POST", millis(1_000), millis(950)),
     lookup_before_the_stop_is_known => ("GET", millis(700), millis(600)),
     lookup_just_before_the_end => ("GET", millis(1_000), millis(950)),
+    claim_while_datagrams_are_lost => ("POST", millis(4_000), millis(950)),
+    claim_early_while_datagrams_are_lost => ("POST", millis(4_000), millis(100)),
+    lookup_while_datagrams_are_lost => ("GET", millis(4_000), millis(950)),
 }
 
 // Guards against the loss of a long run's answer in a silent connection whose last call is long
