--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -259,6 +259,28 @@
     assert_eq!(refused.count(), 60 - runs.len());
 }
 
+// Guards against a flood at a target with a named rate after all nodes have restarted, when nobody
+// can tell its node the rate: until the first answer it gets no more than its 48 slots, and with that
+// answer the rate applies to all that wait.
+#[test]
+fn a_rate_that_nobody_knows_applies_with_the_first_answer() {
+    let mut node = support::entry_node();
+    node.step(at(1), announced("a", 1));
+    let mut runs = Vec::new();
+    for sequence in 0..100 {
+        runs.extend(started(&node.step(at(2), call_with(sequence, None))));
+    }
+    assert!(runs.len() <= 48, "{} runs", runs.len());
+    let mut limited_runs = 0;
+    for (run, millis) in runs.into_iter().zip((100..900).step_by(50)) {
+        let ended = answered(run, limited("2.0"), false);
+        limited_runs += started(&node.step(at(millis), ended)).len();
+        let woken = node.step(at(millis + 25), event::NodeEvent::TimerFired);
+        limited_runs += started(&woken).len();
+    }
+    assert!(limited_runs <= 2, "{limited_runs} runs in 0.8 s");
+}
+
 const ON: policy::OverloadPolicy = policy::OverloadPolicy {
     expected_completion: true,
     ..variant::POLICY
