--- a/crates/anvil_core/tests/fair_lanes.rs
+++ b/crates/anvil_core/tests/fair_lanes.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
-mod variant;
 
 use std::sync::Arc;
 
@@ -13,6 +12,7 @@
 use anvil_testkit::test_cases;
 use anvil_types::{account, context, ident, name, verdict};
 use serde_json::Value;
+use support::variant;
 
 const KEY: &[u8] = b"tta828m82thhkmgjqnir";
 
--- a/crates/anvil_core/tests/refused_calls.rs
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -4,7 +4,6 @@
 
 mod mesh;
 mod support;
-mod variant;
 
 use anvil_core::{answer, config, directory, effect, event, reducer};
 use anvil_overload::policy;
@@ -12,6 +11,7 @@
 use anvil_testkit::test_cases;
 use anvil_types::{context, ident, name, verdict};
 use anvil_wire::{call, frame};
+use support::variant;
 
 const RULES: &str = "rules:
   - {name: other, when: {}, then: {class: critical, idempotent: true, retries: 24, deadline: 2s}}
--- a/crates/anvil_core/tests/return_order.rs
+++ b/crates/anvil_core/tests/return_order.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
-mod variant;
 
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use anvil_overload::policy;
 use anvil_rules::parse;
 use anvil_types::{context, ident, time, verdict};
+use support::variant;
 
 const RULES: &str = "rules: [{name: all, then: {retries: 0, objective: 2s, deadline: 6s}}]";
 
--- a/crates/anvil_core/tests/scarce_services.rs
+++ b/crates/anvil_core/tests/scarce_services.rs
@@ -1,6 +1,11 @@
 //! All tests of the reducer again, with the safeguards for scarce services as the settings in
 //! `deploy/` switch them on; see `docs/SCARCE-SERVICES.md`.
 
+#![allow(
+    clippy::duplicate_mod,
+    reason = "each test file brings its own copy of the helpers, as a binary of its own does"
+)]
+
 #[path = "accounts.rs"]
 mod accounts;
 #[path = "applying.rs"]
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -8,7 +8,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
-mod variant;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,6 +16,7 @@
 use anvil_core::{config, effect, event, reducer, stopping};
 use anvil_types::{ident, name, time, verdict};
 use anvil_wire::{frame, gossip, outcome};
+use support::variant;
 
 /// One-way latency between the two nodes.
 const HOP: Duration = Duration::from_micros(1_500);
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod support;
-mod variant;
 
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
 use anvil_testkit::test_cases;
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
-use support::{at, started};
+use support::{at, started, variant};
 
 fn announced(id: &str, sequence: u64) -> event::NodeEvent {
     let event::NodeEvent::TargetAnnounced(announcement) = support::announcement(48) else {
--- a/crates/anvil_core/tests/support/mod.rs
+++ b/crates/anvil_core/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
 
 #[path = "../variant/mod.rs"]
-mod variant;
+pub mod variant;
 
 use std::net::SocketAddr;
 use std::time::Duration;
