Keep requests from waiting for homes that have ended

Cause, from a trace of the homes of one account: an entry node asks a dead home, its successor at the address answers, the dead one is dropped from the ring; the next node on the ring still takes it for the home and names it, so that the entry node adds it again, every 50 ms. Besides, a process that has just started has no rules for up to 0.7 s and answered nothing, which cost 300 ms for each. And a round of questions that began while waiting requests were decided was sent with the next event only.

A replaced process is not taken from others for 10 s, a process without rules says so, up to four nodes are tried, and a round is sent at once.

Tests, failing before: a_home_without_rules_is_passed_over_at_once, the second half of a_replaced_process_is_no_home. All quota_holds cases pass unchanged.

--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -15,13 +15,20 @@
 mod home_role;
 mod ring_role;
 
-/// Number of nodes that are tried for an account: its home, and the next node if the home is
+/// Number of nodes that are tried for an account: its home, and the next ones if the home is
 /// silent.
-const MAX_HOMES: usize = 2;
+const MAX_HOMES: usize = 4;
 
 /// Time for which a node that did not answer is passed over.
 const SILENT_TTL: Duration = Duration::from_secs(2);
 
+/// Time for which a node that was replaced at its address is not taken from others, which detect its
+/// end later.
+const REPLACED_TTL: Duration = Duration::from_secs(10);
+
+/// Time for which a node without rules is passed over; it gets them from another one soon.
+const UNREADY_TTL: Duration = Duration::from_millis(500);
+
 /// Interval between removals of expired state.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -82,6 +89,8 @@
     /// Nodes that were retried although they had not answered, and are not retried again for a
     /// while.
     retried_nodes: expiring::ExpiringNodes,
+    /// Nodes whose address another process uses now.
+    replaced_nodes: expiring::ExpiringNodes,
     /// Homes that recently confirmed a handover.
     live_homes: expiring::ExpiringNodes,
     sessions: u32,
@@ -119,6 +128,7 @@
             entries: sorted::SortedTable::default(),
             silent_nodes: expiring::ExpiringNodes::default(),
             retried_nodes: expiring::ExpiringNodes::default(),
+            replaced_nodes: expiring::ExpiringNodes::default(),
             live_homes: expiring::ExpiringNodes::default(),
             sessions: 0,
             terms: 0,
@@ -319,7 +329,7 @@
         message: &quota::QuotaMessage,
     ) -> Vec<effect::QuotaEffect> {
         let mut out = Vec::new();
-        self.replace_predecessors(now, from, address);
+        self.remove_predecessors(now, from, address);
         match message {
             quota::QuotaMessage::Report { reports: uses } => {
                 self.on_report(now, (from, address), uses, &mut out);
@@ -347,6 +357,7 @@
             quota::QuotaMessage::ContactAck { number } => {
                 self.on_contact_ack(now, address, *number, &mut out);
             }
+            quota::QuotaMessage::Unready => self.on_unready(now, from),
         }
         out
     }
@@ -356,6 +367,7 @@
         let mut out = Vec::new();
         self.silent_nodes.remove_expired(now);
         self.retried_nodes.remove_expired(now);
+        self.replaced_nodes.remove_expired(now);
         self.live_homes.remove_expired(now);
         self.expire_contact(now, &mut out);
         if self.next_due.is_some_and(|due| due <= now) {
@@ -388,18 +400,25 @@
     pub fn flush(&mut self, now: time::NodeTime) -> Vec<effect::QuotaEffect> {
         let changes = self.changes.drain(..);
         let mut out: Vec<_> = changes.map(effect::QuotaEffect::Log).collect();
-        self.send_probes(&mut out);
         if !self.is_idle() {
             self.send_handovers(now, &mut out);
             self.announce_to_successor(now, &mut out);
         }
+        self.send_reports(now, &mut out);
+        // Deciding waiting requests may have begun a round.
+        self.send_probes(&mut out);
+        out
+    }
+
+    /// Sends the reports that are due, and decides the requests that need none any more.
+    fn send_reports(&mut self, now: time::NodeTime, out: &mut Vec<effect::QuotaEffect>) {
         if self.unsent.is_empty() {
-            return out;
+            return;
         }
         let mut reports: Vec<(SocketAddr, quota::UsageReport)> = Vec::new();
         for account in std::mem::take(&mut self.unsent) {
             let HomeLocation::Peer(_, address) = self.resolve_home(now, account) else {
-                self.decide_waiting(now, account, &mut out);
+                self.decide_waiting(now, account, out);
                 continue;
             };
             let Some(entry) = self.entries.get_mut(account) else {
@@ -416,10 +435,9 @@
             for part in same.chunks(quota::MAX_ACCOUNTS) {
                 let uses = part.iter().map(|(_, report)| *report).collect();
                 let message = quota::QuotaMessage::Report { reports: uses };
-                self.send(part[0].0, message, &mut out);
+                self.send(part[0].0, message, out);
             }
         }
-        out
     }
 
     /// State of an account at this node, for the dump and the log.
--- a/crates/anvil_quota/src/ledger/entry_role.rs
+++ b/crates/anvil_quota/src/ledger/entry_role.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Passes over a home that has no rules yet. Its silence would hold up each account for as long
+    /// as that of a crashed one.
+    pub(super) fn on_unready(&mut self, now: time::NodeTime, home: ident::NodeId) {
+        self.silent_nodes.insert(now, home, ledger::UNREADY_TTL);
+        let asks_home = |entry: &entry::EntryAccount| entry.home == Some(home);
+        self.unsent.extend(self.entries.keys_where(asks_home));
+    }
+
     /// Decides locally the requests that waited for the decision of a node that is no longer the
     /// home.
     pub(super) fn decide_waiting(
@@ -146,7 +154,8 @@
             return;
         }
         // The node is already known, and passed over for a reason.
-        if !(hint.alive && self.retry_home(now, hint.node)) {
+        let is_replaced = self.replaced_nodes.contains(now, hint.node);
+        if is_replaced || !(hint.alive && self.retry_home(now, hint.node)) {
             self.entry(now, account).query_again();
         }
     }
--- a/crates/anvil_quota/src/ledger/home_role.rs
+++ b/crates/anvil_quota/src/ledger/home_role.rs
@@ -16,6 +16,10 @@
         uses: &[quota::UsageReport],
         out: &mut Vec<effect::QuotaEffect>,
     ) {
+        if self.is_idle() {
+            self.send(from.1, quota::QuotaMessage::Unready, out);
+            return;
+        }
         let mut decisions = Vec::with_capacity(uses.len());
         for report in uses {
             // This node does not know the account: its rules are older, so it does not answer.
--- a/crates/anvil_quota/src/ledger/ring_role.rs
+++ b/crates/anvil_quota/src/ledger/ring_role.rs
@@ -108,21 +108,29 @@
         }
     }
 
-    /// Replaces the earlier processes at the address of a node that has sent a message.
+    /// Removes the earlier processes at the address of a node that has sent a message.
     ///
     /// The end of such a process is detected seconds after its successor has started. Until then it
     /// would count as a home, and the successor, which gets what is meant for it, would pass that on
-    /// to this node again and again.
-    pub(super) fn replace_predecessors(
+    /// to this node again and again. The successor itself becomes a home once it is known as a
+    /// member, since it can't decide anything before it has its rules.
+    pub(super) fn remove_predecessors(
         &mut self,
         now: time::NodeTime,
         node: ident::NodeId,
         address: SocketAddr,
     ) {
-        if node == self.node || !self.ring.remove_predecessors(node, address) {
+        if node == self.node {
             return;
         }
-        self.ring.insert_hinted(now, node, address);
+        let replaced = self.ring.remove_predecessors(node, address);
+        if replaced.is_empty() {
+            return;
+        }
+        for predecessor in replaced {
+            self.replaced_nodes
+                .insert(now, predecessor, ledger::REPLACED_TTL);
+        }
         self.ring_changed(now);
     }
 
@@ -138,9 +146,11 @@
         }
     }
 
-    /// Adds a node that another one named; returns false if it is already known.
+    /// Adds a node that another one named; returns false if it is already known, or known to have
+    /// ended.
     pub(super) fn on_hint(&mut self, now: time::NodeTime, hint: quota::HomeHint) -> bool {
-        let added = self.ring.insert_hinted(now, hint.node, hint.address);
+        let added = !self.replaced_nodes.contains(now, hint.node)
+            && self.ring.insert_hinted(now, hint.node, hint.address);
         if added {
             self.ring_changed(now);
         }
--- a/crates/anvil_quota/src/ring.rs
+++ b/crates/anvil_quota/src/ring.rs
@@ -96,13 +96,15 @@
         }
     }
 
-    /// Removes the processes that used the address of `node` before it; returns whether there were
-    /// any.
-    pub fn remove_predecessors(&mut self, node: ident::NodeId, address: SocketAddr) -> bool {
-        let before = self.nodes.len();
-        let is_predecessor = |known: &RingNode| known.address == address && known.node != node;
-        self.nodes.retain(|known| !is_predecessor(known));
-        self.nodes.len() < before
+    /// Removes and returns the processes that used the address of `node` before it.
+    pub fn remove_predecessors(
+        &mut self,
+        node: ident::NodeId,
+        address: SocketAddr,
+    ) -> Vec<ident::NodeId> {
+        let is_predecessor = |known: &mut RingNode| known.address == address && known.node != node;
+        let removed = self.nodes.extract_if(.., is_predecessor);
+        removed.map(|known| known.node).collect()
     }
 
     /// Removes a member that left the fleet.
--- a/crates/anvil_quota/tests/neighbours.rs
+++ b/crates/anvil_quota/tests/neighbours.rs
@@ -197,9 +197,13 @@
 // Guards against requests that wait for a process that has been replaced at its address.
 #[test]
 fn a_replaced_process_is_no_home() {
-    let (mut ledger, _, new) = node_beside_a_replaced_home();
+    let (mut ledger, old, new) = node_beside_a_replaced_home();
     let probe = quota::QuotaMessage::SuccessorProbe;
     ledger.on_message(at(20), new, address(2), &probe);
     let decision = ledger.admit(at(30), ACCOUNT, 2);
     assert_eq!(decision, effect::QuotaDecision::Granted);
+    // Other nodes name it until they detect its end.
+    ledger.on_message(at(40), old, address(2), &probe);
+    let decision = ledger.admit(at(50), ACCOUNT, 3);
+    assert_eq!(decision, effect::QuotaDecision::Granted);
 }
--- a/crates/anvil_quota/tests/waiting.rs
+++ b/crates/anvil_quota/tests/waiting.rs
@@ -4,6 +4,7 @@
 
 use anvil_quota::{effect, ledger};
 use anvil_types::{account, ident, time};
+use anvil_wire::quota;
 
 const ACCOUNT: account::AccountId = account::AccountId(0);
 
@@ -59,3 +60,37 @@
     let (mut ledger, _) = ledger_and_home();
     assert_eq!(run(&mut ledger).len(), 1);
 }
+
+// Guards against requests that wait until their deadline while one home after the other is a process
+// that has just started and has no rules.
+#[test]
+fn a_home_without_rules_is_passed_over_at_once() {
+    let (mut ledger, home) = ledger_and_home();
+    let now = time::NodeTime::from_millis(2);
+    let sent = ledger.flush(now);
+    let report = sent.iter().find_map(|effect| match effect {
+        effect::QuotaEffect::Send { message, .. } => {
+            matches!(message, quota::QuotaMessage::Report { .. }).then_some(message.clone())
+        }
+        _ => None,
+    });
+    let mut unready = ledger::QuotaLedger::new(home, ledger::TokenMode::PerRequest);
+    let from = ident::NodeId(1);
+    let answers = unready.on_message(now, from, address(1), &report.expect("a report"));
+    let [effect::QuotaEffect::Send { message, .. }] = &answers[..] else {
+        unreachable!("one answer: {answers:?}");
+    };
+    ledger.on_message(now, home, address(2), message);
+    let asked = ledger.flush(now);
+    let number = asked.iter().find_map(|effect| match effect {
+        effect::QuotaEffect::Send {
+            message: quota::QuotaMessage::ContactProbe { number },
+            ..
+        } => Some(*number),
+        _ => None,
+    });
+    let number = number.expect("the next home is this node, which asks for a majority");
+    let ack = quota::QuotaMessage::ContactAck { number };
+    let effects = ledger.on_message(now, home, address(2), &ack);
+    assert_eq!(effects, [effect::QuotaEffect::Grant { call: 7 }]);
+}
--- a/crates/anvil_wire/src/quota.rs
+++ b/crates/anvil_wire/src/quota.rs
@@ -128,4 +128,6 @@
         /// The number of the probe.
         number: u32,
     },
+    /// Answers reports to a node that has no rules yet and therefore can't decide.
+    Unready,
 }
