Name the number of a round of questions

A reading of the diff stumbled over next_number().wrapping_sub(1): the check tells the number of its latest round, and the sample is drawn by the previous one. No behaviour changes but the draw.

--- a/crates/anvil_quota/src/contact.rs
+++ b/crates/anvil_quota/src/contact.rs
@@ -67,14 +67,14 @@
         self.round.is_some()
     }
 
-    /// Number of the next round.
-    pub const fn next_number(&self) -> u32 {
-        self.number.wrapping_add(1)
+    /// Number of the latest round, which its questions and answers carry.
+    pub const fn number(&self) -> u32 {
+        self.number
     }
 
     /// Begins a round in which `needed` of the `asked` nodes have to answer.
     pub fn begin(&mut self, now: time::NodeTime, asked: &[SocketAddr], needed: usize) {
-        self.number = self.next_number();
+        self.number = self.number.wrapping_add(1);
         self.round = Some(ContactRound {
             awaited: asked.to_vec(),
             needed,
--- a/crates/anvil_quota/src/ledger/contact_role.rs
+++ b/crates/anvil_quota/src/ledger/contact_role.rs
@@ -14,8 +14,8 @@
         if state != contact::MajorityContact::Unknown || self.contact.is_open() {
             return state;
         }
-        let number = self.contact.next_number();
-        let asked = self.ring.sample(self.node, number, contact::SAMPLE);
+        let previous = self.contact.number();
+        let asked = self.ring.sample(self.node, previous, contact::SAMPLE);
         let needed = self.ring.majority_of(asked.len());
         self.contact.begin(now, &asked, needed);
         self.counters.contact_checks += 1;
@@ -40,7 +40,7 @@
 
     /// Asks the nodes of a round that has begun since the last call.
     pub(super) fn send_probes(&mut self, out: &mut Vec<effect::QuotaEffect>) {
-        let number = self.contact.next_number().wrapping_sub(1);
+        let number = self.contact.number();
         for to in std::mem::take(&mut self.probes) {
             self.send(to, quota::QuotaMessage::ContactProbe { number }, out);
         }
--- a/crates/anvil_quota/src/ledger/handover_role.rs
+++ b/crates/anvil_quota/src/ledger/handover_role.rs
@@ -115,6 +115,7 @@
             return;
         };
         let mut taken = self.handovers.swap_remove(position);
+        // The confirmation may have shown that this node is the home, which counts them itself.
         if self.is_home(taken.account)
             && let Some(home) = self.homes.get_mut(taken.account)
         {
--- a/crates/anvil_quota/src/ring.rs
+++ b/crates/anvil_quota/src/ring.rs
@@ -165,9 +165,9 @@
     }
 
     /// The addresses of up to `count` nodes other than `node`. Points on the ring are random, so
-    /// neighbors are a random sample; another `number` gives another one.
-    pub fn sample(&self, node: ident::NodeId, number: u32, count: usize) -> Vec<SocketAddr> {
-        let point = xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), u64::from(number));
+    /// neighbors are a random sample; another `seed` gives another one.
+    pub fn sample(&self, node: ident::NodeId, seed: u32, count: usize) -> Vec<SocketAddr> {
+        let point = xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), u64::from(seed));
         let start = self.nodes.partition_point(|known| known.point < point);
         let (head, tail) = self.nodes.split_at(start);
         let others = tail.iter().chain(head).filter(|known| known.node != node);
