Show that slow readers take a node over its memory

40 clients on each of two machines read answers of 7 MiB slowly. Nothing bounds what a node holds for its callers: both processes exceed 260 MB and are killed by the platform three times within 40 s (Fault), and all connections of their clients end.

--- /dev/null
+++ b/review/standin/held_answers.rs
@@ -0,0 +1,193 @@
+//! Clients read large answers slowly, and the platform kills a node that holds more than its memory.
+
+use std::io::Read;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Node, SIGKILL};
+use crate::http::{Connection, Message};
+use crate::upstream::{Next, Upstream};
+use crate::{Deployment, Finding};
+
+/// The memory of a machine in mebibytes, as in the site's settings.
+const MEMORY_MB: usize = 260;
+
+/// The machines whose clients read slowly.
+const ENTRIES: [&str; 2] = ["side-a-2", "side-b-2"];
+
+/// Clients of such a machine.
+const CLIENTS: usize = 40;
+
+/// Bytes of an answer, below the operator's limit of 64 MiB for bodies.
+const ANSWER_BYTES: usize = 7 * 1024 * 1024;
+
+/// Ends of a process by itself with which a day counts as a fault.
+const ENDS: usize = 3;
+
+/// How long the clients send.
+const PLAY_TIME: Duration = Duration::from_secs(60);
+
+/// Pause of a client between two requests.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Bytes that a client reads in each step, and the time between two steps of a slow client, which
+/// reads 330 kB a second and needs 22 s for an answer, less than its deadline.
+const STEP_BYTES: usize = 16 * 1024;
+const STEP_TIME: Duration = Duration::from_millis(50);
+
+fn serve(upstream: &Upstream, connection: &mut Connection, request: &Message) -> Next {
+    let id = request.header("request-id").unwrap_or_default().to_owned();
+    upstream.ran.lock().unwrap().push(id.clone());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{id}\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
+    );
+    thread::sleep(Duration::from_millis(20));
+    match connection
+        .send(head.as_bytes())
+        .and_then(|()| connection.send(&vec![b'a'; ANSWER_BYTES]))
+    {
+        Ok(()) => Next::Keep,
+        Err(_) => Next::Close,
+    }
+}
+
+pub fn play(deployment: &Deployment, trouble: bool) -> Finding {
+    let record = &deployment.record;
+    let upstreams = deployment.start_upstreams(47, Arc::new(serve));
+    let over = AtomicBool::new(false);
+    let counts: Vec<AtomicUsize> = ENTRIES.iter().map(|_| AtomicUsize::new(0)).collect();
+    let (whole, lost) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let peaks = thread::scope(|scope| {
+        let (over, counts) = (&over, &counts);
+        let platform: Vec<_> = ENTRIES
+            .iter()
+            .enumerate()
+            .map(|(index, name)| {
+                let node = deployment.node(name);
+                scope.spawn(move || watch(deployment, node, &counts[index], over))
+            })
+            .collect();
+        let clients: Vec<_> = (0..ENTRIES.len() * CLIENTS)
+            .map(|client| {
+                let node = deployment.node(ENTRIES[client % ENTRIES.len()]);
+                let (whole, lost) = (&whole, &lost);
+                scope.spawn(move || run_client(node, client, trouble, over, whole, lost))
+            })
+            .collect();
+        let until = Instant::now() + PLAY_TIME;
+        let enough = || {
+            counts
+                .iter()
+                .all(|count| count.load(Ordering::SeqCst) >= ENDS)
+        };
+        while Instant::now() < until && !enough() {
+            thread::sleep(Duration::from_millis(50));
+        }
+        over.store(true, Ordering::SeqCst);
+        clients
+            .into_iter()
+            .for_each(|client| client.join().unwrap());
+        platform
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect::<Vec<usize>>()
+    });
+    upstreams.iter().for_each(|upstream| upstream.stop());
+    let ends: Vec<usize> = counts
+        .iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .collect();
+    let ran = Upstream::runs(&upstreams);
+    let (whole, lost) = (whole.load(Ordering::SeqCst), lost.load(Ordering::SeqCst));
+    record.line(&format!(
+        "{ran} runs, {whole} whole answers, {lost} connections cut; peaks {peaks:?} MB, ends {ends:?} of {ENTRIES:?}"
+    ));
+    match ends.iter().all(|ends| *ends >= ENDS) {
+        true => Finding::Broken,
+        false if whole == 0 => Finding::Unfit("no answer was whole".to_owned()),
+        false => Finding::Held,
+    }
+}
+
+/// The platform's part: kills a process over its memory, and starts it again. The peak in mebibytes.
+fn watch(deployment: &Deployment, node: &Node, ends: &AtomicUsize, over: &AtomicBool) -> usize {
+    let mut peak = 0;
+    while !over.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(10));
+        let used = node.memory_mb();
+        peak = peak.max(used);
+        if used <= MEMORY_MB && !node.has_ended() {
+            continue;
+        }
+        let count = ends.fetch_add(1, Ordering::SeqCst) + 1;
+        deployment.record.line(&format!(
+            "{} uses {used} MB of {MEMORY_MB} and is killed, end {count}",
+            node.name
+        ));
+        node.signal(SIGKILL);
+        node.end();
+        thread::sleep(Duration::from_millis(500));
+        node.start();
+        node.wait_ready(Duration::from_secs(10));
+    }
+    peak
+}
+
+/// Sends one request after the other, each on a new connection, and reads the answers.
+fn run_client(
+    node: &Node,
+    client: usize,
+    slow: bool,
+    over: &AtomicBool,
+    whole: &AtomicUsize,
+    lost: &AtomicUsize,
+) {
+    // Clients don't come all at once.
+    let offset = Duration::from_millis(40 * (client / ENTRIES.len()) as u64);
+    let mut number = 0;
+    while !over.load(Ordering::SeqCst) {
+        thread::sleep(PAUSE + offset);
+        number += 1;
+        let id = format!("{:016x}", (client << 32) + number);
+        match fetch(node, &id, slow, over) {
+            Some(true) => whole.fetch_add(1, Ordering::SeqCst),
+            Some(false) => lost.fetch_add(1, Ordering::SeqCst),
+            None => continue,
+        };
+    }
+}
+
+/// Fetches one answer: true if it is whole, false if its connection ends early, `None` if there is
+/// no success or the run is over.
+fn fetch(node: &Node, id: &str, slow: bool, over: &AtomicBool) -> Option<bool> {
+    let mut connection = Connection::open(node.outbound).ok()?;
+    let _ = connection
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(5)));
+    let request = format!(
+        "GET /read/{id} HTTP/1.1\r\nHost: read.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 30000\r\n\r\n"
+    );
+    connection.send(request.as_bytes()).ok()?;
+    let head = connection
+        .head()
+        .ok()?
+        .filter(|head| head.status() == 200)?;
+    let length = head.length();
+    let mut got = connection.buffer.len();
+    let mut step = vec![0; STEP_BYTES];
+    while got < length {
+        if over.load(Ordering::SeqCst) {
+            return None;
+        }
+        if slow {
+            thread::sleep(STEP_TIME);
+        }
+        match connection.stream.read(&mut step) {
+            Ok(0) | Err(_) => return Some(false),
+            Ok(read) => got += read,
+        }
+    }
+    Some(true)
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod cut_answer;
 mod fleet;
+mod held_answers;
 mod http;
 mod json;
 mod store;
@@ -105,6 +106,7 @@
     let finding = match deployment.start() {
         false => Finding::Unfit("the nodes did not become ready".to_owned()),
         true => match case.as_str() {
+            "held-answers" => held_answers::play(&deployment, trouble),
             "cut-answer" => cut_answer::play(&deployment, trouble),
             _ => Finding::Unfit(format!("no case {case}")),
         },
