Show that a stopping node cuts answers to slow readers

Clients read answers of 3 MiB slowly when their machine gets SIGTERM. The node ends 3.3 s later, well before its grace of 6 s, and cuts the answers that it is still sending (LOST).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod held_answers;
 mod http;
 mod json;
+mod slow_stop;
 mod store;
 mod upstream;
 
@@ -108,6 +109,7 @@
         true => match case.as_str() {
             "held-answers" => held_answers::play(&deployment, trouble),
             "cut-answer" => cut_answer::play(&deployment, trouble),
+            "slow-stop" => slow_stop::play(&deployment, trouble),
             _ => Finding::Unfit(format!("no case {case}")),
         },
     };
