--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/standin/main.rs -o target/review/standin
+rustc --edition 2024 -O review/standin.rs -o target/review/standin
--- a/review/standin/held_answers.rs
+++ b/review/held_answers.rs
@@ -1,8 +1,8 @@
 //! Clients read large answers slowly, and the platform kills a node that holds more than its memory.
 
 use std::io::Read;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,7 @@
 const ENTRIES: [&str; 2] = ["side-a-2", "side-b-2"];
 
 /// Clients of such a machine.
-const CLIENTS: usize = 10;
+const CLIENTS: usize = 16;
 
 /// Requests that a client sends one behind the other on a connection.
 const PIPELINED: usize = 5;
@@ -36,21 +36,37 @@
 const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Bytes that a client reads in each step, and the time between two steps of a slow client. It reads
-/// 1.6 MB a second and needs 23 s for its five answers, less than its deadline of 30 s.
+/// 1.3 MB a second and needs half a minute for its five answers, half of its deadline.
 const STEP_BYTES: usize = 16 * 1024;
-const STEP_TIME: Duration = Duration::from_millis(10);
-
-fn serve(upstream: &Upstream, connection: &mut Connection, request: &Message) -> Next {
+const STEP_TIME: Duration = Duration::from_millis(12);
+
+/// Time of an upstream for each answer, one after the other: 49 MB a second, so that no machine's
+/// link carries more than half of its 1,000 Mbit a second.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
+fn serve(
+    upstream: &Upstream,
+    connection: &mut Connection,
+    request: &Message,
+    turn: &Mutex<()>,
+) -> Next {
     let id = request.header("request-id").unwrap_or_default().to_owned();
     upstream.ran.lock().unwrap().push(id.clone());
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{id}\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
     );
-    thread::sleep(Duration::from_millis(20));
-    match connection
+    let body = vec![b'a'; ANSWER_BYTES];
+    let _turn = turn.lock().unwrap();
+    if connection.has_closed() {
+        // Nobody waits for it any more.
+        return Next::Close;
+    }
+    let began = Instant::now();
+    let sent = connection
         .send(head.as_bytes())
-        .and_then(|()| connection.send(&vec![b'a'; ANSWER_BYTES]))
-    {
+        .and_then(|()| connection.send(&body));
+    thread::sleep(ANSWER_TIME.saturating_sub(began.elapsed()));
+    match sent {
         Ok(()) => Next::Keep,
         Err(_) => Next::Close,
     }
@@ -58,7 +74,17 @@
 
 pub fn play(deployment: &Deployment, trouble: bool) -> Finding {
     let record = &deployment.record;
-    let upstreams = deployment.start_upstreams(47, Arc::new(serve));
+    // Each upstream has a turn of its own; they are told apart by their zones.
+    let turns = [Mutex::new(()), Mutex::new(())];
+    let upstreams = deployment.start_upstreams(
+        47,
+        Arc::new(
+            move |upstream: &Upstream, connection: &mut Connection, request: &Message| {
+                let turn = &turns[usize::from(upstream.id.contains("-b-"))];
+                serve(upstream, connection, request, turn)
+            },
+        ),
+    );
     let over = AtomicBool::new(false);
     let counts: Vec<AtomicUsize> = ENTRIES.iter().map(|_| AtomicUsize::new(0)).collect();
     let (whole, lost) = (AtomicUsize::new(0), AtomicUsize::new(0));
@@ -177,10 +203,10 @@
     let mut connection = Connection::open(node.outbound).ok()?;
     let _ = connection
         .stream
-        .set_read_timeout(Some(Duration::from_secs(5)));
+        .set_read_timeout(Some(Duration::from_secs(30)));
     let request = |id: &String| {
         format!(
-            "GET /read/{id} HTTP/1.1\r\nHost: read.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 30000\r\n\r\n"
+            "GET /read/{id} HTTP/1.1\r\nHost: read.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 60000\r\n\r\n"
         )
     };
     let requests: String = ids.iter().map(request).collect();
--- a/review/standin/http.rs
+++ b/review/http.rs
@@ -113,6 +113,17 @@
         Ok(Some(message))
     }
 
+    /// Whether the other side has closed the connection.
+    pub fn has_closed(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let peeked = self.stream.peek(&mut [0; 1]);
+        let _ = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
