Take no reset for the end of an answer without a length

Cause: the node writes the rest of a long request while it reads the answer, and dropped the error of that write. A socket reports a reset once, to the next write or read. Where the write got it, the read looked like a regular end, which completes an answer without a length.

Evidence: on sockets alone, a write after a reset gets ECONNRESET and the read after it returns 0; a write after a regular end that a reset follows gets EPIPE.

Why it works: the error is kept, and any error but EPIPE truncates an answer without a length. With EPIPE the regular end came first, so the answer is whole.

--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -5,6 +5,7 @@
 //! byte of a request was sent nor handles an earlier answer to another request, and both decide
 //! whether a request may be sent again.
 
+use std::io;
 use std::sync::Arc;
 
 use anvil_core::{effect, event};
@@ -56,6 +57,7 @@
     parts: response::Parts,
     meaning: target::AnswerMeaning,
     body: Bytes,
+    framing: message::BodyFraming,
     keep_alive: message::KeepAlive,
 }
 
@@ -64,7 +66,9 @@
 enum WriteProgress {
     /// Bytes remain to be written.
     Open,
-    /// Writing failed.
+    /// Writing failed after the target had ended its side of the connection regularly.
+    Closed,
+    /// Writing failed for another reason, such as a reset, possibly in the middle of the answer.
     Broken,
     /// The request is written completely.
     Done,
@@ -74,6 +78,19 @@
     const fn from_done(done: bool) -> Self {
         if done { Self::Done } else { Self::Open }
     }
+
+    /// The progress after `error`.
+    ///
+    /// A socket reports a reset once, to the first write or read after it. If that was a write, the
+    /// next read looks like a regular end. The error of the write tells the two apart: it is
+    /// [`io::ErrorKind::BrokenPipe`] only if the regular end came before the reset. See
+    /// `docs/design/edges.md`, "Whole answers".
+    fn from_error(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::BrokenPipe => Self::Closed,
+            _ => Self::Broken,
+        }
+    }
 }
 
 /// Why there is no answer.
@@ -154,12 +171,21 @@
                 tokio::select! {
                     result = &mut written, if writing == WriteProgress::Open => {
                         // A target that stopped reading may still send its answer.
-                        writing = result.map_or(WriteProgress::Broken, |()| WriteProgress::Done);
+                        writing = match result {
+                            Ok(()) => WriteProgress::Done,
+                            Err(error) => WriteProgress::from_error(&error),
+                        };
                     }
                     read = &mut reading => break read,
                 }
             }
         };
+        let ended_by_close =
+            |answer: &ReadAnswer| answer.framing == message::BodyFraming::UntilClose;
+        if writing == WriteProgress::Broken && read.as_ref().is_ok_and(ended_by_close) {
+            log::debug!("the connection broke in an answer without a length");
+            return Err(ExchangeFault::Lost { in_answer: true });
+        }
         let unusable = writing != WriteProgress::Done || reader.has_excess_bytes();
         if let Some(answer) = read.as_mut().ok().filter(|_| unusable) {
             // The unwritten rest of the request, or the bytes after the answer, would corrupt the
@@ -212,6 +238,7 @@
             parts: head.parts,
             meaning,
             body: body.await?,
+            framing: head.framing,
             keep_alive: head.keep_alive,
         })
     }
