Apply no rules whose body ended early

No user reported it; it was found by looking for other places that take the end of a connection for the end of a message.

Cause: the admin endpoint's HTTP library gives out what it received when the connection ends, for a stated length as well as in a chunk, without an error. Evidence: rules cut by one byte reached the reducer, which answered "not applied: no platform store is configured".

The tests with_a_length and in_a_chunk failed before for that reason. between_chunks got 400 from the library and gets 411 now.

Why it works: the received bytes are compared with the stated length. A body in chunks is refused with 411 (RFC 9110, section 15.5.12), since nothing tells whether its last chunk came. anvilctl states a length.

--- a/crates/anvil_node/src/admin/server.rs
+++ b/crates/anvil_node/src/admin/server.rs
@@ -174,7 +174,20 @@
     }
 }
 
+/// Reads the whole body, or refuses it.
+///
+/// The HTTP library takes the end of the connection for the end of the body, even if the framing
+/// says that more follows. The first part of some rules is often valid rules too, so the length is
+/// checked here. Chunks are refused because the library does not say whether the last one arrived.
 fn body(request: &Request) -> Result<Vec<u8>, Response> {
+    if request.header("transfer-encoding").is_some() {
+        let detail = "the body must have a content-length in place of a transfer coding";
+        return Err(problem(411, detail));
+    }
+    let stated = request.header("content-length").unwrap_or("0");
+    let Ok(stated) = stated.parse::<u64>() else {
+        return Err(problem(400, "the content-length is not a number"));
+    };
     let mut bytes = Vec::new();
     let Some(data) = request.data() else {
         return Ok(bytes);
@@ -183,9 +196,14 @@
     if read.is_err() {
         return Err(problem(400, "the body broke off"));
     }
-    if bytes.len() as u64 > MAX_BODY_BYTES {
+    let received = bytes.len() as u64;
+    if received > MAX_BODY_BYTES {
         return Err(problem(413, "the body is above 4 MiB"));
     }
+    if received != stated {
+        let detail = format!("the body ended after {received} of {stated} bytes");
+        return Err(problem(400, &detail));
+    }
     Ok(bytes)
 }
 
--- a/crates/anvil_node/tests/admin_edge.rs
+++ b/crates/anvil_node/tests/admin_edge.rs
@@ -233,3 +233,36 @@
     start_of_token => (Some("Bearer open"), 401),
     longer_token => (Some("Bearer open-sesame2"), 401),
 }
+
+/// Rules whose first lines are valid rules as well, longer than what the server reads ahead.
+fn long_rules() -> String {
+    let rule = |number: usize| format!("- name: rule-{number}\n  then: {{retries: 1}}\n");
+    let rules: String = (0..100).map(rule).collect();
+    format!("rules:\n{rules}")
+}
+
+/// Sends the head of a change of the rules and a body that ends before its framing says so.
+fn post_cut_rules(pair: &common::Pair, framing: &str, body: &str) -> String {
+    let head = "POST /rules HTTP/1.1\r\nhost: x\r\nanvil-change: 1f\r\nanvil-base: 0\r\n";
+    let request = format!("{head}{framing}\r\n\r\n{body}");
+    let stream = common::raw(pair.node.bound().admin, request.as_bytes());
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    common::read_to_close(stream)
+}
+
+// Guards against a part of the rules that is applied because its sender's connection ended.
+fn check_cut_rules(framing: &str, body: &str, expected: &str) {
+    let pair = common::Pair::start("");
+    let answer = post_cut_rules(&pair, framing, body);
+    assert!(answer.starts_with(expected), "{answer}");
+    assert!(!answer.contains("not applied"), "{answer}");
+    pair.await_count(counters::EdgeCause::OperatorRefused, 1);
+    pair.assert_serving();
+}
+
+test_cases! {
+    check_cut_rules:
+    with_a_length => (&format!("content-length: {}", long_rules().len() + 1), &long_rules(), "HTTP/1.1 400 "),
+    in_a_chunk => ("transfer-encoding: chunked", &format!("{:x}\r\n{}", long_rules().len() + 1, long_rules()), "HTTP/1.1 411 "),
+    between_chunks => ("transfer-encoding: chunked", &format!("{:x}\r\n{}\r\n", long_rules().len(), long_rules()), "HTTP/1.1 411 "),
+}
