Take no shortened answer of the store for a whole one

A store whose connection ended in an answer left a node with a shortened value, a lease id with fewer digits, a write that counted as done, or an entry, a history or a lease that counted as gone. Not reported; found by looking for other places that take the end of a connection for the end of a message.

Cause: the HTTP client library returns a body that is shorter than its content-length without an error. Evidence: "content-length: 7" with one byte of a lease's id was granted as lease 1.

Why it works: anvil_http compares the received bytes with the stated length, and the outcome of a shorter body is unknown, which is never repeated blindly. It is a crate of its own, as the operators' command reads answers in the same way.

--- /dev/null
+++ b/crates/anvil_http/src/answer.rs
@@ -0,0 +1,56 @@
+//! Tells a whole answer from one whose connection ended early.
+
+use attohttpc::header;
+use derive_more::{Display, Error, From};
+
+/// Why there is no whole answer.
+#[derive(Debug, Display, Error, From)]
+pub enum AnswerError {
+    /// The call or its connection failed.
+    #[display("{_0}")]
+    Failed(attohttpc::Error),
+    /// The body's length differs from the stated one.
+    #[display("the body has {received} bytes in place of {stated:?}")]
+    #[from(skip)]
+    Shortened {
+        /// The value of the `content-length` header.
+        #[error(not(source))]
+        stated: header::HeaderValue,
+        /// Received bytes.
+        received: usize,
+    },
+}
+
+/// An answer whose body is complete as far as its framing tells.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// HTTP status.
+    pub status: attohttpc::StatusCode,
+    /// Header lines.
+    pub headers: header::HeaderMap,
+    /// The complete body.
+    pub body: Vec<u8>,
+}
+
+/// Reads the body of `response`, which is whole if it has the stated length.
+///
+/// The client library returns what it received without an error if the connection ends before the
+/// stated length. A body without a stated length or chunks is whole when its connection ends.
+pub fn read_whole(response: attohttpc::Response) -> Result<WholeAnswer, AnswerError> {
+    let (status, headers, reader) = response.split();
+    let body = reader.bytes()?;
+    let received = body.len();
+    let differs = |stated: &&header::HeaderValue| {
+        let stated = stated.to_str().ok().and_then(|text| text.parse().ok());
+        stated != Some(received)
+    };
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    if let Some(stated) = lengths.find(differs).cloned() {
+        return Err(AnswerError::Shortened { stated, received });
+    }
+    Ok(WholeAnswer {
+        status,
+        headers,
+        body,
+    })
+}
--- a/crates/anvil_store/src/http.rs
+++ b/crates/anvil_store/src/http.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use anvil_http::answer;
 use anvil_types::store;
 use attohttpc::header;
 use bytes::Bytes;
@@ -110,16 +111,15 @@
             return outcome_of_failure(error);
         }
     };
-    let (status, headers, body) = response.split();
-    let status = status.as_u16();
-    let body = match body.bytes() {
-        Ok(body) => body,
+    let status = response.status().as_u16();
+    let answer = match answer::read_whole(response) {
+        Ok(answer) => answer,
         Err(error) => {
             log::warn!("the store's answer with status {status} is incomplete: {error}");
             return store::StoreOutcome::Unknown;
         }
     };
-    read(status, &headers, body).unwrap_or_else(|| {
+    read(status, &answer.headers, answer.body).unwrap_or_else(|| {
         log::warn!("the store's answer with status {status} is not understood");
         store::StoreOutcome::Unknown
     })
