Show no shortened answer of a node as a whole one

Status and dump were shown as empty. Not reported; found by looking at each reader of HTTP.

Cause: the HTTP client library returns a body that is shorter than its content-length without an error.

The tests cut_rules, cut_status and cut_dump, each an answer cut at every byte, failed before at the first byte after the head with exit code 0 in place of 3.

Why it works: the answers are read through anvil_http, which compares the received bytes with the stated length. A shorter one counts as lost, so a change is looked up in the node's history as before.

--- a/crates/anvil_ctl/src/node.rs
+++ b/crates/anvil_ctl/src/node.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use anvil_http::answer;
 use anvil_types::ident;
 use attohttpc::RequestBuilder;
 use derive_more::{Display, Error};
@@ -65,7 +66,7 @@
         url: String,
         /// The cause.
         #[error(not(source))]
-        error: attohttpc::Error,
+        error: answer::AnswerError,
     },
 }
 
@@ -129,26 +130,33 @@
             .proxy_settings(attohttpc::ProxySettings::builder().build())
             .text(body);
         let response = request.send().map_err(|error| self.classify(error))?;
-        let revision = response.headers().get(REVISION_HEADER);
+        let answer = answer::read_whole(response).map_err(|error| self.lost(error))?;
+        let revision = answer.headers.get(REVISION_HEADER);
         let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
+        let text = String::from_utf8(answer.body).map_err(answer::AnswerError::from);
         Ok(NodeAnswer {
-            status: response.status().as_u16(),
+            status: answer.status.as_u16(),
             revision: revision.map(ident::RuleRevision),
-            text: response.text().map_err(|error| self.classify(error))?,
+            text: text.map_err(|error| self.lost(error))?,
         })
     }
 
     /// Only a refused connection proves that the node did not receive the request; any other error
     /// may have occurred after it did.
     fn classify(&self, error: attohttpc::Error) -> RequestError {
-        let url = self.url.clone();
         let refused = matches!(
             error.kind(),
             attohttpc::ErrorKind::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused
         );
         if refused {
+            let url = self.url.clone();
             return RequestError::Unreachable { url, error };
         }
+        self.lost(error.into())
+    }
+
+    fn lost(&self, error: answer::AnswerError) -> RequestError {
+        let url = self.url.clone();
         RequestError::Lost { url, error }
     }
 }
--- a/crates/anvil_ctl/tests/node_commands.rs
+++ b/crates/anvil_ctl/tests/node_commands.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use std::io::{Read, Write};
 use std::net::TcpListener;
+use std::thread;
 
 use anvil_testkit::test_cases;
 use common::{ScriptedAnswer, ScriptedNode, answer};
@@ -162,6 +164,43 @@
     assert!(report.err.starts_with(expected), "{}", report.err);
 }
 
+/// A node whose connections end after the first `length` bytes of `answer`; returns its URL.
+fn start_cut_node(answer: &str, length: usize) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let part = answer.as_bytes()[..length].to_vec();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a request");
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request).expect("a request");
+        stream.write_all(&part).expect("the command reads");
+    });
+    format!("http://{address}")
+}
+
+// Guards against a shortened answer that is shown as the node's whole rules or state.
+fn check_cut_answer(command: &str, body: &str) {
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nanvil-revision: 7\r\ncontent-length: {length}\r\n\r\n");
+    let answer = format!("{head}{body}");
+    for length in 0..answer.len() {
+        let url = start_cut_node(&answer, length);
+        let report = common::run(&format!("{command} --node {url} --timeout 3s"));
+        let received = &answer[..length];
+        assert_eq!(report.status.code(), 3, "{received:?}: {}", report.out);
+        assert_eq!(report.out, "", "{received:?}");
+    }
+    let url = start_cut_node(&answer, answer.len());
+    let report = common::run(&format!("{command} --node {url} --timeout 3s"));
+    assert_eq!(report.status.code(), 0, "{}", report.err);
+}
+
+test_cases! { check_cut_answer:
+    cut_rules => ("rules show", "rules:\n- {name: a, then: {retries: 1}}\n- {name: b, then: {retries: 2}}\n"),
+    cut_status => ("status", r#"{"node": "1f"}"#),
+    cut_dump => ("dump", r#"{"counters": {}}"#),
+}
+
 #[test]
 fn sends_the_token_from_the_file() {
     let node = ScriptedNode::start(vec![answer("GET", "/status", 200, "{}")]);
--- a/crates/anvil_http/src/answer.rs
+++ b/crates/anvil_http/src/answer.rs
@@ -19,6 +19,9 @@
         /// Received bytes.
         received: usize,
     },
+    /// The body is not text, although the caller expects text.
+    #[display("{_0}")]
+    NotText(std::string::FromUtf8Error),
 }
 
 /// An answer whose body is complete as far as its framing tells.
