Take a refusal for one though its body breaks off

A full target that refused a long request at once and closed its connection with the rest unread reset it. Callers got 502 (may have run) for a request that did not run, and one that must run at most once was not sent elsewhere. Not reported; found while looking at what the reset of an early answer means for refusals.

Cause: the head says "not run", but the outcome waited for a whole body as well, which is given to nobody.

Why it works: a whole head is enough for "not run" where the connection ends in the body; the connection is not used again. Bytes that are no valid body, and bodies that are too large, still mean "may have run".

--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -28,6 +28,16 @@
     Invalid,
 }
 
+impl AnswerMeaning {
+    /// Whether the head alone proves that the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::Refused | Self::Misdirected { .. } => true,
+            Self::Answer | Self::Unrelated | Self::Invalid => false,
+        }
+    }
+}
+
 /// Meaning of the end of the connection for a body without a stated length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseMeaning {
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -180,9 +180,10 @@
                 }
             }
         };
-        let ended_by_close =
-            |answer: &ReadAnswer| answer.framing == message::BodyFraming::UntilClose;
-        if writing == WriteProgress::Broken && read.as_ref().is_ok_and(ended_by_close) {
+        let needs_regular_end = |answer: &ReadAnswer| {
+            answer.framing == message::BodyFraming::UntilClose && !answer.meaning.is_not_run()
+        };
+        if writing == WriteProgress::Broken && read.as_ref().is_ok_and(needs_regular_end) {
             log::debug!("the connection broke in an answer without a length");
             return Err(ExchangeFault::Lost { in_answer: true });
         }
@@ -234,12 +235,20 @@
         let meaning = self.dialect.classify(run, &head.parts);
         let close_meaning = self.dialect.close_meaning();
         let body = reader.body(head.framing, close_meaning, codec::MAX_BODY_BYTES);
+        let (body, keep_alive) = match body.await {
+            Ok(body) => (body, head.keep_alive),
+            // The head alone proves that the request did not run, and its body reaches no caller.
+            Err(fault) if meaning.is_not_run() && fault.is_connection_end() => {
+                (Bytes::new(), message::KeepAlive::No)
+            }
+            Err(fault) => return Err(fault),
+        };
         Ok(ReadAnswer {
             parts: head.parts,
             meaning,
-            body: body.await?,
+            body,
             framing: head.framing,
-            keep_alive: head.keep_alive,
+            keep_alive,
         })
     }
 
