--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -207,3 +207,28 @@
         0
     );
 }
+
+// Guards against a request that is run with the part of its body that came before its caller left.
+fn check_cut_request(framing: &str, body: &str) {
+    let pair = common::Pair::start("");
+    let request = format!("POST /bids HTTP/1.1\r\nhost: audiencias\r\n{framing}\r\n\r\n{body}");
+    let stream = common::raw(pair.caller(), request.as_bytes());
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let answer = common::read_to_close(stream);
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer:?}");
+    pair.assert_serving();
+    assert_eq!(
+        pair.target.seen().len(),
+        1,
+        "only the check of assert_serving ran"
+    );
+}
+
+test_cases! {
+    check_cut_request:
+    cut_length => ("content-length: 9", "a bid"),
+    cut_before_the_body => ("content-length: 9", ""),
+    cut_chunk => ("transfer-encoding: chunked", "9\r\na bid"),
+    cut_between_chunks => ("transfer-encoding: chunked", "5\r\na bid\r\n"),
+    cut_before_the_last_line => ("transfer-encoding: chunked", "5\r\na bid\r\n0\r\n"),
+}
