Name the error of a wrong length for what it is

The comparison finds a difference in either direction, so the name says mismatch. Answers to HEAD, which no client here sends, are told in the doc comment.

--- a/crates/anvil_http/src/answer.rs
+++ b/crates/anvil_http/src/answer.rs
@@ -12,7 +12,7 @@
     /// The body's length differs from the stated one.
     #[display("the body has {received} bytes in place of {stated:?}")]
     #[from(skip)]
-    Shortened {
+    LengthMismatch {
         /// The value of the `content-length` header.
         #[error(not(source))]
         stated: header::HeaderValue,
@@ -38,7 +38,8 @@
 /// Reads the body of `response`, which is whole if it has the stated length.
 ///
 /// The client library returns what it received without an error if the connection ends before the
-/// stated length. A body without a stated length or chunks is whole when its connection ends.
+/// stated length. A body without a stated length or chunks is whole when its connection ends. An
+/// answer to `HEAD` states the length of a body that it doesn't have, and is a mismatch here.
 pub fn read_whole(response: attohttpc::Response) -> Result<WholeAnswer, AnswerError> {
     let (status, headers, reader) = response.split();
     let body = reader.bytes()?;
@@ -49,7 +50,7 @@
     };
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
     if let Some(stated) = lengths.find(differs).cloned() {
-        return Err(AnswerError::Shortened { stated, received });
+        return Err(AnswerError::LengthMismatch { stated, received });
     }
     Ok(WholeAnswer {
         status,
