--- a/crates/anvil_store/tests/cut_answers.rs
+++ b/crates/anvil_store/tests/cut_answers.rs
@@ -52,12 +52,13 @@
     }
 }
 
-/// Sends the first `length` bytes of `answer` to each request and closes its connection regularly.
-fn start_store(answer: String, lengths: std::ops::RangeInclusive<usize>) -> SocketAddr {
+/// Answers the first request with no byte of `answer`, each further one with one byte more, and
+/// closes each connection regularly.
+fn start_store(answer: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
-        for length in lengths {
+        for length in 0..=answer.len() {
             let (mut stream, _) = listener.accept().unwrap();
             read_request(&mut stream);
             stream.write_all(&answer.as_bytes()[..length]).unwrap();
@@ -66,11 +67,13 @@
     address
 }
 
+/// Reads a whole request, since a socket that is closed with unread bytes resets its connection.
 fn read_request(stream: &mut TcpStream) {
     let mut request = Vec::new();
     loop {
         let mut part = [0; 1_024];
         let read = stream.read(&mut part).unwrap();
+        assert!(read > 0, "the client closed in its request");
         request.extend_from_slice(&part[..read]);
         let text = String::from_utf8_lossy(&request);
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
@@ -93,9 +96,8 @@
         "HTTP/1.1 200 OK\r\n{head}content-length: {}\r\n\r\n{body}",
         body.len()
     );
-    let whole = answer.len();
-    let store = HttpStore::new(vec![start_store(answer.clone(), 0..=whole)]);
-    for length in 0..whole {
+    let store = HttpStore::new(vec![start_store(answer.clone())]);
+    for length in 0..answer.len() {
         let outcome = store.carry_out(request);
         let received = &answer[..length];
         assert_eq!(outcome, StoreOutcome::Unknown, "{received:?}");
