--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -236,9 +236,33 @@
         };
         self.overload.crashed = true;
         self.counters.targets_crashed += 1;
+        self.report(effect::StateChange::TargetCrashed {
+            sequence: notice.crash.sequence,
+            suspects: notice.suspects.clone(),
+        });
+        self.report_quarantined();
         self.broadcast_suspicion(&notice);
     }
 
+    /// Handles the notice of a crash at another node.
+    pub(crate) fn crash_heard(&mut self, notice: &suspicion::SuspicionNotice) {
+        let is_new = self.overload.poison.apply_notice(self.now, notice);
+        self.counters.crashes_heard += u64::from(is_new);
+        self.report(effect::StateChange::CrashHeard {
+            crash: notice.crash,
+            suspects: notice.suspects.len(),
+            repeated: !is_new,
+        });
+        self.report_quarantined();
+    }
+
+    pub(crate) fn report_quarantined(&mut self) {
+        for request in self.overload.poison.take_quarantined() {
+            self.counters.requests_quarantined += 1;
+            self.report(effect::StateChange::RequestQuarantined { request });
+        }
+    }
+
     pub(crate) fn broadcast_suspicion(&mut self, notice: &suspicion::SuspicionNotice) {
         if !self.overload.policy.quarantine {
             return;
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -41,6 +41,12 @@
     pub messages_ignored: u64,
     /// Crashes of the local target, detected by broken runs.
     pub targets_crashed: u64,
+    /// Notices of crashes at other nodes that were not known yet.
+    pub crashes_heard: u64,
+    /// Requests that this node began to refuse because targets had crashed while they ran them.
+    pub requests_quarantined: u64,
+    /// Calls and runs refused because their request is quarantined.
+    pub calls_quarantined: u64,
     /// Retries that the retry ratio did not allow.
     pub retries_over_ratio: u64,
     /// Retries after a target's refusal that were not made because their request would probably
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_overload::quarantine;
 use anvil_types::{ident, name, rate, store, treatment, verdict};
-use anvil_wire::{call, frame, gossip};
+use anvil_wire::{call, frame, gossip, suspicion};
 use derive_more::Display;
 use serde::Serialize;
 
@@ -102,6 +103,31 @@
         /// The node that had passed on such an answer, if this node learned of it from there.
         told_by: Option<String>,
     },
+    /// The local target crashed while it ran these requests.
+    #[display("target crashed: sequence={sequence} suspects={}", suspects.len())]
+    TargetCrashed {
+        /// The number of the crash at this node.
+        sequence: u64,
+        /// The requests that each get a strike.
+        suspects: Vec<suspicion::SuspectRequest>,
+    },
+    /// Another node reported the crash of its target, or the loss of a node.
+    #[display("crash heard: node={} suspects={suspects}", crash.node)]
+    CrashHeard {
+        /// The crash.
+        crash: suspicion::CrashId,
+        /// Number of requests that each get a strike.
+        suspects: usize,
+        /// Whether it was already known.
+        repeated: bool,
+    },
+    /// A request is refused from now on because targets crashed while they ran it.
+    #[display("request quarantined: crashes={}", request.crashes)]
+    RequestQuarantined {
+        /// The request.
+        #[serde(flatten)]
+        request: quarantine::QuarantinedRequest,
+    },
     /// A message of the target was ignored because it was outdated or named an unknown service.
     #[display(
         "announcement ignored: incarnation={incarnation} sequence={sequence} standing={status}"
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -209,6 +209,8 @@
         json!({
             "joined": self.fleet.joined(),
             "rules_compared": self.fleet.is_ready(),
+            "watches_rules": self.fleet.watches_rules(),
+            "rules_confirmed_micros": self.fleet.rules_confirmed_at(),
             "members": self.fleet.table().live(),
             "remembered_gone": self.fleet.table().tombstones(),
             "suspects": suspects,
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -187,6 +187,8 @@
         rule: treatment::RuleReference,
         cause: RefusalCause,
     ) {
+        let is_quarantined = cause.reason == verdict::RefusalReason::Quarantined;
+        self.counters.calls_quarantined += u64::from(is_quarantined);
         self.overload.refusals.push(refusal::RefusalRecord {
             at: self.now,
             request: context.request,
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -285,9 +285,7 @@
                 self.attempt_cancelled(outcome::AttemptId { call, attempt });
             }
             frame::PeerFrame::Outcome(message) => self.outcome_message_arrived(peer, *message),
-            frame::PeerFrame::Suspicion(notice) => {
-                self.overload.poison.apply_notice(self.now, &notice);
-            }
+            frame::PeerFrame::Suspicion(notice) => self.crash_heard(&notice),
             frame::PeerFrame::Key(frame) => self.key_arrived(peer, *frame),
             frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
             // The connection itself answers these.
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -107,6 +107,7 @@
             .overload
             .poison
             .peer_lost(now, peer, &service, &fingerprints);
+        self.report_quarantined();
         self.broadcast_suspicion(&notice);
     }
 
--- a/crates/anvil_membership/src/effect.rs
+++ b/crates/anvil_membership/src/effect.rs
@@ -68,6 +68,26 @@
         /// The revision held.
         revision: ident::RuleRevision,
     },
+    /// This node began or ceased to watch the rule document in the store.
+    #[display("watches rules: {watching}")]
+    RuleWatch {
+        /// Whether it watches now; otherwise it polls.
+        watching: bool,
+    },
+    /// The store stopped answering this node's requests about the rules.
+    #[display("rules unconfirmed: revision={revision}")]
+    RulesUnconfirmed {
+        /// The revision held.
+        revision: ident::RuleRevision,
+    },
+    /// The store answers requests about the rules again.
+    #[display("rules confirmed: revision={revision} after_millis={millis}")]
+    RulesConfirmed {
+        /// The revision held.
+        revision: ident::RuleRevision,
+        /// Time since the answer before the failures, in milliseconds.
+        millis: u64,
+    },
     /// This process was paused.
     #[display("paused: millis={millis}")]
     Paused {
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -221,6 +221,7 @@
             self.apply_changes(&changes, out)
         };
         self.rules.watch_at = now;
+        self.rules_confirmed(now, out);
         self.schedule_poll(now);
         if purpose == store_requests::RequestPurpose::WatchLog {
             self.rules.seen = self.rules.seen.max(*seen);
@@ -264,6 +265,11 @@
             && self.rules.is_watcher
     }
 
+    /// When the store last answered a request of this node about the rules.
+    pub fn rules_confirmed_at(&self) -> time::NodeTime {
+        self.rules.polled_at
+    }
+
     /// When the next watch or poll is due.
     fn next_watch_at(&self) -> time::NodeTime {
         let rules = &self.rules;
@@ -281,7 +287,7 @@
     /// Every node computes the same order, so no agreement is needed, and the next node replaces a
     /// suspect one. A starting node waits first, since without known members it would always choose
     /// itself.
-    fn choose_watchers(&mut self, now: time::NodeTime) {
+    fn choose_watchers(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if !self.roster.is_compared() && now < self.rules.watcher_choice_at {
             return;
         }
@@ -291,9 +297,25 @@
                 && m.facts.zone == self.zone
                 && !m.facts.leaving
         });
-        self.rules.is_watcher = before.take(spread::DOCUMENT_WATCHERS).count()
-            < spread::DOCUMENT_WATCHERS
+        let watching = before.take(spread::DOCUMENT_WATCHERS).count() < spread::DOCUMENT_WATCHERS
             && !self.is_leaving();
+        if std::mem::replace(&mut self.rules.is_watcher, watching) != watching {
+            out.push(effect::FleetEffect::Report(
+                effect::FleetReport::RuleWatch { watching },
+            ));
+        }
+    }
+
+    /// Records that the store answered a request about the rules.
+    fn rules_confirmed(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
+        if std::mem::take(&mut self.rules.is_unconfirmed) {
+            let since = now.since(self.rules.polled_at).as_millis();
+            let report = effect::FleetReport::RulesConfirmed {
+                revision: self.revision(),
+                millis: u64::try_from(since).unwrap_or(u64::MAX),
+            };
+            out.push(effect::FleetEffect::Report(report));
+        }
     }
 
     /// Draws the interval to the next poll of a node that is not a watcher.
@@ -330,6 +352,12 @@
             self.request_lease_checks(now, out);
             return;
         }
+        if !std::mem::replace(&mut self.rules.is_unconfirmed, true) {
+            let revision = self.revision();
+            out.push(effect::FleetEffect::Report(
+                effect::FleetReport::RulesUnconfirmed { revision },
+            ));
+        }
         let pause = self.rules.backoff.next_pause(self.choice.any());
         if purpose == store_requests::RequestPurpose::WatchLog {
             self.rules.watch_at = now + pause;
@@ -439,7 +467,7 @@
 
     fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if self.config.document.is_some() {
-            self.choose_watchers(now);
+            self.choose_watchers(now, out);
         }
         if !self.may_watch() || self.next_watch_at() > now {
             return;
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -132,6 +132,8 @@
     pub watcher_choice_at: time::NodeTime,
     /// When this node last received a reply about the document or the log.
     pub polled_at: time::NodeTime,
+    /// Whether the last request about the document or the log failed.
+    pub is_unconfirmed: bool,
     /// Time between polls of a node that is not a watcher, per live member.
     pub poll_interval: Duration,
     /// The version of the store up to which the log or the document is known.
@@ -162,6 +164,7 @@
             is_watcher: true,
             watcher_choice_at: now + STORE_READ_DELAY,
             polled_at: now,
+            is_unconfirmed: false,
             poll_interval: DOCUMENT_POLL_INTERVAL,
             seen: store::StoreVersion::default(),
             backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -128,6 +128,17 @@
     }
 }
 
+/// A request that has just been quarantined, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct QuarantinedRequest {
+    /// Identifies the request.
+    pub fingerprint: ident::RequestFingerprint,
+    /// Crashes during which it was running.
+    pub crashes: u8,
+    /// The last of them.
+    pub last: suspicion::CrashId,
+}
+
 /// Requests that were running when targets crashed.
 #[derive(Clone, Debug, Serialize)]
 pub struct PoisonList {
@@ -142,6 +153,9 @@
     known_crashes: VecDeque<suspicion::CrashId>,
     #[serde(skip)]
     answered_fingerprints: AnsweredFingerprints,
+    /// Requests that were quarantined and not taken by [`take_quarantined`](Self::take_quarantined).
+    #[serde(skip)]
+    quarantined: Vec<QuarantinedRequest>,
     #[serde(skip)]
     policy: policy::OverloadPolicy,
 }
@@ -157,6 +171,7 @@
             suspects: Vec::new(),
             known_crashes: VecDeque::new(),
             answered_fingerprints: AnsweredFingerprints::default(),
+            quarantined: Vec::new(),
             policy,
         }
     }
@@ -324,6 +339,11 @@
         true
     }
 
+    /// Takes the requests that were quarantined since the last call.
+    pub fn take_quarantined(&mut self) -> Vec<QuarantinedRequest> {
+        std::mem::take(&mut self.quarantined)
+    }
+
     /// Number of suspects and quarantined requests.
     pub fn len(&self) -> usize {
         self.suspects.len()
@@ -401,7 +421,12 @@
         }
         self.known_crashes.push_back(notice.crash);
         for suspect_request in &notice.suspects {
+            let fingerprint = suspect_request.fingerprint;
+            let known = self.is_over_limit(fingerprint);
             self.add_strike(now, notice.crash, suspect_request);
+            if !known && self.is_over_limit(fingerprint) {
+                self.record_quarantined(fingerprint);
+            }
         }
     }
 
@@ -464,6 +489,23 @@
         self.suspects.insert(index, suspect);
     }
 
+    fn is_over_limit(&self, fingerprint: ident::RequestFingerprint) -> bool {
+        self.find(fingerprint)
+            .is_some_and(SuspectFingerprint::exceeds_limit)
+    }
+
+    fn record_quarantined(&mut self, fingerprint: ident::RequestFingerprint) {
+        let Some(suspect) = self.find(fingerprint) else {
+            return;
+        };
+        let quarantined = QuarantinedRequest {
+            fingerprint,
+            crashes: suspect.strikes,
+            last: suspect.crash,
+        };
+        self.quarantined.push(quarantined);
+    }
+
     fn take(&mut self, run: u64) -> Option<RunningFingerprint> {
         let index = self.running.binary_search_by_key(&run, |known| known.run);
         Some(self.running.remove(index.ok()?))
