--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -49,6 +49,9 @@
     pub loss_percent: usize,
     /// Regions that are partitioned from the others.
     pub cut: Vec<usize>,
+    /// The side of a partition of each node in it; the others are on side 0. Each side reaches the
+    /// store.
+    pub sides: BTreeMap<usize, usize>,
     pub choice: random::ChoiceSource,
     pub store: fake::FakeStore<(usize, store::StoreId)>,
     /// Regions from which the store is unavailable.
@@ -115,6 +118,7 @@
             nodes: Vec::new(),
             loss_percent: 0,
             cut: Vec::new(),
+            sides: BTreeMap::new(),
             choice: random::ChoiceSource::new(seed),
             store: fake::FakeStore::new(seed),
             store_cut: Vec::new(),
@@ -454,6 +458,9 @@
         if across && regions.iter().any(|r| self.cut.contains(r)) {
             return;
         }
+        if self.sides.get(&from) != self.sides.get(&receiver) {
+            return;
+        }
         let delay = if across {
             CROSS_REGION_DELAY
         } else {
--- a/crates/anvil_membership/tests/store_calls.rs
+++ b/crates/anvil_membership/tests/store_calls.rs
@@ -53,7 +53,11 @@
 }
 
 fn fleet(size: usize) -> Net {
-    let mut net = Net::new(7);
+    fleet_with_seed(size, 7)
+}
+
+fn fleet_with_seed(size: usize, seed: u64) -> Net {
+    let mut net = Net::new(seed);
     write(&mut net, 2);
     for slot in 0..size {
         add(&mut net, slot);
@@ -187,3 +191,49 @@
         assert_in_force(&mut net, 3 + round as u64, IN_FORCE_LIMIT);
     }
 }
+
+// A part of the nodes loses its paths to the others while the store still serves it, and a change
+// is made `after` that. No node of that part is a watcher, and no peer can tell it of the change.
+fn a_change_reaches_every_side_of_a_partition(side_size: usize, after: Duration) {
+    for seed in 1..=8 {
+        let mut net = fleet_with_seed(80, seed);
+        let watching = watchers(&net);
+        let others = (0..net.nodes.len()).filter(|index| !watching.contains(index));
+        let cut: Vec<usize> = others.take(12).collect();
+        let sides = cut.iter().enumerate();
+        net.sides = sides
+            .map(|(place, node)| (*node, 1 + place / side_size))
+            .collect();
+        net.run(after);
+        assert_in_force(&mut net, 3, IN_FORCE_LIMIT);
+    }
+}
+
+test_cases! {
+    a_change_reaches_every_side_of_a_partition:
+    sides_of_one_node_at_once => (1, Duration::from_millis(10)),
+    sides_of_one_node_after_a_second => (1, Duration::from_secs(1)),
+    sides_of_one_node_after_three_seconds => (1, Duration::from_secs(3)),
+    sides_of_one_node_after_eight_seconds => (1, Duration::from_secs(8)),
+    sides_of_four_nodes_after_three_seconds => (4, Duration::from_secs(3)),
+    sides_of_twelve_nodes_after_three_seconds => (12, Duration::from_secs(3)),
+}
+
+// All watchers crash at once and a change is made `after` that, before membership has replaced them.
+fn a_change_is_in_force_in_time_without_watchers(size: usize, after: Duration) {
+    for seed in 1..=8 {
+        let mut net = fleet_with_seed(size, seed);
+        for index in watchers(&net) {
+            net.crash(index);
+        }
+        net.run(after);
+        assert_in_force(&mut net, 3, IN_FORCE_LIMIT);
+    }
+}
+
+test_cases! {
+    a_change_is_in_force_in_time_without_watchers:
+    forty_eight_nodes_without_watchers_at_once => (48, Duration::from_millis(10)),
+    eighty_nodes_without_watchers_at_once => (80, Duration::from_millis(10)),
+    eighty_nodes_without_watchers_after_a_second => (80, Duration::from_secs(1)),
+}
