Play requests that crash their targets while nodes come and go

Under one request three targets end and it goes on reaching others. Three are allowed.

Three more ways by themselves: a whole answer that is read after the first broken connection hides the crash, a 500 ends the quarantine, and a request that waits is started though it is quarantined meanwhile.

The simulated targets of rate_fleet count a request as run only if the target runs it: one that answers misdirected, or is down, does not.

--- /dev/null
+++ b/crates/anvil_core/tests/poison.rs
@@ -0,0 +1,93 @@
+//! Requests that crash their targets, while nodes come, go and lose messages.
+
+#[path = "rate_fleet/mod.rs"]
+mod rate_fleet;
+
+use std::time::Duration;
+
+use anvil_testkit::test_cases;
+use rate_fleet::{FleetPlan, PoisonPlan, RateFleet, Script};
+
+/// Number of seeds of each case.
+const SEEDS: u64 = 4;
+
+/// Seconds of traffic of each case.
+const SECONDS: u64 = 30;
+
+fn poison(path: &'static str) -> PoisonPlan {
+    PoisonPlan {
+        path,
+        gap: Duration::from_millis(250),
+        first: 1.0,
+    }
+}
+
+fn plan(demand: f64, script: Vec<(f64, usize, Script)>) -> FleetPlan {
+    FleetPlan {
+        nodes: 16,
+        targets: 8,
+        demand,
+        seconds: SECONDS,
+        poison: Some(poison("/poison/1")),
+        script,
+        ..FleetPlan::default()
+    }
+}
+
+/// Kills all nodes with a target in turn, from `first` seconds on.
+fn rolling_kills(first: f64) -> Vec<(f64, usize, Script)> {
+    let kills = (0..24_u8).map(|round| {
+        let at = first + f64::from(round);
+        (at, usize::from(round % 8), Script::KillNode)
+    });
+    kills.collect()
+}
+
+/// Cuts the frames of four nodes while the first crashes are told.
+fn lost_notices() -> Vec<(f64, usize, Script)> {
+    let cut = (0..4).map(|node| (0.9, node, Script::LoseFrames(true)));
+    let healed = (0..4).map(|node| (8.0, node, Script::LoseFrames(false)));
+    cut.chain(healed).collect()
+}
+
+/// Sends another poisonous request in a fleet with two services.
+fn with_two_services(path: &'static str, plan: FleetPlan) -> FleetPlan {
+    FleetPlan {
+        poison: Some(poison(path)),
+        second_service: true,
+        ..plan
+    }
+}
+
+// A request crashes each target that runs it and is sent again at any node. After the third crash
+// it reaches targets at most three times more, whatever nodes start, miss messages or change.
+fn poison_is_stopped(plan: &FleetPlan) {
+    for seed in 1..=SEEDS {
+        let plan = FleetPlan {
+            seed,
+            ..plan.clone()
+        };
+        let report = RateFleet::play(plan);
+        let violations = report.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert!(!report.poisoned.is_empty(), "seed {seed}");
+    }
+}
+
+test_cases! {
+    poison_is_stopped:
+    poison_in_an_idle_fleet => (&plan(4.0, Vec::new())),
+    poison_in_a_calm_fleet => (&plan(60.0, Vec::new())),
+    poison_beside_a_busy_fleet => (&plan(300.0, Vec::new())),
+    poison_while_nodes_are_killed_in_turn => (&plan(60.0, rolling_kills(4.0))),
+    poison_while_nodes_are_killed_from_the_first_crash_on => (&plan(60.0, rolling_kills(1.0))),
+    poison_whose_notices_are_lost => (&plan(60.0, lost_notices())),
+    poison_on_a_route_to_two_services => (&with_two_services("/poison/2", plan(60.0, Vec::new()))),
+    poison_on_a_route_to_two_services_while_nodes_are_killed => (
+        &with_two_services("/poison/2", plan(60.0, rolling_kills(4.0)))),
+    poison_on_a_route_to_two_services_in_an_idle_fleet => (
+        &with_two_services("/poison/2", plan(4.0, Vec::new()))),
+    poison_on_a_route_that_moves_to_another_service => (
+        &with_two_services("/poison/3", plan(4.0, vec![(8.0, 0, Script::MoveRoute)]))),
+    poison_while_all_nodes_are_killed => (&plan(60.0, vec![(8.0, 0, Script::KillAll)])),
+}
--- /dev/null
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -0,0 +1,96 @@
+//! Which requests a node refuses because targets crashed while they ran them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use anvil_core::{event, reducer};
+use anvil_types::{ident, verdict};
+use anvil_wire::{call, frame, suspicion};
+
+use support::{PEER, answer, answered, arrival, at, peer_call, replies, sent_calls, started};
+
+const QUARANTINED: verdict::CallVerdict =
+    verdict::CallVerdict::NotRun(verdict::RefusalReason::Quarantined);
+
+/// Tells `node` of crashes of other targets until it quarantines the request.
+fn quarantine(
+    node: &mut reducer::NodeReducer,
+    millis: u64,
+    fingerprint: ident::RequestFingerprint,
+) {
+    for crash in 0..4 {
+        let notice = suspicion::SuspicionNotice {
+            crash: suspicion::CrashId {
+                node: ident::NodeId(20 + crash),
+                sequence: 1,
+            },
+            service: support::service(),
+            suspects: vec![suspicion::SuspectRequest {
+                fingerprint,
+                alone: false,
+                crash_limit: 2,
+                quarantine_seconds: 600,
+            }],
+        };
+        let frame = frame::PeerFrame::Suspicion(Box::new(notice));
+        node.step(
+            at(millis),
+            event::NodeEvent::FrameArrived { peer: PEER, frame },
+        );
+    }
+}
+
+// A target that fails requests without running them answers one that crashes its targets. The
+// request stays quarantined, as the failure proves nothing.
+#[test]
+fn a_failure_ends_no_quarantine() {
+    let mut node = support::entry_node();
+    support::add_peer(&mut node, PEER);
+    let effects = node.step(at(1), arrival(1, "GET"));
+    let (peer, sent) = sent_calls(&effects).remove(0);
+    quarantine(&mut node, 2, sent.context.fingerprint);
+    let event::NodeEvent::FrameArrived {
+        peer,
+        frame: frame::PeerFrame::Answer(mut failure),
+    } = answer(peer, &sent, verdict::CallVerdict::Answered)
+    else {
+        unreachable!("the helper returns an answer");
+    };
+    failure.answer = Some(call::CallAnswer {
+        status: 500,
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    });
+    let frame = frame::PeerFrame::Answer(failure);
+    node.step(at(3), event::NodeEvent::FrameArrived { peer, frame });
+    let effects = node.step(at(4), arrival(2, "GET"));
+    assert_eq!(replies(&effects), [(2, QUARANTINED)]);
+}
+
+// A request waits in the queue of a target while it is quarantined. It is refused when its turn
+// comes.
+#[test]
+fn a_queued_request_that_is_quarantined_is_not_started() {
+    let mut node = support::target_node(1);
+    let effects = node.step(at(1), peer_call(1, true));
+    let first = started(&effects)[0];
+    let effects = node.step(at(2), peer_call(2, true));
+    assert!(started(&effects).is_empty(), "the second one waits");
+    quarantine(&mut node, 3, ident::RequestFingerprint(2));
+    let ended = event::NodeEvent::RunEnded {
+        run: first,
+        outcome: answered(),
+        statement: None,
+    };
+    let effects = node.step(at(4), ended);
+    assert!(started(&effects).is_empty());
+    let refused = effects.iter().any(|effect| match effect {
+        anvil_core::effect::NodeEffect::SendFrame {
+            frame: frame::PeerFrame::Answer(answer),
+            ..
+        } => answer.verdict == QUARANTINED,
+        _ => false,
+    });
+    assert!(refused);
+}
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -1,4 +1,4 @@
-//! A simulated fleet whose targets name rates and leave, in injected time.
+//! A simulated fleet whose targets name rates, leave and crash, in injected time.
 //!
 //! Each node has a target beside it. Nodes find each other by gossip, restart while their targets
 //! keep running, and get requests of their own callers. The targets record what reaches them.
@@ -44,7 +44,18 @@
 /// Time within which requests for a leaving target end.
 const DRAIN: Duration = Duration::from_millis(2_000);
 
+/// How long a target runs a poisonous request before it crashes, and how long it is down then.
+const POISON_WORK: Duration = Duration::from_millis(5);
+const CRASH_TIME: Duration = Duration::from_secs(2);
+
+/// A request may reach targets so often later than [`STABILITY_WINDOW`] after it has crashed the
+/// third one.
+const MAX_LATE_POISON: usize = 3;
+
 const RULES: &str = "rules:
+  - {name: first, when: {path: '/poison/1'}, then: {idempotent: true, retries: 3, attempts: 3, objective: 1500ms, deadline: 5s}}
+  - {name: split, when: {path: '/poison/2'}, then: {idempotent: false, objective: 1500ms, deadline: 5s, send-to: [{service: catalogue, weight: 50}, {service: awards, weight: 50}]}}
+  - {name: moved, when: {path: '/poison/3'}, then: {idempotent: false, objective: 1500ms, deadline: 5s, send-to: catalogue}}
   - {name: bid, when: {path: '/bid/**'}, then: {class: critical, idempotent: false, retries: 3, attempts: 3, objective: 1500ms, deadline: 5s, queue-wait: 2500ms}}
   - {name: browse, when: {}, then: {class: normal, idempotent: true, retries: 3, attempts: 3, objective: 1500ms, deadline: 5s, queue-wait: 2500ms}}
 ";
@@ -64,6 +75,22 @@
     KillNode,
     /// Its node's process gets no processor time for so long.
     Freeze(Duration),
+    /// Frames from and to its node are lost from now on, or no longer.
+    LoseFrames(bool),
+    /// All nodes adopt rules that send the third poisonous request to the second service.
+    MoveRoute,
+    /// All nodes are killed at once.
+    KillAll,
+}
+
+/// A request that crashes its targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoisonPlan {
+    pub(crate) path: &'static str,
+    /// The pause between two copies.
+    pub(crate) gap: Duration,
+    /// When it is sent first, in seconds after the start of traffic.
+    pub(crate) first: f64,
 }
 
 /// The size of a fleet and its load.
@@ -80,6 +107,10 @@
     pub(crate) work: Duration,
     pub(crate) seconds: u64,
     pub(crate) policy: policy::OverloadPolicy,
+    /// A request that crashes each target that runs it, sent again and again at random nodes.
+    pub(crate) poison: Option<PoisonPlan>,
+    /// Whether the targets at odd nodes offer a second service.
+    pub(crate) second_service: bool,
     /// Times in seconds after the start of traffic, each with a node and what happens there.
     pub(crate) script: Vec<(f64, usize, Script)>,
 }
@@ -97,6 +128,8 @@
                 adaptive_limit: false,
                 ..variant::POLICY
             },
+            poison: None,
+            second_service: false,
             script: Vec::new(),
         }
     }
@@ -138,6 +171,7 @@
     generation: u64,
     wake: Option<time::NodeTime>,
     frozen_until: time::NodeTime,
+    loses_frames: bool,
     target: Option<SimTarget>,
     passed_on: Vec<PassedOn>,
 }
@@ -161,6 +195,9 @@
     Script(usize, Script),
     Start(usize),
     RunDone(usize, u64, u32, event::RunId),
+    Poison,
+    Crash(usize, u32),
+    Recover(usize, u32),
 }
 
 /// What callers and targets saw.
@@ -178,6 +215,8 @@
     pub(crate) last_arrivals: Vec<usize>,
     /// Calls that nodes refused because of a named rate.
     pub(crate) rate_refusals: u64,
+    /// When the poisonous request reached a target, in seconds after the start of traffic.
+    pub(crate) poisoned: Vec<f64>,
 }
 
 impl FleetReport {
@@ -196,6 +235,19 @@
     sent: Vec<Sent>,
     violations: Vec<String>,
     rate_refusals: u64,
+    poisoned: Vec<time::NodeTime>,
+    crashes: Vec<time::NodeTime>,
+    revision: u64,
+}
+
+/// Puts a revision of the rules in force; the second one moves a route.
+fn adopt_rules(reducer: &mut reducer::NodeReducer, revision: u64) {
+    let text = match revision {
+        1 => RULES.to_owned(),
+        _ => RULES.replace("send-to: catalogue}", "send-to: awards}"),
+    };
+    let document = parse::parse_rules("rules.yaml", &text).unwrap();
+    reducer.adopt_rules(ident::RuleRevision(revision), document);
 }
 
 fn address(node: usize) -> SocketAddr {
@@ -246,6 +298,9 @@
             sent: Vec::new(),
             violations: Vec::new(),
             rate_refusals: 0,
+            poisoned: Vec::new(),
+            crashes: Vec::new(),
+            revision: 1,
             plan,
         };
         for index in 0..fleet.plan.nodes {
@@ -256,6 +311,7 @@
                 generation: 0,
                 wake: None,
                 frozen_until: time::NodeTime::START,
+                loses_frames: false,
                 target: has_target.then(|| SimTarget::new(1)),
                 passed_on: Vec::new(),
             });
@@ -264,6 +320,10 @@
             fleet.schedule(spread, SimEvent::Heartbeat(index));
         }
         fleet.schedule(TRAFFIC_START, SimEvent::Request);
+        if let Some(poison) = fleet.plan.poison {
+            let first = TRAFFIC_START + Duration::from_secs_f64(poison.first);
+            fleet.schedule(first, SimEvent::Poison);
+        }
         for (after, node, script) in fleet.plan.script.clone() {
             let after = TRAFFIC_START + Duration::from_secs_f64(after);
             fleet.schedule(after, SimEvent::Script(node, script));
@@ -301,6 +361,12 @@
             SimEvent::RunDone(node, generation, incarnation, run) => {
                 self.run_done(node, generation, incarnation, run);
             }
+            SimEvent::Poison => self.send_poison(),
+            SimEvent::Crash(node, incarnation) => self.crash_target(node, incarnation),
+            SimEvent::Recover(node, incarnation) => {
+                self.nodes[node].target = Some(SimTarget::new(incarnation));
+                self.announce(node);
+            }
         }
     }
 
@@ -321,21 +387,32 @@
         };
         let seed = self.plan.seed * 1_000_000 + node.id.0;
         let mut reducer = reducer::NodeReducer::with_policy(config, seed, self.plan.policy);
-        let document = parse::parse_rules("rules.yaml", RULES).unwrap();
-        reducer.adopt_rules(ident::RuleRevision(1), document);
+        adopt_rules(&mut reducer, self.revision);
         node.reducer = Some(reducer);
         node.wake = None;
         self.step(index, event::NodeEvent::TimerFired);
     }
 
+    fn service_of(&self, index: usize) -> name::ServiceName {
+        if self.plan.second_service && index % 2 == 1 {
+            return name::ServiceName::new("awards").unwrap();
+        }
+        service()
+    }
+
     fn send_heartbeat(&mut self, index: usize) {
         self.schedule(HEARTBEAT, SimEvent::Heartbeat(index));
+        self.announce(index);
+    }
+
+    fn announce(&mut self, index: usize) {
+        let service = self.service_of(index);
         let Some(target) = &mut self.nodes[index].target else {
             return;
         };
         target.sequence += 1;
         let announcement = event::TargetAnnouncement {
-            service: service(),
+            service,
             address: address(index),
             slots: 48,
             connections: 48,
@@ -357,6 +434,22 @@
         let count = self.nodes.len() as u64;
         let entry = usize::try_from(self.rng.next_u64() % count).unwrap();
         let repeatable = !self.rng.next_u64().is_multiple_of(3);
+        let number = self.sent.len();
+        let path = if repeatable { "browse" } else { "bid" };
+        self.send_to(entry, repeatable, format!("/{path}/{number}"));
+    }
+
+    fn send_poison(&mut self) {
+        let Some(poison) = self.plan.poison else {
+            return;
+        };
+        self.schedule(poison.gap, SimEvent::Poison);
+        let count = self.nodes.len() as u64;
+        let entry = usize::try_from(self.rng.next_u64() % count).unwrap();
+        self.send_to(entry, true, poison.path.to_owned());
+    }
+
+    fn send_to(&mut self, entry: usize, repeatable: bool, path: String) {
         let number = self.sent.len();
         self.sent.push(Sent {
             entry,
@@ -366,11 +459,10 @@
             repeatable,
             replied: None,
         });
-        let path = if repeatable { "browse" } else { "bid" };
         let request = call::CallRequest {
             service: service(),
             method: if repeatable { "GET" } else { "POST" }.to_owned(),
-            path: format!("/{path}/{number}"),
+            path,
             headers: Vec::new(),
             body: Bytes::new(),
         };
@@ -399,16 +491,42 @@
                     self.end_runs(index);
                     self.nodes[index].target = Some(SimTarget::new(incarnation));
                 }
-                Script::KillNode | Script::Freeze(_) => {}
+                Script::KillNode
+                | Script::Freeze(_)
+                | Script::LoseFrames(_)
+                | Script::MoveRoute
+                | Script::KillAll => {}
             }
         }
         match script {
             Script::KillNode => self.kill_node(index),
             Script::Freeze(span) => self.nodes[index].frozen_until = now + *span,
+            Script::LoseFrames(loses) => self.nodes[index].loses_frames = *loses,
+            Script::MoveRoute => {
+                self.revision += 1;
+                for node in &mut self.nodes {
+                    if let Some(reducer) = &mut node.reducer {
+                        adopt_rules(reducer, self.revision);
+                    }
+                }
+            }
+            Script::KillAll => (0..self.nodes.len()).for_each(|node| self.kill_node(node)),
             _ => {}
         }
     }
 
+    /// Ends a target because of what it runs; another incarnation starts at its address.
+    fn crash_target(&mut self, index: usize, incarnation: u32) {
+        let target = self.nodes[index].target.as_ref();
+        if target.is_none_or(|target| target.incarnation != incarnation) {
+            return;
+        }
+        self.crashes.push(self.now);
+        self.end_runs(index);
+        self.nodes[index].target = None;
+        self.schedule(CRASH_TIME, SimEvent::Recover(index, incarnation + 1));
+    }
+
     /// Ends the runs of a target that ends.
     fn end_runs(&mut self, index: usize) {
         let Some(target) = &mut self.nodes[index].target else {
@@ -515,6 +633,9 @@
         {
             self.rate_refusals += 1;
         }
+        if self.nodes[from].loses_frames || self.nodes[to].loses_frames {
+            return;
+        }
         if self.nodes[to].id != peer || self.nodes[to].reducer.is_none() {
             let generation = self.nodes[from].generation;
             let unsent = vec![frame];
@@ -532,13 +653,14 @@
         let now = self.now;
         let number = usize::try_from(order.root.0 - 1).unwrap();
         let sent = self.sent[number];
-        self.sent[number].runs += 1;
-        if !sent.repeatable && self.sent[number].runs > 1 {
-            self.violations.push(format!("bid {number} ran twice"));
-        }
-        let entry = &self.nodes[sent.entry];
-        let same_process = entry.generation == sent.generation;
+        let generation = self.nodes[index].generation;
         let Some(target) = &self.nodes[index].target else {
+            let ended = event::NodeEvent::RunEnded {
+                run: order.run,
+                outcome: event::RunOutcome::Unreachable,
+                statement: None,
+            };
+            self.schedule(Duration::ZERO, SimEvent::Step(index, generation, ended));
             return;
         };
         let expected = incarnation_id(index, target.incarnation);
@@ -554,6 +676,18 @@
             self.schedule(Duration::ZERO, SimEvent::Step(index, generation, ended));
             return;
         }
+        self.sent[number].runs += 1;
+        if !sent.repeatable && self.sent[number].runs > 1 {
+            self.violations.push(format!("bid {number} ran twice"));
+        }
+        if order.request.path.starts_with("/poison/") {
+            let crash = SimEvent::Crash(index, target.incarnation);
+            self.poisoned.push(now);
+            self.schedule(POISON_WORK, crash);
+        }
+        let entry = &self.nodes[sent.entry];
+        let same_process = entry.generation == sent.generation;
+        let target = self.nodes[index].target.as_ref().unwrap();
         let known = entry.passed_on.iter().find(|known| {
             same_process && known.target == index && known.incarnation == target.incarnation
         });
@@ -670,6 +804,7 @@
         for index in 0..self.nodes.len() {
             self.judge_rate(index);
         }
+        self.judge_poison();
         let first = self.plan.script.iter().map(|(after, ..)| *after);
         let first = first.fold(f64::INFINITY, f64::min);
         // Requests of the last seconds may still be in flight.
@@ -706,10 +841,29 @@
                 .filter_map(|node| node.target.as_ref().map(last))
                 .collect(),
             rate_refusals: self.rate_refusals,
+            poisoned: self.poisoned.iter().copied().map(seconds).collect(),
             violations: self.violations,
         }
     }
 
+    /// Checks that the poisonous request is stopped after the third crash.
+    fn judge_poison(&mut self) {
+        let Some(third) = self.crashes.get(2) else {
+            return;
+        };
+        let late = self
+            .poisoned
+            .iter()
+            .filter(|at| **at > *third + STABILITY_WINDOW);
+        let late = late.count();
+        if late > MAX_LATE_POISON {
+            let crashes = self.crashes.len();
+            self.violations.push(format!(
+                "the request reached targets {late} times after its third crash; {crashes} in all"
+            ));
+        }
+    }
+
     /// Checks each window of four seconds from [`STABILITY_WINDOW`] after the first naming in which
     /// the target names a rate all the time: it gets at most one and a half times what its rates
     /// allow, and five.
--- a/crates/anvil_core/tests/scarce_services.rs
+++ b/crates/anvil_core/tests/scarce_services.rs
@@ -38,6 +38,10 @@
 mod overload;
 #[path = "platform_hardships.rs"]
 mod platform_hardships;
+#[path = "poison.rs"]
+mod poison;
+#[path = "quarantined.rs"]
+mod quarantined;
 #[path = "refused_calls.rs"]
 mod refused_calls;
 #[path = "restarts.rs"]
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -274,3 +274,23 @@
     list.answered(at(900), ident::RequestFingerprint(7 + 256));
     assert_eq!(list.status(at(1_000), page), QuarantineStatus::Clean);
 }
+
+// A target crashes while one of its answers is still unread, so the node reads a whole answer after
+// the first broken connection. The requests that broke before it are suspects as well.
+#[test]
+fn an_answer_sent_before_the_crash_hides_no_suspect() {
+    let mut list = list(1);
+    list.run_started(0, POISON, RULE);
+    for run in 1..8 {
+        list.run_started(run, ident::RequestFingerprint(run), RULE);
+    }
+    assert_eq!(list.run_broken(at(1), 0, &service()), None);
+    assert_eq!(list.run_ended(at(1), 1, true, &service()), None);
+    for run in 2..8 {
+        list.run_broken(at(1), run, &service());
+    }
+    // The target does not accept connections after its crash.
+    list.run_started(8, ident::RequestFingerprint(8), RULE);
+    list.run_ended(at(2), 8, false, &service());
+    assert_eq!(list.status(at(3), POISON), QuarantineStatus::Suspect);
+}
