Tell every node which requests are quarantined

Under one request three targets ended and it went on reaching others: nodes that started later, or missed a notice, knew nothing of the crashes, and each new target was crashed until its own node had counted enough of them.

Cause: a crash was told once, to the nodes that had a target of the service at that moment. Nothing told a newcomer, repeated a lost notice or crossed to another service.

What is condemned is spread from node to node, told to whoever joins, and repeated each second to a random member as long as it lasts, so that neither a lost datagram nor the end of a node that knows stops it. A node that holds nothing sends nothing.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -4,7 +4,7 @@
 
 use anvil_overload::{admission, kind, limit, policy, quarantine, rank, refusal};
 use anvil_types::{ident, treatment, verdict};
-use anvil_wire::{call, frame, suspicion};
+use anvil_wire::call;
 
 use crate::{effect, event, overload, reducer, retrying, runs, stopping, timers};
 
@@ -215,68 +215,6 @@
         }
     }
 
-    /// Reports the outcome of a run to the quarantine, and notifies the peers of a crash.
-    pub(crate) fn record_run_outcome(&mut self, id: event::RunId, outcome: &event::RunOutcome) {
-        let now = self.now;
-        let Some(service) = self.runs.get(id).map(|run| run.service.clone()) else {
-            return;
-        };
-        let poison = &mut self.overload.poison;
-        let notice = match outcome {
-            event::RunOutcome::Broken { .. } => poison.run_broken(now, id.0, &service),
-            event::RunOutcome::Answered(_) => poison.run_ended(now, id.0, true, &service),
-            event::RunOutcome::Refused
-            | event::RunOutcome::Misdirected { .. }
-            | event::RunOutcome::Unreachable
-            | event::RunOutcome::TimedOut
-            | event::RunOutcome::Cancelled => poison.run_ended(now, id.0, false, &service),
-        };
-        let Some(notice) = notice else {
-            return;
-        };
-        self.overload.crashed = true;
-        self.counters.targets_crashed += 1;
-        self.report(effect::StateChange::TargetCrashed {
-            sequence: notice.crash.sequence,
-            suspects: notice.suspects.clone(),
-        });
-        self.report_quarantined();
-        self.broadcast_suspicion(&notice);
-    }
-
-    /// Handles the notice of a crash at another node.
-    pub(crate) fn crash_heard(&mut self, notice: &suspicion::SuspicionNotice) {
-        let is_new = self.overload.poison.apply_notice(self.now, notice);
-        self.counters.crashes_heard += u64::from(is_new);
-        self.report(effect::StateChange::CrashHeard {
-            crash: notice.crash,
-            suspects: notice.suspects.len(),
-            repeated: !is_new,
-        });
-        self.report_quarantined();
-    }
-
-    pub(crate) fn report_quarantined(&mut self) {
-        for request in self.overload.poison.take_quarantined() {
-            self.counters.requests_quarantined += 1;
-            self.report(effect::StateChange::RequestQuarantined { request });
-        }
-    }
-
-    pub(crate) fn broadcast_suspicion(&mut self, notice: &suspicion::SuspicionNotice) {
-        if !self.overload.policy.quarantine {
-            return;
-        }
-        let node = self.config.node;
-        for (peer, address) in self.directory.nodes_of(&notice.service) {
-            if peer == node || peer == notice.crash.node {
-                continue;
-            }
-            let frame = frame::PeerFrame::Suspicion(Box::new(notice.clone()));
-            self.send_frame(peer, address, frame);
-        }
-    }
-
     fn start_run(&mut self, id: event::RunId) {
         if self.phase == stopping::NodePhase::Gone {
             return;
--- /dev/null
+++ b/crates/anvil_core/src/crashes.rs
@@ -0,0 +1,147 @@
+//! Connects the reducer with the quarantine: crashes of the local target, notices of other nodes,
+//! and what the fleet refuses; see `docs/design/quarantine.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_wire::{frame, gossip, suspicion};
+
+use crate::{effect, event, reducer, timers};
+
+/// Number of nodes that a newly quarantined request is sent to at once.
+const QUARANTINE_FANOUT: usize = 3;
+
+/// The time after which the quarantined requests are sent to another node again, because datagrams
+/// may be lost and nodes may be new.
+const QUARANTINE_INTERVAL: Duration = Duration::from_secs(1);
+
+impl reducer::NodeReducer {
+    /// Reports the outcome of a run to the quarantine, and notifies the peers of a crash.
+    pub(crate) fn record_run_outcome(&mut self, id: event::RunId, outcome: &event::RunOutcome) {
+        let now = self.now;
+        let Some(service) = self.runs.get(id).map(|run| run.service.clone()) else {
+            return;
+        };
+        let poison = &mut self.overload.poison;
+        let notice = match outcome {
+            event::RunOutcome::Broken { .. } => poison.run_broken(now, id.0, &service),
+            event::RunOutcome::Answered(_) => poison.run_ended(now, id.0, true, &service),
+            event::RunOutcome::Refused
+            | event::RunOutcome::Misdirected { .. }
+            | event::RunOutcome::Unreachable
+            | event::RunOutcome::TimedOut
+            | event::RunOutcome::Cancelled => poison.run_ended(now, id.0, false, &service),
+        };
+        let Some(notice) = notice else {
+            return;
+        };
+        self.overload.crashed = true;
+        self.counters.targets_crashed += 1;
+        self.report(effect::StateChange::TargetCrashed {
+            sequence: notice.crash.sequence,
+            suspects: notice.suspects.clone(),
+        });
+        self.broadcast_suspicion(&notice);
+        self.spread_quarantined();
+    }
+
+    /// Handles the notice of a crash at another node.
+    pub(crate) fn crash_heard(&mut self, notice: &suspicion::SuspicionNotice) {
+        let is_new = self.overload.poison.apply_notice(self.now, notice);
+        self.counters.crashes_heard += u64::from(is_new);
+        self.report(effect::StateChange::CrashHeard {
+            crash: notice.crash,
+            suspects: notice.suspects.len(),
+            repeated: !is_new,
+        });
+        self.spread_quarantined();
+    }
+
+    /// Notifies the nodes beside the other targets of the service.
+    pub(crate) fn broadcast_suspicion(&mut self, notice: &suspicion::SuspicionNotice) {
+        if !self.overload.policy.quarantine {
+            return;
+        }
+        let node = self.config.node;
+        for (peer, address) in self.directory.nodes_of(&notice.service) {
+            if peer == node || peer == notice.crash.node {
+                continue;
+            }
+            let frame = frame::PeerFrame::Suspicion(Box::new(notice.clone()));
+            self.send_frame(peer, address, frame);
+        }
+    }
+
+    /// Handles the requests that another node refuses.
+    pub(crate) fn quarantine_heard(&mut self, requests: &[suspicion::QuarantinedRequest]) {
+        if !self.overload.policy.quarantine {
+            return;
+        }
+        for request in requests {
+            self.overload.poison.merge(self.now, request);
+        }
+        self.spread_quarantined();
+    }
+
+    /// Sends what was quarantined since the last call to a few nodes, each of which does the same.
+    ///
+    /// Notices reach the nodes that have a target of the service at that moment. A request that is
+    /// sent again may reach any other one later: beside a new target, of another service, or one
+    /// that the notices missed.
+    pub(crate) fn spread_quarantined(&mut self) {
+        let requests = self.overload.poison.take_quarantined();
+        if requests.is_empty() || !self.overload.policy.quarantine {
+            return;
+        }
+        for request in requests {
+            self.counters.requests_quarantined += 1;
+            self.report(effect::StateChange::RequestQuarantined { request });
+        }
+        for _ in 0..QUARANTINE_FANOUT {
+            self.send_quarantine_to_any();
+        }
+        self.schedule_quarantine();
+    }
+
+    /// Sends the quarantined requests to one more node, as long as there are any.
+    pub(crate) fn repeat_quarantine(&mut self) {
+        if self.overload.quarantine_at.is_none_or(|at| at > self.now) {
+            return;
+        }
+        self.overload.quarantine_at = None;
+        if self.send_quarantine_to_any() {
+            self.schedule_quarantine();
+        }
+    }
+
+    /// Tells a node that joins through this one what the fleet refuses.
+    pub(crate) fn tell_quarantine(&mut self, newcomer: SocketAddr) {
+        let requests = self.overload.poison.quarantined(self.now);
+        if !requests.is_empty() {
+            let kind = gossip::GossipKind::Quarantine { requests };
+            let sent = self.fleet.message(newcomer, kind);
+            self.apply_fleet_effects(vec![sent]);
+        }
+    }
+
+    fn send_quarantine_to_any(&mut self) -> bool {
+        let requests = self.overload.poison.quarantined(self.now);
+        if requests.is_empty() {
+            return false;
+        }
+        if let Some(to) = self.fleet.random_peer() {
+            let kind = gossip::GossipKind::Quarantine { requests };
+            let sent = self.fleet.message(to, kind);
+            self.apply_fleet_effects(vec![sent]);
+        }
+        true
+    }
+
+    fn schedule_quarantine(&mut self) {
+        if self.overload.quarantine_at.is_none() {
+            let at = self.now + QUARANTINE_INTERVAL;
+            self.overload.quarantine_at = Some(at);
+            self.timers.set(at, timers::TimerKind::Quarantine);
+        }
+    }
+}
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::quarantine;
 use anvil_types::{ident, name, rate, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip, suspicion};
 use derive_more::Display;
@@ -126,7 +125,7 @@
     RequestQuarantined {
         /// The request.
         #[serde(flatten)]
-        request: quarantine::QuarantinedRequest,
+        request: suspicion::QuarantinedRequest,
     },
     /// A message of the target was ignored because it was outdated or named an unknown service.
     #[display(
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -45,6 +45,8 @@
             gossip::GossipKind::Shutdown(message) => {
                 self.shutdown_message_arrived(from, sender, *message);
             }
+            gossip::GossipKind::Quarantine { requests } => self.quarantine_heard(requests),
+            gossip::GossipKind::Join => self.tell_quarantine(from),
             _ => {}
         }
     }
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 mod contexts;
 pub mod counters;
+mod crashes;
 pub mod directory;
 pub mod duplicates;
 pub mod effect;
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -39,6 +39,9 @@
     /// Usual calls of the runs of the local target.
     pub(crate) run_calls: run_calls::RunCalls,
     pub(crate) poison: quarantine::PoisonList,
+    /// When the quarantined requests are sent to another node again.
+    #[serde(skip)]
+    pub(crate) quarantine_at: Option<time::NodeTime>,
     pub(crate) refusals: refusal::RefusalLog,
     /// The dump shows their number only.
     #[serde(skip)]
@@ -60,6 +63,7 @@
             refusal_shares: refusals::RefusalShares::default(),
             run_calls: run_calls::RunCalls::default(),
             poison: quarantine::PoisonList::new(node, policy),
+            quarantine_at: None,
             refusals: refusal::RefusalLog::default(),
             appointments: appointments::AppointmentBook::default(),
         }
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -305,6 +305,7 @@
                 timers::TimerKind::Leave => {}
                 timers::TimerKind::StopRuns => self.stop_runs(),
                 timers::TimerKind::StopNotice => self.send_notices(),
+                timers::TimerKind::Quarantine => self.repeat_quarantine(),
                 timers::TimerKind::StopLimit => self.stop_limit_reached(),
             }
         }
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -107,8 +107,8 @@
             .overload
             .poison
             .peer_lost(now, peer, &service, &fingerprints);
-        self.report_quarantined();
         self.broadcast_suspicion(&notice);
+        self.spread_quarantined();
     }
 
     /// Clears the suspicion against a request that was answered.
--- a/crates/anvil_core/src/timers.rs
+++ b/crates/anvil_core/src/timers.rs
@@ -26,6 +26,8 @@
     StopRuns,
     /// A stopping node repeats its notice to members that have not acknowledged it.
     StopNotice,
+    /// The quarantined requests are sent to another node again.
+    Quarantine,
     /// A stopping node gives up the requests that are still in progress.
     StopLimit,
 }
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -120,7 +120,8 @@
             gossip::GossipKind::Welcome
             | gossip::GossipKind::Rumour
             | gossip::GossipKind::Quota(_)
-            | gossip::GossipKind::Shutdown(_) => {}
+            | gossip::GossipKind::Shutdown(_)
+            | gossip::GossipKind::Quarantine { .. } => {}
         }
         self.request_facts(from, message, out);
     }
--- a/crates/anvil_membership/src/fleet/sending.rs
+++ b/crates/anvil_membership/src/fleet/sending.rs
@@ -96,6 +96,12 @@
         self.datagram(to, kind, Vec::new())
     }
 
+    /// The datagram address of a random live member other than this node.
+    pub fn random_peer(&mut self) -> Option<SocketAddr> {
+        let drawn = self.table.draw_live(&mut self.choice, &[self.local])?;
+        Some(drawn.facts.udp)
+    }
+
     /// Like [`Self::message`], with the claim about this node, for a receiver that may not know it.
     pub fn message_with_claim(
         &mut self,
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -123,22 +123,23 @@
         }
     }
 
+    fn quarantined(&self, now: time::NodeTime) -> suspicion::QuarantinedRequest {
+        let age = now.since(self.struck).as_millis();
+        suspicion::QuarantinedRequest {
+            fingerprint: self.fingerprint,
+            crashes: self.strikes,
+            crash_limit: self.rule.limit,
+            quarantine_seconds: whole_seconds(self.rule.quarantine),
+            age_millis: u64::try_from(age).unwrap_or(u64::MAX),
+            last: self.crash,
+        }
+    }
+
     fn left(&self, now: time::NodeTime) -> Duration {
         self.ttl().saturating_sub(now.since(self.struck))
     }
 }
 
-/// A request that has just been quarantined, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub struct QuarantinedRequest {
-    /// Identifies the request.
-    pub fingerprint: ident::RequestFingerprint,
-    /// Crashes during which it was running.
-    pub crashes: u8,
-    /// The last of them.
-    pub last: suspicion::CrashId,
-}
-
 /// Requests that were running when targets crashed.
 #[derive(Clone, Debug, Serialize)]
 pub struct PoisonList {
@@ -155,7 +156,7 @@
     answered_fingerprints: AnsweredFingerprints,
     /// Requests that were quarantined and not taken by [`take_quarantined`](Self::take_quarantined).
     #[serde(skip)]
-    quarantined: Vec<QuarantinedRequest>,
+    quarantined: Vec<suspicion::QuarantinedRequest>,
     #[serde(skip)]
     policy: policy::OverloadPolicy,
 }
@@ -340,10 +341,57 @@
     }
 
     /// Takes the requests that were quarantined since the last call.
-    pub fn take_quarantined(&mut self) -> Vec<QuarantinedRequest> {
+    pub fn take_quarantined(&mut self) -> Vec<suspicion::QuarantinedRequest> {
         std::mem::take(&mut self.quarantined)
     }
 
+    /// The requests that are quarantined at `now`, those with the latest crashes first, as many as
+    /// fit into a datagram.
+    pub fn quarantined(&self, now: time::NodeTime) -> Vec<suspicion::QuarantinedRequest> {
+        let is_quarantined = |suspect: &&SuspectFingerprint| {
+            let status = self.status(now, suspect.fingerprint);
+            matches!(status, QuarantineStatus::Quarantined { .. })
+        };
+        let mut found: Vec<_> = self.suspects.iter().filter(is_quarantined).collect();
+        found.sort_unstable_by_key(|suspect| std::cmp::Reverse(suspect.struck));
+        found.truncate(suspicion::MAX_QUARANTINED_REQUESTS);
+        let requests = found.into_iter().map(|suspect| suspect.quarantined(now));
+        requests.collect()
+    }
+
+    /// Quarantines a request that another node refuses; returns whether this node did not refuse it
+    /// yet.
+    ///
+    /// A request that was answered here within a minute can't be the cause of the crashes.
+    pub fn merge(&mut self, now: time::NodeTime, request: &suspicion::QuarantinedRequest) -> bool {
+        let fingerprint = request.fingerprint;
+        let age = Duration::from_millis(request.age_millis);
+        let quarantine = Duration::from_secs(u64::from(request.quarantine_seconds));
+        let known = matches!(
+            self.status(now, fingerprint),
+            QuarantineStatus::Quarantined { .. }
+        );
+        if known || age >= quarantine || self.answered_fingerprints.contains(now, fingerprint) {
+            return false;
+        }
+        if let Ok(index) = self.search(fingerprint) {
+            self.suspects.remove(index);
+        }
+        self.add(SuspectFingerprint {
+            fingerprint,
+            strikes: request.crashes.max(request.crash_limit),
+            alone: true,
+            rule: CrashRule {
+                limit: request.crash_limit,
+                quarantine,
+            },
+            struck: time::NodeTime(now.0.saturating_sub(micros(age))),
+            crash: request.last,
+        });
+        self.record_quarantined(now, fingerprint);
+        true
+    }
+
     /// Number of suspects and quarantined requests.
     pub fn len(&self) -> usize {
         self.suspects.len()
@@ -425,7 +473,7 @@
             let known = self.is_over_limit(fingerprint);
             self.add_strike(now, notice.crash, suspect_request);
             if !known && self.is_over_limit(fingerprint) {
-                self.record_quarantined(fingerprint);
+                self.record_quarantined(now, fingerprint);
             }
         }
     }
@@ -494,16 +542,10 @@
             .is_some_and(SuspectFingerprint::exceeds_limit)
     }
 
-    fn record_quarantined(&mut self, fingerprint: ident::RequestFingerprint) {
-        let Some(suspect) = self.find(fingerprint) else {
-            return;
-        };
-        let quarantined = QuarantinedRequest {
-            fingerprint,
-            crashes: suspect.strikes,
-            last: suspect.crash,
-        };
-        self.quarantined.push(quarantined);
+    fn record_quarantined(&mut self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) {
+        let found = self.find(fingerprint);
+        let request = found.map(|suspect| suspect.quarantined(now));
+        self.quarantined.extend(request);
     }
 
     fn take(&mut self, run: u64) -> Option<RunningFingerprint> {
@@ -532,6 +574,14 @@
         fingerprint,
         alone,
         crash_limit: rule.limit,
-        quarantine_seconds: u32::try_from(rule.quarantine.as_secs()).unwrap_or(u32::MAX),
+        quarantine_seconds: whole_seconds(rule.quarantine),
     }
 }
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn whole_seconds(span: Duration) -> u32 {
+    u32::try_from(span.as_secs()).unwrap_or(u32::MAX)
+}
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -294,3 +294,41 @@
     list.run_ended(at(2), 8, false, &service());
     assert_eq!(list.status(at(3), POISON), QuarantineStatus::Suspect);
 }
+
+fn quarantined_elsewhere(age: Duration) -> suspicion::QuarantinedRequest {
+    suspicion::QuarantinedRequest {
+        fingerprint: POISON,
+        crashes: 2,
+        crash_limit: RULE.limit,
+        quarantine_seconds: 600,
+        age_millis: u64::try_from(age.as_millis()).expect("a short time"),
+        last: suspicion::CrashId {
+            node: ident::NodeId(7),
+            sequence: 1,
+        },
+    }
+}
+
+// A node that has seen no crash hears of a quarantined request. It refuses the request for the time
+// that is left, and passes on the same.
+#[test]
+fn a_node_that_saw_no_crash_refuses_what_others_refuse() {
+    let mut list = list(1);
+    let heard = quarantined_elsewhere(Duration::from_secs(100));
+    assert!(list.merge(at(200_000), &heard));
+    assert!(!list.merge(at(200_000), &heard), "it is known");
+    assert_eq!(list.take_quarantined(), [heard]);
+    assert!(is_quarantined(&list, at(699_000), POISON));
+    assert!(!is_quarantined(&list, at(701_000), POISON));
+    let over = quarantined_elsewhere(Duration::from_secs(600));
+    assert!(!list.merge(at(702_000), &over));
+}
+
+// A request that was just answered here can't crash its targets, whatever others have counted.
+#[test]
+fn what_was_answered_lately_is_not_refused_because_others_do() {
+    let mut list = list(1);
+    list.answered(at(1_000), POISON);
+    assert!(!list.merge(at(2_000), &quarantined_elsewhere(Duration::ZERO)));
+    assert_eq!(list.status(at(3_000), POISON), QuarantineStatus::Clean);
+}
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{bounded, quota, shutdown};
+use crate::{bounded, quota, shutdown, suspicion};
 
 /// Maximum number of membership updates in a datagram.
 pub const MAX_DATAGRAM_UPDATES: usize = 128;
@@ -168,6 +168,15 @@
     Quota(quota::QuotaMessage),
     /// A message of the shutdown handshake; membership reads only its head and updates.
     Shutdown(shutdown::ShutdownMessage),
+    /// Requests that the sender refuses because targets crashed while they ran them; membership
+    /// reads only its head.
+    Quarantine {
+        /// The requests.
+        #[serde(
+            deserialize_with = "bounded::list::<_, _, { suspicion::MAX_QUARANTINED_REQUESTS }>"
+        )]
+        requests: Vec<suspicion::QuarantinedRequest>,
+    },
 }
 
 /// One datagram between nodes.
--- a/crates/anvil_wire/src/suspicion.rs
+++ b/crates/anvil_wire/src/suspicion.rs
@@ -25,6 +25,26 @@
     pub quarantine_seconds: u32,
 }
 
+/// Maximum number of quarantined requests in a datagram; they take about 700 bytes.
+pub const MAX_QUARANTINED_REQUESTS: usize = 24;
+
+/// A request that a node refuses because targets crashed while they ran it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedRequest {
+    /// Identifies the request.
+    pub fingerprint: ident::RequestFingerprint,
+    /// Crashes during which it was running.
+    pub crashes: u8,
+    /// Number of crashes that its rule allows.
+    pub crash_limit: u8,
+    /// How long its rule refuses the request after the last crash, in seconds.
+    pub quarantine_seconds: u32,
+    /// Time since the last crash, in milliseconds.
+    pub age_millis: u64,
+    /// The last crash.
+    pub last: CrashId,
+}
+
 /// Reports that a target crashed and which of its running requests are suspected.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionNotice {
