Count the crashes of a request whichever service its route leads to

Under one request three targets ended; the operator moved its route, and four targets of the other service ended too.

--- a/crates/anvil_core/src/contexts.rs
+++ b/crates/anvil_core/src/contexts.rs
@@ -1,16 +1,26 @@
 //! The context that a call passes down its chain: created at the root and restricted at each hop.
 
 use anvil_overload::{dependency, kind};
+use anvil_rules::view;
 use anvil_types::{context, ident, treatment};
 use anvil_wire::call;
 use xxhash_rust::xxh3;
 
 use crate::{accounts, entry, event, reducer};
 
+/// A request after the rules have selected its service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoutedRequest<'a> {
+    /// The request, with the selected service.
+    pub(crate) request: &'a call::CallRequest,
+    /// Its fingerprint as the caller sent it.
+    pub(crate) fingerprint: ident::RequestFingerprint,
+}
+
 impl reducer::NodeReducer {
     pub(crate) fn root_context(
         &mut self,
-        request: &call::CallRequest,
+        routed: &RoutedRequest<'_>,
         treatment: &treatment::RuleTreatment,
         by_rule: Option<context::PriorityClass>,
         hints: &event::CallerHints,
@@ -31,8 +41,8 @@
             depth: 0,
             idempotent: treatment.idempotent,
             repeat: false,
-            key: key_of(request, hints),
-            fingerprint: fingerprint_of(request),
+            key: key_of(routed.request, hints),
+            fingerprint: routed.fingerprint,
         }
     }
 
@@ -42,7 +52,7 @@
         &mut self,
         run: event::RunId,
         sequence: u64,
-        request: &call::CallRequest,
+        routed: &RoutedRequest<'_>,
         treatment: &treatment::RuleTreatment,
         hints: &event::CallerHints,
     ) -> Option<context::CallContext> {
@@ -60,8 +70,8 @@
             None => parent.allowance.lend_child(sequence, max),
         };
         let needed = dependency::NeededCall {
-            service: request.service.clone(),
-            kind: kind::CallKind::of(request),
+            service: routed.request.service.clone(),
+            kind: kind::CallKind::of(routed.request),
         };
         parent.waits.begin(now, needed);
         let remaining = parent.deadline.since(now);
@@ -77,8 +87,8 @@
             depth: parent.context.depth.saturating_add(1),
             idempotent: treatment.idempotent,
             repeat: parent.context.repeat,
-            key: key_of(request, hints),
-            fingerprint: fingerprint_of(request),
+            key: key_of(routed.request, hints),
+            fingerprint: routed.fingerprint,
         })
     }
 }
@@ -88,9 +98,20 @@
     Some(ident::RequestKey::of(request.service.as_str(), key))
 }
 
+/// The fingerprint of a request as its caller sent it.
+///
+/// Rules may send the same request to one service now and to another one later. What is known of it
+/// holds for both, so the service that a rule selects is no part of the fingerprint; the service and
+/// the host that the caller names are.
 pub(crate) fn fingerprint_of(request: &call::CallRequest) -> ident::RequestFingerprint {
     let mut hasher = xxh3::Xxh3::new();
-    for part in [request.service.as_str(), &request.method, &request.path] {
+    let host = view::RequestView::of(request).host().unwrap_or_default();
+    for part in [
+        request.service.as_str(),
+        host,
+        &request.method,
+        &request.path,
+    ] {
         hasher.update(part.as_bytes());
         hasher.update(&[0]);
     }
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -8,7 +8,9 @@
 use anvil_types::{ident, name, treatment, verdict};
 use anvil_wire::{call, frame, outcome};
 
-use crate::{accounts, calls, effect, event, reducer, request_log, rulebook, settling, timers};
+use crate::{
+    accounts, calls, contexts, effect, event, reducer, request_log, rulebook, settling, timers,
+};
 
 /// The percentage of the latency objective for which a request waits for a target of its service to
 /// appear. Runs take about a quarter of the objective, and the round trip some milliseconds.
@@ -36,6 +38,7 @@
             return;
         }
         self.counters.calls_arrived += 1;
+        let fingerprint = contexts::fingerprint_of(&request);
         if let Some(send_to) = send_to.cloned() {
             request.service = self.pick_service(&send_to);
         }
@@ -50,9 +53,13 @@
         if let Some(waiting) = parent.and_then(|run| self.runs.get(run)) {
             inherit_queue_wait(&mut treatment, &waiting.treatment);
         }
+        let routed = contexts::RoutedRequest {
+            request: &request,
+            fingerprint,
+        };
         let context = match parent {
-            Some(run) => self.child_context(run, sequence, &request, &treatment, hints),
-            None => Some(self.root_context(&request, &treatment, by_rule, hints, &identity)),
+            Some(run) => self.child_context(run, sequence, &routed, &treatment, hints),
+            None => Some(self.root_context(&routed, &treatment, by_rule, hints, &identity)),
         };
         let Some(context) = context else {
             // The parent run has ended, so nobody waits for this call.
