Find a crash behind an answer that was sent before it

A request crashed targets and was no suspect of some of the crashes, so it took more of them to stop it.

Cause: any whole answer to what was under way ended the suspicion that the target had crashed, also one that the target had sent before the crash and that the node read after the first broken connection. At a busy target some answers lie unread at any time.

The tests name how a run ended by an enum in place of a flag.

--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_overload::quarantine;
+use anvil_types::name;
 use anvil_wire::{frame, gossip, suspicion};
 
 use crate::{effect, event, reducer, timers};
@@ -23,15 +25,20 @@
             return;
         };
         let poison = &mut self.overload.poison;
-        let notice = match outcome {
-            event::RunOutcome::Broken { .. } => poison.run_broken(now, id.0, &service),
-            event::RunOutcome::Answered(_) => poison.run_ended(now, id.0, true, &service),
-            event::RunOutcome::Refused
-            | event::RunOutcome::Misdirected { .. }
-            | event::RunOutcome::Unreachable
-            | event::RunOutcome::TimedOut
-            | event::RunOutcome::Cancelled => poison.run_ended(now, id.0, false, &service),
+        let notice = match run_end(outcome) {
+            None => poison.run_broken(now, id.0, &service),
+            Some(end) => poison.run_ended(now, id.0, end, &service),
         };
+        self.report_crash(notice);
+    }
+
+    /// Reports the end of an incarnation of the local target to the quarantine.
+    pub(crate) fn record_target_end(&mut self, service: &name::ServiceName) {
+        let notice = self.overload.poison.target_ended(self.now, service);
+        self.report_crash(notice);
+    }
+
+    fn report_crash(&mut self, notice: Option<suspicion::SuspicionNotice>) {
         let Some(notice) = notice else {
             return;
         };
@@ -145,3 +152,16 @@
         }
     }
 }
+
+/// How a run ended for the quarantine; none if its connection broke.
+fn run_end(outcome: &event::RunOutcome) -> Option<quarantine::RunEnd> {
+    match outcome {
+        event::RunOutcome::Broken { .. } => None,
+        event::RunOutcome::Answered(_) => Some(quarantine::RunEnd::Answered),
+        event::RunOutcome::Unreachable => Some(quarantine::RunEnd::Unreachable),
+        event::RunOutcome::Refused
+        | event::RunOutcome::Misdirected { .. }
+        | event::RunOutcome::TimedOut
+        | event::RunOutcome::Cancelled => Some(quarantine::RunEnd::Unknown),
+    }
+}
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -56,6 +56,7 @@
         let slots = announcement.slots;
         if !renewed {
             self.previous_target = self.target.take();
+            self.record_previous_end();
             self.cancel_previous_runs(&announcement);
         }
         self.target = Some(runs::LocalTarget {
@@ -68,6 +69,15 @@
         self.publish_target();
     }
 
+    /// Reports the end of a target that was replaced although it was not leaving.
+    fn record_previous_end(&mut self) {
+        let previous = self.previous_target.as_ref();
+        let unplanned = previous.filter(|previous| !previous.leaving);
+        if let Some(service) = unplanned.map(|previous| previous.announcement.service.clone()) {
+            self.record_target_end(&service);
+        }
+    }
+
     /// Cancels the runs of the previous incarnation if the target has restarted with the same id.
     ///
     /// After a power loss the connections to the previous incarnation stay silent, and callers
@@ -203,13 +213,13 @@
     }
 
     pub(crate) fn target_lease_expired(&mut self) {
-        let lapsed = self
-            .target
-            .as_ref()
-            .is_some_and(|target| target.until <= self.now && !target.leaving);
-        if lapsed {
-            self.target_leaving();
-        }
+        let target = self.target.as_ref();
+        let lapsed = target.filter(|target| target.until <= self.now && !target.leaving);
+        let Some(service) = lapsed.map(|target| target.announcement.service.clone()) else {
+            return;
+        };
+        self.record_target_end(&service);
+        self.target_leaving();
     }
 
     /// Publishes what the local target offers to the fleet and to the directory of this node.
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -77,20 +77,49 @@
     pub quarantine: Duration,
 }
 
+/// How a run ended without its connection breaking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// With a complete answer.
+    Answered,
+    /// The target accepted no connection.
+    Unreachable,
+    /// In any other way, which says nothing about the target.
+    Unknown,
+}
+
 #[derive(Clone, Copy, Debug, Serialize)]
 struct RunningFingerprint {
     run: u64,
+    /// Number of runs that had started before.
+    start: u64,
     #[serde(rename = "print")]
     fingerprint: ident::RequestFingerprint,
     rule: CrashRule,
 }
 
+/// Maximum number of broken runs that wait for the decision whether the target crashed.
+const MAX_BROKEN_RUNS: usize = 256;
+
 /// Runs that broke while it is undecided whether the target crashed.
 #[derive(Clone, Debug, Serialize)]
 struct CrashGroup {
     broken: Vec<RunningFingerprint>,
     /// Runs that were in progress when the first one broke and have not ended yet, sorted.
     waiting: Vec<u64>,
+    /// Number of runs that had started when the first one broke.
+    started: u64,
+    /// Whether one of those that were in progress was answered since. The target may have sent that
+    /// answer before it crashed.
+    is_doubtful: bool,
+    /// Whether the target has ended, or accepts no connections.
+    is_confirmed: bool,
+}
+
+impl CrashGroup {
+    fn is_crash(&self) -> bool {
+        self.waiting.is_empty() && (self.is_confirmed || !self.is_doubtful)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -146,6 +175,8 @@
     node: ident::NodeId,
     crashes: u64,
     group: Option<CrashGroup>,
+    /// Number of runs that have started.
+    started: u64,
     /// Sorted by run.
     running: Vec<RunningFingerprint>,
     /// Sorted by fingerprint.
@@ -168,6 +199,7 @@
             node,
             crashes: 0,
             group: None,
+            started: 0,
             running: Vec::new(),
             suspects: Vec::new(),
             known_crashes: VecDeque::new(),
@@ -216,9 +248,11 @@
     ) {
         let entry = RunningFingerprint {
             run,
+            start: self.started,
             fingerprint,
             rule,
         };
+        self.started += 1;
         let index = self.running.partition_point(|known| known.run < run);
         self.running.insert(index, entry);
     }
@@ -230,22 +264,41 @@
         &mut self,
         now: time::NodeTime,
         run: u64,
-        completed: bool,
+        end: RunEnd,
         service: &name::ServiceName,
     ) -> Option<suspicion::SuspicionNotice> {
         let entry = self.take(run)?;
-        if completed {
+        if end == RunEnd::Answered {
             self.answered(now, entry.fingerprint);
         }
         let group = self.group.as_mut()?;
-        let index = group.waiting.binary_search(&run).ok()?;
-        if completed {
-            // A target that still answers has not crashed. If a single broken connection made all
-            // running requests suspects, a busy target would run them one by one.
-            self.group = None;
-            return None;
+        if let Ok(index) = group.waiting.binary_search(&run) {
+            group.waiting.remove(index);
+        }
+        match end {
+            // A target that answers what it received after the first break has not crashed. If a
+            // single broken connection made all running requests suspects, a busy target would run
+            // them one by one.
+            RunEnd::Answered if entry.start >= group.started => {
+                self.group = None;
+                return None;
+            }
+            RunEnd::Answered => group.is_doubtful = true,
+            RunEnd::Unreachable => group.is_confirmed = true,
+            RunEnd::Unknown => {}
         }
-        group.waiting.remove(index);
+        self.conclude(now, service)
+    }
+
+    /// Records that the incarnation of the target that was running has ended.
+    ///
+    /// Returns a notice if that decides that it crashed.
+    pub fn target_ended(
+        &mut self,
+        now: time::NodeTime,
+        service: &name::ServiceName,
+    ) -> Option<suspicion::SuspicionNotice> {
+        self.group.as_mut()?.is_confirmed = true;
         self.conclude(now, service)
     }
 
@@ -261,8 +314,8 @@
 
     /// Records a run whose connection broke.
     ///
-    /// Returns a notice once every run that was in progress has broken or ended without an answer,
-    /// which means that the target crashed.
+    /// Returns a notice once every run that was in progress has ended and nothing says that the
+    /// target is alive, which means that it crashed.
     pub fn run_broken(
         &mut self,
         now: time::NodeTime,
@@ -270,12 +323,17 @@
         service: &name::ServiceName,
     ) -> Option<suspicion::SuspicionNotice> {
         let entry = self.take(run)?;
-        let running = &self.running;
+        let (running, started) = (&self.running, self.started);
         let group = self.group.get_or_insert_with(|| CrashGroup {
             broken: Vec::new(),
             waiting: running.iter().map(|known| known.run).collect(),
+            started,
+            is_doubtful: false,
+            is_confirmed: false,
         });
-        group.broken.push(entry);
+        if group.broken.len() < MAX_BROKEN_RUNS {
+            group.broken.push(entry);
+        }
         if let Ok(index) = group.waiting.binary_search(&run) {
             group.waiting.remove(index);
         }
@@ -424,7 +482,7 @@
         now: time::NodeTime,
         service: &name::ServiceName,
     ) -> Option<suspicion::SuspicionNotice> {
-        let group = self.group.take_if(|group| group.waiting.is_empty())?;
+        let group = self.group.take_if(|group| group.is_crash())?;
         self.crashes += 1;
         let notice = suspicion::SuspicionNotice {
             crash: suspicion::CrashId {
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, name, time};
 use anvil_wire::suspicion;
 
-use quarantine::QuarantineStatus;
+use quarantine::{QuarantineStatus, RunEnd};
 
 const RULE: quarantine::CrashRule = quarantine::CrashRule {
     limit: 2,
@@ -113,7 +113,7 @@
     let mut list = list(1);
     crash(&mut list, at(0), 1..3);
     list.run_started(7, ident::RequestFingerprint(1), RULE);
-    list.run_ended(at(1), 7, true, &service());
+    list.run_ended(at(1), 7, RunEnd::Answered, &service());
     assert_eq!(
         list.status(at(1), ident::RequestFingerprint(1)),
         QuarantineStatus::Clean
@@ -187,9 +187,12 @@
         list.run_started(run, ident::RequestFingerprint(run), RULE);
     }
     assert_eq!(list.run_broken(at(1), 0, &service()), None);
-    assert_eq!(list.run_ended(at(2), 1, true, &service()), None);
+    assert_eq!(list.run_ended(at(2), 1, RunEnd::Answered, &service()), None);
     for run in 2..8 {
-        assert_eq!(list.run_ended(at(3), run, false, &service()), None);
+        assert_eq!(
+            list.run_ended(at(3), run, RunEnd::Unknown, &service()),
+            None
+        );
     }
     assert!(list.is_empty());
 }
@@ -285,16 +288,49 @@
         list.run_started(run, ident::RequestFingerprint(run), RULE);
     }
     assert_eq!(list.run_broken(at(1), 0, &service()), None);
-    assert_eq!(list.run_ended(at(1), 1, true, &service()), None);
+    assert_eq!(list.run_ended(at(1), 1, RunEnd::Answered, &service()), None);
     for run in 2..8 {
         list.run_broken(at(1), run, &service());
     }
     // The target does not accept connections after its crash.
     list.run_started(8, ident::RequestFingerprint(8), RULE);
-    list.run_ended(at(2), 8, false, &service());
+    list.run_ended(at(2), 8, RunEnd::Unreachable, &service());
     assert_eq!(list.status(at(3), POISON), QuarantineStatus::Suspect);
 }
 
+// One connection breaks, and the target answers a request that it received later: it is alive. That
+// it refuses connections for some other reason afterwards makes no suspects.
+#[test]
+fn an_answer_to_a_later_request_shows_that_the_target_is_alive() {
+    let mut list = list(1);
+    list.run_started(0, POISON, RULE);
+    list.run_started(1, ident::RequestFingerprint(1), RULE);
+    assert_eq!(list.run_broken(at(1), 0, &service()), None);
+    list.run_started(2, ident::RequestFingerprint(2), RULE);
+    list.run_ended(at(2), 1, RunEnd::Answered, &service());
+    list.run_ended(at(3), 2, RunEnd::Answered, &service());
+    list.run_started(3, ident::RequestFingerprint(3), RULE);
+    assert_eq!(
+        list.run_ended(at(4), 3, RunEnd::Unreachable, &service()),
+        None
+    );
+    assert_eq!(list.target_ended(at(5), &service()), None);
+    assert!(list.is_empty());
+}
+
+// A target crashes while its only answer is unread, and nothing is sent to it until another
+// incarnation starts. That it has ended decides that it crashed.
+#[test]
+fn the_end_of_a_target_decides_that_it_crashed() {
+    let mut list = list(1);
+    list.run_started(0, POISON, RULE);
+    list.run_started(1, ident::RequestFingerprint(1), RULE);
+    list.run_broken(at(1), 0, &service());
+    assert_eq!(list.run_ended(at(1), 1, RunEnd::Answered, &service()), None);
+    assert!(list.target_ended(at(2_000), &service()).is_some());
+    assert_eq!(list.status(at(2_001), POISON), QuarantineStatus::Suspect);
+}
+
 fn quarantined_elsewhere(age: Duration) -> suspicion::QuarantinedRequest {
     suspicion::QuarantinedRequest {
         fingerprint: POISON,
