Let a failure end no quarantine

A request that crashes its targets reached more of them after a target that fails requests had answered it with 500.

Cause: any whole answer counted as proof that the request is harmless, took its strikes back and protected it for a minute. A target may fail a request without running it.

a_failure_ends_no_quarantine fails before and passes now: only an answer below 500 takes strikes back.

--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -8,7 +8,7 @@
 use anvil_types::name;
 use anvil_wire::{frame, gossip, suspicion};
 
-use crate::{effect, event, reducer, timers};
+use crate::{effect, event, reducer, settling, timers};
 
 /// Number of nodes that a newly quarantined request is sent to at once.
 const QUARANTINE_FANOUT: usize = 3;
@@ -157,7 +157,10 @@
 fn run_end(outcome: &event::RunOutcome) -> Option<quarantine::RunEnd> {
     match outcome {
         event::RunOutcome::Broken { .. } => None,
-        event::RunOutcome::Answered(_) => Some(quarantine::RunEnd::Answered),
+        event::RunOutcome::Answered(answer) if settling::is_served(answer) => {
+            Some(quarantine::RunEnd::Answered)
+        }
+        event::RunOutcome::Answered(_) => Some(quarantine::RunEnd::Failed),
         event::RunOutcome::Unreachable => Some(quarantine::RunEnd::Unreachable),
         event::RunOutcome::Refused
         | event::RunOutcome::Misdirected { .. }
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -290,7 +290,7 @@
             return;
         }
         self.settle_attempt(sequence, &answer);
-        if answer.verdict == verdict::CallVerdict::Answered {
+        if answer.answer.as_ref().is_some_and(settling::is_served) {
             self.clear_suspicion(sequence);
         }
         self.attempt_ended(sequence, answer.verdict, answer.answer);
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -111,7 +111,7 @@
         self.spread_quarantined();
     }
 
-    /// Clears the suspicion against a request that was answered.
+    /// Clears the suspicion against a request that was served.
     pub(crate) fn clear_suspicion(&mut self, sequence: u64) {
         if let Some(open) = self.calls.get(sequence) {
             self.overload
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -80,8 +80,10 @@
 /// How a run ended without its connection breaking.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
-    /// With a complete answer.
+    /// With a complete answer that serves the caller.
     Answered,
+    /// With a complete answer that states a failure of the target.
+    Failed,
     /// The target accepted no connection.
     Unreachable,
     /// In any other way, which says nothing about the target.
@@ -257,7 +259,10 @@
         self.running.insert(index, entry);
     }
 
-    /// Records a run that ended without breaking; a complete answer takes back one strike.
+    /// Records a run that ended without breaking; an answer that serves the caller takes back one
+    /// strike.
+    ///
+    /// A failure takes none back: a target may fail requests without running them.
     ///
     /// Returns a notice if the run was the last one that left undecided whether the target crashed.
     pub fn run_ended(
@@ -279,11 +284,11 @@
             // A target that answers what it received after the first break has not crashed. If a
             // single broken connection made all running requests suspects, a busy target would run
             // them one by one.
-            RunEnd::Answered if entry.start >= group.started => {
+            RunEnd::Answered | RunEnd::Failed if entry.start >= group.started => {
                 self.group = None;
                 return None;
             }
-            RunEnd::Answered => group.is_doubtful = true,
+            RunEnd::Answered | RunEnd::Failed => group.is_doubtful = true,
             RunEnd::Unreachable => group.is_confirmed = true,
             RunEnd::Unknown => {}
         }
