Refuse what waits when it is quarantined

A copy of a request that crashes its targets waited in a queue, or for its next attempt, while the request was quarantined, and was started all the same: one more crash for each.

Cause: who is refused was decided on arrival only.

Waiting runs are refused as soon as the node learns of the quarantine, and an attempt is not sent any more.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -272,7 +272,7 @@
         }
     }
 
-    fn refuse_run(&mut self, id: event::RunId, cause: overload::RefusalCause) {
+    pub(crate) fn refuse_run(&mut self, id: event::RunId, cause: overload::RefusalCause) {
         let Some(run) = self.runs.get(id) else {
             return;
         };
--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use anvil_overload::quarantine;
-use anvil_types::name;
+use anvil_types::{ident, name, verdict};
 use anvil_wire::{frame, gossip, suspicion};
 
-use crate::{effect, event, reducer, settling, timers};
+use crate::{effect, event, overload, reducer, settling, timers};
 
 /// Number of nodes that a newly quarantined request is sent to at once.
 const QUARANTINE_FANOUT: usize = 3;
@@ -103,6 +103,7 @@
         for request in requests {
             self.counters.requests_quarantined += 1;
             self.report(effect::StateChange::RequestQuarantined { request });
+            self.refuse_waiting(request.fingerprint);
         }
         for _ in 0..QUARANTINE_FANOUT {
             self.send_quarantine_to_any();
@@ -110,6 +111,21 @@
         self.schedule_quarantine();
     }
 
+    /// Refuses the runs of a quarantined request that wait for the local target.
+    fn refuse_waiting(&mut self, fingerprint: ident::RequestFingerprint) {
+        let Some(limit) = self.quarantine_of(fingerprint) else {
+            return;
+        };
+        let cause = overload::RefusalCause {
+            reason: verdict::RefusalReason::Quarantined,
+            limit,
+            by: self.config.node,
+        };
+        for run in self.runs.queued_with(fingerprint) {
+            self.refuse_run(run, cause);
+        }
+    }
+
     /// Sends the quarantined requests to one more node, as long as there are any.
     pub(crate) fn repeat_quarantine(&mut self) {
         if self.overload.quarantine_at.is_none_or(|at| at > self.now) {
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -163,6 +163,11 @@
             self.end_call(sequence, not_run(verdict::RefusalReason::Deadline), None);
             return;
         }
+        let fingerprint = open.context.fingerprint;
+        if let Some(limit) = self.quarantine_of(fingerprint) {
+            self.refuse_call(sequence, verdict::RefusalReason::Quarantined, limit);
+            return;
+        }
         if self.is_key_revoked(sequence) {
             let reason = self.unknown_key_reason();
             self.end_call(sequence, not_run(reason), None);
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -142,6 +142,14 @@
         lost.into_iter().map(event::RunId).collect()
     }
 
+    /// The queued runs of the request with this fingerprint.
+    pub fn queued_with(&self, fingerprint: ident::RequestFingerprint) -> Vec<event::RunId> {
+        let queued = self.runs.keys_where(|run| {
+            run.stage == RunStage::Queued && run.context.fingerprint == fingerprint
+        });
+        queued.into_iter().map(event::RunId).collect()
+    }
+
     /// Removes a queued or running run.
     pub fn end(&mut self, run: event::RunId) -> Option<Box<TargetRun>> {
         let ended = self.runs.remove(run.0)?;
