Keep what is quarantined in the platform's store

After the end of all nodes a request that had crashed targets before was run again: six more of them in a fleet of 16.

Cause: what was known of it lived in the nodes' memory only.

The node beside the target that crashed last writes the request under a lease; nodes list such entries at their start. Two calls for a quarantined request, one cheap read for a start.

--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -47,6 +47,8 @@
     pub requests_quarantined: u64,
     /// Calls and runs refused because their request is quarantined.
     pub calls_quarantined: u64,
+    /// Requests to the store about quarantined requests.
+    pub store_asked_quarantine: u64,
     /// Retries that the retry ratio did not allow.
     pub retries_over_ratio: u64,
     /// Retries after a target's refusal that were not made because their request would probably
--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -104,6 +104,7 @@
             self.counters.requests_quarantined += 1;
             self.report(effect::StateChange::RequestQuarantined { request });
             self.refuse_waiting(request.fingerprint);
+            self.write_quarantined(request);
         }
         for _ in 0..QUARANTINE_FANOUT {
             self.send_quarantine_to_any();
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -97,6 +97,7 @@
                 self.apply_fleet_effects(effects);
             }
             store::StoreRequester::Keys => self.key_store_answered(id, outcome),
+            store::StoreRequester::Quarantine => self.quarantine_store_answered(id, &outcome),
         }
     }
 
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -27,6 +27,7 @@
 mod operator;
 mod outcome_queries;
 mod overload;
+mod quarantine_store;
 pub mod reducer;
 mod refused_calls;
 pub mod request_log;
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     applying, calls, config, counters, directory, effect, event, fair_lanes, incarnations, keys,
-    memory, notices, overload, request_log, rulebook, runs, shutdown, stopping, timers,
+    memory, notices, overload, quarantine_store, request_log, rulebook, runs, shutdown, stopping,
+    timers,
 };
 
 /// The complete state of a node and its transition function.
@@ -44,6 +45,7 @@
     pub(crate) incarnations: incarnations::IncarnationHistory,
     /// What answers told about the targets beside other nodes.
     pub(crate) notices: notices::NoticeTable,
+    pub(crate) quarantine_store: quarantine_store::QuarantineStore,
     /// The service that the instance's target should offer, if the settings name one.
     pub(crate) expected_service: Option<name::ServiceName>,
     pub(crate) fleet: fleet::FleetState,
@@ -112,6 +114,7 @@
             shutdown: shutdown::ShutdownHandshake::default(),
             incarnations: incarnations::IncarnationHistory::default(),
             notices: notices::NoticeTable::default(),
+            quarantine_store: quarantine_store::QuarantineStore::default(),
             ready: false,
             effects: Vec::new(),
             loopback: VecDeque::new(),
@@ -124,6 +127,7 @@
     pub fn with_store(mut self) -> Self {
         self.fleet.use_store(self.now);
         self.keys.guard(self.now);
+        self.store_quarantine();
         self
     }
 
@@ -132,6 +136,7 @@
     #[must_use]
     pub fn with_rule_document(mut self, key: store::StoreKey) -> Self {
         self.fleet.use_document(self.now, key);
+        self.store_quarantine();
         self
     }
 
@@ -306,6 +311,7 @@
                 timers::TimerKind::StopRuns => self.stop_runs(),
                 timers::TimerKind::StopNotice => self.send_notices(),
                 timers::TimerKind::Quarantine => self.repeat_quarantine(),
+                timers::TimerKind::QuarantineStore => self.advance_quarantine_store(),
                 timers::TimerKind::StopLimit => self.stop_limit_reached(),
             }
         }
--- a/crates/anvil_core/src/timers.rs
+++ b/crates/anvil_core/src/timers.rs
@@ -28,6 +28,8 @@
     StopNotice,
     /// The quarantined requests are sent to another node again.
     Quarantine,
+    /// The store is asked about quarantined requests again.
+    QuarantineStore,
     /// A stopping node gives up the requests that are still in progress.
     StopLimit,
 }
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -15,7 +15,8 @@
 use anvil_core::{config, effect, event, reducer};
 use anvil_overload::policy;
 use anvil_rules::parse;
-use anvil_types::{ident, name, time, verdict};
+use anvil_standins::store::fake;
+use anvil_types::{ident, name, store, time, verdict};
 use anvil_wire::{call, frame};
 use bytes::Bytes;
 use rand_core::{Rng, SeedableRng};
@@ -29,6 +30,9 @@
 /// Time between the end of a node process and the start of its successor.
 const DOWN_TIME: Duration = Duration::from_millis(1_000);
 
+/// Interval at which the store answers watches.
+const STORE_TICK: Duration = Duration::from_millis(100);
+
 /// When requests begin, after the nodes have found each other.
 const TRAFFIC_START: Duration = Duration::from_secs(3);
 
@@ -109,6 +113,8 @@
     pub(crate) policy: policy::OverloadPolicy,
     /// A request that crashes each target that runs it, sent again and again at random nodes.
     pub(crate) poison: Option<PoisonPlan>,
+    /// Whether there is a store, which outlasts all nodes.
+    pub(crate) store: bool,
     /// Whether the targets at odd nodes offer a second service.
     pub(crate) second_service: bool,
     /// Times in seconds after the start of traffic, each with a node and what happens there.
@@ -129,6 +135,7 @@
                 ..variant::POLICY
             },
             poison: None,
+            store: false,
             second_service: false,
             script: Vec::new(),
         }
@@ -196,6 +203,8 @@
     Start(usize),
     RunDone(usize, u64, u32, event::RunId),
     Poison,
+    AskStore(usize, u64, store::StoreId, store::StoreRequest),
+    WatchStore,
     Crash(usize, u32),
     Recover(usize, u32),
 }
@@ -238,6 +247,7 @@
     poisoned: Vec<time::NodeTime>,
     crashes: Vec<time::NodeTime>,
     revision: u64,
+    store: fake::FakeStore<(usize, u64, store::StoreId)>,
 }
 
 /// Puts a revision of the rules in force; the second one moves a route.
@@ -301,6 +311,7 @@
             poisoned: Vec::new(),
             crashes: Vec::new(),
             revision: 1,
+            store: fake::FakeStore::new(plan.seed),
             plan,
         };
         for index in 0..fleet.plan.nodes {
@@ -319,6 +330,9 @@
             let spread = Duration::from_millis(fleet.rng.next_u64() % 1_000);
             fleet.schedule(spread, SimEvent::Heartbeat(index));
         }
+        if fleet.plan.store {
+            fleet.schedule(STORE_TICK, SimEvent::WatchStore);
+        }
         fleet.schedule(TRAFFIC_START, SimEvent::Request);
         if let Some(poison) = fleet.plan.poison {
             let first = TRAFFIC_START + Duration::from_secs_f64(poison.first);
@@ -361,6 +375,18 @@
             SimEvent::RunDone(node, generation, incarnation, run) => {
                 self.run_done(node, generation, incarnation, run);
             }
+            SimEvent::AskStore(node, generation, id, request) => {
+                let caller = (node, generation, id);
+                if let Some(outcome) = self.store.carry_out(self.now, caller, &request) {
+                    self.store_answers(caller, outcome);
+                }
+            }
+            SimEvent::WatchStore => {
+                self.schedule(STORE_TICK, SimEvent::WatchStore);
+                for (caller, outcome) in self.store.due_watches(self.now) {
+                    self.store_answers(caller, outcome);
+                }
+            }
             SimEvent::Poison => self.send_poison(),
             SimEvent::Crash(node, incarnation) => self.crash_target(node, incarnation),
             SimEvent::Recover(node, incarnation) => {
@@ -370,6 +396,15 @@
         }
     }
 
+    fn store_answers(
+        &mut self,
+        (node, generation, id): (usize, u64, store::StoreId),
+        outcome: store::StoreOutcome,
+    ) {
+        let answered = event::NodeEvent::StoreAnswered { id, outcome };
+        self.schedule(HOP, SimEvent::Step(node, generation, answered));
+    }
+
     fn start_node(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         node.generation += 1;
@@ -387,6 +422,9 @@
         };
         let seed = self.plan.seed * 1_000_000 + node.id.0;
         let mut reducer = reducer::NodeReducer::with_policy(config, seed, self.plan.policy);
+        if self.plan.store {
+            reducer = reducer.with_store();
+        }
         adopt_rules(&mut reducer, self.revision);
         node.reducer = Some(reducer);
         node.wake = None;
@@ -620,6 +658,10 @@
                     self.schedule(Duration::ZERO, SimEvent::Step(index, generation, ended));
                 }
             }
+            effect::NodeEffect::SendStoreRequest { id, request } => {
+                let generation = self.nodes[index].generation;
+                self.schedule(HOP, SimEvent::AskStore(index, generation, id, request));
+            }
             effect::NodeEffect::ReplyCaller { handle, reply } => {
                 self.replied(index, handle, &reply);
             }
--- a/crates/anvil_node/src/store.rs
+++ b/crates/anvil_node/src/store.rs
@@ -146,7 +146,7 @@
         requester: store::StoreRequester,
     ) -> std::sync::MutexGuard<'_, budget::CallBudget> {
         let budget = match requester {
-            store::StoreRequester::Fleet => &self.budget,
+            store::StoreRequester::Fleet | store::StoreRequester::Quarantine => &self.budget,
             store::StoreRequester::Keys => &self.key_budget,
         };
         budget.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/anvil_types/src/store.rs
+++ b/crates/anvil_types/src/store.rs
@@ -23,6 +23,9 @@
     /// The owners of idempotency keys.
     #[display("keys")]
     Keys,
+    /// The quarantine of requests that crash their targets.
+    #[display("quarantine")]
+    Quarantine,
 }
 
 /// Identifies a request to the store, unique within one run of a node.
--- a/crates/anvil_wire/src/suspicion.rs
+++ b/crates/anvil_wire/src/suspicion.rs
@@ -1,6 +1,7 @@
 //! Notices between nodes about crashed targets; see `docs/design/quarantine.md`.
 
 use anvil_types::{ident, name};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// Identifies one crash of a target, so that a notice that is received twice counts once.
@@ -45,6 +46,19 @@
     pub last: CrashId,
 }
 
+impl QuarantinedRequest {
+    /// Encodes the request as a value of the store.
+    pub fn to_value(&self) -> Option<Bytes> {
+        postcard::to_stdvec(self).ok().map(Bytes::from)
+    }
+
+    /// Decodes a value of the store; returns `None` if it is not a request of this version.
+    pub fn from_value(value: &[u8]) -> Option<Self> {
+        let (request, rest) = postcard::take_from_bytes(value).ok()?;
+        rest.is_empty().then_some(request)
+    }
+}
+
 /// Reports that a target crashed and which of its running requests are suspected.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionNotice {
