--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -47,6 +47,8 @@
     pub now: time::NodeTime,
     pub nodes: Vec<Node>,
     pub loss_percent: usize,
+    /// Share of the pairs of nodes whose connections are silent, in percent: bulk messages are lost.
+    pub silent_percent: usize,
     /// Regions that are partitioned from the others.
     pub cut: Vec<usize>,
     /// The side of a partition of each node in it; the others are on side 0. Each side reaches the
@@ -117,6 +119,7 @@
             now: time::NodeTime::from_millis(1),
             nodes: Vec::new(),
             loss_percent: 0,
+            silent_percent: 0,
             cut: Vec::new(),
             sides: BTreeMap::new(),
             choice: random::ChoiceSource::new(seed),
@@ -340,7 +343,8 @@
                         .nodes
                         .iter()
                         .position(|n| n.running && n.udp == address);
-                    if receiver.is_some_and(|r| self.nodes[r].state.local() == peer) {
+                    let reached = receiver.filter(|r| !self.is_silent(index, *r));
+                    if reached.is_some_and(|r| self.nodes[r].state.local() == peer) {
                         let own = self.nodes[index].state.local();
                         self.send(index, address, Event::Sync(own, message));
                     }
@@ -471,6 +475,13 @@
         self.push(at, receiver, event);
     }
 
+    /// Whether the connections of two nodes are silent; the same for both directions at any time.
+    fn is_silent(&self, one: usize, other: usize) -> bool {
+        let pair = id(one).0 ^ id(other).0;
+        let share = pair.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        share % 100 < self.silent_percent as u64
+    }
+
     fn schedule_wake(&mut self, index: usize, at: time::NodeTime) {
         let at = at.max(self.now);
         if at < self.nodes[index].wake_at {
--- a/crates/anvil_membership/tests/store_calls.rs
+++ b/crates/anvil_membership/tests/store_calls.rs
@@ -237,3 +237,23 @@
     eighty_nodes_without_watchers_at_once => (80, Duration::from_millis(10)),
     eighty_nodes_without_watchers_after_a_second => (80, Duration::from_secs(1)),
 }
+
+// The connections between many pairs of nodes are silent, so what a node asks of a peer that holds
+// newer rules does not arrive, while datagrams do.
+fn a_change_is_in_force_in_time_behind_silent_connections(silent_percent: usize) {
+    for seed in 1..=8 {
+        let mut net = fleet_with_seed(80, seed);
+        net.silent_percent = silent_percent;
+        for revision in 3..6 {
+            assert_in_force(&mut net, revision, IN_FORCE_LIMIT);
+            net.run(Duration::from_secs(2));
+        }
+    }
+}
+
+test_cases! {
+    a_change_is_in_force_in_time_behind_silent_connections:
+    half_of_the_connections_are_silent => (50),
+    four_of_five_connections_are_silent => (80),
+    all_connections_are_silent => (100),
+}
