--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -412,6 +412,9 @@
     }
 
     /// Pulls again, from a random member with a newer revision, if no answer arrived in time.
+    ///
+    /// Complete rules go over a connection, which may be silent without a sign, as may those of the
+    /// other members. They are read from the store as well.
     fn retry_pull(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(pull) = self.rules.pull.filter(|pull| pull.retry_at <= now) else {
             return;
@@ -420,6 +423,9 @@
             self.rules.pull = None;
             return;
         }
+        if self.config.document.is_some() && !self.rules.store_failed {
+            self.rules.read_at = Some(now);
+        }
         let held = self.revision();
         let ahead = |m: &member::MemberRecord| m.state.is_live() && m.revision > held;
         let other = self
