Tell other nodes only of requests that are refused here

A request that many callers send was running at a series of lost nodes. The node had just seen it answered and did not refuse it, but told the others, and the store, that it was quarantined.

Found in reading it.

what_is_not_refused_is_told_to_nobody fails before and passes now.

--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -411,11 +411,10 @@
     /// The requests that are quarantined at `now`, those with the latest crashes first, as many as
     /// fit into a datagram.
     pub fn quarantined(&self, now: time::NodeTime) -> Vec<suspicion::QuarantinedRequest> {
-        let is_quarantined = |suspect: &&SuspectFingerprint| {
-            let status = self.status(now, suspect.fingerprint);
-            matches!(status, QuarantineStatus::Quarantined { .. })
-        };
-        let mut found: Vec<_> = self.suspects.iter().filter(is_quarantined).collect();
+        let suspects = self.suspects.iter();
+        let mut found: Vec<_> = suspects
+            .filter(|suspect| self.is_quarantined(now, suspect.fingerprint))
+            .collect();
         found.sort_unstable_by_key(|suspect| std::cmp::Reverse(suspect.struck));
         found.truncate(suspicion::MAX_QUARANTINED_REQUESTS);
         let requests = found.into_iter().map(|suspect| suspect.quarantined(now));
@@ -430,10 +429,7 @@
         let fingerprint = request.fingerprint;
         let age = Duration::from_millis(request.age_millis);
         let quarantine = Duration::from_secs(u64::from(request.quarantine_seconds));
-        let known = matches!(
-            self.status(now, fingerprint),
-            QuarantineStatus::Quarantined { .. }
-        );
+        let known = self.is_quarantined(now, fingerprint);
         if known || age >= quarantine || self.answered_fingerprints.contains(now, fingerprint) {
             return false;
         }
@@ -533,9 +529,9 @@
         self.known_crashes.push_back(notice.crash);
         for suspect_request in &notice.suspects {
             let fingerprint = suspect_request.fingerprint;
-            let known = self.is_over_limit(fingerprint);
+            let known = self.is_quarantined(now, fingerprint);
             self.add_strike(now, notice.crash, suspect_request);
-            if !known && self.is_over_limit(fingerprint) {
+            if !known && self.is_quarantined(now, fingerprint) {
                 self.record_quarantined(now, fingerprint);
             }
         }
@@ -600,9 +596,11 @@
         self.suspects.insert(index, suspect);
     }
 
-    fn is_over_limit(&self, fingerprint: ident::RequestFingerprint) -> bool {
-        self.find(fingerprint)
-            .is_some_and(SuspectFingerprint::exceeds_limit)
+    fn is_quarantined(&self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) -> bool {
+        matches!(
+            self.status(now, fingerprint),
+            QuarantineStatus::Quarantined { .. }
+        )
     }
 
     fn record_quarantined(&mut self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) {
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -368,3 +368,18 @@
     assert!(!list.merge(at(2_000), &quarantined_elsewhere(Duration::ZERO)));
     assert_eq!(list.status(at(3_000), POISON), QuarantineStatus::Clean);
 }
+
+// A request that many callers send is answered and is then running at a series of lost nodes. It is
+// not refused here, so no other node is told to refuse it.
+#[test]
+fn what_is_not_refused_is_told_to_nobody() {
+    let mut list = list(1);
+    list.answered(at(0), POISON);
+    for loss in 0..6 {
+        let node = ident::NodeId(20 + loss);
+        list.peer_lost(at(100 + loss * 80), node, &service(), &[(POISON, RULE)]);
+    }
+    assert_eq!(list.status(at(700), POISON), QuarantineStatus::Suspect);
+    assert_eq!(list.take_quarantined(), []);
+    assert_eq!(list.quarantined(at(700)), []);
+}
