Let a node join with the first member that it knows

Cause: a message that is meant for the predecessor at the same address counted as joining. The node then looked for a peer to compare its members with, knew none, and tried again after an interval.

a_message_to_the_predecessor_does_not_delay_a_start fails before and passes now.

--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -68,7 +68,10 @@
         self.ping(target, number, out);
     }
 
-    /// Records the sender's revision, and that this node has joined.
+    /// Records the sender's revision, and that this node has joined once it knows another member.
+    ///
+    /// A starting node may get messages that are meant for its predecessor at the same address. With
+    /// nobody to compare its members with, it would try again only after an interval.
     pub(super) fn note_sender(
         &mut self,
         now: time::NodeTime,
@@ -78,7 +81,7 @@
         if let Some(record) = self.table.get_mut(head.from) {
             record.revision = record.revision.max(head.revision);
         }
-        if !self.joined {
+        if !self.joined && self.table.live() > 1 {
             self.joined = true;
             self.timers.sync = now;
             self.roster.expect_others(now);
--- a/crates/anvil_membership/tests/newcomers.rs
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use anvil_membership::fleet;
+use anvil_membership::{effect, fleet};
 use anvil_testkit::test_cases;
-use anvil_types::store;
+use anvil_types::{ident, store};
+use anvil_wire::gossip;
 
 mod harness;
 
@@ -141,3 +142,42 @@
         assert_eq!(net.nodes[*node].state.table().live(), SIZE + 2);
     }
 }
+
+// A peer that takes a starting node for its predecessor sends it something before anybody has told
+// it of a member. The node has joined nothing by that, and compares its members as soon as it can.
+#[test]
+fn a_message_to_the_predecessor_does_not_delay_a_start() {
+    for seed in 1..=8 {
+        let mut net = fleet(seed, RuleSource::Document);
+        net.crash(3);
+        net.run(Duration::from_millis(500));
+        let index = add(&mut net, 3, RuleSource::Document);
+        let started = net.now;
+        let message = gossip::GossipMessage {
+            head: gossip::GossipHead {
+                from: harness::id(5),
+                incarnation: 0,
+                revision: ident::RuleRevision(1),
+                ready: true,
+            },
+            kind: gossip::GossipKind::Quarantine {
+                requests: Vec::new(),
+            },
+            updates: Vec::new(),
+        };
+        net.act(index, |state, now| {
+            state.on_datagram(now, harness::address(5), &message)
+        });
+        let ready = |net: &Net| net.nodes[index].state.is_ready();
+        net.run_until(START_LIMIT, ready);
+        let joined = net.nodes[index]
+            .reports
+            .iter()
+            .find_map(|(at, report)| match report {
+                effect::FleetReport::Joined { members } => Some((at.since(started), *members)),
+                _ => None,
+            });
+        let (_, members) = joined.expect("the node joins");
+        assert!(members > 1, "seed {seed}: joined with {members} members");
+    }
+}
