End a quarantine when another node has served the request

A request that many callers send was refused by all nodes: one of them had counted crashes during which it was running, and told the others, which took its word.

A node that had just served the request ignored what it heard, and the others refused it for ten minutes.

a_node_that_has_served_a_request_tells_who_refuses_it and a_peer_that_has_served_a_request_ends_its_quarantine can't run on the code before, which knows no such message.

--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -90,6 +90,24 @@
         self.spread_quarantined();
     }
 
+    /// Handles what another node refuses, and what it knows to be harmless; replies with what this
+    /// node knows to be harmless of the former.
+    pub(crate) fn quarantine_message_arrived(
+        &mut self,
+        from: SocketAddr,
+        requests: &[suspicion::QuarantinedRequest],
+        served: &[suspicion::ServedRequest],
+    ) {
+        for request in served {
+            self.overload.poison.merge_served(self.now, request);
+        }
+        let harmless = self.overload.poison.served_among(self.now, requests);
+        if !harmless.is_empty() {
+            self.send_quarantine(from, Vec::new(), harmless);
+        }
+        self.quarantine_heard(requests);
+    }
+
     /// Sends what was quarantined since the last call to a few nodes, each of which does the same.
     ///
     /// Notices reach the nodes that have a target of the service at that moment. A request that is
@@ -142,21 +160,28 @@
     pub(crate) fn tell_quarantine(&mut self, newcomer: SocketAddr) {
         let requests = self.overload.poison.quarantined(self.now);
         if !requests.is_empty() {
-            let kind = gossip::GossipKind::Quarantine { requests };
-            let sent = self.fleet.message(newcomer, kind);
-            self.apply_fleet_effects(vec![sent]);
+            self.send_quarantine(newcomer, requests, Vec::new());
         }
     }
 
+    fn send_quarantine(
+        &mut self,
+        to: SocketAddr,
+        requests: Vec<suspicion::QuarantinedRequest>,
+        served: Vec<suspicion::ServedRequest>,
+    ) {
+        let kind = gossip::GossipKind::Quarantine { requests, served };
+        let sent = self.fleet.message(to, kind);
+        self.apply_fleet_effects(vec![sent]);
+    }
+
     fn send_quarantine_to_any(&mut self) -> bool {
         let requests = self.overload.poison.quarantined(self.now);
         if requests.is_empty() {
             return false;
         }
         if let Some(to) = self.fleet.random_peer() {
-            let kind = gossip::GossipKind::Quarantine { requests };
-            let sent = self.fleet.message(to, kind);
-            self.apply_fleet_effects(vec![sent]);
+            self.send_quarantine(to, requests, Vec::new());
         }
         true
     }
--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -45,7 +45,9 @@
             gossip::GossipKind::Shutdown(message) => {
                 self.shutdown_message_arrived(from, sender, *message);
             }
-            gossip::GossipKind::Quarantine { requests } => self.quarantine_heard(requests),
+            gossip::GossipKind::Quarantine { requests, served } => {
+                self.quarantine_message_arrived(from, requests, served);
+            }
             gossip::GossipKind::Join => self.tell_quarantine(from),
             _ => {}
         }
--- a/crates/anvil_core/src/quarantine_store.rs
+++ b/crates/anvil_core/src/quarantine_store.rs
@@ -24,6 +24,10 @@
 /// The longest lease that stores grant.
 const MAX_LEASE: Duration = Duration::from_secs(600);
 
+/// The time after which a quarantined request is written. Until then, other nodes may know it to be
+/// harmless.
+const WRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// First and longest pause after a failed request.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
 
@@ -119,7 +123,9 @@
             request,
             recorded_at: self.now,
         });
-        self.advance_quarantine_store();
+        let write_at = self.now + WRITE_DELAY;
+        self.timers
+            .set(write_at, timers::TimerKind::QuarantineStore);
     }
 
     /// Sends the next request to the store, unless one is pending or has just failed.
@@ -138,12 +144,23 @@
             self.ask_quarantine_store(StoreStep::Read, request);
             return;
         }
-        if let Some(next) = self.quarantine_store.next_unwritten(now) {
+        self.drop_harmless();
+        let next = self.quarantine_store.next_unwritten(now);
+        if let Some(next) = next.filter(|next| now >= next.recorded_at + WRITE_DELAY) {
             let lease = next.left(now).min(MAX_LEASE);
             self.ask_quarantine_store(StoreStep::Grant, store::StoreRequest::Grant { lease });
         }
     }
 
+    /// Drops requests whose quarantine has ended before they were written.
+    fn drop_harmless(&mut self) {
+        let (now, poison) = (self.now, &self.overload.poison);
+        let store = &mut self.quarantine_store;
+        store
+            .unwritten
+            .retain(|next| poison.is_quarantined(now, next.request.fingerprint));
+    }
+
     /// Handles the outcome of a request to the store.
     pub(crate) fn quarantine_store_answered(
         &mut self,
--- a/crates/anvil_core/tests/poison.rs
+++ b/crates/anvil_core/tests/poison.rs
@@ -101,3 +101,41 @@
     poison_while_all_nodes_of_an_idle_fleet_are_killed => (
         &with_store(plan(4.0, vec![(8.0, 0, Script::KillAll)]))),
 }
+
+/// Lets targets end one after the other, whatever they run.
+fn ends_in_series() -> Vec<(f64, usize, Script)> {
+    let ends = (0..40_u8).map(|round| {
+        let at = 2.0 + f64::from(round) * 0.4;
+        (at, usize::from(round % 3), Script::Replace)
+    });
+    let kills = (0..10_u8).map(|round| {
+        let at = 2.3 + f64::from(round) * 1.6;
+        (at, 4 + usize::from(round % 8), Script::KillNode)
+    });
+    ends.chain(kills).collect()
+}
+
+// Targets and nodes end one after the other for another reason, and all callers send the same
+// request, which is often all that a target runs. It is served throughout and afterwards.
+fn a_common_request_is_served(demand: f64) {
+    for seed in 1..=SEEDS {
+        let report = RateFleet::play(FleetPlan {
+            seed,
+            common_path: true,
+            poison: None,
+            ..plan(demand, ends_in_series())
+        });
+        let share = report.share_in_time();
+        assert!(
+            share >= 0.9,
+            "seed {seed}: share {share}, {} refused",
+            report.refused
+        );
+    }
+}
+
+test_cases! {
+    a_common_request_is_served:
+    common_request_in_an_idle_fleet => (20.0),
+    common_request_in_a_calm_fleet => (80.0),
+}
--- a/crates/anvil_core/tests/quarantined.rs
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -7,7 +7,7 @@
 use anvil_core::{effect, event, reducer};
 use anvil_standins::store::fake;
 use anvil_types::{ident, store, verdict};
-use anvil_wire::{call, frame, suspicion};
+use anvil_wire::{call, frame, gossip, suspicion};
 
 use support::{PEER, answer, answered, arrival, at, peer_call, replies, sent_calls, started};
 
@@ -53,6 +53,26 @@
     effects
 }
 
+/// The arrival of what a peer refuses and knows to be harmless.
+fn peer_list(
+    requests: Vec<suspicion::QuarantinedRequest>,
+    served: Vec<suspicion::ServedRequest>,
+) -> event::NodeEvent {
+    event::NodeEvent::DatagramArrived {
+        from: support::address(7999),
+        message: gossip::GossipMessage {
+            head: gossip::GossipHead {
+                from: ident::NodeId(9),
+                incarnation: 0,
+                revision: ident::RuleRevision(0),
+                ready: true,
+            },
+            kind: gossip::GossipKind::Quarantine { requests, served },
+            updates: Vec::new(),
+        },
+    }
+}
+
 /// Whether a run was refused because its request is quarantined.
 fn is_refused(effects: &[effect::NodeEffect]) -> bool {
     effects.iter().any(|effect| match effect {
@@ -160,3 +180,60 @@
     assert!(started(&effects).is_empty());
     assert!(is_refused(&effects));
 }
+
+// A node refuses a request, and a peer that has just served it says so. The node refuses it no more.
+#[test]
+fn a_peer_that_has_served_a_request_ends_its_quarantine() {
+    let mut node = support::target_node(8);
+    let fingerprint = ident::RequestFingerprint(7);
+    quarantine(&mut node, 1_000, fingerprint);
+    assert!(is_refused(&node.step(at(1_001), peer_call(7, true))));
+    let served = suspicion::ServedRequest {
+        fingerprint,
+        age_millis: 900,
+    };
+    node.step(at(1_002), peer_list(Vec::new(), vec![served]));
+    let mut again = peer_call(7, true);
+    if let event::NodeEvent::FrameArrived {
+        frame: frame::PeerFrame::Call(call),
+        ..
+    } = &mut again
+    {
+        call.attempt = 2;
+    }
+    assert_eq!(started(&node.step(at(1_003), again)).len(), 1);
+}
+
+// A node has just served a request that a peer refuses. It does not refuse the request, and tells the
+// peer.
+#[test]
+fn a_node_that_has_served_a_request_tells_who_refuses_it() {
+    let mut node = support::target_node(8);
+    let effects = node.step(at(1_000), peer_call(7, true));
+    let ended = event::NodeEvent::RunEnded {
+        run: started(&effects)[0],
+        outcome: answered(),
+        statement: None,
+    };
+    node.step(at(1_100), ended);
+    let request = suspicion::QuarantinedRequest {
+        fingerprint: ident::RequestFingerprint(7),
+        crashes: 4,
+        crash_limit: 2,
+        quarantine_seconds: 600,
+        age_millis: 0,
+        last: suspicion::CrashId {
+            node: ident::NodeId(9),
+            sequence: 4,
+        },
+    };
+    let effects = node.step(at(1_200), peer_list(vec![request], Vec::new()));
+    let told = effects.iter().any(|effect| match effect {
+        effect::NodeEffect::SendDatagram { message, .. } => match &message.kind {
+            gossip::GossipKind::Quarantine { served, .. } => served.len() == 1,
+            _ => false,
+        },
+        _ => false,
+    });
+    assert!(told);
+}
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -113,6 +113,8 @@
     pub(crate) policy: policy::OverloadPolicy,
     /// A request that crashes each target that runs it, sent again and again at random nodes.
     pub(crate) poison: Option<PoisonPlan>,
+    /// Whether all callers send the same request.
+    pub(crate) common_path: bool,
     /// Whether there is a store, which outlasts all nodes.
     pub(crate) store: bool,
     /// Whether the targets at odd nodes offer a second service.
@@ -135,6 +137,7 @@
                 ..variant::POLICY
             },
             poison: None,
+            common_path: false,
             store: false,
             second_service: false,
             script: Vec::new(),
@@ -474,7 +477,11 @@
         let repeatable = !self.rng.next_u64().is_multiple_of(3);
         let number = self.sent.len();
         let path = if repeatable { "browse" } else { "bid" };
-        self.send_to(entry, repeatable, format!("/{path}/{number}"));
+        let path = match self.plan.common_path {
+            true => "/browse/page".to_owned(),
+            false => format!("/{path}/{number}"),
+        };
+        self.send_to(entry, repeatable, path);
     }
 
     fn send_poison(&mut self) {
--- a/crates/anvil_membership/tests/newcomers.rs
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -162,6 +162,7 @@
             },
             kind: gossip::GossipKind::Quarantine {
                 requests: Vec::new(),
+                served: Vec::new(),
             },
             updates: Vec::new(),
         };
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -34,15 +34,25 @@
 }
 
 impl AnsweredFingerprints {
-    fn insert(&mut self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) {
+    /// Records that `fingerprint` was answered at `at`, unless its slot holds a later answer.
+    fn insert(&mut self, at: time::NodeTime, fingerprint: ident::RequestFingerprint) {
         self.slots.resize(ANSWERED_FINGERPRINT_SLOTS, None);
-        self.slots[slot_of(fingerprint)] = Some((fingerprint, now));
+        let slot = &mut self.slots[slot_of(fingerprint)];
+        if slot.is_none_or(|(_, known_at)| known_at <= at) {
+            *slot = Some((fingerprint, at));
+        }
     }
 
     /// Whether `fingerprint` was answered completely within [`SUSPECT_TTL`].
     fn contains(&self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) -> bool {
+        self.age(now, fingerprint).is_some()
+    }
+
+    /// Time since `fingerprint` was answered completely, if it was within [`SUSPECT_TTL`].
+    fn age(&self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) -> Option<Duration> {
         let slot = self.slots.get(slot_of(fingerprint)).copied().flatten();
-        slot.is_some_and(|(known, at)| known == fingerprint && now.since(at) < SUSPECT_TTL)
+        let (_, at) = slot.filter(|(known, _)| *known == fingerprint)?;
+        Some(now.since(at)).filter(|age| *age < SUSPECT_TTL)
     }
 }
 
@@ -155,13 +165,12 @@
     }
 
     fn quarantined(&self, now: time::NodeTime) -> suspicion::QuarantinedRequest {
-        let age = now.since(self.struck).as_millis();
         suspicion::QuarantinedRequest {
             fingerprint: self.fingerprint,
             crashes: self.strikes,
             crash_limit: self.rule.limit,
             quarantine_seconds: whole_seconds(self.rule.quarantine),
-            age_millis: u64::try_from(age).unwrap_or(u64::MAX),
+            age_millis: whole_millis(now.since(self.struck)),
             last: self.crash,
         }
     }
@@ -451,6 +460,40 @@
         true
     }
 
+    /// Those of `requests` that this node knows to be harmless, since they were served lately.
+    pub fn served_among(
+        &self,
+        now: time::NodeTime,
+        requests: &[suspicion::QuarantinedRequest],
+    ) -> Vec<suspicion::ServedRequest> {
+        let served = requests.iter().filter_map(|request| {
+            let fingerprint = request.fingerprint;
+            let age = self.answered_fingerprints.age(now, fingerprint)?;
+            Some(suspicion::ServedRequest {
+                fingerprint,
+                age_millis: whole_millis(age),
+            })
+        });
+        served.collect()
+    }
+
+    /// Ends the quarantine of a request that another node knows to be harmless.
+    ///
+    /// A request that many callers send may be running at a series of crashes that it does not
+    /// cause, while its answers arrive elsewhere. Refused everywhere, it would not be served again.
+    pub fn merge_served(&mut self, now: time::NodeTime, served: &suspicion::ServedRequest) {
+        let age = Duration::from_millis(served.age_millis);
+        if age >= SUSPECT_TTL {
+            return;
+        }
+        let was_quarantined = self.is_quarantined(now, served.fingerprint);
+        let at = time::NodeTime(now.0.saturating_sub(micros(age)));
+        self.answered_fingerprints.insert(at, served.fingerprint);
+        if was_quarantined {
+            self.clear(served.fingerprint);
+        }
+    }
+
     /// Number of suspects and quarantined requests.
     pub fn len(&self) -> usize {
         self.suspects.len()
@@ -596,7 +639,12 @@
         self.suspects.insert(index, suspect);
     }
 
-    fn is_quarantined(&self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) -> bool {
+    /// Whether requests with `fingerprint` are refused.
+    pub fn is_quarantined(
+        &self,
+        now: time::NodeTime,
+        fingerprint: ident::RequestFingerprint,
+    ) -> bool {
         matches!(
             self.status(now, fingerprint),
             QuarantineStatus::Quarantined { .. }
@@ -639,6 +687,10 @@
     }
 }
 
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/anvil_overload/tests/quarantine.rs
+++ b/crates/anvil_overload/tests/quarantine.rs
@@ -383,3 +383,27 @@
     assert_eq!(list.take_quarantined(), []);
     assert_eq!(list.quarantined(at(700)), []);
 }
+
+// A node condemns a request that is answered at other nodes. One of them says so, which ends the
+// quarantine; the crashes of the next minute don't renew it.
+#[test]
+fn what_others_have_served_is_not_refused() {
+    let (mut first, mut second) = (list(1), list(2));
+    second.answered(at(0), POISON);
+    for crash in 0..4 {
+        first.run_started(crash, POISON, RULE);
+        first.run_broken(at(1_000 + crash), crash, &service());
+    }
+    assert!(is_quarantined(&first, at(2_000), POISON));
+    let served = second.served_among(at(2_000), &first.quarantined(at(2_000)));
+    assert_eq!(served.len(), 1);
+    first.merge_served(at(2_001), &served[0]);
+    assert_eq!(first.status(at(2_002), POISON), QuarantineStatus::Clean);
+    for crash in 4..8 {
+        first.run_started(crash, POISON, RULE);
+        first.run_broken(at(3_000 + crash), crash, &service());
+    }
+    assert_eq!(first.status(at(4_000), POISON), QuarantineStatus::Suspect);
+    // The answer counts from when it arrived.
+    assert!(is_quarantined(&first, at(60_500), POISON));
+}
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -176,6 +176,11 @@
             deserialize_with = "bounded::list::<_, _, { suspicion::MAX_QUARANTINED_REQUESTS }>"
         )]
         requests: Vec<suspicion::QuarantinedRequest>,
+        /// Requests that the receiver refuses and the sender knows to be harmless.
+        #[serde(
+            deserialize_with = "bounded::list::<_, _, { suspicion::MAX_QUARANTINED_REQUESTS }>"
+        )]
+        served: Vec<suspicion::ServedRequest>,
     },
 }
 
--- a/crates/anvil_wire/src/suspicion.rs
+++ b/crates/anvil_wire/src/suspicion.rs
@@ -46,6 +46,15 @@
     pub last: CrashId,
 }
 
+/// A request that was served recently, so it can't be the cause of crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServedRequest {
+    /// Identifies the request.
+    pub fingerprint: ident::RequestFingerprint,
+    /// Time since it was served, in milliseconds.
+    pub age_millis: u64,
+}
+
 impl QuarantinedRequest {
     /// Encodes the request as a value of the store.
     pub fn to_value(&self) -> Option<Bytes> {
