Take a target for crashed only if it accepts no connection

A target had lost answers of it, one by one, and went on serving.

Cause: broken connections with nothing answered beside them counted as a crash. Told to all nodes and to the store, one such mistake outlasted all restarts.

A node now tries whether the target accepts a connection; the tests of crashes refuse that, the others accept it.

--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -30,6 +30,30 @@
             Some(end) => poison.run_ended(now, id.0, end, &service),
         };
         self.report_crash(notice);
+        self.probe_target();
+    }
+
+    /// Lets the target be probed if a broken run leaves open whether it crashed.
+    fn probe_target(&mut self) {
+        let target = self.target.as_ref().or(self.previous_target.as_ref());
+        let Some(address) = target.map(|target| target.announcement.address) else {
+            return;
+        };
+        if self.overload.poison.needs_probe() {
+            self.effects.push(effect::NodeEffect::ProbeTarget(address));
+        }
+    }
+
+    /// Handles whether the target at `address` accepted a connection.
+    pub(crate) fn target_probed(&mut self, address: SocketAddr, accepted: bool) {
+        let target = self.target.as_ref().or(self.previous_target.as_ref());
+        let probed = target.filter(|target| target.announcement.address == address);
+        let Some(service) = probed.map(|target| target.announcement.service.clone()) else {
+            return;
+        };
+        let poison = &mut self.overload.poison;
+        let notice = poison.target_probed(self.now, accepted, &service);
+        self.report_crash(notice);
     }
 
     /// Reports the end of an incarnation of the local target to the quarantine.
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -273,6 +273,9 @@
     },
     /// Run a request at the local target.
     RunTarget(Box<RunOrder>),
+    /// Try whether the target accepts a connection; the result comes back as
+    /// [`event::NodeEvent::TargetProbed`].
+    ProbeTarget(SocketAddr),
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -259,6 +259,14 @@
         /// The message.
         message: gossip::GossipMessage,
     },
+    /// Whether the target at an address accepted a connection, as
+    /// [`ProbeTarget`](crate::effect::NodeEffect::ProbeTarget) requested.
+    TargetProbed {
+        /// The address.
+        address: SocketAddr,
+        /// Whether it did; otherwise nobody listens there.
+        accepted: bool,
+    },
     /// A run at the local target ended.
     RunEnded {
         /// The run.
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -247,6 +247,9 @@
             event::NodeEvent::DatagramArrived { from, message } => {
                 self.datagram_arrived(from, &message);
             }
+            event::NodeEvent::TargetProbed { address, accepted } => {
+                self.target_probed(address, accepted);
+            }
             event::NodeEvent::RunEnded {
                 run,
                 outcome,
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -366,6 +366,7 @@
             }
             effect::NodeEffect::Exit => self.nodes.retain(|entry| entry.node != node),
             effect::NodeEffect::CancelRun(_)
+            | effect::NodeEffect::ProbeTarget(_)
             | effect::NodeEffect::AnswerOperator { .. }
             | effect::NodeEffect::Readiness(_)
             | effect::NodeEffect::Report(_) => {}
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -420,6 +420,11 @@
             effect::NodeEffect::CancelRun(run) => {
                 self.end_active(node, run, event::RunOutcome::Cancelled);
             }
+            effect::NodeEffect::ProbeTarget(address) => {
+                let accepted = !self.nodes[node].down;
+                let probed = event::NodeEvent::TargetProbed { address, accepted };
+                self.schedule(self.now, MeshEvent::Step(node, probed));
+            }
             effect::NodeEffect::ReplyCaller { handle, reply } => self.replied(handle.0, &reply),
             _ => {}
         }
--- a/crates/anvil_core/tests/quarantined.rs
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -168,6 +168,15 @@
         statement: None,
     };
     let effects = node.step(at(30_002), broken);
+    let address = effects.iter().find_map(|effect| match effect {
+        effect::NodeEffect::ProbeTarget(address) => Some(*address),
+        _ => None,
+    });
+    let refused = event::NodeEvent::TargetProbed {
+        address: address.expect("the target is probed"),
+        accepted: false,
+    };
+    let effects = node.step(at(30_003), refused);
     run(&mut node, &mut store, 30_010..35_000, effects);
     store.faults.down = false;
     store.faults.lost_answers = 50;
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -6,6 +6,7 @@
 //! whether a request may be sent again.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvil_core::{effect, event};
@@ -124,6 +125,19 @@
         report
     }
 
+    /// Tries whether the target accepts a connection, and keeps it for the next run; none if that
+    /// can't be told.
+    pub async fn probe(&self, address: SocketAddr) -> Option<bool> {
+        match self.pool.open(address).await {
+            Ok(connection) => {
+                self.pool.release(connection, message::KeepAlive::Yes(None));
+                Some(true)
+            }
+            Err(pool::ConnectFailed::Refused) => Some(false),
+            Err(pool::ConnectFailed::Unknown) => None,
+        }
+    }
+
     async fn send(&self, run: &effect::RunOrder, bytes: &[u8]) -> RunReport {
         loop {
             let pooled = self.pool.take(run.address, !run.idempotent);
@@ -132,7 +146,7 @@
                 Some(pooled) => pooled,
                 None => match self.pool.open(run.address).await {
                     Ok(opened) => opened,
-                    Err(pool::ConnectFailed) => return event::RunOutcome::Unreachable.into(),
+                    Err(_) => return event::RunOutcome::Unreachable.into(),
                 },
             };
             match self.exchange(run, &mut connection, bytes).await {
--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of connections to the local target.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -28,10 +29,16 @@
 /// millisecond.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(500);
 
-/// No connection to the target could be opened, so no byte of the request was sent.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-#[display("no connection to the target")]
-pub struct ConnectFailed;
+/// Why no connection to the target could be opened, so no byte of the request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum ConnectFailed {
+    /// Nobody listens at the address.
+    #[display("nobody listens at the target's address")]
+    Refused,
+    /// No answer in time, or another failure, which says nothing about the target.
+    #[display("no connection to the target")]
+    Unknown,
+}
 
 /// One open connection; dropping it closes it, which lets the target cancel its request.
 #[derive(Debug)]
@@ -86,10 +93,14 @@
     /// Opens a new connection to `address`.
     pub async fn open(&self, address: SocketAddr) -> Result<TargetConnection, ConnectFailed> {
         let opening = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = opening.await.map_err(|_| ConnectFailed)?;
-        let stream = stream.map_err(|_| ConnectFailed)?;
+        let stream = opening.await.map_err(|_| ConnectFailed::Unknown)?;
+        let stream = stream.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectFailed::Refused,
+            _ => ConnectFailed::Unknown,
+        })?;
         // Nagle's algorithm would delay the tail of a request until an acknowledgement arrives.
-        stream.set_nodelay(true).map_err(|_| ConnectFailed)?;
+        let undelayed = stream.set_nodelay(true);
+        undelayed.map_err(|_| ConnectFailed::Unknown)?;
         self.counters.count(counters::EdgeCause::TargetConnected);
         let gauge: &IntGauge = self.counters.target_connections();
         Ok(TargetConnection {
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -1,5 +1,7 @@
 //! Runs in flight at the local target, and their cancellation.
 
+use std::net::SocketAddr;
+
 use anvil_core::{effect, event};
 use anvil_types::sorted;
 use tokio::runtime;
@@ -55,6 +57,20 @@
         });
     }
 
+    /// Tries whether the target accepts a connection; the result is sent to the engine as an event.
+    pub fn probe(&self, address: SocketAddr) {
+        let exchange = self.exchange.clone();
+        let engine = self.engine.clone();
+        self.runtime.spawn(async move {
+            let Some(accepted) = exchange.probe(address).await else {
+                return;
+            };
+            let probed = event::NodeEvent::TargetProbed { address, accepted };
+            // Sending fails only if the process is exiting.
+            let _ = engine.send_async(engine::EngineInput::Event(probed)).await;
+        });
+    }
+
     /// Closes the connection of a run, which lets the target cancel it.
     pub fn cancel(&mut self, run: event::RunId) {
         if let Some(cancel) = self.cancels.remove(run) {
--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -121,16 +121,15 @@
     waiting: Vec<u64>,
     /// Number of runs that had started when the first one broke.
     started: u64,
-    /// Whether one of those that were in progress was answered since. The target may have sent that
-    /// answer before it crashed.
-    is_doubtful: bool,
+    /// Whether the caller of the list was told to probe the target.
+    is_probed: bool,
     /// Whether the target has ended, or accepts no connections.
     is_confirmed: bool,
 }
 
 impl CrashGroup {
     fn is_crash(&self) -> bool {
-        self.waiting.is_empty() && (self.is_confirmed || !self.is_doubtful)
+        self.waiting.is_empty() && self.is_confirmed
     }
 }
 
@@ -290,20 +289,44 @@
             group.waiting.remove(index);
         }
         match end {
-            // A target that answers what it received after the first break has not crashed. If a
-            // single broken connection made all running requests suspects, a busy target would run
-            // them one by one.
+            // A target that answers what it received after the first break has not crashed. An
+            // answer to an earlier request may have been sent before the crash.
             RunEnd::Answered | RunEnd::Failed if entry.start >= group.started => {
                 self.group = None;
                 return None;
             }
-            RunEnd::Answered | RunEnd::Failed => group.is_doubtful = true,
             RunEnd::Unreachable => group.is_confirmed = true,
-            RunEnd::Unknown => {}
+            RunEnd::Answered | RunEnd::Failed | RunEnd::Unknown => {}
         }
         self.conclude(now, service)
     }
 
+    /// Whether the target has to be probed, once for each series of broken runs.
+    ///
+    /// A target that loses an answer or resets a connection has not crashed. If each such break made
+    /// suspects, a request that many callers send would be quarantined at a target that loses some of
+    /// its answers.
+    pub fn needs_probe(&mut self) -> bool {
+        let undecided = self.group.as_mut().filter(|group| !group.is_confirmed);
+        undecided.is_some_and(|group| !std::mem::replace(&mut group.is_probed, true))
+    }
+
+    /// Records whether the target accepted a connection after a run broke.
+    ///
+    /// Returns a notice if that decides that it crashed.
+    pub fn target_probed(
+        &mut self,
+        now: time::NodeTime,
+        accepted: bool,
+        service: &name::ServiceName,
+    ) -> Option<suspicion::SuspicionNotice> {
+        if accepted {
+            self.group = None;
+            return None;
+        }
+        self.target_ended(now, service)
+    }
+
     /// Records that the incarnation of the target that was running has ended.
     ///
     /// Returns a notice if that decides that it crashed.
@@ -328,8 +351,8 @@
 
     /// Records a run whose connection broke.
     ///
-    /// Returns a notice once every run that was in progress has ended and nothing says that the
-    /// target is alive, which means that it crashed.
+    /// Returns a notice once every run that was in progress has ended and the target is known to have
+    /// ended too, which means that it crashed.
     pub fn run_broken(
         &mut self,
         now: time::NodeTime,
@@ -342,7 +365,7 @@
             broken: Vec::new(),
             waiting: running.iter().map(|known| known.run).collect(),
             started,
-            is_doubtful: false,
+            is_probed: false,
             is_confirmed: false,
         });
         if group.broken.len() < MAX_BROKEN_RUNS {
