Log each attempt of a request that must not run twice

What callers saw: requests that ran after a refusal, and requests that ran twice. No line of any log named them, because successes are logged for one lane in sixteen and nothing was logged about attempts.

Four lines now follow each attempt of a request that must not run twice: sent and settled at its entry node, started and ended beside the target. The third has the run, the last the exchange with the target: which connection, how many requests it carried, how many answers were skipped, and whether the answer named its request. anvilctl story shows them.

The volume is bounded: 200 lines a second and node, of which the usual steps of first attempts get half, so that repeated and refused attempts are kept longest.

No decision depends on any of this.

--- a/crates/anvil_core/benches/reducer.rs
+++ b/crates/anvil_core/benches/reducer.rs
@@ -47,6 +47,7 @@
             run,
             outcome: support::answered(),
             statement: None,
+            exchange: None,
         };
         node.step(clock.next(), ended)
     });
--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -6,7 +6,7 @@
 use anvil_types::{ident, treatment, verdict};
 use anvil_wire::call;
 
-use crate::{effect, event, overload, reducer, retrying, runs, stopping, timers};
+use crate::{effect, event, overload, reducer, request_log, retrying, runs, stopping, timers};
 
 /// The part of the objective for which a request may wait for a token, as a divisor.
 const TOKEN_WAIT_DIVISOR: u32 = 2;
@@ -263,10 +263,14 @@
             overload::crash_rule(&run.treatment),
         );
         let keyed = run.keyed_record(id);
+        let started = run.attempt_record(request_log::AttemptStep::Started { run: id.0 });
         self.overload.poison.run_started(id.0, fingerprint, rule);
         self.counters.runs_started += 1;
         self.effects
             .push(effect::NodeEffect::RunTarget(Box::new(order)));
+        if let Some(record) = started {
+            self.log_attempt(record);
+        }
         if let Some(record) = keyed.filter(|_| self.guards_keys()) {
             self.log_request(effect::StateChange::KeyedCall(Box::new(record)));
         }
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -228,6 +228,9 @@
     /// A call with a guarded idempotency key reached its next step.
     #[display("keyed call")]
     KeyedCall(Box<request_log::KeyedRecord>),
+    /// An attempt of a request that must not run twice reached its next step.
+    #[display("attempt")]
+    Attempt(Box<request_log::AttemptRecord>),
     /// Lines about single requests were suppressed to bound the size of the log.
     #[display("lines suppressed: {count}")]
     #[serde(rename = "held-back")]
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -283,9 +283,27 @@
         }
         self.directory.attempt_sent(&service, peer, context.class);
         self.log_keyed_step(sequence, request_log::KeyedStep::Sent { attempt, to: peer });
+        self.log_call_attempt(sequence, request_log::AttemptStep::Sent { to: peer });
         self.send_frame(peer, address, frame::PeerFrame::Call(Box::new(call)));
     }
 
+    /// Logs a step of the current attempt of a call that must not run twice.
+    pub(crate) fn log_call_attempt(&mut self, sequence: u64, step: request_log::AttemptStep) {
+        let call = self.call_id(sequence);
+        let open = self.calls.get(sequence);
+        let Some(open) = open.filter(|open| !open.treatment.idempotent) else {
+            return;
+        };
+        let record = request_log::AttemptRecord {
+            request: open.label.clone(),
+            root: open.context.request,
+            call,
+            attempt: open.attempts,
+            step,
+        };
+        self.log_attempt(record);
+    }
+
     pub(crate) fn peer_answered(&mut self, peer: ident::NodeId, answer: call::PeerAnswer) {
         let sequence = answer.call.sequence;
         // An answer to an earlier attempt, a duplicate, or an answer to another incarnation of this
@@ -351,6 +369,15 @@
         let call = self.call_id(sequence);
         let attempt = open.attempts;
         let expired = open.deadline <= self.now;
+        let reason = match expired {
+            true => verdict::UncertaintyReason::Deadline,
+            false => verdict::UncertaintyReason::Cancelled,
+        };
+        let step = request_log::AttemptStep::Settled {
+            verdict: verdict::CallVerdict::MayHaveRun(reason),
+            status: None,
+        };
+        self.log_call_attempt(sequence, step);
         self.attempt_given_up(sequence, peer, expired);
         if !self.overload.policy.cancellation {
             return;
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -8,6 +8,7 @@
 use anvil_types::{account, ident, name, rate, store};
 use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
+use serde::Serialize;
 
 /// A caller's connection that waits for one reply; it has a meaning only inside this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,6 +76,31 @@
     Cancelled,
 }
 
+/// The connection on which a run's request was sent to the target, and what was received there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct ExchangeTrace {
+    /// The number of the connection in this process.
+    pub connection: u64,
+    /// The number of the request among those of the connection, from one.
+    pub position: u32,
+    /// Answers to other requests that were received and skipped.
+    pub unrelated: u32,
+    /// How the answer identifies its request; none if no head of an answer was received.
+    pub identity: Option<AnswerIdentity>,
+}
+
+/// How an answer of the target identifies the request that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AnswerIdentity {
+    /// It names the request.
+    Named,
+    /// It names no request.
+    Unnamed,
+    /// It names another request.
+    Other,
+}
+
 /// What a valid answer of a target states about the target itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetStatement {
@@ -275,6 +301,9 @@
         outcome: RunOutcome,
         /// What the target's answer stated about it, if a valid one came.
         statement: Option<TargetStatement>,
+        /// The exchange with the target; none if no byte of the request was sent, or if the run
+        /// was cancelled.
+        exchange: Option<ExchangeTrace>,
     },
     /// The local target announced itself or renewed its announcement.
     TargetAnnounced(TargetAnnouncement),
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -38,6 +38,7 @@
     pub(crate) timers: timers::TimerQueue,
     pub(crate) counters: counters::NodeCounters,
     pub(crate) log_budget: request_log::LogBudget,
+    pub(crate) attempt_log: request_log::AttemptLogBudget,
     pub(crate) phase: stopping::NodePhase,
     pub(crate) stop: stopping::StopPlan,
     /// The recent callers, and the handshake with them before this node exits.
@@ -109,6 +110,7 @@
             timers: timers::TimerQueue::default(),
             counters: counters::NodeCounters::default(),
             log_budget: request_log::LogBudget::default(),
+            attempt_log: request_log::AttemptLogBudget::default(),
             phase: stopping::NodePhase::Serving,
             stop: stopping::StopPlan::default(),
             shutdown: shutdown::ShutdownHandshake::default(),
@@ -254,10 +256,14 @@
                 run,
                 outcome,
                 statement,
+                exchange,
             } => {
                 if let Some(statement) = statement {
                     self.target_stated(run, &statement);
                 }
+                if let Some(found) = self.runs.get_mut(run) {
+                    found.exchange = exchange;
+                }
                 self.run_ended(run, outcome);
             }
             event::NodeEvent::TargetAnnounced(announcement) => {
@@ -344,7 +350,18 @@
 
     /// Logs a line about one request if the budget for such lines allows it.
     pub(crate) fn log_request(&mut self, change: effect::StateChange) {
-        match self.log_budget.take(self.now) {
+        let grant = self.log_budget.take(self.now);
+        self.report_granted(grant, change);
+    }
+
+    /// Logs a step of an attempt if the budget for such lines allows it.
+    pub(crate) fn log_attempt(&mut self, record: request_log::AttemptRecord) {
+        let grant = self.attempt_log.take(self.now, &record);
+        self.report_granted(grant, effect::StateChange::Attempt(Box::new(record)));
+    }
+
+    fn report_granted(&mut self, grant: request_log::LogGrant, change: effect::StateChange) {
+        match grant {
             request_log::LogGrant::Write { suppressed: 0 } => self.report(change),
             request_log::LogGrant::Write { suppressed } => {
                 self.report(effect::StateChange::LinesSuppressed { count: suppressed });
--- a/crates/anvil_core/src/request_log.rs
+++ b/crates/anvil_core/src/request_log.rs
@@ -11,13 +11,22 @@
 use anvil_types::{context, ident, name, rate, time, treatment, verdict};
 use serde::{Serialize, Serializer};
 
+use crate::event;
+
 /// Number of lanes, out of 256, whose successes are logged.
 const LOGGED_LANES: u8 = 16;
 
-/// Maximum number of lines about single requests per second. A line takes about 300 bytes, so a
-/// node writes at most 60 kB/s.
+/// Maximum number of lines about the ends of requests per second. A line takes about 300 bytes, so
+/// a node writes at most 60 kB/s.
 const MAX_LINES_PER_SECOND: u32 = 200;
 
+/// Maximum number of lines about attempts per second, in addition.
+const MAX_ATTEMPT_LINES_PER_SECOND: u32 = 200;
+
+/// Lines about attempts per second that only unusual attempts may use: repeated ones, and those
+/// that did not end with a complete answer.
+const RESERVED_ATTEMPT_LINES: u32 = 100;
+
 /// How a request ended at its entry node.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct CallSummary {
@@ -145,6 +154,78 @@
     },
 }
 
+/// A step of one attempt of a request that must not run twice.
+///
+/// If such a request runs twice, or runs after a refusal, these records show which attempts were
+/// sent, which of them reached the target, and on what evidence each was taken for run or not run.
+/// See `docs/OPERATIONS-platform.md`.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct AttemptRecord {
+    /// The id that the caller gave the request.
+    pub request: Option<ident::RequestLabel>,
+    /// The root request of the chain.
+    pub root: ident::RequestId,
+    /// The call; its first part is the entry node.
+    #[serde(serialize_with = "in_hex")]
+    pub call: ident::CallId,
+    /// The number of the attempt.
+    pub attempt: u16,
+    /// The step.
+    #[serde(flatten)]
+    pub step: AttemptStep,
+}
+
+/// The steps of an attempt, in order; the first and the last are logged by the entry node, the
+/// others by the node beside the target.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "step", rename_all = "kebab-case")]
+pub enum AttemptStep {
+    /// The entry node sent it.
+    Sent {
+        /// The node that it was sent to.
+        #[serde(serialize_with = "in_hex")]
+        to: ident::NodeId,
+    },
+    /// The request was handed to the target.
+    Started {
+        /// The run.
+        run: u64,
+    },
+    /// The run ended, or was refused before it started.
+    Ended {
+        /// The run.
+        run: u64,
+        /// Whether the request ran.
+        #[serde(serialize_with = "in_words")]
+        verdict: verdict::CallVerdict,
+        /// The status of the target's answer, if there is one.
+        status: Option<u16>,
+        /// The exchange with the target, if there was one.
+        exchange: Option<event::ExchangeTrace>,
+    },
+    /// The entry node took it for ended.
+    Settled {
+        /// Whether the request ran.
+        #[serde(serialize_with = "in_words")]
+        verdict: verdict::CallVerdict,
+        /// The status of the target's answer, if there is one.
+        status: Option<u16>,
+    },
+}
+
+impl AttemptRecord {
+    /// Whether nearly every attempt has such a step, so that its line may be suppressed first.
+    fn is_routine(&self) -> bool {
+        let is_answered = match &self.step {
+            AttemptStep::Sent { .. } | AttemptStep::Started { .. } => true,
+            AttemptStep::Ended { verdict, .. } | AttemptStep::Settled { verdict, .. } => {
+                *verdict == verdict::CallVerdict::Answered
+            }
+        };
+        self.attempt == 1 && is_answered
+    }
+}
+
 /// Serializes an id as text, because JSON readers lose precision on integers of this width.
 fn in_hex<T, S>(id: &T, serializer: S) -> Result<S::Ok, S::Error>
 where
@@ -203,9 +284,10 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Limits the lines about single requests in each second.
-#[derive(Clone, Debug, Default)]
+/// Limits the lines of one kind in each second.
+#[derive(Clone, Debug)]
 pub struct LogBudget {
+    limit: u32,
     second: u64,
     written: u32,
     suppressed: u64,
@@ -223,15 +305,36 @@
     Suppress,
 }
 
+impl Default for LogBudget {
+    fn default() -> Self {
+        Self::with_limit(MAX_LINES_PER_SECOND)
+    }
+}
+
 impl LogBudget {
+    /// A budget of `limit` lines per second.
+    pub fn with_limit(limit: u32) -> Self {
+        Self {
+            limit,
+            second: 0,
+            written: 0,
+            suppressed: 0,
+        }
+    }
+
     /// Takes one line out of the budget of the current second.
     pub fn take(&mut self, now: time::NodeTime) -> LogGrant {
+        self.take_above(now, 0)
+    }
+
+    /// The same, but leaves `reserve` lines of each second for others.
+    fn take_above(&mut self, now: time::NodeTime, reserve: u32) -> LogGrant {
         let second = now.0 / 1_000_000;
         if second != self.second {
             self.second = second;
             self.written = 0;
         }
-        if self.written >= MAX_LINES_PER_SECOND {
+        if self.written >= self.limit - reserve {
             self.suppressed += 1;
             return LogGrant::Suppress;
         }
@@ -240,3 +343,24 @@
         LogGrant::Write { suppressed }
     }
 }
+
+/// The budget for lines about the attempts of requests that must not run twice.
+#[derive(Clone, Debug)]
+pub struct AttemptLogBudget(LogBudget);
+
+impl Default for AttemptLogBudget {
+    fn default() -> Self {
+        Self(LogBudget::with_limit(MAX_ATTEMPT_LINES_PER_SECOND))
+    }
+}
+
+impl AttemptLogBudget {
+    /// Takes the line of `record` out of the budget of the current second.
+    pub fn take(&mut self, now: time::NodeTime, record: &AttemptRecord) -> LogGrant {
+        let reserve = match record.is_routine() {
+            true => RESERVED_ATTEMPT_LINES,
+            false => 0,
+        };
+        self.0.take_above(now, reserve)
+    }
+}
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -7,7 +7,7 @@
 use anvil_types::{ident, treatment, verdict};
 use anvil_wire::call;
 
-use crate::{calls, entry, keys, overload, reducer, stopping, timers};
+use crate::{calls, entry, keys, overload, reducer, request_log, stopping, timers};
 
 /// Maximum number of redirects per call: refusals by leaving, unready or unreachable nodes that are
 /// followed by another attempt without spending a retry.
@@ -127,6 +127,9 @@
         verdict: verdict::CallVerdict,
         answer: Option<call::CallAnswer>,
     ) {
+        let status = answer.as_ref().map(|answer| answer.status);
+        let step = request_log::AttemptStep::Settled { verdict, status };
+        self.log_call_attempt(sequence, step);
         let Some(open) = self.calls.get_mut(sequence) else {
             return;
         };
@@ -154,8 +157,8 @@
             self.retry_refused(sequence, false);
             return;
         }
-        let status = answer.as_ref().map_or(0, |answer| answer.status);
-        match self.retry_pause(sequence, verdict, status >= SERVER_ERROR) {
+        let failed = status.is_some_and(|status| status >= SERVER_ERROR);
+        match self.retry_pause(sequence, verdict, failed) {
             Some(pause) => {
                 let when = self.now + pause;
                 self.timers
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -77,6 +77,8 @@
     pub waits: waits::CallWaits,
     /// Whether it is queued or running.
     pub stage: RunStage,
+    /// The exchange with the target, once the run has ended.
+    pub exchange: Option<event::ExchangeTrace>,
     /// Notices about this run that could not be sent to its entry node since that node last
     /// queried it.
     pub failed_notices: u8,
@@ -91,6 +93,20 @@
         }
     }
 
+    /// The log record of a step of its attempt, if the request must not run twice.
+    pub fn attempt_record(
+        &self,
+        step: request_log::AttemptStep,
+    ) -> Option<request_log::AttemptRecord> {
+        (!self.context.idempotent).then(|| request_log::AttemptRecord {
+            request: self.label.clone(),
+            root: self.context.request,
+            call: self.call,
+            attempt: self.attempt,
+            step,
+        })
+    }
+
     /// The log record of its start, if it must not run without a grant of its idempotency key.
     pub fn keyed_record(&self, run: event::RunId) -> Option<request_log::KeyedRecord> {
         let key = self.context.key.filter(|_| !self.treatment.idempotent)?;
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -48,6 +48,7 @@
             rule: call.rule,
             deadline,
             stage: runs::RunStage::Queued,
+            exchange: None,
             failed_notices: 0,
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
             started: None,
@@ -110,6 +111,15 @@
         };
         let status = answer.as_ref().map(|answer| answer.status);
         self.log_run(&ended, verdict, status);
+        let step = request_log::AttemptStep::Ended {
+            run: run.0,
+            verdict,
+            status,
+            exchange: ended.exchange,
+        };
+        if let Some(record) = ended.attempt_record(step) {
+            self.log_attempt(record);
+        }
         let status = status.unwrap_or(0);
         let decisions = self.release_run(run, &ended, verdict, status);
         let load = self.load_report(ended.kind);
--- a/crates/anvil_core/tests/accounts.rs
+++ b/crates/anvil_core/tests/accounts.rs
@@ -191,6 +191,7 @@
         run: event::RunId(1),
         outcome: event::RunOutcome::Refused,
         statement: None,
+        exchange: None,
     };
     let effects = node.step(support::at(2), refused);
     assert_eq!(support::replies(&effects).len(), 1);
--- a/crates/anvil_core/tests/births.rs
+++ b/crates/anvil_core/tests/births.rs
@@ -124,6 +124,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         },
     );
     let may_have_run = verdict::CallVerdict::MayHaveRun(verdict::UncertaintyReason::ConnectionLost);
@@ -154,6 +155,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         },
     );
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
--- a/crates/anvil_core/tests/blame.rs
+++ b/crates/anvil_core/tests/blame.rs
@@ -85,6 +85,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         },
     );
     let reported = effects.iter().find_map(|effect| match effect {
--- a/crates/anvil_core/tests/broken_links.rs
+++ b/crates/anvil_core/tests/broken_links.rs
@@ -144,6 +144,7 @@
                 run,
                 outcome,
                 statement: None,
+                exchange: None,
             },
         );
     }
@@ -332,6 +333,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         };
         pair.step(support::PEER, ended);
         pair.in_transit.clear();
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -348,6 +348,7 @@
                         run,
                         outcome,
                         statement: None,
+                        exchange: None,
                     },
                 );
             }
--- a/crates/anvil_core/tests/mesh/mod.rs
+++ b/crates/anvil_core/tests/mesh/mod.rs
@@ -558,6 +558,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         };
         self.schedule(self.now, MeshEvent::Step(node, event));
     }
--- a/crates/anvil_core/tests/notes.rs
+++ b/crates/anvil_core/tests/notes.rs
@@ -6,6 +6,7 @@
 
 use anvil_core::{effect, event, request_log};
 use anvil_types::{context, ident, time, verdict};
+use serde_json::json;
 
 /// The log lines about single requests among `effects`.
 fn lines(effects: &[effect::NodeEffect]) -> Vec<&effect::StateChange> {
@@ -83,3 +84,106 @@
     let first = budget.take(time::NodeTime::START);
     assert_eq!(first, request_log::LogGrant::Write { suppressed: 0 });
 }
+
+/// The steps of attempts among the log lines, as JSON without what identifies the request.
+fn attempt_steps(effects: &[effect::NodeEffect]) -> Vec<serde_json::Value> {
+    let steps = effects.iter().filter_map(|effect| match effect {
+        effect::NodeEffect::Report(effect::StateChange::Attempt(record)) => {
+            assert!(record.call.sequence > 0);
+            let step = serde_json::to_value(&record.step).unwrap();
+            Some(json!({ "attempt": record.attempt, "step": step }))
+        }
+        _ => None,
+    });
+    steps.collect()
+}
+
+// Guards against a request that ran twice and whose attempts no log shows.
+#[test]
+fn each_attempt_of_a_request_that_must_not_run_twice_is_logged_at_its_entry_node() {
+    let mut node = support::entry_node();
+    support::add_peer(&mut node, support::PEER);
+    support::add_peer(&mut node, ident::NodeId(3));
+    let mut effects = node.step(support::at(5), support::arrival(1, "POST"));
+    let (peer, call) = support::sent_calls(&effects).remove(0);
+    let refused = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
+    effects.extend(node.step(support::at(6), support::answer(peer, &call, refused)));
+    let (other, call) = support::sent_calls(&effects).remove(1);
+    let answered = verdict::CallVerdict::Answered;
+    effects.extend(node.step(support::at(7), support::answer(other, &call, answered)));
+    let sent = |to: ident::NodeId| json!({ "step": "sent", "to": to.to_string() });
+    let settled = |verdict: &str, status: Option<u16>| json!({ "step": "settled", "verdict": verdict, "status": status });
+    assert_eq!(
+        attempt_steps(&effects),
+        [
+            json!({ "attempt": 1, "step": sent(peer) }),
+            json!({ "attempt": 1, "step": settled("not-run: leaving", None) }),
+            json!({ "attempt": 2, "step": sent(other) }),
+            json!({ "attempt": 2, "step": settled("answered", Some(200)) }),
+        ]
+    );
+}
+
+// Guards against a run that no log of its target's node ties to a connection and an answer.
+#[test]
+fn each_run_of_a_request_that_must_not_run_twice_is_logged_with_its_connection() {
+    let mut node = support::target_node(8);
+    let mut effects = node.step(support::at(5), support::peer_call(1, false));
+    let exchange = event::ExchangeTrace {
+        connection: 4,
+        position: 2,
+        unrelated: 1,
+        identity: Some(event::AnswerIdentity::Named),
+    };
+    let ended = event::NodeEvent::RunEnded {
+        run: support::started(&effects)[0],
+        outcome: event::RunOutcome::Refused,
+        statement: None,
+        exchange: Some(exchange),
+    };
+    effects.extend(node.step(support::at(6), ended));
+    let exchange = json!({ "connection": 4, "position": 2, "unrelated": 1, "identity": "named" });
+    let ended = json!({
+        "step": "ended", "run": 1, "verdict": "not-run: target-refused", "status": null,
+        "exchange": exchange,
+    });
+    assert_eq!(
+        attempt_steps(&effects),
+        [
+            json!({ "attempt": 1, "step": { "step": "started", "run": 1 } }),
+            json!({ "attempt": 1, "step": ended }),
+        ]
+    );
+}
+
+// Guards against a log that grows with the load, and against first attempts that crowd out the
+// refused ones.
+#[test]
+fn lines_about_attempts_are_limited_and_unusual_ones_have_a_reserve() {
+    let mut node = support::target_node(10_000);
+    let (mut started, mut refused) = (0, 0);
+    for sequence in 1..=1_000 {
+        let effects = node.step(support::at(1_000), support::peer_call(sequence, false));
+        started += attempt_steps(&effects).len();
+        let runs = support::started(&effects);
+        let ended = runs.iter().map(|run| event::NodeEvent::RunEnded {
+            run: *run,
+            outcome: event::RunOutcome::Refused,
+            statement: None,
+            exchange: None,
+        });
+        for ended in ended {
+            refused += attempt_steps(&node.step(support::at(1_000), ended)).len();
+        }
+    }
+    assert!(started < refused, "{started} started, {refused} refused");
+    assert_eq!(started + refused, 200);
+}
+
+// Guards against a log of every attempt of requests that may run again.
+#[test]
+fn attempts_of_idempotent_requests_are_not_logged() {
+    let mut node = support::target_node(8);
+    let effects = node.step(support::at(5), support::peer_call(1, true));
+    assert_eq!(attempt_steps(&effects), Vec::<serde_json::Value>::new());
+}
--- a/crates/anvil_core/tests/platform_hardships.rs
+++ b/crates/anvil_core/tests/platform_hardships.rs
@@ -96,6 +96,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         },
     );
     node.step(at(5), announced("a", 41));
@@ -171,6 +172,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         },
     );
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
--- a/crates/anvil_core/tests/quarantined.rs
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -123,6 +123,7 @@
         run: first,
         outcome: answered(),
         statement: None,
+        exchange: None,
     };
     effects.extend(node.step(at(4), ended));
     assert!(started(&effects).is_empty());
@@ -164,6 +165,7 @@
         run: started(&effects)[0],
         outcome: event::RunOutcome::Broken { in_answer: false },
         statement: None,
+        exchange: None,
     };
     let effects = node.step(at(30_002), broken);
     let address = effects.iter().find_map(|effect| match effect {
@@ -220,6 +222,7 @@
         run: started(&effects)[0],
         outcome: answered(),
         statement: None,
+        exchange: None,
     };
     node.step(at(1_100), ended);
     let request = suspicion::QuarantinedRequest {
--- a/crates/anvil_core/tests/rate_fleet/mod.rs
+++ b/crates/anvil_core/tests/rate_fleet/mod.rs
@@ -588,6 +588,7 @@
                 run,
                 outcome,
                 statement: None,
+                exchange: None,
             };
             self.step(index, ended);
         }
@@ -670,6 +671,7 @@
                     run,
                     outcome,
                     statement: None,
+                    exchange: None,
                 };
                 let generation = self.nodes[index].generation;
                 if self.forget_run(index, run) {
@@ -719,6 +721,7 @@
                 run: order.run,
                 outcome: event::RunOutcome::Unreachable,
                 statement: None,
+                exchange: None,
             };
             self.schedule(Duration::ZERO, SimEvent::Step(index, generation, ended));
             return;
@@ -732,6 +735,7 @@
                 run: order.run,
                 outcome,
                 statement: None,
+                exchange: None,
             };
             self.schedule(Duration::ZERO, SimEvent::Step(index, generation, ended));
             return;
@@ -813,6 +817,7 @@
                 leaving,
                 ..event::TargetStatement::default()
             }),
+            exchange: None,
         };
         self.step(index, ended);
     }
--- a/crates/anvil_core/tests/refused_calls.rs
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -229,6 +229,7 @@
             run,
             outcome,
             statement,
+            exchange: None,
         };
         node.step(support::at(millis + 50), ended);
     }
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -208,6 +208,7 @@
             run,
             outcome,
             statement: None,
+            exchange: None,
         };
         self.push(support::PEER, Duration::ZERO, ended);
     }
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -64,6 +64,7 @@
             leaving,
             ..event::TargetStatement::default()
         }),
+        exchange: None,
     }
 }
 
@@ -181,6 +182,7 @@
                 run,
                 outcome: outcome.clone(),
                 statement: *statement,
+                exchange: None,
             },
             event => event.clone(),
         };
@@ -206,6 +208,7 @@
             leaving: true,
             ..event::TargetStatement::default()
         }),
+        exchange: None,
     }
 }
 
@@ -321,6 +324,7 @@
             load: stated(load),
             ..event::TargetStatement::default()
         }),
+        exchange: None,
     };
     node.step(at(millis), event)
 }
--- a/crates/anvil_core/tests/verdicts.rs
+++ b/crates/anvil_core/tests/verdicts.rs
@@ -68,6 +68,7 @@
         run: runs[0],
         outcome: event::RunOutcome::TimedOut,
         statement: None,
+        exchange: None,
     };
     node.step(support::at(3), ended);
     let after = node.step(support::at(4), support::peer_call(1, false));
--- a/crates/anvil_core/tests/whole_path.rs
+++ b/crates/anvil_core/tests/whole_path.rs
@@ -87,6 +87,7 @@
         run: runs[0],
         outcome: answered(),
         statement: None,
+        exchange: None,
     };
     let effects = node.step(at(2), ended);
     assert_eq!(replies(&effects), [(1, verdict::CallVerdict::Answered)]);
--- a/crates/anvil_ctl/src/logs/line.rs
+++ b/crates/anvil_ctl/src/logs/line.rs
@@ -19,6 +19,8 @@
     CallEnded(CallEnd),
     /// A run, or the wait for one, ended at the target's node.
     RunEnded(RunEnd),
+    /// An attempt of a request that must not run twice reached its next step.
+    Attempt(AttemptLine),
     /// Any other event.
     #[serde(other)]
     Other,
@@ -95,12 +97,74 @@
     pub queued: u64,
 }
 
+/// A step of an attempt.
+#[derive(Clone, Debug, Deserialize)]
+pub struct AttemptLine {
+    /// The caller's own id.
+    pub request: Option<String>,
+    /// The root request.
+    pub root: String,
+    /// The number of the entry node's attempt.
+    pub attempt: u16,
+    /// The step.
+    #[serde(flatten)]
+    pub step: AttemptStep,
+}
+
+/// The steps of an attempt.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "step", rename_all = "kebab-case")]
+pub enum AttemptStep {
+    /// The entry node sent it.
+    Sent {
+        /// The node that it was sent to.
+        to: String,
+    },
+    /// It was handed to the target.
+    Started {
+        /// The run.
+        run: u64,
+    },
+    /// Its run ended.
+    Ended {
+        /// The run.
+        run: u64,
+        /// The verdict as text.
+        verdict: String,
+        /// The target's status, if it answered.
+        status: Option<u16>,
+        /// The exchange with the target, if there was one.
+        exchange: Option<TargetExchange>,
+    },
+    /// The entry node took it for ended.
+    Settled {
+        /// The verdict as text.
+        verdict: String,
+        /// The target's status, if it answered.
+        status: Option<u16>,
+    },
+}
+
+/// The exchange of a run with the target.
+#[derive(Clone, Debug, Deserialize)]
+pub struct TargetExchange {
+    /// The number of the connection in its process.
+    pub connection: u64,
+    /// The number of the request among those of the connection.
+    pub position: u32,
+    /// Answers to other requests that were skipped.
+    pub unrelated: u32,
+    /// How the answer identifies its request: `named`, `unnamed` or `other`.
+    pub identity: Option<String>,
+}
+
 impl LogFacts {
     /// The caller's id and the root request, if the line is about one request.
     pub fn ids(&self) -> Option<(Option<&str>, &str)> {
         match self {
             Self::CallEnded(call) => Some((call.request.as_deref(), &call.root)),
             Self::RunEnded(run) => Some((run.request.as_deref(), &run.root)),
+            Self::Attempt(attempt) => Some((attempt.request.as_deref(), &attempt.root)),
             Self::Other => None,
         }
     }
--- a/crates/anvil_ctl/src/story/cause.rs
+++ b/crates/anvil_ctl/src/story/cause.rs
@@ -36,7 +36,9 @@
     fn of(entry: &'a trace::TraceEntry) -> Option<Self> {
         match &entry.facts {
             line::LogFacts::CallEnded(call) => Some(Self { entry, call }),
-            line::LogFacts::RunEnded(_) | line::LogFacts::Other => None,
+            line::LogFacts::RunEnded(_) | line::LogFacts::Attempt(_) | line::LogFacts::Other => {
+                None
+            }
         }
     }
 
@@ -100,7 +102,7 @@
 fn longest_wait(trace: &trace::RequestTrace) -> String {
     let waits = trace.entries.iter().filter_map(|entry| match &entry.facts {
         line::LogFacts::RunEnded(run) => Some((run.queued_ms, &entry.node)),
-        line::LogFacts::CallEnded(_) | line::LogFacts::Other => None,
+        line::LogFacts::CallEnded(_) | line::LogFacts::Attempt(_) | line::LogFacts::Other => None,
     });
     match waits.max_by_key(|(wait, _)| *wait) {
         Some((wait, node)) if wait > 0 => {
--- a/crates/anvil_ctl/src/story/timeline.rs
+++ b/crates/anvil_ctl/src/story/timeline.rs
@@ -17,6 +17,7 @@
         let what = match &entry.facts {
             line::LogFacts::CallEnded(call) => describe_call(trace, call),
             line::LogFacts::RunEnded(run) => describe_run(trace, run),
+            line::LogFacts::Attempt(attempt) => describe_attempt(trace, attempt),
             line::LogFacts::Other => continue,
         };
         let node = &entry.node;
@@ -97,6 +98,40 @@
     )
 }
 
+fn describe_attempt(trace: &trace::RequestTrace, line: &line::AttemptLine) -> String {
+    let step = match &line.step {
+        line::AttemptStep::Sent { to } => format!("sent to {}", trace.name_of(to)),
+        line::AttemptStep::Started { run } => format!("handed to the target as run {run}"),
+        line::AttemptStep::Ended {
+            run,
+            verdict,
+            status,
+            exchange,
+        } => {
+            let end = end_of(verdict, *status);
+            let exchange = exchange.as_ref().map(describe_exchange);
+            format!("run {run} ended {end}{}", exchange.unwrap_or_default())
+        }
+        line::AttemptStep::Settled { verdict, status } => {
+            format!("taken as {}", end_of(verdict, *status))
+        }
+    };
+    format!("attempt {}: {step}", line.attempt)
+}
+
+fn describe_exchange(exchange: &line::TargetExchange) -> String {
+    let line::TargetExchange {
+        connection,
+        position,
+        unrelated,
+        identity,
+    } = exchange;
+    let identity = identity.as_deref().unwrap_or("no answer");
+    format!(
+        ", request {position} of connection {connection}, {identity}, {unrelated} unrelated answers"
+    )
+}
+
 /// A verdict with its status.
 pub(super) fn end_of(verdict: &str, status: Option<u16>) -> String {
     match status {
--- a/crates/anvil_ctl/src/story/trace.rs
+++ b/crates/anvil_ctl/src/story/trace.rs
@@ -37,7 +37,7 @@
         let millis = match &self.facts {
             line::LogFacts::CallEnded(call) => call.took_ms,
             line::LogFacts::RunEnded(run) => run.queued_ms + run.ran_ms.unwrap_or(0),
-            line::LogFacts::Other => 0,
+            line::LogFacts::Attempt(_) | line::LogFacts::Other => 0,
         };
         self.time - millis as f64 / 1_000.0
     }
--- a/crates/anvil_ctl/tests/story.rs
+++ b/crates/anvil_ctl/tests/story.rs
@@ -115,6 +115,59 @@
     by_the_id_of_a_call_below => ("fabae1d4d1230ae3.1"),
 }
 
+fn attempt(number: u16, step: &serde_json::Value) -> serde_json::Value {
+    let mut facts = json!({
+        "event": "attempt", "request": REQUEST, "root": ROOT, "call": "000000000000000a-7",
+        "attempt": number,
+    });
+    let facts = facts.as_object_mut().unwrap();
+    facts.extend(step.as_object().unwrap().clone());
+    serde_json::Value::Object(facts.clone())
+}
+
+// Guards against a second run of a request that its story does not show.
+#[test]
+fn lists_each_attempt_with_its_connection() {
+    let exchange = json!({ "connection": 4, "position": 2, "unrelated": 0, "identity": "named" });
+    let sent = json!({ "step": "sent", "to": "000000000000000b" });
+    let ended = json!({
+        "step": "ended", "run": 17, "verdict": "not-run: target-refused", "status": null,
+        "exchange": exchange,
+    });
+    let settled =
+        json!({ "step": "settled", "verdict": "not-run: target-refused", "status": null });
+    let entry = vec![
+        line(0.5, &serving("000000000000000a")),
+        line(10.000, &attempt(2, &sent)),
+        line(10.020, &attempt(2, &settled)),
+    ];
+    let target = vec![
+        line(0.5, &serving("000000000000000b")),
+        line(
+            10.005,
+            &attempt(2, &json!({ "step": "started", "run": 17 })),
+        ),
+        line(10.010, &attempt(2, &ended)),
+    ];
+    let folder = tempfile::tempdir().unwrap();
+    write(
+        folder.path(),
+        &[("centro-a-1", entry), ("centro-b-2", target)],
+    );
+    let report = run_story(REQUEST, folder.path());
+    let lines: Vec<&str> = report.out.lines().skip(1).take(4).collect();
+    assert_eq!(
+        lines,
+        [
+            "   0.000 to   0.000 s  centro-a-1               attempt 2: sent to centro-b-2",
+            "   0.005 to   0.005 s  centro-b-2               attempt 2: handed to the target as run 17",
+            "   0.010 to   0.010 s  centro-b-2               attempt 2: run 17 ended not-run: target-refused, \
+             request 2 of connection 4, named, 0 unrelated answers",
+            "   0.020 to   0.020 s  centro-a-1               attempt 2: taken as not-run: target-refused",
+        ]
+    );
+}
+
 // Lines must be in order of time and not of files, with the wait and the duration of each attempt.
 #[test]
 fn lists_entries_in_order_of_time() {
--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -55,6 +55,9 @@
     /// Builds the request for `order`; returns `None` if it has no valid HTTP form.
     fn build(&self, order: &effect::RunOrder) -> Option<http::Request<Bytes>>;
 
+    /// Determines how an answer with this head identifies the request that it belongs to.
+    fn identity(&self, order: &effect::RunOrder, head: &response::Parts) -> event::AnswerIdentity;
+
     /// Determines what an answer with this head means for `order`.
     fn classify(&self, order: &effect::RunOrder, head: &response::Parts) -> AnswerMeaning;
 
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -42,6 +42,8 @@
     pub outcome: event::RunOutcome,
     /// What a valid answer of the expected incarnation stated; none without one.
     pub statement: Option<event::TargetStatement>,
+    /// The exchange on the last connection; none if no byte was sent.
+    pub exchange: Option<event::ExchangeTrace>,
 }
 
 impl From<event::RunOutcome> for RunReport {
@@ -49,6 +51,7 @@
         Self {
             outcome,
             statement: None,
+            exchange: None,
         }
     }
 }
@@ -115,10 +118,13 @@
         };
         let bytes = encode(&request);
         let started_at = time::Instant::now();
-        let report = match time::timeout_at(deadline, self.send(&run, &bytes)).await {
+        let mut trace = None;
+        let sending = self.send(&run, &bytes, &mut trace);
+        let mut report = match time::timeout_at(deadline, sending).await {
             Ok(report) => report,
             Err(_) => event::RunOutcome::TimedOut.into(),
         };
+        report.exchange = trace;
         self.count(&report.outcome);
         self.counters
             .observe_run(latency_outcome(&report.outcome), started_at.elapsed());
@@ -138,7 +144,12 @@
         }
     }
 
-    async fn send(&self, run: &effect::RunOrder, bytes: &[u8]) -> RunReport {
+    async fn send(
+        &self,
+        run: &effect::RunOrder,
+        bytes: &[u8],
+        trace: &mut Option<event::ExchangeTrace>,
+    ) -> RunReport {
         loop {
             let pooled = self.pool.take(run.address, !run.idempotent);
             let is_new = pooled.is_none();
@@ -149,7 +160,7 @@
                     Err(_) => return event::RunOutcome::Unreachable.into(),
                 },
             };
-            match self.exchange(run, &mut connection, bytes).await {
+            match self.exchange(run, &mut connection, bytes, trace).await {
                 Ok(answer) => return self.conclude(run, connection, answer),
                 // The target had closed the pooled connection. No byte was sent, so another try
                 // can't run the request twice.
@@ -171,16 +182,18 @@
         run: &effect::RunOrder,
         connection: &mut pool::TargetConnection,
         bytes: &[u8],
+        trace: &mut Option<event::ExchangeTrace>,
     ) -> Result<ReadAnswer, ExchangeFault> {
         let first = connection.stream.write(bytes).await;
         let sent = first.map_err(|_| ExchangeFault::Unsent)?;
+        let trace = trace.insert(connection.begin_exchange());
         let (reader, mut writer) = connection.stream.split();
         let mut reader = message::AnswerReader::new(reader);
         let mut writing = WriteProgress::from_done(sent == bytes.len());
         let mut read = {
             let rest = &bytes[sent..];
             let mut written = std::pin::pin!(writer.write_all(rest));
-            let mut reading = std::pin::pin!(self.read(run, &mut reader));
+            let mut reading = std::pin::pin!(self.read(run, &mut reader, trace));
             loop {
                 tokio::select! {
                     result = &mut written, if writing == WriteProgress::Open => {
@@ -215,23 +228,23 @@
         &self,
         run: &effect::RunOrder,
         reader: &mut message::AnswerReader<R>,
+        trace: &mut event::ExchangeTrace,
     ) -> Result<ReadAnswer, ExchangeFault>
     where
         R: tokio::io::AsyncRead + Unpin,
     {
-        let mut unrelated = 0;
         loop {
-            let answer = self.read_one(run, reader).await;
+            let answer = self.read_one(run, reader, trace).await;
             let mut answer =
                 answer.map_err(|fault| self.record_fault(&fault, reader.has_begun()))?;
             if answer.meaning != target::AnswerMeaning::Unrelated {
-                if unrelated > 0 {
+                if trace.unrelated > 0 {
                     answer.keep_alive = message::KeepAlive::No;
                 }
                 return Ok(answer);
             }
-            unrelated += 1;
-            if unrelated > MAX_UNRELATED_ANSWERS {
+            trace.unrelated += 1;
+            if trace.unrelated > MAX_UNRELATED_ANSWERS {
                 return Err(ExchangeFault::Lost { in_answer: true });
             }
         }
@@ -241,11 +254,13 @@
         &self,
         run: &effect::RunOrder,
         reader: &mut message::AnswerReader<R>,
+        trace: &mut event::ExchangeTrace,
     ) -> Result<ReadAnswer, message::AnswerFault>
     where
         R: tokio::io::AsyncRead + Unpin,
     {
         let head = reader.head(&run.request.method).await?;
+        trace.identity = Some(self.dialect.identity(run, &head.parts));
         let meaning = self.dialect.classify(run, &head.parts);
         let close_meaning = self.dialect.close_meaning();
         let body = reader.body(head.framing, close_meaning, codec::MAX_BODY_BYTES);
@@ -294,7 +309,11 @@
             target::AnswerMeaning::Refused => {
                 self.pool.release(connection, answer.keep_alive);
                 let outcome = event::RunOutcome::Refused;
-                return RunReport { outcome, statement };
+                return RunReport {
+                    outcome,
+                    statement,
+                    exchange: None,
+                };
             }
             target::AnswerMeaning::Misdirected { holder } => {
                 return event::RunOutcome::Misdirected { holder }.into();
@@ -313,7 +332,11 @@
             headers: hops::answer_lines(&head.headers, bodiless, is_internal),
             body: answer.body,
         });
-        RunReport { outcome, statement }
+        RunReport {
+            outcome,
+            statement,
+            exchange: None,
+        }
     }
 
     fn count(&self, outcome: &event::RunOutcome) {
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -38,6 +38,10 @@
         Some(built)
     }
 
+    fn identity(&self, _: &effect::RunOrder, _: &response::Parts) -> event::AnswerIdentity {
+        event::AnswerIdentity::Unnamed
+    }
+
     fn classify(&self, _: &effect::RunOrder, head: &response::Parts) -> target::AnswerMeaning {
         let marked = head.headers.get(header::NOT_RUN);
         let refused = head.status == http::StatusCode::SERVICE_UNAVAILABLE
--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use anvil_core::event;
 use derive_more::{Display, Error};
 use prometheus::IntGauge;
 use tokio::net::TcpStream;
@@ -46,12 +48,26 @@
     /// The socket.
     pub stream: TcpStream,
     address: SocketAddr,
+    number: u64,
+    /// Number of requests sent on it.
+    exchanges: u32,
     idle_since: Instant,
     idle_limit: Duration,
     _open: counters::GaugeGuard,
 }
 
 impl TargetConnection {
+    /// Counts a request that is sent on the connection, and begins the trace of its exchange.
+    pub fn begin_exchange(&mut self) -> event::ExchangeTrace {
+        self.exchanges += 1;
+        event::ExchangeTrace {
+            connection: self.number,
+            position: self.exchanges,
+            unrelated: 0,
+            identity: None,
+        }
+    }
+
     /// Whether nothing was received since the last answer and the target has not closed the
     /// connection.
     ///
@@ -68,14 +84,18 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<Vec<TargetConnection>>>,
+    opened: Arc<AtomicU64>,
     counters: counters::EdgeCounters,
 }
 
 impl ConnectionPool {
     /// Builds an empty pool.
     pub fn new(counters: counters::EdgeCounters) -> Self {
-        let idle = Arc::default();
-        Self { idle, counters }
+        Self {
+            idle: Arc::default(),
+            opened: Arc::default(),
+            counters,
+        }
     }
 
     /// Takes an idle connection to `address`, the most recently used first, so that surplus ones
@@ -106,6 +126,8 @@
         Ok(TargetConnection {
             stream,
             address,
+            number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
+            exchanges: 0,
             idle_since: Instant::now(),
             idle_limit: MAX_IDLE,
             _open: counters::GaugeGuard::hold(gauge),
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -51,6 +51,7 @@
                 run: id,
                 outcome: report.outcome,
                 statement: report.statement,
+                exchange: report.exchange,
             };
             // Sending fails only if the process is exiting.
             let _ = engine.send_async(engine::EngineInput::Event(ended)).await;
