Carry each request id once per connection to the target

What callers saw: requests that were refused with a promise and ran (REFUSED), and requests that must run once and ran twice (TWICE).

Cause: an answer was matched to its attempt by the id of the request, which outlives the attempt. A target that refuses a request although it has free slots is tried again once all others were, within milliseconds at a service of three or four targets. The second attempt took the connection of the refusal, which was the one used last. A copy of that refusal, which the platform allows to come late on its connection, has the right id, so the attempt counted as refused while it ran. The call was then sent elsewhere or refused.

Why this works: a connection remembers hashes of the ids that it has carried, and the pool gives a request only connections that have not carried its id. An extra answer can only come on the connection of its request, so it either has the id of another request there, and is skipped, or finds no request waiting.

--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -151,7 +151,7 @@
         trace: &mut Option<event::ExchangeTrace>,
     ) -> RunReport {
         loop {
-            let pooled = self.pool.take(run.address, !run.idempotent);
+            let pooled = self.pool.take(run);
             let is_new = pooled.is_none();
             let mut connection = match pooled {
                 Some(pooled) => pooled,
@@ -186,7 +186,7 @@
     ) -> Result<ReadAnswer, ExchangeFault> {
         let first = connection.stream.write(bytes).await;
         let sent = first.map_err(|_| ExchangeFault::Unsent)?;
-        let trace = trace.insert(connection.begin_exchange());
+        let trace = trace.insert(connection.begin_exchange(run.label.as_ref()));
         let (reader, mut writer) = connection.stream.split();
         let mut reader = message::AnswerReader::new(reader);
         let mut writing = WriteProgress::from_done(sent == bytes.len());
--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use anvil_core::event;
+use anvil_core::{effect, event};
+use anvil_types::{ident, sorted};
 use derive_more::{Display, Error};
 use prometheus::IntGauge;
 use tokio::net::TcpStream;
@@ -31,6 +32,9 @@
 /// millisecond.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(500);
 
+/// Maximum number of requests per connection, which bounds the memory for their ids: 8 KB each.
+const MAX_EXCHANGES: usize = 512;
+
 /// Why no connection to the target could be opened, so no byte of the request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 pub enum ConnectFailed {
@@ -51,15 +55,20 @@
     number: u64,
     /// Number of requests sent on it.
     exchanges: u32,
+    /// The ids of these requests.
+    carried: sorted::SortedTable<ident::LabelDigest, ()>,
     idle_since: Instant,
     idle_limit: Duration,
     _open: counters::GaugeGuard,
 }
 
 impl TargetConnection {
-    /// Counts a request that is sent on the connection, and begins the trace of its exchange.
-    pub fn begin_exchange(&mut self) -> event::ExchangeTrace {
+    /// Records the request that is sent on the connection, and begins the trace of its exchange.
+    pub fn begin_exchange(&mut self, label: Option<&ident::RequestLabel>) -> event::ExchangeTrace {
         self.exchanges += 1;
+        if let Some(label) = label {
+            self.carried.insert(label.digest(), ());
+        }
         event::ExchangeTrace {
             connection: self.number,
             position: self.exchanges,
@@ -68,6 +77,16 @@
         }
     }
 
+    /// Whether a request with this id may be sent on the connection: only if it has not carried one
+    /// with the same id.
+    ///
+    /// The attempts of a request have one id. An extra answer to an earlier attempt, read in place of
+    /// the answer to a later one, could not be told apart from it. See `docs/design/edges.md`,
+    /// "Target connections".
+    fn may_carry(&self, label: Option<ident::LabelDigest>) -> bool {
+        label.is_none_or(|label| self.carried.get(label).is_none())
+    }
+
     /// Whether nothing was received since the last answer and the target has not closed the
     /// connection.
     ///
@@ -98,11 +117,12 @@
         }
     }
 
-    /// Takes an idle connection to `address`, the most recently used first, so that surplus ones
-    /// expire; for a request that is `non_idempotent`, only one that was used very recently.
-    pub fn take(&self, address: SocketAddr, non_idempotent: bool) -> Option<TargetConnection> {
+    /// Takes an idle connection for the request of `order`, the most recently used first, so that
+    /// surplus ones expire; for a request that must not run twice, only one that was used very
+    /// recently.
+    pub fn take(&self, order: &effect::RunOrder) -> Option<TargetConnection> {
         loop {
-            let connection = self.pop(address, non_idempotent)?;
+            let connection = self.pop(order)?;
             if connection.is_quiet() {
                 self.counters.count(counters::EdgeCause::TargetReused);
                 return Some(connection);
@@ -128,6 +148,7 @@
             address,
             number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
             exchanges: 0,
+            carried: sorted::SortedTable::default(),
             idle_since: Instant::now(),
             idle_limit: MAX_IDLE,
             _open: counters::GaugeGuard::hold(gauge),
@@ -140,6 +161,9 @@
         let message::KeepAlive::Yes(stated) = keep_alive else {
             return;
         };
+        if connection.carried.len() >= MAX_EXCHANGES {
+            return;
+        }
         let stated = stated.map(|timeout| timeout * STATED_TIMEOUT_PERCENT / 100);
         connection.idle_limit = stated.unwrap_or(MAX_IDLE);
         connection.idle_since = Instant::now();
@@ -151,12 +175,16 @@
         self.lock().retain(is_fresh);
     }
 
-    fn pop(&self, address: SocketAddr, non_idempotent: bool) -> Option<TargetConnection> {
+    fn pop(&self, order: &effect::RunOrder) -> Option<TargetConnection> {
+        let label = order.label.as_ref().map(ident::RequestLabel::digest);
         let mut idle = self.lock();
         let usable = |connection: &TargetConnection| {
             let idle_time = connection.idle_since.elapsed();
-            let recent_enough = !non_idempotent || idle_time < MAX_IDLE_NON_IDEMPOTENT;
-            connection.address == address && is_fresh(connection) && recent_enough
+            let recent_enough = order.idempotent || idle_time < MAX_IDLE_NON_IDEMPOTENT;
+            connection.address == order.address
+                && is_fresh(connection)
+                && recent_enough
+                && connection.may_carry(label)
         };
         let index = idle.iter().rposition(usable)?;
         Some(idle.remove(index))
--- a/crates/anvil_types/src/ident.rs
+++ b/crates/anvil_types/src/ident.rs
@@ -83,6 +83,17 @@
     /// for the request may derive their ids from it.
     RequestLabel
 }
+impl RequestLabel {
+    /// A hash of the id, for tables that only compare ids.
+    pub fn digest(&self) -> LabelDigest {
+        LabelDigest(xxh3::xxh3_64(self.0.as_bytes()))
+    }
+}
+
+/// A hash of a [`RequestLabel`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LabelDigest(u64);
+
 opaque_text! {
     /// Identifies one run of a target process, as named by the target; a process that restarts
     /// at the same address has another id.
