Believe an answer without an id only on the first request of its connection

What callers saw: nothing told apart from the fault before; by the test, a request that ran counts as refused (REFUSED, TWICE), and a caller gets the whole answer to another request (MIXED).

Cause: an answer that names no request counted as the one to the request that waits, and of several ids only the first was read. An extra answer may come late, in front of the next answer of its connection; if it lacks its id, it was believed.

Evidence: six cases of late_answers failed before: a stray refusal with 503 and 429, one that names two requests, and answers without an id or with two, which reached the caller of another request.

Why this works: on the first request of a connection no earlier answer can come, so an unnamed answer is believed there and the connection is not used again.

--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -48,6 +48,15 @@
     Complete,
 }
 
+/// Whether a connection has carried other requests before the one that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// It has not, so every answer on it is one to the request that waits.
+    First,
+    /// It has, so an extra answer to one of them may come.
+    Repeated,
+}
+
 /// The wire format of requests to the target and of its answers.
 ///
 /// It is a trait because both the node's own dialect and the dialect of a platform implement it.
@@ -58,8 +67,16 @@
     /// Determines how an answer with this head identifies the request that it belongs to.
     fn identity(&self, order: &effect::RunOrder, head: &response::Parts) -> event::AnswerIdentity;
 
+    /// Whether every answer names its request. A connection on which one did not is not used again.
+    fn names_answers(&self) -> bool;
+
     /// Determines what an answer with this head means for `order`.
-    fn classify(&self, order: &effect::RunOrder, head: &response::Parts) -> AnswerMeaning;
+    fn classify(
+        &self,
+        order: &effect::RunOrder,
+        head: &response::Parts,
+        connection_use: ConnectionUse,
+    ) -> AnswerMeaning;
 
     /// Reads what the head of a valid answer states about the target itself.
     fn statement(&self, head: &response::Parts) -> event::TargetStatement;
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -260,11 +260,16 @@
         R: tokio::io::AsyncRead + Unpin,
     {
         let head = reader.head(&run.request.method).await?;
-        trace.identity = Some(self.dialect.identity(run, &head.parts));
-        let meaning = self.dialect.classify(run, &head.parts);
+        let identity = self.dialect.identity(run, &head.parts);
+        trace.identity = Some(identity);
+        let connection_use = match trace.position {
+            1 => target::ConnectionUse::First,
+            _ => target::ConnectionUse::Repeated,
+        };
+        let meaning = self.dialect.classify(run, &head.parts, connection_use);
         let close_meaning = self.dialect.close_meaning();
         let body = reader.body(head.framing, close_meaning, codec::MAX_BODY_BYTES);
-        let (body, keep_alive) = match body.await {
+        let (body, mut keep_alive) = match body.await {
             Ok(body) => (body, head.keep_alive),
             // The head alone proves that the request did not run, and its body reaches no caller.
             Err(fault) if meaning.is_not_run() && fault.is_connection_end() => {
@@ -272,6 +277,9 @@
             }
             Err(fault) => return Err(fault),
         };
+        if identity != event::AnswerIdentity::Named && self.dialect.names_answers() {
+            keep_alive = message::KeepAlive::No;
+        }
         Ok(ReadAnswer {
             parts: head.parts,
             meaning,
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -42,7 +42,16 @@
         event::AnswerIdentity::Unnamed
     }
 
-    fn classify(&self, _: &effect::RunOrder, head: &response::Parts) -> target::AnswerMeaning {
+    fn names_answers(&self) -> bool {
+        false
+    }
+
+    fn classify(
+        &self,
+        _: &effect::RunOrder,
+        head: &response::Parts,
+        _: target::ConnectionUse,
+    ) -> target::AnswerMeaning {
         let marked = head.headers.get(header::NOT_RUN);
         let refused = head.status == http::StatusCode::SERVICE_UNAVAILABLE
             && marked.is_some_and(|value| value == "1");
