Tie answers to runs in the node's own dialect

What callers saw: by the test, a request that must run once ran twice within one call, and a lookup got the whole answer to another.

In the node's own dialect an answer had no identity at all: the next answer on a connection was taken for the next request's.

Why this works: a target may return the token of a request with its answer. The token belongs to one run, so an extra answer never matches a later attempt, and is skipped. Most HTTP servers return no such header, so it is not demanded; but a connection whose last answer named no request carries no request that must not run twice. That costs such targets a new connection for each of these requests, about a millisecond on the same instance.

Evidence and result: the three cases of extra_answers failed before and pass; all tests of anvil_node, anvil_standins and anvil_platform pass.

--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -220,6 +220,9 @@
             // next exchange on the connection.
             answer.keep_alive = message::KeepAlive::No;
         }
+        if let Some(identity) = trace.identity {
+            connection.record_identity(identity);
+        }
         read
     }
 
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -38,8 +38,16 @@
         Some(built)
     }
 
-    fn identity(&self, _: &effect::RunOrder, _: &response::Parts) -> event::AnswerIdentity {
-        event::AnswerIdentity::Unnamed
+    fn identity(&self, order: &effect::RunOrder, head: &response::Parts) -> event::AnswerIdentity {
+        let mut returned = head.headers.get_all(header::PARENT).iter().peekable();
+        if returned.peek().is_none() {
+            return event::AnswerIdentity::Unnamed;
+        }
+        let expected = self.issuer.issue(order.run);
+        match returned.all(|token| token.as_bytes() == expected.as_bytes()) {
+            true => event::AnswerIdentity::Named,
+            false => event::AnswerIdentity::Other,
+        }
     }
 
     fn names_answers(&self) -> bool {
@@ -48,10 +56,13 @@
 
     fn classify(
         &self,
-        _: &effect::RunOrder,
+        order: &effect::RunOrder,
         head: &response::Parts,
         _: target::ConnectionUse,
     ) -> target::AnswerMeaning {
+        if self.identity(order, head) == event::AnswerIdentity::Other {
+            return target::AnswerMeaning::Unrelated;
+        }
         let marked = head.headers.get(header::NOT_RUN);
         let refused = head.status == http::StatusCode::SERVICE_UNAVAILABLE
             && marked.is_some_and(|value| value == "1");
--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -57,6 +57,8 @@
     exchanges: u32,
     /// The ids of these requests.
     carried: sorted::SortedTable<ident::LabelDigest, ()>,
+    /// How the last answer identified its request; none before the first one.
+    last_identity: Option<event::AnswerIdentity>,
     idle_since: Instant,
     idle_limit: Duration,
     _open: counters::GaugeGuard,
@@ -77,6 +79,20 @@
         }
     }
 
+    /// Records how the answer to the last request identified it.
+    pub fn record_identity(&mut self, identity: event::AnswerIdentity) {
+        self.last_identity = Some(identity);
+    }
+
+    /// Whether a request that must not run twice may be sent on the connection.
+    ///
+    /// An answer that names no request could be an extra answer to an earlier one. If that was a
+    /// refusal, the request would count as not run although it runs.
+    fn may_carry_non_idempotent(&self) -> bool {
+        let is_identified = self.last_identity != Some(event::AnswerIdentity::Unnamed);
+        is_identified && self.idle_since.elapsed() < MAX_IDLE_NON_IDEMPOTENT
+    }
+
     /// Whether a request with this id may be sent on the connection: only if it has not carried one
     /// with the same id.
     ///
@@ -149,6 +165,7 @@
             number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
             exchanges: 0,
             carried: sorted::SortedTable::default(),
+            last_identity: None,
             idle_since: Instant::now(),
             idle_limit: MAX_IDLE,
             _open: counters::GaugeGuard::hold(gauge),
@@ -179,11 +196,9 @@
         let label = order.label.as_ref().map(ident::RequestLabel::digest);
         let mut idle = self.lock();
         let usable = |connection: &TargetConnection| {
-            let idle_time = connection.idle_since.elapsed();
-            let recent_enough = order.idempotent || idle_time < MAX_IDLE_NON_IDEMPOTENT;
             connection.address == order.address
                 && is_fresh(connection)
-                && recent_enough
+                && (order.idempotent || connection.may_carry_non_idempotent())
                 && connection.may_carry(label)
         };
         let index = idle.iter().rposition(usable)?;
--- a/crates/anvil_standins/src/http_target.rs
+++ b/crates/anvil_standins/src/http_target.rs
@@ -32,6 +32,8 @@
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::client;
+
 /// Error that breaks a connection on purpose.
 #[derive(Clone, Copy, Debug, Display, derive_more::Error)]
 #[display("the target closed the connection on purpose")]
@@ -198,8 +200,12 @@
         let mut list = record.seen.lock().unwrap_or_else(PoisonError::into_inner);
         list.push(seen);
     }
-    let answer = answer(head.uri.path(), body).await;
+    let mut answer = answer(head.uri.path(), body).await;
     guard.waiting = false;
+    if let (Ok(answer), Some(token)) = (&mut answer, head.headers.get(client::PARENT_HEADER)) {
+        let headers = answer.headers_mut();
+        headers.insert(client::PARENT_HEADER, token.clone());
+    }
     answer
 }
 
--- a/crates/anvil_standins/src/mesh_target.rs
+++ b/crates/anvil_standins/src/mesh_target.rs
@@ -206,33 +206,40 @@
         Duration::from_secs_f64(self.plan.service.work_ms / 1_000.0 * spread * factor)
     }
 
+    /// Answers a request, and returns its token so that the answer names it.
     async fn serve(
         &self,
         request: http::Request<Incoming>,
     ) -> Result<http::Response<Full<Bytes>>, Infallible> {
+        let token = request.headers().get(client::PARENT_HEADER).cloned();
+        let mut answer = self.run(request).await;
+        if let Some(token) = token {
+            answer.headers_mut().insert(client::PARENT_HEADER, token);
+        }
+        Ok(answer)
+    }
+
+    async fn run(&self, request: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
         let run_request = RunRequest::of(&request);
         // The body must be read even though it is not used.
         let body = request.into_body().collect().await;
         if body.is_err() {
-            return Ok(answer(400, "the body is incomplete".to_owned()));
+            return answer(400, "the body is incomplete".to_owned());
         }
         if run_request.step == POISON_STEP {
             self.poisoned.store(true, Ordering::SeqCst);
             self.crash();
         }
         let Ok(_slot) = self.slots.acquire().await else {
-            return Ok(answer(503, "shutting down".to_owned()));
+            return answer(503, "shutting down".to_owned());
         };
         let mut guard = RunGuard::start(&self.ledger, &run_request, &self.plan);
         tokio::time::sleep(self.work_time()).await;
         if let Err(status) = self.make_calls(&run_request).await {
-            return Ok(answer(
-                status,
-                "a call to a deeper service failed".to_owned(),
-            ));
+            return answer(status, "a call to a deeper service failed".to_owned());
         }
         guard.completed = true;
-        Ok(answer(200, format!("{ANSWER_PREFIX}{}", run_request.root)))
+        answer(200, format!("{ANSWER_PREFIX}{}", run_request.root))
     }
 
     /// Makes the calls of the step in sequence; fails with the status to return.
