Start the numbers of membership probes at a part of the node's id

What callers saw: nothing reported. By the test, a node that has restarted takes sound members for replaced, ends the calls in flight there as 'may have run', and sends them nothing until they refute it.

Cause: the class of the incident, an answer matched by an identity that repeats. Acks name their ping by a number, which began at zero in each process. An ack to the previous process at the address, held up by a paused peer or a slow link, could match an open probe of its successor to another member, which then counted as replaced.

Evidence: a_late_ack_to_the_predecessor_removes_no_member feeds the acks of one process to its successor; before, six of six sound members departed.

Why this works: node ids are drawn at random for each process, so the numbers of two processes start 2^32 apart on average and do not meet in practice. No random choice of the fleet changes. All tests of anvil_membership and anvil_core pass.

--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -173,7 +173,7 @@
             table: table::MemberTable::default(),
             relays: relay::RelayQueue::default(),
             suspicions: suspicion::SuspicionList::default(),
-            probes: probe::ProbeState::new(first_period),
+            probes: probe::ProbeState::new(local.node, first_period),
             health: health::LocalHealth::default(),
             reach: health::PeerReach::default(),
             choice,
