Start the numbers of quota messages at a part of the node's id

What callers saw: nothing reported. By the test, a node that has restarted admits requests by a decision that the home of an account sent to the process before it.

Decisions name a session, handover acknowledgements and contact acknowledgements a number, and all three counted from zero in each process. Datagrams are addressed to a socket, so a late one reaches the successor of the process that it is for, where the numbers repeat: tokens that nobody counted, a handover that counts as taken, a majority that counts as reached.

Evidence: a_late_decision_for_the_predecessor_grants_nothing failed before with the grant of the predecessor's request.

Why this works: the numbers start at a part of the random id of the process, as those of membership probes do; both use NodeId::first_number now. All tests of anvil_quota and anvil_membership pass.

--- a/crates/anvil_membership/src/probe.rs
+++ b/crates/anvil_membership/src/probe.rs
@@ -105,14 +105,9 @@
 
 impl ProbeState {
     /// Starts with the first probe of `local` at `next_period_at`.
-    ///
-    /// The numbers start at a part of the node's random id. If they started at zero, a late ack to
-    /// the previous process at the address could match an open probe of this one, whose target
-    /// would then count as replaced.
     pub fn new(local: ident::NodeId, next_period_at: time::NodeTime) -> Self {
-        let [a, b, c, d, ..] = local.0.to_le_bytes();
         Self {
-            last_number: u32::from_le_bytes([a, b, c, d]),
+            last_number: local.first_number(),
             open: None,
             relayed: Vec::new(),
             round: Vec::new(),
--- a/crates/anvil_quota/src/contact.rs
+++ b/crates/anvil_quota/src/contact.rs
@@ -44,9 +44,9 @@
 }
 
 /// The rounds of questions and their results.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ContactCheck {
-    /// Number of rounds begun; answers to an earlier round do not count.
+    /// Number of the latest round; answers to an earlier one do not count.
     number: u32,
     round: Option<ContactRound>,
     /// The last result, and how long it holds.
@@ -54,6 +54,15 @@
 }
 
 impl ContactCheck {
+    /// Starts without a result; the first round gets the number after `number`.
+    pub const fn starting_at(number: u32) -> Self {
+        Self {
+            number,
+            round: None,
+            result: None,
+        }
+    }
+
     /// What is known about the majority now.
     pub fn state(&self, now: time::NodeTime) -> MajorityContact {
         match self.result {
--- a/crates/anvil_quota/src/ledger.rs
+++ b/crates/anvil_quota/src/ledger.rs
@@ -102,8 +102,8 @@
     changes: Vec<effect::HomeChange>,
     /// Handovers that are not confirmed yet; usually few.
     handovers: Vec<handover::PendingHandover>,
-    /// Number of handovers begun.
-    handover_count: u32,
+    /// Number of the latest handover.
+    last_handover: u32,
     announcement: ring_role::RingAnnouncement,
     contact: contact::ContactCheck,
     /// Nodes of the present round that were not asked yet.
@@ -130,15 +130,15 @@
             retried_nodes: expiring::ExpiringNodes::default(),
             replaced_nodes: expiring::ExpiringNodes::default(),
             live_homes: expiring::ExpiringNodes::default(),
-            sessions: 0,
+            sessions: node.first_number(),
             terms: 0,
             next_cleanup: time::NodeTime::START,
             unsent: Vec::new(),
             changes: Vec::new(),
             handovers: Vec::new(),
-            handover_count: 0,
+            last_handover: node.first_number(),
             announcement: ring_role::RingAnnouncement::default(),
-            contact: contact::ContactCheck::default(),
+            contact: contact::ContactCheck::starting_at(node.first_number()),
             probes: Vec::new(),
             awaiting_contact: Vec::new(),
             next_due: None,
--- a/crates/anvil_quota/src/ledger/handover_role.rs
+++ b/crates/anvil_quota/src/ledger/handover_role.rs
@@ -28,8 +28,8 @@
         let Some(uses) = home.and_then(|home| home.take_uses(now)) else {
             return;
         };
-        self.handover_count += 1;
-        let pending = handover::PendingHandover::new(account, self.handover_count, uses, due);
+        self.last_handover += 1;
+        let pending = handover::PendingHandover::new(account, self.last_handover, uses, due);
         self.handovers.push(pending);
     }
 
--- a/crates/anvil_types/src/ident.rs
+++ b/crates/anvil_types/src/ident.rs
@@ -16,6 +16,17 @@
 #[display("{_0:016x}")]
 pub struct NodeId(pub u64);
 
+impl NodeId {
+    /// A start for numbers by which messages to this node name what they answer.
+    ///
+    /// Numbers that start at zero in each process would let a late answer to the previous process at
+    /// the address match a message of this one. The number leaves half of its range for counting.
+    pub const fn first_number(self) -> u32 {
+        let [a, b, c, d, ..] = self.0.to_le_bytes();
+        u32::from_le_bytes([a, b, c, d]) >> 1
+    }
+}
+
 /// Identifies a call of one node; answers are matched by this id and the attempt number.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
