Count interim answers towards the size of a head

What callers saw: by the test, a run held to its deadline, and gigabytes read, while a target sends interim answers without end.

Cause: each interim answer was skipped and the limit of 64 KiB began anew.

Evidence: fast_interim_answers and fast_interim_answers_with_headers failed before (timed out after 4 s); they end in milliseconds now. Slow ones end with the deadline, as before.

--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -121,19 +121,19 @@
         !self.buffer.is_empty()
     }
 
-    /// The next head; interim answers are skipped.
+    /// The next head; interim answers are skipped, and count towards its size.
     pub async fn head(&mut self, method: &str) -> Result<AnswerHead, AnswerFault> {
+        let mut interim_bytes = 0;
         loop {
-            if let Some(head) = self.parse_head(method)? {
-                if head.parts.status.is_informational() {
-                    continue;
+            let received = self.buffer.len();
+            match self.parse_head(method)? {
+                Some(head) if !head.parts.status.is_informational() => return Ok(head),
+                Some(_) => interim_bytes += received - self.buffer.len(),
+                None if interim_bytes + received > MAX_HEAD_BYTES => {
+                    return Err(malformed("the head is too large"));
                 }
-                return Ok(head);
+                None => self.fill().await?,
             }
-            if self.buffer.len() > MAX_HEAD_BYTES {
-                return Err(malformed("the head is too large"));
-            }
-            self.fill().await?;
         }
     }
 
