Bound the framing of chunks by their content

What callers saw: by the test, a run held to its deadline by a target that sends chunks of one byte, or chunk extensions, without end.

Cause: only the content of chunks counted towards the limit of a body, so 8 MiB of content allowed gigabytes of sizes and extensions.

Evidence: a_fast_chunk_extension and fast_tiny_chunks failed before (timed out after 4 s); they end in milliseconds now. 64 KiB of framing pass with any content, and three bytes for each one of content, which chunks of two bytes stay within.

--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -19,6 +19,14 @@
 /// Longest line between chunks, in bytes: a size in hex and a few extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 
+/// Length of a line end, in bytes.
+const LINE_END_BYTES: usize = 2;
+
+/// Bytes of chunk framing that any answer may have, and the further ones for each byte of its body.
+/// Even chunks of two bytes stay within them.
+const FREE_FRAMING_BYTES: usize = 64 * 1024;
+const FRAMING_BYTES_PER_BODY_BYTE: usize = 3;
+
 /// Minimum free buffer space for each read from the socket, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -176,8 +184,13 @@
 
     async fn chunks(&mut self, limit: usize) -> Result<Bytes, AnswerFault> {
         let mut body = BytesMut::new();
+        let mut framing_bytes = 0;
         loop {
             let line = self.line().await?;
+            framing_bytes += line.len() + 2 * LINE_END_BYTES;
+            if framing_bytes > FREE_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * body.len() {
+                return Err(malformed("the chunks have too much framing"));
+            }
             let size = chunk_size(&line)?;
             if size == 0 {
                 self.trailers().await?;
@@ -222,7 +235,7 @@
             let end = self.buffer.windows(2).position(|pair| pair == b"\r\n");
             if let Some(end) = end {
                 let line = self.buffer.split_to(end).freeze();
-                self.buffer.advance(2);
+                self.buffer.advance(LINE_END_BYTES);
                 return Ok(line);
             }
             if self.buffer.len() > MAX_CHUNK_LINE_BYTES {
