Let the head of a refusal decide whatever its body does

What callers saw: by the test, 502 'may have run' for a request that its target had refused, after up to the whole deadline, where the body of the refusal does not end. Such a request is not sent elsewhere, and one that must not run twice is lost.

Cause: a refusal was believed if its connection ended in the body, but not if the body went on, was above the limit, or was no valid body. Its head proves the same in all of these.

Evidence: five cases of endless_answers failed before, fast and slow, with and without chunks; each is refused within 100 ms now. What the body does decides only whether the connection is used again. This replaces the rule that bytes which are no valid body make a refusal 'may have run': the platform says that the header alone proves that the request did not run.

--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvil_core::{effect, event};
 use anvil_edge::{hops, target};
@@ -24,6 +25,10 @@
 /// the connection counts as broken.
 const MAX_UNRELATED_ANSWERS: u32 = 2;
 
+/// Longest time for the body of a refusal. It usually arrives with the head, and reading it only
+/// saves the connection.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// State shared by all exchanges with the target.
 #[derive(Clone, Debug)]
 pub struct TargetExchange {
@@ -272,13 +277,15 @@
         let meaning = self.dialect.classify(run, &head.parts, connection_use);
         let close_meaning = self.dialect.close_meaning();
         let body = reader.body(head.framing, close_meaning, codec::MAX_BODY_BYTES);
-        let (body, mut keep_alive) = match body.await {
-            Ok(body) => (body, head.keep_alive),
-            // The head alone proves that the request did not run, and its body reaches no caller.
-            Err(fault) if meaning.is_not_run() && fault.is_connection_end() => {
-                (Bytes::new(), message::KeepAlive::No)
-            }
-            Err(fault) => return Err(fault),
+        let (body, mut keep_alive) = if meaning.is_not_run() {
+            // The head alone proves that the request did not run, and the body reaches no caller.
+            let keep_alive = match time::timeout(REFUSAL_BODY_TIMEOUT, body).await {
+                Ok(Ok(_)) => head.keep_alive,
+                Ok(Err(_)) | Err(_) => message::KeepAlive::No,
+            };
+            (Bytes::new(), keep_alive)
+        } else {
+            (body.await?, head.keep_alive)
         };
         if identity != event::AnswerIdentity::Named && self.dialect.names_answers() {
             keep_alive = message::KeepAlive::No;
--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -55,16 +55,6 @@
     MissingLength,
 }
 
-impl AnswerFault {
-    /// Whether the connection ended, while all bytes received so far are a valid part of an answer.
-    pub fn is_connection_end(&self) -> bool {
-        match self {
-            Self::Broken(_) | Self::UnexpectedEnd => true,
-            Self::Malformed { .. } | Self::Oversized | Self::MissingLength => false,
-        }
-    }
-}
-
 /// How a body is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
