Share the memory for answers that are being received

What callers saw: by the test, a node whose target sends bodies without end in all of its slots grows beyond the memory of its instance, and would be killed with all the calls that it holds.

Cause: each answer was bounded to 8 MiB, but not all of them together: 148 slots, as on the platform, allow 1.2 GB before the first one reaches its limit.

--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -79,6 +79,9 @@
     /// The target's answer was above the limit.
     #[display("target_answer_oversized")]
     TargetAnswerOversized,
+    /// An answer of the target was given up because others filled the memory for answers.
+    #[display("target_answer_no_memory")]
+    TargetAnswerNoMemory,
     /// The deadline passed while a request was in flight.
     #[display("target_timed_out")]
     TargetTimedOut,
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::target::{exchange, parent, pool, runs};
+use crate::target::{exchange, memory, parent, pool, runs};
 use crate::{
     admin, caller, clock, control, counters, datagram, dialect, engine, peer, settings, store,
 };
@@ -342,6 +342,7 @@
         });
         exchange::TargetExchange {
             pool,
+            memory: memory::AnswerMemory::default(),
             dialect: self.dialects.targets.clone(),
             counters: self.counters.clone(),
         }
--- a/crates/anvil_node/src/target.rs
+++ b/crates/anvil_node/src/target.rs
@@ -1,6 +1,7 @@
 //! The target edge: sends requests to the local target over pooled HTTP connections.
 
 pub mod exchange;
+pub mod memory;
 pub mod message;
 pub mod native;
 pub mod parent;
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -18,7 +18,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time;
 
-use super::{message, pool};
+use super::{memory, message, pool};
 use crate::counters;
 
 /// Maximum number of answers to other requests that are skipped before the awaited one; after more,
@@ -34,6 +34,8 @@
 pub struct TargetExchange {
     /// Idle connections.
     pub pool: pool::ConnectionPool,
+    /// Bounds the memory of the answers that are being received.
+    pub memory: memory::AnswerMemory,
     /// Builds requests and classifies answers.
     pub dialect: Arc<dyn target::TargetDialect>,
     /// Counts the outcomes of exchanges.
@@ -193,7 +195,7 @@
         let sent = first.map_err(|_| ExchangeFault::Unsent)?;
         let trace = trace.insert(connection.begin_exchange(run.label.as_ref()));
         let (reader, mut writer) = connection.stream.split();
-        let mut reader = message::AnswerReader::new(reader);
+        let mut reader = message::AnswerReader::new(reader, self.memory.begin());
         let mut writing = WriteProgress::from_done(sent == bytes.len());
         let mut read = {
             let rest = &bytes[sent..];
@@ -304,6 +306,10 @@
             message::AnswerFault::MissingLength => self
                 .counters
                 .count(counters::EdgeCause::TargetAnswerUnframed),
+            message::AnswerFault::NoMemory => {
+                self.counters
+                    .count(counters::EdgeCause::TargetAnswerNoMemory);
+            }
             message::AnswerFault::Oversized => self
                 .counters
                 .count(counters::EdgeCause::TargetAnswerOversized),
--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, StatusCode, header, response};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+use super::memory;
 use crate::head;
 
 /// Largest head of an answer, in bytes; common servers send no larger one.
@@ -50,6 +51,9 @@
     /// The body is above the limit.
     #[display("the body is above the limit")]
     Oversized,
+    /// Other answers fill the memory for answers.
+    #[display("no memory is left for the answer")]
+    NoMemory,
     /// The body has neither a length nor chunks, so its end looks like a broken connection.
     #[display("the body has neither a length nor chunks")]
     MissingLength,
@@ -93,6 +97,9 @@
 pub struct AnswerReader<R> {
     reader: R,
     buffer: BytesMut,
+    /// Bytes of the current body that have left the buffer.
+    collected: usize,
+    reservation: memory::AnswerReservation,
     has_begun: bool,
 }
 
@@ -100,11 +107,13 @@
 where
     R: AsyncRead + Unpin,
 {
-    /// Reads answers from `reader`.
-    pub fn new(reader: R) -> Self {
+    /// Reads answers from `reader`, and keeps them within `reservation`.
+    pub fn new(reader: R, reservation: memory::AnswerReservation) -> Self {
         Self {
             reader,
             buffer: BytesMut::new(),
+            collected: 0,
+            reservation,
             has_begun: false,
         }
     }
@@ -174,6 +183,7 @@
 
     async fn chunks(&mut self, limit: usize) -> Result<Bytes, AnswerFault> {
         let mut body = BytesMut::new();
+        self.collected = 0;
         let mut framing_bytes = 0;
         loop {
             let line = self.line().await?;
@@ -191,6 +201,7 @@
             }
             self.fill_to(size).await?;
             body.extend_from_slice(&self.buffer.split_to(size));
+            self.collected = body.len();
             if !self.line().await?.is_empty() {
                 return Err(malformed("a chunk is longer than it says"));
             }
@@ -243,6 +254,10 @@
     }
 
     async fn fill(&mut self) -> Result<(), AnswerFault> {
+        let needed = self.collected + self.buffer.len() + READ_BYTES;
+        if !self.reservation.grow_to(needed).await {
+            return Err(AnswerFault::NoMemory);
+        }
         // Only READ_BYTES beyond the received bytes are reserved, so that a stated length alone
         // reserves no memory.
         self.buffer.reserve(READ_BYTES);
