Bound the answers of the store and of the admin endpoint

What callers saw: by the test, a node that reads 700 MB within two seconds from a store that sends bytes without end, and would be killed with its calls. anvilctl does the same to the operator's machine.

Cause: read_whole collected a body without a limit. The timeouts of the calls bound slow bytes only.

The store's answers are bounded to 16 MiB now, several documents of the largest size, and those of a node's admin endpoint to 64 MiB. What is longer counts as an answer that was lost, so the outcome of the call is unknown, as with any other failure.

The stand-in that sends without end moves to anvil_standins, for all of these tests.

--- a/crates/anvil_ctl/src/node.rs
+++ b/crates/anvil_ctl/src/node.rs
@@ -28,6 +28,9 @@
 /// Longest wait for a connection, which a running node accepts at once.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Largest body of an answer, in bytes; the dump of a node in a large fleet takes some megabytes.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
 /// A node's admin endpoint.
 #[derive(Clone, Debug)]
 pub struct NodeClient {
@@ -130,7 +133,8 @@
             .proxy_settings(attohttpc::ProxySettings::builder().build())
             .text(body);
         let response = request.send().map_err(|error| self.classify(error))?;
-        let answer = answer::read_whole(response).map_err(|error| self.lost(error))?;
+        let answer =
+            answer::read_whole(response, MAX_BODY_BYTES).map_err(|error| self.lost(error))?;
         let revision = answer.headers.get(REVISION_HEADER);
         let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
         let text = String::from_utf8(answer.body).map_err(answer::AnswerError::from);
--- a/crates/anvil_http/src/answer.rs
+++ b/crates/anvil_http/src/answer.rs
@@ -1,5 +1,7 @@
 //! Tells a whole answer from one whose connection ended early.
 
+use std::io::Read;
+
 use attohttpc::header;
 use derive_more::{Display, Error, From};
 
@@ -19,6 +21,13 @@
         /// Received bytes.
         received: usize,
     },
+    /// The body is above the limit, or has no end.
+    #[display("the body is above {limit} bytes")]
+    #[from(skip)]
+    Oversized {
+        /// The limit in bytes.
+        limit: u64,
+    },
     /// The body is not text, although the caller expects text.
     #[display("{_0}")]
     NotText(std::string::FromUtf8Error),
@@ -35,15 +44,21 @@
     pub body: Vec<u8>,
 }
 
-/// Reads the body of `response`, which is whole if it has the stated length.
+/// Reads the body of `response`, of at most `limit` bytes, which is whole if it has the stated
+/// length.
 ///
 /// The client library returns what it received without an error if the connection ends before the
 /// stated length. A body without a stated length or chunks is whole when its connection ends. An
 /// answer to `HEAD` states the length of a body that it doesn't have, and is a mismatch here.
-pub fn read_whole(response: attohttpc::Response) -> Result<WholeAnswer, AnswerError> {
+pub fn read_whole(response: attohttpc::Response, limit: u64) -> Result<WholeAnswer, AnswerError> {
     let (status, headers, reader) = response.split();
-    let body = reader.bytes()?;
+    let mut body = Vec::new();
+    let read = reader.take(limit + 1).read_to_end(&mut body);
+    read.map_err(attohttpc::Error::from)?;
     let received = body.len();
+    if received as u64 > limit {
+        return Err(AnswerError::Oversized { limit });
+    }
     let differs = |stated: &&header::HeaderValue| {
         let stated = stated.to_str().ok().and_then(|text| text.parse().ok());
         stated != Some(received)
--- /dev/null
+++ b/crates/anvil_standins/src/endless.rs
@@ -0,0 +1,100 @@
+//! A server that sends bytes without end, and the memory of the process that reads them.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// Bytes after which a server gives up, so that a reader without any bound ends the test.
+const MAX_SENT_BYTES: u64 = 4 << 30;
+
+/// Bytes per write of a fast server.
+const FAST_WRITE_BYTES: usize = 64 * 1024;
+
+/// How fast the bytes come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendPace {
+    /// As fast as they are read.
+    Fast,
+    /// One part at a time, with this pause after each.
+    Slow(Duration),
+}
+
+/// Sends a start, and then a part without end, on each connection until the reader closes it.
+#[derive(Debug)]
+pub struct EndlessServer {
+    address: SocketAddr,
+    sent: Arc<AtomicU64>,
+}
+
+impl EndlessServer {
+    /// Starts a server on a free port of the loopback address.
+    pub fn start(start: &'static str, part: &'static str, pace: SendPace) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let sent: Arc<AtomicU64> = Arc::default();
+        let counted = sent.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let counted = counted.clone();
+                // The reader closes the connection, which ends it with an error.
+                thread::spawn(move || serve(stream, start, part, pace, &counted));
+            }
+        });
+        Ok(Self { address, sent })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes sent on all connections.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    start: &str,
+    part: &str,
+    pace: SendPace,
+    sent: &AtomicU64,
+) -> io::Result<()> {
+    let mut request = [0; 4_096];
+    let _ = stream.read(&mut request)?;
+    stream.write_all(start.as_bytes())?;
+    send_endlessly(&mut stream, part, pace, sent)
+}
+
+/// Sends `part` again and again until the other side closes the connection.
+pub fn send_endlessly(
+    stream: &mut TcpStream,
+    part: &str,
+    pace: SendPace,
+    sent: &AtomicU64,
+) -> io::Result<()> {
+    let bytes = match pace {
+        SendPace::Fast => part.repeat(FAST_WRITE_BYTES / part.len() + 1).into_bytes(),
+        SendPace::Slow(_) => part.as_bytes().to_vec(),
+    };
+    while sent.load(Ordering::Relaxed) < MAX_SENT_BYTES {
+        stream.write_all(&bytes)?;
+        sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        if let SendPace::Slow(pause) = pace {
+            thread::sleep(pause);
+        }
+    }
+    Ok(())
+}
+
+/// The largest memory of this process so far, in bytes; none if the system does not state it.
+pub fn peak_memory() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kilobytes * 1_024)
+}
--- a/crates/anvil_standins/src/lib.rs
+++ b/crates/anvil_standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Only tests, the demo and the experiment tool use this package.
 
 pub mod client;
+pub mod endless;
 pub mod experiment;
 pub mod http_target;
 pub mod ledger;
--- a/crates/anvil_store/src/http.rs
+++ b/crates/anvil_store/src/http.rs
@@ -21,6 +21,10 @@
 /// Longest wait for an answer, in addition to the waiting time of a watch.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Largest body of an answer, in bytes: several documents of the largest size, which a watch may
+/// return at once.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
 /// Client of a store with several addresses, which moves on to the next one if a call fails.
 #[derive(Debug)]
 pub struct HttpStore {
@@ -112,7 +116,7 @@
         }
     };
     let status = response.status().as_u16();
-    let answer = match answer::read_whole(response) {
+    let answer = match answer::read_whole(response, MAX_BODY_BYTES) {
         Ok(answer) => answer,
         Err(error) => {
             log::warn!("the store's answer with status {status} is incomplete: {error}");
