Serve the admin address with limits

What callers saw: by the test, a node that ends out of memory, with all the calls that it holds, while one sender writes a request line or a header without end to its admin address.

Cause: the library of the admin edge limits neither the length nor the time of a head. Of the node's readers of HTTP this was the one without any bound.

Evidence: endless_requests sends heads, bodies and chunks without end, fast and slow, to the ports of callers and of operators; on the code before, the test process was ended for want of memory. endless_heartbeats does the same at the port of heartbeats and readiness checks, which held.

Why this works: the admin edge moves to hyper, which all other addresses of a node use: heads of 16 KiB, bodies of 4 MiB as before, ten seconds for each, 32 connections. The handlers block threads of their own, as before.

--- a/crates/anvil_ctl/tests/endless_answers.rs
+++ b/crates/anvil_ctl/tests/endless_answers.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[allow(dead_code, reason = "other test files use the scripted node")]
 mod common;
 
 use std::time::{Duration, Instant};
--- a/crates/anvil_node/src/admin.rs
+++ b/crates/anvil_node/src/admin.rs
@@ -1,7 +1,6 @@
-//! The admin edge: operators' requests and the local target's announcements, over HTTP by
-//! `rouille`.
+//! The admin edge: operators' requests and the local target's announcements, over HTTP.
 //!
-//! It is not on the path of callers' requests, so one thread per admin request is enough; see
+//! It is not on the path of callers' requests, so its handlers block threads of their own; see
 //! `docs/OPERATIONS.md` for each address.
 
 pub mod announcement;
--- a/crates/anvil_node/src/admin/server.rs
+++ b/crates/anvil_node/src/admin/server.rs
@@ -1,27 +1,52 @@
 //! The HTTP server of the admin edge.
 
-use std::io::Read;
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvil_core::{answer, event};
 use anvil_rules::yaml;
+use bytes::Bytes;
 use eyre::WrapErr;
-use rouille::{Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime;
+use tokio::sync::Semaphore;
 
 use super::{announcement, metrics, operator_request};
-use crate::{counters, engine};
+use crate::{counters, engine, listen};
 
-/// Threads that serve operators and the target.
-const THREADS: usize = 8;
+/// Connections that are served at once; further ones wait.
+const MAX_CONNECTIONS: usize = 32;
+
+/// Bytes of a request head; an operator's token is its longest part.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Longest time for a head, and longest idle time of a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest time for a complete body. The longest rules take this time at 3 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest wait for the reducer's answer, which includes the write of an accepted change to the
 /// platform's store.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Largest body, in bytes: the longest rules that are accepted.
-const MAX_BODY_BYTES: u64 = yaml::MAX_TEXT_BYTES as u64;
+const MAX_BODY_BYTES: usize = yaml::MAX_TEXT_BYTES;
+
+/// The path of the target's announcements.
+const TARGET_PATH: &str = "/target";
+
+/// Media type of refusals.
+const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// State shared by all admin requests.
 #[derive(Clone, Debug)]
@@ -34,27 +59,94 @@
     pub token: Option<String>,
 }
 
-/// Binds `address` and serves it on separate threads; returns the bound address.
-pub fn start(address: SocketAddr, edge: AdminEdge) -> eyre::Result<SocketAddr> {
-    let handler = move |request: &Request| edge.respond(request);
-    let server = rouille::Server::new(address, handler)
-        .map_err(|error| eyre::eyre!("listen.admin: {address} can't be bound: {error}"))?
-        .pool_size(THREADS);
-    let bound = server.server_addr();
-    let builder = std::thread::Builder::new().name("admin".to_owned());
-    let thread = builder.spawn(move || server.run());
-    thread.wrap_err("the admin thread could not be started")?;
+/// A request whose body was read.
+#[derive(Debug)]
+struct AdminRequest {
+    head: request::Parts,
+    body: Bytes,
+}
+
+impl AdminRequest {
+    /// The value of a header as text.
+    fn header(&self, name: &str) -> Option<&str> {
+        header_text(&self.head.headers, name)
+    }
+}
+
+type AdminResponse = Response<Full<Bytes>>;
+
+/// Binds `address` and serves it on `runtime`; returns the bound address.
+pub fn start(
+    runtime: &runtime::Handle,
+    address: SocketAddr,
+    edge: AdminEdge,
+) -> eyre::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind(address);
+    let listener = listener.wrap_err_with(|| format!("listen.admin: {address} can't be bound"))?;
+    listener.set_nonblocking(true)?;
+    let _entered = runtime.enter();
+    let listener = TcpListener::from_std(listener)?;
+    let bound = listener.local_addr()?;
+    runtime.spawn(serve(listener, Arc::new(edge)));
     Ok(bound)
 }
 
+async fn serve(listener: TcpListener, edge: Arc<AdminEdge>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    while let Ok(permit) = permits.clone().acquire_owned().await {
+        let stream = listen::accept(&listener).await;
+        let edge = edge.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            connection(stream, edge).await;
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, edge: Arc<AdminEdge>) {
+    let respond = service::service_fn(move |request| {
+        let edge = edge.clone();
+        async move { Ok::<_, Infallible>(edge.serve(request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        // A client that has sent its request may shut down its side before it reads the answer.
+        .half_close(true);
+    // A failed connection needs no handling: the other side calls again.
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), respond)
+        .await;
+}
+
 impl AdminEdge {
-    fn respond(&self, request: &Request) -> Response {
-        if !self.is_authorised(request) {
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> AdminResponse {
+        let (head, body) = request.into_parts();
+        if !self.is_authorised(&head.headers) {
             self.counters.count(counters::EdgeCause::OperatorRefused);
             return problem(401, "a bearer token is needed");
         }
-        let path = request.url();
-        match (request.method(), path.as_str()) {
+        let body = match read_body(&head.headers, body).await {
+            Ok(body) => body,
+            Err(response) => {
+                self.counters.count(refusal_cause(head.uri.path()));
+                return response;
+            }
+        };
+        let request = AdminRequest { head, body };
+        // Answers wait for the reducer and take long to encode, which must not delay other requests.
+        let responding = tokio::task::spawn_blocking(move || self.respond(&request));
+        responding.await.unwrap_or_else(|error| {
+            log::error!("an admin request failed: {error}");
+            problem(500, "the request failed; see the log of the node")
+        })
+    }
+
+    fn respond(&self, request: &AdminRequest) -> AdminResponse {
+        let path = request.head.uri.path();
+        match (request.head.method.as_str(), path) {
             ("GET", "/dump") => self.json(event::OperatorRequest::Dump),
             ("GET", "/status") => self.json(event::OperatorRequest::Status),
             ("GET", "/metrics") => self.metrics(),
@@ -62,8 +154,8 @@
             ("GET", "/rules/history") => self.json(event::OperatorRequest::History),
             ("POST", "/rules") => self.apply(request),
             ("POST", "/explain") => self.explain(request),
-            ("PUT", "/target") => self.announce(request),
-            ("DELETE", "/target") => self.send_event(event::NodeEvent::TargetLeaving),
+            ("PUT", TARGET_PATH) => self.announce(request),
+            ("DELETE", TARGET_PATH) => self.send_event(event::NodeEvent::TargetLeaving),
             _ => problem(404, "there is nothing here; see docs/OPERATIONS.md"),
         }
     }
@@ -72,11 +164,11 @@
     ///
     /// The comparison does not stop at the first difference, so its duration does not reveal how
     /// much of a guessed token is right.
-    fn is_authorised(&self, request: &Request) -> bool {
+    fn is_authorised(&self, headers: &HeaderMap) -> bool {
         let Some(token) = &self.token else {
             return true;
         };
-        let sent = request.header("authorization").unwrap_or_default();
+        let sent = header_text(headers, header::AUTHORIZATION.as_str()).unwrap_or_default();
         let expected = format!("Bearer {token}");
         let pairs = sent.bytes().zip(expected.bytes());
         let differing = pairs.fold(0, |bits, (a, b)| bits | (a ^ b));
@@ -90,57 +182,56 @@
         answer.recv_timeout(ANSWER_TIMEOUT).ok()
     }
 
-    fn json(&self, request: event::OperatorRequest) -> Response {
+    fn json(&self, request: event::OperatorRequest) -> AdminResponse {
         self.text("application/json", request)
     }
 
-    fn rules(&self) -> Response {
+    fn rules(&self) -> AdminResponse {
         self.text("application/yaml", event::OperatorRequest::Rules)
     }
 
-    fn text(&self, media_type: &'static str, request: event::OperatorRequest) -> Response {
+    fn text(&self, media_type: &'static str, request: event::OperatorRequest) -> AdminResponse {
         match self.request(request) {
             Some(Ok(answer)) => {
-                let revision = answer.revision.to_string();
-                Response::from_data(media_type, answer.text())
-                    .with_unique_header(operator_request::REVISION_HEADER, revision)
+                let revision = HeaderValue::from(answer.revision.0);
+                let mut response = response(200, media_type, answer.text());
+                let headers = response.headers_mut();
+                headers.insert(operator_request::REVISION_HEADER, revision);
+                response
             }
             Some(Err(refused)) => refusal(&refused),
             None => no_answer(),
         }
     }
 
-    fn metrics(&self) -> Response {
+    fn metrics(&self) -> AdminResponse {
         match self.request(event::OperatorRequest::Counters) {
             Some(answer) => {
                 let reducer = answer.map(answer::OperatorAnswer::text).unwrap_or_default();
                 let text = metrics::encode(&self.counters, &reducer);
-                Response::from_data(metrics::MEDIA_TYPE, text)
+                response(200, metrics::MEDIA_TYPE, text)
             }
             None => no_answer(),
         }
     }
 
-    fn explain(&self, request: &Request) -> Response {
-        let parsed = body(request).and_then(|bytes| {
-            let parsed = operator_request::parse_explain(&bytes);
-            parsed.map_err(|error| problem(422, &error.to_string()))
-        });
-        self.respond_to_parsed(parsed)
+    fn explain(&self, request: &AdminRequest) -> AdminResponse {
+        let parsed = operator_request::parse_explain(&request.body);
+        self.respond_to_parsed(parsed.map_err(|error| problem(422, &error.to_string())))
     }
 
-    fn apply(&self, request: &Request) -> Response {
-        let parsed = body(request).and_then(|bytes| {
-            let change = request.header(operator_request::CHANGE_HEADER);
-            let author = request.header(operator_request::AUTHOR_HEADER);
-            let base = request.header(operator_request::BASE_HEADER);
-            let parsed = operator_request::parse_apply(&bytes, change, author, base);
-            parsed.map_err(|error| invalid_request(&error))
-        });
-        self.respond_to_parsed(parsed)
+    fn apply(&self, request: &AdminRequest) -> AdminResponse {
+        let change = request.header(operator_request::CHANGE_HEADER);
+        let author = request.header(operator_request::AUTHOR_HEADER);
+        let base = request.header(operator_request::BASE_HEADER);
+        let parsed = operator_request::parse_apply(&request.body, change, author, base);
+        self.respond_to_parsed(parsed.map_err(|error| invalid_request(&error)))
     }
 
-    fn respond_to_parsed(&self, parsed: Result<event::OperatorRequest, Response>) -> Response {
+    fn respond_to_parsed(
+        &self,
+        parsed: Result<event::OperatorRequest, AdminResponse>,
+    ) -> AdminResponse {
         match parsed {
             Ok(request) => self.json(request),
             Err(response) => {
@@ -150,78 +241,88 @@
         }
     }
 
-    fn announce(&self, request: &Request) -> Response {
-        let parsed = body(request).and_then(|bytes| {
-            let parsed = announcement::parse(&bytes);
-            parsed.map_err(|error| problem(422, &error.to_string()))
-        });
-        match parsed {
+    fn announce(&self, request: &AdminRequest) -> AdminResponse {
+        match announcement::parse(&request.body) {
             Ok(announcement) => self.send_event(event::NodeEvent::TargetAnnounced(announcement)),
-            Err(response) => {
+            Err(error) => {
                 let cause = counters::EdgeCause::AnnouncementRefused;
                 self.counters.count(cause);
-                response
+                problem(422, &error.to_string())
             }
         }
     }
 
-    fn send_event(&self, event: event::NodeEvent) -> Response {
+    fn send_event(&self, event: event::NodeEvent) -> AdminResponse {
         let input = engine::EngineInput::Event(event);
         match self.engine.send_timeout(input, ANSWER_TIMEOUT) {
-            Ok(()) => Response::empty_204(),
+            Ok(()) => {
+                let mut response = AdminResponse::default();
+                *response.status_mut() = StatusCode::NO_CONTENT;
+                response
+            }
             Err(_) => no_answer(),
         }
     }
 }
 
+/// The cause that a request with an unusable body is counted under.
+fn refusal_cause(path: &str) -> counters::EdgeCause {
+    match path {
+        TARGET_PATH => counters::EdgeCause::AnnouncementRefused,
+        _ => counters::EdgeCause::OperatorRefused,
+    }
+}
+
 /// Reads the whole body, or refuses it.
 ///
-/// The HTTP library takes the end of the connection for the end of the body, even if the framing
-/// says that more follows. The first part of some rules is often valid rules too, so the length is
-/// checked here. Chunks are refused because the library does not say whether the last one arrived.
-fn body(request: &Request) -> Result<Vec<u8>, Response> {
-    if request.header("transfer-encoding").is_some() {
+/// The first part of some rules is often valid rules too, so a body whose connection ends early is
+/// refused.
+async fn read_body(headers: &HeaderMap, body: Incoming) -> Result<Bytes, AdminResponse> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
         let detail = "the body must have a content-length in place of a transfer coding";
         return Err(problem(411, detail));
     }
-    let stated = request.header("content-length").unwrap_or("0");
-    let Ok(stated) = stated.parse::<u64>() else {
-        return Err(problem(400, "the content-length is not a number"));
-    };
-    let mut bytes = Vec::new();
-    let Some(data) = request.data() else {
-        return Ok(bytes);
-    };
-    let read = data.take(MAX_BODY_BYTES + 1).read_to_end(&mut bytes);
-    if read.is_err() {
-        return Err(problem(400, "the body broke off"));
-    }
-    let received = bytes.len() as u64;
-    if received > MAX_BODY_BYTES {
-        return Err(problem(413, "the body is above 4 MiB"));
-    }
-    if received != stated {
-        let detail = format!("the body ended after {received} of {stated} bytes");
-        return Err(problem(400, &detail));
+    let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(problem(413, "the body is above 4 MiB"))
+        }
+        Ok(Err(_)) => Err(problem(400, "the body broke off")),
+        Err(_) => Err(problem(408, "the body took too long")),
     }
-    Ok(bytes)
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn response(status: u16, media_type: &'static str, body: String) -> AdminResponse {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let media_type = HeaderValue::from_static(media_type);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, media_type);
+    response
 }
 
 /// The response to a request that was refused before it reached the reducer; faults of rules are
 /// listed one by one.
-fn invalid_request(error: &operator_request::RequestError) -> Response {
+fn invalid_request(error: &operator_request::RequestError) -> AdminResponse {
     let operator_request::RequestError::Rules(faults) = error else {
         return problem(422, &error.to_string());
     };
     let body = json!({ "status": 422, "detail": error.to_string(), "faults": faults });
-    Response::from_data("application/problem+json", body.to_string()).with_status_code(422)
+    response(422, PROBLEM_TYPE, body.to_string())
 }
 
 /// The response to a request that the reducer refused.
 ///
 /// The status says what happened to a change: 409 means that nothing was changed, and a 503 states
 /// in `outcome` whether the change may have been made.
-fn refusal(refused: &answer::OperatorRefusal) -> Response {
+fn refusal(refused: &answer::OperatorRefusal) -> AdminResponse {
     let detail = refused.to_string();
     let (status, extra) = match refused {
         answer::OperatorRefusal::Conflict {
@@ -239,20 +340,20 @@
     if let (Some(fields), serde_json::Value::Object(extra)) = (body.as_object_mut(), extra) {
         fields.extend(extra);
     }
-    Response::from_data("application/problem+json", body.to_string()).with_status_code(status)
+    response(status, PROBLEM_TYPE, body.to_string())
 }
 
 /// The response if the reducer did not answer in time; a requested change may still be made.
-fn no_answer() -> Response {
+fn no_answer() -> AdminResponse {
     let body = json!({
         "status": 503,
         "detail": "the node did not answer in time",
         "outcome": "unknown",
     });
-    Response::from_data("application/problem+json", body.to_string()).with_status_code(503)
+    response(503, PROBLEM_TYPE, body.to_string())
 }
 
-fn problem(status: u16, detail: &str) -> Response {
+fn problem(status: u16, detail: &str) -> AdminResponse {
     let body = json!({ "status": status, "detail": detail });
-    Response::from_data("application/problem+json", body.to_string()).with_status_code(status)
+    response(status, PROBLEM_TYPE, body.to_string())
 }
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -111,19 +111,19 @@
     let node = ident::NodeId(random_u64());
     let counters = counters::EdgeCounters::new().wrap_err("counters")?;
     let (engine, inputs) = flume::bounded(engine::MAX_QUEUED_INPUTS);
-    let edge = admin::server::AdminEdge {
-        engine: engine.clone(),
-        counters: counters.clone(),
-        token: settings.admin_token.clone(),
-    };
-    let admin = admin::server::start(settings.listen.admin, edge)?;
-    let bound = sockets.bound(node, admin)?;
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(usize::try_from(settings.limits.worker_threads)?)
         .thread_name("edge")
         .enable_all()
         .build()
         .wrap_err("the runtime could not be started")?;
+    let edge = admin::server::AdminEdge {
+        engine: engine.clone(),
+        counters: counters.clone(),
+        token: settings.admin_token.clone(),
+    };
+    let admin = admin::server::start(runtime.handle(), settings.listen.admin, edge)?;
+    let bound = sockets.bound(node, admin)?;
     let (closing, closed) = watch::channel(false);
     let (flush_guard, flushed) = mpsc::channel(1);
     let drain = caller::server::DrainSignal {
--- a/crates/anvil_standins/src/endless.rs
+++ b/crates/anvil_standins/src/endless.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Bytes after which a server gives up, so that a reader without any bound ends the test.
-const MAX_SENT_BYTES: u64 = 4 << 30;
+const MAX_SENT_BYTES: u64 = 256 << 20;
 
 /// Bytes per write of a fast server.
 const FAST_WRITE_BYTES: usize = 64 * 1024;
