Time the next head only once the answer before it is written

What callers saw: by the test, a 408 in the middle of the body of a whole answer, for callers that read a long answer more slowly than the time for a head, with the next request, whole or not, already sent.

Cause: the timer of the next head began when the answer was ready, not when it was written. The refusal of the head went to the socket whatever was being written, so its bytes became a part of the answer before it: another way in which an answer reaches the wrong request.

Evidence: three cases of an_answer_that_is_read_slowly_stays_whole failed before with '408 Request Timeout' as bytes of the body.

Why this works: the library flushes the socket when its buffer is empty, and the answer has been put there by then. The timer starts at that flush. A head that stalls behind an answer that was read is refused as before (a_stalled_pipelined_head_is_refused).

--- a/crates/anvil_node/src/caller/head_timer.rs
+++ b/crates/anvil_node/src/caller/head_timer.rs
@@ -21,6 +21,12 @@
 /// State: a complete request is being served, and the next head has begun to arrive.
 const SERVING_WITH_MORE: u64 = u64::MAX - 3;
 
+/// State: the answer is being written, and nothing was received after its request.
+const WRITING: u64 = u64::MAX - 4;
+
+/// State: the answer is being written, and the next head has begun to arrive.
+const WRITING_WITH_MORE: u64 = u64::MAX - 5;
+
 /// Times the heads of one connection.
 ///
 /// It is shared by the connection's socket and its service. Both run in one task, so no atomic
@@ -52,17 +58,30 @@
         self.state.store(SERVING, Ordering::Relaxed);
     }
 
-    /// Notes that the request is answered; the next head may have begun to arrive.
+    /// Notes that the answer to the request is about to be written; the next head may have begun to
+    /// arrive.
     pub fn end_serving(&self) {
         let more = self.state.load(Ordering::Relaxed) == SERVING_WITH_MORE;
-        let next = if more { self.now() } else { IDLE };
+        let next = if more { WRITING_WITH_MORE } else { WRITING };
         self.state.store(next, Ordering::Relaxed);
     }
 
+    /// Notes that everything so far is written, so the next head is read from here on.
+    ///
+    /// The caller may read a long answer slowly. A refusal of the next head that is written
+    /// meanwhile would become a part of that answer.
+    pub fn record_written(&self) {
+        match self.state.load(Ordering::Relaxed) {
+            WRITING => self.state.store(IDLE, Ordering::Relaxed),
+            WRITING_WITH_MORE => self.state.store(self.now(), Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
     /// Whether a head began longer than `limit` ago and is still incomplete.
     pub fn is_overdue(&self, limit: Duration) -> bool {
         let state = self.state.load(Ordering::Relaxed);
-        let begun = state < SERVING_WITH_MORE;
+        let begun = state < WRITING_WITH_MORE;
         begun && self.now().saturating_sub(state) > micros(limit)
     }
 
@@ -73,6 +92,7 @@
             // The socket is read while a request is served, to notice the end of the connection. A
             // head that begins meanwhile would otherwise never be timed.
             SERVING => self.state.store(SERVING_WITH_MORE, Ordering::Relaxed),
+            WRITING => self.state.store(WRITING_WITH_MORE, Ordering::Relaxed),
             _ => {}
         }
     }
@@ -83,5 +103,5 @@
 }
 
 fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(SERVING_WITH_MORE - 1)
+    u64::try_from(duration.as_micros()).unwrap_or(WRITING_WITH_MORE - 1)
 }
--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -323,7 +323,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        // The library flushes the socket once it has written all of its buffer.
+        if let Poll::Ready(Ok(())) = flushed {
+            self.pipeline.head_timer.record_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(
--- a/crates/anvil_node/tests/bad_callers.rs
+++ b/crates/anvil_node/tests/bad_callers.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 
 use anvil_node::counters;
 use anvil_testkit::test_cases;
@@ -232,3 +232,46 @@
     cut_between_chunks => ("transfer-encoding: chunked", "5\r\na bid\r\n"),
     cut_before_the_last_line => ("transfer-encoding: chunked", "5\r\na bid\r\n0\r\n"),
 }
+
+/// Reads a response whose body is `x` throughout; returns its head and body and what follows them.
+fn split_response(bytes: &[u8]) -> (String, &[u8], &[u8]) {
+    let head_end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
+    let (head, rest) = bytes.split_at(head_end.unwrap() + 4);
+    let head = String::from_utf8(head.to_vec()).unwrap();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.unwrap().parse().unwrap();
+    let (body, rest) = rest.split_at(length.min(rest.len()));
+    (head, body, rest)
+}
+
+// Guards against a refusal of the next head that is written into the body of an answer.
+fn an_answer_that_is_read_slowly_stays_whole(next: &str) {
+    const BODY_BYTES: usize = 8_000_000;
+    let pair = common::Pair::start(LIMITS);
+    let first = format!("GET /bytes/{BODY_BYTES} HTTP/1.1\r\nhost: audiencias\r\n\r\n");
+    let mut stream = common::raw(pair.caller(), format!("{first}{next}").as_bytes());
+    // The answer exceeds what the sockets hold, so the node is writing it all this time.
+    std::thread::sleep(std::time::Duration::from_millis(600));
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    let (head, body, _) = split_response(&bytes);
+    assert!(head.starts_with("HTTP/1.1 200 OK"), "{head}");
+    let foreign = body.iter().position(|byte| *byte != b'x');
+    let seen = foreign.map(|at| {
+        String::from_utf8_lossy(&body[at..])
+            .chars()
+            .take(80)
+            .collect::<String>()
+    });
+    assert_eq!(seen, None, "foreign bytes in the body");
+    assert_eq!(body.len(), BODY_BYTES);
+}
+
+test_cases! {
+    an_answer_that_is_read_slowly_stays_whole:
+    before_a_stalled_head => ("GET / HTTP/1.1\r\nhost: audi"),
+    before_a_whole_request => ("GET / HTTP/1.1\r\nhost: audiencias\r\nconnection: close\r\n\r\n"),
+    before_a_submission => ("POST /bids HTTP/1.1\r\nhost: audiencias\r\ncontent-length: 1\r\nconnection: close\r\n\r\n1"),
+}
