Charge the calls of a repeated run before it is accepted

Cause: the calls of a run that is itself a repeat count as repeats at the services that it calls. They were charged to the budgets there when they were made, where they only hold back retries of that service; here it had none. Within the ratio they add up to the bound, but the burst is multiplied by the calls of each run.

Why this works: the node beside the target knows what runs of a kind usually call. It charges that in advance, and refuses a retried attempt that a budget does not cover before it reaches the target, so no arrival is counted. What did not run gives its charge back. First attempts, and calls of runs that are at work, are never refused for it.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -271,14 +271,16 @@
         let service = open.request.service.clone();
         let (attempt, inherited) = (open.attempts, open.context.repeat);
         let percent = open.treatment.retry_ratio_percent;
+        let parent = open.parent.and_then(|run| self.runs.get(run));
+        let is_paid = parent.is_some_and(|run| run.calls_paid);
         if attempt > 1 {
             self.counters.retries += 1;
         } else {
             let now = self.now;
             let budget = self.retry_budget(&service);
             budget.count_first_attempt(now, percent);
-            if inherited {
-                budget.charge_inherited();
+            if inherited && !is_paid {
+                budget.charge_inherited(1);
             }
         }
         self.directory.attempt_sent(&service, peer, context.class);
--- a/crates/anvil_core/src/overload.rs
+++ b/crates/anvil_core/src/overload.rs
@@ -127,6 +127,39 @@
             .get_or_insert(self.now, service, limits)
     }
 
+    /// Charges the calls that a repeated run of `kind` usually makes to the retry budgets of their
+    /// services; returns false, without a charge, if one of these does not cover them.
+    ///
+    /// The calls of a repeated run are repeats at the services that it calls. Once the run has
+    /// started they can't be held back.
+    pub(crate) fn pay_calls_of_repeat(&mut self, kind: kind::CallKind) -> bool {
+        let called = self.usual_calls(kind);
+        let now = self.now;
+        let covered = called
+            .iter()
+            .all(|(service, count)| self.retry_budget(service).covers(now, *count));
+        if covered {
+            for (service, count) in &called {
+                self.retry_budget(service).charge_inherited(*count);
+            }
+        }
+        covered
+    }
+
+    /// Gives back what [`Self::pay_calls_of_repeat`] charged for a run that did not run.
+    pub(crate) fn refund_calls_of_repeat(&mut self, kind: kind::CallKind) {
+        for (service, count) in self.usual_calls(kind) {
+            self.retry_budget(&service).give_back_inherited(count);
+        }
+    }
+
+    fn usual_calls(&self, kind: kind::CallKind) -> Vec<(name::ServiceName, u16)> {
+        let called = self.overload.run_calls.called(kind);
+        called
+            .map(|(service, count)| (service.clone(), count))
+            .collect()
+    }
+
     /// The highest cut line among the calls that the local target makes for most runs of `kind`.
     pub(crate) fn downstream_line(&self, kind: kind::CallKind) -> Option<call::CutLine> {
         if !self.overload.policy.deep_refusal {
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -77,6 +77,8 @@
     pub waits: waits::CallWaits,
     /// Whether it is queued or running.
     pub stage: RunStage,
+    /// Whether its calls were charged to the retry budgets of their services in advance.
+    pub calls_paid: bool,
     /// The exchange with the target, once the run has ended.
     pub exchange: Option<event::ExchangeTrace>,
     /// Notices about this run that could not be sent to its entry node since that node last
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{allowance, kind};
+use anvil_overload::{allowance, kind, refusal};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame, outcome};
 
-use crate::{effect, event, reducer, request_log, runs, stopping, timers, waits};
+use crate::{effect, event, overload, reducer, request_log, runs, stopping, timers, waits};
 
 impl reducer::NodeReducer {
     pub(crate) fn peer_called(&mut self, peer: ident::NodeId, call: call::PeerCall) {
@@ -25,10 +25,22 @@
             admission.count_sender(self.now, peer);
         }
         if let Some(cause) = self.refusal_at_target(&call) {
-            self.counters.runs_refused += 1;
-            let service = call.request.service.clone();
-            self.record_refusal(&service, &call.context, call.rule, cause);
-            self.answer_refusal(peer, &call, cause.reason);
+            self.refuse_peer_call(peer, &call, cause);
+            return;
+        }
+        let kind = kind::CallKind::of(&call.request);
+        // An attempt that repeats others only because its parent run is a repeat is not held back:
+        // the parent would fail, and its calls so far would be lost.
+        let is_retry = call.attempt > 1 && call.context.repeat;
+        if is_retry && !self.pay_calls_of_repeat(kind) {
+            let percent = call.treatment.retry_ratio_percent;
+            let cause = overload::RefusalCause {
+                reason: verdict::RefusalReason::Shed,
+                limit: refusal::RefusalLimit::RetryRatio(percent),
+                by: self.config.node,
+            };
+            self.counters.retries_over_ratio += 1;
+            self.refuse_peer_call(peer, &call, cause);
             return;
         }
         let deadline = self.now + Duration::from_micros(call.context.remaining_micros);
@@ -40,7 +52,7 @@
             account: call.account,
             label: call.label,
             accepted: self.now,
-            kind: kind::CallKind::of(&call.request),
+            kind,
             service: call.request.service.clone(),
             request: Some(call.request),
             context: call.context,
@@ -48,6 +60,7 @@
             rule: call.rule,
             deadline,
             stage: runs::RunStage::Queued,
+            calls_paid: is_retry,
             exchange: None,
             failed_notices: 0,
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
@@ -65,6 +78,18 @@
         self.offer_run(id);
     }
 
+    fn refuse_peer_call(
+        &mut self,
+        peer: ident::NodeId,
+        call: &call::PeerCall,
+        cause: overload::RefusalCause,
+    ) {
+        self.counters.runs_refused += 1;
+        let service = call.request.service.clone();
+        self.record_refusal(&service, &call.context, call.rule, cause);
+        self.answer_refusal(peer, call, cause.reason);
+    }
+
     /// Whether the frame is a duplicate of an attempt. The run of the first frame answers it.
     fn is_repeat(&mut self, call: &call::PeerCall) -> bool {
         let record = self.memory.record_for(call.context.idempotent);
@@ -109,6 +134,9 @@
         let Some(ended) = self.runs.end(run) else {
             return;
         };
+        if ended.calls_paid && matches!(verdict, verdict::CallVerdict::NotRun(_)) {
+            self.refund_calls_of_repeat(ended.kind);
+        }
         let status = answer.as_ref().map(|answer| answer.status);
         self.log_run(&ended, verdict, status);
         let step = request_log::AttemptStep::Ended {
--- a/crates/anvil_core/tests/refused_calls.rs
+++ b/crates/anvil_core/tests/refused_calls.rs
@@ -265,3 +265,104 @@
     let (with, without) = (served(true), served(false));
     assert!(with > 1.2 * without, "{with} and {without}");
 }
+
+const CALLED: &str = "padron";
+
+/// A node whose target makes `calls` calls to another service in each run.
+fn node_of_calling_target(calls: u64) -> reducer::NodeReducer {
+    let policy = policy::OverloadPolicy {
+        refusal_retries: true,
+        ..variant::POLICY
+    };
+    let mut node = support::with_target(support::node_with_policy(policy), 1_000);
+    let record = directory::PeerRecord {
+        address: support::address(7105),
+        service: name::ServiceName::new(CALLED).unwrap(),
+        zone: name::ZoneName::new("ar-centro-a").unwrap(),
+        slots: 1_000,
+        leaving: false,
+        announced: 0,
+    };
+    node.add_peer(support::at(0), ident::NodeId(5), record);
+    let effects = node.step(support::at(1), support::peer_call(1, true));
+    let run = support::started(&effects)[0];
+    for handle in 0..calls {
+        let mut request = support::request("GET");
+        request.service = name::ServiceName::new(CALLED).unwrap();
+        let arrival = event::NodeEvent::CallArrived {
+            handle: event::CallerHandle(handle),
+            request: Box::new(request),
+            hints: event::CallerHints {
+                parent: Some(event::ParentToken(run)),
+                ..event::CallerHints::default()
+            },
+        };
+        let effects = node.step(support::at(2), arrival);
+        let (peer, call) = support::sent_calls(&effects).remove(0);
+        let answer = support::answer(peer, &call, verdict::CallVerdict::Answered);
+        node.step(support::at(3), answer);
+    }
+    node.step(support::at(4), run_end(run, support::answered()));
+    node
+}
+
+fn run_end(run: event::RunId, outcome: event::RunOutcome) -> event::NodeEvent {
+    event::NodeEvent::RunEnded {
+        run,
+        outcome,
+        statement: None,
+        exchange: None,
+    }
+}
+
+/// A second attempt, whose first one a target has refused.
+fn repeated_call(sequence: u64) -> event::NodeEvent {
+    let mut event = support::peer_call(sequence, true);
+    if let event::NodeEvent::FrameArrived {
+        frame: frame::PeerFrame::Call(call),
+        ..
+    } = &mut event
+    {
+        (call.attempt, call.context.repeat) = (2, true);
+    }
+    event
+}
+
+// Guards against repeats at a service that are the calls of repeated runs, beyond its retry budget.
+fn repeated_runs_stay_within_the_budgets_below(calls: u64, most: usize) {
+    let mut node = node_of_calling_target(calls);
+    let started = (2..102)
+        .map(|sequence| node.step(support::at(5), repeated_call(sequence)))
+        .map(|effects| support::started(&effects).len())
+        .sum::<usize>();
+    assert!(started <= most, "{started} of 100 repeated runs");
+    assert!(started > 0);
+}
+
+// The budget of a node is 20 repeats, and a few more for the first attempts so far.
+test_cases! {
+    repeated_runs_stay_within_the_budgets_below:
+    of_a_target_that_makes_one_call => (1, 21),
+    of_a_target_that_makes_four_calls => (4, 5),
+}
+
+// Guards against repeats that are charged although their run was refused.
+#[test]
+fn refused_repeats_are_given_back_to_the_budgets_below() {
+    let mut node = node_of_calling_target(4);
+    for sequence in 2..102 {
+        let effects = node.step(support::at(5), repeated_call(sequence));
+        let run = support::started(&effects)[0];
+        node.step(support::at(5), run_end(run, event::RunOutcome::Refused));
+    }
+}
+
+// Guards against first attempts that are refused for the budgets of repeats.
+#[test]
+fn first_attempts_need_no_budget_below() {
+    let mut node = node_of_calling_target(4);
+    for sequence in 2..102 {
+        let effects = node.step(support::at(5), support::peer_call(sequence, true));
+        assert_eq!(support::started(&effects).len(), 1);
+    }
+}
--- a/crates/anvil_overload/src/ratio.rs
+++ b/crates/anvil_overload/src/ratio.rs
@@ -217,10 +217,22 @@
         }
     }
 
-    /// Charges a repeat that a retry further up the call chain caused; it cannot be held back.
-    pub fn charge_inherited(&mut self) {
+    /// Whether `repeats` are left.
+    pub fn covers(&mut self, now: time::NodeTime, repeats: u16) -> bool {
+        self.fill(now);
+        self.tokens >= signed(u64::from(repeats) * MICROS_PER_RETRY)
+    }
+
+    /// Charges `repeats` that a retry further up the call chain caused; they cannot be held back.
+    pub fn charge_inherited(&mut self, repeats: u16) {
         let least = -signed(self.limits.burst);
-        self.tokens = (self.tokens - signed(MICROS_PER_RETRY)).max(least);
+        let charge = signed(u64::from(repeats) * MICROS_PER_RETRY);
+        self.tokens = (self.tokens - charge).max(least);
+    }
+
+    /// Gives back the charge for `repeats` that were not made.
+    pub fn give_back_inherited(&mut self, repeats: u16) {
+        self.add(u64::from(repeats) * MICROS_PER_RETRY);
     }
 
     /// Spends one retry for a request of `rank`; returns false if the budget available to that rank
--- a/crates/anvil_overload/src/run_calls.rs
+++ b/crates/anvil_overload/src/run_calls.rs
@@ -80,6 +80,15 @@
         rounded(calls.unwrap_or(0.0))
     }
 
+    /// The services that a run of `kind` usually calls, with the number of calls to each.
+    pub fn called(&self, kind: kind::CallKind) -> impl Iterator<Item = (&name::ServiceName, u16)> {
+        let calls = self.get(kind).map_or(&[][..], |known| &known.calls);
+        let counted = calls
+            .iter()
+            .map(|(service, mean)| (service, rounded(*mean)));
+        counted.filter(|(_, count)| *count > 0)
+    }
+
     /// The highest number of calls of a run of `kind` that are usually open at the same time.
     pub fn overlap(&self, kind: kind::CallKind) -> Option<u16> {
         self.get(kind).map(|known| rounded(known.overlap).max(1))
--- a/crates/anvil_overload/tests/ratio.rs
+++ b/crates/anvil_overload/tests/ratio.rs
@@ -153,7 +153,7 @@
     let limits = ratio::RatioLimits::shared(32, 16);
     let mut budget = ratio::RetryBudget::with_limits(at(0), limits);
     for _ in 0..2 {
-        budget.charge_inherited();
+        budget.charge_inherited(1);
     }
     assert!(!budget.spend(at(0), &top_rank()));
     for _ in 0..6 {
