Bound the keep-alive timeout that a target states

Cause: the stated time was multiplied before it was divided.

Evidence: keep_alive_for_longer_than_any_clock_runs failed before with 'overflow when multiplying duration by scalar'. At most an hour is believed now. The sender of endless bytes counts its bound per connection, as one test opens 148.

--- a/crates/anvil_node/src/target/pool.rs
+++ b/crates/anvil_node/src/target/pool.rs
@@ -26,6 +26,9 @@
 /// is used; the rest covers the time of transfer and delays in a busy node.
 const STATED_TIMEOUT_PERCENT: u32 = 70;
 
+/// Longest keep-alive timeout that is believed; far above the idle time that any pool needs.
+const MAX_STATED_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Longest idle time of a connection that may carry a request which must not run twice. The longer
 /// a connection was idle, the likelier it is that the target is just closing it, and a request that
 /// meets the close can neither be sent again nor be reported as not run. A new connection costs a
@@ -181,8 +184,9 @@
         if connection.carried.len() >= MAX_EXCHANGES {
             return;
         }
-        let stated = stated.map(|timeout| timeout * STATED_TIMEOUT_PERCENT / 100);
-        connection.idle_limit = stated.unwrap_or(MAX_IDLE);
+        let usable =
+            |timeout: Duration| timeout.min(MAX_STATED_TIMEOUT) * STATED_TIMEOUT_PERCENT / 100;
+        connection.idle_limit = stated.map_or(MAX_IDLE, usable);
         connection.idle_since = Instant::now();
         self.lock().push(connection);
     }
--- a/crates/anvil_standins/src/endless.rs
+++ b/crates/anvil_standins/src/endless.rs
@@ -7,7 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
-/// Bytes after which a server gives up, so that a reader without any bound ends the test.
+/// Bytes of one connection after which the sender gives up, so that a reader without any bound ends
+/// the test.
 const MAX_SENT_BYTES: u64 = 256 << 20;
 
 /// Bytes per write of a fast server.
@@ -81,8 +82,10 @@
         SendPace::Fast => part.repeat(FAST_WRITE_BYTES / part.len() + 1).into_bytes(),
         SendPace::Slow(_) => part.as_bytes().to_vec(),
     };
-    while sent.load(Ordering::Relaxed) < MAX_SENT_BYTES {
+    let mut own_bytes = 0;
+    while own_bytes < MAX_SENT_BYTES {
         stream.write_all(&bytes)?;
+        own_bytes += bytes.len() as u64;
         sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         if let SendPace::Slow(pause) = pace {
             thread::sleep(pause);
