Let callers read their answers until the stop limit

Cause: a call counts as ended once its reply is with its connection. After the last one the process waited 300 ms for its connections, however much of the grace was left.

Evidence: an_answer_that_is_read_slowly_outlasts_a_stop failed before with 4,253,065 of 8,000,000 bytes.

Why this works: connections have until the stop limit, half a second before the kill, and then the flush time, as a call that is in progress has. A node without open answers ends as early as before (a_stop_without_open_answers_takes_no_longer_than_before).

--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_types::sorted;
@@ -87,25 +88,28 @@
     pub operator_requests: u64,
     /// Events caused by effects of the current step, processed in the steps after it.
     pub followups: VecDeque<event::NodeEvent>,
+    /// When the first stop was requested.
+    pub stop_requested_at: Option<Instant>,
 }
 
 impl NodeEngine {
-    /// Steps the reducer until it lets the process exit, or until all senders are dropped.
+    /// Steps the reducer until it lets the process exit, or until all senders are dropped; returns
+    /// when the first stop was requested.
     pub async fn run(
         mut self,
         mut reducer: reducer::NodeReducer,
         inputs: flume::Receiver<EngineInput>,
-    ) {
+    ) -> Option<Instant> {
         let mut inputs_taken = 0_u32;
         loop {
             if self.fire_timer(&mut reducer).is_break() {
-                return;
+                return self.stop_requested_at;
             }
             let Some(input) = self.receive(&reducer, &inputs).await else {
                 continue;
             };
             let Ok(input) = input else {
-                return;
+                return self.stop_requested_at;
             };
             let (input, accepted) = match input {
                 EngineInput::Notification { event, accepted } => {
@@ -115,7 +119,7 @@
             };
             for event in self.admit(input) {
                 if self.step(&mut reducer, event).is_break() {
-                    return;
+                    return self.stop_requested_at;
                 }
             }
             if let Some(accepted) = accepted {
@@ -191,6 +195,9 @@
             event::NodeEvent::CallerDisconnected { handle } => {
                 self.callers.remove(*handle);
             }
+            event::NodeEvent::StopRequested => {
+                self.stop_requested_at.get_or_insert_with(Instant::now);
+            }
             _ => {}
         }
     }
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvil_core::{config, event, reducer};
 use anvil_types::{ident, sorted};
@@ -49,11 +49,15 @@
 pub struct RunningNode {
     bound: BoundAddresses,
     engine: engine::EngineSender,
-    reducer: JoinHandle<()>,
+    reducer: JoinHandle<Option<Instant>>,
     runtime: runtime::Runtime,
     closing: watch::Sender<bool>,
     flushed: mpsc::Receiver<()>,
+    /// How long replies may take to be written out after the stop limit.
     flush_wait: Duration,
+    /// When a stop gives up what is in progress, from its request on; none if nothing kills the
+    /// process.
+    stop_limit: Option<Duration>,
     counters: counters::EdgeCounters,
 }
 
@@ -91,6 +95,7 @@
             closing,
             mut flushed,
             flush_wait,
+            stop_limit,
             ..
         } = self;
         drop(engine);
@@ -98,13 +103,29 @@
         // Connections finish their current reply and close. Without the wait, a reply that the
         // reducer has already given could be lost in a buffer of this process.
         let _ = closing.send(true);
+        let stop_requested_at = result.as_ref().ok().copied().flatten();
+        let flush_wait = flush_wait + time_left(stop_limit, stop_requested_at);
         let flushing = async { tokio::time::timeout(flush_wait, flushed.recv()).await };
         let _ = runtime.block_on(flushing);
         runtime.shutdown_background();
-        result.map_err(|_| eyre::eyre!("the reducer panicked"))
+        result
+            .map(|_| ())
+            .map_err(|_| eyre::eyre!("the reducer panicked"))
     }
 }
 
+/// The time until a stop gives up what is in progress.
+///
+/// The reducer ends once it has given each reply to its connection. A caller may still read one
+/// slowly, and has the rest of that time for it.
+fn time_left(stop_limit: Option<Duration>, stop_requested_at: Option<Instant>) -> Duration {
+    let passed = stop_requested_at.map(|at| at.elapsed());
+    let left = stop_limit
+        .zip(passed)
+        .map(|(limit, passed)| limit.saturating_sub(passed));
+    left.unwrap_or_default()
+}
+
 /// Binds every address and starts every part.
 pub fn start(settings: &settings::NodeSettings) -> eyre::Result<RunningNode> {
     let sockets = NodeSockets::bind(settings)?;
@@ -149,6 +170,7 @@
         closing,
         flushed,
         flush_wait: settings.limits.flush_wait(),
+        stop_limit: settings.hosted.as_ref().map(|hosted| hosted.stop_limit()),
         counters,
     })
 }
@@ -224,7 +246,7 @@
         self,
         sockets: NodeSockets,
         inputs: flume::Receiver<engine::EngineInput>,
-    ) -> eyre::Result<JoinHandle<()>> {
+    ) -> eyre::Result<JoinHandle<Option<Instant>>> {
         let _entered = self.runtime.enter();
         let sending = sockets.gossip.try_clone()?;
         self.start_callers(sockets.caller)?;
@@ -249,6 +271,7 @@
             operators: sorted::SortedTable::default(),
             operator_requests: 0,
             followups: VecDeque::new(),
+            stop_requested_at: None,
         };
         let policy = self.settings.policy;
         let reducer = reducer::NodeReducer::with_policy(self.config(), random_u64(), policy);
