--- a/crates/anvil_node/src/target/memory.rs
+++ b/crates/anvil_node/src/target/memory.rs
@@ -9,8 +9,8 @@
 /// Bytes of one answer that need no reservation, so that large answers never hold up small ones.
 const UNRESERVED_BYTES: usize = 64 * 1024;
 
-/// Bytes that all answers may reserve together: four of the largest size. A buffer that grows holds
-/// its content twice for a moment, so they take up to twice as much.
+/// Bytes that all answers may reserve together: two of the largest size, which reserve the next power
+/// of two. A buffer that grows holds its content twice for a moment.
 const RESERVABLE_BYTES: usize = 32 * 1024 * 1024;
 
 /// Bytes of one permit.
