--- a/crates/anvil_core/tests/notes.rs
+++ b/crates/anvil_core/tests/notes.rs
@@ -156,8 +156,7 @@
     );
 }
 
-// Guards against a log that grows with the load, and against first attempts that crowd out the
-// refused ones.
+// Guards against a log that grows with the load, or in which first attempts crowd out refused ones.
 #[test]
 fn lines_about_attempts_are_limited_and_unusual_ones_have_a_reserve() {
     let mut node = support::target_node(10_000);
