Log how each node learns of a revision, and which one decided a request

What callers saw: requests handled by older rules. The log told only when a revision came into force, so a watch that heard nothing, a peer that did not answer and a poll that came late looked the same.

Now a node logs from whom it first heard of a newer revision, by which way it obtained one and how long that took, which revision it replaced and how many requests that one decided. A request that is decided while the node knows of a newer revision is always logged, with both revisions.

--- a/crates/anvil_core/src/applying.rs
+++ b/crates/anvil_core/src/applying.rs
@@ -37,6 +37,15 @@
     base: ident::RuleRevision,
 }
 
+/// The rules that were in force until a newer revision arrived.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[display("replaced={revision} decided={decisions}")]
+struct ReplacedRules {
+    revision: ident::RuleRevision,
+    /// The number of requests that they decided.
+    decisions: u64,
+}
+
 impl reducer::NodeReducer {
     /// Proposes the change that leads to the requested rules, or answers why that is not possible.
     pub(crate) fn apply_requested(
@@ -140,6 +149,7 @@
 
     /// Puts the next accepted change in force.
     pub(crate) fn adopt_logged_change(&mut self, logged: &gossip::LoggedChange) {
+        let replaced = self.replaced_rules();
         let adopted = match codec::decode_change(&logged.body) {
             Ok(change) => self
                 .book
@@ -148,17 +158,18 @@
             Err(error) => Err(error.to_string()),
         };
         self.accounts_changed();
-        self.report_adoption(logged.revision, adopted);
+        self.report_adoption(logged.revision, replaced, adopted);
     }
 
     /// Puts the complete rules of a snapshot in force if they are newer.
     pub(crate) fn adopt_snapshot(&mut self, snapshot: &gossip::LoggedChange) {
+        let replaced = self.replaced_rules();
         let adopted = match codec::decode_document(&snapshot.body) {
             Ok(document) => Ok(self.book.adopt(snapshot.revision, document)),
             Err(error) => Err(error.to_string()),
         };
         self.accounts_changed();
-        self.report_adoption(snapshot.revision, adopted);
+        self.report_adoption(snapshot.revision, replaced, adopted);
     }
 
     /// Encodes the rules in force for a peer or for the store.
@@ -176,9 +187,21 @@
         json!({ "revision": self.book.revision(), "changes": changes })
     }
 
-    fn report_adoption(&mut self, revision: ident::RuleRevision, adopted: Result<bool, String>) {
+    fn replaced_rules(&self) -> ReplacedRules {
+        ReplacedRules {
+            revision: self.book.revision(),
+            decisions: self.book.decisions(),
+        }
+    }
+
+    fn report_adoption(
+        &mut self,
+        revision: ident::RuleRevision,
+        replaced: ReplacedRules,
+        adopted: Result<bool, String>,
+    ) {
         let text = match adopted {
-            Ok(_) => format!("in force: revision={revision}"),
+            Ok(_) => format!("in force: revision={revision} {replaced}"),
             Err(reason) => format!("not in force: revision={revision} reason={reason}"),
         };
         self.report(effect::StateChange::Part { part: PART, text });
--- a/crates/anvil_core/src/calls.rs
+++ b/crates/anvil_core/src/calls.rs
@@ -51,6 +51,9 @@
     pub treatment: treatment::RuleTreatment,
     /// The rule that applied.
     pub rule: treatment::RuleReference,
+    /// The newest revision that the node had heard of when the call arrived, if it was not in force
+    /// yet.
+    pub newer_revision: Option<ident::RuleRevision>,
     /// When the call arrived.
     pub arrived: time::NodeTime,
     /// When the caller stops waiting.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -42,6 +42,7 @@
         if let Some(send_to) = send_to.cloned() {
             request.service = self.pick_service(&send_to);
         }
+        self.book.count_decision();
         let parent = self.parent_of(hints);
         let sequence = self.calls.allocate_sequence();
         let identity = self.identify_caller(hints, &treatment, parent);
@@ -86,6 +87,7 @@
             refused: None,
             treatment,
             rule,
+            newer_revision: self.newer_revision(),
             arrived: self.now,
             deadline,
             attempts: 0,
@@ -121,6 +123,12 @@
         }
     }
 
+    /// The newest revision that this node has heard of, if it is not in force here yet.
+    fn newer_revision(&self) -> Option<ident::RuleRevision> {
+        let known = self.fleet.known_revision();
+        (known > self.book.revision()).then_some(known)
+    }
+
     /// Picks the service of a request for which a rule sets the destination.
     fn pick_service(&mut self, send_to: &destination::RuleDestination) -> name::ServiceName {
         let draw = match send_to {
@@ -484,7 +492,9 @@
         status: Option<u16>,
         retry_after: Option<Duration>,
     ) {
-        if !request_log::is_logged(verdict, status, self.uniform_lane(&open.context)) {
+        let is_disputed = open.newer_revision.is_some();
+        let lane = self.uniform_lane(&open.context);
+        if !is_disputed && !request_log::is_logged(verdict, status, lane) {
             return;
         }
         let summary = request_log::CallSummary {
@@ -495,6 +505,7 @@
             class: open.context.class,
             lane: open.context.lane,
             rule: open.rule,
+            newer_revision: open.newer_revision,
             verdict,
             status,
             attempts: open.attempts,
--- a/crates/anvil_core/src/request_log.rs
+++ b/crates/anvil_core/src/request_log.rs
@@ -44,6 +44,10 @@
     pub lane: context::LaneHash,
     /// The rule that applied and its revision.
     pub rule: treatment::RuleReference,
+    /// The newest revision that the node had heard of when the request arrived, if it was not in
+    /// force yet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub newer_revision: Option<ident::RuleRevision>,
     /// Whether the request ran, as reported to the caller.
     #[serde(serialize_with = "in_words")]
     pub verdict: verdict::CallVerdict,
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -12,6 +12,8 @@
     matcher: matcher::RuleMatcher,
     /// The accounts by key; none if requests need no key.
     keys: Option<account::KeyIndex>,
+    /// Requests decided by the revision in force.
+    decisions: u64,
 }
 
 /// The decision of the rules for a request.
@@ -33,6 +35,16 @@
         self.revision
     }
 
+    /// Counts a request that the revision in force decided.
+    pub fn count_decision(&mut self) {
+        self.decisions += 1;
+    }
+
+    /// The number of requests that the revision in force decided.
+    pub fn decisions(&self) -> u64 {
+        self.decisions
+    }
+
     /// The rules in force.
     pub fn document(&self) -> &document::RuleDocument {
         &self.document
@@ -78,6 +90,7 @@
             return false;
         }
         self.revision = revision;
+        self.decisions = 0;
         self.matcher = matcher::RuleMatcher::compile(&document);
         let accounts = document.accounts();
         self.keys = accounts.map(|accounts| account::KeyIndex::compile(accounts));
--- a/crates/anvil_core/tests/notes.rs
+++ b/crates/anvil_core/tests/notes.rs
@@ -6,6 +6,7 @@
 
 use anvil_core::{effect, event, request_log};
 use anvil_types::{context, ident, time, verdict};
+use anvil_wire::gossip;
 use serde_json::json;
 
 /// The log lines about single requests among `effects`.
@@ -45,6 +46,31 @@
     assert_eq!(text["reached"], 0);
 }
 
+// Guards against a request decided by older rules whose log line does not tell that a newer revision
+// was known.
+#[test]
+fn a_request_decided_by_older_rules_names_the_newer_revision() {
+    let mut node = support::entry_node();
+    let head = gossip::GossipHead {
+        from: ident::NodeId(9),
+        incarnation: 0,
+        revision: ident::RuleRevision(7),
+        ready: true,
+    };
+    let message = gossip::GossipMessage {
+        head,
+        kind: gossip::GossipKind::Rumour,
+        updates: Vec::new(),
+    };
+    let from = support::address(7_999);
+    let heard = event::NodeEvent::DatagramArrived { from, message };
+    node.step(support::at(5), heard);
+    let effects = node.step(support::at(6), labelled(1, "9c41d07be2a35f68"));
+    let text = serde_json::to_value(lines(&effects)[0]).unwrap();
+    assert_eq!(text["rule"]["revision"], 0);
+    assert_eq!(text["newer_revision"], 7);
+}
+
 #[test]
 fn log_lines_about_refusals_are_limited() {
     // A thousand requests arrive within half a second, and all are refused. Unlimited logging would
--- a/crates/anvil_membership/src/effect.rs
+++ b/crates/anvil_membership/src/effect.rs
@@ -22,6 +22,23 @@
     Replaced,
 }
 
+/// How this node obtained a revision of the rules.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RulePath {
+    /// A watch of the store, which was waiting for it.
+    #[display("watch")]
+    Watch,
+    /// A read of the store.
+    #[display("read")]
+    Read,
+    /// A message of another node.
+    #[display("peer:{_0}")]
+    Peer(ident::NodeId),
+    /// The write of this node's own change to the store.
+    #[display("proposal")]
+    Proposal,
+}
+
 /// A state change that is logged.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum FleetReport {
@@ -68,6 +85,27 @@
         /// The revision held.
         revision: ident::RuleRevision,
     },
+    /// A message of another node told of a newer revision than the one held.
+    #[display("rules heard: revision={revision} from={from} held={held}")]
+    RulesHeard {
+        /// The newer revision.
+        revision: ident::RuleRevision,
+        /// The node that told of it.
+        from: ident::NodeId,
+        /// The revision held.
+        held: ident::RuleRevision,
+    },
+    /// This node obtained a newer revision, which comes into force now.
+    #[display("rules learned: revision={revision} path={path} heard_millis={millis}")]
+    RulesLearned {
+        /// The revision.
+        revision: ident::RuleRevision,
+        /// How it was obtained.
+        path: RulePath,
+        /// Time since a message first told of it or of a later one, in milliseconds; zero if none
+        /// did.
+        millis: u64,
+    },
     /// This node began or ceased to watch the rule document in the store.
     #[display("watches rules: {watching}")]
     RuleWatch {
--- a/crates/anvil_membership/src/fleet/probing.rs
+++ b/crates/anvil_membership/src/fleet/probing.rs
@@ -116,7 +116,7 @@
                 self.answer_pull(from, sender, *after, out);
             }
             gossip::GossipKind::Changes { changes } => {
-                self.apply_changes(changes, out);
+                self.apply_changes(now, effect::RulePath::Peer(sender), changes, out);
             }
             gossip::GossipKind::CheckContactLease => self.renew_lease_soon(now),
             gossip::GossipKind::Census(message) => self.on_census(now, from, message, out),
--- a/crates/anvil_membership/src/fleet/proposing.rs
+++ b/crates/anvil_membership/src/fleet/proposing.rs
@@ -187,7 +187,12 @@
             return;
         };
         let accepted = open.change.change == found.change;
-        let gap = self.apply_changes(std::slice::from_ref(found), out);
+        let gap = self.apply_changes(
+            now,
+            effect::RulePath::Proposal,
+            std::slice::from_ref(found),
+            out,
+        );
         if gap {
             self.read_log_soon(now);
         }
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -26,6 +26,11 @@
         self.rules.log.held()
     }
 
+    /// The newest revision that this node holds or has heard of.
+    pub fn known_revision(&self) -> ident::RuleRevision {
+        self.rules.highest_seen
+    }
+
     /// The last accepted changes, oldest first.
     pub fn changes(&self) -> impl DoubleEndedIterator<Item = &gossip::LoggedChange> {
         self.rules.log.tail()
@@ -95,8 +100,8 @@
         head: gossip::GossipHead,
         out: &mut Vec<effect::FleetEffect>,
     ) {
+        self.note_revision(now, head, out);
         let rules = &mut self.rules;
-        rules.highest_seen = rules.highest_seen.max(head.revision);
         let list_full = rules.ready_peers.len() >= spread::PEERS_COMPARED;
         if head.ready && !rules.ready && !list_full && !rules.ready_peers.contains(&head.from) {
             rules.ready_peers.push(head.from);
@@ -116,6 +121,8 @@
     /// missing.
     pub(super) fn apply_changes(
         &mut self,
+        now: time::NodeTime,
+        path: effect::RulePath,
         changes: &[gossip::LoggedChange],
         out: &mut Vec<effect::FleetEffect>,
     ) -> bool {
@@ -128,8 +135,8 @@
                 rule_log::OfferPosition::Gap => gap = true,
                 rule_log::OfferPosition::Next => {
                     self.rules.log.push(change);
+                    self.after_adoption(now, path, out);
                     out.push(effect::FleetEffect::AdoptChange(change.clone()));
-                    self.after_adoption();
                 }
             }
         }
@@ -139,12 +146,14 @@
     /// Applies a snapshot of the rules, if it is newer.
     pub(super) fn apply_snapshot(
         &mut self,
+        now: time::NodeTime,
+        path: effect::RulePath,
         snapshot: &gossip::LoggedChange,
         out: &mut Vec<effect::FleetEffect>,
     ) {
         if self.rules.log.install_snapshot(snapshot) {
+            self.after_adoption(now, path, out);
             out.push(effect::FleetEffect::AdoptSnapshot(snapshot.clone()));
-            self.after_adoption();
         }
     }
 
@@ -211,14 +220,18 @@
         let decoded = entries.iter();
         let decoded = decoded.filter_map(|entry| gossip::LoggedChange::from_value(&entry.value));
         let changes: Vec<_> = decoded.collect();
+        let path = match purpose {
+            store_requests::RequestPurpose::WatchLog => effect::RulePath::Watch,
+            _ => effect::RulePath::Read,
+        };
         let gap = if self.config.document.is_some() {
             // A document contains the complete rules, so no earlier changes can be missing.
             for snapshot in &changes {
-                self.apply_snapshot(snapshot, out);
+                self.apply_snapshot(now, path, snapshot, out);
             }
             false
         } else {
-            self.apply_changes(&changes, out)
+            self.apply_changes(now, path, &changes, out)
         };
         self.rules.watch_at = now;
         self.rules_confirmed(now, out);
@@ -372,8 +385,42 @@
         self.update_readiness(now, out);
     }
 
-    fn after_adoption(&mut self) {
+    /// Records that a message told of a newer revision than the one held.
+    fn note_revision(
+        &mut self,
+        now: time::NodeTime,
+        head: gossip::GossipHead,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        let held = self.revision();
+        let rules = &mut self.rules;
+        if head.revision <= rules.highest_seen {
+            return;
+        }
+        rules.highest_seen = head.revision;
+        rules.heard_at.get_or_insert(now);
+        let report = effect::FleetReport::RulesHeard {
+            revision: head.revision,
+            from: head.from,
+            held,
+        };
+        out.push(effect::FleetEffect::Report(report));
+    }
+
+    fn after_adoption(
+        &mut self,
+        now: time::NodeTime,
+        path: effect::RulePath,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
         self.counters.rules_adopted += 1;
+        let heard = self.rules.heard_at.map(|at| now.since(at).as_millis());
+        let report = effect::FleetReport::RulesLearned {
+            revision: self.revision(),
+            path,
+            millis: u64::try_from(heard.unwrap_or(0)).unwrap_or(u64::MAX),
+        };
+        out.push(effect::FleetEffect::Report(report));
         // If each node sends one rumour, one node in fifty is missed and receives the change with a
         // probe seconds later, and more if some of the receivers have just crashed.
         if self.config.document.is_some() {
@@ -384,6 +431,9 @@
         let held = self.revision();
         let rules = &mut self.rules;
         rules.highest_seen = rules.highest_seen.max(held);
+        if rules.highest_seen == held {
+            rules.heard_at = None;
+        }
         if rules.pull.is_some_and(|pull| pull.revision <= held) {
             rules.pull = None;
         }
--- a/crates/anvil_membership/src/fleet/snapshots.rs
+++ b/crates/anvil_membership/src/fleet/snapshots.rs
@@ -145,7 +145,7 @@
             change: load.manifest.change,
             body: Bytes::from(load.body),
         };
-        self.apply_snapshot(&snapshot, out);
+        self.apply_snapshot(now, effect::RulePath::Read, &snapshot, out);
         self.rules.read_at = Some(now);
     }
 
--- a/crates/anvil_membership/src/fleet/syncing.rs
+++ b/crates/anvil_membership/src/fleet/syncing.rs
@@ -100,10 +100,11 @@
             gossip::SyncMessage::Changes {
                 snapshot, changes, ..
             } => {
+                let path = effect::RulePath::Peer(peer);
                 if let Some(snapshot) = snapshot {
-                    self.apply_snapshot(snapshot, &mut out);
+                    self.apply_snapshot(now, path, snapshot, &mut out);
                 }
-                self.apply_changes(changes, &mut out);
+                self.apply_changes(now, path, changes, &mut out);
             }
         }
         self.send_rumour_if_due(now, &mut out);
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -113,6 +113,8 @@
     pub ready_peers: Vec<ident::NodeId>,
     /// The highest revision in a received message or held by this node.
     pub highest_seen: ident::RuleRevision,
+    /// When a message first told of a newer revision than the one held; none if none does.
+    pub heard_at: Option<time::NodeTime>,
     /// The pending pull request.
     pub pull: Option<OpenPull>,
     /// When to read the log or the document in the store next.
@@ -155,6 +157,7 @@
             ready: !reads_store && !has_seeds,
             ready_peers: Vec::new(),
             highest_seen: ident::RuleRevision::default(),
+            heard_at: None,
             pull: None,
             read_at: reads_store.then_some(now + STORE_READ_DELAY),
             store_failed: false,
