Let every node read the rule document at independent moments

What callers saw: requests handled by older rules than an operator expects.

Cause: the nodes that do not watch the document were to find a change that the watchers miss, one poll a second over the whole fleet. All nodes read at their start, and each polled 0.5 to 1.5 s times the live members later, so with 80 members nobody polled for the first 40 s, and every common read put them in step again. A poll was itself a watch, which hears nothing where watches hear nothing, and needs the history.

Each node, watcher or not, now reads the document at moments with exponentially distributed pauses, ten in three seconds over the whole fleet, so that what a common read did to them is forgotten at once. To stay within the calls of a quiet minute, a watch waits for 7.5 s instead of 2.5 s: a silent one matters less. A failed poll is not repeated, as the next one of any node does as well.

--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -84,8 +84,8 @@
         let may_start_alone =
             !rules.ready && !self.config.store && rules.log.held() >= rules.highest_seen;
         let standalone = may_start_alone.then_some(rules.standalone_at);
-        let watch = self.may_watch().then(|| self.next_watch_at());
-        let read = rules.read_at.filter(|_| !self.is_reading_rules());
+        let watch = self.may_watch().then_some(rules.watch_at);
+        let read = self.next_read_at();
         let proposal = rules.proposal.as_ref().and_then(|p| p.next.map(|n| n.0));
         let snapshot = self.snapshot.next_wake();
         let due = [pull, standalone, watch, read, proposal, snapshot];
@@ -235,7 +235,6 @@
         };
         self.rules.watch_at = now;
         self.rules_confirmed(now, out);
-        self.schedule_poll(now);
         if purpose == store_requests::RequestPurpose::WatchLog {
             self.rules.seen = self.rules.seen.max(*seen);
             if gap {
@@ -253,9 +252,17 @@
         } else if *more {
             self.rules.read_at = Some(now);
         } else {
-            self.rules.seen = self.rules.seen.max(*seen);
+            self.rules.seen = match self.config.document {
+                // The document is complete, so a watch may continue from any version up to its own.
+                // The versions of a store that was restored from an older copy start again.
+                Some(_) => *seen,
+                None => self.rules.seen.max(*seen),
+            };
             self.rules.caught_up = true;
         }
+        if purpose == store_requests::RequestPurpose::ReadLog {
+            self.draw_poll(now);
+        }
         self.update_readiness(now, out);
     }
 
@@ -271,7 +278,7 @@
             .any(|purpose| self.requests.is_open(*purpose))
     }
 
-    /// Whether a watch for the next change of the rules is pending, other than a poll.
+    /// Whether a watch for the next change of the rules is pending.
     pub fn watches_rules(&self) -> bool {
         self.requests
             .is_open(store_requests::RequestPurpose::WatchLog)
@@ -283,16 +290,26 @@
         self.rules.polled_at
     }
 
-    /// When the next watch or poll is due.
-    fn next_watch_at(&self) -> time::NodeTime {
+    /// When the next read or poll is due, unless a read is pending.
+    fn next_read_at(&self) -> Option<time::NodeTime> {
         let rules = &self.rules;
-        if rules.is_watcher {
-            rules.watch_at
-        } else {
-            let others = u32::try_from(self.table.live()).unwrap_or(u32::MAX);
-            let poll_at = rules.polled_at + rules.poll_interval.saturating_mul(others);
-            rules.watch_at.max(poll_at).max(rules.watcher_choice_at)
-        }
+        let polls = self.config.document.is_some() && rules.caught_up;
+        let poll_at = polls.then(|| self.next_poll_at());
+        let due = [rules.read_at, poll_at].into_iter().flatten().min();
+        due.filter(|_| !self.is_reading_rules())
+    }
+
+    fn next_poll_at(&self) -> time::NodeTime {
+        let members = u32::try_from(self.table.live()).unwrap_or(u32::MAX);
+        let interval = spread::DOCUMENT_POLL_INTERVAL.saturating_mul(members);
+        let interval = interval.max(spread::NODE_POLL_INTERVAL);
+        self.rules.read_ended_at + interval.mul_f64(self.rules.poll_factor)
+    }
+
+    /// Draws the time to the next poll of the rule document.
+    fn draw_poll(&mut self, now: time::NodeTime) {
+        self.rules.read_ended_at = now;
+        self.rules.poll_factor = self.choice.exponential();
     }
 
     /// Decides whether this node watches the rule document itself.
@@ -325,8 +342,9 @@
 
     /// Records that the store answered a request about the rules.
     fn rules_confirmed(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
+        let polled_at = std::mem::replace(&mut self.rules.polled_at, now);
         if std::mem::take(&mut self.rules.is_unconfirmed) {
-            let since = now.since(self.rules.polled_at).as_millis();
+            let since = now.since(polled_at).as_millis();
             let report = effect::FleetReport::RulesConfirmed {
                 revision: self.revision(),
                 millis: u64::try_from(since).unwrap_or(u64::MAX),
@@ -335,17 +353,14 @@
         }
     }
 
-    /// Draws the interval to the next poll of a node that is not a watcher.
-    fn schedule_poll(&mut self, now: time::NodeTime) {
-        self.rules.polled_at = now;
-        self.rules.poll_interval =
-            spread::DOCUMENT_POLL_INTERVAL / 2 + self.choice.span(spread::DOCUMENT_POLL_INTERVAL);
-    }
-
     fn may_watch(&self) -> bool {
+        let is_watcher = match self.config.document {
+            Some(_) => self.rules.is_watcher,
+            None => self.contacts.watches_log(),
+        };
         self.config.store
             && self.rules.caught_up
-            && (self.config.document.is_some() || self.contacts.watches_log())
+            && is_watcher
             && !self
                 .requests
                 .is_open(store_requests::RequestPurpose::WatchLog)
@@ -381,7 +396,11 @@
             return;
         }
         self.rules.store_failed = true;
-        self.rules.read_at = Some(now + pause);
+        self.draw_poll(now);
+        // A poll that failed is not repeated: the next one of any node does as well.
+        let is_needed = !self.rules.caught_up || self.rules.pull.is_some();
+        let retries = self.config.document.is_none() || is_needed;
+        self.rules.read_at = retries.then_some(now + pause);
         self.update_readiness(now, out);
     }
 
@@ -502,8 +521,7 @@
     }
 
     fn read_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        let due = self.rules.read_at.is_some_and(|at| at <= now);
-        if !due || self.is_reading_rules() {
+        if self.next_read_at().is_none_or(|due| due > now) {
             return;
         }
         self.rules.read_at = None;
@@ -529,12 +547,11 @@
         if self.config.document.is_some() {
             self.choose_watchers(now, out);
         }
-        if !self.may_watch() || self.next_watch_at() > now {
+        if !self.may_watch() || self.rules.watch_at > now {
             return;
         }
         let (prefix, wait) = match &self.config.document {
-            Some(key) if self.rules.is_watcher => (key.clone(), spread::DOCUMENT_WATCH_WAIT),
-            Some(key) => (key.clone(), spread::DOCUMENT_POLL_WAIT),
+            Some(key) => (key.clone(), spread::DOCUMENT_WATCH_WAIT),
             None => (store::StoreKey::new(keys::LOG), spread::WATCH_WAIT),
         };
         let request = store::StoreRequest::Watch {
--- a/crates/anvil_membership/src/random.rs
+++ b/crates/anvil_membership/src/random.rs
@@ -33,6 +33,15 @@
         std::time::Duration::from_micros(self.below(micros) as u64)
     }
 
+    /// A random factor with an exponential distribution of mean one, at most eight.
+    ///
+    /// A time that is multiplied by it ends with the same probability at each moment, so nodes that
+    /// begin to wait together act at independent moments.
+    pub fn exponential(&mut self) -> f64 {
+        let fraction = (self.any() >> 11) as f64 / (1_u64 << 53) as f64;
+        (-(1.0 - fraction).ln()).min(8.0)
+    }
+
     /// Puts `items` into a random order.
     pub fn shuffle<Item>(&mut self, items: &mut [Item]) {
         for last in (1..items.len()).rev() {
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -49,25 +49,24 @@
 
 /// Maximum duration of a watch of the rule document.
 ///
-/// A silent connection is detected one second after it; until then, changes arrive through peers.
-pub const DOCUMENT_WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// A silent connection is detected one second after it; until then, changes arrive through peers
+/// and polls.
+pub const DOCUMENT_WATCH_WAIT: Duration = Duration::from_millis(7_500);
 
 /// Number of nodes of each zone that watch the rule document; the others receive changes from them.
 ///
-/// Two, so that the loss of one has no effect; each costs one call every two and a half seconds.
+/// Two, so that the loss of one has no effect; each costs one call every seven and a half seconds.
 pub const DOCUMENT_WATCHERS: usize = 2;
 
-/// Average interval of polls of the rule document by nodes that do not watch it, over the whole
-/// fleet.
+/// Average interval of polls of the rule document, over the whole fleet.
 ///
-/// If all watchers crash at once, or the store rejects just their calls, a change would go
-/// unnoticed until membership replaces them, some seconds later. The other nodes therefore poll,
-/// each at an interval proportional to the fleet size, so that the call rate does not grow with the
-/// fleet.
-pub const DOCUMENT_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Watchers may crash, be rejected by the store, wait on a silent connection or hear nothing, all
+/// of them at once. Every node therefore reads the document now and then, at an interval
+/// proportional to the fleet size, so that the call rate does not grow with the fleet.
+pub const DOCUMENT_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Duration of the watch that makes up a poll, which only checks for a newer version.
-pub const DOCUMENT_POLL_WAIT: Duration = Duration::from_millis(1);
+/// Minimum average interval of polls by one node, which limits the calls of small fleets.
+pub const NODE_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// First and longest pause after a failed read of the rule document; the longest is below the two
 /// seconds within which operators expect a change to be in force.
@@ -127,8 +126,8 @@
     pub standalone_at: time::NodeTime,
     /// When to watch the log or the document next.
     pub watch_at: time::NodeTime,
-    /// Whether this node watches rather than polls. Only [`DOCUMENT_WATCHERS`] nodes of each zone
-    /// watch the document; the log is never polled.
+    /// Whether this node watches the document or the log. Only [`DOCUMENT_WATCHERS`] nodes of each
+    /// zone watch the document.
     pub is_watcher: bool,
     /// When a node that has not compared its members decides whether it is a watcher.
     pub watcher_choice_at: time::NodeTime,
@@ -136,8 +135,10 @@
     pub polled_at: time::NodeTime,
     /// Whether the last request about the document or the log failed.
     pub is_unconfirmed: bool,
-    /// Time between polls of a node that is not a watcher, per live member.
-    pub poll_interval: Duration,
+    /// When the document was last read, or a read failed; the time to the next poll begins then.
+    pub read_ended_at: time::NodeTime,
+    /// Time to the next poll, as a multiple of the average interval of a node's polls.
+    pub poll_factor: f64,
     /// The version of the store up to which the log or the document is known.
     pub seen: store::StoreVersion,
     /// Pauses after failures of the store.
@@ -168,7 +169,8 @@
             watcher_choice_at: now + STORE_READ_DELAY,
             polled_at: now,
             is_unconfirmed: false,
-            poll_interval: DOCUMENT_POLL_INTERVAL,
+            read_ended_at: now,
+            poll_factor: 1.0,
             seen: store::StoreVersion::default(),
             backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
             load: None,
