--- a/crates/anvil_core/tests/fleet.rs
+++ b/crates/anvil_core/tests/fleet.rs
@@ -45,6 +45,7 @@
         incarnation: 0,
         revision: ident::RuleRevision(0),
         ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
     };
     let updates = vec![gossip::MemberUpdate {
         node: PEER,
--- a/crates/anvil_core/tests/notes.rs
+++ b/crates/anvil_core/tests/notes.rs
@@ -56,6 +56,7 @@
         incarnation: 0,
         revision: ident::RuleRevision(7),
         ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
     };
     let message = gossip::GossipMessage {
         head,
--- a/crates/anvil_core/tests/quarantined.rs
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -66,6 +66,7 @@
                 incarnation: 0,
                 revision: ident::RuleRevision(0),
                 ready: true,
+                confirmed: gossip::ConfirmationAge::UNKNOWN,
             },
             kind: gossip::GossipKind::Quarantine { requests, served },
             updates: Vec::new(),
--- a/crates/anvil_core/tests/silent_stops.rs
+++ b/crates/anvil_core/tests/silent_stops.rs
@@ -295,6 +295,7 @@
             incarnation: 1,
             revision: ident::RuleRevision(0),
             ready: false,
+            confirmed: gossip::ConfirmationAge::UNKNOWN,
         },
         kind: gossip::GossipKind::Rumour,
         updates: vec![gossip::MemberUpdate {
--- a/crates/anvil_membership/examples/capacity/fed.rs
+++ b/crates/anvil_membership/examples/capacity/fed.rs
@@ -376,6 +376,7 @@
             incarnation: self.incarnations[from],
             revision: ident::RuleRevision(self.revision),
             ready: true,
+            confirmed: gossip::ConfirmationAge::UNKNOWN,
         }
     }
 
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -119,6 +119,8 @@
     reach: health::PeerReach,
     choice: random::ChoiceSource,
     timers: FleetTimers,
+    /// The time of the event that is handled, or of the last one.
+    event_at: time::NodeTime,
     /// When this process last handled an event, for the pause detection.
     last_active_at: time::NodeTime,
     last_wake_at: time::NodeTime,
@@ -178,6 +180,7 @@
             reach: health::PeerReach::default(),
             choice,
             timers,
+            event_at: now,
             last_active_at: now,
             last_wake_at: time::NodeTime::START,
             counters: counters::FleetCounters::default(),
@@ -391,6 +394,7 @@
     /// After a pause, the acks and refutations of that time are still unread in the socket. By the
     /// clock alone, the node would declare healthy members dead.
     fn note_pause(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
+        self.event_at = now;
         let Some(due) = self.next_wake().filter(|_| self.config.lifeguard) else {
             return;
         };
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -101,6 +101,9 @@
         out: &mut Vec<effect::FleetEffect>,
     ) {
         self.note_revision(now, head, out);
+        if head.revision >= self.revision() {
+            self.rules.refresh.heard(now, head.confirmed);
+        }
         let rules = &mut self.rules;
         let list_full = rules.ready_peers.len() >= spread::PEERS_COMPARED;
         if head.ready && !rules.ready && !list_full && !rules.ready_peers.contains(&head.from) {
@@ -260,8 +263,8 @@
             };
             self.rules.caught_up = true;
         }
-        if purpose == store_requests::RequestPurpose::ReadLog {
-            self.draw_poll(now);
+        if purpose == store_requests::RequestPurpose::ReadLog && self.config.document.is_some() {
+            self.confirm_document(now, out);
         }
         self.update_readiness(now, out);
     }
@@ -293,23 +296,23 @@
     /// When the next read or poll is due, unless a read is pending.
     fn next_read_at(&self) -> Option<time::NodeTime> {
         let rules = &self.rules;
-        let polls = self.config.document.is_some() && rules.caught_up;
-        let poll_at = polls.then(|| self.next_poll_at());
-        let due = [rules.read_at, poll_at].into_iter().flatten().min();
+        let refreshes = self.config.document.is_some() && rules.caught_up;
+        let refresh_at = refreshes.then(|| rules.refresh.next_read_at(self.table.live()));
+        let due = [rules.read_at, refresh_at].into_iter().flatten().min();
         due.filter(|_| !self.is_reading_rules())
     }
 
-    fn next_poll_at(&self) -> time::NodeTime {
-        let members = u32::try_from(self.table.live()).unwrap_or(u32::MAX);
-        let interval = spread::DOCUMENT_POLL_INTERVAL.saturating_mul(members);
-        let interval = interval.max(spread::NODE_POLL_INTERVAL);
-        self.rules.read_ended_at + interval.mul_f64(self.rules.poll_factor)
-    }
-
-    /// Draws the time to the next poll of the rule document.
-    fn draw_poll(&mut self, now: time::NodeTime) {
-        self.rules.read_ended_at = now;
-        self.rules.poll_factor = self.choice.exponential();
+    /// Records a read of the rule document, and tells the other nodes of it.
+    fn confirm_document(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
+        if !self.rules.refresh.read_succeeded(now, &mut self.choice) {
+            return;
+        }
+        let members = self.table.all().iter();
+        let others = members.filter(|m| m.node != self.local && m.state.is_live());
+        let addresses: Vec<_> = others.map(|m| m.facts.udp).collect();
+        for to in addresses {
+            self.send(to, gossip::GossipKind::Rumour, Vec::new(), out);
+        }
     }
 
     /// Decides whether this node watches the rule document itself.
@@ -396,8 +399,7 @@
             return;
         }
         self.rules.store_failed = true;
-        self.draw_poll(now);
-        // A poll that failed is not repeated: the next one of any node does as well.
+        self.rules.refresh.read_failed(now, &mut self.choice);
         let is_needed = !self.rules.caught_up || self.rules.pull.is_some();
         let retries = self.config.document.is_none() || is_needed;
         self.rules.read_at = retries.then_some(now + pause);
--- a/crates/anvil_membership/src/lib.rs
+++ b/crates/anvil_membership/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod probe;
 pub mod proposal;
 pub mod random;
+pub mod refresh;
 pub mod relay;
 pub mod roster;
 pub mod rule_log;
--- /dev/null
+++ b/crates/anvil_membership/src/refresh.rs
@@ -0,0 +1,122 @@
+//! When a node reads the rule document although nothing tells it that there is a newer one.
+//!
+//! See "How fresh the rules are" in `docs/design/rule-distribution.md`.
+
+use std::time::Duration;
+
+use anvil_types::time;
+use anvil_wire::gossip;
+
+use crate::random;
+
+/// Average interval of polls of the rule document, over the whole fleet.
+///
+/// Watchers may crash, be rejected by the store, wait on a silent connection or hear nothing, all
+/// of them at once. Every node therefore reads the document now and then, at an interval
+/// proportional to the fleet size, so that the call rate does not grow with the fleet.
+const POLL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Minimum average interval of polls by one node, which limits the calls of small fleets.
+const NODE_POLL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Least age of the latest confirmation at which a node reads the document itself: operators expect
+/// a change to be in force after two seconds, and it spreads within half a second.
+const STALE_AGE: Duration = Duration::from_millis(1_200);
+
+/// Maximum random time in addition to [`STALE_AGE`], so that the confirmation of the first node that
+/// reads reaches most others before they do.
+const STALE_SPREAD: Duration = Duration::from_millis(800);
+
+/// Number of failed reads in a row up to which the time to the next one doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Age up to which a confirmation is not told again: of many nodes that read at the same moment, a
+/// few tell.
+const TOLD_AGE: Duration = Duration::from_millis(200);
+
+/// The latest confirmation of the rules by the store, and when this node reads them next.
+///
+/// A watch that waits confirms nothing, since a connection may be silent and a store may miss to
+/// notify. Only a read of the document does, by this node or by one that told it.
+#[derive(Clone, Copy, Debug)]
+pub struct RefreshSchedule {
+    /// The latest read that this node knows of, its own or another node's; none before the first.
+    confirmed_at: Option<time::NodeTime>,
+    /// When this node last read the document or failed to.
+    read_ended_at: time::NodeTime,
+    /// Time to the next poll, as a multiple of the average interval of a node's polls.
+    poll_factor: f64,
+    /// Age of the latest confirmation at which this node reads.
+    stale_age: Duration,
+    failures: u32,
+}
+
+impl RefreshSchedule {
+    /// Starts at `now`; the first read is due by other reasons.
+    pub fn new(now: time::NodeTime) -> Self {
+        Self {
+            confirmed_at: None,
+            read_ended_at: now,
+            poll_factor: 1.0,
+            stale_age: STALE_AGE,
+            failures: 0,
+        }
+    }
+
+    /// Records a read of this node; returns whether to tell the others of it.
+    pub fn read_succeeded(
+        &mut self,
+        now: time::NodeTime,
+        choice: &mut random::ChoiceSource,
+    ) -> bool {
+        let previous = self.confirmed_at.replace(now);
+        let is_told = previous.is_some_and(|at| now.since(at) <= TOLD_AGE);
+        self.failures = 0;
+        self.draw(now, choice);
+        !is_told
+    }
+
+    /// Records a failed read of this node.
+    ///
+    /// It is not repeated at once, since the read of any other node does as well. If nobody reaches
+    /// the store, the pauses become longer.
+    pub fn read_failed(&mut self, now: time::NodeTime, choice: &mut random::ChoiceSource) {
+        self.draw(now, choice);
+        self.stale_age *= 1 << self.failures;
+        self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
+    }
+
+    /// Records what another node told.
+    pub fn heard(&mut self, now: time::NodeTime, age: gossip::ConfirmationAge) {
+        let Some(span) = age.span() else {
+            return;
+        };
+        self.confirmed_at = self.confirmed_at.max(Some(now - span));
+    }
+
+    /// The age of the latest confirmation.
+    pub fn age(&self, now: time::NodeTime) -> gossip::ConfirmationAge {
+        let age = self
+            .confirmed_at
+            .map(|at| gossip::ConfirmationAge::of(now.since(at)));
+        age.unwrap_or(gossip::ConfirmationAge::UNKNOWN)
+    }
+
+    /// When this node reads the document next, in a fleet of `members` nodes.
+    pub fn next_read_at(&self, members: usize) -> time::NodeTime {
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        let interval = POLL_INTERVAL
+            .saturating_mul(members)
+            .max(NODE_POLL_INTERVAL);
+        let poll_at = self.read_ended_at + interval.mul_f64(self.poll_factor);
+        let known_at = self.confirmed_at.max(Some(self.read_ended_at));
+        let stale_at = known_at.unwrap_or(self.read_ended_at) + self.stale_age;
+        poll_at.min(stale_at)
+    }
+
+    fn draw(&mut self, now: time::NodeTime, choice: &mut random::ChoiceSource) {
+        self.read_ended_at = now;
+        self.poll_factor = choice.exponential();
+        self.stale_age = STALE_AGE + choice.span(STALE_SPREAD);
+    }
+}
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -9,7 +9,7 @@
 use anvil_types::{backoff, ident, store, time};
 use anvil_wire::gossip;
 
-use crate::{proposal, rule_log};
+use crate::{proposal, refresh, rule_log};
 
 /// Number of ready members whose revisions a starting node compares with its own if the store can't
 /// be read.
@@ -58,16 +58,6 @@
 /// Two, so that the loss of one has no effect; each costs one call every seven and a half seconds.
 pub const DOCUMENT_WATCHERS: usize = 2;
 
-/// Average interval of polls of the rule document, over the whole fleet.
-///
-/// Watchers may crash, be rejected by the store, wait on a silent connection or hear nothing, all
-/// of them at once. Every node therefore reads the document now and then, at an interval
-/// proportional to the fleet size, so that the call rate does not grow with the fleet.
-pub const DOCUMENT_POLL_INTERVAL: Duration = Duration::from_millis(300);
-
-/// Minimum average interval of polls by one node, which limits the calls of small fleets.
-pub const NODE_POLL_INTERVAL: Duration = Duration::from_secs(2);
-
 /// First and longest pause after a failed read of the rule document; the longest is below the two
 /// seconds within which operators expect a change to be in force.
 const DOCUMENT_BACKOFF: (Duration, Duration) =
@@ -135,10 +125,8 @@
     pub polled_at: time::NodeTime,
     /// Whether the last request about the document or the log failed.
     pub is_unconfirmed: bool,
-    /// When the document was last read, or a read failed; the time to the next poll begins then.
-    pub read_ended_at: time::NodeTime,
-    /// Time to the next poll, as a multiple of the average interval of a node's polls.
-    pub poll_factor: f64,
+    /// When to read the document without another reason.
+    pub refresh: refresh::RefreshSchedule,
     /// The version of the store up to which the log or the document is known.
     pub seen: store::StoreVersion,
     /// Pauses after failures of the store.
@@ -169,8 +157,7 @@
             watcher_choice_at: now + STORE_READ_DELAY,
             polled_at: now,
             is_unconfirmed: false,
-            read_ended_at: now,
-            poll_factor: 1.0,
+            refresh: refresh::RefreshSchedule::new(now),
             seen: store::StoreVersion::default(),
             backoff: backoff::RetryBackoff::new(PAUSE_FIRST, PAUSE_LIMIT),
             load: None,
--- a/crates/anvil_membership/tests/bounds.rs
+++ b/crates/anvil_membership/tests/bounds.rs
@@ -25,6 +25,7 @@
         incarnation: 0,
         revision: ident::RuleRevision(0),
         ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
     }
 }
 
--- a/crates/anvil_membership/tests/late_acks.rs
+++ b/crates/anvil_membership/tests/late_acks.rs
@@ -38,6 +38,7 @@
             incarnation: 0,
             revision: ident::RuleRevision(0),
             ready: true,
+            confirmed: gossip::ConfirmationAge::UNKNOWN,
         },
         kind,
         updates: vec![gossip::MemberUpdate {
--- a/crates/anvil_membership/tests/newcomers.rs
+++ b/crates/anvil_membership/tests/newcomers.rs
@@ -158,6 +158,7 @@
                 incarnation: 0,
                 revision: ident::RuleRevision(1),
                 ready: true,
+                confirmed: gossip::ConfirmationAge::UNKNOWN,
             },
             kind: gossip::GossipKind::Quarantine {
                 requests: Vec::new(),
--- a/crates/anvil_membership/tests/thousand.rs
+++ b/crates/anvil_membership/tests/thousand.rs
@@ -17,6 +17,7 @@
         incarnation: 0,
         revision: ident::RuleRevision(0),
         ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
     }
 }
 
--- a/crates/anvil_node/tests/common/fake_peer.rs
+++ b/crates/anvil_node/tests/common/fake_peer.rs
@@ -81,6 +81,7 @@
         incarnation: 1,
         revision: ident::RuleRevision(0),
         ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
     }
 }
 
--- a/crates/anvil_node/tests/datagram_edge.rs
+++ b/crates/anvil_node/tests/datagram_edge.rs
@@ -29,6 +29,7 @@
             incarnation: 0,
             revision: ident::RuleRevision(7),
             ready: true,
+            confirmed: gossip::ConfirmationAge::UNKNOWN,
         },
         kind: gossip::GossipKind::Join,
         updates: Vec::new(),
--- a/crates/anvil_types/src/time.rs
+++ b/crates/anvil_types/src/time.rs
@@ -28,6 +28,16 @@
     }
 }
 
+impl ops::Sub<Duration> for NodeTime {
+    type Output = Self;
+
+    /// Earlier by `span`, but not before the start.
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 impl ops::Add<Duration> for NodeTime {
     type Output = Self;
 
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -6,7 +6,7 @@
 use crate::{call, gossip, key, outcome, suspicion};
 
 /// The protocol version; nodes of different versions reject each other's handshake.
-pub const PROTOCOL_VERSION: u16 = 9;
+pub const PROTOCOL_VERSION: u16 = 10;
 
 /// The first frame in each direction of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Membership and rule distribution messages; see `docs/design/membership.md`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_types::{ident, name};
 use bytes::Bytes;
@@ -107,6 +108,30 @@
     pub revision: ident::RuleRevision,
     /// Whether the sender has compared its rules with those of other nodes or of the store.
     pub ready: bool,
+    /// How long ago the store had no newer rules than the sender's.
+    pub confirmed: ConfirmationAge,
+}
+
+/// The age of the latest read of the rules in the store that a node knows of, its own or that of
+/// another node, in milliseconds.
+///
+/// See `docs/design/rule-distribution.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfirmationAge(pub u16);
+
+impl ConfirmationAge {
+    /// The age of a read that is long ago or unknown.
+    pub const UNKNOWN: Self = Self(u16::MAX);
+
+    /// The age of a read `span` ago.
+    pub fn of(span: Duration) -> Self {
+        Self(u16::try_from(span.as_millis()).unwrap_or(u16::MAX))
+    }
+
+    /// The time since the read; none if it is unknown.
+    pub fn span(self) -> Option<Duration> {
+        (self != Self::UNKNOWN).then(|| Duration::from_millis(u64::from(self.0)))
+    }
 }
 
 /// Purpose and payload of a datagram.
