Pull newer rules from several members, and from a store that failed before

What callers saw: nothing that was traced to it; requests at nodes that know of newer rules and hold none.

Cause: a node whose pull was not answered asked one other member every 0.3 s, each over a connection that may be silent too, and read the store only if its last read there had not failed, so an earlier failure closed the second way.

It now asks three members that hold newer rules, and reads the store in any case, after the pause of a failure if there was one.

Evidence: paired_failures, the three cases with half of the connections silent failed before (2.1 to 3.3 s for 2 s) and pass, as do all 100.

--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -482,10 +482,10 @@
         );
     }
 
-    /// Pulls again, from a random member with a newer revision, if no answer arrived in time.
+    /// Pulls again, from random members with a newer revision, if no answer arrived in time.
     ///
     /// Complete rules go over a connection, which may be silent without a sign, as may those of the
-    /// other members. They are read from the store as well.
+    /// other members. They are read from the store as well, also if it failed before.
     fn retry_pull(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         let Some(pull) = self.rules.pull.filter(|pull| pull.retry_at <= now) else {
             return;
@@ -494,16 +494,24 @@
             self.rules.pull = None;
             return;
         }
-        if self.config.document.is_some() && !self.rules.store_failed {
-            self.rules.read_at = Some(now);
+        if self.config.document.is_some() {
+            self.rules.read_at.get_or_insert(now);
         }
         let held = self.revision();
-        let ahead = |m: &member::MemberRecord| m.state.is_live() && m.revision > held;
-        let other = self
-            .table
-            .draw(&mut self.choice, ahead)
-            .map(|m| m.facts.udp);
-        self.pull(now, other.unwrap_or(pull.from), pull.revision, out);
+        let mut asked = Vec::new();
+        for _ in 0..spread::PULL_RETRY_MEMBERS {
+            let ahead = |m: &member::MemberRecord| {
+                m.state.is_live() && m.revision > held && !asked.contains(&m.facts.udp)
+            };
+            let drawn = self.table.draw(&mut self.choice, ahead);
+            asked.extend(drawn.map(|m| m.facts.udp));
+        }
+        if asked.is_empty() {
+            asked.push(pull.from);
+        }
+        for from in asked {
+            self.pull(now, from, pull.revision, out);
+        }
     }
 
     fn send_changes(
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -25,6 +25,10 @@
 /// Time after which a pull request is sent again.
 pub const PULL_RETRY: Duration = Duration::from_millis(300);
 
+/// Number of members that a pull request is sent to if the first one did not answer. Connections to
+/// several members may be silent, and a silent one is noticed late.
+pub const PULL_RETRY_MEMBERS: usize = 3;
+
 /// Maximum duration of a watch of the rule log.
 pub const WATCH_WAIT: Duration = Duration::from_secs(25);
 
