--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -482,7 +482,7 @@
         );
     }
 
-    /// Pulls again, from random members with a newer revision, if no answer arrived in time.
+    /// Pulls again, from random members, if no answer arrived in time.
     ///
     /// Complete rules go over a connection, which may be silent without a sign, as may those of the
     /// other members. They are read from the store as well, also if it failed before.
@@ -497,21 +497,27 @@
         if self.config.document.is_some() {
             self.rules.read_at.get_or_insert(now);
         }
+        for from in self.draw_pull_members() {
+            self.pull(now, from, pull.revision, out);
+        }
+    }
+
+    /// Members to pull from: one that is known to be ahead, and others, of which most are ahead soon
+    /// after the first.
+    fn draw_pull_members(&mut self) -> Vec<SocketAddr> {
         let held = self.revision();
-        let mut asked = Vec::new();
-        for _ in 0..spread::PULL_RETRY_MEMBERS {
-            let ahead = |m: &member::MemberRecord| {
-                m.state.is_live() && m.revision > held && !asked.contains(&m.facts.udp)
+        let ahead = |m: &member::MemberRecord| m.state.is_live() && m.revision > held;
+        let first = self.table.draw(&mut self.choice, ahead);
+        let mut drawn = vec![self.local];
+        drawn.extend(first.map(|m| m.node));
+        while drawn.len() <= spread::PULL_RETRY_MEMBERS {
+            let Some(other) = self.table.draw_live(&mut self.choice, &drawn) else {
+                break;
             };
-            let drawn = self.table.draw(&mut self.choice, ahead);
-            asked.extend(drawn.map(|m| m.facts.udp));
-        }
-        if asked.is_empty() {
-            asked.push(pull.from);
-        }
-        for from in asked {
-            self.pull(now, from, pull.revision, out);
+            drawn.push(other.node);
         }
+        let records = drawn[1..].iter().filter_map(|node| self.table.get(*node));
+        records.map(|m| m.facts.udp).collect()
     }
 
     fn send_changes(
--- a/crates/anvil_membership/src/refresh.rs
+++ b/crates/anvil_membership/src/refresh.rs
@@ -21,11 +21,11 @@
 
 /// Least age of the latest confirmation at which a node reads the document itself: operators expect
 /// a change to be in force after two seconds, and it spreads within half a second.
-const STALE_AGE: Duration = Duration::from_millis(1_200);
+const STALE_AGE: Duration = Duration::from_millis(1_000);
 
 /// Maximum random time in addition to [`STALE_AGE`], so that the confirmation of the first node that
 /// reads reaches most others before they do.
-const STALE_SPREAD: Duration = Duration::from_millis(800);
+const STALE_SPREAD: Duration = Duration::from_millis(600);
 
 /// Number of failed reads in a row up to which the time to the next one doubles.
 const MAX_DOUBLINGS: u32 = 3;
--- a/crates/anvil_membership/tests/paired_failures.rs
+++ b/crates/anvil_membership/tests/paired_failures.rs
@@ -46,6 +46,10 @@
     WatchersSilent,
     /// The store rejects a third of the nodes without an answer.
     ThirdSilent,
+    /// The store refuses nine of ten nodes, in every zone.
+    MostBusy,
+    /// It serves the same few nodes, and ignores the others.
+    MostSilent,
     /// Connections between half of the pairs of nodes are silent.
     HalfConnections,
     /// Connections between all nodes are silent.
@@ -68,6 +72,8 @@
     ZoneApart,
     /// Two fifths of the nodes crash.
     NodesCrash,
+    /// Two fifths of the nodes crash, and others start at their addresses.
+    NodesRestart,
 }
 
 fn key() -> store::StoreKey {
@@ -79,6 +85,17 @@
     (first..FLEET_SIZE).step_by(step).collect()
 }
 
+/// All nodes but every tenth.
+fn most() -> Vec<usize> {
+    (0..FLEET_SIZE).filter(|index| index % 10 != 4).collect()
+}
+
+fn two_fifths() -> Vec<usize> {
+    (0..FLEET_SIZE)
+        .filter(|index| index % 5 == 0 || index % 5 == 3)
+        .collect()
+}
+
 impl NewsFailure {
     fn begin(self, net: &mut Net) {
         match self {
@@ -86,6 +103,8 @@
             Self::WatchersBusy => net.reject(&net.watchers(), StoreRejection::Busy),
             Self::WatchersSilent => net.reject(&net.watchers(), StoreRejection::Silent),
             Self::ThirdSilent => net.reject(&every(3, 1), StoreRejection::Silent),
+            Self::MostBusy => net.reject(&most(), StoreRejection::Busy),
+            Self::MostSilent => net.reject(&most(), StoreRejection::Silent),
             Self::HalfConnections => net.silent_percent = 50,
             Self::AllConnections => net.silent_percent = 100,
             Self::TenthOfDatagrams => net.loss_percent = 10,
@@ -105,10 +124,16 @@
                 net.sides = every(ZONES, 0).into_iter().map(|node| (node, 1)).collect();
             }
             Self::NodesCrash => {
-                for index in every(5, 0).into_iter().chain(every(5, 3)) {
+                for index in two_fifths() {
                     net.crash(index);
                 }
             }
+            Self::NodesRestart => {
+                for slot in two_fifths() {
+                    net.crash(slot);
+                    net.add_reader(slot, slot % ZONES, &key());
+                }
+            }
         }
     }
 
@@ -297,4 +322,29 @@
     watches_are_deaf_and_nodes_crash => (NewsFailure::DeafWatches, NewsFailure::NodesCrash),
     nodes_are_apart_and_nodes_crash => (NewsFailure::NodesApart, NewsFailure::NodesCrash),
     a_zone_is_apart_and_nodes_crash => (NewsFailure::ZoneApart, NewsFailure::NodesCrash),
+    the_store_refuses_most => (NewsFailure::MostBusy, NewsFailure::Nothing),
+    the_store_refuses_most_and_a_tenth_of_the_datagrams_is_lost => (NewsFailure::MostBusy, NewsFailure::TenthOfDatagrams),
+    the_store_refuses_most_and_half_of_the_connections_are_silent => (NewsFailure::MostBusy, NewsFailure::HalfConnections),
+    the_store_refuses_most_and_the_watches_are_silent => (NewsFailure::MostBusy, NewsFailure::WatchConnections),
+    the_store_refuses_most_and_the_history_is_dropped => (NewsFailure::MostBusy, NewsFailure::HistoryDropped),
+    the_store_refuses_most_and_the_watchers_are_paused => (NewsFailure::MostBusy, NewsFailure::WatchersPaused),
+    the_store_refuses_most_and_nodes_crash => (NewsFailure::MostBusy, NewsFailure::NodesCrash),
+    the_store_refuses_most_and_nodes_restart => (NewsFailure::MostBusy, NewsFailure::NodesRestart),
+    the_store_ignores_most => (NewsFailure::MostSilent, NewsFailure::Nothing),
+    the_store_ignores_most_and_a_tenth_of_the_datagrams_is_lost => (NewsFailure::MostSilent, NewsFailure::TenthOfDatagrams),
+    the_store_ignores_most_and_half_of_the_connections_are_silent => (NewsFailure::MostSilent, NewsFailure::HalfConnections),
+    the_store_ignores_most_and_the_watches_are_silent => (NewsFailure::MostSilent, NewsFailure::WatchConnections),
+    the_store_ignores_most_and_the_history_is_dropped => (NewsFailure::MostSilent, NewsFailure::HistoryDropped),
+    the_store_ignores_most_and_the_watchers_are_paused => (NewsFailure::MostSilent, NewsFailure::WatchersPaused),
+    the_store_ignores_most_and_nodes_crash => (NewsFailure::MostSilent, NewsFailure::NodesCrash),
+    the_store_ignores_most_and_nodes_restart => (NewsFailure::MostSilent, NewsFailure::NodesRestart),
+    nodes_restart => (NewsFailure::NodesRestart, NewsFailure::Nothing),
+    nodes_restart_and_the_store_refuses_the_watchers => (NewsFailure::NodesRestart, NewsFailure::WatchersBusy),
+    nodes_restart_and_the_store_ignores_a_third => (NewsFailure::NodesRestart, NewsFailure::ThirdSilent),
+    nodes_restart_and_half_of_the_connections_are_silent => (NewsFailure::NodesRestart, NewsFailure::HalfConnections),
+    nodes_restart_and_all_connections_are_silent => (NewsFailure::NodesRestart, NewsFailure::AllConnections),
+    nodes_restart_and_a_tenth_of_the_datagrams_is_lost => (NewsFailure::NodesRestart, NewsFailure::TenthOfDatagrams),
+    nodes_restart_and_the_history_is_dropped => (NewsFailure::NodesRestart, NewsFailure::HistoryDropped),
+    nodes_restart_and_watches_are_deaf => (NewsFailure::NodesRestart, NewsFailure::DeafWatches),
+    nodes_restart_and_a_zone_is_apart => (NewsFailure::NodesRestart, NewsFailure::ZoneApart),
 }
