Tell the other nodes of each read that brings newer rules

What callers saw: nothing that was traced to it.

Cause: a node that had heard of a read 200 ms ago did not tell of its own, also if that one brought newer rules, so its rumour of them was all that others got.

--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -227,6 +227,7 @@
             store_requests::RequestPurpose::WatchLog => effect::RulePath::Watch,
             _ => effect::RulePath::Read,
         };
+        let held = self.revision();
         let gap = if self.config.document.is_some() {
             // A document contains the complete rules, so no earlier changes can be missing.
             for snapshot in &changes {
@@ -264,7 +265,8 @@
             self.rules.caught_up = true;
         }
         if purpose == store_requests::RequestPurpose::ReadLog && self.config.document.is_some() {
-            self.confirm_document(now, out);
+            let is_newer = self.revision() > held;
+            self.confirm_document(now, is_newer, out);
         }
         self.update_readiness(now, out);
     }
@@ -302,9 +304,16 @@
         due.filter(|_| !self.is_reading_rules())
     }
 
-    /// Records a read of the rule document, and tells the other nodes of it.
-    fn confirm_document(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        if !self.rules.refresh.read_succeeded(now, &mut self.choice) {
+    /// Records a read of the rule document, and tells the other nodes of it if it brought newer rules
+    /// or the last confirmation is some time ago.
+    fn confirm_document(
+        &mut self,
+        now: time::NodeTime,
+        is_newer: bool,
+        out: &mut Vec<effect::FleetEffect>,
+    ) {
+        let is_due = self.rules.refresh.read_succeeded(now, &mut self.choice);
+        if !is_due && !is_newer {
             return;
         }
         let members = self.table.all().iter();
