--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -21,6 +21,8 @@
 mod counting;
 mod probing;
 mod proposing;
+mod pulling;
+mod reading;
 mod rules;
 mod sending;
 mod snapshots;
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -1,4 +1,4 @@
-//! Rule changes: applying them in order, obtaining newer ones, sending them to peers.
+//! Rule changes: applying them in order, watching for newer ones, and when a node may serve by them.
 
 use std::net::SocketAddr;
 
@@ -8,9 +8,6 @@
 
 use crate::{effect, fleet, keys, member, rule_log, spread, store_requests};
 
-/// Maximum size of the changes on a datagram, in bytes; larger ones are sent over TCP.
-const MAX_DATAGRAM_CHANGE_BYTES: usize = 900;
-
 impl fleet::FleetState {
     /// Whether the node may serve requests: its revision was compared with peers or with the store,
     /// and its members were compared with a peer's.
@@ -160,47 +157,6 @@
         }
     }
 
-    /// Sends the changes after `after` to a member that pulls them.
-    pub(super) fn answer_pull(
-        &mut self,
-        from: SocketAddr,
-        peer: ident::NodeId,
-        after: ident::RuleRevision,
-        out: &mut Vec<effect::FleetEffect>,
-    ) {
-        if after >= self.revision() {
-            return;
-        }
-        let Some(mut changes) = self.rules.log.since(after) else {
-            let destination = effect::SnapshotDestination::Peer(peer);
-            out.push(effect::FleetEffect::EncodeSnapshot { destination });
-            return;
-        };
-        changes.truncate(gossip::MAX_CHANGES);
-        let bytes: usize = changes.iter().map(|change| change.body.len() + 32).sum();
-        if bytes <= MAX_DATAGRAM_CHANGE_BYTES {
-            self.send(
-                from,
-                gossip::GossipKind::Changes { changes },
-                Vec::new(),
-                out,
-            );
-        } else {
-            self.send_changes(peer, None, changes, out);
-        }
-    }
-
-    /// Schedules a read of the log in the store, unless reads are failing.
-    pub(super) fn read_log_soon(&mut self, now: time::NodeTime) {
-        // After the first read of a rule document, newer versions arrive by watches and polls.
-        if self.config.document.is_some() && self.rules.caught_up {
-            return;
-        }
-        if self.config.store && (!self.rules.store_failed || self.rules.read_at.is_none()) {
-            self.rules.read_at = Some(now);
-        }
-    }
-
     /// Handles the outcome of a request about the log or the rule document.
     pub(super) fn on_log_outcome(
         &mut self,
@@ -271,18 +227,6 @@
         self.update_readiness(now, out);
     }
 
-    /// Whether a read of the log or of a snapshot is pending.
-    fn is_reading_rules(&self) -> bool {
-        let purposes = [
-            store_requests::RequestPurpose::ReadLog,
-            store_requests::RequestPurpose::ReadManifest,
-            store_requests::RequestPurpose::ReadChunk,
-        ];
-        purposes
-            .iter()
-            .any(|purpose| self.requests.is_open(*purpose))
-    }
-
     /// Whether a watch for the next change of the rules is pending.
     pub fn watches_rules(&self) -> bool {
         self.requests
@@ -295,35 +239,6 @@
         self.rules.polled_at
     }
 
-    /// When the next read or poll is due, unless a read is pending.
-    fn next_read_at(&self) -> Option<time::NodeTime> {
-        let rules = &self.rules;
-        let refreshes = self.config.document.is_some() && rules.caught_up;
-        let refresh_at = refreshes.then(|| rules.refresh.next_read_at(self.table.live()));
-        let due = [rules.read_at, refresh_at].into_iter().flatten().min();
-        due.filter(|_| !self.is_reading_rules())
-    }
-
-    /// Records a read of the rule document, and tells the other nodes of it if it brought newer rules
-    /// or the last confirmation is some time ago.
-    fn confirm_document(
-        &mut self,
-        now: time::NodeTime,
-        is_newer: bool,
-        out: &mut Vec<effect::FleetEffect>,
-    ) {
-        let is_due = self.rules.refresh.read_succeeded(now, &mut self.choice);
-        if !is_due && !is_newer {
-            return;
-        }
-        let members = self.table.all().iter();
-        let others = members.filter(|m| m.node != self.local && m.state.is_live());
-        let addresses: Vec<_> = others.map(|m| m.facts.udp).collect();
-        for to in addresses {
-            self.send(to, gossip::GossipKind::Rumour, Vec::new(), out);
-        }
-    }
-
     /// Decides whether this node watches the rule document itself.
     ///
     /// Every node computes the same order of the nodes of its zone, so no agreement is needed, and
@@ -469,105 +384,6 @@
         }
     }
 
-    fn pull(
-        &mut self,
-        now: time::NodeTime,
-        from: SocketAddr,
-        revision: ident::RuleRevision,
-        out: &mut Vec<effect::FleetEffect>,
-    ) {
-        let after = self.revision();
-        self.rules.pull = Some(spread::OpenPull {
-            from,
-            revision,
-            retry_at: now + spread::PULL_RETRY,
-        });
-        self.counters.rule_pulls += 1;
-        self.send(
-            from,
-            gossip::GossipKind::PullChanges { after },
-            Vec::new(),
-            out,
-        );
-    }
-
-    /// Pulls again, from random members, if no answer arrived in time.
-    ///
-    /// Complete rules go over a connection, which may be silent without a sign, as may those of the
-    /// other members. They are read from the store as well, also if it failed before.
-    fn retry_pull(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        let Some(pull) = self.rules.pull.filter(|pull| pull.retry_at <= now) else {
-            return;
-        };
-        if pull.revision <= self.revision() {
-            self.rules.pull = None;
-            return;
-        }
-        if self.config.document.is_some() {
-            self.rules.read_at.get_or_insert(now);
-        }
-        for from in self.draw_pull_members() {
-            self.pull(now, from, pull.revision, out);
-        }
-    }
-
-    /// Members to pull from: one that is known to be ahead, and others, of which most are ahead soon
-    /// after the first.
-    fn draw_pull_members(&mut self) -> Vec<SocketAddr> {
-        let held = self.revision();
-        let ahead = |m: &member::MemberRecord| m.state.is_live() && m.revision > held;
-        let first = self.table.draw(&mut self.choice, ahead);
-        let mut drawn = vec![self.local];
-        drawn.extend(first.map(|m| m.node));
-        while drawn.len() <= spread::PULL_RETRY_MEMBERS {
-            let Some(other) = self.table.draw_live(&mut self.choice, &drawn) else {
-                break;
-            };
-            drawn.push(other.node);
-        }
-        let records = drawn[1..].iter().filter_map(|node| self.table.get(*node));
-        records.map(|m| m.facts.udp).collect()
-    }
-
-    fn send_changes(
-        &mut self,
-        peer: ident::NodeId,
-        snapshot: Option<gossip::LoggedChange>,
-        changes: Vec<gossip::LoggedChange>,
-        out: &mut Vec<effect::FleetEffect>,
-    ) {
-        let head = self.head();
-        let message = gossip::SyncMessage::Changes {
-            head,
-            snapshot,
-            changes,
-        };
-        self.send_sync(peer, message, out);
-    }
-
-    fn read_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        if self.next_read_at().is_none_or(|due| due > now) {
-            return;
-        }
-        self.rules.read_at = None;
-        let held = self.revision();
-        if let Some(key) = self.config.document.clone() {
-            let request = store::StoreRequest::List {
-                prefix: key,
-                after: None,
-                limit: 1,
-            };
-            self.request_store(now, store_requests::RequestPurpose::ReadLog, request, out);
-            return;
-        }
-        let request = store::StoreRequest::List {
-            prefix: store::StoreKey::new(keys::LOG),
-            after: (held.0 > 0).then(|| keys::log_entry(held)),
-            limit: spread::READ_LIMIT,
-        };
-        self.request_store(now, store_requests::RequestPurpose::ReadLog, request, out);
-    }
-
     fn watch_when_due(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
         if self.config.document.is_some() {
             self.choose_watchers(now, out);
