Pull again from the sender if no member is known

What callers saw: nothing; a fault of the last changes, found by reading them.

Cause: a node that pulls again asks random members. One that knows none, such as a new node that got a message of a stranger, asked nobody and left the time of its next pull in the past, so it woke a thousand times a second.

Evidence: a_pull_without_members_is_repeated_at_intervals, 1,702 wake-ups in two seconds before, below 50 now.

--- a/crates/anvil_membership/src/fleet/pulling.rs
+++ b/crates/anvil_membership/src/fleet/pulling.rs
@@ -78,7 +78,11 @@
         if self.config.document.is_some() {
             self.rules.read_at.get_or_insert(now);
         }
-        for from in self.draw_pull_members() {
+        let mut members = self.draw_pull_members();
+        if members.is_empty() {
+            members.push(pull.from);
+        }
+        for from in members {
             self.pull(now, from, pull.revision, out);
         }
     }
--- a/crates/anvil_membership/tests/rule_document.rs
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -183,6 +183,34 @@
     }
 }
 
+// Guards against a node that knows no member and wakes all the time to pull what it has heard of.
+#[test]
+fn a_pull_without_members_is_repeated_at_intervals() {
+    let mut node = LoneNode::new();
+    let head = gossip::GossipHead {
+        from: ident::NodeId(9),
+        incarnation: 0,
+        revision: ident::RuleRevision(9),
+        ready: true,
+        confirmed: gossip::ConfirmationAge::UNKNOWN,
+    };
+    let message = gossip::GossipMessage {
+        head,
+        kind: gossip::GossipKind::Rumour,
+        updates: Vec::new(),
+    };
+    node.state
+        .on_datagram(node.now, harness::address(9), &message);
+    let end = node.now + Duration::from_secs(2);
+    let mut wakes = 0;
+    while let Some(due) = node.state.next_wake().filter(|due| *due < end) {
+        node.now = node.now.max(due);
+        node.state.on_wake(node.now);
+        wakes += 1;
+    }
+    assert!(wakes < 50, "{wakes} wake-ups in two seconds");
+}
+
 fn listed(revision: u64, seen: u64) -> store::StoreOutcome {
     let entry = store::StoreEntry {
         key: key(),
