--- a/crates/anvil_membership/src/fleet/reading.rs
+++ b/crates/anvil_membership/src/fleet/reading.rs
@@ -50,9 +50,12 @@
         if !is_due && !is_newer {
             return;
         }
-        let members = self.table.all().iter();
+        let members = self.table.all();
+        let start = self.choice.below(members.len());
+        let members = members[start..].iter().chain(&members[..start]);
         let others = members.filter(|m| m.node != self.local && m.state.is_live());
-        let addresses: Vec<_> = others.map(|m| m.facts.udp).collect();
+        let told = others.take(spread::CONFIRMATION_RECEIVERS);
+        let addresses: Vec<_> = told.map(|m| m.facts.udp).collect();
         for to in addresses {
             self.send(to, gossip::GossipKind::Rumour, Vec::new(), out);
         }
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -62,6 +62,10 @@
 /// Two, so that the loss of one has no effect; each costs one call every seven and a half seconds.
 pub const DOCUMENT_WATCHERS: usize = 2;
 
+/// Maximum number of members that are told of a read of the rule document, which bounds the
+/// datagrams that one node sends at once. In a larger fleet, more nodes read for themselves.
+pub const CONFIRMATION_RECEIVERS: usize = 256;
+
 /// First and longest pause after a failed read of the rule document; the longest is below the two
 /// seconds within which operators expect a change to be in force.
 const DOCUMENT_BACKOFF: (Duration, Duration) =
