Measure the pause after a failed watch without answers in between

Polls in that time now stay without an answer, so the pause is that of the failed watch, and 20 seeds are checked instead of one.

--- a/crates/anvil_membership/tests/rule_document.rs
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -129,6 +129,10 @@
 
 impl LoneNode {
     fn new() -> Self {
+        Self::with_seed(3)
+    }
+
+    fn with_seed(seed: u64) -> Self {
         let local = fleet::LocalNode {
             node: ident::NodeId(1),
             tcp: harness::address(0),
@@ -137,7 +141,7 @@
             region: name::RegionName::new("region").expect("a name"),
         };
         let now = time::NodeTime::from_millis(1);
-        let mut state = fleet::FleetState::new(harness::with_store(), &local, 3, now);
+        let mut state = fleet::FleetState::new(harness::with_store(), &local, seed, now);
         state.use_document(now, key());
         Self { state, now }
     }
@@ -163,7 +167,7 @@
         }
     }
 
-    /// The next watch of the rules, and the time until it is sent; polls before it find nothing new.
+    /// The next watch of the rules, and the time until it is sent; a poll before it stays pending.
     fn next_watch(&mut self) -> (Duration, store::StoreId) {
         let start = self.now;
         loop {
@@ -171,9 +175,6 @@
             if matches!(request, store::StoreRequest::Watch { .. }) {
                 return (self.now.since(start), id);
             }
-            let sent = self.now;
-            self.answer(id, listed(2, 40));
-            self.now = sent;
         }
     }
 
@@ -233,26 +234,34 @@
     min_pause: Duration,
     max_pause: Duration,
 ) {
-    let mut node = LoneNode::new();
-    let (_, id, request) = node.next_request();
-    assert!(matches!(request, store::StoreRequest::List { .. }));
-    node.answer(id, listed(2, 40));
-    let (_, id) = node.next_watch();
-    node.answer(id, outcome.clone());
-    let (pause, id) = if reads_again {
-        let (pause, id, request) = node.next_request();
+    for seed in 0..20 {
+        let mut node = LoneNode::with_seed(seed);
+        let (_, id, request) = node.next_request();
         assert!(matches!(request, store::StoreRequest::List { .. }));
-        (pause, id)
-    } else {
-        node.next_watch()
-    };
-    assert!(min_pause <= pause && pause <= max_pause, "{pause:?}");
-    node.answer(id, listed(9, 90));
-    assert_eq!(node.state.revision(), ident::RuleRevision(9));
-    // A stale reply does not restore older rules.
-    let (_, id, _) = node.next_request();
-    node.answer(id, listed(4, 60));
-    assert_eq!(node.state.revision(), ident::RuleRevision(9));
+        node.answer(id, listed(2, 40));
+        let id = loop {
+            let (_, id, request) = node.next_request();
+            if matches!(request, store::StoreRequest::Watch { .. }) {
+                break id;
+            }
+            node.answer(id, listed(2, 40));
+        };
+        node.answer(id, outcome.clone());
+        let (pause, id) = if reads_again {
+            let (pause, id, request) = node.next_request();
+            assert!(matches!(request, store::StoreRequest::List { .. }));
+            (pause, id)
+        } else {
+            node.next_watch()
+        };
+        assert!(min_pause <= pause && pause <= max_pause, "{pause:?}");
+        node.answer(id, listed(9, 90));
+        assert_eq!(node.state.revision(), ident::RuleRevision(9));
+        // A stale reply does not restore older rules.
+        let (_, id, _) = node.next_request();
+        node.answer(id, listed(4, 60));
+        assert_eq!(node.state.revision(), ident::RuleRevision(9));
+    }
 }
 
 test_cases! {
