Tell only the reads of this node, not those that it heard of

What callers saw: nothing; found by a test of the last changes.

Cause: a node took the age of a read that it had heard of over from the sender and told it on. The time under way is not part of it, so at each hop the age became lower, and between nodes that exchange it all the time it hardly rose. A node that woke from a pause gave the age of old messages to all. Each node then read for itself later than it should.

A message now tells the sender's own latest read only; the reader tells all others directly, so nothing is lost. The case passes.

--- a/crates/anvil_membership/src/fleet/sending.rs
+++ b/crates/anvil_membership/src/fleet/sending.rs
@@ -133,7 +133,7 @@
             incarnation: self.incarnation,
             revision: self.revision(),
             ready: self.rules.ready,
-            confirmed: self.rules.refresh.age(self.event_at),
+            confirmed: self.rules.refresh.own_age(self.event_at),
         }
     }
 }
--- a/crates/anvil_membership/src/refresh.rs
+++ b/crates/anvil_membership/src/refresh.rs
@@ -42,6 +42,8 @@
 pub struct RefreshSchedule {
     /// The latest read that this node knows of, its own or another node's; none before the first.
     confirmed_at: Option<time::NodeTime>,
+    /// The latest read of this node.
+    own_read_at: Option<time::NodeTime>,
     /// When this node last read the document or failed to.
     read_ended_at: time::NodeTime,
     /// Time to the next poll, as a multiple of the average interval of a node's polls.
@@ -56,6 +58,7 @@
     pub fn new(now: time::NodeTime) -> Self {
         Self {
             confirmed_at: None,
+            own_read_at: None,
             read_ended_at: now,
             poll_factor: 1.0,
             stale_age: STALE_AGE,
@@ -70,6 +73,7 @@
         choice: &mut random::ChoiceSource,
     ) -> bool {
         let previous = self.confirmed_at.replace(now);
+        self.own_read_at = Some(now);
         let is_told = previous.is_some_and(|at| now.since(at) <= TOLD_AGE);
         self.failures = 0;
         self.draw(now, choice);
@@ -94,10 +98,13 @@
         self.confirmed_at = self.confirmed_at.max(Some(now - span));
     }
 
-    /// The age of the latest confirmation.
-    pub fn age(&self, now: time::NodeTime) -> gossip::ConfirmationAge {
+    /// The age of this node's own latest read.
+    ///
+    /// What it heard of other reads it does not tell: the time that a message is under way is not
+    /// known, so an age that is passed on would be too low by that time at each hop.
+    pub fn own_age(&self, now: time::NodeTime) -> gossip::ConfirmationAge {
         let age = self
-            .confirmed_at
+            .own_read_at
             .map(|at| gossip::ConfirmationAge::of(now.since(at)));
         age.unwrap_or(gossip::ConfirmationAge::UNKNOWN)
     }
--- a/crates/anvil_wire/src/gossip.rs
+++ b/crates/anvil_wire/src/gossip.rs
@@ -108,12 +108,11 @@
     pub revision: ident::RuleRevision,
     /// Whether the sender has compared its rules with those of other nodes or of the store.
     pub ready: bool,
-    /// How long ago the store had no newer rules than the sender's.
+    /// How long ago the sender read in the store that there are no newer rules than its own.
     pub confirmed: ConfirmationAge,
 }
 
-/// The age of the latest read of the rules in the store that a node knows of, its own or that of
-/// another node, in milliseconds.
+/// The age of a node's latest read of the rules in the store, in milliseconds.
 ///
 /// See `docs/design/rule-distribution.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
