Test a change behind the second of two partitions

What callers saw: requests at nodes that are cut off from all others a second time, decided by older rules for seconds.

Cause, the second hypothesis of the incident: the probe whose silence makes a node watch for itself is stretched by the score of local health, which the first partition has raised, so the second is noticed late.

--- a/crates/anvil_membership/tests/store_calls.rs
+++ b/crates/anvil_membership/tests/store_calls.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvil_membership::fleet;
@@ -198,6 +199,31 @@
     sides_of_twelve_nodes_after_three_seconds => (12, Duration::from_secs(3)),
 }
 
+// Guards against nodes that notice the second of two partitions late, as the first one has raised
+// their health scores, which stretch their probes.
+fn a_change_reaches_every_side_of_a_second_partition(pause: Duration) {
+    for seed in 1..=8 {
+        let mut net = fleet_with_seed(80, seed);
+        let watching = net.watchers();
+        let others = (0..net.nodes.len()).filter(|index| !watching.contains(index));
+        let sides: BTreeMap<usize, usize> = others.take(12).zip(1..).collect();
+        net.sides = sides.clone();
+        net.run(Duration::from_secs(8));
+        net.sides.clear();
+        net.run(pause);
+        net.sides = sides;
+        net.run(Duration::from_millis(10));
+        assert_in_force(&mut net, 3, IN_FORCE_LIMIT);
+    }
+}
+
+test_cases! {
+    a_change_reaches_every_side_of_a_second_partition:
+    sides_again_after_two_seconds => (Duration::from_secs(2)),
+    sides_again_after_six_seconds => (Duration::from_secs(6)),
+    sides_again_after_ten_seconds => (Duration::from_secs(10)),
+}
+
 // Guards against a change that goes unnoticed until membership replaces crashed watchers.
 fn a_change_is_in_force_in_time_without_watchers(size: usize, after: Duration) {
     for seed in 1..=8 {
