--- a/crates/anvil_membership/src/fleet/reading.rs
+++ b/crates/anvil_membership/src/fleet/reading.rs
@@ -70,6 +70,7 @@
             return;
         }
         self.rules.read_at = None;
+        self.rules.refresh.read_sent(now);
         let held = self.revision();
         if let Some(key) = self.config.document.clone() {
             let request = store::StoreRequest::List {
--- a/crates/anvil_membership/src/refresh.rs
+++ b/crates/anvil_membership/src/refresh.rs
@@ -44,7 +44,9 @@
     confirmed_at: Option<time::NodeTime>,
     /// The latest read of this node.
     own_read_at: Option<time::NodeTime>,
-    /// When this node last read the document or failed to.
+    /// When this node sent its last read.
+    read_sent_at: time::NodeTime,
+    /// When its last read was answered or failed.
     read_ended_at: time::NodeTime,
     /// Time to the next poll, as a multiple of the average interval of a node's polls.
     poll_factor: f64,
@@ -59,6 +61,7 @@
         Self {
             confirmed_at: None,
             own_read_at: None,
+            read_sent_at: now,
             read_ended_at: now,
             poll_factor: 1.0,
             stale_age: STALE_AGE,
@@ -66,14 +69,23 @@
         }
     }
 
-    /// Records a read of this node; returns whether to tell the others of it.
+    /// Records that this node sends a read.
+    pub fn read_sent(&mut self, now: time::NodeTime) {
+        self.read_sent_at = now;
+    }
+
+    /// Records the answer to a read of this node; returns whether to tell the others of it.
+    ///
+    /// The age of the read begins when it was sent: a change may have been made right after a slow
+    /// store had looked at the document.
     pub fn read_succeeded(
         &mut self,
         now: time::NodeTime,
         choice: &mut random::ChoiceSource,
     ) -> bool {
-        let previous = self.confirmed_at.replace(now);
-        self.own_read_at = Some(now);
+        let previous = self.confirmed_at;
+        self.confirmed_at = previous.max(Some(self.read_sent_at));
+        self.own_read_at = Some(self.read_sent_at);
         let is_told = previous.is_some_and(|at| now.since(at) <= TOLD_AGE);
         self.failures = 0;
         self.draw(now, choice);
--- a/crates/anvil_membership/tests/rule_document.rs
+++ b/crates/anvil_membership/tests/rule_document.rs
@@ -212,6 +212,23 @@
     assert!(wakes < 50, "{wakes} wake-ups in two seconds");
 }
 
+// Guards against a read that a slow store answers late and that is told as a read of this moment.
+#[test]
+fn the_age_of_a_read_begins_when_it_is_sent() {
+    let mut node = LoneNode::new();
+    let (_, id, _) = node.next_request();
+    let slow = Duration::from_millis(900);
+    node.now = node.now + slow;
+    node.state.on_store(node.now, id, listed(2, 40));
+    let sent = node
+        .state
+        .message(harness::address(9), gossip::GossipKind::Rumour);
+    let effect::FleetEffect::SendDatagram { message, .. } = sent else {
+        panic!("a datagram was expected");
+    };
+    assert_eq!(message.head.confirmed.span(), Some(slow));
+}
+
 fn listed(revision: u64, seen: u64) -> store::StoreOutcome {
     let entry = store::StoreEntry {
         key: key(),
