Refuse datagrams of the former layout of messages

What callers saw: nothing; found by reading the last changes anew.

Cause: the head of all messages got a field with the protocol version 10, which only connections check. During a rolling update a datagram of the other layout was authenticated and then read with the field taken from the bytes behind it, as another message or none.

Evidence: a_datagram_of_the_former_layout_is_refused, opened before. The words on watches say that every node reads now and then.

--- a/crates/anvil_membership/src/effect.rs
+++ b/crates/anvil_membership/src/effect.rs
@@ -109,7 +109,7 @@
     /// This node began or ceased to watch the rule document in the store.
     #[display("watches rules: {watching}")]
     RuleWatch {
-        /// Whether it watches now; otherwise it polls.
+        /// Whether it watches now; it reads the document now and then in any case.
         watching: bool,
     },
     /// The store stopped answering this node's requests about the rules.
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -236,7 +236,7 @@
 
     /// When the store last answered a request of this node about the rules.
     pub fn rules_confirmed_at(&self) -> time::NodeTime {
-        self.rules.polled_at
+        self.rules.answered_at
     }
 
     /// Decides whether this node watches the rule document itself.
@@ -269,9 +269,9 @@
 
     /// Records that the store answered a request about the rules.
     fn rules_confirmed(&mut self, now: time::NodeTime, out: &mut Vec<effect::FleetEffect>) {
-        let polled_at = std::mem::replace(&mut self.rules.polled_at, now);
+        let answered_at = std::mem::replace(&mut self.rules.answered_at, now);
         if std::mem::take(&mut self.rules.is_unconfirmed) {
-            let since = now.since(polled_at).as_millis();
+            let since = now.since(answered_at).as_millis();
             let report = effect::FleetReport::RulesConfirmed {
                 revision: self.revision(),
                 millis: u64::try_from(since).unwrap_or(u64::MAX),
--- a/crates/anvil_membership/src/spread.rs
+++ b/crates/anvil_membership/src/spread.rs
@@ -129,8 +129,8 @@
     pub is_watcher: bool,
     /// When a node that has not compared its members decides whether it is a watcher.
     pub watcher_choice_at: time::NodeTime,
-    /// When this node last received a reply about the document or the log.
-    pub polled_at: time::NodeTime,
+    /// When the store last answered a request of this node about the document or the log.
+    pub answered_at: time::NodeTime,
     /// Whether the last request about the document or the log failed.
     pub is_unconfirmed: bool,
     /// When to read the document without another reason.
@@ -163,7 +163,7 @@
             watch_at: now,
             is_watcher: true,
             watcher_choice_at: now + STORE_READ_DELAY,
-            polled_at: now,
+            answered_at: now,
             is_unconfirmed: false,
             refresh: refresh::RefreshSchedule::new(now),
             seen: store::StoreVersion::default(),
--- a/crates/anvil_wire/src/seal/datagram.rs
+++ b/crates/anvil_wire/src/seal/datagram.rs
@@ -8,8 +8,9 @@
 use super::{replay, ring};
 use crate::seal;
 
-/// The format version, which is the first byte of each datagram.
-const FORMAT_VERSION: u8 = 1;
+/// The version of the layout of datagrams and of the messages in them, which is the first byte of
+/// each datagram.
+const FORMAT_VERSION: u8 = 2;
 
 /// Size of the header before the payload, in bytes: format version, key id, sender and sequence.
 const HEADER_BYTES: usize = 1 + 2 + 8 + 8;
--- a/crates/anvil_wire/tests/seal_datagram.rs
+++ b/crates/anvil_wire/tests/seal_datagram.rs
@@ -57,6 +57,19 @@
     }
 }
 
+// Guards against messages of the former layout that are read as others during a rolling update.
+#[test]
+fn a_datagram_of_the_former_layout_is_refused() {
+    const FORMER_FORMAT: u8 = 1;
+    let mut bytes = sealed(&[1]);
+    bytes[0] = FORMER_FORMAT;
+    let refused = opener(&[1]).open(&bytes);
+    let version = seal::SealError::Version {
+        found: u16::from(FORMER_FORMAT),
+    };
+    assert_eq!(refused, Err(version));
+}
+
 #[test]
 fn a_datagram_for_another_node_is_refused() {
     // An attacker records a datagram for one node and sends it to another, whose replay window has
