Log each status report of a target, and the report that a run relied on

The record of the incident can't tell which reports a node had received of the leaving target, in which of its processes, and what each changed. A report that was taken left no line, one that was ignored told neither its state nor the process, and the end of a run named the incarnation in use at that moment in place of the one that the run was for.

Each report now leaves one line at its node: incarnation, state, sequence, start, how long the process has run and has known the incarnation, and what changed. Reports don't say when they were sent, so the age of the process stands in for theirs. A run-ended and an attempt line name the report on which the run relied and its age; anvilctl story tells it.

--- a/crates/anvil_core/src/admitting.rs
+++ b/crates/anvil_core/src/admitting.rs
@@ -229,6 +229,7 @@
             incarnation.map(|incarnation| incarnation.id.clone())
         });
         let digest = self.target_digest();
+        let report = self.target.as_ref().and_then(|target| target.report(now));
         let named_rate = self
             .overload
             .admission
@@ -238,6 +239,7 @@
             return;
         };
         run.incarnation = digest;
+        run.report = report;
         run.named_rate = named_rate;
         self.counters.runs_under_rate += u64::from(named_rate.is_some());
         let Some(request) = run.request.take() else {
@@ -263,7 +265,10 @@
             overload::crash_rule(&run.treatment),
         );
         let keyed = run.keyed_record(id);
-        let started = run.attempt_record(request_log::AttemptStep::Started { run: id.0 });
+        let started = run.attempt_record(request_log::AttemptStep::Started {
+            run: id.0,
+            report: run.report.clone(),
+        });
         self.overload.poison.run_started(id.0, fingerprint, rule);
         self.counters.runs_started += 1;
         self.effects
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -8,7 +8,7 @@
 use derive_more::Display;
 use serde::Serialize;
 
-use crate::{answer, event, incarnations, request_log};
+use crate::{answer, event, incarnations, reports, request_log};
 
 /// The reply to a caller; each call gets exactly one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -127,19 +127,22 @@
         #[serde(flatten)]
         request: suspicion::QuarantinedRequest,
     },
+    /// A status report of the target was received, and was not ignored.
+    #[display("target reported: {report} change={change}")]
+    TargetReported {
+        /// The report.
+        #[serde(flatten)]
+        report: reports::ReceivedReport,
+        /// What it changed.
+        change: reports::ReportChange,
+    },
     /// A message of the target was ignored because it was outdated or named an unknown service.
-    #[display(
-        "announcement ignored: incarnation={incarnation} sequence={sequence} standing={status}"
-    )]
+    #[display("announcement ignored: {report} standing={status}")]
     #[serde(rename = "word-ignored")]
     AnnouncementIgnored {
-        /// The incarnation that sent the message.
-        incarnation: ident::IncarnationId,
-        /// When it started by its own clock, in Unix milliseconds, if the message says so.
-        #[serde(rename = "born")]
-        started_at_ms: Option<u64>,
-        /// The position of the message among those of the incarnation.
-        sequence: u64,
+        /// The message.
+        #[serde(flatten)]
+        report: reports::ReceivedReport,
         /// Why the message was ignored.
         #[serde(rename = "standing")]
         status: incarnations::AnnouncementStatus,
--- a/crates/anvil_core/src/incarnations.rs
+++ b/crates/anvil_core/src/incarnations.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// The time since the first message of the incarnation with this id.
+    pub fn known_for(&self, now: time::NodeTime, id: &ident::IncarnationId) -> Duration {
+        let known = self.known.iter().find(|known| known.id == *id);
+        known.map_or(Duration::ZERO, |known| now.since(known.first_received))
+    }
+
     fn find(&mut self, id: &ident::IncarnationId) -> Option<&mut KnownIncarnation> {
         self.known.iter_mut().find(|known| known.id == *id)
     }
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -30,6 +30,7 @@
 mod quarantine_store;
 pub mod reducer;
 mod refused_calls;
+pub mod reports;
 pub mod request_log;
 mod retrying;
 mod returning;
--- a/crates/anvil_core/src/request_log.rs
+++ b/crates/anvil_core/src/request_log.rs
@@ -11,7 +11,7 @@
 use anvil_types::{context, ident, name, rate, time, treatment, verdict};
 use serde::{Serialize, Serializer};
 
-use crate::event;
+use crate::{event, reports};
 
 /// Number of lanes, out of 256, whose successes are logged.
 const LOGGED_LANES: u8 = 16;
@@ -85,8 +85,10 @@
     pub entry: ident::NodeId,
     /// The number of the attempt at the entry node.
     pub attempt: u16,
-    /// The incarnation of the target, if it announces incarnations.
-    pub incarnation: Option<ident::IncarnationId>,
+    /// The status report of the target on which the node relied when it handed the request over;
+    /// none if the run never started, or if the target announces no incarnations.
+    #[serde(flatten)]
+    pub report: Option<reports::ReportReference>,
     /// Whether the request ran.
     #[serde(serialize_with = "in_words")]
     pub verdict: verdict::CallVerdict,
@@ -194,6 +196,9 @@
     Started {
         /// The run.
         run: u64,
+        /// The status report of the target on which the node relied.
+        #[serde(flatten)]
+        report: Option<reports::ReportReference>,
     },
     /// The run ended, or was refused before it started.
     Ended {
--- a/crates/anvil_core/src/runs.rs
+++ b/crates/anvil_core/src/runs.rs
@@ -4,13 +4,15 @@
 use anvil_types::{context, ident, name, rate, sorted, time, treatment};
 use anvil_wire::{call, outcome};
 
-use crate::{event, request_log, waits};
+use crate::{event, reports, request_log, waits};
 
 /// The local target, as announced.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalTarget {
     /// Its latest announcement.
     pub announcement: event::TargetAnnouncement,
+    /// When the announcement was received.
+    pub announced_at: time::NodeTime,
     /// When the announcement expires.
     pub until: time::NodeTime,
     /// Whether it is leaving, or its lease has expired.
@@ -19,6 +21,18 @@
     pub retired: bool,
 }
 
+impl LocalTarget {
+    /// The report that a run relies on which is handed to the target now.
+    pub(crate) fn report(&self, now: time::NodeTime) -> Option<reports::ReportReference> {
+        let incarnation = self.announcement.incarnation.as_ref()?;
+        Some(reports::ReportReference {
+            incarnation: incarnation.id.clone(),
+            sequence: incarnation.sequence,
+            age_ms: request_log::millis(now.since(self.announced_at)),
+        })
+    }
+}
+
 /// Whether a run has been handed to the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunStage {
@@ -65,6 +79,8 @@
     pub started: Option<time::NodeTime>,
     /// The incarnation of the target that it was handed to, if the target announces incarnations.
     pub incarnation: Option<ident::IncarnationDigest>,
+    /// The status report on which the node relied then.
+    pub report: Option<reports::ReportReference>,
     /// The rate that the entry node knew from earlier answers of the target.
     pub entry_rate: Option<rate::RequestRate>,
     /// The rate that the target named when the run was handed to it.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -66,6 +66,7 @@
             allowance: allowance::ChainAllowance::new(call.context.retries_left),
             started: None,
             incarnation: None,
+            report: None,
             entry_rate: call.notice.and_then(|notice| notice.rate),
             named_rate: None,
             expired: false,
@@ -205,15 +206,13 @@
         if !request_log::is_logged(verdict, status, self.uniform_lane(&ended.context)) {
             return;
         }
-        let target = self.target.as_ref();
-        let incarnation = target.and_then(|target| target.announcement.incarnation_id());
         let started = ended.started.unwrap_or(self.now);
         let summary = request_log::RunSummary {
             request: ended.label.clone(),
             root: ended.context.request,
             entry: ended.peer,
             attempt: ended.attempt,
-            incarnation: incarnation.cloned(),
+            report: ended.report.clone(),
             verdict,
             status,
             queued_ms: request_log::millis(started.since(ended.accepted)),
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -2,22 +2,28 @@
 
 use anvil_types::{ident, name};
 
-use crate::{directory, effect, event, incarnations, reducer, runs, timers};
+use crate::{directory, effect, event, incarnations, reducer, reports, runs, timers};
 
 impl reducer::NodeReducer {
     pub(crate) fn target_announced(&mut self, announcement: event::TargetAnnouncement) {
         if self.is_unexpected_service(&announcement.service) {
             if let Some(message) = &announcement.incarnation {
-                self.ignore_announcement(message, incarnations::AnnouncementStatus::UnknownService);
+                let status = incarnations::AnnouncementStatus::UnknownService;
+                self.ignore_announcement(message, reports::ReportedState::Ready, status);
             }
             return;
         }
         if let Some(message) = &announcement.incarnation {
             let status = self.incarnations.receive(self.now, message);
             if status != incarnations::AnnouncementStatus::Newest {
-                self.ignore_announcement(message, status);
+                self.ignore_announcement(message, reports::ReportedState::Ready, status);
                 return;
             }
+            let change = match self.is_renewal(&announcement) {
+                true => reports::ReportChange::Renewed,
+                false => reports::ReportChange::Serving,
+            };
+            self.log_report(message, reports::ReportedState::Ready, change);
         }
         self.adopt_target(announcement);
     }
@@ -46,13 +52,7 @@
                 slots: announcement.slots,
             });
         }
-        let renewed = self.target.as_ref().is_some_and(|target| {
-            let known = &target.announcement;
-            !target.leaving
-                && known.service == announcement.service
-                && known.address == announcement.address
-                && known.is_same_incarnation(&announcement)
-        });
+        let renewed = self.is_renewal(&announcement);
         let slots = announcement.slots;
         if !renewed {
             self.previous_target = self.target.take();
@@ -61,6 +61,7 @@
         }
         self.target = Some(runs::LocalTarget {
             announcement,
+            announced_at: self.now,
             until,
             leaving: false,
             retired: false,
@@ -69,6 +70,17 @@
         self.publish_target();
     }
 
+    /// Whether `announcement` is of the target in use.
+    fn is_renewal(&self, announcement: &event::TargetAnnouncement) -> bool {
+        self.target.as_ref().is_some_and(|target| {
+            let known = &target.announcement;
+            !target.leaving
+                && known.service == announcement.service
+                && known.address == announcement.address
+                && known.is_same_incarnation(announcement)
+        })
+    }
+
     /// Reports the end of a target that was replaced although it was not leaving.
     fn record_previous_end(&mut self) {
         let previous = self.previous_target.as_ref();
@@ -135,9 +147,14 @@
         message: &event::TargetIncarnation,
         terminated: bool,
     ) {
+        let state = match terminated {
+            true => reports::ReportedState::Gone,
+            false => reports::ReportedState::Leaving,
+        };
         // A target that is leaving repeats its status report until it ends.
         let known = self.target.as_ref().filter(|target| target.retired);
         if !terminated && known.is_some() && self.is_current(message) {
+            self.log_report(message, state, reports::ReportChange::Nothing);
             return;
         }
         let status = match terminated {
@@ -148,19 +165,22 @@
             // An incarnation that is leaving doesn't return, so the message also counts if a later
             // one of the same incarnation overtook it.
             incarnations::AnnouncementStatus::Newest | incarnations::AnnouncementStatus::Late => {
-                if self.is_current(message) {
-                    // A message without a start time may be the last call of an earlier
-                    // incarnation with the same id, so that one ends what is here only for a while.
-                    match terminated {
-                        true => self.target_leaving(),
-                        false => self.retire_target(None),
-                    }
+                if !self.is_current(message) {
+                    self.log_report(message, state, reports::ReportChange::Nothing);
+                    return;
+                }
+                self.log_report(message, state, reports::ReportChange::Withdrawn);
+                // A message without a start time may be the last call of an earlier
+                // incarnation with the same id, so that one ends what is here only for a while.
+                match terminated {
+                    true => self.target_leaving(),
+                    false => self.retire_target(None),
                 }
             }
             incarnations::AnnouncementStatus::EarlierStart
             | incarnations::AnnouncementStatus::Ended
             | incarnations::AnnouncementStatus::UnknownService => {
-                self.ignore_announcement(message, status);
+                self.ignore_announcement(message, state, status);
             }
         }
     }
@@ -168,15 +188,38 @@
     fn ignore_announcement(
         &mut self,
         message: &event::TargetIncarnation,
+        state: reports::ReportedState,
         status: incarnations::AnnouncementStatus,
     ) {
         self.counters.messages_ignored += 1;
-        self.report(effect::StateChange::AnnouncementIgnored {
-            incarnation: message.id.clone(),
-            started_at_ms: message.started_at_ms,
-            sequence: message.sequence,
-            status,
-        });
+        let report = self.received_report(message, state);
+        self.report(effect::StateChange::AnnouncementIgnored { report, status });
+    }
+
+    /// Logs a report of the target; one that changes nothing only within the budget for such lines.
+    fn log_report(
+        &mut self,
+        message: &event::TargetIncarnation,
+        state: reports::ReportedState,
+        change: reports::ReportChange,
+    ) {
+        let report = self.received_report(message, state);
+        let line = effect::StateChange::TargetReported { report, change };
+        match change {
+            reports::ReportChange::Serving | reports::ReportChange::Withdrawn => self.report(line),
+            reports::ReportChange::Renewed | reports::ReportChange::Nothing => {
+                self.log_request(line);
+            }
+        }
+    }
+
+    fn received_report(
+        &self,
+        message: &event::TargetIncarnation,
+        state: reports::ReportedState,
+    ) -> reports::ReceivedReport {
+        let known_for = self.incarnations.known_for(self.now, &message.id);
+        reports::ReceivedReport::new(self.now, message, state, known_for)
     }
 
     /// Handles a run that was answered by another incarnation of the target at the same address.
--- a/crates/anvil_core/tests/births.rs
+++ b/crates/anvil_core/tests/births.rs
@@ -169,11 +169,9 @@
     node.step(at(2), ready(200, 1));
     let effects = node.step(at(3), ready(100, 41));
     let logged = effects.iter().find_map(|effect| match effect {
-        effect::NodeEffect::Report(effect::StateChange::AnnouncementIgnored {
-            started_at_ms,
-            status,
-            ..
-        }) => Some((*started_at_ms, *status)),
+        effect::NodeEffect::Report(effect::StateChange::AnnouncementIgnored { report, status }) => {
+            Some((report.started_at_ms, *status))
+        }
         _ => None,
     });
     let earlier = incarnations::AnnouncementStatus::EarlierStart;
--- a/crates/anvil_ctl/src/logs/line.rs
+++ b/crates/anvil_ctl/src/logs/line.rs
@@ -95,6 +95,22 @@
     pub running: u32,
     /// Requests in the queue at the end.
     pub queued: u64,
+    /// The target's status report on which the node relied, if the run started.
+    #[serde(flatten)]
+    pub report: Option<StatusReport>,
+}
+
+/// The status report of a target on which a run relied.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct StatusReport {
+    /// The incarnation that sent it.
+    pub incarnation: String,
+    /// Its position among those of the incarnation.
+    #[serde(rename = "report")]
+    pub sequence: u64,
+    /// How long before the run it was received, in milliseconds.
+    #[serde(rename = "report_age_ms")]
+    pub age_ms: u64,
 }
 
 /// A step of an attempt.
@@ -124,6 +140,9 @@
     Started {
         /// The run.
         run: u64,
+        /// The status report on which the node relied.
+        #[serde(flatten)]
+        report: Option<StatusReport>,
     },
     /// Its run ended.
     Ended {
--- a/crates/anvil_ctl/src/story/timeline.rs
+++ b/crates/anvil_ctl/src/story/timeline.rs
@@ -92,16 +92,29 @@
         None => "never started".to_owned(),
     };
     let end = end_of(&run.verdict, run.status);
+    let report = run.report.as_ref().map(describe_report).unwrap_or_default();
     format!(
         "run for {entry} (attempt {attempt}): {end}, waited {queued_ms} ms, {ran}, {running} running and \
-         {queued} waiting at its end"
+         {queued} waiting at its end{report}"
     )
 }
 
+fn describe_report(report: &line::StatusReport) -> String {
+    let line::StatusReport {
+        incarnation,
+        sequence,
+        age_ms,
+    } = report;
+    format!(", on report {sequence} of {incarnation} from {age_ms} ms before")
+}
+
 fn describe_attempt(trace: &trace::RequestTrace, line: &line::AttemptLine) -> String {
     let step = match &line.step {
         line::AttemptStep::Sent { to } => format!("sent to {}", trace.name_of(to)),
-        line::AttemptStep::Started { run } => format!("handed to the target as run {run}"),
+        line::AttemptStep::Started { run, report } => {
+            let report = report.as_ref().map(describe_report).unwrap_or_default();
+            format!("handed to the target as run {run}{report}")
+        }
         line::AttemptStep::Ended {
             run,
             verdict,
--- a/crates/anvil_ctl/tests/story.rs
+++ b/crates/anvil_ctl/tests/story.rs
@@ -145,7 +145,10 @@
         line(0.5, &serving("000000000000000b")),
         line(
             10.005,
-            &attempt(2, &json!({ "step": "started", "run": 17 })),
+            &attempt(
+                2,
+                &json!({ "step": "started", "run": 17, "incarnation": "i-7f", "report": 4, "report_age_ms": 310 }),
+            ),
         ),
         line(10.010, &attempt(2, &ended)),
     ];
@@ -160,7 +163,8 @@
         lines,
         [
             "   0.000 to   0.000 s  centro-a-1               attempt 2: sent to centro-b-2",
-            "   0.005 to   0.005 s  centro-b-2               attempt 2: handed to the target as run 17",
+            "   0.005 to   0.005 s  centro-b-2               attempt 2: handed to the target as run 17, \
+             on report 4 of i-7f from 310 ms before",
             "   0.010 to   0.010 s  centro-b-2               attempt 2: run 17 ended not-run: target-refused, \
              request 2 of connection 4, named, 0 unrelated answers",
             "   0.020 to   0.020 s  centro-a-1               attempt 2: taken as not-run: target-refused",
