--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -162,6 +162,11 @@
         self.signal(signal::Signal::SIGTERM)
     }
 
+    /// Requests a check of its settings file.
+    pub fn hang_up(&self) -> eyre::Result<()> {
+        self.signal(signal::Signal::SIGHUP)
+    }
+
     /// Suspends it and waits until each of its threads has stopped.
     ///
     /// The signal takes effect with a delay: a thread that runs on another processor continues for
