Ask a target whether it accepts requests before a process uses it

What callers saw: nothing.

Cause: the acknowledgement ended with the process that gave it. A node has no disk, and a status report doesn't say when it was sent, so a ready report from before the leaving that arrives late, or a second time, is the first that the next process hears of the incarnation. It was taken and held for a lease of six heartbeats; a target that has sent its last call never says otherwise.

Why it works: an incarnation that a process doesn't have in use is asked at its health check before it is used; the target is the one that always knows, also if all nodes restart while the store is away. The target in use stays meanwhile. If it can't answer, its next report has it asked again, and reports that still come 15 s after the first one were sent to this process.

--- a/crates/anvil_core/src/applying.rs
+++ b/crates/anvil_core/src/applying.rs
@@ -158,6 +158,7 @@
             Err(error) => Err(error.to_string()),
         };
         self.accounts_changed();
+        self.ask_unconfirmed();
         self.report_adoption(logged.revision, replaced, adopted);
     }
 
@@ -169,6 +170,7 @@
             Err(error) => Err(error.to_string()),
         };
         self.accounts_changed();
+        self.ask_unconfirmed();
         self.report_adoption(snapshot.revision, replaced, adopted);
     }
 
--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -39,6 +39,8 @@
     /// Messages of the local target that were ignored as outdated or of an unknown service.
     #[serde(rename = "words_ignored")]
     pub messages_ignored: u64,
+    /// Times that an announced target was asked whether it accepts requests before it is used.
+    pub targets_asked: u64,
     /// Crashes of the local target, detected by broken runs.
     pub targets_crashed: u64,
     /// Notices of crashes at other nodes that were not known yet.
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvil_rules::check;
 use anvil_types::{ident, name, rate, store, treatment, verdict};
 use anvil_wire::{call, frame, gossip, suspicion};
 use derive_more::Display;
@@ -71,6 +72,19 @@
     pub timeout: Duration,
 }
 
+/// An order to ask an announced target whether it accepts requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckOrder {
+    /// The incarnation that is asked, as in the answer.
+    pub digest: ident::IncarnationDigest,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The id of the incarnation.
+    pub incarnation: ident::IncarnationId,
+    /// The path at which it answers.
+    pub path: check::CheckPath,
+}
+
 /// A change of state that is logged.
 ///
 /// The text is meant for people. The serialized form is what the log holds: one JSON object whose
@@ -102,6 +116,15 @@
         /// The node that had passed on such an answer, if this node learned of it from there.
         told_by: Option<String>,
     },
+    /// An announced target was asked whether it accepts requests.
+    #[display("target checked: outcome={outcome}")]
+    TargetChecked {
+        /// The incarnation.
+        incarnation: Option<ident::IncarnationId>,
+        /// Its answer.
+        #[serde(flatten)]
+        outcome: event::CheckOutcome,
+    },
     /// The local target crashed while it ran these requests.
     #[display("target crashed: sequence={sequence} suspects={}", suspects.len())]
     TargetCrashed {
@@ -282,6 +305,9 @@
     /// Try whether the target accepts a connection; the result comes back as
     /// [`event::NodeEvent::TargetProbed`].
     ProbeTarget(SocketAddr),
+    /// Ask an announced target whether it accepts requests; the answer comes back as
+    /// [`event::NodeEvent::TargetChecked`].
+    CheckTarget(CheckOrder),
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -8,6 +8,7 @@
 use anvil_types::{account, ident, name, rate, store};
 use anvil_wire::{call, frame, gossip};
 use bytes::Bytes;
+use derive_more::Display;
 use serde::Serialize;
 
 /// A caller's connection that waits for one reply; it has a meaning only inside this process.
@@ -101,6 +102,33 @@
     Other,
 }
 
+/// What a target answered that was asked whether it accepts requests.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum CheckOutcome {
+    /// It accepts them.
+    #[display("accepting")]
+    Accepting,
+    /// It accepts none: it is leaving, or it is not well.
+    #[display("rejecting")]
+    Rejecting,
+    /// It states that it is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// Another incarnation has the address.
+    #[display("replaced")]
+    Replaced {
+        /// That incarnation.
+        holder: ident::IncarnationId,
+    },
+    /// It has nothing at the path, so it can't be asked.
+    #[display("unsupported")]
+    Unsupported,
+    /// There is no answer, or one that says nothing about that.
+    #[display("unknown")]
+    Unknown,
+}
+
 /// What a valid answer of a target states about the target itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetStatement {
@@ -285,6 +313,13 @@
         /// The message.
         message: gossip::GossipMessage,
     },
+    /// An announced target was asked whether it accepts requests.
+    TargetChecked {
+        /// The incarnation that was asked.
+        digest: ident::IncarnationDigest,
+        /// What it answered.
+        outcome: CheckOutcome,
+    },
     /// Whether the target at an address accepted a connection, as
     /// [`ProbeTarget`](crate::effect::NodeEffect::ProbeTarget) requested.
     TargetProbed {
--- a/crates/anvil_core/src/lib.rs
+++ b/crates/anvil_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod applying;
 pub mod calls;
 pub mod config;
+mod confirming;
 mod contexts;
 pub mod counters;
 mod crashes;
--- a/crates/anvil_core/src/operator.rs
+++ b/crates/anvil_core/src/operator.rs
@@ -83,6 +83,7 @@
                 "accounts": self.book.has_partial_accounts(),
             },
             "notices": self.notices_dump(),
+            "unconfirmed_targets": self.unconfirmed_dump(),
         })
     }
 
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -11,9 +11,9 @@
 use rand_core::{Rng, SeedableRng};
 
 use crate::{
-    applying, calls, config, counters, directory, effect, event, fair_lanes, incarnations, keys,
-    memory, notices, overload, quarantine_store, request_log, rulebook, runs, shutdown, stopping,
-    timers,
+    applying, calls, config, confirming, counters, directory, effect, event, fair_lanes,
+    incarnations, keys, memory, notices, overload, quarantine_store, request_log, rulebook, runs,
+    shutdown, stopping, timers,
 };
 
 /// The complete state of a node and its transition function.
@@ -44,6 +44,8 @@
     /// The recent callers, and the handshake with them before this node exits.
     pub(crate) shutdown: shutdown::ShutdownHandshake,
     pub(crate) incarnations: incarnations::IncarnationHistory,
+    /// Announced targets that are not used yet.
+    pub(crate) confirmation: confirming::TargetConfirmation,
     /// What answers told about the targets beside other nodes.
     pub(crate) notices: notices::NoticeTable,
     pub(crate) quarantine_store: quarantine_store::QuarantineStore,
@@ -115,6 +117,7 @@
             stop: stopping::StopPlan::default(),
             shutdown: shutdown::ShutdownHandshake::default(),
             incarnations: incarnations::IncarnationHistory::default(),
+            confirmation: confirming::TargetConfirmation::default(),
             notices: notices::NoticeTable::default(),
             quarantine_store: quarantine_store::QuarantineStore::default(),
             ready: false,
@@ -188,6 +191,7 @@
     ) -> bool {
         let adopted = self.book.adopt(revision, document);
         self.accounts_changed();
+        self.ask_unconfirmed();
         adopted
     }
 
@@ -252,6 +256,9 @@
             event::NodeEvent::TargetProbed { address, accepted } => {
                 self.target_probed(address, accepted);
             }
+            event::NodeEvent::TargetChecked { digest, outcome } => {
+                self.target_checked(digest, &outcome);
+            }
             event::NodeEvent::RunEnded {
                 run,
                 outcome,
--- a/crates/anvil_core/src/reports.rs
+++ b/crates/anvil_core/src/reports.rs
@@ -37,6 +37,9 @@
     /// The target is not used any more.
     #[display("withdrawn")]
     Withdrawn,
+    /// The target is asked before it is used.
+    #[display("unconfirmed")]
+    Unconfirmed,
     /// The report is of an incarnation that is not the one in use, or not in use any more.
     #[display("nothing")]
     Nothing,
--- a/crates/anvil_core/src/rulebook.rs
+++ b/crates/anvil_core/src/rulebook.rs
@@ -35,6 +35,11 @@
         self.revision
     }
 
+    /// Whether any rules are in force.
+    pub fn is_known(&self) -> bool {
+        self.revision > ident::RuleRevision::default()
+    }
+
     /// Counts a request that the revision in force decided.
     pub fn count_decision(&mut self) {
         self.decisions += 1;
--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -81,7 +81,13 @@
     /// Adopts what another node knows of the local target from answers that it passed on, until an
     /// answer arrives here.
     pub(crate) fn told_of_target(&mut self, node: ident::NodeId, notice: call::TargetNotice) {
-        if self.target_digest() != Some(notice.incarnation) || !self.overload.policy.told_notices {
+        if !self.overload.policy.told_notices {
+            return;
+        }
+        if self.target_digest() != Some(notice.incarnation) {
+            if notice.leaving {
+                self.withdraw_unconfirmed(notice.incarnation);
+            }
             return;
         }
         if notice.leaving {
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -19,11 +19,17 @@
                 self.ignore_announcement(message, reports::ReportedState::Ready, status);
                 return;
             }
+            let state = reports::ReportedState::Ready;
+            if self.needs_confirmation(&announcement) {
+                self.log_report(message, state, reports::ReportChange::Unconfirmed);
+                self.confirm_target(announcement);
+                return;
+            }
             let change = match self.is_renewal(&announcement) {
                 true => reports::ReportChange::Renewed,
                 false => reports::ReportChange::Serving,
             };
-            self.log_report(message, reports::ReportedState::Ready, change);
+            self.log_report(message, state, change);
         }
         self.adopt_target(announcement);
     }
@@ -39,7 +45,7 @@
     }
 
     /// Makes the announced target the local target.
-    fn adopt_target(&mut self, announcement: event::TargetAnnouncement) {
+    pub(crate) fn adopt_target(&mut self, announcement: event::TargetAnnouncement) {
         let until = self.now + announcement.lease;
         let known = self.target.as_ref().is_some_and(|target| {
             target.announcement.is_renewed_by(&announcement) && !target.leaving
@@ -165,6 +171,7 @@
             // An incarnation that is leaving doesn't return, so the message also counts if a later
             // one of the same incarnation overtook it.
             incarnations::AnnouncementStatus::Newest | incarnations::AnnouncementStatus::Late => {
+                self.withdraw_unconfirmed(message.digest());
                 if !self.is_current(message) {
                     self.log_report(message, state, reports::ReportChange::Nothing);
                     return;
@@ -197,7 +204,7 @@
     }
 
     /// Logs a report of the target; one that changes nothing only within the budget for such lines.
-    fn log_report(
+    pub(crate) fn log_report(
         &mut self,
         message: &event::TargetIncarnation,
         state: reports::ReportedState,
@@ -207,9 +214,9 @@
         let line = effect::StateChange::TargetReported { report, change };
         match change {
             reports::ReportChange::Serving | reports::ReportChange::Withdrawn => self.report(line),
-            reports::ReportChange::Renewed | reports::ReportChange::Nothing => {
-                self.log_request(line);
-            }
+            reports::ReportChange::Renewed
+            | reports::ReportChange::Unconfirmed
+            | reports::ReportChange::Nothing => self.log_request(line),
         }
     }
 
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -368,6 +368,7 @@
             effect::NodeEffect::Exit => self.nodes.retain(|entry| entry.node != node),
             effect::NodeEffect::CancelRun(_)
             | effect::NodeEffect::ProbeTarget(_)
+            | effect::NodeEffect::CheckTarget(_)
             | effect::NodeEffect::AnswerOperator { .. }
             | effect::NodeEffect::Readiness(_)
             | effect::NodeEffect::Report(_) => {}
--- a/crates/anvil_core/tests/leaving_reports.rs
+++ b/crates/anvil_core/tests/leaving_reports.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anvil_core::{effect, event, reducer, stopping};
+use anvil_rules::{check, document};
 use anvil_testkit::test_cases;
 use anvil_types::{ident, time};
 use rand_core::{Rng, SeedableRng};
@@ -137,6 +138,17 @@
         run: event::RunId,
         expected: String,
     },
+    /// The target at the address answers the node that asks it.
+    Check {
+        process: u64,
+        order: Box<effect::CheckOrder>,
+    },
+    /// The node receives the answer.
+    Checked {
+        process: u64,
+        digest: ident::IncarnationDigest,
+        outcome: event::CheckOutcome,
+    },
     End(ProcessEnd),
     Thaw,
     Start,
@@ -259,7 +271,10 @@
             Action::End(end) => self.end_process(end),
             Action::Start => self.start_process(),
             Action::Thaw => {}
-            Action::Arrive { .. } | Action::Call | Action::RunEnds { .. }
+            Action::Arrive { .. }
+            | Action::Call
+            | Action::RunEnds { .. }
+            | Action::Checked { .. }
                 if self.now < self.frozen_until =>
             {
                 self.schedule(self.frozen_until, action);
@@ -278,6 +293,16 @@
                     known.acknowledged_at.get_or_insert(self.now);
                 }
             }
+            Action::Check { process, order } => self.answer_check(process, &order),
+            Action::Checked {
+                process,
+                digest,
+                outcome,
+            } => {
+                if process == self.process {
+                    self.step(event::NodeEvent::TargetChecked { digest, outcome });
+                }
+            }
             Action::Call => self.call(),
             Action::RunEnds {
                 process,
@@ -306,6 +331,33 @@
         }
     }
 
+    /// Answers a node that asks the target at the address; some answers are lost, and some come late.
+    fn answer_check(&mut self, process: u64, order: &effect::CheckOrder) {
+        let now = self.now;
+        let present = self.incarnations.iter().find(|known| known.works(now));
+        let truth = match present {
+            None => event::CheckOutcome::Unknown,
+            Some(present) if present.id != order.incarnation.to_string() => {
+                let holder = ident::IncarnationId::new(&present.id);
+                event::CheckOutcome::Replaced { holder }
+            }
+            Some(present) if present.is_ready(now) => event::CheckOutcome::Accepting,
+            Some(_) => event::CheckOutcome::Rejecting,
+        };
+        let (delay, outcome) = match self.below(8) {
+            0 => (1_000, event::CheckOutcome::Unknown),
+            1 => (self.below(900), truth),
+            _ => (2, truth),
+        };
+        let digest = order.digest;
+        let checked = Action::Checked {
+            process,
+            digest,
+            outcome,
+        };
+        self.schedule(now + delay, checked);
+    }
+
     /// Sends the report that is due, and schedules the next one.
     fn send_report(&mut self, index: usize) {
         let now = self.now;
@@ -358,7 +410,9 @@
             run_linger: Duration::from_millis(2_100),
             limit: Some(Duration::from_millis(5_500)),
         };
-        self.node = Some(node.with_stop(plan));
+        let mut node = node.with_stop(plan).with_target_checks();
+        assert!(node.adopt_rules(ident::RuleRevision(1), rules()));
+        self.node = Some(node);
     }
 
     fn end_process(&mut self, end: ProcessEnd) {
@@ -423,6 +477,10 @@
         for effect in node.step(local, event) {
             match effect {
                 effect::NodeEffect::RunTarget(order) => self.record_run(&order),
+                effect::NodeEffect::CheckTarget(order) => {
+                    let (process, order) = (self.process, Box::new(order));
+                    self.schedule(self.now + 2, Action::Check { process, order });
+                }
                 effect::NodeEffect::Exit => self.lose_process(DOWN_TIME),
                 _ => {}
             }
@@ -448,6 +506,13 @@
     }
 }
 
+/// Rules with the path at which targets of the service are asked.
+fn rules() -> document::RuleDocument {
+    let path = check::CheckPath::new("/health").unwrap();
+    let checks = check::CheckTable::new(vec![(support::service(), path)]);
+    document::RuleDocument::default().with_checks(checks)
+}
+
 fn ready(incarnation: event::TargetIncarnation, slots: u32) -> event::NodeEvent {
     let event::NodeEvent::TargetAnnounced(announcement) = support::announcement(slots) else {
         unreachable!("announcement() returns an announcement");
--- a/crates/anvil_edge/src/target.rs
+++ b/crates/anvil_edge/src/target.rs
@@ -84,6 +84,17 @@
     /// The meaning of the end of the connection for a body without a stated length.
     fn close_meaning(&self) -> CloseMeaning;
 
+    /// Builds the request that asks a target whether it accepts requests; returns `None` if the dialect
+    /// has no such request.
+    fn build_check(&self, order: &effect::CheckOrder) -> Option<http::Request<Bytes>>;
+
+    /// Determines what an answer with this head to the request of [`Self::build_check`] means.
+    fn check_outcome(
+        &self,
+        order: &effect::CheckOrder,
+        head: &response::Parts,
+    ) -> event::CheckOutcome;
+
     /// Whether a header of the answer is meant for this node only and is not forwarded; `header` is
     /// in lower case.
     fn is_internal_header(&self, header: &str) -> bool;
--- a/crates/anvil_node/src/dialect.rs
+++ b/crates/anvil_node/src/dialect.rs
@@ -109,4 +109,5 @@
         .with_stop(plan)
         .with_expected_service(hosted.service.clone())
         .with_fleet_burst(hosted.retry_burst())
+        .with_target_checks()
 }
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -29,6 +29,10 @@
 /// saves the connection.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Longest time that an announced target has for telling whether it accepts requests. A later report
+/// has it asked again.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// State shared by all exchanges with the target.
 #[derive(Clone, Debug)]
 pub struct TargetExchange {
@@ -151,6 +155,30 @@
         }
     }
 
+    /// Asks an announced target whether it accepts requests, on a connection of its own.
+    pub async fn check(&self, order: &effect::CheckOrder) -> event::CheckOutcome {
+        let Some(request) = self.dialect.build_check(order) else {
+            return event::CheckOutcome::Unsupported;
+        };
+        let asking = self.ask(order, &request);
+        let answer = time::timeout(CHECK_TIMEOUT, asking).await;
+        let outcome = answer.ok().flatten();
+        outcome.unwrap_or(event::CheckOutcome::Unknown)
+    }
+
+    async fn ask(
+        &self,
+        order: &effect::CheckOrder,
+        request: &http::Request<Bytes>,
+    ) -> Option<event::CheckOutcome> {
+        let mut connection = self.pool.open(order.address).await.ok()?;
+        let (reader, mut writer) = connection.stream.split();
+        writer.write_all(&encode(request)).await.ok()?;
+        let mut reader = message::AnswerReader::new(reader, self.memory.begin());
+        let head = reader.head(request.method().as_str()).await.ok()?;
+        Some(self.dialect.check_outcome(order, &head.parts))
+    }
+
     async fn send(
         &self,
         run: &effect::RunOrder,
--- a/crates/anvil_node/src/target/native.rs
+++ b/crates/anvil_node/src/target/native.rs
@@ -85,6 +85,14 @@
         target::CloseMeaning::Truncated
     }
 
+    fn build_check(&self, _: &effect::CheckOrder) -> Option<http::Request<Bytes>> {
+        None
+    }
+
+    fn check_outcome(&self, _: &effect::CheckOrder, _: &response::Parts) -> event::CheckOutcome {
+        event::CheckOutcome::Unsupported
+    }
+
     fn is_internal_header(&self, name: &str) -> bool {
         header::is_own(name)
     }
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -72,6 +72,20 @@
         });
     }
 
+    /// Asks an announced target whether it accepts requests; the answer is sent to the engine as an
+    /// event.
+    pub fn check(&self, order: effect::CheckOrder) {
+        let exchange = self.exchange.clone();
+        let engine = self.engine.clone();
+        self.runtime.spawn(async move {
+            let outcome = exchange.check(&order).await;
+            let digest = order.digest;
+            let checked = event::NodeEvent::TargetChecked { digest, outcome };
+            // Sending fails only if the process is exiting.
+            let _ = engine.send_async(engine::EngineInput::Event(checked)).await;
+        });
+    }
+
     /// Closes the connection of a run, which lets the target cancel it.
     pub fn cancel(&mut self, run: event::RunId) {
         if let Some(cancel) = self.cancels.remove(run) {
--- a/crates/anvil_rules/src/change.rs
+++ b/crates/anvil_rules/src/change.rs
@@ -118,7 +118,7 @@
 impl document::RuleDocument {
     /// Applies a change completely or not at all.
     ///
-    /// It checks neither the base nor the ranges. The node that accepts a change from an operator
+    /// The paths of checks stay; changes don't name them. It checks neither the base nor the ranges. The node that accepts a change from an operator
     /// does that; a node that rejected an already accepted change could never catch up with its
     /// peers.
     pub fn apply(&mut self, change: &RuleChange) -> Result<(), ChangeConflict> {
@@ -132,7 +132,8 @@
         }
         check_count(list.len())?;
         let accounts = accounts.cloned();
-        *self = Self::from_checked(list.into_rules(), accounts);
+        let checks = self.checks().clone();
+        *self = Self::from_checked(list.into_rules(), accounts, checks);
         Ok(())
     }
 
--- a/crates/anvil_rules/src/document.rs
+++ b/crates/anvil_rules/src/document.rs
@@ -5,7 +5,7 @@
 use anvil_types::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{account, change, condition, outcome};
+use crate::{account, change, check, condition, outcome};
 
 /// Maximum number of rules in a document. `docs/design/rules.md` has measurements of matching and
 /// checking up to this size.
@@ -32,13 +32,17 @@
     /// The accounts whose requests are served; `None` if requests need no key.
     #[serde(with = "account::encoding")]
     accounts: Option<Arc<account::AccountTable>>,
+    /// Where targets can be asked whether they accept requests. The codec encodes it by itself, so that
+    /// the bytes of a document without such paths stay what they were.
+    #[serde(skip)]
+    checks: Arc<check::CheckTable>,
 }
 
 impl RuleDocument {
     /// Creates a document from rules in order; fails on a duplicate name or too many rules.
     pub fn new(rules: Vec<NamedRule>) -> Result<Self, change::ChangeConflict> {
         let rules = rules.into_iter().map(Arc::new).collect();
-        let document = Self::from_checked(rules, None);
+        let document = Self::from_checked(rules, None, Arc::default());
         document.check()?;
         Ok(document)
     }
@@ -48,8 +52,25 @@
     pub(crate) const fn from_checked(
         rules: Vec<Arc<NamedRule>>,
         accounts: Option<Arc<account::AccountTable>>,
+        checks: Arc<check::CheckTable>,
     ) -> Self {
-        Self { rules, accounts }
+        Self {
+            rules,
+            accounts,
+            checks,
+        }
+    }
+
+    /// Replaces the paths at which targets can be asked whether they accept requests.
+    #[must_use]
+    pub fn with_checks(self, checks: check::CheckTable) -> Self {
+        let checks = Arc::new(checks);
+        Self { checks, ..self }
+    }
+
+    /// The paths at which targets can be asked whether they accept requests.
+    pub fn checks(&self) -> &Arc<check::CheckTable> {
+        &self.checks
     }
 
     /// Replaces the client accounts; with `None`, requests need no key.
--- a/crates/anvil_rules/src/lib.rs
+++ b/crates/anvil_rules/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod change;
+pub mod check;
 pub mod codec;
 pub mod condition;
 pub mod destination;
--- a/crates/anvil_rules/src/parse.rs
+++ b/crates/anvil_rules/src/parse.rs
@@ -57,7 +57,7 @@
 fn into_document(located: LocatedDocument) -> document::RuleDocument {
     let rules = located.rules.into_iter();
     let rules = rules.map(|located| located.rule).collect();
-    document::RuleDocument::from_checked(rules, located.accounts)
+    document::RuleDocument::from_checked(rules, located.accounts, Arc::default())
 }
 
 fn read_located(file: &str, text: &str) -> Result<LocatedDocument, fault::RuleFaults> {
--- a/crates/anvil_rules/tests/change.rs
+++ b/crates/anvil_rules/tests/change.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvil_rules::{change, codec, document, parse};
+use anvil_rules::{change, check, codec, document, parse};
 use anvil_testkit::test_cases;
 use anvil_types::{ident, name};
 use proptest::prelude::*;
@@ -197,14 +197,48 @@
 fn bytes_of_another_format_version_are_refused() {
     // During a rolling update, a newer node has written the log that an older one reads.
     let mut bytes = codec::encode_document(&document(&[(1, 0)])).expect("encoding succeeds");
-    bytes[0] = 3;
+    bytes[0] = 4;
     let error = codec::decode_document(&bytes).expect_err("another format");
     assert_eq!(
         error.to_string(),
-        "format 3 is not the format 2 of this version"
+        "format 4 is none of the formats of this version"
     );
 }
 
+fn checked_document(paths: &[(&str, &str)]) -> document::RuleDocument {
+    let paths = paths.iter().map(|(service, path)| {
+        let service = name::ServiceName::new(service).expect("a name");
+        (service, check::CheckPath::new(path).expect("a path"))
+    });
+    let checks = check::CheckTable::new(paths.collect());
+    document(&[(1, 0)]).with_checks(checks)
+}
+
+// Guards against a node that takes the rules from another one and loses the paths of the checks.
+#[test]
+fn a_document_keeps_the_paths_of_checks() {
+    let checked = checked_document(&[("portal", "/health"), ("desk", "/up?deep=1")]);
+    let bytes = codec::encode_document(&checked).expect("encoding succeeds");
+    assert_eq!(codec::decode_document(&bytes), Ok(checked));
+}
+
+// Guards against a rolling update in which nodes can't read rules that have no such paths.
+#[test]
+fn a_document_without_checks_has_the_bytes_that_it_had() {
+    let bytes = codec::encode_document(&document(&[(1, 0)])).expect("encoding succeeds");
+    assert_eq!(bytes[0], codec::FORMAT_VERSION);
+}
+
+// Guards against a path in the bytes of another node that breaks the request line.
+#[test]
+fn a_document_with_an_invalid_path_is_refused() {
+    let checked = checked_document(&[("portal", "/health")]);
+    let mut bytes = codec::encode_document(&checked).expect("encoding succeeds");
+    *bytes.last_mut().expect("encoded above") = b' ';
+    let error = codec::decode_document(&bytes).expect_err("an invalid path");
+    assert!(error.to_string().contains("paths of checks"), "{error}");
+}
+
 #[test]
 fn a_document_with_two_rules_of_one_name_is_refused() {
     let mut bytes = codec::encode_document(&document(&[(1, 0)])).expect("encoding succeeds");
