Keep the leaving of an incarnation that is not in use

What callers saw: nothing; a target may get requests for a lease after its leaving was acknowledged, with one process all the time.

Cause: a report of an incarnation that the node doesn't take for the present one was acknowledged and changed nothing. If a late report had put a crashed predecessor in place of the target, the first refusal brought the node back to the target as it was before, ready. And a leaving that was the first report of an incarnation was recorded as known, so that a later report was taken.

Why it works: such a leaving ends the incarnation in the history, and marks the one that the node could come back to.

--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -173,7 +173,11 @@
             incarnations::AnnouncementStatus::Newest | incarnations::AnnouncementStatus::Late => {
                 self.withdraw_unconfirmed(message.digest());
                 if !self.is_current(message) {
-                    self.log_report(message, state, reports::ReportChange::Nothing);
+                    if !terminated {
+                        self.incarnations.retire(self.now, message);
+                    }
+                    let change = self.withdraw_previous(message);
+                    self.log_report(message, state, change);
                     return;
                 }
                 self.log_report(message, state, reports::ReportChange::Withdrawn);
@@ -192,6 +196,23 @@
         }
     }
 
+    /// Records that the previous incarnation is leaving, if `message` is one of its own.
+    ///
+    /// A late report may have put another incarnation in its place, and the refusal that proves the
+    /// report late brings the node back to it.
+    fn withdraw_previous(&mut self, message: &event::TargetIncarnation) -> reports::ReportChange {
+        let previous = self.previous_target.as_mut();
+        let previous =
+            previous.filter(|known| known.announcement.incarnation_id() == Some(&message.id));
+        match previous {
+            Some(previous) => {
+                previous.leaving = true;
+                reports::ReportChange::Withdrawn
+            }
+            None => reports::ReportChange::Nothing,
+        }
+    }
+
     fn ignore_announcement(
         &mut self,
         message: &event::TargetIncarnation,
--- a/crates/anvil_core/tests/leaving_reports.rs
+++ b/crates/anvil_core/tests/leaving_reports.rs
@@ -605,3 +605,13 @@
     a_leaving_beside_a_late_report => (withdrawn("b", 2, false)),
     a_last_call_beside_a_late_report => (withdrawn("b", u64::MAX, true)),
 }
+
+// Guards against a process that uses an incarnation whose leaving was the first that it heard of it.
+#[test]
+fn a_leaving_counts_before_any_other_report() {
+    let mut node = support::entry_node();
+    node.step(support::at(1), withdrawn("a", 5, false));
+    node.step(support::at(2), ready(report("a", 6), 48));
+    let effects = node.step(support::at(3), support::peer_call(1, true));
+    assert!(support::started(&effects).is_empty());
+}
