Give up a request whose connection is not open when its target leaves

What callers saw: 504, may have run, at their deadline, for a request of which no byte was sent: it waited for a connection to a target that had said meanwhile that it was leaving. At a node that was held up it could be sent after the leaving.

Cause: a run counted as handed over once it was ordered, so the leaving refused the queue only, and a connection had a second to open.

Why it works: the leaving withdraws all runs of which no byte was sent, checked before the connection is used, and such a run ends as not run, so that the request goes elsewhere without a retry. It says nothing about a crash.

The simulated callers of leaving_reports now also come through the node itself, and wait for targets and retries there.

--- a/crates/anvil_core/src/crashes.rs
+++ b/crates/anvil_core/src/crashes.rs
@@ -229,6 +229,7 @@
         event::RunOutcome::Answered(_) => Some(quarantine::RunEnd::Failed),
         event::RunOutcome::Unreachable => Some(quarantine::RunEnd::Unreachable),
         event::RunOutcome::Refused
+        | event::RunOutcome::Withdrawn
         | event::RunOutcome::Misdirected { .. }
         | event::RunOutcome::TimedOut
         | event::RunOutcome::Cancelled => Some(quarantine::RunEnd::Unknown),
--- a/crates/anvil_core/src/effect.rs
+++ b/crates/anvil_core/src/effect.rs
@@ -308,6 +308,8 @@
     /// Ask an announced target whether it accepts requests; the answer comes back as
     /// [`event::NodeEvent::TargetChecked`].
     CheckTarget(CheckOrder),
+    /// Give up the runs of which no byte was sent, because the target is leaving.
+    WithdrawRuns,
     /// Close the connection of a run, which tells the target to stop.
     CancelRun(event::RunId),
     /// Answer an operator.
--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -66,6 +66,8 @@
     },
     /// No connection could be opened, so no byte of the request was sent.
     Unreachable,
+    /// The target left before any byte of the request was sent.
+    Withdrawn,
     /// The connection broke after the first byte was sent and before the complete answer arrived.
     Broken {
         /// Whether a part of the answer had arrived.
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -316,6 +316,9 @@
         event::RunOutcome::Unreachable | event::RunOutcome::Misdirected { .. } => {
             verdict::CallVerdict::NotRun(verdict::RefusalReason::Unreachable)
         }
+        event::RunOutcome::Withdrawn => {
+            verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving)
+        }
         event::RunOutcome::Broken { in_answer: false } => {
             verdict::CallVerdict::MayHaveRun(verdict::UncertaintyReason::ConnectionLost)
         }
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -123,6 +123,9 @@
             self.report(effect::StateChange::TargetGone { reason });
             self.publish_target();
             self.drain_admission();
+            if self.runs.running() > 0 {
+                self.effects.push(effect::NodeEffect::WithdrawRuns);
+            }
         }
     }
 
--- a/crates/anvil_core/tests/keyed_fleet/mod.rs
+++ b/crates/anvil_core/tests/keyed_fleet/mod.rs
@@ -369,6 +369,7 @@
             effect::NodeEffect::CancelRun(_)
             | effect::NodeEffect::ProbeTarget(_)
             | effect::NodeEffect::CheckTarget(_)
+            | effect::NodeEffect::WithdrawRuns
             | effect::NodeEffect::AnswerOperator { .. }
             | effect::NodeEffect::Readiness(_)
             | effect::NodeEffect::Report(_) => {}
--- a/crates/anvil_core/tests/leaving_reports.rs
+++ b/crates/anvil_core/tests/leaving_reports.rs
@@ -448,9 +448,12 @@
         let is_offered = is_settled && is_ready && now >= self.frozen_until + SETTLING_TIME;
         self.calls += 1;
         let runs = self.report.served;
-        if self.node.is_some() {
-            self.step(support::peer_call(self.calls, true));
-        }
+        // A caller of this node may wait for a target, and for the pause before a retry.
+        let call = match self.calls.is_multiple_of(3) {
+            true => support::arrival(self.calls, "GET"),
+            false => support::peer_call(self.calls, true),
+        };
+        self.step(call);
         match is_offered {
             true => self.report.offered += 1,
             false => self.report.served = runs,
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -61,6 +61,9 @@
     /// No connection to the target could be opened.
     #[display("target_unreachable")]
     TargetUnreachable,
+    /// The target left before any byte of a request was sent.
+    #[display("target_withdrawn")]
+    TargetWithdrawn,
     /// The target refused a request without running it.
     #[display("target_refused")]
     TargetRefused,
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -235,6 +235,7 @@
             effect::NodeEffect::RunTarget(run) => self.runs.start(*run),
             effect::NodeEffect::ProbeTarget(address) => self.runs.probe(address),
             effect::NodeEffect::CheckTarget(order) => self.runs.check(order),
+            effect::NodeEffect::WithdrawRuns => self.runs.withdraw_unsent(),
             effect::NodeEffect::CancelRun(run) => self.runs.cancel(run),
             effect::NodeEffect::AnswerOperator { handle, answer } => self.answer(handle, answer),
             effect::NodeEffect::SendStoreRequest { id, request } => {
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -16,6 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{header, response};
 use tokio::io::AsyncWriteExt;
+use tokio::sync::watch;
 use tokio::time;
 
 use super::{memory, message, pool};
@@ -121,7 +122,9 @@
 
 impl TargetExchange {
     /// Runs one request; dropping the future closes its connection.
-    pub async fn run(&self, run: effect::RunOrder) -> RunReport {
+    ///
+    /// `withdrawals` changes when the target leaves, which gives the request up if no byte was sent.
+    pub async fn run(&self, run: effect::RunOrder, withdrawals: watch::Receiver<u64>) -> RunReport {
         let deadline = time::Instant::now() + run.timeout;
         let Some(request) = self.dialect.build(&run) else {
             // Not expected, since nodes check requests before they forward them; nothing was sent.
@@ -130,7 +133,7 @@
         let bytes = encode(&request);
         let started_at = time::Instant::now();
         let mut trace = None;
-        let sending = self.send(&run, &bytes, &mut trace);
+        let sending = self.send(&run, &bytes, &mut trace, withdrawals);
         let mut report = match time::timeout_at(deadline, sending).await {
             Ok(report) => report,
             Err(_) => event::RunOutcome::TimedOut.into(),
@@ -184,16 +187,19 @@
         run: &effect::RunOrder,
         bytes: &[u8],
         trace: &mut Option<event::ExchangeTrace>,
+        mut withdrawals: watch::Receiver<u64>,
     ) -> RunReport {
         loop {
             let pooled = self.pool.take(run);
             let is_new = pooled.is_none();
-            let mut connection = match pooled {
-                Some(pooled) => pooled,
-                None => match self.pool.open(run.address).await {
-                    Ok(opened) => opened,
-                    Err(_) => return event::RunOutcome::Unreachable.into(),
-                },
+            // After a pause of the process both may be ready, so the leaving is checked first.
+            let opened = tokio::select! {
+                biased;
+                Ok(()) = withdrawals.changed() => return event::RunOutcome::Withdrawn.into(),
+                opened = self.connect(run, pooled) => opened,
+            };
+            let Ok(mut connection) = opened else {
+                return event::RunOutcome::Unreachable.into();
             };
             match self.exchange(run, &mut connection, bytes, trace).await {
                 Ok(answer) => return self.conclude(run, connection, answer),
@@ -208,6 +214,18 @@
         }
     }
 
+    /// The connection from the pool, or a new one.
+    async fn connect(
+        &self,
+        run: &effect::RunOrder,
+        pooled: Option<pool::TargetConnection>,
+    ) -> Result<pool::TargetConnection, pool::ConnectFailed> {
+        match pooled {
+            Some(pooled) => Ok(pooled),
+            None => self.pool.open(run.address).await,
+        }
+    }
+
     /// Writes the request and reads the answer concurrently.
     ///
     /// A target may answer before it has read a long body; both sides would otherwise wait for each
@@ -397,6 +415,7 @@
             event::RunOutcome::Refused => counters::EdgeCause::TargetRefused,
             event::RunOutcome::Misdirected { .. } => counters::EdgeCause::TargetMisdirected,
             event::RunOutcome::Unreachable => counters::EdgeCause::TargetUnreachable,
+            event::RunOutcome::Withdrawn => counters::EdgeCause::TargetWithdrawn,
             event::RunOutcome::Broken { in_answer: false } => counters::EdgeCause::TargetBroken,
             event::RunOutcome::Broken { in_answer: true } => {
                 counters::EdgeCause::TargetAnswerTruncated
@@ -412,6 +431,7 @@
     match outcome {
         event::RunOutcome::Answered(_) => counters::LatencyOutcome::Answered,
         event::RunOutcome::Refused
+        | event::RunOutcome::Withdrawn
         | event::RunOutcome::Misdirected { .. }
         | event::RunOutcome::Unreachable => counters::LatencyOutcome::NotRun,
         event::RunOutcome::Broken { .. }
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -5,7 +5,7 @@
 use anvil_core::{effect, event};
 use anvil_types::sorted;
 use tokio::runtime;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::exchange;
 use crate::engine;
@@ -17,6 +17,8 @@
     exchange: exchange::TargetExchange,
     engine: engine::EngineSender,
     cancels: sorted::SortedTable<event::RunId, oneshot::Sender<()>>,
+    /// How often the runs were withdrawn of which no byte was sent.
+    withdrawals: watch::Sender<u64>,
 }
 
 impl RunTable {
@@ -32,6 +34,7 @@
             exchange,
             engine,
             cancels,
+            withdrawals: watch::Sender::new(0),
         }
     }
 
@@ -40,11 +43,12 @@
         let id = run.run;
         let (cancel, cancelled) = oneshot::channel();
         self.cancels.insert(id, cancel);
+        let withdrawals = self.withdrawals.subscribe();
         let exchange = self.exchange.clone();
         let engine = self.engine.clone();
         self.runtime.spawn(async move {
             let report = tokio::select! {
-                report = exchange.run(run) => report,
+                report = exchange.run(run, withdrawals) => report,
                 _ = cancelled => event::RunOutcome::Cancelled.into(),
             };
             let ended = event::NodeEvent::RunEnded {
@@ -86,6 +90,11 @@
         });
     }
 
+    /// Gives up the runs of which no byte was sent.
+    pub fn withdraw_unsent(&self) {
+        self.withdrawals.send_modify(|count| *count += 1);
+    }
+
     /// Closes the connection of a run, which lets the target cancel it.
     pub fn cancel(&mut self, run: event::RunId) {
         if let Some(cancel) = self.cancels.remove(run) {
