Read quarantined requests again after the start

What callers saw: after the end of all nodes, a request that had crashed its targets may be run again by all of them.

Cause: each node read the entries in the store once, at its start. That read may be seconds old, and a write whose answer was lost with its node may be carried out later still.

Evidence: a_quarantine_outlasts_all_nodes_that_read_the_store_too_early failed.

Why it works: they are read again 6 s after the first read; a request that is known already, or was answered meanwhile, is not affected.

--- a/crates/anvil_core/src/quarantine_store.rs
+++ b/crates/anvil_core/src/quarantine_store.rs
@@ -28,6 +28,12 @@
 /// harmless.
 const WRITE_DELAY: Duration = Duration::from_secs(2);
 
+/// The time after the first read at which the entries are read again.
+///
+/// The first read may be seconds old, and a write whose answer is lost with its node may be carried out
+/// after it. If all nodes have restarted, nobody else knows of these entries.
+const REREAD_DELAY: Duration = Duration::from_secs(6);
+
 /// First and longest pause after a failed request.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
 
@@ -42,6 +48,35 @@
     Write,
 }
 
+/// The next read of what was quarantined before this node started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PendingRead {
+    /// The first one, due at once.
+    First,
+    /// The second one, and when it is due.
+    Second(time::NodeTime),
+    /// None; both are done.
+    None,
+}
+
+impl PendingRead {
+    fn is_due(self, now: time::NodeTime) -> bool {
+        match self {
+            Self::First => true,
+            Self::Second(at) => now >= at,
+            Self::None => false,
+        }
+    }
+
+    /// The read after this one, which is done now.
+    fn next(self, now: time::NodeTime) -> Self {
+        match self {
+            Self::First => Self::Second(now + REREAD_DELAY),
+            Self::Second(_) | Self::None => Self::None,
+        }
+    }
+}
+
 /// A quarantined request that this node has to write.
 #[derive(Clone, Copy, Debug)]
 struct UnwrittenRequest {
@@ -56,7 +91,7 @@
     enabled: bool,
     sequence: u64,
     open: Option<StoreStep>,
-    is_read: bool,
+    pending_read: PendingRead,
     unwritten: VecDeque<UnwrittenRequest>,
     retry_at: time::NodeTime,
     backoff: backoff::RetryBackoff,
@@ -69,7 +104,7 @@
             enabled: false,
             sequence: 0,
             open: None,
-            is_read: false,
+            pending_read: PendingRead::First,
             unwritten: VecDeque::new(),
             retry_at: time::NodeTime::START,
             backoff: backoff::RetryBackoff::new(first, longest),
@@ -135,7 +170,7 @@
         if !store.enabled || store.open.is_some() || now < store.retry_at {
             return;
         }
-        if !store.is_read {
+        if store.pending_read.is_due(now) {
             let request = store::StoreRequest::List {
                 prefix: store::StoreKey::new(KEY_PREFIX),
                 after: None,
@@ -179,7 +214,10 @@
                 StoreStep::Read,
                 store::StoreOutcome::Done(store::StoreReply::Listed { entries, .. }),
             ) => {
-                store.is_read = true;
+                store.pending_read = store.pending_read.next(self.now);
+                if let PendingRead::Second(at) = store.pending_read {
+                    self.timers.set(at, timers::TimerKind::QuarantineStore);
+                }
                 let values = entries.iter().map(|entry| &entry.value);
                 let requests: Vec<_> = values
                     .filter_map(|value| suspicion::QuarantinedRequest::from_value(value))
--- a/crates/anvil_core/tests/quarantined.rs
+++ b/crates/anvil_core/tests/quarantined.rs
@@ -152,15 +152,12 @@
     }
 }
 
-// Guards against a quarantine that ends with the nodes that know of it.
-#[test]
-fn a_quarantine_outlasts_all_nodes_and_an_outage_of_the_store() {
-    let poison = ident::RequestFingerprint(7);
-    let mut store = fake::FakeStore::new(1);
-    let mut node = support::target_node(8).with_store();
-    run(&mut node, &mut store, 10..30_000, Vec::new());
-    store.faults.down = true;
-    hear_crashes(&mut node, 30_000, poison, 3);
+/// Lets the target of `node` crash at 30 s as the fourth one that runs the request.
+fn crash_target(
+    node: &mut reducer::NodeReducer,
+    poison: ident::RequestFingerprint,
+) -> Vec<effect::NodeEffect> {
+    hear_crashes(node, 30_000, poison, 3);
     let effects = node.step(at(30_001), peer_call(7, true));
     let broken = event::NodeEvent::RunEnded {
         run: started(&effects)[0],
@@ -177,7 +174,36 @@
         address: address.expect("the target is probed"),
         accepted: false,
     };
-    let effects = node.step(at(30_003), refused);
+    node.step(at(30_003), refused)
+}
+
+// Guards against a quarantine that is unknown to all nodes that have restarted, since they read the store
+// before it showed the entry: the write was carried out late, or the read was seconds old.
+#[test]
+fn a_quarantine_outlasts_all_nodes_that_read_the_store_too_early() {
+    let poison = ident::RequestFingerprint(7);
+    let mut store = fake::FakeStore::new(1);
+    let mut node = support::target_node(8).with_store();
+    run(&mut node, &mut store, 10..30_000, Vec::new());
+    let effects = crash_target(&mut node, poison);
+    let mut successor = support::target_node(8).with_store();
+    run(&mut successor, &mut store, 30_010..31_000, Vec::new());
+    run(&mut node, &mut store, 31_000..34_000, effects);
+    run(&mut successor, &mut store, 34_000..50_000, Vec::new());
+    let effects = successor.step(at(50_001), peer_call(7, true));
+    assert!(started(&effects).is_empty());
+    assert!(is_refused(&effects));
+}
+
+// Guards against a quarantine that ends with the nodes that know of it.
+#[test]
+fn a_quarantine_outlasts_all_nodes_and_an_outage_of_the_store() {
+    let poison = ident::RequestFingerprint(7);
+    let mut store = fake::FakeStore::new(1);
+    let mut node = support::target_node(8).with_store();
+    run(&mut node, &mut store, 10..30_000, Vec::new());
+    store.faults.down = true;
+    let effects = crash_target(&mut node, poison);
     run(&mut node, &mut store, 30_010..35_000, effects);
     store.faults.down = false;
     store.faults.lost_answers = 50;
