Learn the rate of a target from the answer to its check

What callers saw: nothing; a target that names a rate may get more than it names after all nodes have restarted at once, as nobody knows the rate before its first answer.

A rate in it is recorded like one in any answer; its absence changes nothing, as other nodes may have been told a rate.

a_rate_is_learned_from_the_check_of_the_target fails without the call.

--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -321,6 +321,8 @@
         digest: ident::IncarnationDigest,
         /// What it answered.
         outcome: CheckOutcome,
+        /// What the answer stated about the target; none without one.
+        statement: Option<TargetStatement>,
     },
     /// Whether the target at an address accepted a connection, as
     /// [`ProbeTarget`](crate::effect::NodeEffect::ProbeTarget) requested.
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -256,8 +256,15 @@
             event::NodeEvent::TargetProbed { address, accepted } => {
                 self.target_probed(address, accepted);
             }
-            event::NodeEvent::TargetChecked { digest, outcome } => {
+            event::NodeEvent::TargetChecked {
+                digest,
+                outcome,
+                statement,
+            } => {
                 self.target_checked(digest, &outcome);
+                if let Some(statement) = statement {
+                    self.check_stated(digest, &statement);
+                }
             }
             event::NodeEvent::RunEnded {
                 run,
--- a/crates/anvil_core/src/statements.rs
+++ b/crates/anvil_core/src/statements.rs
@@ -46,6 +46,27 @@
         self.log_rate_change(change, None);
     }
 
+    /// Records the rate that a target stated when it was asked whether it accepts requests.
+    ///
+    /// If all nodes have restarted, nobody knows the rate before the first answer, and the requests
+    /// until then would exceed it. An answer without a rate proves nothing, as other nodes may have been
+    /// told one by answers to requests.
+    pub(crate) fn check_stated(
+        &mut self,
+        digest: ident::IncarnationDigest,
+        statement: &event::TargetStatement,
+    ) {
+        let (now, is_present) = (self.now, self.target_digest() == Some(digest));
+        let event::StatedRate::Limited(rate) = statement.rate else {
+            return;
+        };
+        let admission = self.overload.admission.as_mut();
+        if let Some(admission) = admission.filter(|_| is_present) {
+            let change = admission.rate_mut().record(now, Some(rate));
+            self.log_rate_change(change, None);
+        }
+    }
+
     /// Records the load that the present incarnation of the target states.
     fn load_stated(&mut self, statement: event::LoadStatement) {
         if !self.overload.policy.expected_completion {
--- a/crates/anvil_core/tests/leaving_reports.rs
+++ b/crates/anvil_core/tests/leaving_reports.rs
@@ -300,7 +300,11 @@
                 outcome,
             } => {
                 if process == self.process {
-                    self.step(event::NodeEvent::TargetChecked { digest, outcome });
+                    self.step(event::NodeEvent::TargetChecked {
+                        digest,
+                        outcome,
+                        statement: None,
+                    });
                 }
             }
             Action::Call => self.call(),
--- a/crates/anvil_core/tests/stated_facts.rs
+++ b/crates/anvil_core/tests/stated_facts.rs
@@ -8,6 +8,7 @@
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_overload::policy;
+use anvil_rules::{check, document};
 use anvil_testkit::test_cases;
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame};
@@ -140,6 +141,28 @@
     no_node_that_knew_another_incarnation => (&[known("b", Some("5"), false)], 0.0),
 }
 
+// Guards against a target that gets more than the rate which it names from a node that has restarted,
+// together with all others.
+#[test]
+fn a_rate_is_learned_from_the_check_of_the_target() {
+    let path = check::CheckPath::new("/health").unwrap();
+    let checks = check::CheckTable::new(vec![(support::service(), path)]);
+    let rules = document::RuleDocument::default().with_checks(checks);
+    let mut node = support::entry_node().with_target_checks();
+    node.adopt_rules(ident::RuleRevision(1), rules);
+    node.step(at(1), announced("a", 1));
+    let checked = event::NodeEvent::TargetChecked {
+        digest: digest("a"),
+        outcome: event::CheckOutcome::Accepting,
+        statement: Some(event::TargetStatement {
+            rate: limited("7.9"),
+            ..event::TargetStatement::default()
+        }),
+    };
+    node.step(at(2), checked);
+    assert_eq!(named_rate(&mut node, 3), 7.9);
+}
+
 #[test]
 fn the_first_answer_goes_before_what_other_nodes_know() {
     let mut node = limited_node(limited("7.9"));
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -68,6 +68,24 @@
     }
 }
 
+/// What a target answered that was asked whether it accepts requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckReport {
+    /// Whether it accepts them.
+    pub outcome: event::CheckOutcome,
+    /// What the answer stated; none without one.
+    pub statement: Option<event::TargetStatement>,
+}
+
+impl From<event::CheckOutcome> for CheckReport {
+    fn from(outcome: event::CheckOutcome) -> Self {
+        Self {
+            outcome,
+            statement: None,
+        }
+    }
+}
+
 /// An answer as received, before its meaning is acted on.
 struct ReadAnswer {
     parts: response::Parts,
@@ -159,27 +177,30 @@
     }
 
     /// Asks an announced target whether it accepts requests, on a connection of its own.
-    pub async fn check(&self, order: &effect::CheckOrder) -> event::CheckOutcome {
+    pub async fn check(&self, order: &effect::CheckOrder) -> CheckReport {
         let Some(request) = self.dialect.build_check(order) else {
-            return event::CheckOutcome::Unsupported;
+            return event::CheckOutcome::Unsupported.into();
         };
         let asking = self.ask(order, &request);
         let answer = time::timeout(CHECK_TIMEOUT, asking).await;
-        let outcome = answer.ok().flatten();
-        outcome.unwrap_or(event::CheckOutcome::Unknown)
+        let report = answer.ok().flatten();
+        report.unwrap_or_else(|| event::CheckOutcome::Unknown.into())
     }
 
     async fn ask(
         &self,
         order: &effect::CheckOrder,
         request: &http::Request<Bytes>,
-    ) -> Option<event::CheckOutcome> {
+    ) -> Option<CheckReport> {
         let mut connection = self.pool.open(order.address).await.ok()?;
         let (reader, mut writer) = connection.stream.split();
         writer.write_all(&encode(request)).await.ok()?;
         let mut reader = message::AnswerReader::new(reader, self.memory.begin());
         let head = reader.head(request.method().as_str()).await.ok()?;
-        Some(self.dialect.check_outcome(order, &head.parts))
+        Some(CheckReport {
+            outcome: self.dialect.check_outcome(order, &head.parts),
+            statement: Some(self.dialect.statement(&head.parts)),
+        })
     }
 
     async fn send(
--- a/crates/anvil_node/src/target/runs.rs
+++ b/crates/anvil_node/src/target/runs.rs
@@ -82,9 +82,12 @@
         let exchange = self.exchange.clone();
         let engine = self.engine.clone();
         self.runtime.spawn(async move {
-            let outcome = exchange.check(&order).await;
-            let digest = order.digest;
-            let checked = event::NodeEvent::TargetChecked { digest, outcome };
+            let report = exchange.check(&order).await;
+            let checked = event::NodeEvent::TargetChecked {
+                digest: order.digest,
+                outcome: report.outcome,
+                statement: report.statement,
+            };
             // Sending fails only if the process is exiting.
             let _ = engine.send_async(engine::EngineInput::Event(checked)).await;
         });
