Drop a target that waits for its confirmation at its last call

What callers saw: nothing; found by reading the diff. A target whose reports name its start, and its last call none, could be used although that call was acknowledged, if it had answered just before that it accepts requests.

Cause: the confirmation was withdrawn by the hash of id and start, which the last call doesn't give. The users' platform names no start in either.

a_last_call_ends_the_confirmation failed. Now the id alone decides, and the history of incarnations tells for how long that holds, as for a target in use.

--- a/crates/anvil_core/src/confirming.rs
+++ b/crates/anvil_core/src/confirming.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Drops the targets with this id that wait for their confirmation. A last call may name no start, so
+    /// the id alone decides, and the history tells for how long that holds.
+    pub(crate) fn drop_unconfirmed(&mut self, id: &ident::IncarnationId) {
+        let waiting = &mut self.confirmation.waiting;
+        for digest in waiting.keys_where(|known| known.announcement.incarnation_id() == Some(id)) {
+            waiting.remove(digest);
+        }
+    }
+
     fn adopt_confirmed(&mut self, digest: ident::IncarnationDigest) {
         let Some(known) = self.confirmation.waiting.remove(digest) else {
             return;
--- a/crates/anvil_core/src/target.rs
+++ b/crates/anvil_core/src/target.rs
@@ -174,7 +174,7 @@
             // An incarnation that is leaving doesn't return, so the message also counts if a later
             // one of the same incarnation overtook it.
             incarnations::AnnouncementStatus::Newest | incarnations::AnnouncementStatus::Late => {
-                self.withdraw_unconfirmed(message.digest());
+                self.drop_unconfirmed(&message.id);
                 if !self.is_current(message) {
                     if !terminated {
                         self.incarnations.retire(self.now, message);
--- a/crates/anvil_core/tests/leaving_reports.rs
+++ b/crates/anvil_core/tests/leaving_reports.rs
@@ -622,3 +622,26 @@
     let effects = node.step(support::at(3), support::peer_call(1, true));
     assert!(support::started(&effects).is_empty());
 }
+
+// Guards against a target that is used because it answered that it accepts requests just before its last
+// call, which names no start, was acknowledged.
+#[test]
+fn a_last_call_ends_the_confirmation() {
+    let mut node = support::entry_node().with_target_checks();
+    assert!(node.adopt_rules(ident::RuleRevision(1), rules()));
+    let started = event::TargetIncarnation {
+        started_at_ms: Some(1_000),
+        ..report("a", 1)
+    };
+    let digest = started.digest();
+    node.step(support::at(1), ready(started, 48));
+    node.step(support::at(2), withdrawn("a", u64::MAX, true));
+    let checked = event::NodeEvent::TargetChecked {
+        digest,
+        outcome: event::CheckOutcome::Accepting,
+        statement: None,
+    };
+    node.step(support::at(3), checked);
+    let effects = node.step(support::at(4), support::peer_call(1, true));
+    assert!(support::started(&effects).is_empty());
+}
