Count and log requests to the store that the node itself holds back

A request to the store that the node's own budget or queue refused was told as unavailable, without a line and without a counter, as if the store had said so; nothing told how long one waited for a thread.

--- a/crates/anvil_core/src/fleet.rs
+++ b/crates/anvil_core/src/fleet.rs
@@ -94,7 +94,7 @@
 
     pub(crate) fn store_answered(&mut self, id: store::StoreId, outcome: store::StoreOutcome) {
         match id.requester {
-            store::StoreRequester::Fleet => {
+            store::StoreRequester::Fleet | store::StoreRequester::Rules => {
                 let effects = self.fleet.on_store(self.now, id, outcome);
                 self.apply_fleet_effects(effects);
             }
@@ -216,6 +216,7 @@
             "rules_compared": self.fleet.is_ready(),
             "watches_rules": self.fleet.watches_rules(),
             "rules_confirmed_micros": self.fleet.rules_confirmed_at(),
+            "rules_stale_after_micros": u64::try_from(self.fleet.rules_stale_age().as_micros()).unwrap_or(u64::MAX),
             "members": self.fleet.table().live(),
             "remembered_gone": self.fleet.table().tombstones(),
             "suspects": suspects,
--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -1,6 +1,7 @@
 //! Rule changes: applying them in order, watching for newer ones, and when a node may serve by them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_types::{ident, store, time};
 use anvil_wire::gossip;
@@ -239,6 +240,11 @@
         self.rules.answered_at
     }
 
+    /// The age of the latest known read of the rule document at which this node reads it itself.
+    pub fn rules_stale_age(&self) -> Duration {
+        self.rules.refresh.stale_age()
+    }
+
     /// Decides whether this node watches the rule document itself.
     ///
     /// Every node computes the same order of the nodes of its zone, so no agreement is needed, and
--- a/crates/anvil_membership/src/refresh.rs
+++ b/crates/anvil_membership/src/refresh.rs
@@ -121,6 +121,11 @@
         age.unwrap_or(gossip::ConfirmationAge::UNKNOWN)
     }
 
+    /// The age of the latest confirmation at which this node reads.
+    pub fn stale_age(&self) -> Duration {
+        self.stale_age
+    }
+
     /// When this node reads the document next, in a fleet of `members` nodes.
     pub fn next_read_at(&self, members: usize) -> time::NodeTime {
         let members = u32::try_from(members).unwrap_or(u32::MAX);
--- a/crates/anvil_membership/src/store_requests.rs
+++ b/crates/anvil_membership/src/store_requests.rs
@@ -59,6 +59,23 @@
         Self::Propose,
     ];
 
+    /// The requester that the outcome is returned to.
+    const fn requester(self) -> store::StoreRequester {
+        match self {
+            Self::WatchLog | Self::ReadLog | Self::ReadManifest | Self::ReadChunk => {
+                store::StoreRequester::Rules
+            }
+            Self::ListContacts
+            | Self::GrantLease { .. }
+            | Self::ClaimSlot { .. }
+            | Self::RenewLease
+            | Self::ReleaseSlot
+            | Self::Propose
+            | Self::Resolve
+            | Self::Snapshot => store::StoreRequester::Fleet,
+        }
+    }
+
     /// The index of the purpose's counter and the counter's metric name.
     pub const fn counter(self) -> (usize, &'static str) {
         match self {
@@ -102,7 +119,7 @@
             times_out_at: now + REQUEST_TIMEOUT,
         });
         store::StoreId {
-            requester: store::StoreRequester::Fleet,
+            requester: purpose.requester(),
             sequence,
         }
     }
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -4,12 +4,15 @@
 
 use std::time::Duration;
 
+use anvil_types::store;
 use derive_more::Display;
 use prometheus::core::Collector;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
+use crate::store::holding;
+
 /// Events that the edges count; each is a value of the label `cause`.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum EdgeCause {
@@ -174,6 +177,9 @@
     events: IntCounterVec,
     calls: HistogramVec,
     runs: HistogramVec,
+    store_refusals: IntCounterVec,
+    store_waits: HistogramVec,
+    queued_inputs: IntGauge,
     caller_connections: IntGauge,
     target_connections: IntGauge,
     peer_connections: IntGauge,
@@ -200,6 +206,24 @@
             "anvil_run_duration_seconds",
             "Time of a run at the local target by outcome, in seconds.",
         )?;
+        let opts = Opts::new(
+            "anvil_store_refused_total",
+            "Requests to the store that the node did not send, by requester and reason, in requests since the start.",
+        );
+        let store_refusals = IntCounterVec::new(opts, &["requester", "reason"])?;
+        register(&registry, &store_refusals)?;
+        let opts = HistogramOpts::new(
+            "anvil_store_wait_seconds",
+            "Time for which a request to the store waited for a thread, by requester, in seconds.",
+        );
+        let opts = opts.buckets(LATENCY_BOUNDS.to_vec());
+        let store_waits = HistogramVec::new(opts, &["requester"])?;
+        register(&registry, &store_waits)?;
+        let queued_inputs = gauge(
+            &registry,
+            "anvil_queued_inputs",
+            "Inputs that waited for the reducer when it last looked, in inputs.",
+        )?;
         let caller_connections = gauge(
             &registry,
             "anvil_caller_connections",
@@ -225,6 +249,9 @@
             events,
             calls,
             runs,
+            store_refusals,
+            store_waits,
+            queued_inputs,
             caller_connections,
             target_connections,
             peer_connections,
@@ -257,6 +284,28 @@
         observe(&self.runs, outcome, duration);
     }
 
+    /// Counts a request to the store that the node did not send.
+    pub fn count_store_refusal(
+        &self,
+        requester: store::StoreRequester,
+        reason: holding::RefusalReason,
+    ) {
+        let labels = [requester.to_string(), reason.to_string()];
+        let refusals = self.store_refusals.with_label_values(&labels);
+        refusals.inc();
+    }
+
+    /// Records the time for which a request to the store waited for a thread.
+    pub fn observe_store_wait(&self, requester: store::StoreRequester, wait: Duration) {
+        let waits = self.store_waits.with_label_values(&[requester.to_string()]);
+        waits.observe(wait.as_secs_f64());
+    }
+
+    /// Inputs that wait for the reducer.
+    pub fn queued_inputs(&self) -> &IntGauge {
+        &self.queued_inputs
+    }
+
     /// Open connections of callers.
     pub fn caller_connections(&self) -> &IntGauge {
         &self.caller_connections
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -12,6 +12,7 @@
 
 use anvil_core::{answer, effect, event, reducer};
 use anvil_types::sorted;
+use prometheus::IntGauge;
 use tokio::sync::oneshot;
 
 use crate::{clock, datagram, peer, store, target};
@@ -77,6 +78,8 @@
     pub runs: target::runs::RunTable,
     /// Requests to the platform's store.
     pub store: store::StoreQueue,
+    /// The number of inputs that wait for the reducer.
+    pub queued_inputs: IntGauge,
     /// Whether callers should send requests to this node; read by the control edge.
     pub ready: Arc<AtomicBool>,
     /// Reply channels of the waiting callers.
@@ -128,6 +131,8 @@
             }
             inputs_taken = inputs_taken.wrapping_add(1);
             if inputs_taken.is_multiple_of(INPUTS_PER_YIELD) {
+                let queued = i64::try_from(inputs.len()).unwrap_or(i64::MAX);
+                self.queued_inputs.set(queued);
                 // Under load the queue is never empty. Without a yield, the task that this one woke
                 // last, which no other thread can steal, would never run.
                 tokio::task::yield_now().await;
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -257,7 +257,7 @@
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
         let clock = clock::NodeClock::start();
         let client = self.dialects.store.clone();
-        let store = store::StoreQueue::start(client, clock, self.engine.clone())?;
+        let store = store::StoreQueue::start(client, clock, self.engine.clone(), &self.counters)?;
         let ready = Arc::new(AtomicBool::new(false));
         self.start_control(sockets.control, &ready)?;
         let engine = engine::NodeEngine {
@@ -266,6 +266,7 @@
             datagrams: datagram::DatagramSender::new(sending, sealer, self.counters.clone()),
             runs: runs::RunTable::new(self.runtime.clone(), exchange, self.engine.clone()),
             store,
+            queued_inputs: self.counters.queued_inputs().clone(),
             ready,
             callers: sorted::SortedTable::default(),
             operators: sorted::SortedTable::default(),
--- a/crates/anvil_node/src/store.rs
+++ b/crates/anvil_node/src/store.rs
@@ -8,10 +8,12 @@
 
 use anvil_core::event;
 use anvil_store::budget;
-use anvil_types::store;
+use anvil_types::{store, time};
 use eyre::WrapErr;
 
-use crate::{clock, dialect, engine};
+use crate::{clock, counters, dialect, engine};
+
+pub mod holding;
 
 /// Maximum number of requests that wait for the store's threads, per queue.
 pub const MAX_QUEUED_REQUESTS: usize = 256;
@@ -37,6 +39,7 @@
 struct QueuedRequest {
     id: store::StoreId,
     request: store::StoreRequest,
+    queued_at: time::NodeTime,
 }
 
 /// Queues requests for the store's threads; owned by the reducer's task.
@@ -44,6 +47,8 @@
 pub struct StoreQueue {
     calls: flume::Sender<QueuedRequest>,
     watches: flume::Sender<QueuedRequest>,
+    clock: clock::NodeClock,
+    holding: Arc<holding::HoldingRecord>,
 }
 
 /// State shared by the store's threads.
@@ -54,6 +59,7 @@
     key_budget: Arc<Mutex<budget::CallBudget>>,
     clock: clock::NodeClock,
     engine: engine::EngineSender,
+    holding: Arc<holding::HoldingRecord>,
 }
 
 impl StoreQueue {
@@ -62,10 +68,17 @@
         client: Option<Arc<dyn dialect::StoreDialect>>,
         clock: clock::NodeClock,
         engine: engine::EngineSender,
+        counters: &counters::EdgeCounters,
     ) -> eyre::Result<Self> {
         let (calls, waiting_calls) = flume::bounded(MAX_QUEUED_REQUESTS);
         let (watches, waiting_watches) = flume::bounded(MAX_QUEUED_REQUESTS);
-        let queue = Self { calls, watches };
+        let holding = Arc::new(holding::HoldingRecord::new(counters.clone()));
+        let queue = Self {
+            calls,
+            watches,
+            clock,
+            holding: holding.clone(),
+        };
         let Some(client) = client else {
             return Ok(queue);
         };
@@ -86,6 +99,7 @@
             ))),
             clock,
             engine,
+            holding,
         };
         for _ in 0..CALL_THREADS {
             worker.clone().spawn(waiting_calls.clone())?;
@@ -106,7 +120,16 @@
             store::StoreRequest::Watch { .. } => &self.watches,
             _ => &self.calls,
         };
-        let refused = queue.try_send(QueuedRequest { id, request }).is_err();
+        let queued = QueuedRequest {
+            id,
+            request,
+            queued_at: self.clock.now(),
+        };
+        let refused = queue.try_send(queued).is_err();
+        if refused {
+            self.holding
+                .refused(id.requester, holding::RefusalReason::QueueFull);
+        }
         // The request was not sent, so it certainly was not carried out.
         let outcome = store::StoreOutcome::Unavailable;
         refused.then_some(event::NodeEvent::StoreAnswered { id, outcome })
@@ -133,9 +156,12 @@
     fn carry_out(&self, queued: &QueuedRequest) -> store::StoreOutcome {
         let now = self.clock.now();
         let requester = queued.id.requester;
-        if self.budget(requester).begin(now).is_err() {
+        let begun = self.budget(requester).begin(now);
+        if let Err(refusal) = begun {
+            self.holding.refused(requester, refusal.into());
             return store::StoreOutcome::Unavailable;
         }
+        self.holding.sent(requester, now.since(queued.queued_at));
         let outcome = self.client.carry_out(&queued.request);
         self.budget(requester).end();
         outcome
@@ -146,7 +172,9 @@
         requester: store::StoreRequester,
     ) -> std::sync::MutexGuard<'_, budget::CallBudget> {
         let budget = match requester {
-            store::StoreRequester::Fleet | store::StoreRequester::Quarantine => &self.budget,
+            store::StoreRequester::Fleet
+            | store::StoreRequester::Quarantine
+            | store::StoreRequester::Rules => &self.budget,
             store::StoreRequester::Keys => &self.key_budget,
         };
         budget.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/anvil_types/src/store.rs
+++ b/crates/anvil_types/src/store.rs
@@ -17,7 +17,7 @@
 /// lookup table.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum StoreRequester {
-    /// Membership, contact entries and rule changes.
+    /// Contact entries, operators' changes and snapshots.
     #[display("fleet")]
     Fleet,
     /// The owners of idempotency keys.
@@ -26,6 +26,9 @@
     /// The quarantine of requests that crash their targets.
     #[display("quarantine")]
     Quarantine,
+    /// Reads and watches of the rules in force.
+    #[display("rules")]
+    Rules,
 }
 
 /// Identifies a request to the store, unique within one run of a node.
