--- a/crates/anvil_membership/tests/harness/mod.rs
+++ b/crates/anvil_membership/tests/harness/mod.rs
@@ -239,6 +239,12 @@
         index
     }
 
+    /// The slot at whose address a node runs.
+    pub fn slot(&self, index: usize) -> usize {
+        let udp = self.nodes[index].udp;
+        (0..).find(|slot| address(*slot) == udp).expect("a slot")
+    }
+
     /// Stops a node without an announcement.
     pub fn crash(&mut self, index: usize) {
         self.nodes[index].running = false;
