End the longer pauses of failed reads as soon as the store answers anybody

What callers saw: requests decided by an older revision, later than the bound, at nodes in several zones.

After an outage the first nodes to read tell the others, so that these have no reason to read and keep the long age, until a poll 18 s later on average. If the watches fail then, the alarm that is meant for this does not go off.

The pause still doubles while the store answers nobody, which is what it is for.

--- a/crates/anvil_membership/src/fleet/rules.rs
+++ b/crates/anvil_membership/src/fleet/rules.rs
@@ -177,6 +177,7 @@
         };
         self.rules.backoff.reset();
         self.rules.store_failed = false;
+        self.rules.refresh.store_answered();
         let decoded = entries.iter();
         let decoded = decoded.filter_map(|entry| gossip::LoggedChange::from_value(&entry.value));
         let changes: Vec<_> = decoded.collect();
--- a/crates/anvil_membership/src/refresh.rs
+++ b/crates/anvil_membership/src/refresh.rs
@@ -27,7 +27,7 @@
 /// reads reaches most others before they do.
 const STALE_SPREAD: Duration = Duration::from_millis(600);
 
-/// Number of failed reads in a row up to which the time to the next one doubles.
+/// How often the time to the next read doubles as reads fail in a row.
 const MAX_DOUBLINGS: u32 = 3;
 
 /// Age up to which a confirmation is not told again: of many nodes that read at the same moment, a
@@ -50,8 +50,9 @@
     read_ended_at: time::NodeTime,
     /// Time to the next poll, as a multiple of the average interval of a node's polls.
     poll_factor: f64,
-    /// Age of the latest confirmation at which this node reads.
+    /// Age of the latest confirmation at which this node reads, unless its reads fail.
     stale_age: Duration,
+    /// Failed reads since the store was last known to answer anybody.
     failures: u32,
 }
 
@@ -87,27 +88,38 @@
         self.confirmed_at = previous.max(Some(self.read_sent_at));
         self.own_read_at = Some(self.read_sent_at);
         let is_told = previous.is_some_and(|at| now.since(at) <= TOLD_AGE);
-        self.failures = 0;
+        self.store_answered();
         self.draw(now, choice);
         !is_told
     }
 
+    /// Records that the store answers, whatever it was asked; its next silence is a new one.
+    pub fn store_answered(&mut self) {
+        self.failures = 0;
+    }
+
     /// Records a failed read of this node.
     ///
     /// It is not repeated at once, since the read of any other node does as well. If nobody reaches
     /// the store, the pauses become longer.
     pub fn read_failed(&mut self, now: time::NodeTime, choice: &mut random::ChoiceSource) {
         self.draw(now, choice);
-        self.stale_age *= 1 << self.failures;
-        self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
+        self.failures = self.failures.saturating_add(1);
     }
 
     /// Records what another node told.
+    ///
+    /// If that node read after this one had failed, the store is back for some. Pauses that stayed
+    /// long would leave this node without an alarm when the others fall silent.
     pub fn heard(&mut self, now: time::NodeTime, age: gossip::ConfirmationAge) {
         let Some(span) = age.span() else {
             return;
         };
-        self.confirmed_at = self.confirmed_at.max(Some(now - span));
+        let read_at = now - span;
+        self.confirmed_at = self.confirmed_at.max(Some(read_at));
+        if read_at > self.read_ended_at {
+            self.store_answered();
+        }
     }
 
     /// The age of this node's own latest read.
@@ -123,7 +135,8 @@
 
     /// The age of the latest confirmation at which this node reads.
     pub fn stale_age(&self) -> Duration {
-        self.stale_age
+        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        self.stale_age * (1 << doublings)
     }
 
     /// When this node reads the document next, in a fleet of `members` nodes.
@@ -134,7 +147,7 @@
             .max(NODE_POLL_INTERVAL);
         let poll_at = self.read_ended_at + interval.mul_f64(self.poll_factor);
         let known_at = self.confirmed_at.max(Some(self.read_ended_at));
-        let stale_at = known_at.unwrap_or(self.read_ended_at) + self.stale_age;
+        let stale_at = known_at.unwrap_or(self.read_ended_at) + self.stale_age();
         poll_at.min(stale_at)
     }
 
