--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -257,7 +257,7 @@
         let sealer = sealing::DatagramSealer::new(ring, self.bound.node);
         let clock = clock::NodeClock::start();
         let client = self.dialects.store.clone();
-        let store = store::StoreQueue::start(client, clock, self.engine.clone(), &self.counters)?;
+        let store = store::StoreQueue::start(client, clock, &self.engine, &self.counters)?;
         let ready = Arc::new(AtomicBool::new(false));
         self.start_control(sockets.control, &ready)?;
         let engine = engine::NodeEngine {
--- a/crates/anvil_node/src/store.rs
+++ b/crates/anvil_node/src/store.rs
@@ -8,22 +8,16 @@
 
 use anvil_core::event;
 use anvil_store::budget;
-use anvil_types::{store, time};
+use anvil_types::{sorted, store, time};
 use eyre::WrapErr;
 
 use crate::{clock, counters, dialect, engine};
 
 pub mod holding;
 
-/// Maximum number of requests that wait for the store's threads, per queue.
+/// Maximum number of requests that wait for the store's threads, per lane.
 pub const MAX_QUEUED_REQUESTS: usize = 256;
 
-/// Threads for requests other than watches.
-const CALL_THREADS: u32 = 3;
-
-/// Threads for watches; a watch waits for many seconds and must not delay a lease renewal.
-const WATCH_THREADS: u32 = 1;
-
 /// Refill interval of the request budget for the owners of keys.
 ///
 /// The owners limit themselves to a lower rate and a smaller burst than this and [`KEY_BURST`]. The
@@ -34,6 +28,78 @@
 /// Maximum burst of requests for the owners of keys.
 const KEY_BURST: u32 = 192;
 
+/// What a request does while the budget of its lane is used up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SpentBudget {
+    /// It waits, so that its requester does not take the pause for a failure of the store.
+    Wait,
+    /// It is refused, and its requester decides whether it is still wanted later.
+    Refuse,
+}
+
+/// A group of requests with a queue, threads and a budget of its own.
+///
+/// Calls that hang, or that many requests need, delay only others of their lane. News of the rules
+/// therefore shares a lane with nothing else, and watches, which wait for seconds, not even with reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StoreLane {
+    RuleWatches,
+    RuleReads,
+    Members,
+    Keys,
+}
+
+impl StoreLane {
+    const ALL: [Self; 4] = [
+        Self::RuleWatches,
+        Self::RuleReads,
+        Self::Members,
+        Self::Keys,
+    ];
+
+    fn of(requester: store::StoreRequester, request: &store::StoreRequest) -> Self {
+        match requester {
+            store::StoreRequester::Rules => match request {
+                store::StoreRequest::Watch { .. } => Self::RuleWatches,
+                _ => Self::RuleReads,
+            },
+            store::StoreRequester::Fleet | store::StoreRequester::Quarantine => Self::Members,
+            store::StoreRequester::Keys => Self::Keys,
+        }
+    }
+
+    /// The number of threads, and so of requests in progress.
+    fn threads(self) -> u32 {
+        match self {
+            Self::RuleWatches | Self::RuleReads => 1,
+            Self::Members => 2,
+            Self::Keys => 3,
+        }
+    }
+
+    fn limits(self) -> budget::BudgetLimits {
+        let limits = budget::BudgetLimits {
+            concurrent: self.threads(),
+            ..budget::BudgetLimits::default()
+        };
+        match self {
+            Self::RuleWatches | Self::RuleReads | Self::Members => limits,
+            Self::Keys => budget::BudgetLimits {
+                interval: KEY_INTERVAL,
+                burst: KEY_BURST,
+                ..limits
+            },
+        }
+    }
+
+    fn when_spent(self) -> SpentBudget {
+        match self {
+            Self::RuleWatches | Self::RuleReads => SpentBudget::Wait,
+            Self::Members | Self::Keys => SpentBudget::Refuse,
+        }
+    }
+}
+
 /// One request that waits for the store's threads.
 #[derive(Clone, Debug)]
 struct QueuedRequest {
@@ -45,18 +111,17 @@
 /// Queues requests for the store's threads; owned by the reducer's task.
 #[derive(Debug)]
 pub struct StoreQueue {
-    calls: flume::Sender<QueuedRequest>,
-    watches: flume::Sender<QueuedRequest>,
+    lanes: sorted::SortedTable<StoreLane, flume::Sender<QueuedRequest>>,
     clock: clock::NodeClock,
     holding: Arc<holding::HoldingRecord>,
 }
 
-/// State shared by the store's threads.
+/// State shared by the threads of one lane.
 #[derive(Clone)]
 struct StoreWorker {
+    lane: StoreLane,
     client: Arc<dyn dialect::StoreDialect>,
     budget: Arc<Mutex<budget::CallBudget>>,
-    key_budget: Arc<Mutex<budget::CallBudget>>,
     clock: clock::NodeClock,
     engine: engine::EngineSender,
     holding: Arc<holding::HoldingRecord>,
@@ -67,45 +132,33 @@
     pub fn start(
         client: Option<Arc<dyn dialect::StoreDialect>>,
         clock: clock::NodeClock,
-        engine: engine::EngineSender,
+        engine: &engine::EngineSender,
         counters: &counters::EdgeCounters,
     ) -> eyre::Result<Self> {
-        let (calls, waiting_calls) = flume::bounded(MAX_QUEUED_REQUESTS);
-        let (watches, waiting_watches) = flume::bounded(MAX_QUEUED_REQUESTS);
         let holding = Arc::new(holding::HoldingRecord::new(counters.clone()));
-        let queue = Self {
-            calls,
-            watches,
+        let mut queue = Self {
+            lanes: sorted::SortedTable::default(),
             clock,
             holding: holding.clone(),
         };
         let Some(client) = client else {
             return Ok(queue);
         };
-        let limits = budget::BudgetLimits {
-            concurrent: CALL_THREADS + WATCH_THREADS,
-            ..budget::BudgetLimits::default()
-        };
-        let worker = StoreWorker {
-            client,
-            budget: Arc::new(Mutex::new(budget::CallBudget::new(limits, clock.now()))),
-            key_budget: Arc::new(Mutex::new(budget::CallBudget::new(
-                budget::BudgetLimits {
-                    interval: KEY_INTERVAL,
-                    burst: KEY_BURST,
-                    ..limits
-                },
-                clock.now(),
-            ))),
-            clock,
-            engine,
-            holding,
-        };
-        for _ in 0..CALL_THREADS {
-            worker.clone().spawn(waiting_calls.clone())?;
-        }
-        for _ in 0..WATCH_THREADS {
-            worker.clone().spawn(waiting_watches.clone())?;
+        for lane in StoreLane::ALL {
+            let (sender, requests) = flume::bounded(MAX_QUEUED_REQUESTS);
+            queue.lanes.insert(lane, sender);
+            let budget = budget::CallBudget::new(lane.limits(), clock.now());
+            let worker = StoreWorker {
+                lane,
+                client: client.clone(),
+                budget: Arc::new(Mutex::new(budget)),
+                clock,
+                engine: engine.clone(),
+                holding: holding.clone(),
+            };
+            for _ in 0..lane.threads() {
+                worker.clone().spawn(requests.clone())?;
+            }
         }
         Ok(queue)
     }
@@ -116,23 +169,25 @@
         id: store::StoreId,
         request: store::StoreRequest,
     ) -> Option<event::NodeEvent> {
-        let queue = match request {
-            store::StoreRequest::Watch { .. } => &self.watches,
-            _ => &self.calls,
+        // The request was not sent, so it certainly was not carried out.
+        let refusal = event::NodeEvent::StoreAnswered {
+            id,
+            outcome: store::StoreOutcome::Unavailable,
+        };
+        let Some(lane) = self.lanes.get(StoreLane::of(id.requester, &request)) else {
+            return Some(refusal);
         };
         let queued = QueuedRequest {
             id,
             request,
             queued_at: self.clock.now(),
         };
-        let refused = queue.try_send(queued).is_err();
-        if refused {
-            self.holding
-                .refused(id.requester, holding::RefusalReason::QueueFull);
+        if lane.try_send(queued).is_ok() {
+            return None;
         }
-        // The request was not sent, so it certainly was not carried out.
-        let outcome = store::StoreOutcome::Unavailable;
-        refused.then_some(event::NodeEvent::StoreAnswered { id, outcome })
+        self.holding
+            .refused(id.requester, holding::RefusalReason::QueueFull);
+        Some(refusal)
     }
 }
 
@@ -154,30 +209,36 @@
     }
 
     fn carry_out(&self, queued: &QueuedRequest) -> store::StoreOutcome {
-        let now = self.clock.now();
         let requester = queued.id.requester;
-        let begun = self.budget(requester).begin(now);
-        if let Err(refusal) = begun {
+        if let Err(refusal) = self.begin() {
             self.holding.refused(requester, refusal.into());
             return store::StoreOutcome::Unavailable;
         }
-        self.holding.sent(requester, now.since(queued.queued_at));
+        let waited = self.clock.now().since(queued.queued_at);
+        self.holding.sent(requester, waited);
         let outcome = self.client.carry_out(&queued.request);
-        self.budget(requester).end();
+        self.budget().end();
         outcome
     }
 
-    fn budget(
-        &self,
-        requester: store::StoreRequester,
-    ) -> std::sync::MutexGuard<'_, budget::CallBudget> {
-        let budget = match requester {
-            store::StoreRequester::Fleet
-            | store::StoreRequester::Quarantine
-            | store::StoreRequester::Rules => &self.budget,
-            store::StoreRequester::Keys => &self.key_budget,
-        };
-        budget.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Takes one call from the lane's budget, waiting for it if the lane does.
+    fn begin(&self) -> Result<(), budget::BudgetRefusal> {
+        loop {
+            let now = self.clock.now();
+            let begun = self.budget().begin(now);
+            match begun {
+                Err(budget::BudgetRefusal::Spent { until })
+                    if self.lane.when_spent() == SpentBudget::Wait =>
+                {
+                    thread::sleep(until.since(now));
+                }
+                begun => return begun,
+            }
+        }
+    }
+
+    fn budget(&self) -> std::sync::MutexGuard<'_, budget::CallBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/anvil_node/tests/store_queue.rs
+++ b/crates/anvil_node/tests/store_queue.rs
@@ -70,7 +70,7 @@
         let client = ScriptedStore { behaviour, ended };
         let counters = counters::EdgeCounters::new().unwrap();
         let clock = clock::NodeClock::start();
-        let queue = edge::StoreQueue::start(Some(Arc::new(client)), clock, sender, &counters);
+        let queue = edge::StoreQueue::start(Some(Arc::new(client)), clock, &sender, &counters);
         Self {
             queue: queue.unwrap(),
             answers,
