--- a/crates/anvil_membership/tests/failures_in_sequence.rs
+++ b/crates/anvil_membership/tests/failures_in_sequence.rs
@@ -366,3 +366,70 @@
     nodes_restarted_by_turns => (EarlierFailure::NodesRestart),
     changes_came_in_series => (EarlierFailure::Changes),
 }
+
+/// Time within which nodes that started while the store was away serve once it is back.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(4);
+
+/// Which nodes restart while the store is away.
+#[derive(Clone, Copy, Debug)]
+enum RestartedNodes {
+    One,
+    TwoFifths,
+    All,
+}
+
+/// The seeds with a time from the return of the store to the last node that serves above the limit.
+fn late_starts(
+    restarted: RestartedNodes,
+    rejection: StoreRejection,
+    seeds: &std::ops::RangeInclusive<u64>,
+) -> Vec<(u64, Duration)> {
+    let mut late = Vec::new();
+    for seed in seeds.clone() {
+        let mut fleet = TestedFleet::new(seed);
+        let (all, two_fifths) = (fleet.running(), fleet.two_fifths());
+        fleet.net.reject(&all, rejection);
+        let indices = match restarted {
+            RestartedNodes::One => vec![seed as usize],
+            RestartedNodes::TwoFifths => two_fifths,
+            RestartedNodes::All => all,
+        };
+        for index in indices {
+            fleet.restart(index);
+        }
+        let running = fleet.running();
+        fleet.net.reject(&running, rejection);
+        fleet.net.run(Duration::from_secs(10 + seed * 7));
+        fleet.net.store_rejects.clear();
+        let all_ready = |net: &Net| {
+            let mut running = net.nodes.iter().filter(|node| node.running);
+            running.all(|node| node.state.is_ready())
+        };
+        let took = fleet.net.run_until(Duration::from_secs(60), all_ready);
+        if took > CATCH_UP_LIMIT {
+            late.push((seed, took));
+        }
+    }
+    late
+}
+
+// Guards against nodes that refuse requests for long after an outage of the store in which they started.
+fn nodes_that_started_in_an_outage_serve_in_time(
+    restarted: RestartedNodes,
+    rejection: StoreRejection,
+) {
+    let last = std::env::var(LAST_SEED_VARIABLE).map(|text| text.parse().unwrap());
+    let seeds = *SEEDS.start()..=last.unwrap_or(4);
+    let late = late_starts(restarted, rejection, &seeds);
+    assert!(late.is_empty(), "{} late: {late:?}", late.len());
+}
+
+test_cases! {
+    nodes_that_started_in_an_outage_serve_in_time:
+    one_node_while_the_store_refused => (RestartedNodes::One, StoreRejection::Busy),
+    one_node_while_the_store_was_silent => (RestartedNodes::One, StoreRejection::Silent),
+    two_fifths_while_the_store_refused => (RestartedNodes::TwoFifths, StoreRejection::Busy),
+    two_fifths_while_the_store_was_silent => (RestartedNodes::TwoFifths, StoreRejection::Silent),
+    all_nodes_while_the_store_refused => (RestartedNodes::All, StoreRejection::Busy),
+    all_nodes_while_the_store_was_silent => (RestartedNodes::All, StoreRejection::Silent),
+}
