List contacts soon after an outage of the store in fleets around one key

What callers would see: all nodes lose power while the store is away; after it is back, the last node refuses every request for up to 30.4 s more.

Cause: a node that knows nobody lists the contacts, and each list that fails doubles the pause up to 30 s.

Now the pause of a fleet around one key ends at 1.2 s. Other fleets, which may have thousands of nodes, keep 30 s.

--- a/crates/anvil_membership/src/contact.rs
+++ b/crates/anvil_membership/src/contact.rs
@@ -63,6 +63,17 @@
 const PAUSE_FIRST: Duration = Duration::from_secs(1);
 const PAUSE_LIMIT: Duration = Duration::from_secs(30);
 
+/// First and longest pause after a failure of the store in a small fleet. Nodes that all started
+/// while the store was away serve only once they have listed each other.
+const SMALL_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1_200));
+
+/// The backoff of lists of the contacts in a small fleet.
+pub fn small_backoff() -> backoff::RetryBackoff {
+    let (first, longest) = SMALL_PAUSES;
+    backoff::RetryBackoff::new(first, longest)
+}
+
 /// A slot that this node holds.
 #[derive(Clone, Copy, Debug)]
 pub struct HeldSlot {
--- a/crates/anvil_membership/src/fleet.rs
+++ b/crates/anvil_membership/src/fleet.rs
@@ -217,6 +217,7 @@
         let list_at = now + self.choice.span(contact::SMALL_FIRST_LIST_SPREAD);
         let vacancy_check_at = list_at + self.choice.span(contact::SMALL_FIRST_CLAIM_SPREAD);
         self.contacts = contact::ContactState::new(list_at, vacancy_check_at);
+        self.contacts.backoff = contact::small_backoff();
     }
 
     /// The local node's id.
--- a/crates/anvil_standins/src/proxy.rs
+++ b/crates/anvil_standins/src/proxy.rs
@@ -26,6 +26,8 @@
     Silenced,
     /// Open connections are reset, and new ones work.
     Reset,
+    /// Open and new connections are closed.
+    TurnedAway,
 }
 
 /// A fault and how often it was set, so that each connection knows which faults were set after its
@@ -75,13 +77,19 @@
 }
 
 async fn forward(client: TcpStream, server: SocketAddr, fault: watch::Receiver<FaultState>) {
+    if fault.borrow().1 == LinkFault::TurnedAway {
+        return;
+    }
     let Ok(upstream) = TcpStream::connect(server).await else {
         return;
     };
     let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
     let mut resets = fault.clone();
     let initial_count = fault.borrow().0;
-    let is_reset = move |state: &FaultState| state.0 > initial_count && state.1 == LinkFault::Reset;
+    let is_reset = move |state: &FaultState| {
+        let resets = matches!(state.1, LinkFault::Reset | LinkFault::TurnedAway);
+        state.0 > initial_count && resets
+    };
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = upstream.into_split();
     let to_server = pump(
