--- a/crates/anvil_membership/tests/failures_in_sequence.rs
+++ b/crates/anvil_membership/tests/failures_in_sequence.rs
@@ -83,6 +83,23 @@
     SilentConnectionsAndDeafWatches,
 }
 
+impl EarlierFailure {
+    const ALL: [Self; 12] = [
+        Self::StoreRefusesAll,
+        Self::StoreIgnoresAll,
+        Self::StoreRefusesMost,
+        Self::StoreIgnoresMost,
+        Self::StoreFlaps,
+        Self::HistoryDropped,
+        Self::ZoneApart,
+        Self::DatagramsLost,
+        Self::ConnectionsSilent,
+        Self::NodesReplaced,
+        Self::NodesRestart,
+        Self::Changes,
+    ];
+}
+
 impl LaterFailures {
     const ALL: [Self; 13] = [
         Self::Nothing,
@@ -433,3 +450,38 @@
     all_nodes_while_the_store_refused => (RestartedNodes::All, StoreRejection::Busy),
     all_nodes_while_the_store_was_silent => (RestartedNodes::All, StoreRejection::Silent),
 }
+
+/// Number of earlier failures in a drawn series.
+const SERIES_LENGTH: usize = 3;
+
+/// Seeds of the drawn series in a run of all tests.
+const SERIES_SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+
+// Guards against ways of news that several failures in a row wear out.
+#[test]
+fn a_change_is_in_force_in_time_after_a_drawn_series() {
+    let last = std::env::var(LAST_SEED_VARIABLE).map(|text| text.parse().unwrap());
+    let mut late = Vec::new();
+    for seed in *SERIES_SEEDS.start()..=last.unwrap_or(*SERIES_SEEDS.end()) {
+        let mut fleet = TestedFleet::new(seed);
+        let mut series = Vec::new();
+        for _ in 0..SERIES_LENGTH {
+            let drawn = fleet.net.choice.below(EarlierFailure::ALL.len());
+            series.push(EarlierFailure::ALL[drawn]);
+            fleet.pass_through(EarlierFailure::ALL[drawn]);
+            let pause = fleet.net.choice.span(Duration::from_secs(3));
+            fleet.net.run(pause);
+            fleet.change();
+        }
+        fleet.net.run(PAUSES[seed as usize % PAUSES.len()]);
+        let later = LaterFailures::ALL[fleet.net.choice.below(LaterFailures::ALL.len())];
+        fleet.begin(later);
+        let pause = fleet.net.choice.span(Duration::from_secs(2));
+        fleet.net.run(pause);
+        let took = fleet.time_in_force();
+        if took > IN_FORCE_LIMIT {
+            late.push((seed, series, later, took));
+        }
+    }
+    assert!(late.is_empty(), "{} late: {late:?}", late.len());
+}
