--- a/crates/anvil_membership/tests/failures_in_sequence.rs
+++ b/crates/anvil_membership/tests/failures_in_sequence.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use anvil_membership::fleet;
 use anvil_testkit::test_cases;
 use anvil_types::store;
 
@@ -81,6 +82,8 @@
     MostSilentAndDeafWatches,
     LostDatagramsAndDeafWatches,
     SilentConnectionsAndDeafWatches,
+    WatchersLeave,
+    FifthsLeaveAndDeafWatches,
 }
 
 impl EarlierFailure {
@@ -101,7 +104,7 @@
 }
 
 impl LaterFailures {
-    const ALL: [Self; 13] = [
+    const ALL: [Self; 15] = [
         Self::Nothing,
         Self::WatchersBusy,
         Self::WatchersSilent,
@@ -115,6 +118,8 @@
         Self::MostSilentAndDeafWatches,
         Self::LostDatagramsAndDeafWatches,
         Self::SilentConnectionsAndDeafWatches,
+        Self::WatchersLeave,
+        Self::FifthsLeaveAndDeafWatches,
     ];
 }
 
@@ -295,6 +300,27 @@
                 self.net.silent_percent = 100;
                 self.deafen();
             }
+            LaterFailures::WatchersLeave => {
+                let watchers = self.net.watchers();
+                self.announce_leaving(&watchers);
+            }
+            LaterFailures::FifthsLeaveAndDeafWatches => {
+                let leaving = self.two_fifths();
+                self.announce_leaving(&leaving);
+                self.deafen();
+            }
+        }
+    }
+
+    /// Lets nodes announce that they stop. They still decide the requests of open connections.
+    fn announce_leaving(&mut self, indices: &[usize]) {
+        let leaving = fleet::LocalTarget {
+            leaving: true,
+            ..fleet::LocalTarget::default()
+        };
+        for index in indices {
+            self.net
+                .act(*index, |state, now| state.set_local_target(now, &leaving));
         }
     }
 
