--- a/crates/anvil_node/src/store.rs
+++ b/crates/anvil_node/src/store.rs
@@ -15,7 +15,7 @@
 
 pub mod holding;
 
-/// Maximum number of requests that wait for the store's threads, per lane.
+/// Maximum number of requests that wait for the store's threads, per pool.
 pub const MAX_QUEUED_REQUESTS: usize = 256;
 
 /// Refill interval of the request budget for the owners of keys.
@@ -28,7 +28,7 @@
 /// Maximum burst of requests for the owners of keys.
 const KEY_BURST: u32 = 192;
 
-/// What a request does while the budget of its lane is used up.
+/// What a request does while the budget of its pool is used up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SpentBudget {
     /// It waits, so that its requester does not take the pause for a failure of the store.
@@ -37,19 +37,19 @@
     Refuse,
 }
 
-/// A group of requests with a queue, threads and a budget of its own.
+/// A pool of threads for a group of requests, with a queue and a budget of its own.
 ///
-/// Calls that hang, or that many requests need, delay only others of their lane. News of the rules
-/// therefore shares a lane with nothing else, and watches, which wait for seconds, not even with reads.
+/// Calls that hang, or that many requests need, delay only others of their pool. News of the rules
+/// therefore shares a pool with nothing else, and watches, which wait for seconds, not even with reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum StoreLane {
+enum StorePool {
     RuleWatches,
     RuleReads,
     Members,
     Keys,
 }
 
-impl StoreLane {
+impl StorePool {
     const ALL: [Self; 4] = [
         Self::RuleWatches,
         Self::RuleReads,
@@ -111,15 +111,15 @@
 /// Queues requests for the store's threads; owned by the reducer's task.
 #[derive(Debug)]
 pub struct StoreQueue {
-    lanes: sorted::SortedTable<StoreLane, flume::Sender<QueuedRequest>>,
+    pools: sorted::SortedTable<StorePool, flume::Sender<QueuedRequest>>,
     clock: clock::NodeClock,
     holding: Arc<holding::HoldingRecord>,
 }
 
-/// State shared by the threads of one lane.
+/// State shared by the threads of one pool.
 #[derive(Clone)]
 struct StoreWorker {
-    lane: StoreLane,
+    pool: StorePool,
     client: Arc<dyn dialect::StoreDialect>,
     budget: Arc<Mutex<budget::CallBudget>>,
     clock: clock::NodeClock,
@@ -137,26 +137,26 @@
     ) -> eyre::Result<Self> {
         let holding = Arc::new(holding::HoldingRecord::new(counters.clone()));
         let mut queue = Self {
-            lanes: sorted::SortedTable::default(),
+            pools: sorted::SortedTable::default(),
             clock,
             holding: holding.clone(),
         };
         let Some(client) = client else {
             return Ok(queue);
         };
-        for lane in StoreLane::ALL {
+        for pool in StorePool::ALL {
             let (sender, requests) = flume::bounded(MAX_QUEUED_REQUESTS);
-            queue.lanes.insert(lane, sender);
-            let budget = budget::CallBudget::new(lane.limits(), clock.now());
+            queue.pools.insert(pool, sender);
+            let budget = budget::CallBudget::new(pool.limits(), clock.now());
             let worker = StoreWorker {
-                lane,
+                pool,
                 client: client.clone(),
                 budget: Arc::new(Mutex::new(budget)),
                 clock,
                 engine: engine.clone(),
                 holding: holding.clone(),
             };
-            for _ in 0..lane.threads() {
+            for _ in 0..pool.threads() {
                 worker.clone().spawn(requests.clone())?;
             }
         }
@@ -174,7 +174,7 @@
             id,
             outcome: store::StoreOutcome::Unavailable,
         };
-        let Some(lane) = self.lanes.get(StoreLane::of(id.requester, &request)) else {
+        let Some(pool) = self.pools.get(StorePool::of(id.requester, &request)) else {
             return Some(refusal);
         };
         let queued = QueuedRequest {
@@ -182,7 +182,7 @@
             request,
             queued_at: self.clock.now(),
         };
-        if lane.try_send(queued).is_ok() {
+        if pool.try_send(queued).is_ok() {
             return None;
         }
         self.holding
@@ -221,14 +221,14 @@
         outcome
     }
 
-    /// Takes one call from the lane's budget, waiting for it if the lane does.
+    /// Takes one call from the pool's budget, waiting for it if the pool does.
     fn begin(&self) -> Result<(), budget::BudgetRefusal> {
         loop {
             let now = self.clock.now();
             let begun = self.budget().begin(now);
             match begun {
                 Err(budget::BudgetRefusal::Spent { until })
-                    if self.lane.when_spent() == SpentBudget::Wait =>
+                    if self.pool.when_spent() == SpentBudget::Wait =>
                 {
                     thread::sleep(until.since(now));
                 }
