Quarantine no request again for crashes after which it was served

Cause: a node that learns of a new quarantine tells three others, each of which does the same. One that knows the request to be harmless answers so, which ends the quarantine; but that is remembered in 256 slots by the lowest byte, so the answer of another request displaces it. The next notice of the same crash, still on its way or repeated each second, is news then and is told to three others once more. With some dozens of quarantined requests that multiplies: 1.8 million in 30 s.

Now a node remembers, by request, the crash that its quarantine went back to and when it ended; notices of that crash, or of earlier ones, change nothing until they have expired. A crash after that quarantines it anew.

--- a/crates/anvil_overload/src/quarantine.rs
+++ b/crates/anvil_overload/src/quarantine.rs
@@ -23,6 +23,9 @@
 /// Number of crashes remembered, so that a notice that is received twice counts once.
 pub const MAX_KNOWN_CRASHES: usize = 256;
 
+/// Number of requests remembered whose quarantine has ended since they were served.
+pub const MAX_ACQUITTED_REQUESTS: usize = MAX_SUSPECTS;
+
 /// Slots for the fingerprints of requests that were answered completely, one for each value of the
 /// lowest byte. Requests that many callers send are present at any time; a node spends 4 KB on it.
 const ANSWERED_FINGERPRINT_SLOTS: usize = 256;
@@ -179,6 +182,18 @@
     }
 }
 
+/// A request that was quarantined, or told to be, although it is harmless.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct AcquittedRequest {
+    fingerprint: ident::RequestFingerprint,
+    /// The last crash that its quarantine goes back to.
+    crash: suspicion::CrashId,
+    /// Crashes until then do not quarantine it again.
+    at: time::NodeTime,
+    /// When all notices of these crashes have expired.
+    until: time::NodeTime,
+}
+
 /// Requests that were running when targets crashed.
 #[derive(Clone, Debug, Serialize)]
 pub struct PoisonList {
@@ -195,6 +210,8 @@
     known_crashes: VecDeque<suspicion::CrashId>,
     #[serde(skip)]
     answered_fingerprints: AnsweredFingerprints,
+    /// Sorted by fingerprint.
+    acquitted: Vec<AcquittedRequest>,
     /// Requests that were quarantined and not taken by [`take_quarantined`](Self::take_quarantined).
     #[serde(skip)]
     quarantined: Vec<suspicion::QuarantinedRequest>,
@@ -214,6 +231,7 @@
             suspects: Vec::new(),
             known_crashes: VecDeque::new(),
             answered_fingerprints: AnsweredFingerprints::default(),
+            acquitted: Vec::new(),
             quarantined: Vec::new(),
             policy,
         }
@@ -346,7 +364,7 @@
     /// lost attempts of a minute and refuse requests that all targets serve.
     pub fn answered(&mut self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) {
         self.answered_fingerprints.insert(now, fingerprint);
-        self.clear(fingerprint);
+        self.clear(now, fingerprint);
     }
 
     /// Records a run whose connection broke.
@@ -456,13 +474,21 @@
     /// Quarantines a request that another node refuses; returns whether this node did not refuse it
     /// yet.
     ///
-    /// A request that was answered here within a minute can't be the cause of the crashes.
+    /// A request that was answered here within a minute can't be the cause of the crashes. Nor can one
+    /// whose quarantine for them has ended since: the notices of other nodes go on for a while, and a
+    /// node that took them for news would tell others again, who would do the same.
     pub fn merge(&mut self, now: time::NodeTime, request: &suspicion::QuarantinedRequest) -> bool {
         let fingerprint = request.fingerprint;
         let age = Duration::from_millis(request.age_millis);
         let quarantine = Duration::from_secs(u64::from(request.quarantine_seconds));
         let known = self.is_quarantined(now, fingerprint);
-        if known || age >= quarantine || self.answered_fingerprints.contains(now, fingerprint) {
+        let struck = time::NodeTime(now.0.saturating_sub(micros(age)));
+        if known || age >= quarantine || self.is_acquitted(now, request, struck) {
+            return false;
+        }
+        if self.answered_fingerprints.contains(now, fingerprint) {
+            // Its slot may be needed for another request before the notices have ended.
+            self.acquit(now, fingerprint, request.last, struck + quarantine);
             return false;
         }
         if let Ok(index) = self.search(fingerprint) {
@@ -476,7 +502,7 @@
                 limit: request.crash_limit,
                 quarantine,
             },
-            struck: time::NodeTime(now.0.saturating_sub(micros(age))),
+            struck,
             crash: request.last,
         });
         self.record_quarantined(now, fingerprint);
@@ -513,7 +539,7 @@
         let at = time::NodeTime(now.0.saturating_sub(micros(age)));
         self.answered_fingerprints.insert(at, served.fingerprint);
         if was_quarantined {
-            self.clear(served.fingerprint);
+            self.clear(now, served.fingerprint);
         }
     }
 
@@ -527,10 +553,65 @@
         self.suspects.is_empty()
     }
 
-    fn clear(&mut self, fingerprint: ident::RequestFingerprint) {
+    /// Whether the quarantine of a request for crashes until `struck` has ended, as it was served.
+    fn is_acquitted(
+        &self,
+        now: time::NodeTime,
+        request: &suspicion::QuarantinedRequest,
+        struck: time::NodeTime,
+    ) -> bool {
+        let index = self.search_acquitted(request.fingerprint);
+        let acquitted = index.map(|index| self.acquitted[index]);
+        acquitted.is_ok_and(|acquitted| {
+            let is_covered = acquitted.crash == request.last || struck <= acquitted.at;
+            now < acquitted.until && is_covered
+        })
+    }
+
+    fn acquit(
+        &mut self,
+        now: time::NodeTime,
+        fingerprint: ident::RequestFingerprint,
+        crash: suspicion::CrashId,
+        until: time::NodeTime,
+    ) {
+        let entry = AcquittedRequest {
+            fingerprint,
+            crash,
+            at: now,
+            until,
+        };
+        if let Ok(index) = self.search_acquitted(fingerprint) {
+            self.acquitted[index] = entry;
+            return;
+        }
+        if self.acquitted.len() == MAX_ACQUITTED_REQUESTS {
+            let first =
+                (0..MAX_ACQUITTED_REQUESTS).min_by_key(|index| self.acquitted[*index].until);
+            if let Some(index) = first {
+                self.acquitted.remove(index);
+            }
+        }
+        let index = self
+            .acquitted
+            .partition_point(|known| known.fingerprint < fingerprint);
+        self.acquitted.insert(index, entry);
+    }
+
+    fn search_acquitted(&self, fingerprint: ident::RequestFingerprint) -> Result<usize, usize> {
+        self.acquitted
+            .binary_search_by_key(&fingerprint, |known| known.fingerprint)
+    }
+
+    fn clear(&mut self, now: time::NodeTime, fingerprint: ident::RequestFingerprint) {
         let Ok(index) = self.search(fingerprint) else {
             return;
         };
+        let known = self.suspects[index];
+        if known.exceeds_limit() {
+            let until = known.struck + known.rule.quarantine;
+            self.acquit(now, fingerprint, known.crash, until);
+        }
         let suspect = &mut self.suspects[index];
         // A request that crashes its targets is never answered, so an answer clears a quarantined
         // request completely. With only one strike less it would be refused again as soon as the
