Pass on no more time than a stopping node has

Cause: a leaving node admits the calls of its runs, rightly, but passes on all of the caller's time instead of its own. And a target's node closes the connection at the deadline itself, at which the target answers that its time is up.

Now the time that is passed on ends 150 ms before the stop limit, a call without any is refused as not run, and a target has 100 ms for its answer at the deadline. So the target ends the work and its answer reaches the caller before the node gives up.

--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -243,11 +243,20 @@
     ) {
         let node = self.config.node;
         let reply_to = self.config.peer_address;
-        let Some(remaining) = self.hop_time(sequence, near) else {
-            let limit = refusal::RefusalLimit::Deadline;
-            self.refuse_call(sequence, verdict::RefusalReason::Deadline, limit);
+        let Some(open) = self.calls.get(sequence) else {
             return;
         };
+        let remaining = match self.hop_time(open, near) {
+            Ok(remaining) => remaining,
+            Err(reason) => {
+                let limit = match reason {
+                    verdict::RefusalReason::Leaving => refusal::RefusalLimit::Leaving,
+                    _ => refusal::RefusalLimit::Deadline,
+                };
+                self.refuse_call(sequence, reason, limit);
+                return;
+            }
+        };
         let chained = self.overload.policy.chain_allowance;
         let notice = self.notices.get(address);
         let Some(open) = self.calls.get_mut(sequence) else {
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -57,13 +57,23 @@
         self.draw_root_allowance(sequence)
     }
 
-    /// The time left for the next hop; none if it is too short.
-    pub(crate) fn hop_time(&self, sequence: u64, near: bool) -> Option<Duration> {
-        let open = self.calls.get(sequence)?;
+    /// The time left for the next hop, or why there is none.
+    ///
+    /// A stopping node passes on no more time than it has itself. Its target would otherwise be at
+    /// work when the node gives the call up, and nobody would get the answer.
+    pub(crate) fn hop_time(
+        &self,
+        open: &calls::OpenCall,
+        near: bool,
+    ) -> Result<Duration, verdict::RefusalReason> {
+        let (deadline, reason) = match self.answers_until() {
+            Some(until) if until < open.deadline => (until, verdict::RefusalReason::Leaving),
+            _ => (open.deadline, verdict::RefusalReason::Deadline),
+        };
         if self.overload.policy.cancellation {
-            deadline::hop_remaining(self.now, open.deadline, near)
+            deadline::hop_remaining(self.now, deadline, near).ok_or(reason)
         } else {
-            Some(open.deadline.since(self.now))
+            Ok(deadline.since(self.now))
         }
     }
 
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_overload::{allowance, kind, refusal};
+use anvil_overload::{allowance, deadline, kind, refusal};
 use anvil_types::{ident, verdict};
 use anvil_wire::{call, frame, outcome};
 
@@ -228,10 +228,16 @@
     }
 
     pub(crate) fn run_expired(&mut self, run: event::RunId) {
+        let now = self.now;
         let Some(found) = self.runs.get_mut(run) else {
             return;
         };
+        let cancelled_at = found.deadline + deadline::LAST_ANSWER_TIME;
         match found.stage {
+            runs::RunStage::Running if now < cancelled_at => {
+                self.timers
+                    .set(cancelled_at, timers::TimerKind::RunDeadline(run.0));
+            }
             runs::RunStage::Queued => {
                 self.counters.runs_refused += 1;
                 let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Deadline);
--- a/crates/anvil_core/src/stopping.rs
+++ b/crates/anvil_core/src/stopping.rs
@@ -6,6 +6,10 @@
 
 use crate::{calls, effect, event, keys, reducer, runs, timers};
 
+/// Time in front of [`StopPlan::limit`] by which a target that gets a call from a stopping node has
+/// to answer it, so that its answer still reaches the caller.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// How a node stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
@@ -44,6 +48,8 @@
         runs_until: time::NodeTime,
         /// When it stops accepting callers' requests.
         callers_until: time::NodeTime,
+        /// When it gives up the requests in progress; none if nothing kills the process.
+        limit: Option<time::NodeTime>,
     },
     /// It has requested the exit of its process.
     Gone,
@@ -66,6 +72,15 @@
         }
     }
 
+    /// When the answers to the calls of a stopping node have to be on their way; none if it is not
+    /// stopping, or may take as long as its calls do.
+    pub(crate) fn answers_until(&self) -> Option<time::NodeTime> {
+        match self.phase {
+            NodePhase::Leaving { limit, .. } => limit.map(|limit| limit - FINAL_ANSWER_TIME),
+            NodePhase::Serving | NodePhase::Gone => None,
+        }
+    }
+
     pub(crate) fn stop_requested(&mut self) {
         let running = self.calls.len() + self.runs.running() as usize;
         let repeated = self.phase != NodePhase::Serving;
@@ -82,14 +97,15 @@
             return;
         }
         let callers_until = self.now + self.stop.linger;
-        if let Some(limit) = self.stop.limit {
-            let stop_at = self.now + limit;
+        let limit = self.stop.limit.map(|limit| self.now + limit);
+        if let Some(stop_at) = limit {
             self.timers.set(stop_at, timers::TimerKind::StopLimit);
         }
         let runs_until = self.now + self.stop.run_linger;
         self.phase = NodePhase::Leaving {
             runs_until,
             callers_until,
+            limit,
         };
         self.timers.set(runs_until, timers::TimerKind::StopRuns);
         self.timers.set(callers_until, timers::TimerKind::Leave);
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -12,6 +12,7 @@
 
 use anvil_core::{effect, event};
 use anvil_edge::{hops, target};
+use anvil_overload::deadline;
 use anvil_wire::{call, codec};
 use bytes::{Bytes, BytesMut};
 use http::{header, response};
@@ -143,7 +144,7 @@
     ///
     /// `withdrawals` changes when the target leaves, which gives the request up if no byte was sent.
     pub async fn run(&self, run: effect::RunOrder, withdrawals: watch::Receiver<u64>) -> RunReport {
-        let deadline = time::Instant::now() + run.timeout;
+        let deadline = time::Instant::now() + run.timeout + deadline::LAST_ANSWER_TIME;
         let Some(request) = self.dialect.build(&run) else {
             // Not expected, since nodes check requests before they forward them; nothing was sent.
             return event::RunOutcome::Unreachable.into();
--- a/crates/anvil_overload/src/deadline.rs
+++ b/crates/anvil_overload/src/deadline.rs
@@ -10,6 +10,12 @@
 /// Round trip to a node in another availability zone.
 pub const CROSS_ZONE_ROUND_TRIP: Duration = Duration::from_millis(3);
 
+/// Time after the end of a run's time in which the target's own answer is awaited.
+///
+/// A target stops work at its deadline and says so. If its node closed the connection at the same
+/// moment, the caller would be told that the request may have run, instead of the target's answer.
+pub const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Time that the next hop may take for its answer to be back before `deadline`; `None` if no time
 /// is left.
 ///
