Refuse the calls that wait in the queue when the reducer ends

What callers saw: nothing until their connection closed with the process, for a request that was read in the moment in which its node ended.

Cause: handing a request to the reducer's queue counted as enough. The queue lives as long as any of its senders, and each connection holds one, so the reply channel of a call in it stays open although no reducer will look at it.

A task refuses what the queue still holds and what comes later, so no request can slip between the last step and the end of the queue.

--- a/crates/anvil_node/src/caller/exchange.rs
+++ b/crates/anvil_node/src/caller/exchange.rs
@@ -16,7 +16,7 @@
 
 /// Pause after which a caller should retry if this process has stopped; its successor starts within
 /// seconds.
-const RETRY_AFTER_STOP: Duration = Duration::from_secs(1);
+pub const RETRY_AFTER_STOP: Duration = Duration::from_secs(1);
 
 /// A call that was handed to the reducer, or that the reducer could not accept.
 #[derive(Debug)]
--- a/crates/anvil_node/src/engine.rs
+++ b/crates/anvil_node/src/engine.rs
@@ -11,10 +11,11 @@
 use std::time::Instant;
 
 use anvil_core::{answer, effect, event, reducer};
-use anvil_types::sorted;
+use anvil_types::{sorted, verdict};
 use prometheus::IntGauge;
 use tokio::sync::oneshot;
 
+use crate::caller::exchange;
 use crate::{clock, datagram, peer, store, target};
 
 /// Maximum number of inputs that wait for the reducer; beyond that, a caller's request waits at its
@@ -97,22 +98,32 @@
 
 impl NodeEngine {
     /// Steps the reducer until it lets the process exit, or until all senders are dropped; returns
-    /// when the first stop was requested.
+    /// when the first stop was requested. Calls that arrive later are refused.
     pub async fn run(
         mut self,
         mut reducer: reducer::NodeReducer,
         inputs: flume::Receiver<EngineInput>,
     ) -> Option<Instant> {
+        self.run_reducer(&mut reducer, &inputs).await;
+        tokio::spawn(refuse_calls(inputs));
+        self.stop_requested_at
+    }
+
+    async fn run_reducer(
+        &mut self,
+        reducer: &mut reducer::NodeReducer,
+        inputs: &flume::Receiver<EngineInput>,
+    ) {
         let mut inputs_taken = 0_u32;
         loop {
-            if self.fire_timer(&mut reducer).is_break() {
-                return self.stop_requested_at;
+            if self.fire_timer(reducer).is_break() {
+                return;
             }
-            let Some(input) = self.receive(&reducer, &inputs).await else {
+            let Some(input) = self.receive(reducer, inputs).await else {
                 continue;
             };
             let Ok(input) = input else {
-                return self.stop_requested_at;
+                return;
             };
             let (input, accepted) = match input {
                 EngineInput::Notification { event, accepted } => {
@@ -121,8 +132,8 @@
                 input => (input, None),
             };
             for event in self.admit(input) {
-                if self.step(&mut reducer, event).is_break() {
-                    return self.stop_requested_at;
+                if self.step(reducer, event).is_break() {
+                    return;
                 }
             }
             if let Some(accepted) = accepted {
@@ -274,6 +285,27 @@
     }
 }
 
+/// Refuses the calls that no reducer will look at, those that wait in the queue first.
+///
+/// The queue outlives the reducer, as each connection can send to it. A call left there would keep
+/// its caller waiting until the process is gone, and end without an answer.
+async fn refuse_calls(inputs: flume::Receiver<EngineInput>) {
+    while let Ok(input) = inputs.recv_async().await {
+        let EngineInput::Call { arrival, reply, .. } = input else {
+            continue;
+        };
+        let label = match arrival {
+            event::NodeEvent::CallArrived { hints, .. } => hints.label,
+            _ => None,
+        };
+        let verdict = verdict::CallVerdict::NotRun(verdict::RefusalReason::Leaving);
+        let refusal =
+            effect::CallerReply::without_answer(label, verdict, Some(exchange::RETRY_AFTER_STOP));
+        // The caller may have disconnected meanwhile.
+        let _ = reply.send(Box::new(refusal));
+    }
+}
+
 /// Logs a change of state as a JSON object, or as text if it can't be serialized.
 fn report(change: &effect::StateChange) {
     match serde_json::to_string(change) {
