Give up connections between nodes that do not move, not slow ones

What callers saw: 502 for a large answer that takes more than a second or two between two nodes, also around a planned stop of either.

Cause: the writer gave a whole batch 2 s, whatever the other side took meanwhile, and the reader counted only whole frames as a sign of life, 0.75 s long.

The bounds now hold for a connection that moves nothing, which is what they are meant to find; a dead peer is found as fast as before.

--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -24,7 +24,8 @@
 /// whose node can't be reached is sent elsewhere at no cost.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time for a write; a peer that reads nothing for so long does not answer either.
+/// Longest time in which a peer takes no byte; one that reads nothing for so long does not answer
+/// either.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Longest time for reading what the other side still sends after this side shut down its writing.
@@ -182,8 +183,9 @@
     let peer = sealed.peer.node;
     let open = counters::GaugeGuard::hold(context.counters.peer_connections());
     let (reader, writer) = stream.into_split();
-    let reader = stream::FrameReader::new(reader, sealed.opener);
     let liveness = parts.liveness.clone();
+    let reader = liveness::TrackedReader::new(reader, liveness.clone());
+    let reader = stream::FrameReader::new(reader, sealed.opener);
     let reading = tokio::spawn(read(context.clone(), peer, reader, liveness.clone()));
     let writer = FrameWriter {
         peer,
@@ -362,15 +364,26 @@
             self.gather(context, first, frames);
             // From the first byte on, it is unknown what the other side has received.
             self.used = true;
-            let writing = self.writer.write_all(&self.batch);
-            let written = tokio::time::timeout(WRITE_TIMEOUT, writing).await;
-            match written {
-                Ok(Ok(())) => {}
+            if let Some(end) = self.write_batch().await {
+                return end;
+            }
+        }
+    }
+
+    /// Writes the batch, for as long as the peer takes bytes; returns how the connection ended, if it
+    /// did.
+    async fn write_batch(&mut self) -> Option<WriteEnd> {
+        let mut rest = &self.batch[..];
+        while !rest.is_empty() {
+            let writing = self.writer.write(rest);
+            match tokio::time::timeout(WRITE_TIMEOUT, writing).await {
                 // The socket of a broken connection may still hold unread answers.
-                Ok(Err(_)) => return WriteEnd::Flushed,
-                Err(_) => return WriteEnd::Unresponsive,
+                Ok(Ok(0) | Err(_)) => return Some(WriteEnd::Flushed),
+                Ok(Ok(written)) => rest = &rest[written..],
+                Err(_) => return Some(WriteEnd::Unresponsive),
             }
         }
+        None
     }
 
     /// Encodes `first` and the frames queued after it, up to one batch.
@@ -430,7 +443,7 @@
 async fn read(
     context: LinkContext,
     peer: ident::NodeId,
-    mut reader: stream::FrameReader<OwnedReadHalf>,
+    mut reader: stream::FrameReader<liveness::TrackedReader<OwnedReadHalf>>,
     liveness: Arc<liveness::LinkLiveness>,
 ) -> bool {
     let mut used = false;
--- a/crates/anvil_node/src/peer/liveness.rs
+++ b/crates/anvil_node/src/peer/liveness.rs
@@ -5,9 +5,14 @@
 //! sent after them. While answers are due and nothing is received, the connection is probed; if it
 //! stays silent it is closed, so that its calls end within a second.
 
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::Notify;
 
 /// Time between two checks of a connection on which answers are due.
@@ -75,6 +80,11 @@
         }
     }
 
+    /// Notes that bytes were received, which need not be a whole frame.
+    pub fn bytes_received(&self) {
+        self.received.store(true, Ordering::Relaxed);
+    }
+
     /// Notes that the other end sent a ping.
     pub fn probe_received(&self) {
         self.probe.notify_one();
@@ -123,3 +133,37 @@
         }
     }
 }
+
+/// The reading side of a connection, which takes each byte as a sign of life.
+///
+/// A large frame takes seconds on a busy network, and the other end is alive all the while.
+#[derive(Debug)]
+pub struct TrackedReader<R> {
+    reader: R,
+    liveness: Arc<LinkLiveness>,
+}
+
+impl<R> TrackedReader<R> {
+    /// Notes in `liveness` what is read from `reader`.
+    pub fn new(reader: R, liveness: Arc<LinkLiveness>) -> Self {
+        Self { reader, liveness }
+    }
+}
+
+impl<R> AsyncRead for TrackedReader<R>
+where
+    R: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.reader).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.liveness.bytes_received();
+        }
+        read
+    }
+}
