--- a/crates/anvil_standins/src/process.rs
+++ b/crates/anvil_standins/src/process.rs
@@ -218,14 +218,33 @@
 
     /// Resident memory, in bytes.
     pub fn resident_bytes(&self) -> eyre::Result<u64> {
+        self.memory_figure("VmRSS:")
+    }
+
+    /// The largest resident memory so far, in bytes.
+    pub fn peak_bytes(&self) -> eyre::Result<u64> {
+        self.memory_figure("VmHWM:")
+    }
+
+    fn memory_figure(&self, name: &str) -> eyre::Result<u64> {
         let status = fs::read_to_string(self.proc_file("status"))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
         let Some(kilobytes) = line.and_then(|line| line.split_whitespace().next()) else {
             bail!("the process has no memory figure");
         };
         Ok(kilobytes.parse::<u64>()? * 1024)
     }
 
+    /// Number of open descriptors.
+    pub fn open_descriptors(&self) -> eyre::Result<usize> {
+        Ok(fs::read_dir(self.proc_file("fd"))?.count())
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> eyre::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
     /// Processor time used so far, in ticks of 10 ms.
     pub fn cpu_ticks(&self) -> eyre::Result<u64> {
         let stat = fs::read_to_string(self.proc_file("stat"))?;
