--- a/crates/anvil_core/src/event.rs
+++ b/crates/anvil_core/src/event.rs
@@ -295,6 +295,13 @@
         /// The frame.
         frame: frame::PeerFrame,
     },
+    /// A frame from another node for whose body no memory was left.
+    BodyRefused {
+        /// The sender, authenticated in the handshake.
+        peer: ident::NodeId,
+        /// The frame, without its body.
+        frame: frame::PeerFrame,
+    },
     /// A connection to another node ended, so the outcome of everything in flight on it is unknown.
     /// The other process may still be running.
     ConnectionLost {
--- a/crates/anvil_core/src/reducer.rs
+++ b/crates/anvil_core/src/reducer.rs
@@ -246,6 +246,7 @@
             } => self.call_arrived(handle, *request, &hints),
             event::NodeEvent::CallerDisconnected { handle } => self.caller_gone(handle),
             event::NodeEvent::FrameArrived { peer, frame } => self.frame_arrived(peer, frame),
+            event::NodeEvent::BodyRefused { peer, frame } => self.body_refused(peer, frame),
             event::NodeEvent::ConnectionLost { peer } => self.connection_lost(peer),
             event::NodeEvent::PeerUnreachable { peer, unsent } => {
                 self.peer_unreachable(peer, unsent);
@@ -316,8 +317,22 @@
             frame::PeerFrame::Suspicion(notice) => self.crash_heard(&notice),
             frame::PeerFrame::Key(frame) => self.key_arrived(peer, *frame),
             frame::PeerFrame::Sync(message) => self.sync_arrived(peer, &message),
-            // The connection itself answers these.
-            frame::PeerFrame::Ping | frame::PeerFrame::Pong => {}
+            // The connection itself handles these.
+            frame::PeerFrame::Ping | frame::PeerFrame::Pong | frame::PeerFrame::Body(_) => {}
+        }
+    }
+
+    /// Handles a frame without the body that no memory was left for.
+    fn body_refused(&mut self, peer: ident::NodeId, frame: frame::PeerFrame) {
+        self.key_peer_responded(peer);
+        match frame {
+            frame::PeerFrame::Call(call) => self.peer_call_refused(peer, &call),
+            // The request has run, and its caller is told that the answer was cut off.
+            frame::PeerFrame::Answer(mut answer) => {
+                answer.answer = None;
+                self.peer_answered(peer, *answer);
+            }
+            _ => {}
         }
     }
 
--- a/crates/anvil_core/src/retrying.rs
+++ b/crates/anvil_core/src/retrying.rs
@@ -320,6 +320,7 @@
             | verdict::RefusalReason::KeyUnavailable
             | verdict::RefusalReason::RulesUnknown
             | verdict::RefusalReason::AccountUnknown
+            | verdict::RefusalReason::NoMemory
             | verdict::RefusalReason::AttemptsSpent => {
                 let service = &open.request.service;
                 let line = self.directory.line(self.now, service, open.kind);
@@ -458,6 +459,7 @@
                 | verdict::RefusalReason::RateLimited
                 | verdict::RefusalReason::Shed
                 | verdict::RefusalReason::TargetRefused
+                | verdict::RefusalReason::NoMemory
                 | verdict::RefusalReason::Leaving
                 | verdict::RefusalReason::NoTarget
                 | verdict::RefusalReason::Unreachable
--- a/crates/anvil_core/src/serving.rs
+++ b/crates/anvil_core/src/serving.rs
@@ -79,6 +79,21 @@
         self.offer_run(id);
     }
 
+    /// Refuses a call for whose body no memory was left.
+    pub(crate) fn peer_call_refused(&mut self, peer: ident::NodeId, call: &call::PeerCall) {
+        self.shutdown.record_call(self.now, peer, call.reply_to);
+        if self.is_repeat(call) {
+            self.counters.calls_repeated += 1;
+            return;
+        }
+        let cause = overload::RefusalCause {
+            reason: verdict::RefusalReason::NoMemory,
+            limit: refusal::RefusalLimit::Other,
+            by: self.config.node,
+        };
+        self.refuse_peer_call(peer, call, cause);
+    }
+
     fn refuse_peer_call(
         &mut self,
         peer: ident::NodeId,
--- a/crates/anvil_edge/src/caller.rs
+++ b/crates/anvil_edge/src/caller.rs
@@ -1,8 +1,10 @@
 //! The interface for dialects between callers and their node.
 
+use std::time::Duration;
+
 use anvil_core::{effect, event};
 use anvil_types::name;
-use anvil_wire::{call, codec};
+use anvil_wire::call;
 use bytes::Bytes;
 use derive_more::Display;
 use http::{Method, Response, request};
@@ -48,9 +50,15 @@
     /// The parent token was not issued by this process.
     #[display("the header anvil-parent holds no token of this node")]
     ParentForged,
-    /// The body is longer than [`codec::MAX_BODY_BYTES`].
-    #[display("the body is above {} bytes", codec::MAX_BODY_BYTES)]
-    BodyOversized,
+    /// The body is longer than the node accepts.
+    #[display("the body is above {limit} bytes")]
+    BodyOversized {
+        /// The longest body, in bytes.
+        limit: usize,
+    },
+    /// Other bodies take the memory that the body needs.
+    #[display("no memory is left for the body")]
+    NoMemory,
     /// The body did not arrive in time.
     #[display("the body did not arrive in time")]
     BodySlow,
@@ -59,7 +67,15 @@
     BodyMalformed,
 }
 
+/// Pause after which a caller should retry if no memory was left for its body.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 impl IntakeRefusal {
+    /// Pause after which the caller should retry; none if the same request would be refused again.
+    pub fn retry_after(&self) -> Option<Duration> {
+        matches!(self, Self::NoMemory).then_some(NO_MEMORY_RETRY)
+    }
+
     /// Whether unread bytes of the body may remain on the connection, so that it must be closed.
     pub fn leaves_unread_body(&self) -> bool {
         !matches!(
--- a/crates/anvil_node/src/admin/server.rs
+++ b/crates/anvil_node/src/admin/server.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use anvil_core::{answer, event};
+use anvil_edge::caller;
 use anvil_rules::yaml;
 use bytes::Bytes;
 use eyre::WrapErr;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -21,7 +22,8 @@
 use tokio::sync::Semaphore;
 
 use super::{announcement, metrics, operator_request};
-use crate::{counters, engine, listen};
+use crate::caller::intake;
+use crate::{counters, engine, listen, memory};
 
 /// Connections that are served at once; further ones wait.
 const MAX_CONNECTIONS: usize = 32;
@@ -57,6 +59,8 @@
     pub counters: counters::EdgeCounters,
     /// The bearer token that operators must send; without one, all requests are authorised.
     pub token: Option<String>,
+    /// Holds the bodies of requests.
+    pub memory: memory::BodyMemory,
 }
 
 /// A request whose body was read.
@@ -128,7 +132,7 @@
             self.counters.count(counters::EdgeCause::OperatorRefused);
             return problem(401, "a bearer token is needed");
         }
-        let body = match read_body(&head.headers, body).await {
+        let body = match read_body(&head.headers, body, &self.memory).await {
             Ok(body) => body,
             Err(response) => {
                 self.counters.count(refusal_cause(head.uri.path()));
@@ -277,20 +281,26 @@
 ///
 /// The first part of some rules is often valid rules too, so a body whose connection ends early is
 /// refused.
-async fn read_body(headers: &HeaderMap, body: Incoming) -> Result<Bytes, AdminResponse> {
+async fn read_body(
+    headers: &HeaderMap,
+    body: Incoming,
+    memory: &memory::BodyMemory,
+) -> Result<Bytes, AdminResponse> {
     if headers.contains_key(header::TRANSFER_ENCODING) {
         let detail = "the body must have a content-length in place of a transfer coding";
         return Err(problem(411, detail));
     }
-    let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(problem(413, "the body is above 4 MiB"))
-        }
-        Ok(Err(_)) => Err(problem(400, "the body broke off")),
-        Err(_) => Err(problem(408, "the body took too long")),
-    }
+    let limits = intake::BodyLimits {
+        bytes: MAX_BODY_BYTES,
+        wait: BODY_TIMEOUT,
+    };
+    let read = intake::read_body(body, limits, memory).await;
+    read.map_err(|refusal| match refusal {
+        caller::IntakeRefusal::BodyOversized { .. } => problem(413, "the body is above 4 MiB"),
+        caller::IntakeRefusal::BodySlow => problem(408, "the body took too long"),
+        caller::IntakeRefusal::NoMemory => problem(503, "no memory is left for the body"),
+        _ => problem(400, "the body broke off"),
+    })
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/anvil_node/src/caller/native.rs
+++ b/crates/anvil_node/src/caller/native.rs
@@ -29,7 +29,8 @@
     }
 
     fn refused(&self, refusal: &IntakeRefusal) -> caller::FullResponse {
-        reply::refused(&problem_of(refusal), None, Some(refusal.to_string()))
+        let detail = Some(refusal.to_string());
+        reply::refused(&problem_of(refusal), refusal.retry_after(), detail)
     }
 
     fn reply(&self, reply: effect::CallerReply) -> caller::FullResponse {
@@ -45,9 +46,10 @@
             kind.status = StatusCode::NOT_IMPLEMENTED;
             kind.title = "the method is not served";
         }
-        IntakeRefusal::BodyOversized => {
+        IntakeRefusal::BodyOversized { .. } => {
             kind = problem::refusal(verdict::RefusalReason::BodyTooLarge);
         }
+        IntakeRefusal::NoMemory => kind = problem::refusal(verdict::RefusalReason::NoMemory),
         IntakeRefusal::BodySlow => {
             kind.status = StatusCode::REQUEST_TIMEOUT;
             kind.title = "the request did not arrive in time";
--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -16,11 +16,17 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
+use anvil_edge::caller;
 use bytes::{Buf, Bytes, BytesMut};
 use http::Uri;
+use hyper::body::Body;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::memory;
 
 use super::{exchange, framing, head_timer, server};
 
@@ -32,6 +38,9 @@
 /// take a quarter of it.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024;
 
+/// Buffered bytes of a connection that need no lease.
+const UNLEASED_BYTES: usize = 2 * READ_BYTES;
+
 /// Maximum number of bytes per read from the socket.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -70,11 +79,25 @@
     bytes: usize,
 }
 
+/// An answer that is being written.
+#[derive(Debug)]
+struct UnreadAnswer {
+    /// When the caller last took a byte of it.
+    moved_at: Instant,
+    /// Lets others have its memory, if it has much.
+    _hold: Option<memory::BodyHold>,
+}
+
 #[derive(Debug)]
 struct PipelineState {
     phase: ConnectionPhase,
     /// Bytes that were read and not yet handed to the library.
     buffer: BytesMut,
+    /// The lease of the buffer.
+    lease: memory::BodyLease,
+    /// Whether no memory was left for a head.
+    lacks_memory: bool,
+    unread: Option<UnreadAnswer>,
     /// Number of buffered bytes that belong to early requests.
     early_bytes: usize,
     early: VecDeque<EarlyRequest>,
@@ -92,6 +115,8 @@
 pub struct RequestPipeline {
     edge: Arc<server::CallerEdge>,
     head_timer: Arc<head_timer::HeadTimer>,
+    /// Notified when others need the memory of the answer that is being written.
+    evicted: Arc<Notify>,
     state: Mutex<PipelineState>,
 }
 
@@ -101,6 +126,9 @@
         let state = PipelineState {
             phase: ConnectionPhase::Reading,
             buffer: BytesMut::new(),
+            lease: edge.memory.lease(memory::BodyKind::Request),
+            lacks_memory: false,
+            unread: None,
             early_bytes: 0,
             early: VecDeque::new(),
             current: None,
@@ -110,6 +138,7 @@
         Arc::new(Self {
             edge,
             head_timer,
+            evicted: Arc::default(),
             state: Mutex::new(state),
         })
     }
@@ -145,6 +174,47 @@
         }
     }
 
+    /// Notes that a response is about to be written.
+    pub fn begin_writing(&self, response: &caller::FullResponse) {
+        let bytes = response.body().size_hint().lower();
+        let is_large = bytes > memory::FREE_BYTES as u64;
+        let hold = is_large.then(|| {
+            let memory = &self.edge.memory;
+            memory.hold(memory::HoldKind::Unread, self.evicted.clone())
+        });
+        self.lock().unread = Some(UnreadAnswer {
+            moved_at: Instant::now(),
+            _hold: hold,
+        });
+    }
+
+    /// Whether the caller has taken no byte of its answer for longer than `limit`.
+    pub fn is_unread_for(&self, limit: Duration) -> bool {
+        let state = self.lock();
+        let unread = state.unread.as_ref();
+        unread.is_some_and(|unread| unread.moved_at.elapsed() > limit)
+    }
+
+    /// Waits until others need the memory of the answer that is being written.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// Whether no memory was left for a head.
+    pub fn lacks_memory(&self) -> bool {
+        self.lock().lacks_memory
+    }
+
+    /// Drops what is buffered, as the connection takes no further request.
+    pub fn release(&self) {
+        let mut state = self.lock();
+        state.buffer = BytesMut::new();
+        state.lease.shrink(0);
+        state.unread = None;
+        state.early.clear();
+        state.current = None;
+    }
+
     /// The early call of the request whose turn has come, if it is the one for `uri`.
     pub fn take_early(&self, uri: &Uri) -> Option<exchange::StartedCall> {
         let early = self.lock().current.take();
@@ -187,6 +257,7 @@
             return None;
         }
         let body = Bytes::copy_from_slice(&unparsed[known.head_bytes..known.total_bytes()]);
+        let body = self.edge.memory.own(memory::BodyKind::Request, body).ok()?;
         let started = exchange::start_early(&self.edge, &known.parts, body)?;
         let bytes = known.total_bytes();
         let uri = known.parts.uri;
@@ -198,6 +269,14 @@
         })
     }
 
+    fn record_progress(&self, written: &Poll<std::io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(_)))
+            && let Some(unread) = &mut self.lock().unread
+        {
+            unread.moved_at = Instant::now();
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, PipelineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -235,6 +314,10 @@
         let handed = allowed.min(self.buffer.len()).min(buffer.remaining());
         buffer.put_slice(&self.buffer[..handed]);
         self.buffer.advance(handed);
+        if self.buffer.is_empty() && self.lease.is_held() {
+            self.buffer = BytesMut::new();
+            self.lease.shrink(0);
+        }
         self.early_bytes = self.early_bytes.saturating_sub(handed);
         if let ConnectionPhase::Receiving { remaining } = &mut self.phase {
             *remaining -= handed;
@@ -242,6 +325,15 @@
         handed > 0
     }
 
+    /// Takes memory for the next read.
+    fn reserve_read(&mut self) -> Result<(), memory::MemoryError> {
+        let needed = self.buffer.len() + READ_BYTES;
+        if needed <= UNLEASED_BYTES {
+            return Ok(());
+        }
+        self.lease.grow_or_evict(needed.next_power_of_two())
+    }
+
     /// Whether newly read bytes belong to requests behind the one in service.
     fn is_reading_ahead(&self) -> bool {
         match self.phase {
@@ -289,6 +381,13 @@
                 // The library polls again once the request in service is answered.
                 return Poll::Pending;
             }
+            if let Err(error) = state.reserve_read() {
+                if state.is_reading_ahead() {
+                    return Poll::Pending;
+                }
+                state.lacks_memory = true;
+                return Poll::Ready(Err(std::io::Error::other(error)));
+            }
             let mut bytes = [0; READ_BYTES];
             let mut read = ReadBuf::new(&mut bytes);
             std::task::ready!(Pin::new(&mut this.stream).poll_read(context, &mut read))?;
@@ -316,7 +415,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.pipeline.record_progress(&written);
+        written
     }
 
     fn poll_flush(
@@ -327,6 +428,7 @@
         // The library flushes the socket once it has written all of its buffer.
         if let Poll::Ready(Ok(())) = flushed {
             self.pipeline.head_timer.record_written();
+            self.pipeline.lock().unread = None;
         }
         flushed
     }
@@ -343,7 +445,9 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.pipeline.record_progress(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_node/src/caller/problem.rs
+++ b/crates/anvil_node/src/caller/problem.rs
@@ -115,6 +115,7 @@
         Reason::AccountUnknown => (busy(), "nobody knows for which account the target calls"),
         Reason::RuleUnreadable => (busy(), "the rules for the request can't be read"),
         Reason::AccountsUnreadable => (busy(), "some client accounts can't be read"),
+        Reason::NoMemory => (busy(), "no memory is left for the body"),
         Reason::OutOfTurn => (busy(), "requests in front of it are not answered yet"),
     }
 }
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::{exchange, head_timer, intake, pipeline};
-use crate::{counters, engine, listen};
+use crate::{counters, engine, listen, memory};
 
 /// The response to a head that did not arrive in time; the HTTP library would close the connection
 /// without one.
@@ -27,6 +27,11 @@
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\
       anvil-outcome: not-run\r\n\r\n";
 
+/// The response to a head for which no memory is left.
+const NO_MEMORY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\
+      retry-after: 1\r\nanvil-outcome: not-run\r\n\r\n";
+
 /// Maximum number of bytes read and discarded after the last response of a connection: twice the
 /// largest body.
 const MAX_DISCARDED_BYTES: u64 = 2 * codec::MAX_BODY_BYTES as u64;
@@ -50,8 +55,10 @@
     pub header_wait: Duration,
     /// Longest idle time of a connection between requests, or before the first one.
     pub idle_wait: Duration,
-    /// Longest time for a complete body.
-    pub body_wait: Duration,
+    /// Limits of a request body.
+    pub body: intake::BodyLimits,
+    /// Longest time in which a caller takes no byte of its answer.
+    pub answer_wait: Duration,
 }
 
 /// State shared by all connections of callers.
@@ -63,6 +70,8 @@
     pub dialect: Arc<dyn caller::CallerDialect>,
     /// Counts each cause.
     pub counters: counters::EdgeCounters,
+    /// Holds the bodies of requests, and the answers until they are read.
+    pub memory: memory::BodyMemory,
     /// Limits.
     pub limits: CallerLimits,
     /// Number of calls so far, from which unique handles are allocated.
@@ -116,6 +125,7 @@
         Box::pin(async move {
             timer.begin_body();
             let mut response = respond(&edge, &pipeline, request).await;
+            pipeline.begin_writing(&response);
             if pipeline.end_serving() == pipeline::ConnectionDisposition::Close {
                 set_connection_close(&mut response);
             }
@@ -141,7 +151,11 @@
                 if head_timer.is_overdue(edge.limits.header_wait) {
                     break ConnectionEnd::SlowHead;
                 }
+                if pipeline.is_unread_for(edge.limits.answer_wait) {
+                    break ConnectionEnd::Unread;
+                }
             }
+            () = pipeline.evicted() => break ConnectionEnd::Unread,
             _ = drain.closing.wait_for(|closing| *closing), if !draining => {
                 draining = true;
                 pipeline.stop();
@@ -149,13 +163,20 @@
         }
     };
     let mut stream = serving.into_parts().io.into_inner().into_inner();
-    if let Some(cause) = end.cause() {
-        edge.counters.count(cause);
+    let end = match pipeline.lacks_memory() {
+        true => ConnectionEnd::NoMemory,
+        false => end,
+    };
+    match end.cause() {
+        Some(cause) if end.frees_memory() => edge.memory.record_refusal(cause),
+        Some(cause) => edge.counters.count(cause),
+        None => {}
     }
-    if end == ConnectionEnd::SlowHead {
+    if let Some(response) = end.response() {
         // The connection closes even if the caller does not read the response.
-        let _ = stream.write_all(SLOW_HEAD).await;
+        let _ = stream.write_all(response).await;
     }
+    pipeline.release();
     close(stream).await;
 }
 
@@ -170,6 +191,10 @@
     Malformed,
     /// A head was too large; the library has responded with 414 or 431.
     Oversized,
+    /// No memory was left for a head.
+    NoMemory,
+    /// The caller did not read its answer.
+    Unread,
 }
 
 impl ConnectionEnd {
@@ -187,6 +212,22 @@
             Self::SlowHead => Some(counters::EdgeCause::CallerHeadSlow),
             Self::Malformed => Some(counters::EdgeCause::CallerHeadMalformed),
             Self::Oversized => Some(counters::EdgeCause::CallerHeadOversized),
+            Self::NoMemory => Some(counters::EdgeCause::CallerBodyNoMemory),
+            Self::Unread => Some(counters::EdgeCause::CallerAnswerUnread),
+        }
+    }
+
+    /// Whether the connection ended for the sake of the memory for bodies.
+    fn frees_memory(self) -> bool {
+        matches!(self, Self::NoMemory | Self::Unread)
+    }
+
+    /// The response that the node writes itself, because the library wrote none.
+    fn response(self) -> Option<&'static [u8]> {
+        match self {
+            Self::SlowHead => Some(SLOW_HEAD),
+            Self::NoMemory => Some(NO_MEMORY),
+            Self::Normal | Self::Malformed | Self::Oversized | Self::Unread => None,
         }
     }
 }
@@ -226,7 +267,12 @@
     match admit(edge, pipeline, request).await {
         Ok(response) => response,
         Err(refusal) => {
-            edge.counters.count(intake::cause(&refusal));
+            match refusal {
+                caller::IntakeRefusal::NoMemory | caller::IntakeRefusal::BodyOversized { .. } => {
+                    edge.memory.record_refusal(intake::cause(&refusal));
+                }
+                _ => edge.counters.count(intake::cause(&refusal)),
+            }
             refuse(edge, &refusal)
         }
     }
@@ -239,7 +285,7 @@
 ) -> Result<caller::FullResponse, caller::IntakeRefusal> {
     let (head, body) = request.into_parts();
     let mut call = edge.dialect.read_head(&head)?;
-    call.request.body = intake::read_body(body, edge.limits.body_wait).await?;
+    call.request.body = intake::read_body(body, edge.limits.body, &edge.memory).await?;
     pipeline.begin_serving();
     if let Some(early) = pipeline.take_early(&head.uri) {
         let reply = early.reply(edge).await;
--- a/crates/anvil_node/src/counters.rs
+++ b/crates/anvil_node/src/counters.rs
@@ -37,6 +37,13 @@
     /// A request body did not arrive in time; answered with 408.
     #[display("caller_body_slow")]
     CallerBodySlow,
+    /// No memory was left for a request body or a head; answered with 503.
+    #[display("caller_body_no_memory")]
+    CallerBodyNoMemory,
+    /// A caller's connection was closed because it took no byte of its answer for too long, or its
+    /// unread answer held memory that others needed.
+    #[display("caller_answer_unread")]
+    CallerAnswerUnread,
     /// A request body was incomplete or had malformed chunks; answered with 400.
     #[display("caller_body_malformed")]
     CallerBodyMalformed,
@@ -130,6 +137,12 @@
     /// The queue to a peer was full, and a frame was returned unsent.
     #[display("peer_queue_full")]
     PeerQueueFull,
+    /// No memory was left for the body of another node's call, which was refused as not run.
+    #[display("peer_call_no_memory")]
+    PeerCallNoMemory,
+    /// No memory was left for the body of another node's answer; its caller gets 502.
+    #[display("peer_answer_no_memory")]
+    PeerAnswerNoMemory,
     /// A datagram was malformed or not authentic, and dropped.
     #[display("datagram_refused")]
     DatagramRefused,
@@ -184,6 +197,7 @@
     target_connections: IntGauge,
     peer_connections: IntGauge,
     unreadable_rows: IntGauge,
+    body_bytes: IntGauge,
 }
 
 impl EdgeCounters {
@@ -244,6 +258,11 @@
             "anvil_unreadable_rows",
             "Rows of the desired state with a fault, in rows of the newest version read.",
         )?;
+        let body_bytes = gauge(
+            &registry,
+            "anvil_body_bytes",
+            "Memory that bodies hold at present, in bytes.",
+        )?;
         Ok(Self {
             registry,
             events,
@@ -256,6 +275,7 @@
             target_connections,
             peer_connections,
             unreadable_rows,
+            body_bytes,
         })
     }
 
@@ -326,6 +346,11 @@
         &self.unreadable_rows
     }
 
+    /// Memory that bodies hold.
+    pub fn body_bytes(&self) -> &IntGauge {
+        &self.body_bytes
+    }
+
     /// The registry, for the metrics endpoint.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/anvil_node/src/lib.rs
+++ b/crates/anvil_node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod head;
 pub mod listen;
 pub mod logs;
+pub mod memory;
 pub mod node;
 pub mod peer;
 pub mod reload;
--- a/crates/anvil_node/src/node.rs
+++ b/crates/anvil_node/src/node.rs
@@ -16,9 +16,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::target::{exchange, memory, parent, pool, runs};
+use crate::caller::intake;
+use crate::target::{exchange, parent, pool, runs};
 use crate::{
-    admin, caller, clock, control, counters, datagram, dialect, engine, peer, settings, store,
+    admin, caller, clock, control, counters, datagram, dialect, engine, memory, peer, settings,
+    store,
 };
 
 /// Interval at which expired connections to the target are closed.
@@ -138,7 +140,9 @@
         .enable_all()
         .build()
         .wrap_err("the runtime could not be started")?;
+    let memory = memory::BodyMemory::new(settings.limits.memory_bytes(), counters.clone());
     let edge = admin::server::AdminEdge {
+        memory: memory.clone(),
         engine: engine.clone(),
         counters: counters.clone(),
         token: settings.admin_token.clone(),
@@ -157,6 +161,7 @@
         settings,
         bound,
         engine: engine.clone(),
+        memory,
         counters: counters.clone(),
         runtime: runtime.handle().clone(),
         drain,
@@ -236,6 +241,7 @@
     bound: BoundAddresses,
     engine: engine::EngineSender,
     counters: counters::EdgeCounters,
+    memory: memory::BodyMemory,
     runtime: runtime::Handle,
     dialects: dialect::NodeDialects,
     drain: caller::server::DrainSignal,
@@ -293,8 +299,16 @@
                 header_count: usize::try_from(limits.header_count)?,
                 header_wait: limits.header_wait(),
                 idle_wait: limits.idle_wait(),
-                body_wait: limits.body_wait(),
+                body: intake::BodyLimits {
+                    bytes: self
+                        .settings
+                        .body_bytes()
+                        .min(self.memory.largest_request()),
+                    wait: limits.body_wait(),
+                },
+                answer_wait: limits.answer_wait(),
             },
+            memory: self.memory.clone(),
             handles: AtomicU64::new(0),
         };
         let serving = caller::server::serve(listener, Arc::new(edge), self.drain.clone());
@@ -337,6 +351,7 @@
             link_ids: Arc::default(),
             received_frames: Arc::default(),
             drain: self.drain.clone(),
+            memory: self.memory.clone(),
         };
         let limit = usize::try_from(self.settings.limits.peer_connections)?;
         let serving = peer::accept::serve(listener, context.clone(), limit);
@@ -366,7 +381,7 @@
         });
         exchange::TargetExchange {
             pool,
-            memory: memory::AnswerMemory::default(),
+            memory: self.memory.clone(),
             dialect: self.dialects.targets.clone(),
             counters: self.counters.clone(),
         }
--- a/crates/anvil_node/src/peer/link.rs
+++ b/crates/anvil_node/src/peer/link.rs
@@ -14,8 +14,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
-use super::{handshake, liveness, stream};
-use crate::{caller, counters, engine};
+use super::{bodies, handshake, liveness, stream};
+use crate::{caller, counters, engine, memory};
 
 /// Maximum number of frames that wait for one connection.
 pub const MAX_QUEUED_FRAMES: usize = 4_096;
@@ -135,6 +135,8 @@
     pub received_frames: Arc<AtomicU64>,
     /// Lets connections flush before the process exits.
     pub drain: caller::server::DrainSignal,
+    /// Holds the bodies of received frames.
+    pub memory: memory::BodyMemory,
 }
 
 impl LinkContext {
@@ -194,6 +196,7 @@
         compressor: compression::FrameCompressor::default(),
         sealer: sealed.sealer,
         batch: Vec::new(),
+        large: bodies::LargeFrames::default(),
         used: false,
     };
     let end = exchange(&context, writer, parts, reading).await;
@@ -221,6 +224,7 @@
     compressor: compression::FrameCompressor,
     sealer: sealing::FrameSealer,
     batch: Vec<u8>,
+    large: bodies::LargeFrames,
     /// Whether any byte of a frame was handed to the socket.
     used: bool,
 }
@@ -290,9 +294,11 @@
             true
         }
     };
+    let mut unsent = writer.large.into_unsent();
+    unsent.extend(drain(frames).await);
     LinkEnd {
         link,
-        unsent: drain(frames).await,
+        unsent,
         used: writer.used || received,
         awaits_answers: liveness.awaits_answers(),
         unresponsive,
@@ -346,20 +352,21 @@
             let first = tokio::select! {
                 biased;
                 frame = frames.recv() => match frame {
-                    Some(frame) => frame,
-                    None => return WriteEnd::Flushed,
+                    None if self.large.is_empty() => return WriteEnd::Flushed,
+                    frame => frame,
                 },
-                () = liveness.wait_for_probe() => frame::PeerFrame::Pong,
+                () = liveness.wait_for_probe() => Some(frame::PeerFrame::Pong),
                 _ = checks.tick(), if liveness.awaits_answers() => {
                     match liveness.check(&mut misses) {
                         liveness::LivenessAction::None => continue,
-                        liveness::LivenessAction::Probe => frame::PeerFrame::Ping,
+                        liveness::LivenessAction::Probe => Some(frame::PeerFrame::Ping),
                         liveness::LivenessAction::Close => {
                             context.counters.count(counters::EdgeCause::PeerUnresponsive);
                             return WriteEnd::Unresponsive;
                         }
                     }
                 }
+                () = std::future::ready(()), if !self.large.is_empty() => None,
             };
             self.gather(context, first, frames);
             // From the first byte on, it is unknown what the other side has received.
@@ -386,23 +393,28 @@
         None
     }
 
-    /// Encodes `first` and the frames queued after it, up to one batch.
+    /// Encodes `first` and the frames queued after it, up to one batch, and a part of a large body.
     fn gather(
         &mut self,
         context: &LinkContext,
-        first: frame::PeerFrame,
+        first: Option<frame::PeerFrame>,
         frames: &mut mpsc::Receiver<frame::PeerFrame>,
     ) {
         self.batch.clear();
-        let mut next = Some(first);
+        let mut next = first;
         while let Some(frame) = next {
-            self.append(context, &frame);
+            if let Some(frame) = self.large.take(frame) {
+                self.append(context, &frame);
+            }
             next = if self.batch.len() < BATCH_BYTES {
                 frames.try_recv().ok()
             } else {
                 None
             };
         }
+        if let Some(frame) = self.large.next_frame() {
+            self.append(context, &frame);
+        }
     }
 
     fn append(&mut self, context: &LinkContext, frame: &frame::PeerFrame) {
@@ -447,6 +459,7 @@
     liveness: Arc<liveness::LinkLiveness>,
 ) -> bool {
     let mut used = false;
+    let mut bodies = bodies::BodyAssembly::new(context.memory.clone());
     loop {
         let frame = match reader.next().await {
             Ok(frame) => frame,
@@ -459,17 +472,26 @@
         };
         used = true;
         liveness.frame_received(matches!(frame, frame::PeerFrame::Answer(_)));
-        match frame {
+        let frame = match frame {
             frame::PeerFrame::Ping => {
                 liveness.probe_received();
                 continue;
             }
             frame::PeerFrame::Pong => continue,
-            // Pings and pongs do not count, or each probe would move the traffic to its connection.
-            _ => liveness
-                .record_received(context.received_frames.fetch_add(1, Ordering::Relaxed) + 1),
-        }
-        let arrived = event::NodeEvent::FrameArrived { peer, frame };
+            frame::PeerFrame::Body(part) => {
+                bodies.add(&part);
+                continue;
+            }
+            frame => frame,
+        };
+        // Pings and pongs do not count, or each probe would move the traffic to its connection.
+        liveness.record_received(context.received_frames.fetch_add(1, Ordering::Relaxed) + 1);
+        let arrived = match bodies.complete(frame) {
+            bodies::ReceivedFrame::Whole(frame) => event::NodeEvent::FrameArrived { peer, frame },
+            bodies::ReceivedFrame::WithoutBody(frame) => {
+                event::NodeEvent::BodyRefused { peer, frame }
+            }
+        };
         // A full engine queue slows down this reader, and with it the sender. If the engine has
         // stopped, reading continues: closing a socket with unread bytes resets the connection, and
         // the reset can discard answers that the other side has not read yet.
--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -8,10 +8,19 @@
 use anvil_overload::policy;
 use anvil_platform::settings as hosted;
 use anvil_types::name;
+use anvil_wire::codec;
 use anvil_wire::seal::ring;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Deserializer, de};
 
+use crate::memory;
+
+/// Bytes of a megabyte.
+const MEGABYTE: u64 = 1_000_000;
+
+/// The least memory with which a node works, in megabytes, and the most that can be meant.
+const MEMORY_RANGE: std::ops::RangeInclusive<f64> = 64.0..=16_000_000.0;
+
 /// Why settings were refused; the text names the file, the line, the field and the reason.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
@@ -110,6 +119,16 @@
     /// Longest time for a complete body, in milliseconds.
     #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
     pub body_wait_ms: u64,
+    /// Longest time in which a caller takes no byte of its answer, in milliseconds.
+    #[serde(deserialize_with = "bounded::<_, 1_000, 600_000>")]
+    pub answer_wait_ms: u64,
+    /// Memory of the instance, in megabytes; half of it holds bodies. Fractions are cut off.
+    #[serde(deserialize_with = "megabytes")]
+    pub memory_mb: u64,
+    /// Length of a request body, in bytes. Without it, what the hosting platform allows, or else
+    /// [`codec::MAX_BODY_BYTES`]; in any case no more than fits into the memory for bodies.
+    #[serde(deserialize_with = "optional_bytes")]
+    pub body_bytes: Option<u64>,
     /// Longest time for flushing replies when the process exits, in milliseconds.
     #[serde(deserialize_with = "bounded::<_, 10, 600_000>")]
     pub flush_wait_ms: u64,
@@ -132,6 +151,9 @@
             // rarely sends a request on one that the node is just closing.
             idle_wait_ms: 120_000,
             body_wait_ms: 30_000,
+            answer_wait_ms: 30_000,
+            memory_mb: memory::SMALLEST_INSTANCE_BYTES / MEGABYTE,
+            body_bytes: None,
             flush_wait_ms: 5_000,
             worker_threads: 2,
         }
@@ -154,12 +176,32 @@
         Duration::from_millis(self.body_wait_ms)
     }
 
+    /// Longest time in which a caller takes no byte of its answer.
+    pub fn answer_wait(&self) -> Duration {
+        Duration::from_millis(self.answer_wait_ms)
+    }
+
+    /// Memory of the instance, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb * MEGABYTE
+    }
+
     /// Longest time for flushing replies when the process exits.
     pub fn flush_wait(&self) -> Duration {
         Duration::from_millis(self.flush_wait_ms)
     }
 }
 
+impl NodeSettings {
+    /// Length of a request body that is accepted, in bytes, if there is memory for it.
+    pub fn body_bytes(&self) -> usize {
+        let hosted = self.hosted.as_ref().map(|_| hosted::MAX_BODY_BYTES);
+        let stated = self.limits.body_bytes.or(hosted);
+        let stated = stated.and_then(|bytes| usize::try_from(bytes).ok());
+        stated.unwrap_or(codec::MAX_BODY_BYTES)
+    }
+}
+
 /// The keys shared by the fleet, validated together.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(try_from = "Vec<KeyEntry>")]
@@ -238,9 +280,45 @@
         let reason = "advertise: an address that other nodes can reach is needed";
         return Err(refused(reason.to_owned()));
     }
+    let largest = memory::largest_request(settings.limits.memory_bytes());
+    if settings
+        .limits
+        .body_bytes
+        .is_some_and(|bytes| bytes > largest as u64)
+    {
+        let reason = format!(
+            "limits.body_bytes: limits.memory_mb of {} has room for {largest} at most",
+            settings.limits.memory_mb
+        );
+        return Err(refused(reason));
+    }
     Ok(settings)
 }
 
+/// Reads megabytes, of which platforms may state fractions.
+fn megabytes<'de, D>(deserializer: D) -> Result<u64, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let value = f64::deserialize(deserializer)?;
+    if !MEMORY_RANGE.contains(&value) {
+        let (min, max) = (MEMORY_RANGE.start(), MEMORY_RANGE.end());
+        let reason = format!("{value} is out of range: {min} to {max} is expected");
+        return Err(de::Error::custom(reason));
+    }
+    // The range leaves no value that a conversion could change but by its fraction.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = value as u64;
+    Ok(whole)
+}
+
+fn optional_bytes<'de, D>(deserializer: D) -> Result<Option<u64>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    bounded::<D, 1, { u32::MAX as u64 }>(deserializer).map(Some)
+}
+
 fn bounded<'de, D, const MIN: u64, const MAX: u64>(deserializer: D) -> Result<u64, D::Error>
 where
     D: Deserializer<'de>,
--- a/crates/anvil_node/src/target.rs
+++ b/crates/anvil_node/src/target.rs
@@ -1,7 +1,6 @@
 //! The target edge: sends requests to the local target over pooled HTTP connections.
 
 pub mod exchange;
-pub mod memory;
 pub mod message;
 pub mod native;
 pub mod parent;
--- a/crates/anvil_node/src/target/exchange.rs
+++ b/crates/anvil_node/src/target/exchange.rs
@@ -14,14 +14,14 @@
 use anvil_edge::{hops, target};
 use anvil_overload::deadline;
 use anvil_wire::{call, codec};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut, buf};
 use http::{header, response};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
 use tokio::time;
 
-use super::{memory, message, pool};
-use crate::counters;
+use super::{message, pool};
+use crate::{counters, memory};
 
 /// Maximum number of answers to other requests that are skipped before the awaited one; after more,
 /// the connection counts as broken.
@@ -40,8 +40,8 @@
 pub struct TargetExchange {
     /// Idle connections.
     pub pool: pool::ConnectionPool,
-    /// Bounds the memory of the answers that are being received.
-    pub memory: memory::AnswerMemory,
+    /// Holds the bodies of the answers.
+    pub memory: memory::BodyMemory,
     /// Builds requests and classifies answers.
     pub dialect: Arc<dyn target::TargetDialect>,
     /// Counts the outcomes of exchanges.
@@ -149,7 +149,7 @@
             // Not expected, since nodes check requests before they forward them; nothing was sent.
             return event::RunOutcome::Unreachable.into();
         };
-        let bytes = encode(&request);
+        let bytes = EncodedRequest::new(&request);
         let started_at = time::Instant::now();
         let mut trace = None;
         let sending = self.send(&run, &bytes, &mut trace, withdrawals);
@@ -195,8 +195,9 @@
     ) -> Option<CheckReport> {
         let mut connection = self.pool.open(order.address).await.ok()?;
         let (reader, mut writer) = connection.stream.split();
-        writer.write_all(&encode(request)).await.ok()?;
-        let mut reader = message::AnswerReader::new(reader, self.memory.begin());
+        let mut bytes = EncodedRequest::new(request).into_buf();
+        writer.write_all_buf(&mut bytes).await.ok()?;
+        let mut reader = message::AnswerReader::new(reader, &self.memory);
         let head = reader.head(request.method().as_str()).await.ok()?;
         Some(CheckReport {
             outcome: self.dialect.check_outcome(order, &head.parts),
@@ -207,7 +208,7 @@
     async fn send(
         &self,
         run: &effect::RunOrder,
-        bytes: &[u8],
+        bytes: &EncodedRequest,
         trace: &mut Option<event::ExchangeTrace>,
         mut withdrawals: watch::Receiver<u64>,
     ) -> RunReport {
@@ -256,18 +257,18 @@
         &self,
         run: &effect::RunOrder,
         connection: &mut pool::TargetConnection,
-        bytes: &[u8],
+        bytes: &EncodedRequest,
         trace: &mut Option<event::ExchangeTrace>,
     ) -> Result<ReadAnswer, ExchangeFault> {
-        let first = connection.stream.write(bytes).await;
-        let sent = first.map_err(|_| ExchangeFault::Unsent)?;
+        let mut rest = bytes.clone().into_buf();
+        let first = connection.stream.write_buf(&mut rest).await;
+        first.map_err(|_| ExchangeFault::Unsent)?;
         let trace = trace.insert(connection.begin_exchange(run.label.as_ref()));
         let (reader, mut writer) = connection.stream.split();
-        let mut reader = message::AnswerReader::new(reader, self.memory.begin());
-        let mut writing = WriteProgress::from_done(sent == bytes.len());
+        let mut reader = message::AnswerReader::new(reader, &self.memory);
+        let mut writing = WriteProgress::from_done(!rest.has_remaining());
         let mut read = {
-            let rest = &bytes[sent..];
-            let mut written = std::pin::pin!(writer.write_all(rest));
+            let mut written = std::pin::pin!(writer.write_all_buf(&mut rest));
             let mut reading = std::pin::pin!(self.read(run, &mut reader, trace));
             loop {
                 tokio::select! {
@@ -375,8 +376,8 @@
                 .counters
                 .count(counters::EdgeCause::TargetAnswerUnframed),
             message::AnswerFault::NoMemory => {
-                self.counters
-                    .count(counters::EdgeCause::TargetAnswerNoMemory);
+                self.memory
+                    .record_refusal(counters::EdgeCause::TargetAnswerNoMemory);
             }
             message::AnswerFault::Oversized => self
                 .counters
@@ -462,11 +463,31 @@
     }
 }
 
-/// Encodes a request, head and body in one buffer so that they can be sent in one segment.
-fn encode(request: &http::Request<Bytes>) -> Bytes {
+/// A request as it is sent; the body is not copied.
+#[derive(Clone)]
+struct EncodedRequest {
+    head: Bytes,
+    body: Bytes,
+}
+
+impl EncodedRequest {
+    fn new(request: &http::Request<Bytes>) -> Self {
+        Self {
+            head: encode_head(request),
+            body: request.body().clone(),
+        }
+    }
+
+    /// Head and body in one buffer, so that they can be sent in one segment.
+    fn into_buf(self) -> buf::Chain<Bytes, Bytes> {
+        self.head.chain(self.body)
+    }
+}
+
+fn encode_head(request: &http::Request<Bytes>) -> Bytes {
     let (path, body) = (request.uri().path_and_query(), request.body());
     let path = path.map_or("/", |path| path.as_str());
-    let mut bytes = BytesMut::with_capacity(256 + body.len());
+    let mut bytes = BytesMut::with_capacity(256);
     bytes.extend_from_slice(request.method().as_str().as_bytes());
     bytes.extend_from_slice(b" ");
     bytes.extend_from_slice(path.as_bytes());
@@ -483,7 +504,6 @@
         );
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(body);
     bytes.freeze()
 }
 
--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -8,8 +8,7 @@
 use http::{HeaderMap, StatusCode, header, response};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-use super::memory;
-use crate::head;
+use crate::{head, memory};
 
 /// Largest head of an answer, in bytes; common servers send no larger one.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -28,6 +27,9 @@
 const FREE_FRAMING_BYTES: usize = 64 * 1024;
 const FRAMING_BYTES_PER_BODY_BYTE: usize = 3;
 
+/// Longest body that is read in the buffer of its connection, in bytes.
+const MAX_BUFFERED_BYTES: usize = 16 * 1024;
+
 /// Minimum free buffer space for each read from the socket, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -51,7 +53,7 @@
     /// The body is above the limit.
     #[display("the body is above the limit")]
     Oversized,
-    /// Other answers fill the memory for answers.
+    /// Other bodies fill the memory.
     #[display("no memory is left for the answer")]
     NoMemory,
     /// The body has neither a length nor chunks, so its end looks like a broken connection.
@@ -97,9 +99,7 @@
 pub struct AnswerReader<R> {
     reader: R,
     buffer: BytesMut,
-    /// Bytes of the current body that have left the buffer.
-    collected: usize,
-    reservation: memory::AnswerReservation,
+    memory: memory::BodyMemory,
     has_begun: bool,
 }
 
@@ -107,13 +107,12 @@
 where
     R: AsyncRead + Unpin,
 {
-    /// Reads answers from `reader`, and keeps them within `reservation`.
-    pub fn new(reader: R, reservation: memory::AnswerReservation) -> Self {
+    /// Reads answers from `reader` into `memory`.
+    pub fn new(reader: R, memory: &memory::BodyMemory) -> Self {
         Self {
             reader,
             buffer: BytesMut::new(),
-            collected: 0,
-            reservation,
+            memory: memory.clone(),
             has_begun: false,
         }
     }
@@ -144,7 +143,7 @@
         }
     }
 
-    /// The complete body, of at most `limit` bytes.
+    /// The complete body, of at most `limit` bytes, which keeps its lease.
     pub async fn body(
         &mut self,
         framing: BodyFraming,
@@ -154,9 +153,15 @@
         match framing {
             BodyFraming::Absent => Ok(Bytes::new()),
             BodyFraming::Length(length) if length > limit => Err(AnswerFault::Oversized),
-            BodyFraming::Length(length) => {
+            BodyFraming::Length(length) if length <= MAX_BUFFERED_BYTES => {
                 self.fill_to(length).await?;
-                Ok(self.buffer.split_to(length).freeze())
+                let body = self.buffer.split_to(length).freeze();
+                Ok(self.memory.own(memory::BodyKind::Answer, body)?)
+            }
+            BodyFraming::Length(length) => {
+                let mut body = self.new_body(length);
+                self.take(length, &mut body).await?;
+                Ok(body.finish()?)
             }
             BodyFraming::Chunked => self.chunks(limit).await,
             BodyFraming::UntilClose if close_meaning == target::CloseMeaning::Truncated => {
@@ -166,6 +171,29 @@
         }
     }
 
+    fn new_body(&self, limit: usize) -> memory::BodyBuffer {
+        memory::BodyBuffer::new(&self.memory, memory::BodyKind::ArrivingAnswer, limit)
+    }
+
+    /// Moves `length` bytes to `body` as they are received.
+    async fn take(
+        &mut self,
+        length: usize,
+        body: &mut memory::BodyBuffer,
+    ) -> Result<(), AnswerFault> {
+        let mut left = length;
+        while left > 0 {
+            if self.buffer.is_empty() {
+                self.fill().await?;
+            }
+            let taken = left.min(self.buffer.len());
+            body.push(&self.buffer[..taken]).await?;
+            self.buffer.advance(taken);
+            left -= taken;
+        }
+        Ok(())
+    }
+
     fn parse_head(&mut self, method: &str) -> Result<Option<AnswerHead>, AnswerFault> {
         let mut lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
         let mut parsed = httparse::Response::new(&mut lines);
@@ -182,8 +210,7 @@
     }
 
     async fn chunks(&mut self, limit: usize) -> Result<Bytes, AnswerFault> {
-        let mut body = BytesMut::new();
-        self.collected = 0;
+        let mut body = self.new_body(limit);
         let mut framing_bytes = 0;
         loop {
             let line = self.line().await?;
@@ -194,14 +221,12 @@
             let size = chunk_size(&line)?;
             if size == 0 {
                 self.trailers().await?;
-                return Ok(body.freeze());
+                return Ok(body.finish()?);
             }
             if size > limit.saturating_sub(body.len()) {
                 return Err(AnswerFault::Oversized);
             }
-            self.fill_to(size).await?;
-            body.extend_from_slice(&self.buffer.split_to(size));
-            self.collected = body.len();
+            self.take(size, &mut body).await?;
             if !self.line().await?.is_empty() {
                 return Err(malformed("a chunk is longer than it says"));
             }
@@ -218,13 +243,16 @@
     }
 
     async fn until_close(&mut self, limit: usize) -> Result<Bytes, AnswerFault> {
+        let mut body = self.new_body(limit);
         loop {
-            if self.buffer.len() > limit {
+            let received = self.buffer.len();
+            if body.len() + received > limit {
                 return Err(AnswerFault::Oversized);
             }
+            self.take(received, &mut body).await?;
             match self.fill().await {
                 Ok(()) => {}
-                Err(AnswerFault::UnexpectedEnd) => return Ok(self.buffer.split().freeze()),
+                Err(AnswerFault::UnexpectedEnd) => return Ok(body.finish()?),
                 Err(fault) => return Err(fault),
             }
         }
@@ -254,10 +282,6 @@
     }
 
     async fn fill(&mut self) -> Result<(), AnswerFault> {
-        let needed = self.collected + self.buffer.len() + READ_BYTES;
-        if !self.reservation.grow_to(needed).await {
-            return Err(AnswerFault::NoMemory);
-        }
         // Only READ_BYTES beyond the received bytes are reserved, so that a stated length alone
         // reserves no memory.
         self.buffer.reserve(READ_BYTES);
@@ -269,6 +293,12 @@
     }
 }
 
+impl From<memory::MemoryError> for AnswerFault {
+    fn from(_: memory::MemoryError) -> Self {
+        Self::NoMemory
+    }
+}
+
 fn read_head(parsed: &httparse::Response<'_, '_>, method: &str) -> Result<AnswerHead, AnswerFault> {
     let code = parsed.code.unwrap_or_default();
     let status = StatusCode::from_u16(code).map_err(|_| malformed("the status"))?;
--- a/crates/anvil_node/tests/common/fake_peer.rs
+++ b/crates/anvil_node/tests/common/fake_peer.rs
@@ -228,9 +228,17 @@
 
     /// Like [`Self::receive_answer`], with `reader` in place of the socket.
     pub fn receive_answer_from(&mut self, reader: &mut dyn Read) -> call::PeerAnswer {
+        let mut body = Vec::new();
         loop {
-            if let frame::PeerFrame::Answer(answer) = self.receive_from(reader) {
-                return *answer;
+            match self.receive_from(reader) {
+                frame::PeerFrame::Body(part) => body.extend_from_slice(&part.bytes),
+                frame::PeerFrame::Answer(mut answer) => {
+                    if let Some(whole) = answer.answer.as_mut().filter(|_| !body.is_empty()) {
+                        whole.body = Bytes::from(body);
+                    }
+                    return *answer;
+                }
+                _ => {}
             }
         }
     }
--- a/crates/anvil_node/tests/peer_table.rs
+++ b/crates/anvil_node/tests/peer_table.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use anvil_node::caller::server;
-use anvil_node::counters;
 use anvil_node::peer::{link, table};
+use anvil_node::{counters, memory};
 use anvil_wire::{frame, outcome};
 use common::fake_peer;
 use tokio::net::TcpListener;
@@ -41,6 +41,10 @@
             counters: counters::EdgeCounters::new().unwrap(),
             link_ids: Arc::default(),
             received_frames: Arc::default(),
+            memory: memory::BodyMemory::new(
+                memory::SMALLEST_INSTANCE_BYTES,
+                counters::EdgeCounters::new().unwrap(),
+            ),
             drain: server::DrainSignal {
                 closing: closing_receiver,
                 flush_guard: mpsc::channel(1).0,
--- a/crates/anvil_node/tests/queued_at_exit.rs
+++ b/crates/anvil_node/tests/queued_at_exit.rs
@@ -12,8 +12,8 @@
 use anvil_core::{config, event, reducer};
 use anvil_node::caller::server;
 use anvil_node::peer::{link, table};
-use anvil_node::target::{exchange, memory, native, parent, pool, runs};
-use anvil_node::{clock, counters, datagram, engine, store};
+use anvil_node::target::{exchange, native, parent, pool, runs};
+use anvil_node::{clock, counters, datagram, engine, memory, store};
 use anvil_types::{ident, name, sorted, verdict};
 use anvil_wire::seal::datagram as sealing;
 use anvil_wire::{call, frame};
@@ -49,6 +49,7 @@
         counters: counters.clone(),
         link_ids: Arc::default(),
         received_frames: Arc::default(),
+        memory: memory::BodyMemory::new(memory::SMALLEST_INSTANCE_BYTES, counters.clone()),
         drain: server::DrainSignal {
             closing: watch::channel(false).1,
             flush_guard: mpsc::channel(1).0,
@@ -56,7 +57,7 @@
     };
     let exchange = exchange::TargetExchange {
         pool: pool::ConnectionPool::new(counters.clone()),
-        memory: memory::AnswerMemory::default(),
+        memory: memory::BodyMemory::new(memory::SMALLEST_INSTANCE_BYTES, counters.clone()),
         dialect: Arc::new(native::NativeTargets {
             issuer: parent::TokenIssuer::new([7; 32]),
         }),
--- a/crates/anvil_node/tests/settings_check.rs
+++ b/crates/anvil_node/tests/settings_check.rs
@@ -32,6 +32,14 @@
     assert_eq!(settings.limits.header_bytes, others.header_bytes);
 }
 
+// Guards against a node that does not start where the platform states a fraction of its memory.
+#[test]
+fn memory_may_have_a_fraction() {
+    let text = VALID.replace("caller_connections: 10", "memory_mb: 260.75");
+    let settings = settings::parse(&text, Path::new("node.yaml")).unwrap();
+    assert_eq!(settings.limits.memory_mb, 260);
+}
+
 fn refused(valid: &str, invalid: &str, expected: &[&str]) {
     assert!(VALID.contains(valid), "the case changes an existing text");
     let text = VALID.replace(valid, invalid);
@@ -55,6 +63,8 @@
     bad_listen => ("127.0.0.1:8081", "8081", &["line 6", "admin"]),
     bad_seed => ("10.0.0.6:7400", "10.0.0.6", &["line 9", "seeds"]),
     limit_too_low => ("connections: 10", "connections: 0", &["line 13", "caller_connections", "1 to 100000"]),
+    too_little_memory => ("caller_connections: 10", "memory_mb: 20.5", &["line 13", "memory_mb", "64 to 16000000"]),
+    body_without_memory => ("caller_connections: 10", "body_bytes: 80000000", &["limits.body_bytes", "70000000 at most"]),
     limit_not_a_number => ("connections: 10", "connections: many", &["line 13", "caller_connections"]),
     no_keys => ("  - {id: 1, secret: abababababababababababababababababababababababababababababababab}", "  []", &["line 11", "peer_keys", "at least one"]),
     short_key => ("abababababababababababababababababababababababababababababababab", "abcd", &["peer_keys", "shorter than 32"]),
--- a/crates/anvil_standins/src/endless.rs
+++ b/crates/anvil_standins/src/endless.rs
@@ -7,6 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
+use tokio::net::TcpSocket;
+use tokio::runtime;
+
 /// Bytes of one connection after which the sender gives up, so that a reader without any bound ends
 /// the test.
 const MAX_SENT_BYTES: u64 = 256 << 20;
@@ -14,6 +17,9 @@
 /// Bytes per write of a fast server.
 const FAST_WRITE_BYTES: usize = 64 * 1024;
 
+/// Connections that wait to be accepted.
+const MAX_WAITING_CONNECTIONS: u32 = 1_024;
+
 /// How fast the bytes come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendPace {
@@ -33,7 +39,7 @@
 impl EndlessServer {
     /// Starts a server on a free port of the loopback address.
     pub fn start(start: &'static str, part: &'static str, pace: SendPace) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = listen()?;
         let address = listener.local_addr()?;
         let sent: Arc<AtomicU64> = Arc::default();
         let counted = sent.clone();
@@ -58,6 +64,18 @@
     }
 }
 
+/// Listens with a queue for all connections of a test. The system drops the first packet of one beyond
+/// it, and its next try comes after a node has given up.
+fn listen() -> io::Result<TcpListener> {
+    let runtime = runtime::Builder::new_current_thread().enable_io().build()?;
+    let _entered = runtime.enter();
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let listener = socket.listen(MAX_WAITING_CONNECTIONS)?.into_std()?;
+    listener.set_nonblocking(false)?;
+    Ok(listener)
+}
+
 fn serve(
     mut stream: TcpStream,
     start: &str,
--- a/crates/anvil_types/src/verdict.rs
+++ b/crates/anvil_types/src/verdict.rs
@@ -99,6 +99,9 @@
     /// No readable client account holds the request's key, but some account could not be read.
     #[display("accounts-unreadable")]
     AccountsUnreadable,
+    /// The node has no memory left for the body.
+    #[display("no-memory")]
+    NoMemory,
 }
 
 /// Why it is unknown whether a request ran.
--- a/crates/anvil_wire/src/frame.rs
+++ b/crates/anvil_wire/src/frame.rs
@@ -3,10 +3,10 @@
 use anvil_types::ident;
 use serde::{Deserialize, Serialize};
 
-use crate::{call, gossip, key, outcome, suspicion};
+use crate::{body, call, gossip, key, outcome, suspicion};
 
 /// The protocol version; nodes of different versions reject each other's handshake.
-pub const PROTOCOL_VERSION: u16 = 10;
+pub const PROTOCOL_VERSION: u16 = 11;
 
 /// The first frame in each direction of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,4 +45,6 @@
     Ping,
     /// Answers a [`PeerFrame::Ping`].
     Pong,
+    /// A part of the body of a frame that follows.
+    Body(Box<body::BodyPart>),
 }
--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`gossip::GossipMessage`]s over UDP. Both are encoded with `postcard`; see
 //! `docs/ARCHITECTURE.md`.
 
+pub mod body;
 pub mod bounded;
 pub mod call;
 pub mod codec;
