Let callers that go on keep their memory, and small answers find some

Two faults of the budget for bodies, found by reading it again.

What callers would see: where large answers that others read slowly take the whole budget, each answer of more than 4 KiB is given up (502) until one of those is five seconds old; and then a caller that reads steadily loses its answer as soon as one that has stopped reading.

Cause: only requests had a share, answers could take all; and a hold gave way by its age alone.

Now large bodies leave one part in 32 to small ones, and the connection gives way that has moved no byte for longest, or that holds a body for more than ten seconds.

--- a/crates/anvil_node/src/caller/intake.rs
+++ b/crates/anvil_node/src/caller/intake.rs
@@ -1,7 +1,7 @@
 //! Reads request bodies, and maps refusals at the edge to counters.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvil_edge::caller;
 use bytes::Bytes;
@@ -82,8 +82,9 @@
         }
         let pushed = buffer.push(&data).await;
         pushed.map_err(|_| caller::IntakeRefusal::NoMemory)?;
-        if hold.is_none() && buffer.is_leased() {
-            hold = Some(memory.hold(memory::HoldKind::Receiving, evicted.clone()));
+        if buffer.is_leased() {
+            let hold = hold.get_or_insert_with(|| memory.hold(evicted.clone()));
+            hold.record_progress(Instant::now());
         }
     }
     let finished = buffer.finish();
--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -85,7 +85,7 @@
     /// When the caller last took a byte of it.
     moved_at: Instant,
     /// Lets others have its memory, if it has much.
-    _hold: Option<memory::BodyHold>,
+    hold: Option<memory::BodyHold>,
 }
 
 #[derive(Debug)]
@@ -180,11 +180,11 @@
         let is_large = bytes > memory::FREE_BYTES as u64;
         let hold = is_large.then(|| {
             let memory = &self.edge.memory;
-            memory.hold(memory::HoldKind::Unread, self.evicted.clone())
+            memory.hold(self.evicted.clone())
         });
         self.lock().unread = Some(UnreadAnswer {
             moved_at: Instant::now(),
-            _hold: hold,
+            hold,
         });
     }
 
@@ -274,6 +274,9 @@
             && let Some(unread) = &mut self.lock().unread
         {
             unread.moved_at = Instant::now();
+            if let Some(hold) = &unread.hold {
+                hold.record_progress(unread.moved_at);
+            }
         }
     }
 
--- a/crates/anvil_node/src/memory.rs
+++ b/crates/anvil_node/src/memory.rs
@@ -22,25 +22,25 @@
 /// Bytes of one body that need no lease.
 pub const FREE_BYTES: usize = 4 * 1024;
 
-/// Bytes of a request body that does not count towards the requests' share, so that large requests
-/// never keep small ones out.
-pub const SMALL_BYTES: usize = 16 * 1024;
+/// Bytes of a request body that does not count as large.
+pub const SMALL_REQUEST_BYTES: usize = 16 * 1024;
+
+/// Bytes of an answer that does not count as large.
+pub const SMALL_ANSWER_BYTES: usize = 64 * 1024;
 
 /// Share of the instance's memory for bodies, in percent. The rest is for the process itself and the
 /// buffers of its connections.
 const BODY_PERCENT: u64 = 50;
 
-/// Share of the budget that large requests may take, in eighths. Answers always find some of it, since
-/// their requests have run.
-const REQUEST_EIGHTHS: usize = 7;
+/// Share of the budget that all large bodies may take, in 32nds. Small ones always find some of it.
+const LARGE_PARTS: usize = 31;
 
-/// Share of the budget that answers may take while the target sends them, in eighths, beside the first
-/// [`ARRIVING_FREE_BYTES`] of each.
-const ARRIVING_EIGHTHS: usize = 3;
+/// Share of the budget that large requests may take, in 32nds. Large answers always find some of
+/// it, since their requests have run.
+const REQUEST_PARTS: usize = 28;
 
-/// Bytes of an answer that need no lease while the target sends it, so that large answers never hold up
-/// small ones. The slots of the target bound them.
-const ARRIVING_FREE_BYTES: usize = 64 * 1024;
+/// Share of the budget that large answers may take while the target sends them, in 32nds.
+const ARRIVING_PARTS: usize = 12;
 
 /// Longest wait for memory of a request, which other callers' requests wait behind.
 const REQUEST_WAIT: Duration = Duration::from_millis(250);
@@ -49,11 +49,12 @@
 /// their deadlines.
 const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Shortest time after which an unfinished request is given up in favour of others.
-const MIN_RECEIVING_TIME: Duration = Duration::from_secs(1);
+/// Shortest time without a byte after which a caller's connection gives way to others.
+const MIN_STALL_TIME: Duration = Duration::from_millis(750);
 
-/// Shortest time after which an answer that its caller has not read is given up in favour of others.
-const MIN_UNREAD_TIME: Duration = Duration::from_secs(5);
+/// Time after which a caller's connection gives way to others although it moves. Otherwise a byte now
+/// and then would keep the memory.
+const MAX_MOVING_TIME: Duration = Duration::from_secs(10);
 
 /// Interval between two log lines about refused bodies.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -80,39 +81,22 @@
         }
     }
 
-    /// Bytes that need no lease while the body is received.
+    /// Bytes that need no lease while the body is received. The slots of the target bound the answers
+    /// that it sends at the same time.
     const fn free_bytes(self) -> usize {
         match self {
-            Self::ArrivingAnswer => ARRIVING_FREE_BYTES,
+            Self::ArrivingAnswer => SMALL_ANSWER_BYTES,
             Self::Request | Self::Answer => FREE_BYTES,
         }
     }
 
-    /// What a lease of `bytes` takes of the share of its kind.
-    fn share_of(self, bytes: usize) -> usize {
-        match self {
-            Self::Request if bytes > SMALL_BYTES => bytes,
-            Self::ArrivingAnswer => bytes,
-            Self::Request | Self::Answer => 0,
-        }
-    }
-}
-
-/// What a caller's connection holds memory for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldKind {
-    /// A request that has not arrived completely.
-    Receiving,
-    /// An answer that the caller has not read completely.
-    Unread,
-}
-
-impl HoldKind {
-    const fn min_time(self) -> Duration {
-        match self {
-            Self::Receiving => MIN_RECEIVING_TIME,
-            Self::Unread => MIN_UNREAD_TIME,
-        }
+    /// What a lease of `bytes` takes of the share for large bodies.
+    const fn large_bytes(self, bytes: usize) -> usize {
+        let small = match self {
+            Self::Request => SMALL_REQUEST_BYTES,
+            Self::ArrivingAnswer | Self::Answer => SMALL_ANSWER_BYTES,
+        };
+        if bytes > small { bytes } else { 0 }
     }
 }
 
@@ -124,14 +108,30 @@
 /// One hold of a caller's connection.
 #[derive(Clone, Debug)]
 struct HoldEntry {
-    kind: HoldKind,
     since: Instant,
+    /// When its caller last sent or took a byte, in milliseconds after `since`.
+    moved_ms: Arc<AtomicU64>,
     evicted: Arc<Notify>,
 }
 
+impl HoldEntry {
+    /// How much this hold should give way to others; none if it need not.
+    fn eviction_rank(&self) -> Option<Duration> {
+        let age = self.since.elapsed();
+        let moved = Duration::from_millis(self.moved_ms.load(Ordering::Relaxed));
+        let stall = age.saturating_sub(moved);
+        match stall >= MIN_STALL_TIME {
+            true => Some(stall.max(age.saturating_sub(MAX_MOVING_TIME))),
+            false => age.checked_sub(MAX_MOVING_TIME),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct MemoryUsage {
     total: usize,
+    large: usize,
+    /// The parts of `large` that are requests, and answers that the target is sending.
     requests: usize,
     arriving: usize,
     holds: sorted::SortedTable<u64, HoldEntry>,
@@ -139,7 +139,7 @@
 }
 
 impl MemoryUsage {
-    /// What the bodies of `kind` take of their share; answers have none of their own.
+    /// What the large bodies of `kind` take of their share; answers have none of their own.
     fn share_mut(&mut self, kind: BodyKind) -> Option<&mut usize> {
         match kind {
             BodyKind::Request => Some(&mut self.requests),
@@ -171,7 +171,7 @@
 /// The longest request body for which an instance with `instance_bytes` of memory has room while it
 /// holds nothing else, in bytes.
 pub fn largest_request(instance_bytes: u64) -> usize {
-    total_bytes(instance_bytes) / 8 * REQUEST_EIGHTHS
+    total_bytes(instance_bytes) / 32 * REQUEST_PARTS
 }
 
 /// The memory for bodies, shared by all parts of a node.
@@ -184,10 +184,14 @@
     const fn share_limit(&self, kind: BodyKind) -> usize {
         match kind {
             BodyKind::Request => self.request_limit,
-            BodyKind::ArrivingAnswer => self.total_limit / 8 * ARRIVING_EIGHTHS,
-            BodyKind::Answer => self.total_limit,
+            BodyKind::ArrivingAnswer => self.total_limit / 32 * ARRIVING_PARTS,
+            BodyKind::Answer => self.large_limit(),
         }
     }
+
+    const fn large_limit(&self) -> usize {
+        self.total_limit / 32 * LARGE_PARTS
+    }
 }
 
 impl BodyMemory {
@@ -228,21 +232,25 @@
         }
     }
 
-    /// Registers a hold of a caller's connection. If memory is short, the oldest hold is evicted,
+    /// Registers that a caller's connection holds memory, for a request that is not complete or an
+    /// answer that is not read. If memory is short, the one that has stopped for longest is evicted,
     /// which notifies `evicted`.
-    pub fn hold(&self, kind: HoldKind, evicted: Arc<Notify>) -> BodyHold {
+    pub fn hold(&self, evicted: Arc<Notify>) -> BodyHold {
+        let (since, moved_ms) = (Instant::now(), Arc::new(AtomicU64::new(0)));
         let mut usage = self.usage();
         usage.last_hold += 1;
         let id = usage.last_hold;
         let entry = HoldEntry {
-            kind,
-            since: Instant::now(),
+            since,
+            moved_ms: moved_ms.clone(),
             evicted,
         };
         usage.holds.insert(id, entry);
         BodyHold {
             memory: self.clone(),
             id,
+            since,
+            moved_ms,
         }
     }
 
@@ -275,12 +283,12 @@
         log::warn!("{facts}");
     }
 
-    /// Evicts the hold that is the oldest for its kind; false if all are too young.
+    /// Evicts the hold that has stopped for longest; false if all move, or began just now.
     fn evict_oldest(&self) -> bool {
         let mut usage = self.usage();
         let evictable = usage.holds.iter().filter_map(|(id, entry)| {
-            let age = entry.since.elapsed();
-            (age >= entry.kind.min_time()).then_some((age, *id))
+            let rank = entry.eviction_rank()?;
+            Some((rank, *id))
         });
         let Some((_, id)) = evictable.max() else {
             return false;
@@ -307,6 +315,17 @@
 pub struct BodyHold {
     memory: BodyMemory,
     id: u64,
+    since: Instant,
+    moved_ms: Arc<AtomicU64>,
+}
+
+impl BodyHold {
+    /// Notes that the caller sent or took a byte at `now`.
+    pub fn record_progress(&self, now: Instant) {
+        let moved = now.saturating_duration_since(self.since).as_millis();
+        let moved = u64::try_from(moved).unwrap_or(u64::MAX);
+        self.moved_ms.store(moved, Ordering::Relaxed);
+    }
 }
 
 impl Drop for BodyHold {
@@ -334,12 +353,17 @@
         if usage.total + missing > state.total_limit {
             return Err(MemoryError);
         }
-        if let Some(share) = usage.share_mut(self.kind) {
-            let grown = *share + self.kind.share_of(bytes) - self.kind.share_of(self.bytes);
-            if grown > state.share_limit(self.kind).max(*share) {
+        let large = self.kind.large_bytes(bytes) - self.kind.large_bytes(self.bytes);
+        if large > 0 {
+            let limit = state.share_limit(self.kind);
+            let share = usage.share_mut(self.kind).map_or(0, |share| *share);
+            if usage.large + large > state.large_limit() || share + large > limit {
                 return Err(MemoryError);
             }
-            *share = grown;
+            usage.large += large;
+            if let Some(share) = usage.share_mut(self.kind) {
+                *share += large;
+            }
         }
         usage.total += missing;
         self.memory.record_usage(&usage);
@@ -390,9 +414,11 @@
             return;
         };
         let mut usage = self.memory.usage();
+        let large = self.kind.large_bytes(self.bytes) - self.kind.large_bytes(bytes);
         usage.total -= returned;
+        usage.large -= large;
         if let Some(share) = usage.share_mut(self.kind) {
-            *share -= self.kind.share_of(self.bytes) - self.kind.share_of(bytes);
+            *share -= large;
         }
         self.memory.record_usage(&usage);
         drop(usage);
@@ -403,7 +429,7 @@
     /// Ends the arrival of an answer.
     fn end_arrival(&mut self) {
         if self.kind == BodyKind::ArrivingAnswer {
-            self.memory.usage().arriving -= self.bytes;
+            self.memory.usage().arriving -= self.kind.large_bytes(self.bytes);
             self.kind = BodyKind::Answer;
             self.memory.state.freed.notify_waiters();
         }
--- a/crates/anvil_node/tests/body_memory.rs
+++ b/crates/anvil_node/tests/body_memory.rs
@@ -66,15 +66,41 @@
     let memory = small_memory();
     let mut large = memory.lease(memory::BodyKind::Request);
     large.try_grow(memory.largest_request()).unwrap();
-    let small = Bytes::from(vec![b'x'; memory::SMALL_BYTES]);
+    let small = Bytes::from(vec![b'x'; memory::SMALL_REQUEST_BYTES]);
     let owned = memory.own(memory::BodyKind::Request, small);
     assert!(owned.is_ok());
-    let medium = Bytes::from(vec![b'x'; memory::SMALL_BYTES + 1]);
+    let medium = Bytes::from(vec![b'x'; memory::SMALL_REQUEST_BYTES + 1]);
     assert!(memory.own(memory::BodyKind::Request, medium).is_err());
     drop((large, owned));
     assert_eq!(memory.held_bytes(), 0);
 }
 
+// Guards against large answers that nobody reads and that keep out the small ones of everybody else.
+#[test]
+fn large_answers_leave_memory_for_small_ones() {
+    let memory = small_memory();
+    let answers: Vec<_> = (0..10)
+        .map_while(|_| memory.own(memory::BodyKind::Answer, large_body()).ok())
+        .collect();
+    assert_eq!(answers.len(), 3);
+    let small = Bytes::from(vec![b'x'; memory::SMALL_ANSWER_BYTES]);
+    assert!(memory.own(memory::BodyKind::Answer, small).is_ok());
+}
+
+// Guards against callers that go on and lose to others, as their bodies take long.
+#[tokio::test]
+async fn a_hold_that_moves_is_kept() {
+    let memory = small_memory();
+    let mut held = memory.lease(memory::BodyKind::Request);
+    held.try_grow(memory.largest_request()).unwrap();
+    let evicted = Arc::new(Notify::new());
+    let hold = memory.hold(evicted.clone());
+    tokio::time::sleep(OLD).await;
+    hold.record_progress(Instant::now());
+    let mut young = memory.lease(memory::BodyKind::Request);
+    assert!(young.grow(BODY_BYTES).await.is_err());
+}
+
 // Guards against requests with hardly a body that find no memory.
 #[test]
 fn the_smallest_bodies_need_no_lease() {
@@ -93,7 +119,7 @@
     let mut held = memory.lease(memory::BodyKind::Request);
     held.try_grow(memory.largest_request()).unwrap();
     let evicted = Arc::new(Notify::new());
-    let hold = memory.hold(memory::HoldKind::Receiving, evicted.clone());
+    let hold = memory.hold(evicted.clone());
     let mut young = memory.lease(memory::BodyKind::Request);
     assert!(
         young.grow(BODY_BYTES).await.is_err(),
