Close no connection for an answer that has been read

What callers would see: where memory is short, a connection ends in the middle of an answer that it has just begun to write.

Cause: the notification that an answer has to give way stays for the next one, if the caller has read the first in the same moment.

Evidence: an_answer_is_not_evicted_for_the_one_before; without the check the second answer is given up at once.

Now the connection looks whether the answer that it writes is the one. And two tests with a fake node waited for a call that was sent before the node knew its service, in one of three runs under load; they wait as the other tests of two nodes do.

--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -197,7 +197,13 @@
 
     /// Waits until others need the memory of the answer that is being written.
     pub async fn evicted(&self) {
-        self.evicted.notified().await;
+        loop {
+            self.evicted.notified().await;
+            // The answer before this one may have been read when it was evicted.
+            if self.lock().is_evicted() {
+                return;
+            }
+        }
     }
 
     /// Whether no memory was left for a head.
@@ -328,6 +334,12 @@
         handed > 0
     }
 
+    /// Whether the answer that is being written had to give way to others.
+    fn is_evicted(&self) -> bool {
+        let hold = self.unread.as_ref().and_then(|unread| unread.hold.as_ref());
+        hold.is_some_and(memory::BodyHold::is_evicted)
+    }
+
     /// Takes memory for the next read.
     fn reserve_read(&mut self) -> Result<(), memory::MemoryError> {
         let needed = self.buffer.len() + READ_BYTES;
--- a/crates/anvil_node/src/memory.rs
+++ b/crates/anvil_node/src/memory.rs
@@ -320,6 +320,11 @@
 }
 
 impl BodyHold {
+    /// Whether it had to give way to others.
+    pub fn is_evicted(&self) -> bool {
+        self.memory.usage().holds.get(self.id).is_none()
+    }
+
     /// Notes that the caller sent or took a byte at `now`.
     pub fn record_progress(&self, now: Instant) {
         let moved = now.saturating_duration_since(self.since).as_millis();
--- a/crates/anvil_node/tests/body_memory.rs
+++ b/crates/anvil_node/tests/body_memory.rs
@@ -5,17 +5,21 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use anvil_node::caller::{intake, native, pipeline, server};
 use anvil_node::peer::bodies;
-use anvil_node::{counters, memory, node};
+use anvil_node::target::parent;
+use anvil_node::{counters, memory};
 use anvil_types::{ident, verdict};
 use anvil_wire::{body, frame};
 use bytes::Bytes;
 use common::fake_peer;
+use http_body_util::Full;
 use tokio::sync::Notify;
 
 /// The least memory that the settings allow: 32 MB for bodies, 28 MB of them for requests.
@@ -28,6 +32,9 @@
 /// Longer than the shortest time after which an unfinished request may be given up.
 const OLD: Duration = Duration::from_millis(1_200);
 
+/// Longer than a step that waits for nothing.
+const SHORT: Duration = Duration::from_millis(100);
+
 fn small_memory() -> memory::BodyMemory {
     let counters = counters::EdgeCounters::new().unwrap();
     memory::BodyMemory::new(SMALL_INSTANCE_BYTES, counters)
@@ -212,6 +219,54 @@
     assert!(read > BODY_BYTES, "{read} bytes");
 }
 
+fn caller_edge(memory: &memory::BodyMemory) -> Arc<server::CallerEdge> {
+    let wait = Duration::from_secs(1);
+    Arc::new(server::CallerEdge {
+        engine: flume::unbounded().0,
+        dialect: Arc::new(native::NativeCallers {
+            issuer: parent::TokenIssuer::new([7; 32]),
+        }),
+        counters: counters::EdgeCounters::new().unwrap(),
+        memory: memory.clone(),
+        limits: server::CallerLimits {
+            connections: 1,
+            header_bytes: 8_192,
+            header_count: 10,
+            header_wait: wait,
+            idle_wait: wait,
+            body: intake::BodyLimits {
+                bytes: BODY_BYTES,
+                wait,
+            },
+            answer_wait: wait,
+        },
+        handles: AtomicU64::new(0),
+    })
+}
+
+// Guards against a connection that is closed for the answer before the one that it is writing.
+#[tokio::test]
+async fn an_answer_is_not_evicted_for_the_one_before() {
+    let memory = small_memory();
+    let pipeline = pipeline::RequestPipeline::new(
+        caller_edge(&memory),
+        anvil_node::caller::head_timer::HeadTimer::start(),
+    );
+    let mut others = memory.lease(memory::BodyKind::Answer);
+    others.try_grow(BODY_BYTES).unwrap();
+    let response = http::Response::new(Full::new(large_body()));
+    for is_read in [true, false] {
+        pipeline.begin_writing(&response);
+        tokio::time::sleep(OLD).await;
+        assert!(others.grow_or_evict(usize::MAX / 2).is_err());
+        if is_read {
+            pipeline.begin_writing(&response);
+        }
+        let evicted = tokio::time::timeout(SHORT, pipeline.evicted()).await;
+        assert_eq!(evicted.is_err(), is_read);
+    }
+}
+
 /// The parts of a body of `total` bytes.
 fn parts(owner: body::BodyOwner, total: usize) -> impl Iterator<Item = frame::PeerFrame> {
     let part = Bytes::from(vec![b'x'; body::MAX_PART_BYTES]);
@@ -252,12 +307,9 @@
 // Guards against an answer that reaches its caller without its body, as a success.
 #[test]
 fn an_answer_without_memory_is_no_success() {
-    let node = node::start(&common::settings(LIMITS)).unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    fake_peer::announce_peer(node.bound().gossip, listener.local_addr().unwrap());
+    let (node, mut peer) = common::entry_with_fake_peer(LIMITS);
     let caller = node.bound().caller;
     let request = thread::spawn(move || common::request(caller, "GET", "/x").send().unwrap());
-    let mut peer = fake_peer::FakePeer::accept(&listener);
     let call = peer.receive_call();
     let owner = body::BodyOwner {
         call: call.call,
--- a/crates/anvil_node/tests/common/mod.rs
+++ b/crates/anvil_node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 pub mod fake_peer;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -90,6 +90,30 @@
         .timeout(TEST_TIMEOUT)
 }
 
+/// Starts an entry node without a target, and a fake node that offers the service to it.
+pub fn entry_with_fake_peer(limits: &str) -> (node::RunningNode, fake_peer::FakePeer) {
+    let yaml = format!("{}seeds: ['127.0.0.1:9']\n", yaml(limits));
+    let settings = settings::parse(&yaml, Path::new("entry.yaml")).unwrap();
+    let entry = node::start(&settings).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    fake_peer::announce_peer(entry.bound().gossip, listener.local_addr().unwrap());
+    let mut peer = fake_peer::FakePeer::accept(&listener);
+    peer.send_members();
+    await_service(&entry);
+    (entry, peer)
+}
+
+/// Waits until the entry node knows the service of the fake peer and serves, which a new node does
+/// only after it has compared its members with its peers.
+pub fn await_service(entry: &node::RunningNode) {
+    let status = format!("http://{}/status", entry.bound().admin);
+    await_true("the entry node knows the service and serves", || {
+        let response = attohttpc::get(&status).send().unwrap();
+        let status = response.text().unwrap();
+        status.contains(SERVICE) && status.contains("\"rules_compared\":true")
+    });
+}
+
 /// Announces a target, as the target itself would.
 pub fn announce(admin: SocketAddr, target: SocketAddr, service: &str) {
     let body = format!(
--- a/crates/anvil_node/tests/slow_links.rs
+++ b/crates/anvil_node/tests/slow_links.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -72,12 +72,9 @@
 // Guards against an answer that is given up because it takes seconds to arrive.
 #[test]
 fn an_answer_that_a_node_sends_slowly_arrives_whole() {
-    let node = anvil_node::node::start(&common::settings("")).unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    fake_peer::announce_peer(node.bound().gossip, listener.local_addr().unwrap());
+    let (node, mut peer) = common::entry_with_fake_peer("");
     let caller = node.bound().caller;
     let request = thread::spawn(move || common::request(caller, "POST", "/claims").send().unwrap());
-    let mut peer = fake_peer::FakePeer::accept(&listener);
     let call = peer.receive_call();
     let body = "x".repeat(BODY_BYTES);
     for bytes in peer
--- a/crates/anvil_node/tests/two_nodes.rs
+++ b/crates/anvil_node/tests/two_nodes.rs
@@ -4,7 +4,6 @@
 
 mod common;
 
-use std::net::TcpListener;
 use std::path::Path;
 use std::thread;
 
@@ -92,12 +91,7 @@
 // were never made. Each caller must get the answer to its own request, once.
 #[test]
 fn stale_answers_are_ignored() {
-    let entry = entry("127.0.0.1:9".parse().unwrap());
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    fake_peer::announce_peer(entry.bound().gossip, listener.local_addr().unwrap());
-    let mut peer = fake_peer::FakePeer::accept(&listener);
-    peer.send_members();
-    await_service(&entry);
+    let (entry, mut peer) = common::entry_with_fake_peer("");
     let caller = entry.bound().caller;
     let send = move |path: &'static str| {
         thread::spawn(move || {
@@ -123,17 +117,6 @@
     assert_eq!(second.join().unwrap(), "second");
 }
 
-/// Waits until the entry node knows the service of the fake peer and serves, which a new node does
-/// only after it has compared its members with its peers.
-fn await_service(entry: &node::RunningNode) {
-    let status = format!("http://{}/status", entry.bound().admin);
-    common::await_true("the entry node knows the service and serves", || {
-        let response = attohttpc::get(&status).send().unwrap();
-        let status = response.text().unwrap();
-        status.contains("audiencias") && status.contains("\"rules_compared\":true")
-    });
-}
-
 /// An entry node and a fake peer with two connections between them. A call is in flight on the
 /// first, and the entry node has received a frame on the second since.
 struct TwoConnections {
@@ -153,12 +136,7 @@
 }
 
 fn two_connections() -> TwoConnections {
-    let entry = entry("127.0.0.1:9".parse().unwrap());
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    fake_peer::announce_peer(entry.bound().gossip, listener.local_addr().unwrap());
-    let mut first = fake_peer::FakePeer::accept(&listener);
-    first.send_members();
-    await_service(&entry);
+    let (entry, mut first) = common::entry_with_fake_peer("");
     let caller = send_bid(&entry);
     let call = first.receive_call();
     let mut second = fake_peer::FakePeer::connect(entry.bound().peer);
