Keep a stopping connection open for the pipelined request that comes next

What callers saw: while a node stops, the second of two pipelined requests gets no answer, though its target had answered it.

Cause: the library reads on while it writes the first answer, which takes the second request out of the queue of early ones; the drain sees none and closes the connection.

--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -236,8 +236,12 @@
     }
 
     /// Whether no request runs early, so that the connection may close after the one in service.
+    ///
+    /// The library reads on while it writes an answer, so the next early request may have reached its
+    /// buffer before its turn has come.
     pub fn has_no_early(&self) -> bool {
-        self.lock().early.is_empty()
+        let state = self.lock();
+        state.early.is_empty() && state.current.is_none()
     }
 
     /// Starts the complete requests behind the one in service, up to the first that can't start
