Shut no connection down while it writes an answer

What callers saw: an answer with Connection: close that is read slowly while its node stops ends early, after 3.9 of 8 MB; so does the second of two pipelined answers.

Cause: a draining connection is told to shut down at once. If the answer in progress announces the close, the HTTP library takes that for the end of the connection and drops what it has not written.

The connection is told to shut down once nothing is being written, and looks again after each step, as nothing would wake it then.

--- a/crates/anvil_node/src/caller/pipeline.rs
+++ b/crates/anvil_node/src/caller/pipeline.rs
@@ -235,13 +235,14 @@
         self.lock().stopping = true;
     }
 
-    /// Whether no request runs early, so that the connection may close after the one in service.
+    /// Whether the library may be told to close the connection after the request in service.
     ///
-    /// The library reads on while it writes an answer, so the next early request may have reached its
-    /// buffer before its turn has come.
-    pub fn has_no_early(&self) -> bool {
+    /// Early requests come first. The library reads on while it writes an answer, so the next one may
+    /// have left the queue before its turn has come. And where the answer that is being written
+    /// announces the close, the library would end the connection at once, without the rest of it.
+    pub fn may_shut_down(&self) -> bool {
         let state = self.lock();
-        state.early.is_empty() && state.current.is_none()
+        state.early.is_empty() && state.current.is_none() && state.unread.is_none()
     }
 
     /// Starts the complete requests behind the one in service, up to the first that can't start
--- a/crates/anvil_node/src/caller/server.rs
+++ b/crates/anvil_node/src/caller/server.rs
@@ -138,12 +138,18 @@
     let (mut draining, mut closing) = (false, false);
     let end = loop {
         let step = future::poll_fn(|context| {
-            // Requests that were started early are answered before the connection closes.
-            if draining && !closing && pipeline.has_no_early() {
-                closing = true;
-                Pin::new(&mut serving).graceful_shutdown();
+            loop {
+                if draining && !closing && pipeline.may_shut_down() {
+                    closing = true;
+                    Pin::new(&mut serving).graceful_shutdown();
+                }
+                let polled = serving.poll_without_shutdown(context);
+                // The step may have written the rest of the last answer, after which nothing wakes it.
+                let may_close = draining && !closing && pipeline.may_shut_down();
+                if polled.is_ready() || !may_close {
+                    return polled;
+                }
             }
-            serving.poll_without_shutdown(context)
         });
         tokio::select! {
             result = step => break ConnectionEnd::from_result(result),
