Send a cancellation on all connections to a node

What callers would see: a call with a body of more than 64 KiB runs after its caller has left, if two nodes hold two connections.

Cause: a frame takes the connection heard from last, so a cancellation can pass its call, whose body is on its way on the other one, and then finds nothing to cancel.

Evidence: a_cancellation_takes_all_connections; before, only one of the two had it.

On the connection of the call a cancellation comes behind it, in the writer's queue and at the other node, and on the others it finds nothing.

--- a/crates/anvil_node/src/peer/table.rs
+++ b/crates/anvil_node/src/peer/table.rs
@@ -166,6 +166,9 @@
 
     /// Queues a frame on the connection that received a frame last; returns it if the queue is
     /// full.
+    ///
+    /// A cancellation is queued on the others as well. Its call may be on its way on one of them, and
+    /// would run if the cancellation came first.
     fn send(&mut self, frame: frame::PeerFrame) -> Result<(), frame::PeerFrame> {
         let usable = self.links.iter().rev().filter(|link| !link.is_suspect());
         let current = usable.max_by_key(|link| link.liveness.last_received());
@@ -173,6 +176,13 @@
             self.unsent.push(frame);
             return Ok(());
         };
+        if matches!(frame, frame::PeerFrame::Cancel { .. }) {
+            let others = self.links.iter().filter(|link| link.link != current.link);
+            for other in others {
+                // A connection that takes no frame delivers the call late or never.
+                let _ = other.frames.try_send(frame.clone());
+            }
+        }
         match current.frames.try_send(frame) {
             Ok(()) => Ok(()),
             Err(mpsc::error::TrySendError::Full(frame)) => Err(frame),
--- a/crates/anvil_node/tests/peer_table.rs
+++ b/crates/anvil_node/tests/peer_table.rs
@@ -11,6 +11,7 @@
 use anvil_node::caller::server;
 use anvil_node::peer::{link, table};
 use anvil_node::{counters, memory};
+use anvil_types::ident;
 use anvil_wire::{frame, outcome};
 use common::fake_peer;
 use tokio::net::TcpListener;
@@ -128,3 +129,22 @@
     links.lose_first(false);
     assert!(!links.queries_on_a_new_connection().await);
 }
+
+// Guards against a cancellation that passes its call, whose body is on its way on another connection.
+#[tokio::test]
+async fn a_cancellation_takes_all_connections() {
+    let mut links = TwoLinks::open().await;
+    let cancel = frame::PeerFrame::Cancel {
+        call: ident::CallId {
+            node: fake_peer::NODE,
+            sequence: 1,
+        },
+        attempt: 1,
+    };
+    let address = links.address();
+    assert!(links.table.send(fake_peer::NODE, address, cancel).is_none());
+    assert_eq!(
+        links.parts.each_ref().map(link::LinkParts::queued_frames),
+        [1, 1]
+    );
+}
