--- a/review/lab/drain.rs
+++ b/review/lab/drain.rs
@@ -22,7 +22,7 @@
 /// By how much the time of day of its machine steps back, in milliseconds.
 const STEP: u64 = 2_400;
 
-fn desired_state() -> String {
+pub fn desired_state() -> String {
     format!(
         "{{\"version\":\"r7\",\"routes\":{{\"columns\":[\"name\",\"host\",\"prefix\",\"route_type\",\
          \"timeout\",\"target_latency\",\"priority\",\"traffic_split\",\"attempts\",\"service\"],\"rows\":[\
@@ -34,7 +34,7 @@
     )
 }
 
-fn options(id: &str, born: u64) -> Options {
+pub fn options(id: &str, born: u64) -> Options {
     let nowhere = "127.0.0.1:1".parse().expect("an address");
     Options {
         id: id.to_owned(),
--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -18,6 +18,9 @@
 /// `stability_window` of the site's bounds.
 pub const STABILITY_WINDOW: u64 = 3_000;
 
+/// `retry_budget_slack` of the site's bounds.
+pub const RETRY_SLACK: &str = "48";
+
 /// `drain` of the site's bounds.
 pub const DRAIN: u64 = 2_000;
 
@@ -83,6 +86,7 @@
 pub struct Machine {
     pub name: String,
     pub service: String,
+    zone: String,
     pub ip: IpAddr,
     /// The standard input of the upstream that runs; commands go there.
     upstream: Arc<Mutex<Option<Child>>>,
@@ -142,6 +146,7 @@
         let machines = services.iter().enumerate().map(|(index, service)| Machine {
             name: format!("machine-{index}"),
             service: (*service).to_owned(),
+            zone: zones[index % zones.len()].to_owned(),
             ip: ips[index],
             upstream: Arc::default(),
             restarts: Arc::new(AtomicBool::new(true)),
@@ -158,18 +163,52 @@
             template,
             labels: AtomicU64::new(0x9c41_d07b_0000_0000 + (unix_ms() & 0xffff) * 0x1000),
         };
-        for (index, machine) in fleet.machines.iter().enumerate() {
-            let zone = zones[index % zones.len()];
-            let settings = fleet.settings(machine, zone);
-            fs::write(
-                fleet.folder.join(format!("{}.yaml", machine.name)),
-                settings,
-            )
-            .expect("the settings");
+        for index in 0..fleet.machines.len() {
+            fleet.write_settings(index, RETRY_SLACK);
         }
         fleet
     }
 
+    /// Writes the settings file of a machine; `retry_slack` is the bound `retry_budget_slack`.
+    pub fn write_settings(&self, index: usize, retry_slack: &str) {
+        let machine = &self.machines[index];
+        let settings = self.settings(machine, &machine.zone, retry_slack);
+        let file = self.folder.join(format!("{}.yaml", machine.name));
+        fs::write(file, settings).expect("the settings");
+        self.record.note(format!(
+            "settings of {}: retry_budget_slack = {retry_slack}",
+            machine.name
+        ));
+    }
+
+    /// Sends a signal to the node of a machine.
+    pub fn signal_node(&self, index: usize, signal: &str) {
+        let nodes = NODES.lock().unwrap();
+        let Some((_, node)) = nodes.iter().find(|(machine, _)| *machine == index) else {
+            return;
+        };
+        let command = format!("kill -{signal} {}", node.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+        self.record.note(format!(
+            "node {} gets SIG{signal}",
+            self.machines[index].name
+        ));
+    }
+
+    /// The exit code of the node of a machine, if its process has ended since it was started.
+    pub fn node_ended(&self, index: usize) -> Option<i32> {
+        let mut nodes = NODES.lock().unwrap();
+        let position = nodes.iter().position(|(machine, _)| *machine == index)?;
+        let status = nodes[position].1.try_wait().ok().flatten()?;
+        nodes.remove(position);
+        let code = status.code().unwrap_or(-1);
+        self.record.note(format!(
+            "node {} ended with code {code}",
+            self.machines[index].name
+        ));
+        Some(code)
+    }
+
     /// Where the clients of a machine send their requests.
     pub fn outbound(&self, machine: usize) -> SocketAddr {
         self.address(machine, OUTBOUND)
@@ -180,7 +219,7 @@
     }
 
     /// The project's template with the platform's values.
-    fn settings(&self, machine: &Machine, zone: &str) -> String {
+    fn settings(&self, machine: &Machine, zone: &str, retry_slack: &str) -> String {
         let at = |port: u16| SocketAddr::new(machine.ip, self.port + port).to_string();
         let values = [
             ("zone", zone.to_owned()),
@@ -204,7 +243,7 @@
                 format!("{}ms", upstream::HEARTBEAT.as_millis()),
             ),
             ("bounds.grace", "6s".to_owned()),
-            ("bounds.retry_budget_slack", "48".to_owned()),
+            ("bounds.retry_budget_slack", retry_slack.to_owned()),
         ];
         let mut text = self.template.clone();
         for (name, value) in values {
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod poison;
+mod settings;
 mod store;
 mod upstream;
 
@@ -22,6 +23,7 @@
         Some("killed-poison") => poison::killed(trouble),
         Some("gone-pipelined") => gone::pipelined(trouble),
         Some("flapping-drain") => drain::flapping(trouble),
+        Some("fraction-start") => settings::fraction(trouble),
         _ => fleet::stop("unknown case"),
     }
 }
