Review case 8: an id under a running request's needs no key

Takes the place of the case of clients that leave with more requests in a buffer, which stays in review/lab as gone-pipelined.

--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -396,22 +396,40 @@
         deadline: u64,
         leave: Option<Duration>,
     ) {
-        let label = self.label();
+        let head = format!("Host: {host}\r\nDeadline-Ms: {deadline}\r\n");
+        let limit = leave.unwrap_or(Duration::from_millis(deadline + 1_500));
+        self.request(machine, &self.label(), path, &head, limit, leave.is_some());
+    }
+
+    /// Sends one request with the id `label` and the header lines `head`, and waits for the answer for
+    /// at most `limit`, after which the client is said to leave if it `leaves`.
+    pub fn request(
+        &self,
+        machine: usize,
+        label: &str,
+        path: &str,
+        head: &str,
+        limit: Duration,
+        leaves: bool,
+    ) -> Option<u16> {
         let name = &self.machines[machine].name;
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {label}\r\nDeadline-Ms: {deadline}\r\n\r\n"
-        );
+        let request = format!("GET {path} HTTP/1.1\r\nRequest-Id: {label}\r\n{head}\r\n");
         self.record
             .note(format!("client sends {label} GET {path} to {name}"));
-        let limit = leave.unwrap_or(Duration::from_millis(deadline + 1_500));
         let reply = exchange(self.address(machine, OUTBOUND), limit, request.as_bytes());
+        let status = reply
+            .as_ref()
+            .ok()
+            .and_then(Option::as_ref)
+            .map(Message::status);
         let text = match reply {
             Ok(Some(answer)) => format!("client gets {} for {label}", answer.status()),
             Ok(None) => format!("client gets nothing (the connection ended) for {label}"),
-            Err(error) if leave.is_some() && is_timeout(&error) => format!("client leaves {label}"),
+            Err(error) if leaves && is_timeout(&error) => format!("client leaves {label}"),
             Err(error) => format!("client gets nothing ({error}) for {label}"),
         };
         self.record.note(text);
+        status
     }
 
     /// Ends all processes that were started and writes the record.
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod poison;
+mod revoked;
 mod settings;
 mod store;
 mod upstream;
@@ -24,6 +25,7 @@
         Some("gone-pipelined") => gone::pipelined(trouble),
         Some("flapping-drain") => drain::flapping(trouble),
         Some("fraction-start") => settings::fraction(trouble),
+        Some("revoked-key") => revoked::numbered(trouble),
         _ => fleet::stop("unknown case"),
     }
 }
--- a/review/lab/upstream.rs
+++ b/review/lab/upstream.rs
@@ -17,6 +17,12 @@
 /// Requests that it runs concurrently; further ones wait, up to as many again.
 const SLOTS: u32 = 34;
 
+/// Requests whose path ends so take [`LONG_WORK`].
+pub const LONG_PATH: &str = "/long";
+
+/// Work of a long request.
+const LONG_WORK: Duration = Duration::from_millis(4_000);
+
 /// Milliseconds of the Unix clock.
 pub fn unix_ms() -> u64 {
     let now = SystemTime::now()
@@ -204,8 +210,12 @@
 
     /// Works for the usual time; false if the connection of the request is closed meanwhile, which
     /// ends the work.
-    fn work(&self, connection: &Connection) -> bool {
-        let until = Instant::now() + self.options.work;
+    fn work(&self, path: &str, connection: &Connection) -> bool {
+        let work = match path.ends_with(LONG_PATH) {
+            true => LONG_WORK,
+            false => self.options.work,
+        };
+        let until = Instant::now() + work;
         let stream = &connection.stream;
         while Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
@@ -260,8 +270,9 @@
         tell(
             &options.id,
             &format!(
-                "runs {label} {} {path} draining={draining}",
-                request.method()
+                "runs {label} {} {path} draining={draining} tenant={}",
+                request.method(),
+                request.header("tenant").unwrap_or("-")
             ),
         );
         if !options.crash_path.is_empty() && path.ends_with(&options.crash_path) {
@@ -269,7 +280,7 @@
             tell(&options.id, &format!("crashes by {label} {path}"));
             std::process::abort();
         }
-        let completed = self.work(connection);
+        let completed = self.work(&path, connection);
         tell(
             &options.id,
             &format!("{} {label}", if completed { "completes" } else { "drops" }),
