--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 export ROOT="$PWD/../.." RECORD="$PWD/record.txt"
 [ -x "$ROOT/target/review-2/lab" ] && [ -x "$ROOT/target/release/anvil-node" ] || exit 2
-exec "$ROOT/target/review-2/lab" revoked-key
+exec "$ROOT/target/review-2/lab" fraction-start
