--- a/review/lab/revoked.rs
+++ b/review/lab/revoked.rs
@@ -68,10 +68,10 @@
         fleet.end();
         crate::fleet::stop("the keys are not in force");
     }
-    let session = fleet.label();
+    let first = fleet.label();
     let mut revoked = 0;
     thread::scope(|clients| {
-        clients.spawn(|| send(&fleet, &session, "/leny950/long", OLD_KEY));
+        clients.spawn(|| send(&fleet, &first, "/leny950/long", OLD_KEY));
         thread::sleep(Duration::from_millis(300));
         if trouble {
             let state = desired_state(9, &[NEW_KEY]);
@@ -85,7 +85,7 @@
         for number in 1..9 {
             send(
                 &fleet,
-                &format!("{session}.{number}"),
+                &format!("{first}.{number}"),
                 "/leny950/2f",
                 OLD_KEY,
             );
@@ -93,7 +93,7 @@
             send(&fleet, &fleet.label(), "/leny950/2f", OLD_KEY);
         }
         // It is under way when the first one ends, which breaks it off; the rule doesn't ask for that.
-        send(&fleet, &format!("{session}.9"), "/leny950/long", OLD_KEY);
+        send(&fleet, &format!("{first}.9"), "/leny950/long", OLD_KEY);
     });
     judge(&fleet, revoked, trouble);
 }
