--- a/review/lab/revoked.rs
+++ b/review/lab/revoked.rs
@@ -83,12 +83,7 @@
         revoked = unix_ms();
         thread::sleep(Duration::from_millis(CONFIG_APPLY + 200));
         for number in 1..9 {
-            send(
-                &fleet,
-                &format!("{first}.{number}"),
-                "/leny950/2f",
-                OLD_KEY,
-            );
+            send(&fleet, &format!("{first}.{number}"), "/leny950/2f", OLD_KEY);
             // The same client under an id that stands for itself.
             send(&fleet, &fleet.label(), "/leny950/2f", OLD_KEY);
         }
