A bound with a fraction no longer ends a node at its start

Cause: the setting had the type of the example on the page, u32.

Filled in by hand, 48.0 and 4.8e1 end the node as 48.5 does; a SIGHUP with 48.5 ends nothing.

Wrong values are refused with field, value, what is expected and line. Without a value the limits of a single node hold.

--- a/crates/anvil_node/src/dialect.rs
+++ b/crates/anvil_node/src/dialect.rs
@@ -104,10 +104,13 @@
         run_linger: hosted.run_linger(),
         limit: Some(hosted.stop_limit()),
     };
+    let reducer = match hosted.retry_burst() {
+        Some(burst) => reducer.with_fleet_burst(burst),
+        None => reducer,
+    };
     reducer
         .with_rule_document(store::StoreKey::new(names::DESIRED_STATE_KEY))
         .with_stop(plan)
         .with_expected_service(hosted.service.clone())
-        .with_fleet_burst(hosted.retry_burst())
         .with_target_checks()
 }
--- a/crates/anvil_node/src/settings.rs
+++ b/crates/anvil_node/src/settings.rs
@@ -7,7 +7,7 @@
 
 use anvil_overload::policy;
 use anvil_platform::settings as hosted;
-use anvil_types::name;
+use anvil_types::{name, number};
 use anvil_wire::codec;
 use anvil_wire::seal::ring;
 use derive_more::{Display, Error};
@@ -19,7 +19,7 @@
 const MEGABYTE: u64 = 1_000_000;
 
 /// The least memory with which a node works, in megabytes, and the most that can be meant.
-const MEMORY_RANGE: std::ops::RangeInclusive<f64> = 64.0..=16_000_000.0;
+const MEMORY_RANGE: (u64, u64) = (64, 16_000_000);
 
 /// Why settings were refused; the text names the file, the line, the field and the reason.
 #[derive(Debug, Display, Error)]
@@ -295,21 +295,42 @@
     Ok(settings)
 }
 
+/// The numbers that a setting accepts.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{kind} from {min} to {max}")]
+struct SettingRange {
+    kind: &'static str,
+    min: u64,
+    max: u64,
+}
+
+impl SettingRange {
+    /// Reads a number within the range.
+    fn read<'de, D>(self, deserializer: D) -> Result<number::StatedNumber, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let number = number::deserialize_setting(deserializer, self)?;
+        #[expect(clippy::cast_precision_loss, reason = "all ranges end below 2^53")]
+        let range = self.min as f64..=self.max as f64;
+        if range.contains(&number.get()) {
+            return Ok(number);
+        }
+        let reason = format!("{number} is out of range: {self} is expected");
+        Err(de::Error::custom(reason))
+    }
+}
+
 /// Reads megabytes, of which platforms may state fractions.
 fn megabytes<'de, D>(deserializer: D) -> Result<u64, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let value = f64::deserialize(deserializer)?;
-    if !MEMORY_RANGE.contains(&value) {
-        let (min, max) = (MEMORY_RANGE.start(), MEMORY_RANGE.end());
-        let reason = format!("{value} is out of range: {min} to {max} is expected");
-        return Err(de::Error::custom(reason));
-    }
-    // The range leaves no value that a conversion could change but by its fraction.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let whole = value as u64;
-    Ok(whole)
+    let kind = "a number";
+    let (min, max) = MEMORY_RANGE;
+    let range = SettingRange { kind, min, max };
+    let number = range.read(deserializer)?;
+    Ok(u64::from(number.floor_u32()))
 }
 
 fn optional_bytes<'de, D>(deserializer: D) -> Result<Option<u64>, D::Error>
@@ -323,10 +344,15 @@
 where
     D: Deserializer<'de>,
 {
-    let value = u64::deserialize(deserializer)?;
-    if (MIN..=MAX).contains(&value) {
-        return Ok(value);
-    }
-    let reason = format!("{value} is out of range: {MIN} to {MAX} is expected");
-    Err(de::Error::custom(reason))
+    let range = SettingRange {
+        kind: "a whole number",
+        min: MIN,
+        max: MAX,
+    };
+    let number = range.read(deserializer)?.get();
+    let count = number::StatedCount::try_from(number);
+    count.map(|count| count.0).map_err(|_| {
+        let reason = format!("{number} is not whole: {range} is expected");
+        de::Error::custom(reason)
+    })
 }
--- a/crates/anvil_types/src/lib.rs
+++ b/crates/anvil_types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 pub mod ident;
 pub mod name;
+pub mod number;
 pub mod rate;
 pub mod sorted;
 pub mod store;
