Headers: a deadline and a pace are taken with a fraction and beyond a type

Callers saw: 400 for a proper request with a Deadline-Ms of 1500.5, or of more than 64 bits. A target that states a pace of 112.5 or 20000 had its whole load discarded, and was chosen as if it had said nothing.

A pace is rounded to 1 to 10,000. Refusals show the beginning of what was found.

--- a/crates/anvil_edge/src/caller.rs
+++ b/crates/anvil_edge/src/caller.rs
@@ -7,12 +7,15 @@
 use anvil_wire::call;
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Method, Response, request};
+use http::{HeaderValue, Method, Response, request};
 use http_body_util::Full;
 
 /// A response with its complete body.
 pub type FullResponse = Response<Full<Bytes>>;
 
+/// Bytes of a malformed header that a refusal shows.
+const MAX_SHOWN_BYTES: usize = 64;
+
 /// A call as read from a request head, before its body.
 #[derive(Debug)]
 pub struct CallHead {
@@ -40,10 +43,12 @@
         reason: name::NameError,
     },
     /// A header that the dialect interprets is malformed.
-    #[display("the header {header} is malformed: {expected} is expected")]
+    #[display("the header {header} is malformed: {found:?} is not {expected}")]
     HintMalformed {
         /// The name of the header.
         header: &'static str,
+        /// The beginning of its value; empty if the header is missing or its value must not be shown.
+        found: String,
         /// The expected value.
         expected: &'static str,
     },
@@ -71,6 +76,21 @@
 const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 
 impl IntakeRefusal {
+    /// A refusal for the header with this `value`, of which the message shows the beginning.
+    pub fn malformed_hint(
+        header: &'static str,
+        value: Option<&HeaderValue>,
+        expected: &'static str,
+    ) -> Self {
+        let bytes = value.map_or(&[][..], HeaderValue::as_bytes);
+        let shown = &bytes[..bytes.len().min(MAX_SHOWN_BYTES)];
+        Self::HintMalformed {
+            header,
+            found: String::from_utf8_lossy(shown).into_owned(),
+            expected,
+        }
+    }
+
     /// Pause after which the caller should retry; none if the same request would be refused again.
     pub fn retry_after(&self) -> Option<Duration> {
         matches!(self, Self::NoMemory).then_some(NO_MEMORY_RETRY)
--- a/crates/anvil_node/src/caller/native.rs
+++ b/crates/anvil_node/src/caller/native.rs
@@ -5,7 +5,7 @@
 use anvil_core::{effect, event};
 use anvil_edge::caller::{self, CallHead, IntakeRefusal};
 use anvil_edge::hops;
-use anvil_types::{account, ident, name, verdict};
+use anvil_types::{account, ident, name, number, verdict};
 use anvil_wire::call;
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, header as names, request, uri};
@@ -116,7 +116,8 @@
     issuer: &parent::TokenIssuer,
 ) -> Result<event::CallerHints, IntakeRefusal> {
     let request = hint(headers, header::REQUEST_ID, "32 hex digits", request_id)?;
-    let timeout = hint(headers, header::TIMEOUT, "milliseconds above zero", timeout)?;
+    let expected = "a number of milliseconds above zero";
+    let timeout = hint(headers, header::TIMEOUT, expected, timeout)?;
     let key = match headers.get(header::KEY) {
         Some(value) => Some(key(value.as_bytes())?),
         None => None,
@@ -151,8 +152,8 @@
         return Ok(None);
     };
     let parsed = value.to_str().ok().and_then(parse);
-    let refusal = IntakeRefusal::HintMalformed { header, expected };
-    parsed.map(Some).ok_or(refusal)
+    let refusal = || IntakeRefusal::malformed_hint(header, Some(value), expected);
+    parsed.map(Some).ok_or_else(refusal)
 }
 
 fn request_id(text: &str) -> Option<ident::RequestId> {
@@ -165,16 +166,17 @@
 }
 
 fn timeout(text: &str) -> Option<Duration> {
-    let millis: u32 = text.parse().ok()?;
-    (millis > 0).then(|| Duration::from_millis(u64::from(millis)))
+    let millis: number::StatedNumber = text.parse().ok()?;
+    Some(millis.millis()).filter(|timeout| !timeout.is_zero())
 }
 
 fn key(value: &[u8]) -> Result<Bytes, IntakeRefusal> {
     if value.is_empty() || value.len() > MAX_KEY_BYTES {
-        return Err(IntakeRefusal::HintMalformed {
-            header: header::KEY,
-            expected: "a key of 1 to 256 bytes",
-        });
+        return Err(IntakeRefusal::malformed_hint(
+            header::KEY,
+            None,
+            "a key of 1 to 256 bytes",
+        ));
     }
     Ok(Bytes::copy_from_slice(value))
 }
--- a/crates/anvil_overload/src/pace.rs
+++ b/crates/anvil_overload/src/pace.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use anvil_types::time;
+use anvil_types::{number, time};
 use derive_more::{Display, Error};
 use serde::Serialize;
 
@@ -15,7 +15,7 @@
 /// The usual pace, in percent.
 pub const USUAL_PERCENT: u16 = 100;
 
-/// Highest pace that counts as valid, in percent.
+/// Pace that stands for all higher ones, in percent.
 pub const MAX_PERCENT: u16 = 10_000;
 
 /// Pace from which a target counts as slow, in percent.
@@ -50,10 +50,9 @@
     fn from_str(text: &str) -> Result<Self, MalformedLoad> {
         let mut fields = text.split(',');
         let mut next = || fields.next().map(integer).transpose();
-        let (running, waiting, slots, pace) = (next()?, next()?, next()?, next()?);
-        let (Some(running), Some(waiting), Some(slots), None) =
-            (running, waiting, slots, fields.next())
-        else {
+        let counts = (next()?, next()?, next()?);
+        let pace = fields.next().map(percent).transpose()?;
+        let ((Some(running), Some(waiting), Some(slots)), None) = (counts, fields.next()) else {
             return Err(MalformedLoad);
         };
         if slots == 0 {
@@ -63,7 +62,7 @@
             running,
             waiting,
             slots,
-            pace_percent: pace.map(percent).transpose()?,
+            pace_percent: pace,
         })
     }
 }
@@ -77,10 +76,16 @@
     }
 }
 
-fn percent(pace: u32) -> Result<u16, MalformedLoad> {
-    let pace = u16::try_from(pace).ok();
-    let valid = pace.filter(|pace| (1..=MAX_PERCENT).contains(pace));
-    valid.ok_or(MalformedLoad)
+/// Parses a pace, rounded to a whole one from 1 to [`MAX_PERCENT`].
+fn percent(field: &str) -> Result<u16, MalformedLoad> {
+    let field = field.trim_matches([' ', '\t']);
+    let pace: number::StatedNumber = field.parse().map_err(|_| MalformedLoad)?;
+    if pace.get() == 0.0 {
+        return Err(MalformedLoad);
+    }
+    let rounded = number::StatedNumber::try_from(pace.get().round());
+    let rounded = rounded.map_err(|_| MalformedLoad)?.floor_u16();
+    Ok(rounded.clamp(1, MAX_PERCENT))
 }
 
 /// How the pace of a target changed.
