--- a/crates/anvil_core/src/counters.rs
+++ b/crates/anvil_core/src/counters.rs
@@ -26,6 +26,8 @@
     pub retries: u64,
     /// Answers dropped because they matched no open attempt.
     pub answers_stale: u64,
+    /// Answers of other nodes whose status is no final one of HTTP.
+    pub answers_invalid: u64,
     /// Duplicate attempts of other nodes that were dropped.
     pub calls_repeated: u64,
     /// Runs started at the local target.
--- a/crates/anvil_core/src/entry.rs
+++ b/crates/anvil_core/src/entry.rs
@@ -331,6 +331,7 @@
             self.counters.answers_stale += 1;
             return;
         }
+        let answer = self.without_invalid_status(answer);
         self.settle_attempt(sequence, &answer);
         if answer.answer.as_ref().is_some_and(settling::is_served) {
             self.clear_suspicion(sequence);
@@ -338,6 +339,25 @@
         self.attempt_ended(sequence, answer.verdict, answer.answer);
     }
 
+    /// Drops an answer whose status ends no request: the target may have run it, and said nothing that a
+    /// caller could use.
+    fn without_invalid_status(&mut self, mut answer: call::PeerAnswer) -> call::PeerAnswer {
+        if answer
+            .answer
+            .as_ref()
+            .is_none_or(call::CallAnswer::has_final_status)
+        {
+            return answer;
+        }
+        self.counters.answers_invalid += 1;
+        answer.answer = None;
+        if answer.verdict == verdict::CallVerdict::Answered {
+            answer.verdict =
+                verdict::CallVerdict::MayHaveRun(verdict::UncertaintyReason::AnswerCut);
+        }
+        answer
+    }
+
     pub(crate) fn call_expired(&mut self, sequence: u64) {
         let Some(open) = self.calls.get(sequence) else {
             return;
--- a/crates/anvil_node/src/caller/reply.rs
+++ b/crates/anvil_node/src/caller/reply.rs
@@ -25,9 +25,11 @@
         label: _,
     } = reply;
     let mut response = match (verdict, answer) {
-        (verdict::CallVerdict::Answered, Some(answer)) => answered(answer),
-        (verdict::CallVerdict::Answered, None) => {
-            // An answer without content is incomplete; it must not reach the caller as a success.
+        (verdict::CallVerdict::Answered, Some(answer)) if answer.has_final_status() => {
+            answered(answer)
+        }
+        (verdict::CallVerdict::Answered, _) => {
+            // An answer without content or final status must not reach the caller as a success.
             let kind = problem::uncertainty(verdict::UncertaintyReason::AnswerCut);
             refused(&kind, retry_after, None)
         }
--- a/crates/anvil_node/src/target/message.rs
+++ b/crates/anvil_node/src/target/message.rs
@@ -10,6 +10,9 @@
 
 use crate::{head, memory};
 
+/// Highest status of HTTP.
+const MAX_STATUS: u16 = 599;
+
 /// Largest head of an answer, in bytes; common servers send no larger one.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -300,8 +303,7 @@
 }
 
 fn read_head(parsed: &httparse::Response<'_, '_>, method: &str) -> Result<AnswerHead, AnswerFault> {
-    let code = parsed.code.unwrap_or_default();
-    let status = StatusCode::from_u16(code).map_err(|_| malformed("the status"))?;
+    let status = read_status(parsed.code).ok_or_else(|| malformed("the status"))?;
     let headers = head::header_map(parsed.headers).ok_or_else(|| malformed("a header"))?;
     let framing = framing(status, &headers, method)?;
     let keep_alive = keep_alive(parsed.version == Some(1), &headers, framing);
@@ -315,6 +317,13 @@
     })
 }
 
+/// The status, unless it is none of HTTP: RFC 9110, section 15, calls 600 and more invalid, so that an answer
+/// with one can't be told apart from other bytes.
+fn read_status(code: Option<u16>) -> Option<StatusCode> {
+    let status = StatusCode::from_u16(code?).ok();
+    status.filter(|status| status.as_u16() <= MAX_STATUS)
+}
+
 /// How the body is framed, as in RFC 9112, section 6.3.
 ///
 /// An answer that states both a length and chunks, or two lengths, is ambiguous: bytes that one
--- a/crates/anvil_wire/src/call.rs
+++ b/crates/anvil_wire/src/call.rs
@@ -34,10 +34,13 @@
     pub body: Bytes,
 }
 
+/// Statuses of final answers; RFC 9110, section 15, calls those beyond 599 invalid.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// A complete answer of a target, without hop-by-hop headers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CallAnswer {
-    /// HTTP status.
+    /// HTTP status; see [`Self::has_final_status`].
     pub status: u16,
     /// End-to-end headers, in order; at most [`MAX_HEADER_LINES`].
     #[serde(deserialize_with = "bounded::list::<_, _, MAX_HEADER_LINES>")]
@@ -46,6 +49,14 @@
     pub body: Bytes,
 }
 
+impl CallAnswer {
+    /// Whether the status is one that ends a request. An answer with another one is no answer, and nothing
+    /// of it may reach a caller.
+    pub fn has_final_status(&self) -> bool {
+        FINAL_STATUSES.contains(&self.status)
+    }
+}
+
 /// The lowest priority, by class and lane, that a service currently admits.
 ///
 /// Entry nodes refuse requests below it before any work is done; see `docs/design/shedding.md`.
