--- a/crates/anvil_overload/tests/ratio.rs
+++ b/crates/anvil_overload/tests/ratio.rs
@@ -128,6 +128,33 @@
     assert!(allowed >= share, "{allowed} with a share of {share}");
 }
 
+// Guards against nodes that together send more than the platform's slack, of which the burst is 60 percent:
+// a part below one retry is sent as a whole one by chance.
+fn the_parts_of_a_burst_stay_within_the_slack(slack: f64, burst: u32, nodes: u32) {
+    let limits = ratio::RatioLimits::shared(burst, nodes as usize);
+    let limits = limits.for_claims(burst, nodes as usize);
+    let mut allowed = 0;
+    for node in 0..nodes {
+        let now = at(u64::from(node));
+        let mut budget = ratio::RetryBudget::with_limits(now, limits);
+        while budget.spend(now, &top_rank()) {
+            allowed += 1;
+        }
+    }
+    assert!(f64::from(allowed) <= slack, "{allowed} at {nodes} nodes");
+}
+
+test_cases! {
+    the_parts_of_a_burst_stay_within_the_slack:
+    slack_below_one_retry => (0.4, 0, 16),
+    slack_of_one_retry => (1.0, 0, 16),
+    slack_with_a_fraction => (21.09, 12, 16),
+    burst_beyond_the_nodes => (48.5, 29, 16),
+    burst_of_one_node => (48.5, 29, 1),
+    burst_below_many_nodes => (106.0, 63, 75),
+    burst_below_more_nodes => (213.0, 127, 194),
+}
+
 // Browsing and submissions fail alike, and browsing is twice as frequent. Submissions may use the
 // budget first, and browsing gets the remainder.
 #[test]
